--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# The virtual environment is made anew whenever the pinned dependencies change.
+VENV ?= build/venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: test format lint types unit demo clean
+
+test: lint types unit
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $(STAMP)
+
+format: $(STAMP)
+	$(BIN)/ruff format redwingchute scripts
+	$(BIN)/ruff check --fix redwingchute scripts
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check redwingchute scripts
+	$(BIN)/ruff check redwingchute scripts
+
+types: $(STAMP)
+	$(BIN)/mypy --cache-dir build/mypy
+
+unit: $(STAMP)
+	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/run_tests.py
+
+demo: $(STAMP)
+	PATH=$(abspath $(BIN)):$$PATH sh scripts/demo.sh
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/redwingchute/__init__.py
@@ -0,0 +1,1 @@
+"""A router fleet for prepaid token budgets."""
--- /dev/null
+++ b/redwingchute/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: HTTP and peer links."""
--- /dev/null
+++ b/redwingchute/connection/http_client.py
@@ -0,0 +1,341 @@
+"""Calls HTTP/1.1 upstreams over asyncio streams with h11.
+
+A connection is opened or taken from the pool before anything is sent, so that
+a caller knows whether a byte of its request may have reached the upstream. A
+connection goes back to the pool only when its exchange ended cleanly and
+nothing unread is left on it; a late byte can thus never become part of
+another request's answer.
+"""
+
+import asyncio
+import dataclasses
+from types import TracebackType
+from typing import TypeAlias
+
+import attrs
+import h11
+
+_READ_BYTES = 64 * 1024
+_MAX_HEADER_BYTES = 64 * 1024
+
+
+@attrs.frozen
+class Address:
+    """Where an upstream listens."""
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Reads `ip:port`.
+
+        Raises:
+          ValueError: The text has no port or a bad one.
+        """
+        ip, separator, port = text.rpartition(":")
+        if not separator or not ip:
+            raise ValueError(f"'{text}' is not of the form ip:port")
+        return cls(ip, int(port))
+
+    def __str__(self) -> str:
+        """Returns `ip:port`."""
+        return f"{self.ip}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True)
+class ConnectFailed:
+    """No connection could be opened; no byte of the request was sent."""
+
+    message: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ExchangeBroken:
+    """The exchange broke after bytes may have reached the upstream."""
+
+    message: str
+
+
+@attrs.frozen
+class ResponseHead:
+    """The status and headers of a response; names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+
+@attrs.frozen
+class BodyChunk:
+    """A part of the response's body."""
+
+    data: bytes
+
+
+@attrs.frozen
+class BodyEnd:
+    """The body ended as the upstream meant it to."""
+
+
+BodyEvent: TypeAlias = BodyChunk | BodyEnd | ExchangeBroken
+
+
+class ClientConnection:
+    """One connection to an upstream, used by one exchange at a time."""
+
+    def __init__(
+        self,
+        address: Address,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Binds the connection to its streams."""
+        self.address = address
+        self._reader = reader
+        self._writer = writer
+        self._protocol = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
+        )
+
+    async def send_request(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> ExchangeBroken | None:
+        """Sends a whole request; bytes may have left even when it breaks."""
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                ("host", str(self.address)),
+                ("content-length", str(len(body))),
+                *headers,
+            ],
+        )
+        payload = self._protocol.send(request) or b""
+        if body:
+            payload += self._protocol.send(h11.Data(data=body)) or b""
+        payload += self._protocol.send(h11.EndOfMessage()) or b""
+        try:
+            self._writer.write(payload)
+            await self._writer.drain()
+        except ConnectionError as error:
+            return ExchangeBroken(f"sending failed: {error}")
+        return None
+
+    async def read_head(self) -> ResponseHead | ExchangeBroken:
+        """Reads the status and headers, passing over 1xx responses."""
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.Response():
+                    headers = {
+                        name.decode("latin-1").lower(): value.decode("latin-1")
+                        for name, value in event.headers
+                    }
+                    return ResponseHead(event.status_code, headers)
+                case h11.InformationalResponse():
+                    continue
+                case ExchangeBroken():
+                    return event
+                case _:
+                    return ExchangeBroken("the upstream closed early")
+
+    async def read_chunk(self) -> BodyEvent:
+        """Reads the next part of the body."""
+        event = await self._next_event()
+        match event:
+            case h11.Data():
+                return BodyChunk(bytes(event.data))
+            case h11.EndOfMessage():
+                return BodyEnd()
+            case ExchangeBroken():
+                return event
+            case _:
+                return ExchangeBroken("the upstream closed early")
+
+    async def read_body(self, max_bytes: int) -> bytes | ExchangeBroken:
+        """Reads the whole body, refusing one that is larger than allowed."""
+        body = bytearray()
+        while True:
+            match await self.read_chunk():
+                case BodyChunk(data):
+                    body += data
+                    if len(body) > max_bytes:
+                        return ExchangeBroken("the body is too large")
+                case BodyEnd():
+                    return bytes(body)
+                case ExchangeBroken() as broken:
+                    return broken
+
+    def make_reusable(self) -> bool:
+        """Prepares the next exchange; False when the connection must close."""
+        is_done = (
+            self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+        )
+        if not is_done or self._protocol.trailing_data[0]:
+            return False
+        if not self.is_quiet():
+            return False
+        self._protocol.start_next_cycle()
+        return True
+
+    def is_quiet(self) -> bool:
+        """Tells whether the connection is open with nothing unread on it."""
+        buffered = getattr(self._reader, "_buffer", b"")
+        return not (
+            buffered or self._reader.at_eof() or self._writer.is_closing()
+        )
+
+    def close(self) -> None:
+        """Closes the connection, which cancels an unfinished exchange."""
+        self._writer.close()
+
+    async def _next_event(
+        self,
+    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED] | ExchangeBroken:
+        """Returns the next protocol event, reading as needed."""
+        while True:
+            try:
+                event = self._protocol.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._protocol.receive_data(
+                    await self._reader.read(_READ_BYTES)
+                )
+            except (h11.RemoteProtocolError, ConnectionError) as error:
+                return ExchangeBroken(str(error) or type(error).__name__)
+
+
+class ClientPool:
+    """Keeps idle connections to upstreams; a context manager that owns them."""
+
+    def __init__(
+        self, connect_ms: int = 1_000, max_idle_per_address: int = 32
+    ) -> None:
+        """Prepares an empty pool.
+
+        Args:
+          connect_ms: How long opening a connection may take.
+          max_idle_per_address: How many idle connections to keep.
+        """
+        self._connect_ms = connect_ms
+        self._max_idle_per_address = max_idle_per_address
+        self._idle: dict[Address, list[ClientConnection]] = {}
+
+    async def __aenter__(self) -> "ClientPool":
+        """Returns the pool."""
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Closes the idle connections."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+        self._idle.clear()
+
+    async def acquire(
+        self, address: Address
+    ) -> ClientConnection | ConnectFailed:
+        """Returns a connection on which nothing has been sent yet."""
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_quiet():
+                return connection
+            connection.close()
+        try:
+            async with asyncio.timeout(self._connect_ms / 1000):
+                reader, writer = await asyncio.open_connection(
+                    address.ip, address.port
+                )
+        except (OSError, TimeoutError) as error:
+            return ConnectFailed(str(error) or "connecting timed out")
+        return ClientConnection(address, reader, writer)
+
+    def release(self, connection: ClientConnection) -> None:
+        """Takes a connection back; closes it unless it ended cleanly."""
+        idle = self._idle.setdefault(connection.address, [])
+        if (
+            len(idle) < self._max_idle_per_address
+            and connection.make_reusable()
+        ):
+            idle.append(connection)
+        else:
+            connection.close()
+
+    async def fetch(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        timeout_ms: int,
+        max_body_bytes: int = 16 * 1024 * 1024,
+    ) -> "Fetched | ConnectFailed | ExchangeBroken":
+        """Runs one whole exchange.
+
+        Args:
+          address: Where to connect.
+          method: The HTTP method.
+          target: Path and query.
+          headers: Headers besides host and content-length.
+          body: The whole body.
+          timeout_ms: The time for everything after connecting.
+          max_body_bytes: The largest accepted response.
+
+        Returns:
+          The response, or why there is none.
+        """
+        connection = await self.acquire(address)
+        if isinstance(connection, ConnectFailed):
+            return connection
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await _exchange(
+                    connection, method, target, headers, body, max_body_bytes
+                )
+        except TimeoutError:
+            connection.close()
+            return ExchangeBroken("the exchange timed out")
+        finally:
+            self.release(connection)
+
+
+@attrs.frozen
+class Fetched:
+    """A whole response."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+async def _exchange(
+    connection: ClientConnection,
+    method: str,
+    target: str,
+    headers: list[tuple[str, str]],
+    body: bytes,
+    max_body_bytes: int,
+) -> Fetched | ExchangeBroken:
+    """Sends a request on a connection and reads its whole response."""
+    broken = await connection.send_request(method, target, headers, body)
+    if broken is not None:
+        return broken
+    head = await connection.read_head()
+    if isinstance(head, ExchangeBroken):
+        return head
+    content = await connection.read_body(max_body_bytes)
+    if isinstance(content, ExchangeBroken):
+        return content
+    return Fetched(head.status, head.headers, content)
--- /dev/null
+++ b/redwingchute/connection/http_server.py
@@ -0,0 +1,415 @@
+"""Serves HTTP/1.1 over asyncio streams with h11.
+
+The server bounds what one connection can cost: the sizes of headers and
+bodies, the time for a request to arrive, and the time that a client may leave
+a response unread. Malformed or oversized input gets its 4xx answer and closes
+that connection alone. A client that goes away cancels its handler, so that
+the work behind it is cancelled too.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from types import TracebackType
+from typing import TypeAlias
+import urllib.parse
+
+import attrs
+import h11
+
+_READ_BYTES = 64 * 1024
+_MAX_PIPELINED_BYTES = 256 * 1024
+
+
+@attrs.frozen
+class ServerLimits:
+    """What one connection may cost.
+
+    Attributes:
+      header_bytes: The request line and headers together, and any one line.
+      body_bytes: The body of one request.
+      idle_ms: The wait for the next request on a kept-alive connection.
+      receive_ms: The time for one request to arrive, once it has begun.
+      unread_ms: How long a client may leave a full send buffer unread.
+    """
+
+    header_bytes: int = 32 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    idle_ms: int = 60_000
+    receive_ms: int = 15_000
+    unread_ms: int = 30_000
+
+
+@attrs.frozen
+class HttpRequest:
+    """One request, received whole.
+
+    Attributes:
+      method: The method in upper case.
+      path: The decoded path without the query.
+      query: The query's parameters; of repeated ones, the last.
+      headers: Header values by lower-case name; of repeated ones, the last.
+      body: The whole body.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+class ClientDisconnectedError(Exception):
+    """The client closed the connection or stopped reading."""
+
+
+class HttpResponder:
+    """Sends one response on its connection."""
+
+    def __init__(
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        limits: ServerLimits,
+        must_close: Callable[[], bool],
+    ) -> None:
+        """Binds the responder to its connection.
+
+        Args:
+          connection: The protocol state.
+          writer: Where bytes go.
+          limits: Bounds the time for unread responses.
+          must_close: Tells whether the server wants connections closed.
+        """
+        self._connection = connection
+        self._writer = writer
+        self._limits = limits
+        self._must_close = must_close
+        self.has_started = False
+
+    async def start(
+        self, status: int, headers: list[tuple[str, str]] | None = None
+    ) -> None:
+        """Sends the status and headers of a streamed response."""
+        self.has_started = True
+        all_headers = list(headers or [])
+        if self._must_close():
+            all_headers.append(("connection", "close"))
+        await self._send(h11.Response(status_code=status, headers=all_headers))
+
+    async def send_chunk(self, chunk: bytes) -> None:
+        """Sends a part of the body and waits while the client is slow."""
+        if chunk:
+            await self._send(h11.Data(data=chunk))
+
+    async def finish(self) -> None:
+        """Ends the response."""
+        await self._send(h11.EndOfMessage())
+
+    async def send(
+        self,
+        status: int,
+        body: bytes,
+        content_type: str = "application/json",
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
+        """Sends a whole response."""
+        all_headers = [
+            ("content-type", content_type),
+            ("content-length", str(len(body))),
+            *(headers or []),
+        ]
+        await self.start(status, all_headers)
+        await self.send_chunk(body)
+        await self.finish()
+
+    async def _send(
+        self, event: h11.Response | h11.Data | h11.EndOfMessage
+    ) -> None:
+        """Writes one event; raises ClientDisconnectedError when it cannot."""
+        payload = self._connection.send(event)
+        if self._writer.is_closing():
+            raise ClientDisconnectedError
+        if not payload:
+            return
+        self._writer.write(payload)
+        try:
+            async with asyncio.timeout(self._limits.unread_ms / 1000):
+                await self._writer.drain()
+        except (TimeoutError, ConnectionError) as error:
+            raise ClientDisconnectedError from error
+
+
+Handler: TypeAlias = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
+
+
+@attrs.frozen
+class _BadRequestError(Exception):
+    """A request that gets a 4xx answer and ends its connection."""
+
+    status: int
+    message: str
+
+
+class HttpServer:
+    """An HTTP server on one address; a context manager that owns its socket.
+
+    Attributes:
+      port: The bound port, once started.
+      open_exchanges: How many requests are being answered.
+      bad_requests: How many malformed or oversized requests came.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        address: str,
+        port: int,
+        limits: ServerLimits | None = None,
+    ) -> None:
+        """Prepares a server; it listens once its context is entered.
+
+        Args:
+          handler: Called for each request.
+          address: The IP number to listen on.
+          port: The port, 0 for a free one.
+          limits: What a connection may cost.
+        """
+        self._handler = handler
+        self._address = address
+        self._limits = limits or ServerLimits()
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+        self._idle: set[asyncio.StreamWriter] = set()
+        self._is_draining = False
+        self.port = port
+        self.open_exchanges = 0
+        self.bad_requests = 0
+
+    async def __aenter__(self) -> "HttpServer":
+        """Starts to listen."""
+        self._server = await asyncio.start_server(
+            self._serve_connection, self._address, self.port, backlog=1024
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops listening and ends the connections that are left."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._connections):
+            task.cancel()
+        if self._connections:
+            await asyncio.wait(self._connections)
+
+    def begin_drain(self) -> None:
+        """Asks clients to leave: idle connections close, others after use."""
+        self._is_draining = True
+        for writer in list(self._idle):
+            writer.close()
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers the requests of one connection until it ends."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        try:
+            await self._serve_requests(reader, writer)
+        except (ConnectionError, ClientDisconnectedError, TimeoutError):
+            pass
+        except asyncio.CancelledError:
+            # The server's close cancels connections; the task simply ends.
+            pass
+        finally:
+            self._connections.discard(task)
+            self._idle.discard(writer)
+            writer.close()
+
+    async def _serve_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Runs the request loop of one connection."""
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+        while True:
+            try:
+                request = await self._receive(connection, reader, writer)
+            except _BadRequestError as bad:
+                await self._refuse(connection, writer, bad)
+                return
+            if request is None:
+                return
+            responder = HttpResponder(
+                connection, writer, self._limits, lambda: self._is_draining
+            )
+            pipelined = await self._answer(request, responder, reader)
+            if connection.our_state is not h11.DONE:
+                return
+            if connection.their_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+            if pipelined:
+                connection.receive_data(pipelined)
+
+    async def _answer(
+        self,
+        request: HttpRequest,
+        responder: HttpResponder,
+        reader: asyncio.StreamReader,
+    ) -> bytes:
+        """Runs the handler while watching for the client's disconnect.
+
+        Returns:
+          Bytes of the next request that came meanwhile.
+        """
+        self.open_exchanges += 1
+        pipelined = bytearray()
+        handler = asyncio.ensure_future(self._handler(request, responder))
+        watcher = asyncio.ensure_future(
+            _watch_for_disconnect(reader, pipelined)
+        )
+        try:
+            await asyncio.wait(
+                {handler, watcher}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not handler.done():
+                handler.cancel()
+                await asyncio.wait({handler})
+                raise ClientDisconnectedError
+            handler.result()
+        finally:
+            self.open_exchanges -= 1
+            handler.cancel()
+            watcher.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watcher
+        return bytes(pipelined)
+
+    async def _receive(
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> HttpRequest | None:
+        """Receives the next request, or None when the client is done."""
+        head: h11.Request | None = None
+        body = bytearray()
+        wait_ms = self._limits.idle_ms
+        while True:
+            try:
+                event = connection.next_event()
+            except h11.RemoteProtocolError as error:
+                raise _BadRequestError(
+                    error.error_status_hint or 400, str(error)
+                ) from error
+            if isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.body_bytes:
+                    raise _BadRequestError(413, "the body is too large")
+            elif isinstance(event, h11.EndOfMessage):
+                assert head is not None
+                return _build_request(head, bytes(body))
+            elif event is h11.NEED_DATA:
+                if connection.they_are_waiting_for_100_continue:
+                    writer.write(
+                        connection.send(
+                            h11.InformationalResponse(
+                                status_code=100, headers=[]
+                            )
+                        )
+                    )
+                is_idle = head is None and not connection.trailing_data[0]
+                data = await self._read(reader, writer, wait_ms, is_idle)
+                if data is None:
+                    return None
+                wait_ms = self._limits.receive_ms
+                connection.receive_data(data)
+            else:
+                return None
+
+    async def _read(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        wait_ms: int,
+        is_idle: bool,
+    ) -> bytes | None:
+        """Reads bytes; None when an idle connection should simply close."""
+        if is_idle:
+            if self._is_draining:
+                return None
+            self._idle.add(writer)
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                return await reader.read(_READ_BYTES)
+        except TimeoutError:
+            if is_idle:
+                return None
+            raise _BadRequestError(408, "the request did not arrive") from None
+        finally:
+            self._idle.discard(writer)
+
+    async def _refuse(
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        bad: _BadRequestError,
+    ) -> None:
+        """Answers a request that could not be received, then closes."""
+        self.bad_requests += 1
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        responder = HttpResponder(
+            connection, writer, self._limits, lambda: True
+        )
+        body = (
+            '{"error": {"type": "not_run", "code": "bad_request", '
+            f'"message": "{_escape(bad.message)}"}}}}'
+        )
+        await responder.send(bad.status, body.encode())
+
+
+def _escape(text: str) -> str:
+    """Returns text that can stand in a JSON string."""
+    return "".join(c for c in text if c.isprintable() and c not in '"\\')
+
+
+def _build_request(head: h11.Request, body: bytes) -> HttpRequest:
+    """Builds the request that handlers see."""
+    target = head.target.decode("latin-1")
+    parts = urllib.parse.urlsplit(target)
+    return HttpRequest(
+        method=head.method.decode("latin-1").upper(),
+        path=urllib.parse.unquote(parts.path),
+        query=dict(urllib.parse.parse_qsl(parts.query)),
+        headers={
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in head.headers
+        },
+        body=body,
+    )
+
+
+async def _watch_for_disconnect(
+    reader: asyncio.StreamReader, pipelined: bytearray
+) -> None:
+    """Returns when the client closes; keeps what else it sends."""
+    while True:
+        data = await reader.read(_READ_BYTES)
+        if not data:
+            return
+        pipelined += data
+        if len(pipelined) > _MAX_PIPELINED_BYTES:
+            return
--- /dev/null
+++ b/redwingchute/core/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable records and the outcomes that every other package shares."""
--- /dev/null
+++ b/redwingchute/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process: ledger, membership, daemon."""
--- /dev/null
+++ b/redwingchute/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request: admission, routing, attempts, answers."""
--- /dev/null
+++ b/redwingchute/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for upstreams."""
--- /dev/null
+++ b/redwingchute/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data and fakes that tests share."""
--- /dev/null
+++ b/redwingchute/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one configuration version."""
--- /dev/null
+++ b/redwingchute/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of records for the log and for links between routers."""
--- /dev/null
+++ b/redwingchute/wire/codec.py
@@ -0,0 +1,225 @@
+"""Encodes attrs records as Cap'n Proto messages and back.
+
+Records stay plain attrs classes; the schema files mirror them by name. The
+mapping follows the class's type annotations, so that a new message needs a
+record, a schema struct of the same name and one registration, and no
+hand-written conversion. Schemas are parsed by pycapnp itself at start, so the
+build needs no generator.
+"""
+
+import dataclasses
+import enum
+import functools
+import pathlib
+import types
+import typing
+from typing import Any
+
+import attrs
+import capnp
+
+capnp.remove_import_hook()
+
+_SCHEMA_FOLDER = pathlib.Path(__file__).parent
+
+# A message larger than this is refused before it is parsed.
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+@attrs.frozen
+class Registration:
+    """Binds a record class to the number that names it on the wire.
+
+    Attributes:
+      kind: The number; it is never reused for another class.
+      record_type: The attrs class.
+      schema_file: The schema's file name beside this module.
+    """
+
+    kind: int
+    record_type: type[Any]
+    schema_file: str
+
+
+@attrs.frozen
+class Decoded:
+    """A record read from the wire, with its correlation number."""
+
+    correlation: int
+    record: Any
+
+
+@dataclasses.dataclass(frozen=True)
+class UnknownKind:
+    """A well-formed envelope whose kind this release does not know."""
+
+    kind: int
+    correlation: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class DecodeError:
+    """Bytes that are not a valid message."""
+
+    message: str
+
+
+@functools.cache
+def load_schema(file_name: str) -> Any:
+    """Returns the parsed schema file of this package."""
+    return capnp.load(str(_SCHEMA_FOLDER / file_name))
+
+
+class Codec:
+    """Encodes and decodes the registered record classes."""
+
+    def __init__(self, registrations: typing.Iterable[Registration]) -> None:
+        """Indexes the registrations.
+
+        Args:
+          registrations: One for each class that is sent on its own.
+
+        Raises:
+          ValueError: Two registrations share a kind or a class.
+        """
+        self._by_kind: dict[int, Registration] = {}
+        self._by_type: dict[type[Any], Registration] = {}
+        for registration in registrations:
+            if registration.kind in self._by_kind:
+                raise ValueError(f"kind {registration.kind} is taken")
+            if registration.record_type in self._by_type:
+                raise ValueError(f"{registration.record_type} is taken")
+            self._by_kind[registration.kind] = registration
+            self._by_type[registration.record_type] = registration
+        self._envelope = load_schema("envelope.capnp").Envelope
+
+    def encode(self, record: Any, correlation: int = 0) -> bytes:
+        """Returns the packed envelope of a registered record."""
+        registration = self._by_type[type(record)]
+        struct = _find_struct(registration)
+        body = struct.new_message(**_to_wire_fields(record))
+        envelope = self._envelope.new_message(
+            kind=registration.kind,
+            correlation=correlation,
+            body=body.to_bytes_packed(),
+        )
+        return typing.cast(bytes, envelope.to_bytes_packed())
+
+    def decode(self, data: bytes) -> Decoded | UnknownKind | DecodeError:
+        """Reads one packed envelope; never raises on bad input."""
+        if len(data) > MAX_MESSAGE_BYTES:
+            return DecodeError(f"the message has {len(data)} bytes")
+        try:
+            envelope = self._envelope.from_bytes_packed(data)
+            registration = self._by_kind.get(envelope.kind)
+            if registration is None:
+                return UnknownKind(
+                    envelope.kind, envelope.correlation, envelope.body
+                )
+            struct = _find_struct(registration)
+            fields = struct.from_bytes_packed(envelope.body).to_dict()
+            record = _from_wire_fields(registration.record_type, fields)
+            return Decoded(envelope.correlation, record)
+        except (capnp.KjException, ValueError, KeyError, TypeError) as error:
+            return DecodeError(str(error).split("\n")[0])
+
+
+def _find_struct(registration: Registration) -> Any:
+    """Returns the schema struct that mirrors the registered class."""
+    schema = load_schema(registration.schema_file)
+    return getattr(schema, registration.record_type.__name__)
+
+
+@functools.cache
+def _to_camel_case(name: str) -> str:
+    """Returns the schema's spelling of a field name."""
+    first, *rest = name.split("_")
+    return first + "".join(part.capitalize() for part in rest)
+
+
+@functools.cache
+def _to_variant_name(record_type: Any) -> str:
+    """Returns the schema's name for a class inside a union."""
+    name: str = record_type.__name__
+    return name[0].lower() + name[1:]
+
+
+@functools.cache
+def _list_fields(record_type: Any) -> tuple[tuple[str, str, Any], ...]:
+    """Returns (field name, schema name, type) of each field of a class."""
+    hints = typing.get_type_hints(record_type)
+    return tuple(
+        (field.name, _to_camel_case(field.name), hints[field.name])
+        for field in attrs.fields(record_type)
+    )
+
+
+@functools.cache
+def _list_union_members(hint: Any) -> tuple[Any, ...]:
+    """Returns the classes of a union hint, or nothing for other hints."""
+    if typing.get_origin(hint) in (typing.Union, types.UnionType):
+        return typing.get_args(hint)
+    return ()
+
+
+def _to_wire_fields(record: Any) -> dict[str, Any]:
+    """Returns the schema fields of an attrs record."""
+    return {
+        schema_name: _to_wire(getattr(record, name), hint)
+        for name, schema_name, hint in _list_fields(record.__class__)
+    }
+
+
+def _to_wire(value: Any, hint: Any) -> Any:
+    """Returns the form of a value that pycapnp takes for its field."""
+    if isinstance(value, tuple):
+        item_hint = typing.get_args(hint)[0]
+        return [_to_wire(item, item_hint) for item in value]
+    if isinstance(value, enum.IntEnum):
+        return int(value)
+    if not attrs.has(type(value)):
+        return value
+    fields = _to_wire_fields(value)
+    if _list_union_members(hint):
+        return {_to_variant_name(value.__class__): fields}
+    return fields
+
+
+def _from_wire_fields(record_type: Any, fields: dict[str, Any]) -> Any:
+    """Builds an attrs record from the fields of its schema struct."""
+    return record_type(
+        **{
+            name: _from_wire(fields.get(schema_name), hint)
+            for name, schema_name, hint in _list_fields(record_type)
+        }
+    )
+
+
+def _from_wire(value: Any, hint: Any) -> Any:
+    """Builds the Python form of one wire value.
+
+    Raises:
+      ValueError: The value does not fit the type.
+    """
+    if typing.get_origin(hint) is tuple:
+        item_hint = typing.get_args(hint)[0]
+        return tuple(_from_wire(item, item_hint) for item in value or ())
+    if members := _list_union_members(hint):
+        return _from_wire_union(value, members)
+    if attrs.has(hint):
+        return _from_wire_fields(hint, value or {})
+    if isinstance(hint, type) and issubclass(hint, enum.IntEnum):
+        return hint(value)
+    if value is None:
+        return hint()
+    return value
+
+
+def _from_wire_union(value: dict[str, Any], members: tuple[Any, ...]) -> Any:
+    """Builds the member of a union that the wire value names."""
+    for variant_name, fields in value.items():
+        for member in members:
+            if _to_variant_name(member) == variant_name:
+                return _from_wire_fields(member, fields)
+    raise ValueError(f"unknown union member in {sorted(value)}")
--- /dev/null
+++ b/redwingchute/wire/registry.py
@@ -0,0 +1,24 @@
+"""Lists every record that is sent or logged, with its wire number.
+
+Numbers are grouped by area and are never reused: 1-99 ledger records in the
+log, 100-199 ledger messages, 200-299 membership, 300-399 configuration,
+400-499 requests and upstreams.
+"""
+
+from redwingchute.core import data
+from redwingchute.wire import codec
+
+_LEDGER = "ledger.capnp"
+
+REGISTRATIONS: tuple[codec.Registration, ...] = (
+    codec.Registration(1, data.Takeover, _LEDGER),
+    codec.Registration(2, data.Batch, _LEDGER),
+    codec.Registration(100, data.LedgerCall, _LEDGER),
+    codec.Registration(101, data.LedgerReply, _LEDGER),
+    codec.Registration(102, data.Recall, _LEDGER),
+)
+
+
+def make_codec() -> codec.Codec:
+    """Returns a codec that knows every registered record."""
+    return codec.Codec(REGISTRATIONS)
