Fold the configuration stream into versions, verdicts and audit

Cause: there is no compare-and-set on the log, so two operators' changes need one verdict that every reader reaches. The codec now carries text enumerations too, which the role and the kind of work are.

--- /dev/null
+++ b/redwingchute/version/change_fold.py
@@ -0,0 +1,314 @@
+"""Folds the `configuration` stream into versions, verdicts and audit trail.
+
+The order of records decides. Every reader that applies the same records
+reaches the same version and the same verdict on each change, whatever its
+clock says. A version is the offset of its record plus one, so it only grows.
+"""
+
+import collections
+from collections.abc import Iterable
+
+import attrs
+
+from redwingchute.core import configuration
+from redwingchute.version import change_apply
+from redwingchute.version import changes
+from redwingchute.version import loader
+from redwingchute.version import validation
+
+# Together these bounds keep a checkpoint below the largest message.
+MAX_AUDIT_ENTRIES = 500
+MAX_VERDICTS = 2_048
+_MAX_MESSAGE_CHARACTERS = 500
+_MAX_PART_CHARACTERS = 1_000
+
+
+@attrs.frozen
+class StreamRecord:
+    """A decoded record of the stream and its place.
+
+    Attributes:
+      offset: Its log offset.
+      record: The record, or None when this release cannot read it.
+    """
+
+    offset: int
+    record: changes.Record | None
+
+
+class ConfigurationFold:
+    """The state after the records of the stream so far.
+
+    A fold is anchored once it knows the state before some offset: at offset 0
+    or by a checkpoint. Before that it keeps the records that it is given.
+
+    Attributes:
+      current: The configuration in force; version 0 before the first change.
+      next_offset: The offset of the next record.
+      is_anchored: Whether the state is complete.
+      unknown_records: How many records this release could not read.
+    """
+
+    def __init__(self) -> None:
+        """Starts before the first record."""
+        self.current = configuration.Configuration()
+        self.next_offset = 0
+        self.is_anchored = True
+        self.unknown_records = 0
+        self._author = ""
+        self._audit: collections.deque[changes.AuditEntry] = collections.deque(
+            maxlen=MAX_AUDIT_ENTRIES
+        )
+        self._verdicts: collections.OrderedDict[
+            bytes, changes.ChangeVerdict
+        ] = collections.OrderedDict()
+        self._waiting: list[StreamRecord] = []
+
+    @property
+    def audit(self) -> tuple[changes.AuditEntry, ...]:
+        """The newest entries of the audit trail, oldest first."""
+        return tuple(self._audit)
+
+    def find_verdict(self, record_id: bytes) -> changes.ChangeVerdict | None:
+        """Returns what became of a record id, or None when it is not there."""
+        return self._verdicts.get(record_id)
+
+    def skip_to(self, first_offset: int) -> None:
+        """Takes note that records before an offset are no longer kept.
+
+        The configuration stays in force. When records were missed, the fold
+        waits for a checkpoint before it applies others.
+        """
+        if first_offset <= self.next_offset:
+            return
+        self.next_offset = first_offset
+        self.is_anchored = False
+        self._waiting.clear()
+
+    def apply(self, item: StreamRecord) -> None:
+        """Applies the next record; one before `next_offset` has no effect.
+
+        Args:
+          item: The record. A gap before it is taken as a loss of records.
+        """
+        if item.offset < self.next_offset:
+            return
+        self.skip_to(item.offset)
+        self.next_offset = item.offset + 1
+        if self.is_anchored:
+            self._apply_record(item)
+            return
+        self._waiting.append(item)
+        if isinstance(item.record, changes.ConfigurationCheckpoint):
+            self.adopt_checkpoint(item.record)
+
+    def make_checkpoint(self) -> changes.ConfigurationCheckpoint:
+        """Returns the state as a record, for readers that start later."""
+        return changes.ConfigurationCheckpoint(
+            next_offset=self.next_offset,
+            version=self.current.version,
+            author=self._author,
+            document=loader.compress_document(
+                loader.dump_configuration(self.current)
+            ),
+            audit=self.audit,
+            verdicts=tuple(self._verdicts.values()),
+        )
+
+    def adopt_checkpoint(
+        self, checkpoint: changes.ConfigurationCheckpoint
+    ) -> bool:
+        """Takes the state of a checkpoint when it is ahead of this fold.
+
+        Args:
+          checkpoint: A checkpoint of the log, or one that a sibling sent.
+
+        Returns:
+          Whether the state was taken. It never goes back.
+        """
+        is_ahead = checkpoint.next_offset > self.next_offset
+        is_filling = (
+            not self.is_anchored
+            and checkpoint.next_offset >= self._first_waiting_offset()
+        )
+        if not is_ahead and not is_filling:
+            return False
+        if checkpoint.version < self.current.version:
+            return False
+        loaded = self._load_checkpoint(checkpoint)
+        if loaded is None:
+            return False
+        self._take_state(checkpoint, loaded)
+        return True
+
+    def _first_waiting_offset(self) -> int:
+        """Returns the offset of the oldest record that waits."""
+        if self._waiting:
+            return self._waiting[0].offset
+        return self.next_offset
+
+    def _load_checkpoint(
+        self, checkpoint: changes.ConfigurationCheckpoint
+    ) -> configuration.Configuration | None:
+        """Returns the configuration of a checkpoint, or None when bad."""
+        if checkpoint.version == self.current.version:
+            return self.current
+        text = loader.decompress_document(checkpoint.document)
+        if text is None:
+            return None
+        loaded, _ = loader.load_configuration(
+            text, checkpoint.version, allows_unknown=True
+        )
+        return loaded
+
+    def _take_state(
+        self,
+        checkpoint: changes.ConfigurationCheckpoint,
+        loaded: configuration.Configuration,
+    ) -> None:
+        """Replaces the state, then applies the records that waited."""
+        waiting = self._waiting
+        self._waiting = []
+        self.current = loaded
+        self._author = checkpoint.author
+        self._audit.clear()
+        self._audit.extend(checkpoint.audit)
+        self._verdicts.clear()
+        for verdict in checkpoint.verdicts:
+            self._verdicts[verdict.record_id] = verdict
+        self.is_anchored = True
+        self.next_offset = checkpoint.next_offset
+        for item in waiting:
+            self.apply(item)
+
+    def _apply_record(self, item: StreamRecord) -> None:
+        """Applies a record to a complete state."""
+        match item.record:
+            case changes.ConfigurationChange() as change:
+                if change.record_id not in self._verdicts:
+                    self._apply_change(item.offset, change)
+            case changes.AuditNote() as note:
+                if note.record_id not in self._verdicts:
+                    self._apply_note(item.offset, note)
+            case changes.ConfigurationCheckpoint():
+                pass
+            case None:
+                self.unknown_records += 1
+
+    def _apply_change(
+        self, offset: int, record: changes.ConfigurationChange
+    ) -> None:
+        """Decides on a change and notes the verdict."""
+        before = self.current
+        verdict = self._decide(offset, record)
+        self._add_verdict(verdict)
+        self._audit.append(
+            changes.AuditEntry(
+                offset=offset,
+                version=self.current.version,
+                record_id=record.record_id,
+                author=record.author,
+                reason=record.reason,
+                made_at_ms=record.made_at_ms,
+                code=verdict.code,
+                action=change_apply.name_change(record.change),
+                subject=change_apply.name_subject(record.change),
+                before=_describe(before, record.change),
+                after=_describe(self.current, record.change),
+                message=verdict.message,
+            )
+        )
+
+    def _decide(
+        self, offset: int, record: changes.ConfigurationChange
+    ) -> changes.ChangeVerdict:
+        """Puts a change into force, or says why not."""
+        in_force = self.current.version
+        if record.expected_version not in (0, in_force):
+            return changes.ChangeVerdict(
+                record.record_id,
+                changes.ChangeCode.LOST_RACE,
+                in_force,
+                self._author,
+                f"The change was made against version"
+                f" {record.expected_version}, but version {in_force} by"
+                f" {self._author!r} is in force.",
+            )
+        try:
+            candidate = change_apply.apply_change(
+                self.current, record.change, offset + 1
+            )
+        except change_apply.ChangeError as error:
+            return self._refuse(record, error.message)
+        findings = validation.validate_configuration(candidate, self.current)
+        if findings:
+            message = " ".join(
+                f"{item.place}: {item.message}" for item in findings
+            )
+            return self._refuse(record, message)
+        self.current = candidate
+        self._author = record.author
+        return changes.ChangeVerdict(
+            record.record_id, changes.ChangeCode.APPLIED, candidate.version
+        )
+
+    def _refuse(
+        self, record: changes.ConfigurationChange, message: str
+    ) -> changes.ChangeVerdict:
+        """Returns the verdict on a change that is not valid."""
+        return changes.ChangeVerdict(
+            record.record_id,
+            changes.ChangeCode.INVALID,
+            self.current.version,
+            message=message[:_MAX_MESSAGE_CHARACTERS],
+        )
+
+    def _apply_note(self, offset: int, note: changes.AuditNote) -> None:
+        """Adds a note to the audit trail."""
+        code = (
+            changes.ChangeCode.REFUSED
+            if note.is_refused
+            else changes.ChangeCode.NOTED
+        )
+        version = self.current.version
+        self._add_verdict(changes.ChangeVerdict(note.record_id, code, version))
+        self._audit.append(
+            changes.AuditEntry(
+                offset=offset,
+                version=version,
+                record_id=note.record_id,
+                author=note.author,
+                reason=note.reason,
+                made_at_ms=note.made_at_ms,
+                code=code,
+                action=note.action,
+                subject=note.subject,
+                before=note.before,
+                after=note.after,
+                message="",
+            )
+        )
+
+    def _add_verdict(self, verdict: changes.ChangeVerdict) -> None:
+        """Keeps a verdict and drops the oldest beyond the bound."""
+        self._verdicts[verdict.record_id] = verdict
+        while len(self._verdicts) > MAX_VERDICTS:
+            self._verdicts.popitem(last=False)
+
+
+def fold_records(records: Iterable[StreamRecord]) -> ConfigurationFold:
+    """Returns the fold of a sequence of records."""
+    fold = ConfigurationFold()
+    for item in records:
+        fold.apply(item)
+    return fold
+
+
+def _describe(
+    source: configuration.Configuration, change: changes.Change
+) -> str:
+    """Returns the part of an audit entry, shortened to its bound."""
+    text = change_apply.describe_part(source, change)
+    if len(text) <= _MAX_PART_CHARACTERS:
+        return text
+    return f"{text[:_MAX_PART_CHARACTERS]}..."
--- a/redwingchute/version/loader.py
+++ b/redwingchute/version/loader.py
@@ -12,6 +12,7 @@
 import typing
 from typing import Any
 from typing import TypeVar
+import zlib
 
 import attrs
 import cattrs
@@ -24,6 +25,7 @@
 _ROOT_PLACE = "$"
 
 _MAX_SHOWN = 60
+_MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
 
 _T = TypeVar("_T")
 
@@ -94,6 +96,21 @@
     return json.dumps(document, separators=(",", ":"))
 
 
+def compress_document(document_text: str) -> bytes:
+    """Returns the form in which a document stands in log records."""
+    return zlib.compress(document_text.encode())
+
+
+def decompress_document(packed: bytes) -> str | None:
+    """Returns the text of a document from a record, or None when it is bad."""
+    try:
+        decompressor = zlib.decompressobj()
+        text = decompressor.decompress(packed, _MAX_DOCUMENT_BYTES)
+        return text.decode() if decompressor.eof else None
+    except (zlib.error, UnicodeDecodeError):
+        return None
+
+
 def _parse_json(text: str) -> tuple[Any, tuple[data.Finding, ...]]:
     """Parses JSON and reports what is wrong with line and column."""
     try:
--- a/redwingchute/wire/codec.py
+++ b/redwingchute/wire/codec.py
@@ -176,8 +176,8 @@
     if isinstance(value, tuple):
         item_hint = typing.get_args(hint)[0]
         return [_to_wire(item, item_hint) for item in value]
-    if isinstance(value, enum.IntEnum):
-        return int(value)
+    if isinstance(value, enum.Enum):
+        return value.value
     if not attrs.has(type(value)):
         return value
     fields = _to_wire_fields(value)
@@ -209,7 +209,7 @@
         return _from_wire_union(value, members)
     if attrs.has(hint):
         return _from_wire_fields(hint, value or {})
-    if isinstance(hint, type) and issubclass(hint, enum.IntEnum):
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return hint(value)
     if value is None:
         return hint()
