Parse the operators' language and render tables

Cause: operators query and command the fleet with statements whose errors name line, column, what was found and what was expected. Ruled out: JSON documents in double quotes only; single quotes without escapes keep them readable.

--- /dev/null
+++ b/redwingchute/version/language.py
@@ -0,0 +1,139 @@
+"""Parses the operators' language.
+
+`parse_statement` returns a statement or findings; it never raises, whatever
+the input. A finding names line and column, what was found and what was
+expected. The grammar is in `grammar.lark`; the tree is built in
+`language_tree`.
+"""
+
+import functools
+import pathlib
+import re
+
+import lark
+from lark import exceptions
+
+from redwingchute.core import data
+from redwingchute.version import commands
+from redwingchute.version import language_tree
+
+# A longer statement is refused before it is parsed.
+MAX_STATEMENT_CHARACTERS = 4 * 1024 * 1024
+
+_GRAMMAR_PATH = pathlib.Path(__file__).with_name("grammar.lark")
+_FOUND_PATTERN = re.compile(r"\w+|\S")
+_MAX_FOUND_CHARACTERS = 40
+
+_TERMINAL_TEXTS = {
+    "TEXT": "a text in quotes",
+    "WHOLE": "a whole number",
+    "DECIMAL": "a number",
+    "DURATION": "a duration like 500 ms or 8 s",
+    "CLOCK": "a time of day like 06:30",
+    "DAY": "a weekday like mon",
+    "COLUMN": "a column name",
+    "COMPARISON": "one of = != < <= > >=",
+    "COMMA": "','",
+    "MINUS": "'-'",
+    "SHEET_KIND": "'document'",
+    "BUDGET_ROLE": "'budget'",
+    "_MODELS_LIST": "'models'",
+    "_SERVICES_LIST": "'services'",
+    "RUN": "'run'",
+    "$END": "the end of the statement",
+}
+
+
+def parse_statement(
+    text: str,
+) -> tuple[commands.Statement | None, tuple[data.Finding, ...]]:
+    """Parses one statement.
+
+    Args:
+      text: The statement.
+
+    Returns:
+      The statement, or None with what is wrong and where.
+    """
+    if len(text) > MAX_STATEMENT_CHARACTERS:
+        message = (
+            f"The statement has {len(text)} characters; at most"
+            f" {MAX_STATEMENT_CHARACTERS} are allowed."
+        )
+        return None, (data.Finding("line 1 column 1", message),)
+    try:
+        tree = _load_parser().parse(text)
+        return language_tree.build_statement(tree), ()
+    except exceptions.UnexpectedCharacters as error:
+        position = error.pos_in_stream or 0
+        return None, (_describe(text, position, error.allowed),)
+    except exceptions.UnexpectedToken as error:
+        position = len(text)
+        if error.token.type != "$END":
+            position = error.token.start_pos or 0
+        return None, (_describe(text, position, error.accepts),)
+    except language_tree.StatementError as error:
+        return None, error.findings
+
+
+@functools.cache
+def _load_parser() -> lark.Lark:
+    """Returns the parser of the grammar."""
+    return lark.Lark(
+        _GRAMMAR_PATH.read_text(),
+        parser="lalr",
+        lexer="contextual",
+        propagate_positions=True,
+        maybe_placeholders=True,
+    )
+
+
+def _describe(
+    text: str, position: int, expected: set[str] | None
+) -> data.Finding:
+    """Returns the finding for a place where the grammar does not go on."""
+    position = _skip_blanks(text, position)
+    found = _FOUND_PATTERN.match(text, position)
+    shown = "the end" if found is None else _shorten(found.group())
+    names = sorted({_name_terminal(name) for name in expected or ()})
+    return data.Finding(
+        format_place(text, position),
+        f"Found {shown}; expected {_join(names)}.",
+    )
+
+
+def _skip_blanks(text: str, position: int) -> int:
+    """Returns the position of the next character that is not blank."""
+    while position < len(text) and text[position].isspace():
+        position += 1
+    return position
+
+
+def format_place(text: str, position: int) -> str:
+    """Returns the line and column of a position, both from 1."""
+    line = text.count("\n", 0, position) + 1
+    column = position - (text.rfind("\n", 0, position) + 1) + 1
+    return f"line {line} column {column}"
+
+
+def _shorten(found: str) -> str:
+    """Returns what was found in quotes and of bounded length."""
+    if len(found) > _MAX_FOUND_CHARACTERS:
+        found = f"{found[:_MAX_FOUND_CHARACTERS]}..."
+    return repr(found)
+
+
+def _name_terminal(name: str) -> str:
+    """Returns what an operator calls a terminal of the grammar."""
+    if name in _TERMINAL_TEXTS:
+        return _TERMINAL_TEXTS[name]
+    return f"'{name.strip('_').lower()}'"
+
+
+def _join(names: list[str]) -> str:
+    """Returns names as an English list."""
+    if not names:
+        return "nothing more"
+    if len(names) == 1:
+        return names[0]
+    return f"{', '.join(names[:-1])} or {names[-1]}"
--- /dev/null
+++ b/redwingchute/version/tables.py
@@ -0,0 +1,178 @@
+"""Tables that answer queries, and their text and JSON forms.
+
+A table says what it does not cover: its notes name the availability zones and
+hosts that did not answer and how old each part is.
+"""
+
+import json
+from typing import Any
+from typing import TypeAlias
+
+import attrs
+
+from redwingchute.core import data
+from redwingchute.version import commands
+
+# A tuple is a list of names, for example the models of a client account.
+Cell: TypeAlias = str | int | float | bool | tuple[str, ...] | None
+
+_COLUMN_GAP = "  "
+_MAX_CELL_CHARACTERS = 120
+
+
+@attrs.frozen
+class Table:
+    """The answer to a statement.
+
+    Attributes:
+      columns: The names of the columns.
+      rows: The rows; each has a cell for each column.
+      notes: Full sentences on what the rows do not cover.
+    """
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[Cell, ...], ...] = ()
+    notes: tuple[str, ...] = ()
+
+
+def select_rows(
+    table: Table, filters: tuple[commands.Filter, ...], limit: int
+) -> Table:
+    """Returns the rows of a table that meet all filters.
+
+    Args:
+      table: The table.
+      filters: The conditions; their columns exist in the table.
+      limit: The most rows, or 0 for all.
+    """
+    rows = [
+        row
+        for row in table.rows
+        if all(_matches(table, row, condition) for condition in filters)
+    ]
+    notes = table.notes
+    if limit and len(rows) > limit:
+        left_out = len(rows) - limit
+        notes = (*notes, f"{left_out} more rows are not shown.")
+        rows = rows[:limit]
+    return attrs.evolve(table, rows=tuple(rows), notes=notes)
+
+
+def _matches(
+    table: Table, row: tuple[Cell, ...], condition: commands.Filter
+) -> bool:
+    """Tells whether a row meets a condition."""
+    cell = row[table.columns.index(condition.column)]
+    if isinstance(cell, tuple):
+        is_member = condition.value in cell
+        if condition.comparison == commands.Comparison.NOT_EQUAL:
+            return not is_member
+        return condition.comparison == commands.Comparison.EQUAL and is_member
+    if isinstance(cell, bool) or cell is None:
+        cell = _format_cell(cell)
+    value = condition.value
+    if isinstance(cell, str) or isinstance(value, str):
+        return _compare(condition.comparison, str(cell), _to_text(value))
+    return _compare(condition.comparison, cell, value)
+
+
+def _to_text(value: str | float) -> str:
+    """Returns the text that a filter's value stands for."""
+    if isinstance(value, float) and value.is_integer():
+        return str(int(value))
+    return str(value)
+
+
+def _compare(comparison: commands.Comparison, cell: Any, value: Any) -> bool:
+    """Compares two values of one type."""
+    match comparison:
+        case commands.Comparison.EQUAL:
+            return bool(cell == value)
+        case commands.Comparison.NOT_EQUAL:
+            return bool(cell != value)
+        case commands.Comparison.LESS:
+            return bool(cell < value)
+        case commands.Comparison.AT_MOST:
+            return bool(cell <= value)
+        case commands.Comparison.GREATER:
+            return bool(cell > value)
+        case commands.Comparison.AT_LEAST:
+            return bool(cell >= value)
+
+
+def render_text(table: Table) -> str:
+    """Returns a table as aligned text, with its notes below."""
+    lines = [table.columns] if table.columns else []
+    lines.extend(tuple(map(_shorten_cell, row)) for row in table.rows)
+    widths = [max(map(len, cells)) for cells in zip(*lines, strict=True)]
+    is_right = [
+        bool(table.rows) and all(_is_number(row[index]) for row in table.rows)
+        for index in range(len(table.columns))
+    ]
+    output = [
+        _COLUMN_GAP.join(
+            cell.rjust(width) if right else cell.ljust(width)
+            for cell, width, right in zip(line, widths, is_right, strict=True)
+        ).rstrip()
+        for line in lines
+    ]
+    output.extend(f"note: {note}" for note in table.notes)
+    return "\n".join(output) + "\n"
+
+
+def render_json(table: Table) -> str:
+    """Returns a table as JSON with `columns`, `rows` and `notes`."""
+    return json.dumps(
+        {
+            "columns": table.columns,
+            "rows": table.rows,
+            "notes": table.notes,
+        }
+    )
+
+
+def render_findings_text(findings: tuple[data.Finding, ...]) -> str:
+    """Returns findings as lines of text."""
+    return "".join(f"{item.place}: {item.message}\n" for item in findings)
+
+
+def render_findings_json(code: str, findings: tuple[data.Finding, ...]) -> str:
+    """Returns findings as a JSON error."""
+    return json.dumps(
+        {
+            "error": {
+                "code": code,
+                "message": " ".join(item.message for item in findings),
+                "findings": [
+                    {"place": item.place, "message": item.message}
+                    for item in findings
+                ],
+            }
+        }
+    )
+
+
+def _is_number(cell: Cell) -> bool:
+    """Tells whether a cell is set to the right."""
+    return isinstance(cell, int | float) and not isinstance(cell, bool)
+
+
+def _shorten_cell(cell: Cell) -> str:
+    """Returns a cell as one line of bounded width."""
+    text = " ".join(_format_cell(cell).split())
+    if len(text) <= _MAX_CELL_CHARACTERS:
+        return text
+    return f"{text[:_MAX_CELL_CHARACTERS]}..."
+
+
+def _format_cell(cell: Cell) -> str:
+    """Returns the text of a cell."""
+    match cell:
+        case None:
+            return "-"
+        case bool():
+            return "yes" if cell else "no"
+        case tuple():
+            return ", ".join(cell)
+        case _:
+            return str(cell)
--- /dev/null
+++ b/redwingchute/version/tables_test.py
@@ -0,0 +1,82 @@
+"""Tests of the tables that answer queries."""
+
+import json
+
+import pytest
+
+from redwingchute.core import data
+from redwingchute.version import commands
+from redwingchute.version import tables
+
+_TABLE = tables.Table(
+    ("budget", "account", "tokens", "suspended"),
+    (
+        ("yield", ("huon", "tamar"), 1_200, False),
+        ("sheets", ("perth",), 7, True),
+        ("idle", (), None, False),
+    ),
+    ("Availability zone bunbury-c did not answer.",),
+)
+
+
+def test_text_is_aligned_and_carries_its_notes() -> None:
+    assert tables.render_text(_TABLE).splitlines() == [
+        "budget  account      tokens  suspended",
+        "yield   huon, tamar  1200    no",
+        "sheets  perth        7       yes",
+        "idle                 -       no",
+        "note: Availability zone bunbury-c did not answer.",
+    ]
+
+
+def test_numbers_are_set_to_the_right() -> None:
+    table = tables.Table(("tokens",), ((1_000,), (7,)))
+    assert tables.render_text(table) == "tokens\n  1000\n     7\n"
+
+
+def test_empty_tables_have_a_text() -> None:
+    assert tables.render_text(tables.Table(("a", "b"))) == "a  b\n"
+    assert tables.render_text(tables.Table(())) == "\n"
+
+
+def test_json_keeps_the_types() -> None:
+    loaded = json.loads(tables.render_json(_TABLE))
+    assert loaded["rows"][0] == ["yield", ["huon", "tamar"], 1_200, False]
+    assert loaded["notes"] == list(_TABLE.notes)
+
+
+_FILTERS: list[tuple[str, str, str | float, list[str]]] = [
+    ("budget", "=", "yield", ["yield"]),
+    ("budget", "!=", "yield", ["sheets", "idle"]),
+    ("account", "=", "tamar", ["yield"]),
+    ("account", "!=", "tamar", ["sheets", "idle"]),
+    ("account", "<", "tamar", []),
+    ("tokens", ">", 7, ["yield"]),
+    ("tokens", ">=", 7, ["yield", "sheets"]),
+    ("tokens", "<", 1_200, ["sheets", "idle"]),
+    ("tokens", "=", 1_200.0, ["yield"]),
+    ("suspended", "=", "yes", ["sheets"]),
+]
+
+
+@pytest.mark.parametrize(("column", "comparison", "value", "left"), _FILTERS)
+def test_filter(
+    column: str, comparison: str, value: str | float, left: list[str]
+) -> None:
+    condition = commands.Filter(column, commands.Comparison(comparison), value)
+    selected = tables.select_rows(_TABLE, (condition,), 0)
+    assert [row[0] for row in selected.rows] == left
+
+
+def test_a_limit_says_what_it_left_out() -> None:
+    selected = tables.select_rows(_TABLE, (), 1)
+    assert len(selected.rows) == 1
+    assert selected.notes[-1] == "2 more rows are not shown."
+
+
+def test_findings_have_both_forms() -> None:
+    findings = (data.Finding("line 1 column 2", "Found 'x'."),)
+    text = tables.render_findings_text(findings)
+    assert text == "line 1 column 2: Found 'x'.\n"
+    loaded = json.loads(tables.render_findings_json("bad_command", findings))
+    assert loaded["error"]["findings"][0]["place"] == "line 1 column 2"
