Add authenticated peer links and constant-cost membership

Cause: owners, reserves, configuration and quarantine all need routers that find and reach each other, with bounded messages per daemon at 540. Ruled out: a full mesh of heartbeats (539 a second per daemon at the target) and counter gossip (every state in every message). Chosen: heartbeats to the neighbours on two global rings and one ring of the availability zone; each router publishes its broken links, and the view is the connected component. Before: no membership. Conclusion: kept; liveness only, nothing safe depends on it.

--- /dev/null
+++ b/redwingchute/process/membership_service.py
@@ -0,0 +1,94 @@
+"""Runs the membership view of a router over its peer network."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from redwingchute.core import data
+from redwingchute.core import fleet
+from redwingchute.process import membership
+from redwingchute.process import peer_network
+
+_TICK_S = 0.25
+
+
+class MembershipService:
+    """Sends and receives heartbeats and tells of changes of the view."""
+
+    def __init__(
+        self,
+        network: peer_network.PeerNetwork,
+        random_source: random.Random,
+        read_clock_ms: Callable[[], int],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Starts with this router as the only member.
+
+        Args:
+          network: Carries the messages; it is entered already.
+          random_source: Spreads heartbeats over time.
+          read_clock_ms: Returns the time.
+          on_change: Called when the view may have changed.
+        """
+        self._network = network
+        self._read_clock_ms = read_clock_ms
+        self._on_change = on_change
+        self._seen: tuple[data.Host, ...] = ()
+        self.view = membership.Membership(
+            network.own_host,
+            membership.MembershipTiming(),
+            random_source,
+            read_clock_ms(),
+        )
+        network.handle(fleet.Heartbeat, self._handle_heartbeat)
+        network.handle(fleet.MemberList, self._handle_list)
+
+    def introduce(self, host: data.Host) -> None:
+        """Adds a host that the settings or the host list name."""
+        self._network.set_address(host.name, host.peer_address)
+        self.view.introduce(host, self._read_clock_ms())
+
+    def begin_leaving(self) -> None:
+        """Publishes that this router is about to stop."""
+        self.view.begin_leaving(self._read_clock_ms())
+        self._send(self.view.tick(self._read_clock_ms()))
+
+    async def run(self) -> None:
+        """Sends heartbeats until cancelled."""
+        while True:
+            self._send(self.view.tick(self._read_clock_ms()))
+            self._tell_changes()
+            await asyncio.sleep(_TICK_S)
+
+    async def _handle_heartbeat(
+        self, peer: data.Host, heartbeat: fleet.Heartbeat
+    ) -> None:
+        """Takes in a heartbeat."""
+        self._send(
+            self.view.receive_heartbeat(heartbeat, self._read_clock_ms())
+        )
+        self._tell_changes()
+
+    async def _handle_list(
+        self, peer: data.Host, members: fleet.MemberList
+    ) -> None:
+        """Takes in a list of states."""
+        self._send(
+            self.view.receive_list(peer.name, members, self._read_clock_ms())
+        )
+        self._tell_changes()
+
+    def _send(self, outgoing: list[membership.Outgoing]) -> None:
+        """Sends what the view decided."""
+        for message in outgoing:
+            self._network.send(message.host_name, message.record)
+
+    def _tell_changes(self) -> None:
+        """Passes addresses on and calls back when the view changed."""
+        reachable = self.view.list_reachable()
+        if reachable == self._seen:
+            return
+        self._seen = reachable
+        for host in reachable:
+            self._network.set_address(host.name, host.peer_address)
+        self._on_change()
--- /dev/null
+++ b/redwingchute/process/peer_network.py
@@ -0,0 +1,312 @@
+"""Carries registered records between routers.
+
+Links are dialled when first needed, used in both directions, and closed when
+idle, so that a daemon of a large fleet holds links to those it talks to and
+not to all. A call that gets no reply in time is reported as such; the caller
+cannot know whether it was handled.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import itertools
+from types import TracebackType
+from typing import Any
+from typing import TypeAlias
+
+from redwingchute.connection import http_client
+from redwingchute.connection import peer_link
+from redwingchute.core import data
+from redwingchute.process import telemetry
+from redwingchute.wire import codec
+
+_HANDSHAKE_TIMEOUT_S = 2.0
+_IDLE_LINK_MS = 60_000
+_IDLE_CHECK_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerUnreachable:
+    """A call had no reply; it may or may not have been handled."""
+
+    message: str
+
+
+MessageHandler: TypeAlias = Callable[[data.Host, Any], Awaitable[Any | None]]
+
+
+class PeerNetwork:
+    """The links of one router; a context manager that owns them.
+
+    Attributes:
+      own_host: This router's identity, with the bound peer address.
+    """
+
+    def __init__(
+        self,
+        own_host: data.Host,
+        fleet_key: bytes,
+        wire_codec: codec.Codec,
+        metrics: telemetry.Metrics,
+        read_clock_ms: Callable[[], int],
+    ) -> None:
+        """Prepares the network; it listens once its context is entered.
+
+        Args:
+          own_host: This router; its peer address says where to listen.
+          fleet_key: The key that all routers of the fleet share.
+          wire_codec: Encodes the messages.
+          metrics: Where bytes and failures are counted.
+          read_clock_ms: Returns the time.
+        """
+        self.own_host = own_host
+        self._fleet_key = fleet_key
+        self._codec = wire_codec
+        self._metrics = metrics
+        self._read_clock_ms = read_clock_ms
+        self._addresses: dict[str, http_client.Address] = {}
+        self._links: dict[str, peer_link.PeerLink] = {}
+        self._open_links: set[peer_link.PeerLink] = set()
+        self._dials: dict[str, asyncio.Task[peer_link.PeerLink | None]] = {}
+        self._handlers: dict[type[Any], MessageHandler] = {}
+        self._replies: dict[int, asyncio.Future[Any]] = {}
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> "PeerNetwork":
+        """Starts to listen for links."""
+        address = http_client.Address.parse(self.own_host.peer_address)
+        self._server = await asyncio.start_server(
+            self._accept, address.ip, address.port, backlog=256
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.own_host = data.Host(
+            self.own_host.name,
+            self.own_host.zone,
+            f"{address.ip}:{port}",
+            self.own_host.incarnation,
+        )
+        self._spawn(self._close_idle_links())
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Closes every link and stops listening."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self._open_links):
+            link.close()
+        for task in list(self._tasks):
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def set_address(self, host_name: str, peer_address: str) -> None:
+        """Tells where a host listens; a malformed address is ignored."""
+        try:
+            address = http_client.Address.parse(peer_address)
+        except ValueError:
+            return
+        self._addresses[host_name] = address
+
+    def handle(self, record_type: type[Any], handler: MessageHandler) -> None:
+        """Registers the handler of a record class.
+
+        Args:
+          record_type: The class.
+          handler: Called with the sending host and the record; what it
+            returns is the reply.
+        """
+        self._handlers[record_type] = handler
+
+    def send(self, host_name: str, record: Any) -> bool:
+        """Sends a one-way message; False when no link is open yet.
+
+        A missing link is dialled in the background, so that a later message
+        can go.
+        """
+        link = self._links.get(host_name)
+        if link is None or not link.is_open:
+            self._spawn(self._send_later(host_name, record))
+            return False
+        self._count_sent(link, link.send(record))
+        return True
+
+    async def call(
+        self, host_name: str, record: Any, timeout_ms: int
+    ) -> Any | PeerUnreachable:
+        """Sends a request and waits for its reply.
+
+        Args:
+          host_name: The receiver; this router's own name is served directly.
+          record: The request.
+          timeout_ms: How long to wait, connecting included.
+
+        Returns:
+          The reply's record, or PeerUnreachable.
+        """
+        if host_name == self.own_host.name:
+            reply = await self._dispatch(self.own_host, record)
+            return reply or PeerUnreachable("the request had no reply")
+        number = 2 * next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._replies[number] = future
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                link = await self._connect(host_name)
+                if link is None:
+                    return PeerUnreachable(f"no link to {host_name}")
+                self._count_sent(link, link.send(record, number))
+                return await future
+        except TimeoutError:
+            return PeerUnreachable(f"{host_name} did not reply in time")
+        finally:
+            del self._replies[number]
+
+    def _spawn(self, coroutine: Any) -> asyncio.Task[Any]:
+        """Runs a coroutine that this network owns."""
+        task: asyncio.Task[Any] = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _count_sent(self, link: peer_link.PeerLink, size: int) -> None:
+        """Counts a sent message and marks the link as used."""
+        link.last_used_ms = self._read_clock_ms()
+        self._metrics.peer_bytes_sent.add(size)
+        self._metrics.peer_messages_sent.add(1)
+
+    async def _send_later(self, host_name: str, record: Any) -> None:
+        """Dials and sends a one-way message; gives up quietly."""
+        link = await self._connect(host_name)
+        if link is not None:
+            self._count_sent(link, link.send(record))
+
+    async def _connect(self, host_name: str) -> peer_link.PeerLink | None:
+        """Returns an open link to a host, dialling at most once at a time."""
+        link = self._links.get(host_name)
+        if link is not None and link.is_open:
+            return link
+        dial = self._dials.get(host_name)
+        if dial is None:
+            dial = self._spawn(self._dial(host_name))
+            self._dials[host_name] = dial
+            dial.add_done_callback(lambda _: self._dials.pop(host_name, None))
+        return await asyncio.shield(dial)
+
+    async def _dial(self, host_name: str) -> peer_link.PeerLink | None:
+        """Opens a link to a host."""
+        address = self._addresses.get(host_name)
+        if address is None:
+            return None
+        writer = None
+        try:
+            async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    address.ip, address.port
+                )
+                result = await peer_link.dial_link(
+                    reader, writer, self.own_host, self._fleet_key, self._codec
+                )
+        except (OSError, TimeoutError):
+            if writer is not None:
+                writer.transport.abort()
+            return None
+        if isinstance(result, peer_link.HandshakeFailed):
+            self._count_failed_handshake(result)
+            writer.transport.abort()
+            return None
+        self._adopt(result)
+        return result
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers a link that another router dialled."""
+        try:
+            async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
+                result = await peer_link.answer_link(
+                    reader, writer, self.own_host, self._fleet_key, self._codec
+                )
+        except (OSError, TimeoutError):
+            writer.transport.abort()
+            return
+        if isinstance(result, peer_link.HandshakeFailed):
+            self._count_failed_handshake(result)
+            writer.transport.abort()
+            return
+        self._adopt(result)
+
+    def _count_failed_handshake(
+        self, failure: peer_link.HandshakeFailed
+    ) -> None:
+        """Counts a link that was closed for a failed handshake."""
+        cause = "wrong_key" if failure.is_wrong_key else "malformed"
+        self._metrics.peer_handshakes_failed.add(1, {"cause": cause})
+
+    def _adopt(self, link: peer_link.PeerLink) -> None:
+        """Takes an established link into use."""
+        link.last_used_ms = self._read_clock_ms()
+        self._links[link.peer.name] = link
+        self._open_links.add(link)
+        self._spawn(self._receive(link))
+
+    async def _receive(self, link: peer_link.PeerLink) -> None:
+        """Handles the messages of a link until it ends."""
+        try:
+            while (message := await link.receive()) is not None:
+                link.last_used_ms = self._read_clock_ms()
+                match message:
+                    case codec.Decoded():
+                        self._handle_decoded(link, message)
+                    case codec.UnknownKind():
+                        self._metrics.peer_messages_unknown.add(1)
+                    case codec.DecodeError():
+                        self._metrics.peer_messages_malformed.add(1)
+                        break
+        finally:
+            link.close()
+            self._open_links.discard(link)
+            if self._links.get(link.peer.name) is link:
+                del self._links[link.peer.name]
+
+    def _handle_decoded(
+        self, link: peer_link.PeerLink, message: codec.Decoded
+    ) -> None:
+        """Resolves a reply or starts the handler of a request."""
+        if message.correlation % 2 == 1:
+            future = self._replies.get(message.correlation - 1)
+            if future is not None and not future.done():
+                future.set_result(message.record)
+            return
+        self._spawn(self._answer(link, message))
+
+    async def _answer(
+        self, link: peer_link.PeerLink, message: codec.Decoded
+    ) -> None:
+        """Runs the handler of a message and sends its reply."""
+        reply = await self._dispatch(link.peer, message.record)
+        if reply is not None and message.correlation:
+            self._count_sent(link, link.send(reply, message.correlation + 1))
+
+    async def _dispatch(self, peer: data.Host, record: Any) -> Any | None:
+        """Runs the handler registered for a record."""
+        handler = self._handlers.get(type(record))
+        if handler is None:
+            return None
+        return await handler(peer, record)
+
+    async def _close_idle_links(self) -> None:
+        """Closes links that have not been used for a while."""
+        while True:
+            await asyncio.sleep(_IDLE_CHECK_S)
+            oldest_ms = self._read_clock_ms() - _IDLE_LINK_MS
+            for link in list(self._open_links):
+                if link.last_used_ms < oldest_ms:
+                    link.close()
--- /dev/null
+++ b/redwingchute/process/telemetry.py
@@ -0,0 +1,90 @@
+"""Counters, gauges and logs of one process.
+
+Counters come first: they tell how often something happened, and a log line is
+written only when a state changes. Metrics are OpenTelemetry instruments that
+are read as Prometheus text on the admin address.
+"""
+
+import logging
+import sys
+
+from opentelemetry.exporter import prometheus as prometheus_exporter
+from opentelemetry.sdk import metrics as sdk_metrics
+from opentelemetry.sdk import resources
+import prometheus_client
+from pythonjsonlogger import json as json_logger
+
+
+class Metrics:
+    """The instruments of one router and the registry that exposes them."""
+
+    def __init__(self, host_name: str, zone: str) -> None:
+        """Creates the instruments.
+
+        Args:
+          host_name: Added to every metric's resource.
+          zone: The host's availability zone, likewise.
+        """
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = prometheus_exporter.PrometheusMetricReader()
+        # The reader registers with the process-wide registry; moving it to an
+        # own one lets several routers run in one test process.
+        prometheus_client.REGISTRY.unregister(reader._collector)
+        self._registry.register(reader._collector)
+        self._provider = sdk_metrics.MeterProvider(
+            [reader],
+            resource=resources.Resource({"host": host_name, "zone": zone}),
+            shutdown_on_exit=False,
+        )
+        meter = self._provider.get_meter("redwingchute")
+        self.requests = meter.create_counter("requests")
+        self.refusals = meter.create_counter("refusals")
+        self.attempts = meter.create_counter("attempts")
+        self.attempt_failures = meter.create_counter("attempt_failures")
+        self.tokens_delivered = meter.create_counter("tokens_delivered")
+        self.tokens_settled = meter.create_counter("tokens_settled")
+        self.callers_disconnected = meter.create_counter("callers_disconnected")
+        self.authentication_failures = meter.create_counter(
+            "authentication_failures"
+        )
+        self.peer_bytes_sent = meter.create_counter("peer_bytes_sent")
+        self.peer_messages_sent = meter.create_counter("peer_messages_sent")
+        self.peer_messages_unknown = meter.create_counter(
+            "peer_messages_unknown"
+        )
+        self.peer_messages_malformed = meter.create_counter(
+            "peer_messages_malformed"
+        )
+        self.peer_handshakes_failed = meter.create_counter(
+            "peer_handshakes_failed"
+        )
+        self.first_token_ms = meter.create_histogram("first_token_ms")
+        self.open_requests = meter.create_up_down_counter("open_requests")
+
+    def render(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Ends the provider; the instruments are not used afterwards."""
+        self._provider.shutdown()
+
+
+def set_up_logging(level: str, host_name: str, zone: str) -> None:
+    """Sends JSON log lines to standard error.
+
+    Args:
+      level: The name of the lowest level that is written.
+      host_name: Written with every line.
+      zone: The host's availability zone, likewise.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        json_logger.JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            static_fields={"host": host_name, "zone": zone},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
--- /dev/null
+++ b/redwingchute/wire/fleet.capnp
@@ -0,0 +1,10 @@
+@0x9f3b6b1b3c9f4a02;
+# Handshake and membership. Field names mirror core/fleet.py.
+
+struct Host { name @0 :Text; zone @1 :Text; peerAddress @2 :Text; incarnation @3 :UInt64; isLeaving @4 :Bool; }
+struct LinkHello { host @0 :Host; nonce @1 :Data; }
+struct LinkWelcome { host @0 :Host; nonce @1 :Data; proof @2 :Data; }
+struct LinkProof { proof @0 :Data; }
+struct MemberState { host @0 :Host; version @1 :UInt64; brokenLinks @2 :List(Text); }
+struct Heartbeat { sender @0 :MemberState; isReply @1 :Bool; digest @2 :UInt64; updates @3 :List(MemberState); }
+struct MemberList { members @0 :List(MemberState); wantsReply @1 :Bool; }
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -6,9 +6,11 @@
 """
 
 from redwingchute.core import data
+from redwingchute.core import fleet
 from redwingchute.wire import codec
 
 _LEDGER = "ledger.capnp"
+_FLEET = "fleet.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -16,6 +18,11 @@
     codec.Registration(100, data.LedgerCall, _LEDGER),
     codec.Registration(101, data.LedgerReply, _LEDGER),
     codec.Registration(102, data.Recall, _LEDGER),
+    codec.Registration(200, fleet.LinkHello, _FLEET),
+    codec.Registration(201, fleet.LinkWelcome, _FLEET),
+    codec.Registration(202, fleet.LinkProof, _FLEET),
+    codec.Registration(203, fleet.Heartbeat, _FLEET),
+    codec.Registration(204, fleet.MemberList, _FLEET),
 )
 
 
