Check settings, read requests, and test HTTP and links on loopback

Cause: the daemon needs checked settings, authentication, request parsing and refusals. Ruled out: closing idle connections at the begin of a drain; they now stay until the balancer's lag is over.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -210,8 +210,15 @@
             await asyncio.wait(self._connections)
 
     def begin_drain(self) -> None:
-        """Asks clients to leave: idle connections close, others after use."""
+        """Answers from now on with `Connection: close`.
+
+        Idle connections stay open: a request may already be on its way on
+        them, and closing would cut it off.
+        """
         self._is_draining = True
+
+    def close_idle(self) -> None:
+        """Closes connections on which no request is being received."""
         for writer in list(self._idle):
             writer.close()
 
@@ -348,8 +355,6 @@
     ) -> bytes | None:
         """Reads bytes; None when an idle connection should simply close."""
         if is_idle:
-            if self._is_draining:
-                return None
             self._idle.add(writer)
         try:
             async with asyncio.timeout(wait_ms / 1000):
--- /dev/null
+++ b/redwingchute/process/admin_front.py
@@ -0,0 +1,51 @@
+"""Serves health, metrics and the administration API on the admin address."""
+
+from collections.abc import Callable
+
+from redwingchute.connection import http_server
+from redwingchute.process import telemetry
+
+_TEXT = "text/plain; version=0.0.4"
+
+
+class AdminFront:
+    """Answers the requests on the admin address."""
+
+    def __init__(
+        self,
+        metrics: telemetry.Metrics,
+        explain_not_ready: Callable[[], str | None],
+        admin_handler: http_server.Handler,
+    ) -> None:
+        """Binds the front to the process.
+
+        Args:
+          metrics: Rendered at `/metrics`.
+          explain_not_ready: Returns why the router is not ready, if it isn't.
+          admin_handler: Serves everything below `/admin/`.
+        """
+        self._metrics = metrics
+        self._explain_not_ready = explain_not_ready
+        self._admin_handler = admin_handler
+
+    async def handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers one request."""
+        if request.path.startswith("/admin/"):
+            await self._admin_handler(request, responder)
+            return
+        match (request.method, request.path):
+            case ("GET", "/healthz"):
+                await responder.send(200, b"live\n", _TEXT)
+            case ("GET", "/readyz"):
+                reason = self._explain_not_ready()
+                status = 200 if reason is None else 503
+                body = f"{reason or 'ready'}\n".encode()
+                await responder.send(status, body, _TEXT)
+            case ("GET", "/metrics"):
+                await responder.send(200, self._metrics.render(), _TEXT)
+            case _:
+                await responder.send(404, b"nothing is served here\n", _TEXT)
--- /dev/null
+++ b/redwingchute/process/peer_network_test.py
@@ -0,0 +1,91 @@
+"""Tests of links between routers on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from redwingchute.core import data
+from redwingchute.process import peer_network
+from redwingchute.process import telemetry
+from redwingchute.wire import registry
+
+_KEY = b"0123456789abcdef"
+
+
+@contextlib.asynccontextmanager
+async def _start(
+    name: str, key: bytes = _KEY
+) -> AsyncIterator[tuple[peer_network.PeerNetwork, telemetry.Metrics]]:
+    metrics = telemetry.Metrics(name, "zone")
+    network = peer_network.PeerNetwork(
+        data.Host(name, "zone", "127.0.0.1:0", 1),
+        key,
+        registry.make_codec(),
+        metrics,
+        lambda: 0,
+    )
+    async with network:
+        yield network, metrics
+
+
+def test_calls_go_both_ways_over_one_link() -> None:
+    async def main() -> None:
+        async with _start("a") as (a, _), _start("b") as (b, _):
+
+            async def answer(
+                peer: data.Host, recall: data.Recall
+            ) -> data.Recall:
+                return data.Recall(peer.name, recall.kind, recall.tokens + 1)
+
+            a.handle(data.Recall, answer)
+            b.handle(data.Recall, answer)
+            a.set_address("b", b.own_host.peer_address)
+            recall = data.Recall("x", data.GrantKind.LEASE, 1)
+            reply = await a.call("b", recall, 5_000)
+            assert reply == data.Recall("a", data.GrantKind.LEASE, 2)
+            # The other way needs no address: the link is there.
+            reply = await b.call("a", recall, 5_000)
+            assert reply == data.Recall("b", data.GrantKind.LEASE, 2)
+
+    asyncio.run(main())
+
+
+def test_wrong_fleet_key_is_closed_and_counted() -> None:
+    async def main() -> None:
+        async with (
+            _start("a", b"another fleet key") as (a, a_metrics),
+            _start("b") as (b, _),
+        ):
+            a.set_address("b", b.own_host.peer_address)
+            recall = data.Recall("x", data.GrantKind.LEASE, 1)
+            reply = await a.call("b", recall, 5_000)
+            assert isinstance(reply, peer_network.PeerUnreachable)
+            assert b'cause="wrong_key"' in a_metrics.render()
+
+    asyncio.run(main())
+
+
+def test_noise_closes_only_its_own_connection() -> None:
+    async def main() -> None:
+        async with _start("a") as (a, _), _start("b") as (b, metrics):
+            ip, _, port = b.own_host.peer_address.rpartition(":")
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(b"\x00\x00\x00\x05noise" + b"\xff" * 64)
+            assert await reader.read() == b""
+            writer.close()
+            assert b'cause="malformed"' in metrics.render()
+            a.set_address("b", b.own_host.peer_address)
+            await a.call("b", data.Recall("x", data.GrantKind.LEASE, 1), 100)
+
+    asyncio.run(main())
+
+
+def test_unknown_host_is_unreachable_at_once() -> None:
+    async def main() -> None:
+        async with _start("a") as (a, _):
+            reply = await a.call(
+                "nobody", data.Recall("x", data.GrantKind.LEASE, 1), 60_000
+            )
+            assert isinstance(reply, peer_network.PeerUnreachable)
+
+    asyncio.run(main())
--- /dev/null
+++ b/redwingchute/request/authentication.py
@@ -0,0 +1,52 @@
+"""Finds the client account that a bearer key belongs to.
+
+Only hashes of keys are stored. A given key is hashed and compared with every
+stored hash in constant time, whether or not one matched before.
+"""
+
+import hashlib
+import hmac
+
+from redwingchute.core import configuration
+from redwingchute.core import outcomes
+
+_SCHEME = "bearer "
+
+
+def hash_key(key: str) -> str:
+    """Returns the stored form of a key: its SHA-256 hash in hex."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def read_bearer_key(headers: dict[str, str]) -> str | None:
+    """Returns the key of an `Authorization: Bearer` header, if there is one."""
+    value = headers.get("authorization", "")
+    if not value.lower().startswith(_SCHEME):
+        return None
+    return value[len(_SCHEME) :].strip() or None
+
+
+def find_client_account(
+    current: configuration.Configuration, headers: dict[str, str]
+) -> configuration.ClientAccount | outcomes.NotRun:
+    """Returns the account of a request, or the refusal it gets."""
+    key = read_bearer_key(headers)
+    if key is None:
+        return outcomes.NotRun(
+            401, "no_key", "The request has no Authorization: Bearer key."
+        )
+    given = hash_key(key)
+    found = None
+    for account in current.client_accounts:
+        for key_hash in account.key_hashes:
+            if hmac.compare_digest(given, key_hash):
+                found = account
+    if found is None:
+        return outcomes.NotRun(
+            401, "unknown_key", "The key belongs to no client account."
+        )
+    if found.is_suspended:
+        return outcomes.NotRun(
+            403, "account_suspended", "The client account is suspended."
+        )
+    return found
--- /dev/null
+++ b/redwingchute/request/request_key.py
@@ -0,0 +1,41 @@
+"""Derives the key that a request is billed under.
+
+The caller's `Idempotency-Key` counts within its client account only. A request
+without one gets a random key, so that it is billed once as well.
+"""
+
+import hashlib
+
+from redwingchute.core import data
+from redwingchute.core import outcomes
+
+DIGEST_BYTES = 16
+_MAX_KEY_CHARACTERS = 255
+
+
+def read_caller_key(headers: dict[str, str]) -> str | None | outcomes.NotRun:
+    """Returns the caller's key, None without one, or a refusal."""
+    key = headers.get("idempotency-key")
+    if key is None:
+        return None
+    if not key or len(key) > _MAX_KEY_CHARACTERS:
+        return outcomes.NotRun(
+            400,
+            "bad_idempotency_key",
+            f"Idempotency-Key must have 1 to {_MAX_KEY_CHARACTERS} characters.",
+        )
+    return key
+
+
+def digest_key(account_name: str, key: str) -> data.KeyDigest:
+    """Returns the digest of an account's key."""
+    text = f"{len(account_name)}:{account_name}:{key}"
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+
+
+def digest_body(path: str, body: bytes) -> bytes:
+    """Returns the digest that tells whether two requests are the same."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest.update(path.encode() + b"\n")
+    digest.update(body)
+    return digest.digest()
--- /dev/null
+++ b/redwingchute/request/sse.py
@@ -0,0 +1,105 @@
+"""Splits a stream of server-sent events and reads chat completion chunks."""
+
+import json
+from typing import Any
+
+import attrs
+
+_DATA_PREFIX = b"data:"
+_DONE = b"[DONE]"
+_MAX_EVENT_BYTES = 4 * 1024 * 1024
+
+
+@attrs.frozen
+class Usage:
+    """What an engine says that a request used."""
+
+    prompt_tokens: int
+    output_tokens: int
+
+
+@attrs.frozen
+class ChatEvent:
+    """One event of an engine's stream.
+
+    Attributes:
+      raw: The event's bytes, blank line included.
+      text: The output that it carries.
+      is_done: Whether it is the end marker.
+      is_finish: Whether it carries the reason why the output ended.
+      usage: The usage, on the event that carries it.
+    """
+
+    raw: bytes
+    text: str = ""
+    is_done: bool = False
+    is_finish: bool = False
+    usage: Usage | None = None
+
+
+class EventSplitter:
+    """Collects bytes into whole events."""
+
+    def __init__(self) -> None:
+        """Starts with nothing collected."""
+        self._pending = bytearray()
+
+    @property
+    def is_oversized(self) -> bool:
+        """Whether an event grew beyond what is accepted."""
+        return len(self._pending) > _MAX_EVENT_BYTES
+
+    def split(self, chunk: bytes) -> list[bytes]:
+        """Returns the events that are whole after one more chunk."""
+        self._pending += chunk
+        if b"\r" in chunk:
+            self._pending = self._pending.replace(b"\r\n", b"\n")
+        *whole, rest = self._pending.split(b"\n\n")
+        self._pending = bytearray(rest)
+        return [bytes(event) + b"\n\n" for event in whole]
+
+
+def read_usage(fields: Any) -> Usage | None:
+    """Returns the usage of a completion's JSON object, if it is well-formed."""
+    usage = fields.get("usage") if isinstance(fields, dict) else None
+    if not isinstance(usage, dict):
+        return None
+    prompt_tokens = usage.get("prompt_tokens")
+    output_tokens = usage.get("completion_tokens")
+    if not isinstance(prompt_tokens, int) or not isinstance(output_tokens, int):
+        return None
+    if prompt_tokens < 0 or output_tokens < 0:
+        return None
+    return Usage(prompt_tokens, output_tokens)
+
+
+def parse_chat_event(raw: bytes) -> ChatEvent:
+    """Reads one event; what is not understood is passed on as it is."""
+    lines = [line for line in raw.split(b"\n") if line.startswith(_DATA_PREFIX)]
+    payload = b"\n".join(line[len(_DATA_PREFIX) :].strip() for line in lines)
+    if payload == _DONE:
+        return ChatEvent(raw, is_done=True)
+    try:
+        fields = json.loads(payload)
+    except ValueError:
+        return ChatEvent(raw)
+    if not isinstance(fields, dict):
+        return ChatEvent(raw)
+    text, is_finish = _read_choice(fields)
+    return ChatEvent(
+        raw, text=text, is_finish=is_finish, usage=read_usage(fields)
+    )
+
+
+def _read_choice(fields: dict[str, Any]) -> tuple[str, bool]:
+    """Returns the output text of a chunk and whether it ends the output."""
+    choices = fields.get("choices")
+    if not isinstance(choices, list) or not choices:
+        return "", False
+    choice = choices[0]
+    if not isinstance(choice, dict):
+        return "", False
+    delta = choice.get("delta")
+    content = delta.get("content") if isinstance(delta, dict) else None
+    text = content if isinstance(content, str) else ""
+    return text, bool(choice.get("finish_reason"))
