Add stand-ins of the platform, model engines and plain services

Each stand-in is a context manager around HttpServer with an attrs record of faults, merged from JSON at POST /control; a mistyped fault is a finding. /control is answered on the main port and on a control port of its own, which outlives a crash of the main port, so that a crashed engine refuses connections as a dead process does. Ruled out: answering /control on the main port only, as a crashed engine would still accept connections there.

The first line on stdout is 'listening on ip:port', the second 'control on ip:port'.

Before: no stand-ins.

--- /dev/null
+++ b/redwingchute/standin/log_store.py
@@ -0,0 +1,103 @@
+"""The streams of the stand-in of the platform's log service, in memory."""
+
+import attrs
+
+
+@attrs.frozen
+class StoredRecord:
+    """One record of a stream.
+
+    Attributes:
+      offset: Its place in the stream.
+      data: The raw bytes.
+      appended_at_ms: When it was appended.
+    """
+
+    offset: int
+    data: bytes
+    appended_at_ms: int
+
+
+class LogStream:
+    """An append-only stream that may be trimmed from its old end.
+
+    Attributes:
+      first: The oldest offset that is kept.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty, at offset 0."""
+        self.first = 0
+        self._records: list[StoredRecord] = []
+
+    @property
+    def next(self) -> int:
+        """The offset that the next append gets."""
+        return self.first + len(self._records)
+
+    def append(self, data: bytes, now_ms: int) -> int:
+        """Appends a record and returns its offset."""
+        offset = self.next
+        self._records.append(StoredRecord(offset, data, now_ms))
+        return offset
+
+    def read(self, start: int, limit: int) -> list[StoredRecord] | None:
+        """Returns records from an offset on, None when it is trimmed away."""
+        if start < self.first:
+            return None
+        index = start - self.first
+        return self._records[index : index + limit]
+
+    def trim(self, before: int) -> None:
+        """Drops the records below an offset."""
+        count = max(0, min(before, self.next) - self.first)
+        del self._records[:count]
+        self.first += count
+
+    def trim_older(self, than_ms: int) -> None:
+        """Drops the records that were appended before an instant."""
+        count = 0
+        for record in self._records:
+            if record.appended_at_ms >= than_ms:
+                break
+            count += 1
+        self.trim(self.first + count)
+
+
+class LogStore:
+    """All streams by name."""
+
+    def __init__(self) -> None:
+        """Starts without streams."""
+        self.streams: dict[str, LogStream] = {}
+
+    def open(self, name: str) -> LogStream:
+        """Returns a stream, made empty at its first use."""
+        return self.streams.setdefault(name, LogStream())
+
+
+class RateLimit:
+    """A token bucket that holds one second's worth of permits."""
+
+    def __init__(self) -> None:
+        """Starts full at the first use."""
+        self._permits = 0.0
+        self._updated_at_ms: int | None = None
+
+    def take(self, rate_per_s: float, now_ms: int) -> bool:
+        """Takes a permit; a rate of 0 means no limit."""
+        if rate_per_s <= 0:
+            self._updated_at_ms = None
+            return True
+        size = max(1.0, rate_per_s)
+        if self._updated_at_ms is None:
+            self._permits = size
+        else:
+            elapsed_ms = max(0, now_ms - self._updated_at_ms)
+            earned = elapsed_ms * rate_per_s / 1000
+            self._permits = min(size, self._permits + earned)
+        self._updated_at_ms = now_ms
+        if self._permits < 1:
+            return False
+        self._permits -= 1
+        return True
--- /dev/null
+++ b/redwingchute/standin/platform.py
@@ -0,0 +1,268 @@
+"""A stand-in of the platform: log service, host list and weight store.
+
+Its interface is described in docs/design/ARCHITECTURE.md. Every fault that
+the platform may show can be switched through `POST /control` while it runs.
+"""
+
+import asyncio
+import base64
+from typing import Any
+import urllib.parse
+
+import attrs
+
+from redwingchute.connection import http_server
+from redwingchute.core import data
+from redwingchute.standin import base
+from redwingchute.standin import faults as faults_lib
+from redwingchute.standin import log_store
+
+_DEFAULT_LIMIT = 1_000
+_MAX_WAIT_MS = 30_000
+_HOST_FIELDS = ("name", "zone", "address", "state")
+_HOST_STATES = ("live", "leaving")
+
+
+@attrs.frozen
+class PlatformFaults:
+    """The faults of the platform.
+
+    Attributes:
+      is_down: Connections are closed without an answer.
+      slow_ms: Every answer waits this long.
+      lose_answers: Appends take effect, then the connection is closed.
+      lose_next_answers: As `lose_answers`, for this many appends.
+      keep_ms: Records older than this are trimmed; 0 keeps them.
+      host_list_lag_ms: `GET /hosts` shows the list of this long ago.
+      appends_per_s: Appends above this rate get 429; 0 is no limit.
+      weights_per_s: Weight reads above this rate get 429; 0 is no limit.
+    """
+
+    is_down: bool = False
+    slow_ms: int = 0
+    lose_answers: bool = False
+    lose_next_answers: int = 0
+    keep_ms: int = 0
+    host_list_lag_ms: int = 0
+    appends_per_s: float = 0.0
+    weights_per_s: float = 0.0
+
+
+class Platform(base.StandIn[PlatformFaults]):
+    """The stand-in of the platform; a context manager.
+
+    Attributes:
+      store: The streams of the log service.
+      appends: How many appends took effect.
+      reads: How many reads were answered.
+    """
+
+    def __init__(
+        self,
+        address: str = "127.0.0.1",
+        port: int = 0,
+        faults: PlatformFaults | None = None,
+    ) -> None:
+        """Prepares an empty platform on an address."""
+        super().__init__(faults or PlatformFaults(), address, port)
+        self.store = log_store.LogStore()
+        self.appends = 0
+        self.reads = 0
+        self._hosts: list[tuple[int, list[dict[str, str]]]] = [(0, [])]
+        self._appended: dict[str, asyncio.Event] = {}
+        self._append_limit = log_store.RateLimit()
+        self._weight_limit = log_store.RateLimit()
+
+    async def handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers a request of the log service, host list or weight store."""
+        self._refuse_when_down()
+        if self.faults.slow_ms:
+            await asyncio.sleep(self.faults.slow_ms / 1000)
+            self._refuse_when_down()
+        match [urllib.parse.unquote(p) for p in request.path.split("/")[1:]]:
+            case ["streams", stream, "records"] if request.method == "POST":
+                await self._append(stream, request.body, responder)
+            case ["streams", stream, "records"] if request.method == "GET":
+                await self._read(stream, request.query, responder)
+            case ["hosts"] if request.method == "GET":
+                await responder.send(
+                    200, faults_lib.to_json(self._list_hosts())
+                )
+            case ["weights", name] if request.method == "GET":
+                await self._send_weights(name, responder)
+            case _:
+                await responder.send(404, b'{"error": "no such path"}')
+
+    async def handle_action(
+        self, name: str, body: dict[str, Any]
+    ) -> faults_lib.Findings | None:
+        """Trims a stream or sets the host list."""
+        match name:
+            case "trim":
+                return self._trim(body)
+            case "hosts":
+                return self._set_hosts(body)
+            case _:
+                return None
+
+    def describe(self) -> dict[str, Any]:
+        """Returns counters and the bounds of each stream."""
+        streams = {
+            name: {"first": stream.first, "next": stream.next}
+            for name, stream in self.store.streams.items()
+        }
+        return {
+            "appends": self.appends,
+            "reads": self.reads,
+            "streams": streams,
+            "hosts": self._hosts[-1][1],
+        }
+
+    def _refuse_when_down(self) -> None:
+        """Closes the connection without an answer while down."""
+        if self.faults.is_down:
+            raise http_server.ClientDisconnectedError
+
+    async def _append(
+        self, name: str, body: bytes, responder: http_server.HttpResponder
+    ) -> None:
+        """Appends a record; the answer may be lost by a fault."""
+        now_ms = base.now_ms()
+        if not self._append_limit.take(self.faults.appends_per_s, now_ms):
+            await _send_too_many(responder)
+            return
+        offset = self.store.open(name).append(body, now_ms)
+        self.appends += 1
+        self._find_event(name).set()
+        self._appended.pop(name)
+        if self.faults.lose_next_answers > 0:
+            left = self.faults.lose_next_answers - 1
+            self.faults = attrs.evolve(self.faults, lose_next_answers=left)
+            raise http_server.ClientDisconnectedError
+        if self.faults.lose_answers:
+            raise http_server.ClientDisconnectedError
+        await responder.send(200, faults_lib.to_json({"offset": offset}))
+
+    async def _read(
+        self,
+        name: str,
+        query: dict[str, str],
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Sends records, waiting for one when asked to."""
+        try:
+            start = int(query.get("from", "0"))
+            limit = int(query.get("limit", str(_DEFAULT_LIMIT)))
+            wait_ms = min(int(query.get("wait_ms", "0")), _MAX_WAIT_MS)
+        except ValueError:
+            await responder.send(400, b'{"error": "a number is malformed"}')
+            return
+        stream = self.store.open(name)
+        if wait_ms > 0 and start >= stream.next:
+            await self._wait_for_append(name, wait_ms)
+            self._refuse_when_down()
+        if self.faults.keep_ms:
+            stream.trim_older(base.now_ms() - self.faults.keep_ms)
+        records = stream.read(start, max(0, limit))
+        self.reads += 1
+        answer: dict[str, Any] = {"first": stream.first, "next": stream.next}
+        if records is None:
+            await responder.send(410, faults_lib.to_json(answer))
+            return
+        answer["records"] = [
+            {
+                "offset": record.offset,
+                "data": base64.b64encode(record.data).decode(),
+            }
+            for record in records
+        ]
+        await responder.send(200, faults_lib.to_json(answer))
+
+    def _find_event(self, name: str) -> asyncio.Event:
+        """Returns the event that the next append to a stream sets."""
+        return self._appended.setdefault(name, asyncio.Event())
+
+    async def _wait_for_append(self, name: str, wait_ms: int) -> None:
+        """Waits for the next append, but no longer than asked."""
+        event = self._find_event(name)
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                await event.wait()
+        except TimeoutError:
+            return
+
+    def _list_hosts(self) -> list[dict[str, str]]:
+        """Returns the host list as the lag lets it be seen."""
+        seen_at_ms = base.now_ms() - self.faults.host_list_lag_ms
+        visible = [h for at_ms, h in self._hosts if at_ms <= seen_at_ms]
+        return visible[-1]
+
+    async def _send_weights(
+        self, name: str, responder: http_server.HttpResponder
+    ) -> None:
+        """Sends the stand-in's weights of a model, within the rate."""
+        rate = self.faults.weights_per_s
+        if self._weight_limit.take(rate, base.now_ms()):
+            body = f"weights of {name}\n".encode()
+            await responder.send(200, body, "application/octet-stream")
+        else:
+            await _send_too_many(responder)
+
+    def _trim(self, body: dict[str, Any]) -> faults_lib.Findings:
+        """Runs `{"stream": NAME, "before": OFFSET}`."""
+        stream, before = body.get("stream"), body.get("before")
+        findings = []
+        if not isinstance(stream, str):
+            findings.append(data.Finding("stream", "A name is needed."))
+        if not isinstance(before, int) or isinstance(before, bool):
+            findings.append(data.Finding("before", "An offset is needed."))
+        if not findings:
+            assert isinstance(stream, str) and isinstance(before, int)
+            self.store.open(stream).trim(before)
+        return tuple(findings)
+
+    def _set_hosts(self, body: dict[str, Any]) -> faults_lib.Findings:
+        """Runs `{"hosts": [HOST, ...]}`."""
+        hosts = body.get("hosts")
+        if not isinstance(hosts, list):
+            return (data.Finding("hosts", "A list of hosts is needed."),)
+        findings = tuple(
+            finding
+            for index, host in enumerate(hosts)
+            for finding in _check_host(f"hosts[{index}]", host)
+        )
+        if not findings:
+            self._hosts.append((base.now_ms(), hosts))
+        return findings
+
+
+def _check_host(place: str, host: Any) -> list[data.Finding]:
+    """Returns what is wrong with one host of the list."""
+    if not isinstance(host, dict):
+        return [data.Finding(place, "A host must be a JSON object.")]
+    findings = [
+        data.Finding(f"{place}.{field}", "A string is needed.")
+        for field in _HOST_FIELDS
+        if not isinstance(host.get(field), str)
+    ]
+    if host.get("state") not in _HOST_STATES:
+        message = f"The state must be one of {', '.join(_HOST_STATES)}."
+        findings.append(data.Finding(f"{place}.state", message))
+    return findings
+
+
+async def _send_too_many(responder: http_server.HttpResponder) -> None:
+    """Sends that a rate was passed."""
+    await responder.send(
+        429, b'{"error": "too many requests"}', headers=[("retry-after", "1")]
+    )
+
+
+async def run_platform(listen: str) -> None:
+    """Serves the platform on `ip:port` until SIGTERM or SIGINT."""
+    at = base.parse_listen(listen)
+    await base.serve_until_signal(Platform(at.ip, at.port))
--- /dev/null
+++ b/redwingchute/standin/service.py
@@ -0,0 +1,171 @@
+"""A stand-in of a plain service, some of whose calls may not be repeated.
+
+It records each call that it ran, so that a test can count the runs of one
+attempt or one idempotency key.
+"""
+
+import asyncio
+import hashlib
+from typing import Any
+
+import attrs
+
+from redwingchute.connection import http_server
+from redwingchute.standin import base
+from redwingchute.standin import faults as faults_lib
+
+
+@attrs.frozen
+class ServiceFaults:
+    """The faults of a plain service.
+
+    Attributes:
+      fail_before_run: Calls are answered with 500 without being run.
+      close_before_run: Connections are closed without running the call.
+      close_after_run: Calls are run, then the connection is closed.
+      fault_limit: The three faults above hit this many calls; -1 for all.
+      slow_ms: A call takes this long, half before and half after its run.
+      is_leaving: New calls get 503 with `X-Leaving: 1`.
+    """
+
+    fail_before_run: bool = False
+    close_before_run: bool = False
+    close_after_run: bool = False
+    fault_limit: int = attrs.field(default=-1, metadata={"minimum": -1})
+    slow_ms: int = 0
+    is_leaving: bool = False
+
+
+@attrs.frozen
+class ServiceRun:
+    """One call that the service ran.
+
+    Attributes:
+      attempt_id: The router's id of the attempt.
+      idempotency_key: The caller's key, empty when it sent none.
+      method: The HTTP method.
+      path: The path below the service's root.
+      body_digest: A digest of the body, in hex.
+    """
+
+    attempt_id: str
+    idempotency_key: str
+    method: str
+    path: str
+    body_digest: str
+
+
+class Service(base.StandIn[ServiceFaults]):
+    """The stand-in of one instance of a plain service; a context manager.
+
+    Attributes:
+      name: The instance's name.
+      started: Calls that came and were not refused.
+      runs: The calls that it ran, in order.
+      cancelled: Calls whose caller went away before the run.
+    """
+
+    def __init__(
+        self,
+        name: str = "service",
+        address: str = "127.0.0.1",
+        port: int = 0,
+        faults: ServiceFaults | None = None,
+    ) -> None:
+        """Prepares a service without runs."""
+        super().__init__(faults or ServiceFaults(), address, port)
+        self.name = name
+        self.started = 0
+        self.runs: list[ServiceRun] = []
+        self.cancelled = 0
+
+    async def handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Runs one call."""
+        headers = [("x-attempt-id", request.headers.get("x-attempt-id", ""))]
+        if self.faults.is_leaving:
+            headers.append(("x-leaving", "1"))
+            body = b'{"error": "the service is leaving"}'
+            await responder.send(503, body, headers=headers)
+            return
+        active = self._take_faults()
+        if active.fail_before_run:
+            body = b'{"error": "the call was not run"}'
+            await responder.send(500, body, headers=headers)
+            return
+        if active.close_before_run:
+            raise http_server.ClientDisconnectedError
+        self.started += 1
+        await self._pause(active.slow_ms / 2)
+        run = _make_run(request)
+        self.runs.append(run)
+        if active.close_after_run:
+            raise http_server.ClientDisconnectedError
+        await asyncio.sleep(active.slow_ms / 2000)
+        body = faults_lib.to_json(
+            {
+                "service": self.name,
+                "run": len(self.runs),
+                "echo": request.body.decode("utf-8", "replace"),
+                **attrs.asdict(run),
+            }
+        )
+        await responder.send(200, body, headers=headers)
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the runs, in all and by idempotency key."""
+        runs_by_key: dict[str, int] = {}
+        for run in self.runs:
+            key = run.idempotency_key
+            runs_by_key[key] = runs_by_key.get(key, 0) + 1
+        return {
+            "name": self.name,
+            "started": self.started,
+            "runs": self.runs,
+            "runs_by_key": runs_by_key,
+            "cancelled": self.cancelled,
+        }
+
+    def _take_faults(self) -> ServiceFaults:
+        """Returns the faults that hit the next call, within their limit."""
+        faults = self.faults
+        is_faulty = (
+            faults.fail_before_run
+            or faults.close_before_run
+            or faults.close_after_run
+        )
+        if not is_faulty or faults.fault_limit == -1:
+            return faults
+        if faults.fault_limit == 0:
+            return ServiceFaults(slow_ms=faults.slow_ms)
+        left = faults.fault_limit - 1
+        self.faults = attrs.evolve(faults, fault_limit=left)
+        return faults
+
+    async def _pause(self, pause_ms: float) -> None:
+        """Waits before the run, and counts callers that go meanwhile."""
+        try:
+            await asyncio.sleep(pause_ms / 1000)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+def _make_run(request: http_server.HttpRequest) -> ServiceRun:
+    """Returns the record of a call."""
+    return ServiceRun(
+        attempt_id=request.headers.get("x-attempt-id", ""),
+        idempotency_key=request.headers.get("idempotency-key", ""),
+        method=request.method,
+        path=request.path,
+        body_digest=hashlib.blake2b(request.body, digest_size=8).hexdigest(),
+    )
+
+
+async def run_service(listen: str, name: str) -> None:
+    """Serves a plain service on `ip:port` until SIGTERM or SIGINT."""
+    at = base.parse_listen(listen)
+    await base.serve_until_signal(Service(name, at.ip, at.port))
--- /dev/null
+++ b/redwingchute/testing/standin_calls.py
@@ -0,0 +1,68 @@
+"""Calls to stand-ins, for tests and scenarios."""
+
+import json
+from typing import Any
+
+from redwingchute.connection import http_client
+from redwingchute.standin import base
+
+_TIMEOUT_MS = 10_000
+
+
+async def fetch(
+    port: int,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: list[tuple[str, str]] | None = None,
+) -> (
+    http_client.Fetched | http_client.ConnectFailed | http_client.ExchangeBroken
+):
+    """Runs one exchange with a server on loopback."""
+    address = http_client.Address("127.0.0.1", port)
+    async with http_client.ClientPool() as pool:
+        return await pool.fetch(
+            address, method, target, headers or [], body, _TIMEOUT_MS
+        )
+
+
+async def fetch_json(
+    port: int, method: str, target: str, body: Any = None
+) -> Any:
+    """Runs one exchange that must succeed and returns its JSON."""
+    payload = b"" if body is None else json.dumps(body).encode()
+    answer = await fetch(port, method, target, payload)
+    assert isinstance(answer, http_client.Fetched), answer
+    assert answer.status == 200, answer
+    return json.loads(answer.body)
+
+
+async def switch(stand_in: base.StandIn[Any], **patch: Any) -> Any:
+    """Switches faults through the control path and returns the state."""
+    return await fetch_json(stand_in.control_port, "POST", "/control", patch)
+
+
+async def read_state(stand_in: base.StandIn[Any]) -> Any:
+    """Returns what `GET /control` shows."""
+    return await fetch_json(stand_in.control_port, "GET", "/control")
+
+
+def make_chat(prompt: str, stream: bool = False, **fields: Any) -> bytes:
+    """Returns the body of a chat completion request."""
+    message = {"role": "user", "content": prompt}
+    chat = {"model": "m", "messages": [message], "stream": stream, **fields}
+    return json.dumps(chat).encode()
+
+
+def read_stream(body: bytes) -> list[dict[str, Any]]:
+    """Returns the JSON chunks of a server-sent event stream."""
+    lines = body.decode().splitlines()
+    texts = [ln.removeprefix("data: ") for ln in lines if ln.startswith("data")]
+    return [json.loads(text) for text in texts if text != "[DONE]"]
+
+
+def join_content(chunks: list[dict[str, Any]]) -> str:
+    """Returns the text of the chunks of a stream."""
+    return "".join(
+        chunk["choices"][0]["delta"].get("content", "") for chunk in chunks
+    )
