--- a/redwingchute/standin/base.py
+++ b/redwingchute/standin/base.py
@@ -197,19 +197,24 @@
     await responder.send(400, body)
 
 
-async def serve_until_signal(stand_in: StandIn[Any]) -> None:
-    """Serves until SIGTERM or SIGINT; prints where, once it is ready."""
+async def wait_for_signal() -> None:
+    """Returns once the process gets SIGTERM or SIGINT."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+
+
+async def serve_until_signal(stand_in: StandIn[Any]) -> None:
+    """Serves until SIGTERM or SIGINT; prints where, once it is ready."""
     async with stand_in:
-        print(f"listening on {stand_in.address}:{stand_in.port}", flush=True)
-        print(
-            f"control on {stand_in.address}:{stand_in.control_port}",
-            flush=True,
-        )
-        await stopped.wait()
+        for name, port in (
+            ("listening", stand_in.port),
+            ("control", stand_in.control_port),
+        ):
+            print(f"{name} on {stand_in.address}:{port}", flush=True)
+        await wait_for_signal()
 
 
 def parse_listen(listen: str) -> http_client.Address:
