Add a small language for scripted scenarios

Chosen: lark (LALR) over one statement a line; statements become frozen records, so that one runner can drive decision code or real processes. Before: no language.

--- /dev/null
+++ b/redwingchute/testing/scenario_language.py
@@ -0,0 +1,294 @@
+"""Reads scripted scenarios from text files.
+
+A scenario is one file of one statement a line; `scenario.lark` holds the
+grammar. Reading returns the scenario or all findings, each with its file and
+line, and never raises on bad text.
+"""
+
+import functools
+import pathlib
+from typing import Any
+
+import lark
+
+from redwingchute.core import data
+from redwingchute.testing import scenario_steps as steps
+
+_GRAMMAR_PATH = pathlib.Path(__file__).with_name("scenario.lark")
+_MS_PER_UNIT = {"ms": 1, "s": 1_000, "min": 60_000}
+PROMISE_COUNT = 8
+
+
+@functools.cache
+def _make_parser() -> lark.Lark:
+    """Returns the parser of the grammar."""
+    return lark.Lark(
+        _GRAMMAR_PATH.read_text(), parser="lalr", propagate_positions=True
+    )
+
+
+def load_scenario(
+    path: pathlib.Path,
+) -> tuple[steps.Scenario | None, tuple[data.Finding, ...]]:
+    """Reads the scenario of a file; see `parse_scenario`."""
+    return parse_scenario(path.name, path.read_text())
+
+
+def parse_scenario(
+    path: str, text: str
+) -> tuple[steps.Scenario | None, tuple[data.Finding, ...]]:
+    """Reads a scenario.
+
+    Args:
+      path: The file's name, for findings.
+      text: Its text.
+
+    Returns:
+      The scenario, or None with every finding.
+    """
+    try:
+        tree = _make_parser().parse(text)
+    except lark.UnexpectedInput as error:
+        line = getattr(error, "line", -1)
+        message = f"The line is not a statement of the language: {error}"
+        first_line = message.split("\n")[0]
+        return None, (data.Finding(f"{path}:{line}", first_line),)
+    builder = _Builder(path)
+    for node in tree.children:
+        builder.add(node)
+    return builder.build()
+
+
+class _Builder:
+    """Collects the statements of one scenario and checks their names."""
+
+    def __init__(self, path: str) -> None:
+        """Starts empty."""
+        self._path = path
+        self._name = ""
+        self._promises: list[int] = []
+        self._is_live = False
+        self._routers: list[steps.Router] = []
+        self._upstreams: list[steps.Upstream] = []
+        self._accounts: list[steps.Account] = []
+        self._steps: list[steps.Step] = []
+        self._findings: list[data.Finding] = []
+
+    def add(self, node: Any) -> None:
+        """Adds one statement."""
+        line = node.meta.line
+        words = [_read_token(child) for child in node.children]
+        match node.data:
+            case "scenario":
+                self._name = words[0]
+            case "promise":
+                self._add_promises(line, words)
+            case "live":
+                self._is_live = True
+            case "zone":
+                zone, *names = words
+                self._routers += [steps.Router(name, zone) for name in names]
+            case "engine":
+                name, zone, pool = words
+                self._upstreams.append(steps.Upstream(name, zone, pool, True))
+            case "service":
+                name, zone, pool, mark = words
+                self._upstreams.append(
+                    steps.Upstream(name, zone, pool, False, mark is None)
+                )
+            case "account":
+                name, budget, tokens, share = words
+                self._accounts.append(
+                    steps.Account(name, budget, int(tokens), float(share or 1))
+                )
+            case _:
+                self._steps.append(_make_step(line, str(node.data), words))
+
+    def build(
+        self,
+    ) -> tuple[steps.Scenario | None, tuple[data.Finding, ...]]:
+        """Returns the scenario, or None with all findings."""
+        if not self._name:
+            self._report(1, "A scenario needs a line 'scenario \"name\"'.")
+        if not self._promises:
+            self._report(1, "A scenario needs a line 'promise N'.")
+        self._check_names()
+        if self._findings:
+            return None, tuple(self._findings)
+        scenario = steps.Scenario(
+            path=self._path,
+            name=self._name,
+            promises=tuple(self._promises),
+            is_live=self._is_live,
+            routers=tuple(self._routers),
+            upstreams=tuple(self._upstreams),
+            accounts=tuple(self._accounts),
+            steps=tuple(self._steps),
+        )
+        return scenario, ()
+
+    def _report(self, line: int, message: str) -> None:
+        """Adds a finding."""
+        self._findings.append(data.Finding(f"{self._path}:{line}", message))
+
+    def _add_promises(self, line: int, words: list[Any]) -> None:
+        """Adds the tags of a `promise` line."""
+        for number in map(int, words):
+            if 1 <= number <= PROMISE_COUNT:
+                self._promises.append(number)
+            else:
+                message = f"Promises are numbered 1 to {PROMISE_COUNT}."
+                self._report(line, message)
+
+    def _check_names(self) -> None:
+        """Reports names that the scenario does not declare."""
+        routers = {router.name for router in self._routers}
+        zones = {router.zone for router in self._routers}
+        upstreams = {upstream.name for upstream in self._upstreams}
+        pools = {upstream.pool for upstream in self._upstreams}
+        accounts = {account.name for account in self._accounts}
+        budgets = {account.budget for account in self._accounts}
+        places = routers | zones | {steps.PLATFORM}
+        requests = set()
+        commands = set()
+        for step in self._steps:
+            match step:
+                case steps.Lifecycle():
+                    self._check(step.line, "router", step.router, routers)
+                case steps.Cut() | steps.Heal():
+                    self._check(step.line, "place", step.one, places)
+                    self._check(step.line, "place", step.other, places)
+                case steps.UpstreamFault() | steps.UpstreamRestart():
+                    self._check(step.line, "upstream", step.upstream, upstreams)
+                case steps.ExpectDispatched():
+                    self._check(step.line, "upstream", step.upstream, upstreams)
+                case steps.Request():
+                    self._check(step.line, "router", step.router, routers)
+                    self._check(step.line, "account", step.account, accounts)
+                    self._check(step.line, "pool", step.pool, pools)
+                    requests.add(step.name)
+                case steps.Command():
+                    self._check(step.line, "router", step.router, routers)
+                    commands.add(step.name)
+                case steps.ExpectOutcome():
+                    self._check(step.line, "request", step.request, requests)
+                case steps.ExpectCommand():
+                    self._check(step.line, "command", step.command, commands)
+                case steps.ExpectSpend():
+                    self._check(step.line, "budget", step.budget, budgets)
+                case steps.ExpectVersion():
+                    for name in step.routers:
+                        self._check(step.line, "router", name, routers)
+
+    def _check(self, line: int, what: str, name: str, known: set[str]) -> None:
+        """Reports a name that is not known."""
+        if name not in known:
+            allowed = ", ".join(sorted(known)) or "none"
+            message = f"There is no {what} '{name}'; there are: {allowed}."
+            self._report(line, message)
+
+
+def _read_token(child: Any) -> Any:
+    """Returns the value of a child of a statement."""
+    if isinstance(child, lark.Tree):
+        if child.data == "duration":
+            number, unit = child.children
+            return round(float(str(number)) * _MS_PER_UNIT[str(unit)])
+        return (str(child.data), _read_token(child.children[0]))
+    if child is None:
+        return None
+    return str(child).strip('"')
+
+
+def _make_step(line: int, kind: str, words: list[Any]) -> steps.Step:
+    """Builds the step of a statement that is not a declaration."""
+    match kind:
+        case "lifecycle":
+            return steps.Lifecycle(line, steps.Action(words[0]), words[1])
+        case "cut":
+            return steps.Cut(line, *words)
+        case "heal":
+            return steps.Heal(line, *words)
+        case "heal_all":
+            return steps.HealAll(line)
+        case "wait":
+            return steps.Wait(line, words[0])
+        case "request" | "call":
+            return _make_request(line, kind == "call", words)
+        case "operator":
+            return steps.Command(line, *words)
+        case _ if kind.startswith("expect_"):
+            return _make_expectation(line, kind, words)
+        case _:
+            return _make_fault(line, kind, words)
+
+
+def _make_request(line: int, is_call: bool, words: list[Any]) -> steps.Request:
+    """Builds a request with its options."""
+    name, account, router, pool, text, *options = words
+    fields = {
+        {"patience": "patience_ms"}.get(option, option): value
+        for option, value in options
+    }
+    return steps.Request(
+        line, name, account, router, pool, text, is_call, **fields
+    )
+
+
+def _make_fault(line: int, kind: str, words: list[Any]) -> steps.Step:
+    """Builds a step that changes faults."""
+    match kind:
+        case "platform_down":
+            return steps.PlatformFault(line, is_down=True)
+        case "platform_up":
+            return steps.PlatformFault(line, is_down=False, slow_ms=0)
+        case "platform_slow":
+            return steps.PlatformFault(line, slow_ms=words[0])
+        case "platform_loses":
+            return steps.PlatformFault(line, lose_answers=int(words[0]))
+        case "platform_trims":
+            return steps.PlatformTrim(line)
+        case "upstream_leaves":
+            return steps.UpstreamFault(line, words[0], is_leaving=True)
+        case "upstream_returns":
+            return steps.UpstreamFault(line, words[0], is_leaving=False)
+        case "upstream_restarts":
+            return steps.UpstreamRestart(line, words[0])
+        case "upstream_slow":
+            return steps.UpstreamFault(line, words[0], slow_ms=words[1])
+        case "engine_crashes":
+            return steps.UpstreamFault(line, words[0], crash_on_text=words[1])
+        case "engine_cuts":
+            count = int(words[1])
+            return steps.UpstreamFault(line, words[0], cut_after_tokens=count)
+        case "service_closes" if words[1] == "before":
+            count = int(words[2])
+            return steps.UpstreamFault(line, words[0], close_before_run=count)
+        case "service_closes":
+            count = int(words[2])
+            return steps.UpstreamFault(line, words[0], close_after_run=count)
+        case _:
+            return steps.UpstreamFault(
+                line, words[0], close_before_run=0, close_after_run=0
+            )
+
+
+def _make_expectation(line: int, kind: str, words: list[Any]) -> steps.Step:
+    """Builds an expectation."""
+    match kind:
+        case "expect_outcome":
+            outcomes = tuple(steps.Outcome(word) for word in words[1:])
+            return steps.ExpectOutcome(line, words[0], outcomes)
+        case "expect_spend":
+            return steps.ExpectSpend(line, words[0], words[1], int(words[2]))
+        case "expect_runs":
+            return steps.ExpectRuns(line, words[0], words[1], int(words[2]))
+        case "expect_version":
+            return steps.ExpectVersion(line, tuple(words))
+        case "expect_operator":
+            verdicts = tuple(steps.CommandVerdict(word) for word in words[1:])
+            return steps.ExpectCommand(line, words[0], verdicts)
+        case _:
+            return steps.ExpectDispatched(
+                line, words[0], words[1], int(words[2])
+            )
