--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -7,10 +7,12 @@
 
 from redwingchute.core import data
 from redwingchute.core import fleet
+from redwingchute.version import changes
 from redwingchute.wire import codec
 
 _LEDGER = "ledger.capnp"
 _FLEET = "fleet.capnp"
+_CONFIGURATION = "configuration.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -23,6 +25,9 @@
     codec.Registration(202, fleet.LinkProof, _FLEET),
     codec.Registration(203, fleet.Heartbeat, _FLEET),
     codec.Registration(204, fleet.MemberList, _FLEET),
+    codec.Registration(300, changes.ConfigurationChange, _CONFIGURATION),
+    codec.Registration(301, changes.AuditNote, _CONFIGURATION),
+    codec.Registration(302, changes.ConfigurationCheckpoint, _CONFIGURATION),
 )
 
 
