--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -6,9 +6,11 @@
 """
 
 from redwingchute.core import data
+from redwingchute.core import requesting
 from redwingchute.wire import codec
 
 _LEDGER = "ledger.capnp"
+_REQUEST = "request.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -16,6 +18,9 @@
     codec.Registration(100, data.LedgerCall, _LEDGER),
     codec.Registration(101, data.LedgerReply, _LEDGER),
     codec.Registration(102, data.Recall, _LEDGER),
+    codec.Registration(400, requesting.CrashNotice, _REQUEST),
+    codec.Registration(401, requesting.QuarantineNotice, _REQUEST),
+    codec.Registration(402, requesting.LeavingNotice, _REQUEST),
 )
 
 
--- /dev/null
+++ b/redwingchute/wire/request.capnp
@@ -0,0 +1,7 @@
+@0x9f3b6b1b3c9f4a40;
+# Notices between routers about requests and upstreams. Field names mirror
+# core/requesting.py.
+
+struct CrashNotice { clientAccount @0 :Text; bodyDigest @1 :Data; upstream @2 :Text; attemptId @3 :Text; crashedAtMs @4 :Int64; }
+struct QuarantineNotice { clientAccount @0 :Text; bodyDigest @1 :Data; untilMs @2 :Int64; changedAtMs @3 :Int64; isLifted @4 :Bool; author @5 :Text; }
+struct LeavingNotice { upstream @0 :Text; seenAtMs @1 :Int64; }
