Decide retries from a budget per pool

Cause: retries must be safe and must not multiply an overload. Ruled out: charging attempts that never reached an upstream; they add no load there. After: retry.RetryBudget with full-jitter delays from a passed-in source.

--- /dev/null
+++ b/redwingchute/request/retry.py
@@ -0,0 +1,142 @@
+"""Decides whether a failed attempt is repeated, and when.
+
+Retries of a pool are paid from a budget that first attempts fill, so that
+they cannot multiply an overload. An attempt that never reached an upstream
+adds no load there and is not charged.
+"""
+
+import dataclasses
+import enum
+import random
+from typing import TypeAlias
+
+import attrs
+
+from redwingchute.core import configuration
+
+# What a pool may always spend, so that a quiet pool can retry too.
+_MIN_BUDGET_RETRIES = 3.0
+_MAX_BUDGET_RETRIES = 50.0
+
+
+class FailureKind(enum.Enum):
+    """How an attempt failed.
+
+    Attributes:
+      NOT_CONNECTED: No byte was sent.
+      TURNED_AWAY: The upstream answered that it takes no work (503, 429).
+      SERVER_ERROR: The upstream answered with another 5xx status.
+      BROKEN: The exchange broke after bytes were sent.
+      MISMATCHED: The reply did not echo the attempt's id.
+    """
+
+    NOT_CONNECTED = "not_connected"
+    TURNED_AWAY = "turned_away"
+    SERVER_ERROR = "server_error"
+    BROKEN = "broken"
+    MISMATCHED = "mismatched"
+
+
+@attrs.frozen
+class FailedAttempt:
+    """What the decision needs to know of a failure.
+
+    Attributes:
+      kind: How the attempt failed.
+      attempts: Attempts of the request so far, this one included.
+      is_repeatable: Whether the work may run more than once.
+      deadline_ms: When the answer must have ended.
+      work_left_ms: The expected time that the rest of the work takes.
+    """
+
+    kind: FailureKind
+    attempts: int
+    is_repeatable: bool
+    deadline_ms: int
+    work_left_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryAfterDelay:
+    """The request may be tried again after the delay."""
+
+    delay_ms: int
+
+
+class GiveUpCause(enum.Enum):
+    """Why a request is not tried again."""
+
+    NOT_REPEATABLE = "not_repeatable"
+    ATTEMPTS_USED = "attempts_used"
+    RETRY_BUDGET_EMPTY = "retry_budget_empty"
+    DEADLINE = "deadline"
+
+
+@dataclasses.dataclass(frozen=True)
+class GiveUp:
+    """The request gets its final answer at once."""
+
+    cause: GiveUpCause
+
+
+RetryDecision: TypeAlias = RetryAfterDelay | GiveUp
+
+
+class RetryBudget:
+    """Counts what one pool may still retry."""
+
+    def __init__(self, policy: configuration.RetryPolicy) -> None:
+        """Starts with the least budget."""
+        self._policy = policy
+        self._retries = _MIN_BUDGET_RETRIES
+
+    def note_first_attempt(self) -> None:
+        """Adds the share that a first attempt brings."""
+        self._retries = min(
+            _MAX_BUDGET_RETRIES, self._retries + self._policy.budget_ratio
+        )
+
+    def note_time(self, elapsed_ms: int) -> None:
+        """Refills a quiet pool to the least budget, one retry a second."""
+        if self._retries < _MIN_BUDGET_RETRIES:
+            self._retries = min(
+                _MIN_BUDGET_RETRIES, self._retries + elapsed_ms / 1_000
+            )
+
+    def decide(
+        self, failure: FailedAttempt, now_ms: int, rng: random.Random
+    ) -> RetryDecision:
+        """Decides on one failed attempt and charges the budget for a retry.
+
+        Args:
+          failure: The attempt.
+          now_ms: The current time.
+          rng: The source of the jitter.
+
+        Returns:
+          The delay until the next attempt, or why there is none.
+        """
+        policy = self._policy
+        has_sent = failure.kind is not FailureKind.NOT_CONNECTED
+        if has_sent and not failure.is_repeatable:
+            return GiveUp(GiveUpCause.NOT_REPEATABLE)
+        if failure.attempts >= policy.max_attempts:
+            return GiveUp(GiveUpCause.ATTEMPTS_USED)
+        delay_ms = _draw_delay_ms(policy, failure.attempts, rng)
+        if now_ms + delay_ms + failure.work_left_ms > failure.deadline_ms:
+            return GiveUp(GiveUpCause.DEADLINE)
+        if has_sent:
+            if self._retries < 1:
+                return GiveUp(GiveUpCause.RETRY_BUDGET_EMPTY)
+            self._retries -= 1
+        return RetryAfterDelay(delay_ms)
+
+
+def _draw_delay_ms(
+    policy: configuration.RetryPolicy, attempts: int, rng: random.Random
+) -> int:
+    """Draws a delay between zero and an exponentially growing bound."""
+    bound_ms = min(
+        policy.max_delay_ms, policy.base_delay_ms * 2 ** (attempts - 1)
+    )
+    return rng.randint(0, bound_ms)
