Quarantine requests after crashes of two upstreams

Cause: a request that crashes its runner is sent again by its caller. Ruled out: counting by text alone, which lets one account refuse another's work. After: quarantine.Quarantine counts by account and digest over all routers, ends by itself, and can be listed and lifted.

--- /dev/null
+++ b/redwingchute/request/quarantine_test.py
@@ -0,0 +1,101 @@
+"""Tests of which requests are refused after crashes, and for whom."""
+
+import pytest
+
+from redwingchute.core import requesting
+from redwingchute.request import quarantine
+from redwingchute.wire import codec
+from redwingchute.wire import registry
+
+_KEY = quarantine.RequestKey("derwent", b"poison")
+
+
+def _crash(
+    upstream: str, attempt_id: str, account: str = "derwent", at_ms: int = 0
+) -> requesting.CrashNotice:
+    return requesting.CrashNotice(
+        account, b"poison", upstream, attempt_id, at_ms
+    )
+
+
+@pytest.mark.parametrize(
+    ("crashes", "is_refused"),
+    [
+        ([_crash("r1", "a1")], False),
+        ([_crash("r1", "a1"), _crash("r2", "a2")], True),
+        # The same crash, told twice.
+        ([_crash("r1", "a1"), _crash("r1", "a1")], False),
+        # One upstream that crashes by itself proves nothing.
+        ([_crash("r1", "a1"), _crash("r1", "a2")], False),
+        # Another account's crash counts for that account alone.
+        ([_crash("r1", "a1"), _crash("r2", "a2", "karri")], False),
+        # The first crash lies outside of the window.
+        ([_crash("r1", "a1", at_ms=-900_000), _crash("r2", "a2")], False),
+    ],
+)
+def test_two_upstreams_must_crash(
+    crashes: list[requesting.CrashNotice], is_refused: bool
+) -> None:
+    known = quarantine.Quarantine("router-1")
+    notices = [known.take_crash(crash, 0) for crash in crashes]
+    assert (known.find(_KEY, 0) is not None) is is_refused
+    assert (notices[-1] is not None) is is_refused
+
+
+def test_crashes_seen_by_two_routers_add_up() -> None:
+    first = quarantine.Quarantine("router-1")
+    second = quarantine.Quarantine("router-2")
+    third = quarantine.Quarantine("router-3")
+    first.take_crash(_crash("r1", "a1"), 0)
+    second.take_crash(_crash("r1", "a1"), 0)
+    notice = second.take_crash(_crash("r2", "b1"), 5)
+    assert notice is not None
+    assert third.take_notice(notice)
+    assert not third.take_notice(notice)
+    assert third.find(_KEY, 6) is not None
+
+
+def test_quarantine_ends_and_can_be_lifted() -> None:
+    known = quarantine.Quarantine("router-1")
+    known.take_crash(_crash("r1", "a1"), 0)
+    notice = known.take_crash(_crash("r2", "a2"), 0)
+    assert notice is not None
+    assert [entry.key for entry in known.list_entries(0)] == [_KEY]
+    assert known.find(_KEY, quarantine.QUARANTINE_MS) is None
+    lifted = known.lift(_KEY, "operator", 0)
+    assert lifted is not None
+    assert known.find(_KEY, 0) is None
+    assert not known.is_suspect(_KEY, 0)
+    # Late copies of what was known before do not bring it back.
+    assert not known.take_notice(notice)
+    known.take_crash(_crash("r1", "a1"), 1)
+    known.take_crash(_crash("r2", "a2"), 1)
+    assert known.find(_KEY, 1) is None
+    assert known.lift(_KEY, "operator", 1) is None
+
+
+def test_crash_records_are_bounded() -> None:
+    known = quarantine.Quarantine("router-1")
+    for number in range(5_000):
+        known.take_crash(
+            requesting.CrashNotice("a", b"%d" % number, "r1", f"{number}", 0),
+            0,
+        )
+    oldest = quarantine.RequestKey("a", b"0")
+    newest = quarantine.RequestKey("a", b"4999")
+    assert not known.is_suspect(oldest, 0)
+    assert known.is_suspect(newest, 0)
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        _crash("r1", "a1", at_ms=12),
+        requesting.QuarantineNotice("a", b"d", 7, 5, True, "operator"),
+        requesting.LeavingNotice("r1", 99),
+    ],
+)
+def test_notices_survive_a_round_trip(record: object) -> None:
+    wire_codec = registry.make_codec()
+    decoded = wire_codec.decode(wire_codec.encode(record))
+    assert decoded == codec.Decoded(0, record)
