Keep new work away from leaving upstreams

Cause: the host list lags, so an upstream's answer and sibling notices count too. Ruled out: letting the host list's 'live' end a sign that an answer gave. After: leaving.LeavingUpstreams with one sign per source.

--- /dev/null
+++ b/redwingchute/request/leaving_test.py
@@ -0,0 +1,79 @@
+"""Tests of the signs of leaving and of return."""
+
+from collections.abc import Callable
+
+import pytest
+
+from redwingchute.request import leaving
+
+_Step = Callable[[leaving.LeavingUpstreams], object]
+
+
+@pytest.mark.parametrize(
+    ("steps", "at_ms", "expected"),
+    [
+        ([lambda up: up.note_host_list("r", True, 0)], 99_999, True),
+        ([lambda up: up.note_answer("r", 0)], 10, True),
+        ([lambda up: up.note_sibling("r", 0, 5)], 10, True),
+        # A sibling's notice that took too long says nothing about now.
+        ([lambda up: up.note_sibling("r", 0, 90_000)], 90_001, False),
+        # The host list lags behind the answer: live does not end its sign.
+        (
+            [
+                lambda up: up.note_answer("r", 0),
+                lambda up: up.note_host_list("r", False, 100),
+            ],
+            200,
+            True,
+        ),
+        # An answered load request ends the answer's sign, if asked later.
+        (
+            [
+                lambda up: up.note_answer("r", 50),
+                lambda up: up.note_returned("r", 40),
+            ],
+            60,
+            True,
+        ),
+        (
+            [
+                lambda up: up.note_answer("r", 50),
+                lambda up: up.note_sibling("r", 50, 55),
+                lambda up: up.note_returned("r", 60),
+            ],
+            70,
+            False,
+        ),
+        # It does not end the host list's.
+        (
+            [
+                lambda up: up.note_host_list("r", True, 0),
+                lambda up: up.note_returned("r", 60),
+            ],
+            70,
+            True,
+        ),
+        (
+            [
+                lambda up: up.note_host_list("r", True, 0),
+                lambda up: up.note_host_list("r", False, 10),
+            ],
+            20,
+            False,
+        ),
+        # Without further evidence one request may try it again.
+        ([lambda up: up.note_answer("r", 0)], leaving.SIGN_LIFE_MS, False),
+    ],
+)
+def test_signs(steps: list[_Step], at_ms: int, expected: bool) -> None:
+    upstreams = leaving.LeavingUpstreams()
+    for step in steps:
+        step(upstreams)
+    assert upstreams.is_leaving("r", at_ms) is expected
+    assert not upstreams.is_leaving("other", at_ms)
+
+
+def test_siblings_are_told_once() -> None:
+    upstreams = leaving.LeavingUpstreams()
+    assert upstreams.note_answer("r", 0)
+    assert not upstreams.note_answer("r", 1)
