Model an upstream's load between late reports

Cause: load reports are seconds late and several routers act on the same one. Ruled out: adding own dispatches to the reported total, which counts them twice once the report includes them.

--- /dev/null
+++ b/redwingchute/request/load_model_test.py
@@ -0,0 +1,80 @@
+"""Tests of load estimates between late reports."""
+
+import pytest
+
+from redwingchute.core import requesting
+from redwingchute.request import load_model
+from redwingchute.testing import request_builders as builders
+
+
+def _make_load(sharing_routers: int = 1) -> load_model.UpstreamLoad:
+    return load_model.UpstreamLoad(builders.make_upstream(), sharing_routers)
+
+
+def _start(load: load_model.UpstreamLoad, ids: range, now_ms: int = 0) -> None:
+    for ticket_id in ids:
+        load.note_start(builders.make_ticket(ticket_id), now_ms)
+
+
+def test_own_work_since_the_report_is_counted_once() -> None:
+    load = _make_load(sharing_routers=4)
+    _start(load, range(3), now_ms=0)
+    # At 1,000 the upstream ran three of ours and two of others.
+    _start(load, range(3, 5), now_ms=1_500)
+    load.note_end(0, 2_000, None)
+    load.note_report(requesting.LoadReport(5, 0, 8, 1_000), 3_000)
+    assert load.estimate_others() == 2
+    assert load.estimate_occupancy() == 6
+    # It may grow by half of the three free slots, and did so by one.
+    assert load.count_free_slots() == 1
+    # A report that was overtaken changes nothing.
+    load.note_report(requesting.LoadReport(8, 4, 8, 500), 3_100)
+    assert load.estimate_others() == 2
+
+
+@pytest.mark.parametrize(
+    ("sharing_routers", "report", "expected_free"),
+    [
+        (1, None, 8),
+        (8, None, 1),
+        (1, (0, 0), 8),
+        (8, (0, 0), 2),
+        (4, (0, 0), 4),
+        (4, (8, 0), 2),  # The even share, which the engine queues.
+        (1, (8, 3), 8),
+        (2, (6, 0), 4),
+    ],
+)
+def test_routers_share_the_free_slots(
+    sharing_routers: int,
+    report: tuple[int, int] | None,
+    expected_free: int,
+) -> None:
+    load = _make_load(sharing_routers)
+    if report is not None:
+        load.note_report(requesting.LoadReport(*report, 8, 0), 0)
+    assert load.count_free_slots() == expected_free
+
+
+def test_speeds_are_learned_from_whole_answers() -> None:
+    load = _make_load()
+    for ticket_id in range(30):
+        now_ms = ticket_id * 10_000
+        load.note_start(builders.make_ticket(ticket_id), now_ms)
+        load.note_first_token(ticket_id, now_ms + 100)
+        load.note_end(ticket_id, now_ms + 100 + 99 * 40, 100)
+    assert load.output_token_ms == pytest.approx(40, rel=0.01)
+    assert load.prefill_token_ms == pytest.approx(1, rel=0.01)
+    speed_ms = load.output_token_ms
+    load.note_start(builders.make_ticket(99), 0)
+    load.note_end(99, 1, None)
+    assert load.output_token_ms == speed_ms
+
+
+def test_slot_times_follow_the_expected_ends() -> None:
+    load = _make_load()
+    load.note_start(builders.make_ticket(1, prompt_tokens=0), 0)
+    times = sorted(load.list_slot_times(500))
+    assert times == [500.0] * 7 + [2_000.0]
+    # An overdue attempt ends soon, never in the past.
+    assert max(load.list_slot_times(9_000)) == 9_200.0
