Remember which upstreams hold which prompt prefixes

Cause: cache events come late and with gaps. Ruled out: dropping all after a gap; most entries are still held, so they count half until confirmed. After: prefix_affinity.PrefixIndex; digests salted per client account.

--- /dev/null
+++ b/redwingchute/request/prefix_affinity.py
@@ -0,0 +1,108 @@
+"""Remembers which upstreams hold which prompt prefixes in their cache.
+
+Engines publish what they stored and evicted late and with gaps. The own
+dispatches are known at once, and after a gap older entries are worth half
+until they are confirmed. Prefix digests are salted per client account, so
+that no account profits from, or learns of, another's prompts.
+"""
+
+import collections
+from collections.abc import Iterable
+import hashlib
+
+import attrs
+
+PREFIX_BLOCK_BYTES = 256
+_DIGEST_BYTES = 8
+_MAX_BLOCKS = 64
+_MAX_DIGESTS_PER_UPSTREAM = 8_192
+_DOUBTFUL_WORTH = 0.5
+
+
+@attrs.frozen
+class CacheEvent:
+    """One change of an engine's prefix cache.
+
+    Attributes:
+      sequence: Counts up by one with each event of the engine.
+      digest: The prefix.
+      is_stored: Whether it was stored, else evicted.
+    """
+
+    sequence: int
+    digest: bytes
+    is_stored: bool
+
+
+def make_cache_salt(client_account: str) -> str:
+    """Returns the salt that separates an account's prefixes from others'."""
+    return hashlib.sha256(b"cache-salt:" + client_account.encode()).hexdigest()
+
+
+def make_prefix_digests(salt: str, prompt: bytes) -> tuple[bytes, ...]:
+    """Returns a digest for each whole block of a prompt and all before it."""
+    running = hashlib.sha256(salt.encode())
+    digests = []
+    block_count = min(len(prompt) // PREFIX_BLOCK_BYTES, _MAX_BLOCKS)
+    for number in range(block_count):
+        start = number * PREFIX_BLOCK_BYTES
+        running.update(prompt[start : start + PREFIX_BLOCK_BYTES])
+        digests.append(running.digest()[:_DIGEST_BYTES])
+    return tuple(digests)
+
+
+class PrefixIndex:
+    """The prefixes that one upstream probably holds."""
+
+    def __init__(self) -> None:
+        """Starts with none."""
+        self._worth: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
+        self._next_sequence: int | None = None
+
+    def note_dispatch(self, digests: Iterable[bytes]) -> None:
+        """Takes the prefixes of a request that the upstream will run."""
+        for digest in digests:
+            self._set(digest)
+
+    def note_events(self, events: Iterable[CacheEvent]) -> None:
+        """Takes the events of the engine, which may leave out some."""
+        for event in events:
+            expected = self._next_sequence
+            if expected is not None and event.sequence < expected:
+                continue
+            if expected is not None and event.sequence > expected:
+                self._doubt_all()
+            self._next_sequence = event.sequence + 1
+            if event.is_stored:
+                self._set(event.digest)
+            else:
+                self._worth.pop(event.digest, None)
+
+    def forget_all(self) -> None:
+        """Forgets everything, after the engine was started anew."""
+        self._worth.clear()
+        self._next_sequence = None
+
+    def estimate_cached_share(self, digests: tuple[bytes, ...]) -> float:
+        """Returns the expected share of a prompt's blocks in the cache."""
+        worth = 0.0
+        for digest in digests:
+            known = self._worth.get(digest)
+            if known is None:
+                break
+            worth += known
+        return worth / len(digests) if digests else 0.0
+
+    def _set(self, digest: bytes) -> None:
+        """Records a prefix as surely held, the latest to be forgotten."""
+        self._worth[digest] = 1.0
+        self._worth.move_to_end(digest)
+        while len(self._worth) > _MAX_DIGESTS_PER_UPSTREAM:
+            self._worth.popitem(last=False)
+
+    def _doubt_all(self) -> None:
+        """Halves the worth of what may have been evicted in a gap."""
+        for digest in self._worth:
+            self._worth[digest] *= _DOUBTFUL_WORTH
