Choose the upstream with the least expected completion

Cause: one slow runner, caches and zones must weigh against each other in one unit, time. Ruled out: affinity by hash alone, which makes hot spots. After: routing.choose_upstream; a cached prefix counts within 1.25 times the mean load, another zone must gain 20 ms and 15 % of the work's time.

--- /dev/null
+++ b/redwingchute/request/routing.py
@@ -0,0 +1,109 @@
+"""Chooses the upstream on which a request is expected to end first.
+
+A cached prefix saves prefill time, but counts only while the upstream is not
+busier than the pool by more than a bound; else popular prefixes would make
+hot spots. An upstream of another availability zone is chosen only when that
+pays by more than a margin.
+"""
+
+from collections.abc import Sequence
+
+import attrs
+
+from redwingchute.core import requesting
+from redwingchute.request import load_model
+
+# How much busier than the pool's mean an upstream may be and still be chosen
+# for its cache.
+AFFINITY_LOAD_BOUND = 1.25
+
+# What another zone's upstream must gain, as a time and as a share.
+SPILL_MARGIN_MS = 20.0
+SPILL_MARGIN_SHARE = 0.15
+
+
+@attrs.frozen
+class Candidate:
+    """An upstream that may take the request.
+
+    Attributes:
+      load: What is known of its load.
+      cached_share: The share of the prompt that its cache holds.
+      is_local: Whether it is in the router's availability zone.
+      start_ms: When it has a slot for the request.
+    """
+
+    load: load_model.UpstreamLoad
+    cached_share: float
+    is_local: bool
+    start_ms: float
+
+
+@attrs.frozen
+class Choice:
+    """The chosen upstream.
+
+    Attributes:
+      load: The load model of the chosen upstream.
+      cached_tokens: Prompt tokens that its cache is expected to hold.
+      completion_ms: When the answer is expected to end.
+    """
+
+    load: load_model.UpstreamLoad
+    cached_tokens: int
+    completion_ms: float
+
+
+def choose_upstream(
+    ticket: requesting.Ticket, candidates: Sequence[Candidate]
+) -> Choice | None:
+    """Returns the best choice, or None without candidates."""
+    mean_busy = _find_mean_busy_share(candidates)
+    best: Choice | None = None
+    best_rank: tuple[float, float] | None = None
+    for candidate in candidates:
+        choice = _evaluate(ticket, candidate, mean_busy)
+        rank = (
+            _handicap_remote(ticket, candidate, choice),
+            _busy_share(candidate.load),
+        )
+        if best_rank is None or rank < best_rank:
+            best, best_rank = choice, rank
+    return best
+
+
+def _evaluate(
+    ticket: requesting.Ticket, candidate: Candidate, mean_busy: float
+) -> Choice:
+    """Estimates when a candidate would end the request."""
+    load = candidate.load
+    one_more = 1 / load.slots
+    bound = AFFINITY_LOAD_BOUND * mean_busy + one_more
+    cached_tokens = 0
+    if _busy_share(load) <= bound:
+        cached_tokens = int(candidate.cached_share * ticket.prompt_tokens)
+    duration_ms = load.estimate_duration_ms(ticket, cached_tokens)
+    return Choice(load, cached_tokens, candidate.start_ms + duration_ms)
+
+
+def _handicap_remote(
+    ticket: requesting.Ticket, candidate: Candidate, choice: Choice
+) -> float:
+    """Returns the completion time that candidates are compared by."""
+    if candidate.is_local:
+        return choice.completion_ms
+    duration_ms = candidate.load.estimate_duration_ms(ticket)
+    margin_ms = SPILL_MARGIN_MS + SPILL_MARGIN_SHARE * duration_ms
+    return choice.completion_ms + margin_ms
+
+
+def _busy_share(load: load_model.UpstreamLoad) -> float:
+    """Returns the occupied share of an upstream's slots."""
+    return load.estimate_occupancy() / load.slots
+
+
+def _find_mean_busy_share(candidates: Sequence[Candidate]) -> float:
+    """Returns the occupied share over all candidates' slots."""
+    occupancy = sum(item.load.estimate_occupancy() for item in candidates)
+    slots = sum(item.load.slots for item in candidates)
+    return occupancy / slots if slots else 0.0
--- /dev/null
+++ b/redwingchute/request/routing_test.py
@@ -0,0 +1,87 @@
+"""Tests of the choice of an upstream."""
+
+import pytest
+
+from redwingchute.request import load_model
+from redwingchute.request import routing
+from redwingchute.testing import request_builders as builders
+
+
+def _make_candidate(
+    name: str,
+    own_count: int = 0,
+    output_token_ms: float = 20.0,
+    cached_share: float = 0.0,
+    is_local: bool = True,
+    start_ms: float = 0.0,
+) -> routing.Candidate:
+    load = load_model.UpstreamLoad(builders.make_upstream(name))
+    for ticket_id in range(own_count):
+        load.note_start(builders.make_ticket(ticket_id), 0)
+    load.output_token_ms = output_token_ms
+    load.prefill_token_ms = 1.0
+    return routing.Candidate(load, cached_share, is_local, start_ms)
+
+
+_Item = routing.Candidate
+
+
+@pytest.mark.parametrize(
+    ("case", "candidates", "expected"),
+    [
+        (
+            "The less busy of equals is chosen.",
+            [_make_candidate("a", own_count=2), _make_candidate("b")],
+            "b",
+        ),
+        (
+            "A slow upstream is passed over.",
+            [
+                _make_candidate("a", output_token_ms=80),
+                _make_candidate("b", own_count=7),
+            ],
+            "b",
+        ),
+        (
+            "A slow upstream that is free pays when the wait is longer.",
+            [
+                _make_candidate("a", output_token_ms=40),
+                _make_candidate("b", own_count=8, start_ms=3_000),
+            ],
+            "a",
+        ),
+        (
+            "A cached prefix decides among equals.",
+            [_make_candidate("a"), _make_candidate("b", cached_share=0.9)],
+            "b",
+        ),
+        (
+            "A cached prefix does not make a hot spot.",
+            [
+                _make_candidate("a"),
+                _make_candidate("b", own_count=7, cached_share=0.9),
+            ],
+            "a",
+        ),
+        (
+            "The own zone is first.",
+            [_make_candidate("a", is_local=False), _make_candidate("b", 3)],
+            "b",
+        ),
+        (
+            "Work spills over when that pays.",
+            [
+                _make_candidate("a", is_local=False),
+                _make_candidate("b", start_ms=1_000),
+            ],
+            "a",
+        ),
+        ("Nobody can take it.", [], None),
+    ],
+)
+def test_least_expected_completion(
+    case: str, candidates: list[_Item], expected: str | None
+) -> None:
+    choice = routing.choose_upstream(builders.make_ticket(), candidates)
+    chosen = None if choice is None else choice.load.upstream.name
+    assert chosen == expected, case
