Refuse at arrival what cannot be done in time

Cause: work that ends past its caller's patience wastes the pool. Ruled out: dividing the backlog by a mean rate; it misjudges slow upstreams. After: admission.decide_admission places the queue on the slots and names the time to come back from backlog, capacity or patience.

--- /dev/null
+++ b/redwingchute/request/admission_test.py
@@ -0,0 +1,123 @@
+"""Tests of admission and of the time to come back."""
+
+import pytest
+
+from redwingchute.core import outcomes
+from redwingchute.request import admission
+from redwingchute.request import load_model
+from redwingchute.request import patience
+from redwingchute.testing import request_builders as builders
+
+# A default ticket takes 100 * 0.2 ms + 100 * 20 ms.
+_DURATION_MS = 2_020
+
+
+def _make_pool(
+    upstreams: int = 1, own_count: int = 0, next_return_ms: int | None = None
+) -> admission.PoolView:
+    loads = [
+        load_model.UpstreamLoad(upstream)
+        for upstream in builders.make_upstreams(upstreams, slots=2)
+    ]
+    for load in loads:
+        for ticket_id in range(own_count):
+            load.note_start(builders.make_ticket(ticket_id), 0)
+    return admission.PoolView(loads, next_return_ms)
+
+
+def _make_change(at_ms: int, deadline_ms: int) -> patience.PatienceChange:
+    return patience.PatienceChange(at_ms, patience.Patience(deadline_ms, 1))
+
+
+@pytest.mark.parametrize(
+    ("own_count", "ahead_count", "expected_ms"),
+    [
+        (0, 0, _DURATION_MS),
+        (1, 0, _DURATION_MS),
+        (2, 0, 2 * _DURATION_MS),
+        (2, 1, 2 * _DURATION_MS),
+        (2, 2, 3 * _DURATION_MS),
+        (2, 7, 5 * _DURATION_MS),
+    ],
+)
+def test_forecast_places_the_requests_ahead(
+    own_count: int, ahead_count: int, expected_ms: int
+) -> None:
+    ticket = builders.make_ticket(99, deadline_ms=expected_ms)
+    ahead = [builders.make_ticket(number) for number in range(ahead_count)]
+    pool = _make_pool(own_count=own_count)
+    result = admission.decide_admission(ticket, ahead, pool, None, 0)
+    assert isinstance(result, admission.Admitted)
+    assert result.forecast.completion_ms == pytest.approx(expected_ms)
+    late = builders.make_ticket(99, deadline_ms=expected_ms - 1)
+    refused = admission.decide_admission(late, ahead, pool, None, 0)
+    assert isinstance(refused, admission.Refused)
+
+
+@pytest.mark.parametrize(
+    ("case", "pool", "deadline_ms", "change", "expected_ms"),
+    [
+        (
+            "The backlog must shrink by what it is late.",
+            _make_pool(own_count=2),
+            3_000,
+            None,
+            2 * _DURATION_MS - 3_000,
+        ),
+        (
+            "A longer patience comes sooner than the backlog shrinks.",
+            _make_pool(own_count=2),
+            2_100,
+            _make_change(500, 9_000),
+            500,
+        ),
+        (
+            "Capacity comes back sooner.",
+            _make_pool(own_count=2, next_return_ms=700),
+            2_100,
+            _make_change(900, 9_000),
+            700,
+        ),
+        (
+            "It never fits the patience, until that changes.",
+            _make_pool(),
+            1_000,
+            _make_change(60_000, 9_000),
+            60_000,
+        ),
+        (
+            "The next patience is too short as well.",
+            _make_pool(),
+            1_000,
+            _make_change(60_000, 1_500),
+            None,
+        ),
+        ("It can never fit.", _make_pool(), 1_000, None, None),
+        (
+            "All upstreams are out.",
+            _make_pool(upstreams=0, next_return_ms=3_000),
+            9_000,
+            None,
+            3_000,
+        ),
+        (
+            "All upstreams are out for an unknown time.",
+            _make_pool(upstreams=0),
+            9_000,
+            None,
+            5_000,
+        ),
+    ],
+)
+def test_refusal_names_the_time_to_come_back(
+    case: str,
+    pool: admission.PoolView,
+    deadline_ms: int,
+    change: patience.PatienceChange | None,
+    expected_ms: int | None,
+) -> None:
+    ticket = builders.make_ticket(99, deadline_ms=deadline_ms)
+    result = admission.decide_admission(ticket, [], pool, change, 0)
+    assert isinstance(result, admission.Refused), case
+    assert isinstance(result.refusal, outcomes.NotRun)
+    assert result.refusal.retry_after_ms == expected_ms, case
