Join queue, admission, routing and health into one pool decision

Cause: the shell must only carry messages. Ruled out: holding queued requests while every upstream is out; they are answered at once with the return time. After: pool.Pool (submit, start_next, expire, note_end), no socket or clock; suspects of a crash run one at a time on an upstream, so that a second crash shows which of them was to blame.

--- a/redwingchute/request/admission.py
+++ b/redwingchute/request/admission.py
@@ -146,7 +146,7 @@
     if next_return_ms is None:
         retry_after_ms = _UNKNOWN_RETURN_MS
     else:
-        retry_after_ms = max(_MIN_RETRY_AFTER_MS, next_return_ms - now_ms)
+        retry_after_ms = bound_wait_ms(next_return_ms - now_ms)
     return outcomes.NotRun(
         503,
         "pool_down",
@@ -169,14 +169,17 @@
     forecast_start_ms: float | None, now_ms: int
 ) -> outcomes.NotRun:
     """Returns the refusal of a request for which the queue has no place."""
-    wait_ms = _MIN_RETRY_AFTER_MS
-    if forecast_start_ms is not None:
-        wait_ms = max(wait_ms, math.ceil(forecast_start_ms - now_ms))
+    wait_ms = bound_wait_ms((forecast_start_ms or 0.0) - now_ms)
     return outcomes.NotRun(
         503, "queue_full", "Too many requests wait for the pool.", wait_ms
     )
 
 
+def bound_wait_ms(wait_ms: float) -> int:
+    """Returns a wait that is never shorter than the least useful one."""
+    return max(_MIN_RETRY_AFTER_MS, math.ceil(wait_ms))
+
+
 def _find_retry_after_ms(
     ticket: requesting.Ticket,
     forecast: Forecast,
@@ -200,4 +203,4 @@
             waits.append(change.at_ms - now_ms)
     if not waits:
         return None
-    return max(_MIN_RETRY_AFTER_MS, min(waits))
+    return bound_wait_ms(min(waits))
--- a/redwingchute/request/load_model.py
+++ b/redwingchute/request/load_model.py
@@ -214,17 +214,26 @@
         self, attempt: _Attempt, now_ms: int, output_tokens: int
     ) -> None:
         """Updates the speeds from a whole answer."""
+        if attempt.ticket.prompt_tokens == 0:
+            # A call of a plain service, whose size is counted as output.
+            self._learn_output_speed(
+                (now_ms - attempt.started_at_ms) / max(1, output_tokens)
+            )
+            return
         first_ms = attempt.first_token_at_ms
         if first_ms is None:
             return
         if output_tokens > 1:
-            measured = (now_ms - first_ms) / (output_tokens - 1)
-            self.output_token_ms += _LEARNING_RATE * (
-                measured - self.output_token_ms
-            )
-        if attempt.is_alone_in_slot and attempt.ticket.prompt_tokens > 0:
+            self._learn_output_speed((now_ms - first_ms) / (output_tokens - 1))
+        if attempt.is_alone_in_slot:
             waited_ms = first_ms - attempt.started_at_ms
             measured = waited_ms / attempt.ticket.prompt_tokens
             self.prefill_token_ms += _LEARNING_RATE * (
                 measured - self.prefill_token_ms
             )
+
+    def _learn_output_speed(self, measured_ms: float) -> None:
+        """Moves the time for one output token towards a measured one."""
+        self.output_token_ms += _LEARNING_RATE * (
+            measured_ms - self.output_token_ms
+        )
--- a/redwingchute/request/outlier.py
+++ b/redwingchute/request/outlier.py
@@ -32,14 +32,22 @@
 
     def __init__(self, upstream_names: tuple[str, ...]) -> None:
         """Starts with every upstream in use."""
-        self._states = {name: _State() for name in upstream_names}
+        self._states: dict[str, _State] = {}
+        self._max_ejected = 0
+        self.set_upstreams(upstream_names)
+
+    def set_upstreams(self, upstream_names: tuple[str, ...]) -> None:
+        """Takes the pool's upstreams; known ones keep their state."""
+        self._states = {
+            name: self._states.get(name, _State()) for name in upstream_names
+        }
         # One may always be ejected, but never the last.
         share = int(MAX_EJECTED_SHARE * len(upstream_names))
         self._max_ejected = min(max(1, share), len(upstream_names) - 1)
 
     def note_success(self, name: str) -> None:
         """Forgets an upstream's failures, but not how often it was ejected."""
-        state = self._states[name]
+        state = self._states.get(name, _State())
         state.failures = 0
         state.connect_failures = 0
         state.unreachable_until_ms = 0
@@ -49,13 +57,13 @@
 
     def note_connected(self, name: str) -> None:
         """Uses an upstream again that refused connections before."""
-        state = self._states[name]
+        state = self._states.get(name, _State())
         state.connect_failures = 0
         state.unreachable_until_ms = 0
 
     def note_connect_failure(self, name: str, now_ms: int) -> None:
         """Takes an upstream out after a refused connection."""
-        state = self._states[name]
+        state = self._states.get(name, _State())
         delay_ms = min(
             _MAX_UNREACHABLE_MS, _BASE_UNREACHABLE_MS << state.connect_failures
         )
@@ -64,7 +72,7 @@
 
     def note_failure(self, name: str, now_ms: int) -> bool:
         """Counts a failed attempt; True when the upstream is now ejected."""
-        state = self._states[name]
+        state = self._states.get(name, _State())
         state.failures += 1
         if state.failures < FAILURES_UNTIL_EJECTION:
             return False
@@ -84,5 +92,5 @@
 
     def find_return_ms(self, name: str) -> int:
         """Returns when an upstream may be used; a past time means now."""
-        state = self._states[name]
+        state = self._states.get(name, _State())
         return max(state.ejected_until_ms, state.unreachable_until_ms)
--- /dev/null
+++ b/redwingchute/request/pool.py
@@ -0,0 +1,356 @@
+"""Decides for one pool which request starts when and on which upstream.
+
+This joins the queue, admission, routing and the health of upstreams. It holds
+no socket and no clock: a shell submits tickets, asks what may start after each
+event, and reports what became of the attempts.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+from typing import TypeAlias
+
+import attrs
+
+from redwingchute.core import configuration
+from redwingchute.core import outcomes
+from redwingchute.core import requesting
+from redwingchute.request import admission
+from redwingchute.request import leaving
+from redwingchute.request import load_model
+from redwingchute.request import outlier
+from redwingchute.request import patience
+from redwingchute.request import prefix_affinity
+from redwingchute.request import queue
+from redwingchute.request import retry
+from redwingchute.request import routing
+
+
+@attrs.frozen
+class PoolSettings:
+    """What does not change while a pool lives.
+
+    Attributes:
+      local_zone: The router's availability zone.
+      retry_policy: How often failed attempts are repeated.
+      max_queued: How many requests may wait.
+    """
+
+    local_zone: str
+    retry_policy: configuration.RetryPolicy = attrs.field(
+        factory=configuration.RetryPolicy
+    )
+    max_queued: int = queue.DEFAULT_MAX_TICKETS
+
+
+@attrs.frozen
+class GivenUp:
+    """A waiting request that gets its refusal now."""
+
+    ticket: requesting.Ticket
+    refusal: outcomes.NotRun
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """The request waits for its start; `displaced` was given up for it."""
+
+    displaced: GivenUp | None = None
+
+
+SubmitResult: TypeAlias = Accepted | admission.Refused
+
+
+@attrs.frozen
+class Start:
+    """A request that must be sent now.
+
+    Attributes:
+      ticket: The request.
+      upstream: Where it goes.
+      completion_ms: When its answer is expected to end.
+    """
+
+    ticket: requesting.Ticket
+    upstream: configuration.Upstream
+    completion_ms: float
+
+
+class Pool:
+    """The decisions for one pool of upstreams.
+
+    Attributes:
+      retry_budget: The pool's budget of retries.
+      outliers: The failures of its upstreams.
+    """
+
+    def __init__(
+        self,
+        settings: PoolSettings,
+        upstreams: Iterable[configuration.Upstream],
+        leaving_upstreams: leaving.LeavingUpstreams,
+        sharing_routers: int = 1,
+    ) -> None:
+        """Starts with an empty queue.
+
+        Args:
+          settings: What does not change.
+          upstreams: The upstreams of the configuration version in force.
+          leaving_upstreams: Shared by all pools of the router.
+          sharing_routers: How many routers send work to each upstream.
+        """
+        self._settings = settings
+        self._leaving = leaving_upstreams
+        self._sharing_routers = sharing_routers
+        self._queue = queue.PoolQueue(settings.max_queued)
+        self._loads: dict[str, load_model.UpstreamLoad] = {}
+        self._prefixes: dict[str, prefix_affinity.PrefixIndex] = {}
+        self._running: dict[int, load_model.UpstreamLoad] = {}
+        self.retry_budget = retry.RetryBudget(settings.retry_policy)
+        self.outliers = outlier.OutlierDetector(())
+        self.configure(upstreams, sharing_routers)
+
+    def configure(
+        self,
+        upstreams: Iterable[configuration.Upstream],
+        sharing_routers: int,
+    ) -> None:
+        """Takes the upstreams of a new version; known ones keep their state."""
+        loads: dict[str, load_model.UpstreamLoad] = {}
+        for upstream in upstreams:
+            known = self._loads.get(upstream.name)
+            if known is None or known.upstream.address != upstream.address:
+                known = load_model.UpstreamLoad(upstream)
+                self._prefixes[upstream.name] = prefix_affinity.PrefixIndex()
+            known.upstream = upstream
+            known.set_sharing_routers(sharing_routers)
+            loads[upstream.name] = known
+        self._loads = loads
+        self._prefixes = {name: self._prefixes[name] for name in loads}
+        self.outliers.set_upstreams(tuple(loads))
+
+    @property
+    def queued_count(self) -> int:
+        """How many requests wait."""
+        return len(self._queue)
+
+    def list_upstreams(self) -> tuple[configuration.Upstream, ...]:
+        """Returns the upstreams of the version in force."""
+        return tuple(load.upstream for load in self._loads.values())
+
+    def submit(
+        self,
+        ticket: requesting.Ticket,
+        patience_change: patience.PatienceChange | None,
+        now_ms: int,
+    ) -> SubmitResult:
+        """Admits a request to the queue or refuses it at once."""
+        view = self._view(now_ms)
+        ahead = self._queue.list_ahead(ticket) if len(self._queue) else []
+        decision = admission.decide_admission(
+            ticket, ahead, view, patience_change, now_ms
+        )
+        if isinstance(decision, admission.Refused):
+            return decision
+        match self._queue.add(ticket):
+            case queue.Queued():
+                return Accepted()
+            case queue.QueueFull():
+                start_ms = decision.forecast.start_ms
+                return admission.Refused(
+                    admission.refuse_queue_full(start_ms, now_ms)
+                )
+            case queue.Displaced(displaced):
+                refusal = admission.refuse_queue_full(None, now_ms)
+                return Accepted(GivenUp(displaced, refusal))
+
+    def start_next(self, now_ms: int) -> Start | None:
+        """Takes out the next request that can start and end in time."""
+        free_loads = [
+            load
+            for load in self._list_usable(now_ms)
+            if load.count_free_slots() > 0
+        ]
+        if not free_loads or not len(self._queue):
+            return None
+        for ticket in self._queue.iterate_in_order():
+            choice = self._choose(ticket, free_loads, now_ms)
+            if choice is None or choice.completion_ms > ticket.deadline_ms:
+                continue
+            return self._start(ticket, choice, now_ms)
+        return None
+
+    def expire(self, now_ms: int) -> tuple[GivenUp, ...]:
+        """Takes out the requests that cannot end in time any more."""
+        if not len(self._queue):
+            return ()
+        loads = self._list_usable(now_ms)
+        given_up = []
+        for ticket in self._queue:
+            if not loads:
+                refusal = admission.refuse_pool_down(
+                    self._find_next_return_ms(now_ms), now_ms
+                )
+            elif _can_end_in_time(ticket, loads, now_ms):
+                continue
+            else:
+                refusal = self._refuse_expired(ticket, now_ms)
+            self._queue.remove(ticket.ticket_id)
+            given_up.append(GivenUp(ticket, refusal))
+        return tuple(given_up)
+
+    def cancel(self, ticket_id: int) -> None:
+        """Takes out a waiting request whose caller went away."""
+        self._queue.remove(ticket_id)
+
+    def note_first_token(self, ticket_id: int, now_ms: int) -> None:
+        """Records the first output of a running request."""
+        load = self._running.get(ticket_id)
+        if load is not None:
+            load.note_first_token(ticket_id, now_ms)
+
+    def note_end(
+        self, ticket_id: int, now_ms: int, output_tokens: int | None
+    ) -> None:
+        """Records that an attempt ended, with its size if it was whole."""
+        load = self._running.pop(ticket_id, None)
+        if load is None:
+            return
+        load.note_end(ticket_id, now_ms, output_tokens)
+        if output_tokens is not None:
+            self.outliers.note_success(load.upstream.name)
+
+    def note_report(
+        self, upstream: str, report: requesting.LoadReport, now_ms: int
+    ) -> None:
+        """Takes an upstream's load report."""
+        load = self._loads.get(upstream)
+        if load is not None:
+            load.note_report(report, now_ms)
+            self.outliers.note_connected(upstream)
+
+    def note_cache_events(
+        self, upstream: str, events: Iterable[prefix_affinity.CacheEvent]
+    ) -> None:
+        """Takes cache events of an upstream."""
+        index = self._prefixes.get(upstream)
+        if index is not None:
+            index.note_events(events)
+
+    def estimate_work_left_ms(
+        self, ticket: requesting.Ticket, now_ms: int
+    ) -> int:
+        """Returns the time that a request takes on the best upstream."""
+        durations = [
+            load.estimate_duration_ms(ticket)
+            for load in self._list_usable(now_ms)
+        ]
+        return round(min(durations, default=0.0))
+
+    def _start(
+        self, ticket: requesting.Ticket, choice: routing.Choice, now_ms: int
+    ) -> Start:
+        """Moves a request from the queue to its upstream."""
+        self._queue.start(ticket.ticket_id)
+        choice.load.note_start(ticket, now_ms, choice.cached_tokens)
+        self._running[ticket.ticket_id] = choice.load
+        upstream = choice.load.upstream
+        index = self._prefixes.get(upstream.name)
+        if index is not None:
+            index.note_dispatch(ticket.prefix_digests)
+        return Start(ticket, upstream, choice.completion_ms)
+
+    def _choose(
+        self,
+        ticket: requesting.Ticket,
+        loads: list[load_model.UpstreamLoad],
+        now_ms: int,
+    ) -> routing.Choice | None:
+        """Chooses among upstreams that have a free slot for a request."""
+        # Of requests that an upstream crashed under, each upstream runs one
+        # at a time, so that a further crash shows which of them was to blame.
+        fitting = [
+            load
+            for load in loads
+            if not ticket.is_suspect or load.suspect_count == 0
+        ]
+        others = [
+            load
+            for load in fitting
+            if load.upstream.name not in ticket.excluded_upstreams
+        ]
+        candidates = [
+            routing.Candidate(
+                load,
+                self._estimate_cached_share(ticket, load),
+                load.upstream.zone == self._settings.local_zone,
+                float(now_ms),
+            )
+            for load in others or fitting
+        ]
+        return routing.choose_upstream(ticket, candidates)
+
+    def _estimate_cached_share(
+        self, ticket: requesting.Ticket, load: load_model.UpstreamLoad
+    ) -> float:
+        """Returns the share of a prompt that an upstream probably holds."""
+        index = self._prefixes.get(load.upstream.name)
+        if index is None:
+            return 0.0
+        return index.estimate_cached_share(ticket.prefix_digests)
+
+    def _view(self, now_ms: int) -> admission.PoolView:
+        """Returns what admission needs to know."""
+        return admission.PoolView(
+            self._list_usable(now_ms), self._find_next_return_ms(now_ms)
+        )
+
+    def _list_usable(self, now_ms: int) -> list[load_model.UpstreamLoad]:
+        """Returns the upstreams that may take new work."""
+        return [
+            load
+            for name, load in self._loads.items()
+            if not load.upstream.is_drained
+            and not self._leaving.is_leaving(name, now_ms)
+            and self.outliers.find_return_ms(name) <= now_ms
+        ]
+
+    def _find_next_return_ms(self, now_ms: int) -> int | None:
+        """Returns when an upstream that is out may come back, if known."""
+        returns = []
+        for name, load in self._loads.items():
+            leaving_until_ms = self._leaving.find_return_ms(name)
+            if load.upstream.is_drained or leaving_until_ms is None:
+                continue
+            outlier_until_ms = self.outliers.find_return_ms(name)
+            until_ms = max(leaving_until_ms, outlier_until_ms)
+            if until_ms > now_ms:
+                returns.append(until_ms)
+        return min(returns, default=None)
+
+    def _refuse_expired(
+        self, ticket: requesting.Ticket, now_ms: int
+    ) -> outcomes.NotRun:
+        """Returns the refusal of a request that waited in vain."""
+        forecast = admission.forecast_request(
+            ticket,
+            self._queue.iterate_in_order(),
+            self._list_usable(now_ms),
+            now_ms,
+        )
+        patience_ms = ticket.deadline_ms - ticket.arrived_at_ms
+        late_ms = 0.0
+        if forecast is not None:
+            late_ms = forecast.completion_ms - now_ms - patience_ms
+        return admission.refuse_too_late(admission.bound_wait_ms(late_ms))
+
+
+def _can_end_in_time(
+    ticket: requesting.Ticket,
+    loads: list[load_model.UpstreamLoad],
+    now_ms: int,
+) -> bool:
+    """Tells whether any upstream could end a request that starts now."""
+    return any(
+        now_ms + load.estimate_duration_ms(ticket) <= ticket.deadline_ms
+        for load in loads
+    )
--- /dev/null
+++ b/redwingchute/request/pool_test.py
@@ -0,0 +1,161 @@
+"""Tests of a pool's decisions under faults, one table per interface."""
+
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from redwingchute.core import requesting
+from redwingchute.request import admission
+from redwingchute.request import leaving
+from redwingchute.request import pool
+from redwingchute.testing import request_builders as builders
+
+
+def _make_pool(
+    count: int = 3, slots: int = 2, max_queued: int = 512
+) -> tuple[pool.Pool, leaving.LeavingUpstreams]:
+    leaving_upstreams = leaving.LeavingUpstreams()
+    settings = pool.PoolSettings("huon", max_queued=max_queued)
+    upstreams = builders.make_upstreams(count, slots=slots)
+    return pool.Pool(settings, upstreams, leaving_upstreams), leaving_upstreams
+
+
+def _submit_all(
+    model_pool: pool.Pool, tickets: list[requesting.Ticket]
+) -> list[pool.SubmitResult]:
+    return [model_pool.submit(ticket, None, 0) for ticket in tickets]
+
+
+def _start_all(model_pool: pool.Pool, now_ms: int = 0) -> list[pool.Start]:
+    starts = []
+    while (start := model_pool.start_next(now_ms)) is not None:
+        starts.append(start)
+    return starts
+
+
+def test_requests_spread_over_free_slots_and_the_rest_wait() -> None:
+    model_pool, _ = _make_pool()
+    _submit_all(model_pool, [builders.make_ticket(n) for n in range(8)])
+    starts = _start_all(model_pool)
+    names = sorted(start.upstream.name for start in starts)
+    assert names == ["runner-1"] * 2 + ["runner-2"] * 2 + ["runner-3"] * 2
+    assert model_pool.queued_count == 2
+    model_pool.note_end(starts[0].ticket.ticket_id, 2_000, 100)
+    assert len(_start_all(model_pool, 2_000)) == 1
+
+
+_Fault = Callable[[pool.Pool, leaving.LeavingUpstreams], object]
+
+
+@pytest.mark.parametrize(
+    ("fault", "usable_at_0"),
+    [
+        (lambda p, up: up.note_answer("runner-1", 0), 2),
+        (lambda p, up: up.note_host_list("runner-1", True, 0), 2),
+        (lambda p, up: up.note_sibling("runner-1", 0, 0), 2),
+        (lambda p, up: p.outliers.note_connect_failure("runner-1", 0), 2),
+        (
+            lambda p, up: [
+                p.outliers.note_failure("runner-1", 0) for _ in range(3)
+            ],
+            2,
+        ),
+        (lambda p, up: None, 3),
+    ],
+)
+def test_upstream_out_of_use_gets_no_new_work(
+    fault: _Fault, usable_at_0: int
+) -> None:
+    model_pool, leaving_upstreams = _make_pool()
+    fault(model_pool, leaving_upstreams)
+    _submit_all(model_pool, [builders.make_ticket(n) for n in range(8)])
+    names = {start.upstream.name for start in _start_all(model_pool)}
+    assert len(names) == usable_at_0
+    assert ("runner-1" in names) is (usable_at_0 == 3)
+
+
+def test_drained_upstream_finishes_but_starts_nothing() -> None:
+    model_pool, _ = _make_pool(count=1)
+    _submit_all(model_pool, [builders.make_ticket(1), builders.make_ticket(2)])
+    first = model_pool.start_next(0)
+    assert first is not None
+    drained = attrs.evolve(first.upstream, is_drained=True)
+    model_pool.configure([drained], 1)
+    assert model_pool.start_next(0) is None
+    model_pool.note_end(first.ticket.ticket_id, 10, 5)
+    assert [given.refusal.code for given in model_pool.expire(10)] == [
+        "pool_down"
+    ]
+
+
+def test_whole_pool_down_is_answered_with_its_return() -> None:
+    model_pool, _ = _make_pool()
+    _submit_all(model_pool, [builders.make_ticket(1)])
+    for number in (1, 2, 3):
+        model_pool.outliers.note_connect_failure(f"runner-{number}", 0)
+    (given_up,) = model_pool.expire(0)
+    assert given_up.refusal.code == "pool_down"
+    result = model_pool.submit(builders.make_ticket(2), None, 0)
+    assert isinstance(result, admission.Refused)
+    assert result.refusal.status == 503
+    assert result.refusal.retry_after_ms == 250
+    assert model_pool.submit(builders.make_ticket(2), None, 250) == (
+        pool.Accepted()
+    )
+
+
+def test_waiting_request_is_given_up_as_soon_as_it_is_late() -> None:
+    model_pool, _ = _make_pool(count=1, slots=1)
+    _submit_all(
+        model_pool,
+        [
+            builders.make_ticket(1, deadline_ms=3_000),
+            builders.make_ticket(2, deadline_ms=4_100),
+        ],
+    )
+    assert len(_start_all(model_pool)) == 1
+    assert model_pool.expire(2_000) == ()
+    (given_up,) = model_pool.expire(2_081)
+    assert given_up.ticket.ticket_id == 2
+    assert given_up.refusal.retry_after_ms is not None
+    assert model_pool.expire(2_081) == ()
+
+
+def test_full_queue_refuses_the_least_urgent() -> None:
+    model_pool, _ = _make_pool(count=1, slots=1, max_queued=1)
+    waiting = builders.make_ticket(1, priority=5)
+    assert model_pool.submit(waiting, None, 0) == pool.Accepted()
+    same = model_pool.submit(builders.make_ticket(2, priority=5), None, 0)
+    assert isinstance(same, admission.Refused)
+    assert same.refusal.code == "queue_full"
+    result = model_pool.submit(builders.make_ticket(3, priority=0), None, 0)
+    assert isinstance(result, pool.Accepted)
+    assert result.displaced is not None
+    assert result.displaced.ticket is waiting
+
+
+def test_each_upstream_runs_one_suspect_at_a_time() -> None:
+    model_pool, _ = _make_pool(count=2, slots=8)
+    suspects = [
+        builders.make_ticket(
+            n, is_suspect=True, excluded_upstreams=frozenset({"runner-9"})
+        )
+        for n in range(4)
+    ]
+    _submit_all(model_pool, [*suspects, builders.make_ticket(9)])
+    starts = _start_all(model_pool)
+    names = sorted(
+        start.upstream.name for start in starts if start.ticket.is_suspect
+    )
+    assert names == ["runner-1", "runner-2"]
+    assert len(starts) == 3
+
+
+def test_failed_upstream_is_avoided_while_another_is_free() -> None:
+    model_pool, _ = _make_pool(count=2)
+    excluded = frozenset({"runner-1"})
+    ticket = builders.make_ticket(1, excluded_upstreams=excluded)
+    _submit_all(model_pool, [ticket])
+    (start,) = _start_all(model_pool)
+    assert start.upstream.name == "runner-2"
