Decide a request's life and resume its stream

Cause: a cut stream must continue elsewhere with no token lost or doubled, and a queue refusal on a second attempt must not say 'not run'. Ruled out: delivering bytes as they come; a half event cannot be continued. After: request_life.RequestLife over the attempt states, transcript .StreamTranscript; a state machine runs both through cuts at any byte. Connecting may fail 8 times a request, since it costs no upstream anything.

--- /dev/null
+++ b/redwingchute/request/request_life_test.py
@@ -0,0 +1,188 @@
+"""A state machine of the retry and attempt life, and of resumed streams."""
+
+import json
+import random
+
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from redwingchute.core import configuration
+from redwingchute.core import outcomes
+from redwingchute.request import attempt
+from redwingchute.request import request_life
+from redwingchute.request import retry
+from redwingchute.request import transcript
+
+_DEADLINE_MS = 10_000
+_REFUSAL = outcomes.NotRun(503, "deadline_unreachable", "Too late.", 500)
+_POLICY = configuration.RetryPolicy(budget_ratio=0.5, max_attempts=4)
+_KINDS = [
+    kind
+    for kind in retry.FailureKind
+    if kind is not retry.FailureKind.NOT_CONNECTED
+]
+
+
+def _make_event(
+    attempt_id: str, token: str, reason: str | None = None, usage: int = 0
+) -> bytes:
+    """Returns an event as engines send it."""
+    delta = {"content": token} if token else {}
+    fields: dict[str, object] = {
+        "id": f"chatcmpl-{attempt_id}",
+        "choices": [{"index": 0, "delta": delta, "finish_reason": reason}],
+    }
+    if reason:
+        fields["usage"] = {
+            "prompt_tokens": 7,
+            "completion_tokens": usage,
+            "total_tokens": 7 + usage,
+        }
+    return b"data: " + json.dumps(fields).encode() + b"\n\n"
+
+
+class RequestMachine(stateful.RuleBasedStateMachine):
+    """Runs one request through connecting, sending, cuts and refusals."""
+
+    @stateful.initialize(
+        is_repeatable=strategies.booleans(),
+        token_count=strategies.integers(1, 8),
+        seed=strategies.integers(0, 9),
+    )
+    def start(self, is_repeatable: bool, token_count: int, seed: int) -> None:
+        self.truth = [f"word{number} " for number in range(token_count)]
+        self.life = request_life.RequestLife(
+            request_life.LifeSettings(is_repeatable, _DEADLINE_MS),
+            attempt.AttemptIds(1),
+            retry.RetryBudget(_POLICY),
+            random.Random(seed),
+        )
+        self.stream = transcript.StreamTranscript(token_count)
+        self.delivered = b""
+        self.now_ms = 0
+        self.sent: attempt.Sent | None = None
+        self.answer: attempt.RefusalAnswer | None = None
+        self.is_finished = False
+        self.begun = 0
+
+    @stateful.precondition(lambda self: not self._is_open())
+    @stateful.rule(token_count=strategies.integers(1, 8))
+    def start_another(self, token_count: int) -> None:
+        """An ended request takes no further state; the next one begins."""
+        if self.answer is not None:
+            with pytest.raises(attempt.ConsumedError):
+                self.life.refuse(_REFUSAL)
+        self.start(not self.life.settings.is_repeatable, token_count, 1)
+
+    def _is_open(self) -> bool:
+        return self.answer is None and not self.is_finished
+
+    def _decide(self, kind: retry.FailureKind) -> None:
+        decision = self.life.note_failure(kind, self.now_ms, 100)
+        match decision:
+            case retry.RetryAfterDelay(delay_ms):
+                self.now_ms += delay_ms
+                assert self.now_ms <= _DEADLINE_MS
+                is_safe = self.life.settings.is_repeatable or not self.begun
+                assert is_safe
+            case retry.GiveUp():
+                self.answer = self.life.refuse(_REFUSAL)
+
+    @stateful.precondition(lambda self: self._is_open() and not self.sent)
+    @stateful.rule()
+    def fail_to_connect(self) -> None:
+        self._decide(retry.FailureKind.NOT_CONNECTED)
+
+    @stateful.precondition(lambda self: self._is_open() and not self.sent)
+    @stateful.rule()
+    def be_refused_by_the_queue(self) -> None:
+        self.answer = self.life.refuse(_REFUSAL)
+
+    @stateful.precondition(lambda self: self._is_open() and not self.sent)
+    @stateful.rule()
+    def begin_sending(self) -> None:
+        self.sent = self.life.begin_sending()
+        self.begun += 1
+        self.stream.begin_attempt()
+        self.position = len(self.stream.text.split())
+        self.first_position = self.position
+
+    @stateful.precondition(lambda self: self._is_open() and self.sent)
+    @stateful.rule(cut_at=strategies.integers(0, 60))
+    def send_token(self, cut_at: int) -> None:
+        """Sends one token's event, split at an arbitrary byte."""
+        if self.position == len(self.truth):
+            return
+        assert self.sent is not None
+        token = self.truth[self.position]
+        event = _make_event(self.sent.attempt_id, token)
+        self.position += 1
+        self.delivered += self.stream.take(event[:cut_at])
+        self.delivered += self.stream.take(event[cut_at:])
+
+    @stateful.precondition(lambda self: self._is_open() and self.sent)
+    @stateful.rule(
+        kind=strategies.sampled_from(_KINDS), part=strategies.integers(0, 30)
+    )
+    def break_attempt(self, kind: retry.FailureKind, part: int) -> None:
+        """Cuts the stream inside of an event."""
+        self.delivered += self.stream.take(b"data: {" + b" " * part)
+        self.sent = None
+        self._decide(kind)
+
+    @stateful.precondition(lambda self: self._is_open() and self.sent)
+    @stateful.rule()
+    def finish_stream(self) -> None:
+        if self.position < len(self.truth):
+            return
+        assert self.sent is not None
+        usage = self.position - self.first_position
+        end = _make_event(self.sent.attempt_id, "", "stop", usage)
+        self.delivered += self.stream.take(end + b"data: [DONE]\n\n")
+        assert self.stream.is_done
+        assert self.stream.usage is not None
+        assert self.stream.usage.output_tokens == len(self.truth)
+        self.delivered += self.stream.release_held()
+        self.is_finished = True
+
+    @stateful.invariant()
+    def no_token_is_lost_or_doubled(self) -> None:
+        payloads = [
+            json.loads(line.removeprefix("data: "))
+            for line in self.delivered.decode().split("\n\n")
+            if line and "[DONE]" not in line
+        ]
+        text = "".join(
+            fields["choices"][0]["delta"].get("content", "")
+            for fields in payloads
+        )
+        truth = "".join(self.truth)
+        assert text == self.stream.text
+        assert truth.startswith(text)
+        assert len({fields["id"] for fields in payloads}) <= 1
+        if self.is_finished:
+            assert text == truth
+            usage = payloads[-1]["usage"]
+            assert usage["completion_tokens"] == len(self.truth)
+
+    @stateful.invariant()
+    def refusal_says_what_was_sent(self) -> None:
+        match self.answer:
+            case attempt.NotRunAnswer():
+                assert self.begun == 0
+            case attempt.SentAnswer(refusal):
+                assert self.begun > 0
+                is_failed = isinstance(refusal, outcomes.Failed)
+                assert is_failed is self.life.settings.is_repeatable
+
+    @stateful.invariant()
+    def attempts_are_bounded_and_distinct(self) -> None:
+        ids = self.life.attempt_ids
+        assert len(ids) == len(set(ids)) == self.begun
+        limit = _POLICY.max_attempts if self.life.settings.is_repeatable else 1
+        assert self.begun <= limit
+
+
+# The runner calls the generated test case.
+TestRequestMachine = RequestMachine.TestCase
--- a/redwingchute/request/retry.py
+++ b/redwingchute/request/retry.py
@@ -18,6 +18,9 @@
 _MIN_BUDGET_RETRIES = 3.0
 _MAX_BUDGET_RETRIES = 50.0
 
+# Connecting may fail more often than attempts may, since it costs nobody.
+_MAX_CONNECT_FAILURES = 8
+
 
 class FailureKind(enum.Enum):
     """How an attempt failed.
@@ -43,7 +46,8 @@
 
     Attributes:
       kind: How the attempt failed.
-      attempts: Attempts of the request so far, this one included.
+      attempts: The request's attempts so far that sent a byte or, when this
+        one did not connect, those that did not connect; this one included.
       is_repeatable: Whether the work may run more than once.
       deadline_ms: When the answer must have ended.
       work_left_ms: The expected time that the rest of the work takes.
@@ -120,7 +124,10 @@
         has_sent = failure.kind is not FailureKind.NOT_CONNECTED
         if has_sent and not failure.is_repeatable:
             return GiveUp(GiveUpCause.NOT_REPEATABLE)
-        if failure.attempts >= policy.max_attempts:
+        max_attempts = (
+            policy.max_attempts if has_sent else _MAX_CONNECT_FAILURES
+        )
+        if failure.attempts >= max_attempts:
             return GiveUp(GiveUpCause.ATTEMPTS_USED)
         delay_ms = _draw_delay_ms(policy, failure.attempts, rng)
         if now_ms + delay_ms + failure.work_left_ms > failure.deadline_ms:
