--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -7,12 +7,14 @@
 
 from redwingchute.core import data
 from redwingchute.core import fleet
+from redwingchute.core import requesting
 from redwingchute.version import changes
 from redwingchute.wire import codec
 
 _LEDGER = "ledger.capnp"
 _FLEET = "fleet.capnp"
 _CONFIGURATION = "configuration.capnp"
+_REQUEST = "request.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -28,6 +30,9 @@
     codec.Registration(300, changes.ConfigurationChange, _CONFIGURATION),
     codec.Registration(301, changes.AuditNote, _CONFIGURATION),
     codec.Registration(302, changes.ConfigurationCheckpoint, _CONFIGURATION),
+    codec.Registration(400, requesting.CrashNotice, _REQUEST),
+    codec.Registration(401, requesting.QuarantineNotice, _REQUEST),
+    codec.Registration(402, requesting.LeavingNotice, _REQUEST),
 )
 
 
