Let routers spend leases and reserves: holder and ledger client

A request reserves its upper bound in its router, runs, and is billed before its answer ends.

Weighed: one holder for all shards of a router against one for each shard. Retirement is a record of one shard's stream, so one holder for each shard lets a successor take over there alone; kept. Weighed: reserve only in isolation against reserve also as second cover while the owner answers. A reservation is local until its bill is written, so it can change between lease and reserve, and reserve used under a durable verdict costs nothing more at a crash; the second is kept.

A retired holder's claimed call stays with it, because the fold lets only the claimant record the outcome.

--- /dev/null
+++ b/redwingchute/process/ledger/asking.py
@@ -0,0 +1,156 @@
+"""Asks the owner for tokens and gives back what is not needed."""
+
+from redwingchute.core import data
+from redwingchute.core import spending
+from redwingchute.process.ledger import covering
+from redwingchute.process.ledger import holder_state
+from redwingchute.process.ledger import outbox
+from redwingchute.process.ledger import position
+
+_LEASE = data.GrantKind.LEASE
+_RESERVE = data.GrantKind.RESERVE
+
+
+def make_asks(
+    state: holder_state.HolderState, now_ms: int
+) -> tuple[data.Ask, ...]:
+    """Returns the asks that are due now and notes that they are under way."""
+    if state.is_retired:
+        return ()
+    asks = []
+    for budget, held in state.positions.items():
+        times = state.times[budget]
+        if times.is_asking or not _is_ask_due(state, held, now_ms):
+            continue
+        times.is_asking = True
+        times.asked_at_ms = now_ms
+        asks.append(_make_ask(state, held, now_ms))
+    return tuple(asks)
+
+
+def accept_grant(
+    state: holder_state.HolderState,
+    granted: data.Granted,
+    now_ms: int,
+) -> None:
+    """Takes in what the owner granted and lets requests go on."""
+    held = holder_state.open_position(state, granted.budget, now_ms)
+    times = state.times[granted.budget]
+    times.is_asking = False
+    times.next_ask_ms = now_ms + granted.lease_ms
+    held.add_granted(_LEASE, granted.lease_total_tokens)
+    held.add_granted(_RESERVE, granted.reserve_total_tokens)
+    held.available_tokens = granted.available_tokens
+    covering.cover_all(state, held)
+    _end_hopeless(state, held)
+
+
+def give_back(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    kind: data.GrantKind,
+    tokens: int,
+) -> None:
+    """Queues the return of free tokens, one return at a time per budget."""
+    times = state.times[held.budget]
+    tokens = min(tokens, held.count_free(kind))
+    if tokens <= 0 or times.give_back is not None:
+        return
+    held.add_held(kind, -tokens)
+    queue_give_back(state, held, kind, tokens)
+
+
+def queue_give_back(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    kind: data.GrantKind,
+    tokens: int,
+) -> None:
+    """Queues a give-back entry of tokens that are no longer held."""
+    times = state.times[held.budget]
+    times.sequence += 1
+    times.give_back = data.GiveBack(
+        held.budget, state.incarnation, kind, tokens, times.sequence
+    )
+    state.outbox.put_entry(outbox.PendingEntry(times.give_back))
+
+
+def return_idle(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    now_ms: int,
+) -> None:
+    """Returns the lease of an idle budget, or all when it is time to stop."""
+    idle_ms = now_ms - state.times[held.budget].used_at_ms
+    if state.is_stopping or state.is_retired:
+        give_back(state, held, _RESERVE, held.count_free(_RESERVE))
+    if state.is_stopping or idle_ms >= state.settings.idle_return_ms:
+        give_back(state, held, _LEASE, held.count_free(_LEASE))
+
+
+def _is_ask_due(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    now_ms: int,
+) -> bool:
+    """Returns whether a budget should ask now."""
+    times = state.times[held.budget]
+    if times.asked_at_ms is None:
+        return not state.is_stopping or held.count_uncovered() > 0
+    if held.count_uncovered() > 0:
+        return now_ms >= times.asked_at_ms + state.settings.waiting_ask_ms
+    if state.is_stopping:
+        return False
+    if now_ms < times.next_ask_ms:
+        return False
+    is_active = times.used_at_ms >= times.asked_at_ms
+    idle_ask_ms = times.asked_at_ms + state.settings.idle_ask_ms
+    return is_active or now_ms >= idle_ask_ms
+
+
+def _make_ask(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    now_ms: int,
+) -> data.Ask:
+    """Returns an ask for what waits and for the demand of the horizon."""
+    demand = held.measure_demand(now_ms)
+    headroom = int(demand * state.settings.lease_horizon_ms / 1_000)
+    free = held.count_free(_LEASE) + held.count_free(_RESERVE)
+    return data.Ask(
+        held.budget,
+        held.count_uncovered() + max(0, headroom - free),
+        held.count_reserved(_LEASE) + held.count_reserved(_RESERVE),
+        demand,
+    )
+
+
+def _end_hopeless(
+    state: holder_state.HolderState, held: position.BudgetPosition
+) -> None:
+    """Refuses at once what the rest of the budget can never cover."""
+    reachable_tokens = (
+        held.available_tokens
+        + held.count_held(_LEASE)
+        + held.count_held(_RESERVE)
+    )
+    for reservation in tuple(held.reservations.values()):
+        if reservation.kind is not None:
+            continue
+        if reservation.tokens <= reachable_tokens:
+            continue
+        match reservation.phase:
+            case position.Phase.WAITING:
+                covering.refuse_waiting(state, held, reservation)
+            case position.Phase.SETTLING:
+                holder_state.drop_reservation(state, reservation)
+                holder_state.end_settlement(
+                    state,
+                    reservation.charge,
+                    spending.SettlementVoid(
+                        "The ledger took the tokens of this request back and "
+                        "the budget has none left for it."
+                    ),
+                )
+            case _:
+                pass
--- /dev/null
+++ b/redwingchute/process/ledger/covering.py
@@ -0,0 +1,258 @@
+"""Covers requests with lease or reserve, and ends those that wait too long."""
+
+import attrs
+
+from redwingchute.core import data
+from redwingchute.core import spending
+from redwingchute.process.ledger import holder_events
+from redwingchute.process.ledger import holder_state
+from redwingchute.process.ledger import outbox
+from redwingchute.process.ledger import position
+
+_LEASE = data.GrantKind.LEASE
+_RESERVE = data.GrantKind.RESERVE
+_Phase = position.Phase
+
+# Requests that are nearest to their end are covered first.
+_COVER_ORDER = {
+    _Phase.BILLED: 0,
+    _Phase.SETTLING: 1,
+    _Phase.RUNNING: 2,
+    _Phase.WAITING: 3,
+}
+
+
+def start_waiting(
+    state: holder_state.HolderState,
+    reservation: position.Reservation,
+    now_ms: int,
+) -> None:
+    """Lets a request wait for tokens, or admits it at once."""
+    budget = reservation.charge.request.budget
+    held = state.positions[budget]
+    reservation.phase = _Phase.WAITING
+    reservation.wait_until_ms = reservation.charge.deadline_ms
+    if not state.is_reachable:
+        _shorten_wait(state, reservation, now_ms)
+    held.note_demand(reservation.tokens, now_ms)
+    state.times[budget].used_at_ms = now_ms
+    cover_all(state, held)
+
+
+def cover_all(
+    state: holder_state.HolderState, held: position.BudgetPosition
+) -> None:
+    """Covers what is not covered yet, as far as the tokens reach."""
+    uncovered = [
+        reservation
+        for reservation in held.reservations.values()
+        if reservation.kind is None and reservation.phase in _COVER_ORDER
+    ]
+    uncovered.sort(key=lambda item: _COVER_ORDER[item.phase])
+    for reservation in uncovered:
+        if _cover(state, held, reservation):
+            _continue_covered(state, reservation)
+
+
+def move_to_reserve(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    now_ms: int,
+) -> None:
+    """Takes all requests off the lease when the owner is lost.
+
+    Answers that only wait for their bill end at once if reserve covers them.
+    """
+    for reservation in tuple(held.reservations.values()):
+        _leave_lease(state, held, reservation, now_ms)
+    cover_all(state, held)
+
+
+def end_expired(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    now_ms: int,
+) -> None:
+    """Gives requests their final answer when their time is over."""
+    for reservation in tuple(held.reservations.values()):
+        match reservation.phase:
+            case _Phase.WAITING if now_ms >= reservation.wait_until_ms:
+                refuse_waiting(state, held, reservation)
+            case _Phase.LOOKING_UP:
+                if now_ms >= reservation.charge.deadline_ms:
+                    refuse_waiting(state, held, reservation)
+            case _Phase.SETTLING:
+                if now_ms >= reservation.charge.deadline_ms:
+                    _end_late_settlement(state, reservation)
+            case _:
+                pass
+
+
+def refuse_waiting(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    reservation: position.Reservation,
+) -> None:
+    """Refuses a request that found no tokens."""
+    retry_after_ms = state.settings.owner_loss_ms
+    if state.is_reachable:
+        refusal = holder_events.refuse_exhausted(
+            held.available_tokens, retry_after_ms
+        )
+    else:
+        refusal = holder_events.refuse_unreachable(retry_after_ms)
+    holder_state.drop_reservation(state, reservation)
+    holder_state.end_admission(state, reservation.charge, refusal)
+
+
+def submit_bill(
+    state: holder_state.HolderState, reservation: position.Reservation
+) -> None:
+    """Queues the bill of a covered request; in isolation its answer ends."""
+    if reservation.kind is None or reservation.bill is None:
+        return
+    bill = attrs.evolve(
+        reservation.bill,
+        holder=state.incarnation,
+        kind=reservation.kind,
+        tokens=reservation.tokens,
+    )
+    reservation.bill = bill
+    state.outbox.put_entry(
+        outbox.PendingEntry(bill, reservation.charge.charge_id)
+    )
+    if not state.is_reachable and reservation.phase is _Phase.SETTLING:
+        end_on_reserve(state, reservation)
+
+
+def end_on_reserve(
+    state: holder_state.HolderState, reservation: position.Reservation
+) -> None:
+    """Ends an answer whose bill is covered by reserve and not in the log."""
+    if reservation.bill is None:
+        return
+    reservation.phase = _Phase.BILLED
+    state.keys.settle(reservation.charge.request.key)
+    state.events.append(holder_events.BillKept(reservation.bill))
+    holder_state.end_settlement(
+        state,
+        reservation.charge,
+        spending.Settled(reservation.tokens, is_durable=False),
+    )
+
+
+def _cover(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    reservation: position.Reservation,
+) -> bool:
+    """Covers one request by what may be used now."""
+    if state.is_retired:
+        return False
+    if not state.is_reachable:
+        return held.cover(reservation, _RESERVE)
+    # A call that may not be repeated keeps its cover when the holder is
+    # retired only if that is reserve.
+    is_repeatable = reservation.charge.request.is_repeatable
+    first, second = (_LEASE, _RESERVE) if is_repeatable else (_RESERVE, _LEASE)
+    return held.cover(reservation, first) or held.cover(reservation, second)
+
+
+def _continue_covered(
+    state: holder_state.HolderState, reservation: position.Reservation
+) -> None:
+    """Does the next step of a request that has just been covered."""
+    match reservation.phase:
+        case _Phase.WAITING:
+            reservation.phase = _Phase.RUNNING
+            holder_state.end_admission(
+                state, reservation.charge, reservation.charge
+            )
+        case _Phase.SETTLING | _Phase.BILLED:
+            submit_bill(state, reservation)
+        case _:
+            pass
+
+
+def _leave_lease(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    reservation: position.Reservation,
+    now_ms: int,
+) -> None:
+    """Prepares one request for isolation."""
+    if reservation.claim is not None:
+        give_up_claim(state, reservation)
+        return
+    if reservation.kind is _LEASE:
+        held.uncover(reservation)
+        state.outbox.drop_entries(reservation.charge.charge_id)
+    match reservation.phase:
+        case _Phase.LOOKING_UP:
+            state.outbox.drop_lookup(reservation.charge.charge_id)
+            start_waiting(state, reservation, now_ms)
+        case _Phase.WAITING:
+            _shorten_wait(state, reservation, now_ms)
+        case _Phase.SETTLING if reservation.kind is _RESERVE:
+            end_on_reserve(state, reservation)
+        case _:
+            pass
+
+
+def give_up_claim(
+    state: holder_state.HolderState, reservation: position.Reservation
+) -> None:
+    """Ends a call as not run because its claim was not confirmed.
+
+    A claim that was sent may be in the log, so that its outcome is recorded as
+    not run; a later repeat may then run.
+    """
+    claim = reservation.claim
+    if claim is None:
+        return
+    was_sent = reservation.is_sent
+    reservation.claim = None
+    holder_state.drop_reservation(state, reservation)
+    holder_state.end_claim(
+        state,
+        reservation.charge,
+        holder_events.refuse_unreachable(state.settings.owner_loss_ms),
+    )
+    if was_sent:
+        outcome = data.RecordOutcome(
+            claim.budget,
+            state.incarnation,
+            claim.key,
+            data.OutcomeStatus.NOT_RUN,
+            0,
+            _LEASE,
+            b"",
+        )
+        state.outbox.put_entry(outbox.PendingEntry(outcome))
+
+
+def _shorten_wait(
+    state: holder_state.HolderState,
+    reservation: position.Reservation,
+    now_ms: int,
+) -> None:
+    """Limits how long a request waits for reserve in isolation."""
+    reservation.wait_until_ms = min(
+        reservation.charge.deadline_ms,
+        now_ms + state.settings.isolation_wait_ms,
+    )
+
+
+def _end_late_settlement(
+    state: holder_state.HolderState, reservation: position.Reservation
+) -> None:
+    """Ends a request whose bill was not durable by its deadline."""
+    holder_state.end_settlement(
+        state,
+        reservation.charge,
+        spending.SettlementDelayed(may_be_billed=reservation.is_sent),
+    )
+    if reservation.is_outcome_needed:
+        reservation.phase = _Phase.BILLED
+        return
+    holder_state.drop_reservation(state, reservation)
--- /dev/null
+++ b/redwingchute/process/ledger/holder_test.py
@@ -0,0 +1,284 @@
+"""Tests of a router's decisions about its leases and reserves."""
+
+import pytest
+
+from redwingchute.core import data
+from redwingchute.core import outcomes
+from redwingchute.core import spending
+from redwingchute.process.ledger import holder
+from redwingchute.testing import spend_builders as build
+
+_Code = data.VerdictCode
+
+
+def _lose_owner(subject: holder.Holder, now_ms: int) -> None:
+    subject.owner_lost(now_ms)
+    assert not subject.is_reachable
+
+
+def _settle_and_reply(
+    subject: holder.Holder,
+    charge: spending.Charge,
+    tokens: int,
+    code: data.VerdictCode,
+) -> data.Settle:
+    subject.settle(charge, tokens, 5)
+    call = build.take_call(subject, 5)
+    entry = call.message.entries[0]
+    assert isinstance(entry, data.Settle)
+    subject.accept_reply(call.call_id, build.make_reply((code,)), 6)
+    return entry
+
+
+def test_request_waits_for_a_lease_and_asks_for_its_bound() -> None:
+    subject = build.make_holder()
+    charge = build.make_charge(1, bound_tokens=300)
+    assert build.admit(subject, charge) == []
+    call = build.take_call(subject)
+    assert call.message.asks[0].lease_tokens >= 300
+    grant = build.make_grant(lease_total_tokens=500)
+    subject.accept_reply(call.call_id, build.make_reply(grants=(grant,)), 3)
+    assert build.take_results(subject) == [charge]
+
+
+def test_settlement_ends_with_the_durable_verdict() -> None:
+    subject = build.make_funded_holder(lease_tokens=500)
+    charge = build.make_charge(1)
+    build.admit(subject, charge)
+    entry = _settle_and_reply(subject, charge, 40, _Code.ACCEPTED)
+    assert (entry.kind, entry.tokens) == (data.GrantKind.LEASE, 40)
+    assert build.take_results(subject) == [spending.Settled(40, True)]
+    held = subject.find_position(build.BUDGET)
+    assert held is not None
+    assert held.count_free(data.GrantKind.LEASE) == 460
+
+
+def test_a_repeated_reply_grants_nothing_twice() -> None:
+    subject = build.make_funded_holder(lease_tokens=500)
+    build.admit(subject, build.make_charge(1, bound_tokens=900))
+    call = build.take_call(subject, 100)
+    grant = build.make_grant(lease_total_tokens=500)
+    subject.accept_reply(call.call_id, build.make_reply(grants=(grant,)), 101)
+    held = subject.find_position(build.BUDGET)
+    assert held is not None
+    assert held.count_held(data.GrantKind.LEASE) == 500
+
+
+def test_isolated_answer_ends_on_reserve_and_its_bill_is_kept() -> None:
+    subject = build.make_funded_holder(lease_tokens=500, reserve_tokens=100)
+    charge = build.make_charge(1)
+    build.admit(subject, charge)
+    _lose_owner(subject, 1)
+    subject.settle(charge, 60, 2)
+    assert build.take_results(subject) == [spending.Settled(60, False)]
+    call = build.take_call(subject, 10_000)
+    bills = [e for e in call.message.entries if isinstance(e, data.Settle)]
+    assert [bill.kind for bill in bills] == [data.GrantKind.RESERVE]
+
+
+def test_isolated_requests_never_pass_the_reserve() -> None:
+    subject = build.make_funded_holder(lease_tokens=9_000, reserve_tokens=250)
+    _lose_owner(subject, 1)
+    results = [
+        build.admit(subject, build.make_charge(number), 1)
+        for number in range(1, 4)
+    ]
+    assert [len(result) for result in results] == [1, 1, 0]
+    subject.advance(1_000)
+    (refusal,) = build.take_results(subject)
+    assert isinstance(refusal, outcomes.NotRun)
+    assert refusal.retry_after_ms is not None
+
+
+def test_work_without_room_in_the_reserve_ends_unbilled() -> None:
+    subject = build.make_funded_holder(lease_tokens=500, reserve_tokens=30)
+    charge = build.make_charge(1, deadline_ms=4_000)
+    build.admit(subject, charge)
+    _lose_owner(subject, 1)
+    subject.settle(charge, 60, 2)
+    assert build.take_results(subject) == []
+    subject.advance(4_000)
+    assert build.take_results(subject) == [spending.SettlementDelayed(False)]
+    call = build.take_call(subject, 10_000)
+    assert not any(isinstance(e, data.Settle) for e in call.message.entries)
+
+
+def test_lease_bill_without_a_verdict_is_replaced_by_reserve() -> None:
+    subject = build.make_funded_holder(lease_tokens=500, reserve_tokens=500)
+    charge = build.make_charge(1)
+    build.admit(subject, charge)
+    subject.settle(charge, 60, 1)
+    call = build.take_call(subject, 1)
+    subject.call_lost(call.call_id, 100)
+    assert build.take_results(subject) == []
+    subject.advance(2_000)
+    assert build.take_results(subject) == [spending.Settled(60, False)]
+    call = build.take_call(subject, 10_000)
+    bills = [e for e in call.message.entries if isinstance(e, data.Settle)]
+    assert [bill.kind for bill in bills] == [data.GrantKind.RESERVE]
+
+
+def test_retired_holder_hands_over_and_returns_its_reserve() -> None:
+    subject = build.make_funded_holder(lease_tokens=500, reserve_tokens=400)
+    charge = build.make_charge(1)
+    build.admit(subject, charge)
+    _settle_and_reply(subject, charge, 40, _Code.HOLDER_RETIRED)
+    (moved,) = subject.take_transferable()
+    assert moved.charge == charge
+    call = build.take_call(subject, 10)
+    assert call.message.entries == (
+        data.GiveBack(
+            build.BUDGET,
+            build.INCARNATION,
+            data.GrantKind.RESERVE,
+            400,
+            1,
+        ),
+    )
+    successor = holder.Holder(build.SHARD, 78, "huon-1", 10)
+    successor.adopt(moved, 10)
+    call = build.take_call(successor, 10)
+    grant = build.make_grant(lease_total_tokens=100)
+    successor.accept_reply(call.call_id, build.make_reply(grants=(grant,)), 11)
+    entry = build.take_call(successor, 11).message.entries[0]
+    assert isinstance(entry, data.Settle)
+    assert (entry.holder, entry.tokens) == (78, 40)
+
+
+def test_bill_ended_in_isolation_stays_with_the_retired_holder() -> None:
+    subject = build.make_funded_holder(lease_tokens=0, reserve_tokens=400)
+    charge = build.make_charge(1)
+    build.admit(subject, charge)
+    _lose_owner(subject, 1)
+    subject.settle(charge, 60, 2)
+    call = build.take_call(subject, 10_000)
+    subject.accept_reply(
+        call.call_id,
+        build.make_reply((_Code.ACCEPTED,), is_holder_retired=True),
+        10_001,
+    )
+    assert subject.take_transferable() == ()
+    entry = build.take_call(subject, 10_002).message.entries[0]
+    assert isinstance(entry, data.GiveBack)
+    assert entry.tokens == 340
+
+
+def test_exhausted_budget_is_refused_at_once() -> None:
+    subject = build.make_holder()
+    build.admit(subject, build.make_charge(1, bound_tokens=300))
+    call = build.take_call(subject)
+    grant = build.make_grant(lease_total_tokens=50, available_tokens=20)
+    subject.accept_reply(call.call_id, build.make_reply(grants=(grant,)), 3)
+    (refusal,) = build.take_results(subject)
+    assert isinstance(refusal, outcomes.NotRun)
+    assert refusal.code == "budget_exhausted"
+
+
+def test_recall_returns_only_what_is_free() -> None:
+    subject = build.make_funded_holder(reserve_tokens=300)
+    build.admit(subject, build.make_charge(1))
+    subject.recall(data.Recall(build.BUDGET, data.GrantKind.RESERVE, 1_000))
+    entry = build.take_call(subject, 1).message.entries[0]
+    assert isinstance(entry, data.GiveBack)
+    assert entry.tokens == 200
+
+
+def test_stop_returns_everything_once_requests_have_ended() -> None:
+    subject = build.make_funded_holder(lease_tokens=300)
+    charge = build.make_charge(1)
+    build.admit(subject, charge)
+    subject.begin_stop(1)
+    call = build.take_call(subject, 1)
+    reply = build.make_reply((_Code.ACCEPTED,))
+    subject.accept_reply(call.call_id, reply, 2)
+    assert not subject.is_finished()
+    subject.cancel(charge)
+    subject.advance(3)
+    call = build.take_call(subject, 3)
+    subject.accept_reply(call.call_id, reply, 4)
+    assert subject.is_finished()
+    held = subject.find_position(build.BUDGET)
+    assert held is not None
+    assert held.count_held(data.GrantKind.LEASE) == 0
+
+
+@pytest.mark.parametrize(
+    ("state", "expected"),
+    [
+        (data.KeyState.SETTLED, spending.AlreadySettled),
+        (data.KeyState.BODY_MISMATCH, outcomes.NotRun),
+        (data.KeyState.TOO_MANY_RERUNS, outcomes.NotRun),
+        (data.KeyState.EXPIRED, outcomes.NotRun),
+        (data.KeyState.NEW, spending.Charge),
+    ],
+)
+def test_known_keys_are_told_apart(
+    state: data.KeyState, expected: type[object]
+) -> None:
+    subject = build.make_funded_holder(lease_tokens=300)
+    charge = build.make_charge(1, has_caller_key=True)
+    assert build.admit(subject, charge) == []
+    call = build.take_call(subject, 1)
+    assert call.message.lookups[0].key == charge.request.key
+    reply = build.make_reply(reports=(data.KeyReport(state),))
+    subject.accept_reply(call.call_id, reply, 2)
+    (result,) = build.take_results(subject)
+    assert isinstance(result, expected)
+
+
+def test_own_keys_are_known_in_isolation() -> None:
+    subject = build.make_funded_holder(reserve_tokens=300)
+    _lose_owner(subject, 0)
+    first = build.make_charge(1, has_caller_key=True, key=b"k")
+    assert build.admit(subject, first) == [first]
+    twin = build.make_charge(2, has_caller_key=True, key=b"k")
+    (refusal,) = build.admit(subject, twin)
+    assert refusal.status == 409
+    subject.settle(first, 10, 1)
+    build.take_results(subject)
+    (result,) = build.admit(subject, twin)
+    assert isinstance(result, spending.AlreadySettled)
+    other = build.make_charge(
+        3, has_caller_key=True, key=b"k", body_digest=b"other"
+    )
+    (refusal,) = build.admit(subject, other)
+    assert refusal.status == 422
+
+
+def test_claim_runs_only_after_its_verdict() -> None:
+    subject = build.make_funded_holder(lease_tokens=300)
+    charge = build.make_charge(1, is_repeatable=False)
+    build.admit(subject, charge)
+    subject.claim(charge, 1)
+    assert build.take_results(subject) == []
+    call = build.take_call(subject, 1)
+    reply = build.make_reply((_Code.ACCEPTED,))
+    subject.accept_reply(call.call_id, reply, 2)
+    assert build.take_results(subject) == [spending.Claimed()]
+
+
+def test_claim_out_of_reach_is_not_run() -> None:
+    subject = build.make_funded_holder(reserve_tokens=300)
+    charge = build.make_charge(1, is_repeatable=False)
+    build.admit(subject, charge)
+    _lose_owner(subject, 1)
+    subject.claim(charge, 2)
+    (refusal,) = build.take_results(subject)
+    assert isinstance(refusal, outcomes.NotRun)
+    assert refusal.retry_after_ms is not None
+
+
+def test_claim_cut_off_on_its_way_is_recorded_as_not_run() -> None:
+    subject = build.make_funded_holder(reserve_tokens=300)
+    charge = build.make_charge(1, is_repeatable=False)
+    build.admit(subject, charge)
+    subject.claim(charge, 1)
+    call = build.take_call(subject, 1)
+    subject.call_lost(call.call_id, 2)
+    _lose_owner(subject, 3)
+    (refusal,) = build.take_results(subject)
+    assert isinstance(refusal, outcomes.NotRun)
+    entries = build.take_call(subject, 10_000).message.entries
+    outcome_list = [e for e in entries if isinstance(e, data.RecordOutcome)]
+    assert [e.status for e in outcome_list] == [data.OutcomeStatus.NOT_RUN]
+    assert not any(isinstance(e, data.Claim) for e in entries)
--- /dev/null
+++ b/redwingchute/process/ledger/outbox.py
@@ -0,0 +1,164 @@
+"""Packs a holder's entries, asks and lookups into calls to the shard's owner.
+
+Every entry is sent again until it has a verdict; the fold drops repeats.
+Lookups travel in calls of their own, so that they need not wait for a commit.
+"""
+
+import collections
+
+import attrs
+
+from redwingchute.core import data
+
+# Calls with entries or asks that may be under way at once.
+MAX_OUTSTANDING_CALLS = 4
+
+# Entries of one call; a burst after a cut is spread over several calls.
+MAX_CALL_ENTRIES = 500
+
+
+@attrs.define(eq=False)
+class PendingEntry:
+    """An entry without a verdict.
+
+    Attributes:
+      entry: The entry.
+      charge_id: The charge that it belongs to, or None.
+    """
+
+    entry: data.LedgerEntry
+    charge_id: int | None = None
+
+
+@attrs.frozen(eq=False)
+class OutgoingCall:
+    """A call under way.
+
+    Attributes:
+      call_id: Names the call within its holder.
+      message: What to send.
+      entries: The pending entries of the message, in its order.
+      lookup_ids: The charges that its lookups belong to, in order.
+    """
+
+    call_id: int
+    message: data.LedgerCall
+    entries: tuple[PendingEntry, ...]
+    lookup_ids: tuple[int, ...]
+
+
+class Outbox:
+    """The calls under way and the entries and lookups that wait for one."""
+
+    def __init__(self, shard: int, holder: data.Incarnation, host: str) -> None:
+        """Starts empty.
+
+        Args:
+          shard: The shard whose owner is called.
+          holder: The incarnation in whose name calls are made.
+          host: The name of this host.
+        """
+        self._shard = shard
+        self._holder = holder
+        self._host = host
+        self._entries: collections.deque[PendingEntry] = collections.deque()
+        self._lookups: dict[int, data.Lookup] = {}
+        self._calls: dict[int, OutgoingCall] = {}
+        self._last_call_id = 0
+
+    def put_entry(self, pending: PendingEntry) -> None:
+        """Queues an entry."""
+        self._entries.append(pending)
+
+    def put_lookup(self, charge_id: int, lookup: data.Lookup) -> None:
+        """Queues a lookup."""
+        self._lookups[charge_id] = lookup
+
+    def has_entries(self) -> bool:
+        """Returns whether entries wait for a call."""
+        return bool(self._entries)
+
+    def has_lookups(self) -> bool:
+        """Returns whether lookups wait for a call."""
+        return bool(self._lookups)
+
+    def is_idle(self) -> bool:
+        """Returns whether nothing waits and nothing is under way."""
+        return not (self._entries or self._lookups or self._calls)
+
+    def count_outstanding(self) -> int:
+        """Returns the calls with entries or asks that are under way."""
+        return sum(1 for call in self._calls.values() if not call.lookup_ids)
+
+    def drop_entries(self, charge_id: int) -> None:
+        """Takes the queued entries of a charge back; sent ones stay sent."""
+        self._entries = collections.deque(
+            pending
+            for pending in self._entries
+            if pending.charge_id != charge_id
+        )
+
+    def make_lookup_call(self) -> OutgoingCall:
+        """Returns a call with all waiting lookups."""
+        lookups = self._lookups
+        self._lookups = {}
+        message = data.LedgerCall(
+            self._shard,
+            self._holder,
+            self._host,
+            lookups=tuple(lookups.values()),
+        )
+        return self._start(message, (), tuple(lookups))
+
+    def make_call(self, asks: tuple[data.Ask, ...]) -> OutgoingCall:
+        """Returns a call with the oldest waiting entries and the asks."""
+        count = min(len(self._entries), MAX_CALL_ENTRIES)
+        pending = tuple(self._entries.popleft() for _ in range(count))
+        message = data.LedgerCall(
+            self._shard,
+            self._holder,
+            self._host,
+            entries=tuple(item.entry for item in pending),
+            asks=asks,
+        )
+        return self._start(message, pending, ())
+
+    def finish(self, call_id: int) -> OutgoingCall | None:
+        """Takes a call off the list; returns None if it was given up."""
+        return self._calls.pop(call_id, None)
+
+    def give_up(self, call_id: int) -> OutgoingCall | None:
+        """Ends a call without a reply; its entries go to `put_entries_first`.
+
+        Its lookups wait for another call.
+        """
+        call = self._calls.pop(call_id, None)
+        if call is not None:
+            lookups = zip(call.lookup_ids, call.message.lookups, strict=True)
+            self._lookups.update(lookups)
+        return call
+
+    def put_entries_first(self, entries: tuple[PendingEntry, ...]) -> None:
+        """Queues entries again before all others, in their order."""
+        self._entries.extendleft(reversed(entries))
+
+    def drop_lookup(self, charge_id: int) -> None:
+        """Takes a queued lookup back."""
+        self._lookups.pop(charge_id, None)
+
+    def _start(
+        self,
+        message: data.LedgerCall,
+        entries: tuple[PendingEntry, ...],
+        lookup_ids: tuple[int, ...],
+    ) -> OutgoingCall:
+        """Numbers a call and keeps it until it ends."""
+        self._last_call_id += 1
+        call = OutgoingCall(
+            self._last_call_id,
+            message,
+            entries,
+            lookup_ids,
+        )
+        self._calls[call.call_id] = call
+        return call
--- /dev/null
+++ b/redwingchute/process/ledger/settling.py
@@ -0,0 +1,334 @@
+"""Bills requests and acts on what the fold decided about a holder's entries."""
+
+from redwingchute.core import data
+from redwingchute.core import spending
+from redwingchute.process.ledger import covering
+from redwingchute.process.ledger import holder_events
+from redwingchute.process.ledger import holder_state
+from redwingchute.process.ledger import outbox
+from redwingchute.process.ledger import position
+
+_LEASE = data.GrantKind.LEASE
+_RESERVE = data.GrantKind.RESERVE
+_Phase = position.Phase
+_Code = data.VerdictCode
+
+
+def begin_settling(
+    state: holder_state.HolderState,
+    reservation: position.Reservation,
+    tokens: int,
+    now_ms: int,
+) -> None:
+    """Lowers a reservation to its cost and bills it as soon as it is covered.
+
+    Args:
+      state: The holder's state.
+      reservation: A running request; its `bill` may be a recorded outcome.
+      tokens: Its cost.
+      now_ms: The time.
+    """
+    request = reservation.charge.request
+    held = state.positions[request.budget]
+    kind = reservation.kind
+    held.uncover(reservation)
+    if state.is_retired:
+        tokens = min(tokens, reservation.tokens)
+    reservation.tokens = tokens
+    reservation.phase = _Phase.SETTLING
+    if reservation.bill is None:
+        reservation.bill = data.Settle(
+            request.budget,
+            state.incarnation,
+            _LEASE,
+            request.key,
+            request.body_digest,
+            tokens,
+            now_ms,
+        )
+    if kind is not None and held.cover(reservation, kind):
+        covering.submit_bill(state, reservation)
+    covering.cover_all(state, held)
+
+
+def accept_verdict(
+    state: holder_state.HolderState,
+    pending: outbox.PendingEntry,
+    verdict: data.Verdict,
+    now_ms: int,
+) -> None:
+    """Acts on the fold's verdict about one entry of this holder."""
+    entry = pending.entry
+    if verdict.code is _Code.STALE_EPOCH:
+        requeue(state, (pending,))
+        return
+    match entry:
+        case data.Settle() | data.RecordOutcome():
+            _accept_bill_verdict(state, entry, pending.charge_id, verdict)
+        case data.Claim():
+            _accept_claim_verdict(state, entry, pending.charge_id, verdict)
+        case data.GiveBack():
+            state.times[entry.budget].give_back = None
+        case data.Transfer():
+            state.transfers.pop(entry.transfer_id, None)
+        case _:
+            pass
+    if (
+        verdict.code is _Code.HOLDER_RETIRED
+        and _read_holder(entry) == state.incarnation
+    ):
+        note_retired(state, now_ms)
+
+
+def requeue(
+    state: holder_state.HolderState,
+    entries: tuple[outbox.PendingEntry, ...],
+) -> None:
+    """Queues entries again whose call ended without a verdict.
+
+    Bills that were replaced and claims that were given up are left out.
+    """
+    kept = []
+    for pending in entries:
+        match pending.entry:
+            case data.Claim() as claim:
+                reservation = holder_state.find_reservation(
+                    state, claim.budget, pending.charge_id
+                )
+                if reservation is not None and reservation.claim is claim:
+                    kept.append(pending)
+            case data.Settle() | data.RecordOutcome() as bill:
+                if _is_wanted(state, bill, pending.charge_id):
+                    kept.append(pending)
+            case _:
+                kept.append(pending)
+    state.outbox.put_entries_first(tuple(kept))
+
+
+def note_retired(state: holder_state.HolderState, now_ms: int) -> None:
+    """Hands all requests to a successor; bills on reserve stay here.
+
+    Args:
+      state: The holder's state.
+      now_ms: The time.
+    """
+    if state.is_retired:
+        return
+    state.is_retired = True
+    state.events.append(holder_events.HolderRetired(state.incarnation))
+    for held in state.positions.values():
+        for reservation in tuple(held.reservations.values()):
+            _hand_over(state, held, reservation)
+        held.set_held(_LEASE, 0)
+
+
+def _hand_over(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    reservation: position.Reservation,
+) -> None:
+    """Gives one request to the successor unless its bill is on reserve."""
+    if reservation.claim is not None:
+        covering.give_up_claim(state, reservation)
+        return
+    has_open_bill = reservation.phase in (_Phase.SETTLING, _Phase.BILLED)
+    if has_open_bill and reservation.kind is _RESERVE:
+        return
+    if reservation.is_claimed:
+        _keep_claimed(state, held, reservation)
+        return
+    state.outbox.drop_entries(reservation.charge.charge_id)
+    state.outbox.drop_lookup(reservation.charge.charge_id)
+    held.drop(reservation)
+    state.transferable.append(reservation)
+
+
+def _keep_claimed(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    reservation: position.Reservation,
+) -> None:
+    """Covers a claimed call by reserve, since only its claimant records it.
+
+    Without reserve its outcome is recorded but not billed.
+    """
+    if reservation.kind is _RESERVE:
+        return
+    if not held.cover(reservation, _RESERVE):
+        held.uncover(reservation)
+        reservation.tokens = 0
+        held.cover(reservation, _RESERVE)
+    if reservation.bill is not None:
+        state.outbox.drop_entries(reservation.charge.charge_id)
+        covering.submit_bill(state, reservation)
+
+
+def _is_wanted(
+    state: holder_state.HolderState,
+    bill: data.Settle | data.RecordOutcome,
+    charge_id: int | None,
+) -> bool:
+    """Returns whether a bill without a verdict must be sent again."""
+    if charge_id is None:
+        return True
+    reservation = holder_state.find_reservation(state, bill.budget, charge_id)
+    return (
+        reservation is not None
+        and reservation.bill is bill
+        and reservation.kind is not None
+    )
+
+
+def _accept_bill_verdict(
+    state: holder_state.HolderState,
+    bill: data.Settle | data.RecordOutcome,
+    charge_id: int | None,
+    verdict: data.Verdict,
+) -> None:
+    """Ends or redirects the request of a bill."""
+    if bill.holder != state.incarnation:
+        _end_copy(state, bill, verdict)
+        return
+    held = state.positions.get(bill.budget)
+    reservation = holder_state.find_reservation(state, bill.budget, charge_id)
+    if held is None:
+        return
+    match verdict.code:
+        case _Code.ACCEPTED | _Code.REPEATED | _Code.TOO_MANY_RERUNS:
+            if reservation is not None and reservation.bill is bill:
+                held.spend(reservation)
+            elif verdict.code is _Code.ACCEPTED:
+                held.add_held(bill.kind, -bill.tokens)
+            if reservation is not None:
+                _end_billed(state, held, reservation)
+        case _ if reservation is None or reservation.bill is not bill:
+            pass
+        case _Code.HOLDER_RETIRED | _Code.INSUFFICIENT_TOKENS:
+            _find_other_cover(state, held, reservation, verdict)
+        case _:
+            _end_refused(state, held, reservation, verdict.code)
+
+
+def _end_copy(
+    state: holder_state.HolderState,
+    bill: data.Settle | data.RecordOutcome,
+    verdict: data.Verdict,
+) -> None:
+    """Ends the delivery of a bill that was kept for a sibling."""
+    billed = (_Code.ACCEPTED, _Code.REPEATED, _Code.TOO_MANY_RERUNS)
+    if verdict.code not in billed:
+        state.events.append(holder_events.BillRefused(bill, verdict.code))
+    state.events.append(holder_events.BillDelivered(bill.key))
+
+
+def _end_billed(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    reservation: position.Reservation,
+) -> None:
+    """Ends a request whose bill is in the log."""
+    charge = reservation.charge
+    state.outbox.drop_entries(charge.charge_id)
+    held.drop(reservation)
+    state.keys.settle(charge.request.key)
+    if reservation.phase is _Phase.BILLED:
+        state.events.append(holder_events.BillDelivered(charge.request.key))
+    else:
+        holder_state.end_settlement(
+            state,
+            charge,
+            spending.Settled(reservation.tokens, is_durable=True),
+        )
+    covering.cover_all(state, held)
+
+
+def _find_other_cover(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    reservation: position.Reservation,
+    verdict: data.Verdict,
+) -> None:
+    """Looks for other tokens for a request whose grant was not there.
+
+    A retired holder's request is handed over by `note_retired`, which follows.
+    """
+    kind = reservation.kind
+    if reservation.phase is _Phase.BILLED and reservation.bill is not None:
+        state.events.append(
+            holder_events.BillRefused(reservation.bill, verdict.code)
+        )
+    held.uncover(reservation)
+    if verdict.code is _Code.INSUFFICIENT_TOKENS and kind is not None:
+        held.set_held(kind, held.count_reserved(kind))
+    if state.is_retired:
+        _hand_over(state, held, reservation)
+    else:
+        covering.cover_all(state, held)
+
+
+def _end_refused(
+    state: holder_state.HolderState,
+    held: position.BudgetPosition,
+    reservation: position.Reservation,
+    code: data.VerdictCode,
+) -> None:
+    """Ends a request whose bill the fold will never accept."""
+    held.drop(reservation)
+    if reservation.phase is _Phase.BILLED and reservation.bill is not None:
+        state.events.append(holder_events.BillRefused(reservation.bill, code))
+    else:
+        holder_state.end_settlement(
+            state,
+            reservation.charge,
+            spending.SettlementVoid(
+                f"The ledger refused the bill: {code.name.lower()}."
+            ),
+        )
+    covering.cover_all(state, held)
+
+
+def _accept_claim_verdict(
+    state: holder_state.HolderState,
+    claim: data.Claim,
+    charge_id: int | None,
+    verdict: data.Verdict,
+) -> None:
+    """Lets a claimed call run, or refuses it."""
+    reservation = holder_state.find_reservation(state, claim.budget, charge_id)
+    if reservation is None or reservation.claim is not claim:
+        return
+    if verdict.code is _Code.HOLDER_RETIRED:
+        covering.give_up_claim(state, reservation)
+        return
+    reservation.claim = None
+    reservation.is_sent = False
+    if verdict.code in (_Code.ACCEPTED, _Code.REPEATED):
+        reservation.is_claimed = True
+        holder_state.end_claim(state, reservation.charge, spending.Claimed())
+        return
+    holder_state.drop_reservation(state, reservation)
+    result: spending.ClaimResult
+    match verdict.code:
+        case _Code.ALREADY_CLAIMED:
+            result = spending.ClaimRefused(verdict.status, verdict.answer)
+        case _Code.BODY_MISMATCH:
+            result = holder_events.refuse_body_mismatch()
+        case _Code.KEY_EXPIRED:
+            result = holder_events.refuse_expired()
+        case _:
+            result = holder_events.refuse_unknown_budget()
+    holder_state.end_claim(state, reservation.charge, result)
+
+
+def _read_holder(entry: data.LedgerEntry) -> data.Incarnation | None:
+    """Returns the incarnation that an entry of a holder speaks for."""
+    match entry:
+        case (
+            data.Settle()
+            | data.RecordOutcome()
+            | data.Claim()
+            | data.GiveBack()
+        ):
+            return entry.holder
+        case _:
+            return None
--- /dev/null
+++ b/redwingchute/process/ledger/shard_link.py
@@ -0,0 +1,247 @@
+"""Drives the holders of one shard: sends their calls and hears their events.
+
+When the ledger retires a holder, a successor with a new incarnation takes its
+requests over. It stays silent until the predecessor's bills and returns have
+their verdicts, because a new incarnation on a host may be taken as proof that
+the old one spends no more.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import TypeAlias
+
+import attrs
+
+from redwingchute.core import data
+from redwingchute.core import spending
+from redwingchute.process.ledger import bill_store
+from redwingchute.process.ledger import holder
+from redwingchute.process.ledger import holder_events
+from redwingchute.process.ledger import holder_state
+from redwingchute.process.ledger import local_keys
+from redwingchute.process.ledger import outbox
+
+Call: TypeAlias = Callable[
+    [int, data.LedgerCall], Awaitable[data.LedgerReply | None]
+]
+SendToSiblings: TypeAlias = Callable[
+    [spending.HoldBills | spending.ForgetBills], None
+]
+
+
+@attrs.frozen
+class LinkSettings:
+    """What all links of a router share.
+
+    Attributes:
+      host: The name of this host.
+      call: Sends a message to a shard's owner; None when it did not answer.
+      clock_ms: Returns the time.
+      make_incarnation: Returns a random 64-bit number.
+      send_to_siblings: Sends a record to the siblings, best effort.
+      holder_settings: The times that holders go by.
+      batch_window_ms: How long entries of concurrent requests are gathered.
+      tick_ms: How often deadlines are looked at.
+    """
+
+    host: str
+    call: Call
+    clock_ms: Callable[[], int]
+    make_incarnation: Callable[[], data.Incarnation]
+    send_to_siblings: SendToSiblings
+    holder_settings: holder_state.HolderSettings
+    batch_window_ms: int = 3
+    tick_ms: int = 25
+
+
+class ShardLink:
+    """The holders of one shard and the requests that wait for them."""
+
+    def __init__(
+        self,
+        shard: int,
+        settings: LinkSettings,
+        copies: bill_store.BillStore,
+    ) -> None:
+        """Starts with a holder of a new incarnation.
+
+        Args:
+          shard: The shard.
+          settings: What all links share.
+          copies: The bills kept for siblings.
+        """
+        self._shard = shard
+        self._settings = settings
+        self._copies = copies
+        self._keys = local_keys.LocalKeys()
+        self._retired: list[holder.Holder] = []
+        self.holder = self._make_holder()
+        self._holders: dict[int, holder.Holder] = {}
+        self._waiting: dict[tuple[int, type], asyncio.Future[Any]] = {}
+        self._calls: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+
+    def find_holder(self, charge: spending.Charge) -> holder.Holder:
+        """Returns the holder that has a charge."""
+        return self._holders.get(charge.charge_id, self.holder)
+
+    def expect(
+        self, charge: spending.Charge, event_type: type
+    ) -> asyncio.Future[Any]:
+        """Returns a future for the result of the next event of a charge."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[(charge.charge_id, event_type)] = future
+        return future
+
+    def wake(self) -> None:
+        """Lets the link look at its holders soon."""
+        self._dispatch_events()
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Serves the holders until cancelled."""
+        while True:
+            self._serve(self._settings.clock_ms())
+            await self._wait()
+
+    async def stop(self) -> None:
+        """Returns all tokens; ends when the owner has confirmed it."""
+        for each in (*self._retired, self.holder):
+            each.begin_stop(self._settings.clock_ms())
+        while not self.is_finished():
+            self._serve(self._settings.clock_ms())
+            await self._wait()
+
+    async def close(self) -> None:
+        """Ends the calls under way without their replies."""
+        calls = tuple(self._calls)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    def is_finished(self) -> bool:
+        """Returns whether no holder has anything left to do."""
+        return all(each.is_finished() for each in (*self._retired, self.holder))
+
+    async def _wait(self) -> None:
+        """Waits for work, then gathers entries for the batch window."""
+        try:
+            async with asyncio.timeout(self._settings.tick_ms / 1_000):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
+        await asyncio.sleep(self._settings.batch_window_ms / 1_000)
+
+    def _serve(self, now_ms: int) -> None:
+        """Does what is due and sends the calls that may leave."""
+        for each in (*self._retired, self.holder):
+            each.advance(now_ms)
+        self._dispatch_events()
+        if self.holder.is_reachable:
+            for bill in self._copies.take_due(self._shard, now_ms):
+                self.holder.deliver_copy(bill)
+        for each in self._list_speakers():
+            while (call := each.take_call(now_ms)) is not None:
+                self._start_call(each, call)
+        self._retired = [
+            each for each in self._retired if not each.is_finished()
+        ]
+
+    def _list_speakers(self) -> tuple[holder.Holder, ...]:
+        """Returns the holders that may call the owner now."""
+        if any(each.has_open_bills() for each in self._retired):
+            return tuple(self._retired)
+        return (*self._retired, self.holder)
+
+    def _start_call(
+        self, caller: holder.Holder, call: outbox.OutgoingCall
+    ) -> None:
+        """Sends a call without waiting for it."""
+        task = asyncio.create_task(self._call(caller, call))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _call(
+        self, caller: holder.Holder, call: outbox.OutgoingCall
+    ) -> None:
+        """Sends a call and takes in its reply."""
+        reply = await self._settings.call(self._shard, call.message)
+        now_ms = self._settings.clock_ms()
+        if reply is None:
+            caller.call_lost(call.call_id, now_ms)
+        else:
+            caller.accept_reply(call.call_id, reply, now_ms)
+        self.wake()
+
+    def _dispatch_events(self) -> None:
+        """Hands events to the requests and siblings that they concern."""
+        is_done = False
+        while not is_done:
+            is_done = True
+            for each in (*self._retired, self.holder):
+                for event in each.take_events():
+                    is_done = False
+                    self._dispatch_event(each, event)
+
+    def _dispatch_event(
+        self, source: holder.Holder, event: holder_events.Event
+    ) -> None:
+        """Hands one event on."""
+        match event:
+            case holder_events.AdmissionEnded():
+                if isinstance(event.result, spending.Charge):
+                    self._holders[event.charge_id] = source
+                self._resolve(event.charge_id, type(event), event.result)
+            case holder_events.SettlementEnded() | holder_events.ClaimEnded():
+                self._resolve(event.charge_id, type(event), event.result)
+            case holder_events.BillKept():
+                self._settings.send_to_siblings(
+                    spending.HoldBills(
+                        self._shard, event.bill.holder, (event.bill,)
+                    )
+                )
+            case holder_events.BillDelivered():
+                self._copies.forget((event.key,))
+                self._settings.send_to_siblings(
+                    spending.ForgetBills(
+                        self._shard, source.incarnation, (event.key,)
+                    )
+                )
+            case holder_events.BillRefused():
+                pass
+            case holder_events.HolderRetired():
+                self._replace(source)
+
+    def _resolve(self, charge_id: int, event_type: type, result: Any) -> None:
+        """Ends the wait of a request."""
+        future = self._waiting.pop((charge_id, event_type), None)
+        if future is not None and not future.done():
+            future.set_result(result)
+
+    def release(self, charge: spending.Charge) -> None:
+        """Forgets which holder has a charge that has ended."""
+        self._holders.pop(charge.charge_id, None)
+
+    def _replace(self, retired: holder.Holder) -> None:
+        """Makes a successor that adopts the requests of a retired holder."""
+        now_ms = self._settings.clock_ms()
+        if retired is self.holder:
+            self._retired.append(retired)
+            self.holder = self._make_holder()
+        for reservation in retired.take_transferable():
+            self._holders[reservation.charge.charge_id] = self.holder
+            self.holder.adopt(reservation, now_ms)
+
+    def _make_holder(self) -> holder.Holder:
+        """Returns a holder of a new incarnation."""
+        return holder.Holder(
+            self._shard,
+            self._settings.make_incarnation(),
+            self._settings.host,
+            self._settings.clock_ms(),
+            self._settings.holder_settings,
+            self._keys,
+        )
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -6,9 +6,11 @@
 """
 
 from redwingchute.core import data
+from redwingchute.core import spending
 from redwingchute.wire import codec
 
 _LEDGER = "ledger.capnp"
+_SPEND = "spend.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -16,6 +18,11 @@
     codec.Registration(100, data.LedgerCall, _LEDGER),
     codec.Registration(101, data.LedgerReply, _LEDGER),
     codec.Registration(102, data.Recall, _LEDGER),
+    codec.Registration(150, spending.HoldBills, _SPEND),
+    codec.Registration(151, spending.BillsHeld, _SPEND),
+    codec.Registration(152, spending.ForgetBills, _SPEND),
+    codec.Registration(153, spending.TransferRequest, _SPEND),
+    codec.Registration(154, spending.TransferReply, _SPEND),
 )
 
 
