--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -8,6 +8,7 @@
 from redwingchute.core import data
 from redwingchute.core import fleet
 from redwingchute.core import requesting
+from redwingchute.core import spending
 from redwingchute.version import changes
 from redwingchute.wire import codec
 
@@ -15,6 +16,7 @@
 _FLEET = "fleet.capnp"
 _CONFIGURATION = "configuration.capnp"
 _REQUEST = "request.capnp"
+_SPEND = "spend.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -22,6 +24,11 @@
     codec.Registration(100, data.LedgerCall, _LEDGER),
     codec.Registration(101, data.LedgerReply, _LEDGER),
     codec.Registration(102, data.Recall, _LEDGER),
+    codec.Registration(150, spending.HoldBills, _SPEND),
+    codec.Registration(151, spending.BillsHeld, _SPEND),
+    codec.Registration(152, spending.ForgetBills, _SPEND),
+    codec.Registration(153, spending.TransferRequest, _SPEND),
+    codec.Registration(154, spending.TransferReply, _SPEND),
     codec.Registration(200, fleet.LinkHello, _FLEET),
     codec.Registration(201, fleet.LinkWelcome, _FLEET),
     codec.Registration(202, fleet.LinkProof, _FLEET),
