--- a/redwingchute/core/data.py
+++ b/redwingchute/core/data.py
@@ -51,6 +51,8 @@
     STALE_EPOCH = 8
     TOO_MANY_RERUNS = 9
     NOTHING_TO_RELEASE = 10
+    KEY_EXPIRED = 11
+    NOT_ALLOWED = 12
 
 
 class OutcomeStatus(enum.IntEnum):
@@ -121,18 +123,26 @@
 
 @attrs.frozen
 class Claim:
-    """Claims the single run of a call that may not be repeated."""
+    """Claims the single run of a call that may not be repeated.
+
+    `claim_id` is a random id of this attempt to claim. A holder whose answer
+    was lost sends the same claim again and is told that the claim is its own.
+    """
 
     budget: str
     holder: Incarnation
     key: KeyDigest
     body_digest: bytes
     claimed_at_ms: int
+    claim_id: bytes = b""
 
 
 @attrs.frozen
 class RecordOutcome:
-    """Records the result of a claimed call."""
+    """Records the result of a claimed call.
+
+    The status `NOT_RUN` frees the key, so that a repeat can claim it again.
+    """
 
     budget: str
     holder: Incarnation
@@ -163,18 +173,26 @@
 
 @attrs.frozen
 class Release:
-    """Frees unaccounted tokens of a retired holder, by an operator."""
+    """Frees unaccounted tokens of a retired holder, by an operator.
+
+    A repeated `reference` has no effect.
+    """
 
     budget: str
     holder: Incarnation
     tokens: int
     author: str
     reason: str
+    reference: str = ""
 
 
 @attrs.frozen
 class Transfer:
-    """Moves reserve between two holders; `transfer_id` makes it idempotent."""
+    """Moves reserve between two holders; `transfer_id` makes it idempotent.
+
+    The source deducts the tokens before it makes this record. The record's
+    existence thus proves the transfer, whoever delivers it.
+    """
 
     budget: str
     source: Incarnation
@@ -235,6 +253,125 @@
     entries: tuple[LedgerEntry, ...]
 
 
+@attrs.frozen
+class Checkpoint:
+    """A record of a shard's stream: a part of a snapshot of its fold.
+
+    Attributes:
+      checkpoint_id: Names the snapshot that the part belongs to.
+      as_of_offset: The snapshot's state includes all records up to this one.
+      part: The index of this part, from 0.
+      part_count: How many parts the snapshot has.
+      body: The part's bytes of the snapshot.
+    """
+
+    checkpoint_id: bytes
+    as_of_offset: int
+    part: int
+    part_count: int
+    body: bytes
+
+
+@attrs.frozen
+class HoldingSnapshot:
+    """What one holder has of one budget, within a `ShardSnapshot`."""
+
+    holder: Incarnation
+    lease_tokens: int
+    reserve_tokens: int
+    unaccounted_tokens: int
+    lease_total_tokens: int
+    reserve_total_tokens: int
+    released_tokens: int
+    sequence_watermark: int
+    later_sequences: tuple[int, ...]
+
+
+@attrs.frozen
+class BudgetSnapshot:
+    """One budget, within a `ShardSnapshot`."""
+
+    budget: str
+    credited_tokens: int
+    settled_tokens: int
+    references: bytes
+    holdings: tuple[HoldingSnapshot, ...]
+
+
+@attrs.frozen
+class ClaimSnapshot:
+    """One claimed key, within a `ShardSnapshot`."""
+
+    key: KeyDigest
+    holder: Incarnation
+    body_digest: bytes
+    claimed_at_ms: int
+    claim_id: bytes
+    is_recorded: bool
+    status: OutcomeStatus
+    answer: bytes
+
+
+@attrs.frozen
+class ShardSnapshot:
+    """The fold of a shard but for its settled keys, which follow packed."""
+
+    epoch: int
+    owner: Incarnation
+    owner_host: str
+    last_sequence: int
+    time_ms: int
+    retired: tuple[Incarnation, ...]
+    transfers: bytes
+    budgets: tuple[BudgetSnapshot, ...]
+    claims: tuple[ClaimSnapshot, ...]
+    expired_claims: bytes
+    older_expired_claims: bytes
+    keys_began_at_s: int
+    keys_floor_s: int
+
+
+@attrs.frozen
+class HolderBalance:
+    """What one holder has of one budget."""
+
+    holder: Incarnation
+    lease_tokens: int
+    reserve_tokens: int
+    unaccounted_tokens: int
+
+
+@attrs.frozen
+class BudgetBalance:
+    """The account of one budget; its parts never exceed what is credited."""
+
+    budget: str
+    credited_tokens: int
+    settled_tokens: int
+    leased_tokens: int
+    reserved_tokens: int
+    unaccounted_tokens: int
+    holders: tuple[HolderBalance, ...]
+
+
+@attrs.frozen
+class BalanceQuery:
+    """Asks a shard's owner for balances; an empty `budget` means all."""
+
+    shard: int
+    budget: str = ""
+
+
+@attrs.frozen
+class BalanceReport:
+    """The answer to a `BalanceQuery`, as of the last record folded."""
+
+    shard: int
+    status: "CallStatus"
+    owner_host: str
+    balances: tuple[BudgetBalance, ...] = ()
+
+
 @attrs.frozen
 class Ask:
     """A holder's wish for tokens of one budget.
@@ -262,6 +399,10 @@
       reserve_tokens: Newly granted reserve.
       available_tokens: The free remainder after this grant.
       lease_ms: When to ask again, for liveness only.
+      lease_total_tokens: All lease ever granted to this incarnation. A holder
+        adds the growth of this sum, so lost, repeated and reordered replies
+        change nothing.
+      reserve_total_tokens: All reserve ever granted to this incarnation.
     """
 
     budget: str
@@ -269,6 +410,8 @@
     reserve_tokens: int
     available_tokens: int
     lease_ms: int
+    lease_total_tokens: int = 0
+    reserve_total_tokens: int = 0
 
 
 @attrs.frozen
@@ -289,6 +432,7 @@
     CLAIMED = 3
     OUTCOME_RECORDED = 4
     TOO_MANY_RERUNS = 5
+    EXPIRED = 6
 
 
 @attrs.frozen
@@ -326,7 +470,12 @@
 
 @attrs.frozen
 class LedgerReply:
-    """The owner's reply; the tuples answer those of the call in order."""
+    """The owner's reply; the tuples answer those of the call in order.
+
+    `LOG_UNAVAILABLE` says that the entries may or may not take effect later;
+    sending them again is safe. `is_holder_retired` tells a caller that its
+    incarnation was retired and that it must start a new one.
+    """
 
     shard: int
     epoch: int
@@ -335,6 +484,7 @@
     verdicts: tuple[Verdict, ...] = ()
     grants: tuple[Granted, ...] = ()
     reports: tuple[KeyReport, ...] = ()
+    is_holder_retired: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/redwingchute/process/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The ledger of prepaid budgets, kept in the platform's log."""
--- /dev/null
+++ b/redwingchute/process/ledger/batch_builder.py
@@ -0,0 +1,275 @@
+"""Forms one batch of entries from the calls that wait at a shard's owner."""
+
+import attrs
+
+from redwingchute.core import data
+from redwingchute.process.ledger import budget
+from redwingchute.process.ledger import fold
+from redwingchute.process.ledger import placement_default
+
+# The most entries of one batch; further calls wait for the next one.
+MAX_BATCH_ENTRIES = 4_000
+# How long a holder's stated demand counts.
+_DEMAND_MEMORY_MS = 60_000
+
+_NOT_ALLOWED = data.Verdict(data.VerdictCode.NOT_ALLOWED)
+
+
+@attrs.frozen
+class PlannedAsk:
+    """Where the grants for one ask stand in the batch.
+
+    Attributes:
+      ask: The ask.
+      lease_index: The position of the lease grant, or None without one.
+      reserve_index: The position of the reserve grant, or None without one.
+    """
+
+    ask: data.Ask
+    lease_index: int | None
+    reserve_index: int | None
+
+
+@attrs.frozen
+class BatchedCall:
+    """A call and where its entries stand in the batch.
+
+    Attributes:
+      call_id: The call's id at the shell.
+      received_at_ms: When it came.
+      call: The call.
+      indexes: The position of each entry; None for one that is not allowed.
+      asks: The call's asks.
+    """
+
+    call_id: int
+    received_at_ms: int
+    call: data.LedgerCall
+    indexes: tuple[int | None, ...] = ()
+    asks: tuple[PlannedAsk, ...] = ()
+
+
+@attrs.frozen
+class FormedBatch:
+    """The entries of one batch and the calls that they came with."""
+
+    entries: tuple[data.LedgerEntry, ...]
+    calls: tuple[BatchedCall, ...]
+
+
+@attrs.define
+class _Plan:
+    """Tokens that grants of the batch being formed already take."""
+
+    free: dict[str, int] = attrs.field(factory=dict)
+    held: dict[tuple[str, data.Incarnation, data.GrantKind], int] = attrs.field(
+        factory=dict
+    )
+
+    def add(self, grant: data.Grant) -> None:
+        """Counts a planned grant."""
+        self.free[grant.budget] = self.free.get(grant.budget, 0) + grant.tokens
+        place = (grant.budget, grant.holder, grant.kind)
+        self.held[place] = self.held.get(place, 0) + grant.tokens
+
+
+class BatchBuilder:
+    """Keeps waiting calls and turns them into batches."""
+
+    def __init__(
+        self,
+        policy: placement_default.GrantPolicy,
+        size_grant: placement_default.SizeGrant,
+    ) -> None:
+        """Prepares an empty queue.
+
+        Args:
+          policy: How grants are sized.
+          size_grant: Sizes the answer to each ask.
+        """
+        self._policy = policy
+        self._size_grant = size_grant
+        self._waiting: list[BatchedCall] = []
+        self._demand: dict[str, dict[data.Incarnation, tuple[float, int]]] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no call waits."""
+        return not self._waiting
+
+    def add(self, now_ms: int, call_id: int, call: data.LedgerCall) -> None:
+        """Queues a call and notes the demand that it states."""
+        self._waiting.append(BatchedCall(call_id, now_ms, call))
+        for ask in call.asks:
+            by_holder = self._demand.setdefault(ask.budget, {})
+            by_holder[call.holder] = (ask.demand_tokens_per_s, now_ms)
+
+    def remove_all(self) -> list[int]:
+        """Drops the waiting calls and returns their ids."""
+        call_ids = [each.call_id for each in self._waiting]
+        self._waiting = []
+        return call_ids
+
+    def remove_older(self, since_ms: int) -> list[int]:
+        """Drops calls that came before a time and returns their ids."""
+        old = [
+            each.call_id
+            for each in self._waiting
+            if each.received_at_ms < since_ms
+        ]
+        self._waiting = [
+            each for each in self._waiting if each.received_at_ms >= since_ms
+        ]
+        return old
+
+    def form(
+        self,
+        now_ms: int,
+        shard_fold: fold.ShardFold,
+        first_entries: list[data.Retire],
+    ) -> FormedBatch:
+        """Returns the next batch; its calls no longer wait.
+
+        Args:
+          now_ms: The time.
+          shard_fold: The state that the batch will be applied to.
+          first_entries: The owner's own entries, which go first.
+        """
+        self._forget_demand(now_ms)
+        entries: list[data.LedgerEntry] = list(first_entries)
+        calls: list[BatchedCall] = []
+        plan = _Plan()
+        while self._waiting and len(entries) < MAX_BATCH_ENTRIES:
+            waiting = self._waiting.pop(0)
+            indexes = _place_entries(waiting.call, entries)
+            asks = tuple(
+                self._plan_ask(
+                    shard_fold, waiting.call.holder, ask, plan, entries
+                )
+                for ask in waiting.call.asks
+            )
+            calls.append(attrs.evolve(waiting, indexes=indexes, asks=asks))
+        return FormedBatch(tuple(entries), tuple(calls))
+
+    def _plan_ask(
+        self,
+        shard_fold: fold.ShardFold,
+        holder: data.Incarnation,
+        ask: data.Ask,
+        plan: _Plan,
+        entries: list[data.LedgerEntry],
+    ) -> PlannedAsk:
+        """Sizes the grants for an ask and adds them to the entries."""
+        account = shard_fold.budgets.get(ask.budget)
+        if account is None or shard_fold.is_retired(holder):
+            return PlannedAsk(ask, None, None)
+        state = self._describe(account, holder, ask.budget, plan)
+        lease, reserve = self._size_grant(state, ask, self._policy)
+        indexes: list[int | None] = []
+        for kind, tokens in (
+            (data.GrantKind.LEASE, lease),
+            (data.GrantKind.RESERVE, reserve),
+        ):
+            if tokens <= 0:
+                indexes.append(None)
+                continue
+            grant = data.Grant(ask.budget, holder, kind, tokens)
+            plan.add(grant)
+            indexes.append(len(entries))
+            entries.append(grant)
+        return PlannedAsk(ask, indexes[0], indexes[1])
+
+    def _describe(
+        self,
+        account: budget.Budget,
+        holder: data.Incarnation,
+        name: str,
+        plan: _Plan,
+    ) -> placement_default.BudgetState:
+        """Returns what the sizing function may know."""
+        holding = account.holdings.get(holder) or budget.Holding()
+        lease_place = (name, holder, data.GrantKind.LEASE)
+        reserve_place = (name, holder, data.GrantKind.RESERVE)
+        return placement_default.BudgetState(
+            budget=name,
+            holder=holder,
+            credited_tokens=account.credited_tokens,
+            settled_tokens=account.settled_tokens,
+            free_tokens=max(0, account.free_tokens - plan.free.get(name, 0)),
+            holder_lease_tokens=holding.lease_tokens
+            + plan.held.get(lease_place, 0),
+            holder_reserve_tokens=holding.reserve_tokens
+            + plan.held.get(reserve_place, 0),
+            demand_tokens_per_s={
+                each: rate
+                for each, (rate, _) in self._demand.get(name, {}).items()
+            },
+        )
+
+    def _forget_demand(self, now_ms: int) -> None:
+        """Drops demand that was stated too long ago."""
+        for name, by_holder in list(self._demand.items()):
+            for holder, (_, stated_at_ms) in list(by_holder.items()):
+                if now_ms - stated_at_ms > _DEMAND_MEMORY_MS:
+                    del by_holder[holder]
+            if not by_holder:
+                del self._demand[name]
+
+
+def list_verdicts(
+    batched: BatchedCall, verdicts: tuple[data.Verdict, ...]
+) -> tuple[data.Verdict, ...]:
+    """Returns the verdicts on a call's own entries, in its order."""
+    return tuple(
+        _NOT_ALLOWED if index is None else verdicts[index]
+        for index in batched.indexes
+    )
+
+
+def answer_ask(
+    shard_fold: fold.ShardFold,
+    holder: data.Incarnation,
+    planned: PlannedAsk,
+    verdicts: tuple[data.Verdict, ...],
+    lease_ms: int,
+) -> data.Granted:
+    """Returns what was granted for one ask."""
+    account = shard_fold.budgets.get(planned.ask.budget) or budget.Budget()
+    holding = account.holdings.get(holder) or budget.Holding()
+    return data.Granted(
+        budget=planned.ask.budget,
+        lease_tokens=_count_granted(planned.lease_index, verdicts),
+        reserve_tokens=_count_granted(planned.reserve_index, verdicts),
+        available_tokens=max(0, account.free_tokens),
+        lease_ms=lease_ms,
+        lease_total_tokens=holding.lease_total_tokens,
+        reserve_total_tokens=holding.reserve_total_tokens,
+    )
+
+
+def _count_granted(
+    index: int | None, verdicts: tuple[data.Verdict, ...]
+) -> int:
+    """Returns the tokens that a grant moved."""
+    if index is None:
+        return 0
+    verdict = verdicts[index]
+    is_accepted = verdict.code is data.VerdictCode.ACCEPTED
+    return verdict.tokens if is_accepted else 0
+
+
+def _place_entries(
+    call: data.LedgerCall, entries: list[data.LedgerEntry]
+) -> tuple[int | None, ...]:
+    """Adds a call's entries to the batch; returns where they stand.
+
+    Only the owner itself grants and retires.
+    """
+    indexes: list[int | None] = []
+    for entry in call.entries:
+        if isinstance(entry, data.Grant | data.Retire):
+            indexes.append(None)
+            continue
+        indexes.append(len(entries))
+        entries.append(entry)
+    return tuple(indexes)
--- /dev/null
+++ b/redwingchute/process/ledger/claim_store.py
@@ -0,0 +1,115 @@
+"""Remembers calls that may not be repeated, and their outcomes.
+
+Such calls are rare, so each is a record of its own. Past the window its
+outcome is forgotten, but a packed trace of its key stays: a repeat is then
+refused as expired and never run again.
+"""
+
+import attrs
+
+from redwingchute.core import data
+from redwingchute.process.ledger import key_store
+
+# How long a claim and its outcome are kept, by the shard's time.
+CLAIM_WINDOW_MS = 7 * 24 * 3600 * 1000
+# The number of claims kept with their outcomes, even within the window.
+MAX_CLAIMS = 20_000
+_TRACE_WINDOW_MS = 2**52
+_TRACE = key_store.SettledKey(b"", 0)
+
+
+@attrs.frozen
+class ClaimState:
+    """One claimed key.
+
+    Attributes:
+      holder: Who claimed it.
+      body_digest: The digest of the request's body.
+      claimed_at_ms: The shard's time of the claim.
+      claim_id: The id of the attempt to claim.
+      is_recorded: Whether the outcome is known.
+      status: The outcome.
+      answer: The recorded answer.
+    """
+
+    holder: data.Incarnation
+    body_digest: bytes
+    claimed_at_ms: int
+    claim_id: bytes
+    is_recorded: bool = False
+    status: data.OutcomeStatus = data.OutcomeStatus.UNKNOWN
+    answer: bytes = b""
+
+
+class ClaimStore:
+    """The claimed keys of a shard."""
+
+    def __init__(self) -> None:
+        """Builds an empty store."""
+        self._claims: dict[data.KeyDigest, ClaimState] = {}
+        self._expired = key_store.KeyStore(_TRACE_WINDOW_MS)
+
+    def get(self, key: data.KeyDigest) -> ClaimState | None:
+        """Returns the claim of a key within the window."""
+        return self._claims.get(key)
+
+    def has_expired(self, key: data.KeyDigest) -> bool:
+        """Tells whether the key was claimed before the window."""
+        return self._expired.get(key) is not None
+
+    def put(self, key: data.KeyDigest, claim: ClaimState) -> None:
+        """Adds or replaces a claim."""
+        self._claims[key] = claim
+
+    def remove(self, key: data.KeyDigest) -> None:
+        """Forgets a claim that did not run."""
+        del self._claims[key]
+
+    def expire(self, time_ms: int) -> None:
+        """Turns claims that are older than the window into traces."""
+        while self._claims:
+            key, claim = next(iter(self._claims.items()))
+            is_old = time_ms - claim.claimed_at_ms > CLAIM_WINDOW_MS
+            if not is_old and len(self._claims) <= MAX_CLAIMS:
+                return
+            self._expired.put(key, _TRACE, time_ms)
+            del self._claims[key]
+
+    def save(self) -> tuple[tuple[data.ClaimSnapshot, ...], bytes, bytes]:
+        """Returns the claims and the two packed generations of traces."""
+        claims = tuple(
+            data.ClaimSnapshot(
+                key=key,
+                holder=claim.holder,
+                body_digest=claim.body_digest,
+                claimed_at_ms=claim.claimed_at_ms,
+                claim_id=claim.claim_id,
+                is_recorded=claim.is_recorded,
+                status=claim.status,
+                answer=claim.answer,
+            )
+            for key, claim in self._claims.items()
+        )
+        current, previous, _, _ = self._expired.save()
+        return claims, current, previous
+
+    def restore(
+        self,
+        claims: tuple[data.ClaimSnapshot, ...],
+        current: bytes,
+        previous: bytes,
+    ) -> None:
+        """Replaces the contents by what `save` returned."""
+        self._claims = {
+            claim.key: ClaimState(
+                holder=claim.holder,
+                body_digest=claim.body_digest,
+                claimed_at_ms=claim.claimed_at_ms,
+                claim_id=claim.claim_id,
+                is_recorded=claim.is_recorded,
+                status=claim.status,
+                answer=claim.answer,
+            )
+            for claim in claims
+        }
+        self._expired.restore(current, previous, 0, 0)
--- /dev/null
+++ b/redwingchute/process/ledger/fold.py
@@ -0,0 +1,485 @@
+"""Folds the records of one ledger shard, in log order, into its state.
+
+The order of records decides, never a clock: a record takes effect if it is
+valid against the fold of all records before it, and every reader of the
+stream reaches the same verdicts. What a deposed owner or a retired holder
+still writes is void.
+"""
+
+from typing import TypeAlias
+
+import attrs
+import xxhash
+
+from redwingchute.core import data
+from redwingchute.process.ledger import budget
+from redwingchute.process.ledger import claim_store
+from redwingchute.process.ledger import key_store
+
+# How long a settled key is kept at least, by the shard's time.
+KEY_WINDOW_MS = 6 * 3600 * 1000
+# How often a settled key may be run again.
+MAX_RERUNS = 5
+# The number of transfer ids that are remembered.
+MAX_TRANSFERS = 50_000
+# The number of retired holders that are remembered.
+MAX_RETIRED = 100_000
+# The furthest that one entry moves the shard's time. A holder with a wrong
+# clock thus cannot end the window of the keys.
+_TIME_STEP_MS = 1_000
+
+_MAX_STAMP_MS = 2**32 * 1000 - 1
+
+Record: TypeAlias = data.Takeover | data.Batch | data.Checkpoint
+
+_ACCEPTED = data.Verdict(data.VerdictCode.ACCEPTED)
+_REPEATED = data.Verdict(data.VerdictCode.REPEATED)
+
+
+def make_record_id(owner: data.Incarnation, sequence: int) -> bytes:
+    """Returns the id of an owner's record; sequences count up from 1."""
+    return owner.to_bytes(8, "big") + sequence.to_bytes(8, "big")
+
+
+class ShardFold:
+    """The state of one shard after the records that were applied.
+
+    Attributes:
+      offset: The offset of the last applied record, or -1.
+      epoch: The number of the current ownership; 0 before the first.
+      owner: The incarnation that owns the shard, 0 before the first.
+      owner_host: The host that it runs on.
+      budgets: The budgets by name.
+      retired: The holders whose entries are void, oldest first.
+    """
+
+    def __init__(self) -> None:
+        """Builds the state before the first record."""
+        self.offset = -1
+        self.epoch = 0
+        self.owner: data.Incarnation = 0
+        self.owner_host = ""
+        self.budgets: dict[str, budget.Budget] = {}
+        self.retired: dict[data.Incarnation, None] = {}
+        self.last_sequence = 0
+        self.time_ms = 0
+        self.transfers: dict[bytes, None] = {}
+        self.keys = key_store.KeyStore(KEY_WINDOW_MS)
+        self.claims = claim_store.ClaimStore()
+
+    def apply(self, offset: int, record: Record) -> tuple[data.Verdict, ...]:
+        """Applies the next record of the stream.
+
+        Args:
+          offset: The record's offset; offsets of unreadable records may be
+            left out.
+          record: The record.
+
+        Returns:
+          For a takeover one verdict, for a batch one for each entry, for a
+          checkpoint none, since it repeats what the fold already knows.
+        """
+        self.offset = offset
+        match record:
+            case data.Takeover():
+                return (self._apply_takeover(record),)
+            case data.Batch():
+                return self._apply_batch(record)
+            case data.Checkpoint():
+                return ()
+
+    def look_up(self, lookup: data.Lookup) -> data.KeyReport:
+        """Reports what is known of a key."""
+        claim = self.claims.get(lookup.key)
+        if claim is not None:
+            return _report_claim(claim, lookup.body_digest)
+        if self.claims.has_expired(lookup.key):
+            return data.KeyReport(data.KeyState.EXPIRED)
+        settled = self.keys.get(lookup.key)
+        if settled is None:
+            return data.KeyReport(data.KeyState.NEW)
+        if settled.body_digest != pack_body(lookup.body_digest):
+            return data.KeyReport(data.KeyState.BODY_MISMATCH)
+        if settled.reruns >= MAX_RERUNS:
+            return data.KeyReport(data.KeyState.TOO_MANY_RERUNS)
+        return data.KeyReport(data.KeyState.SETTLED)
+
+    def report_balances(self, name: str) -> tuple[data.BudgetBalance, ...]:
+        """Returns the balance of one budget, or of all for an empty name."""
+        return tuple(
+            self.budgets[each].report(each)
+            for each in sorted(self.budgets)
+            if name in ("", each)
+        )
+
+    def is_retired(self, holder: data.Incarnation) -> bool:
+        """Tells whether a holder's entries are void."""
+        return holder in self.retired
+
+    def is_holder(self, holder: data.Incarnation) -> bool:
+        """Tells whether an incarnation has, or had, tokens of a budget."""
+        return any(
+            holder in account.holdings for account in self.budgets.values()
+        )
+
+    def _apply_takeover(self, record: data.Takeover) -> data.Verdict:
+        """Changes the owner if the record follows the current epoch."""
+        is_current = record.epoch == self.epoch and record.owner == self.owner
+        if is_current:
+            return _REPEATED
+        if record.epoch != self.epoch + 1:
+            return data.Verdict(data.VerdictCode.STALE_EPOCH)
+        if self.is_retired(record.owner):
+            return data.Verdict(data.VerdictCode.HOLDER_RETIRED)
+        self.epoch = record.epoch
+        self.owner = record.owner
+        self.owner_host = record.host
+        self.last_sequence = 0
+        return _ACCEPTED
+
+    def _apply_batch(self, record: data.Batch) -> tuple[data.Verdict, ...]:
+        """Applies the entries if the record is its owner's and is new."""
+        refusal = self._check_batch(record)
+        if refusal is not None:
+            return (refusal,) * len(record.entries)
+        return tuple(self._apply_entry(entry) for entry in record.entries)
+
+    def _check_batch(self, record: data.Batch) -> data.Verdict | None:
+        """Returns why a batch is void, or None.
+
+        An owner appends its next record only after it has read the last one
+        back. Its sequences therefore grow, and a record whose sequence does
+        not is a late copy.
+        """
+        if record.epoch != self.epoch or record.owner != self.owner:
+            return data.Verdict(data.VerdictCode.STALE_EPOCH)
+        if self.is_retired(record.owner):
+            return data.Verdict(data.VerdictCode.HOLDER_RETIRED)
+        sequence = int.from_bytes(record.record_id[8:16], "big")
+        if sequence <= self.last_sequence:
+            return _REPEATED
+        self.last_sequence = sequence
+        return None
+
+    def _apply_entry(self, entry: data.LedgerEntry) -> data.Verdict:
+        """Applies one entry of a valid batch."""
+        match entry:
+            case data.Credit():
+                return self._apply_credit(entry)
+            case data.Grant():
+                return self._apply_grant(entry)
+            case data.GiveBack():
+                return self._apply_give_back(entry)
+            case data.Settle():
+                return self._apply_settle(entry)
+            case data.Claim():
+                return self._apply_claim(entry)
+            case data.RecordOutcome():
+                return self._apply_outcome(entry)
+            case data.Resolve():
+                return self._apply_resolve(entry)
+            case data.Retire():
+                return self._apply_retire(entry)
+            case data.Release():
+                return self._apply_release(entry)
+            case data.Transfer():
+                return self._apply_transfer(entry)
+
+    def _apply_credit(self, entry: data.Credit) -> data.Verdict:
+        """Tops a budget up, or reduces it by what is free."""
+        account = self.budgets.get(entry.budget)
+        if account is None:
+            if entry.tokens < 0:
+                return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
+            account = self.budgets.setdefault(entry.budget, budget.Budget())
+        reference = _digest_reference("credit", entry.reference)
+        if reference in account.references:
+            return _REPEATED
+        if -entry.tokens > account.free_tokens:
+            return data.Verdict(
+                data.VerdictCode.INSUFFICIENT_TOKENS, account.free_tokens
+            )
+        account.references.add(reference)
+        account.credited_tokens += entry.tokens
+        return data.Verdict(data.VerdictCode.ACCEPTED, entry.tokens)
+
+    def _apply_grant(self, entry: data.Grant) -> data.Verdict:
+        """Grants as much of the wish as is free."""
+        account = self.budgets.get(entry.budget)
+        if account is None:
+            return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
+        if self.is_retired(entry.holder):
+            return data.Verdict(data.VerdictCode.HOLDER_RETIRED)
+        moved = account.grant(entry.holder, entry.kind, entry.tokens)
+        if moved == 0:
+            return data.Verdict(data.VerdictCode.INSUFFICIENT_TOKENS)
+        return data.Verdict(data.VerdictCode.ACCEPTED, moved)
+
+    def _apply_give_back(self, entry: data.GiveBack) -> data.Verdict:
+        """Frees what a holder returns.
+
+        A retired holder that turns out to be alive proves by this that it did
+        not use its reserve, and no longer will.
+        """
+        account = self.budgets.get(entry.budget)
+        if account is None:
+            return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
+        holding = account.holdings.get(entry.holder)
+        if holding is None:
+            return data.Verdict(data.VerdictCode.INSUFFICIENT_TOKENS)
+        if holding.has_seen_sequence(entry.sequence):
+            return _REPEATED
+        is_retired = self.is_retired(entry.holder)
+        if is_retired and entry.kind is data.GrantKind.LEASE:
+            return data.Verdict(data.VerdictCode.HOLDER_RETIRED)
+        if not account.take(entry.holder, entry.kind, entry.tokens, is_retired):
+            return data.Verdict(data.VerdictCode.INSUFFICIENT_TOKENS)
+        holding.note_sequence(entry.sequence)
+        return data.Verdict(data.VerdictCode.ACCEPTED, entry.tokens)
+
+    def _apply_settle(self, entry: data.Settle) -> data.Verdict:
+        """Bills a request, once for its key."""
+        account = self.budgets.get(entry.budget)
+        if account is None:
+            return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
+        refusal = self._check_settle(entry)
+        if refusal is not None:
+            return refusal
+        if not self._charge(account, entry.holder, entry.kind, entry.tokens):
+            return data.Verdict(data.VerdictCode.INSUFFICIENT_TOKENS)
+        self._advance_time(entry.settled_at_ms)
+        settled = key_store.SettledKey(
+            pack_body(entry.body_digest), _to_stamp_s(entry.settled_at_ms)
+        )
+        self.keys.put(entry.key, settled, self.time_ms)
+        return data.Verdict(data.VerdictCode.ACCEPTED, entry.tokens)
+
+    def _check_settle(self, entry: data.Settle) -> data.Verdict | None:
+        """Returns why a settlement is not to be billed, or None."""
+        settled = self.keys.get(entry.key)
+        if settled is not None:
+            return self._repeat_settle(entry, settled)
+        claim = self.claims.get(entry.key)
+        if claim is not None or self.claims.has_expired(entry.key):
+            return data.Verdict(data.VerdictCode.ALREADY_CLAIMED)
+        if _to_stamp_s(entry.settled_at_ms) < self.keys.floor_s:
+            return data.Verdict(data.VerdictCode.KEY_EXPIRED)
+        is_lease = entry.kind is data.GrantKind.LEASE
+        if is_lease and self.is_retired(entry.holder):
+            return data.Verdict(data.VerdictCode.HOLDER_RETIRED)
+        return None
+
+    def _repeat_settle(
+        self, entry: data.Settle, settled: key_store.SettledKey
+    ) -> data.Verdict:
+        """Returns the verdict on a key that is settled; bills nothing.
+
+        A copy of the same bill carries the same time; any other time is that
+        of another run, of which there may be only so many.
+        """
+        if settled.body_digest != pack_body(entry.body_digest):
+            return data.Verdict(data.VerdictCode.BODY_MISMATCH)
+        if settled.settled_at_s == _to_stamp_s(entry.settled_at_ms):
+            return _REPEATED
+        if settled.reruns >= MAX_RERUNS:
+            return data.Verdict(data.VerdictCode.TOO_MANY_RERUNS)
+        rerun = attrs.evolve(settled, reruns=settled.reruns + 1)
+        self.keys.put(entry.key, rerun, self.time_ms)
+        return _REPEATED
+
+    def _apply_claim(self, entry: data.Claim) -> data.Verdict:
+        """Claims the single run of a key."""
+        if entry.budget not in self.budgets:
+            return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
+        if self.is_retired(entry.holder):
+            return data.Verdict(data.VerdictCode.HOLDER_RETIRED)
+        self._advance_time(entry.claimed_at_ms)
+        self.claims.expire(self.time_ms)
+        claim = self.claims.get(entry.key)
+        if claim is not None:
+            return _repeat_claim(entry, claim)
+        if self.claims.has_expired(entry.key):
+            return data.Verdict(data.VerdictCode.KEY_EXPIRED)
+        settled = self.keys.get(entry.key)
+        if settled is not None:
+            return data.Verdict(data.VerdictCode.BODY_MISMATCH)
+        age_ms = self.time_ms - entry.claimed_at_ms
+        if age_ms > claim_store.CLAIM_WINDOW_MS:
+            return data.Verdict(data.VerdictCode.KEY_EXPIRED)
+        state = claim_store.ClaimState(
+            entry.holder, entry.body_digest, self.time_ms, entry.claim_id
+        )
+        self.claims.put(entry.key, state)
+        return _ACCEPTED
+
+    def _apply_outcome(self, entry: data.RecordOutcome) -> data.Verdict:
+        """Records and bills the outcome of a claimed call."""
+        account = self.budgets.get(entry.budget)
+        if account is None:
+            return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
+        claim = self.claims.get(entry.key)
+        if claim is None or claim.holder != entry.holder:
+            return data.Verdict(data.VerdictCode.NOT_CLAIMED)
+        if claim.is_recorded:
+            return data.Verdict(
+                data.VerdictCode.REPEATED,
+                status=claim.status,
+                answer=claim.answer,
+            )
+        if entry.status is data.OutcomeStatus.NOT_RUN:
+            self.claims.remove(entry.key)
+            return _ACCEPTED
+        is_lease = entry.kind is data.GrantKind.LEASE
+        if is_lease and entry.tokens and self.is_retired(entry.holder):
+            return data.Verdict(data.VerdictCode.HOLDER_RETIRED)
+        if not self._charge(account, entry.holder, entry.kind, entry.tokens):
+            return data.Verdict(data.VerdictCode.INSUFFICIENT_TOKENS)
+        self._record_claim(entry.key, claim, entry.status, entry.answer)
+        return data.Verdict(data.VerdictCode.ACCEPTED, entry.tokens)
+
+    def _apply_resolve(self, entry: data.Resolve) -> data.Verdict:
+        """Decides, for an operator, on an outcome that is unknown."""
+        claim = self.claims.get(entry.key)
+        if claim is None:
+            return data.Verdict(data.VerdictCode.NOT_CLAIMED)
+        if claim.is_recorded:
+            code = data.VerdictCode.REPEATED
+            return data.Verdict(code, status=claim.status)
+        if entry.status is data.OutcomeStatus.NOT_RUN:
+            self.claims.remove(entry.key)
+        else:
+            self._record_claim(entry.key, claim, entry.status, b"")
+        return _ACCEPTED
+
+    def _apply_retire(self, entry: data.Retire) -> data.Verdict:
+        """Voids a holder's later entries and takes its grants."""
+        if self.is_retired(entry.holder):
+            return _REPEATED
+        self.retired[entry.holder] = None
+        if len(self.retired) > MAX_RETIRED:
+            del self.retired[next(iter(self.retired))]
+        for account in self.budgets.values():
+            account.retire(entry.holder)
+        return _ACCEPTED
+
+    def _apply_release(self, entry: data.Release) -> data.Verdict:
+        """Frees unaccounted tokens on an operator's word."""
+        account = self.budgets.get(entry.budget)
+        if account is None:
+            return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
+        reference = _digest_reference("release", entry.reference)
+        if entry.reference and reference in account.references:
+            return _REPEATED
+        releasable_tokens = account.count_releasable(entry.holder)
+        tokens = min(entry.tokens, releasable_tokens)
+        if tokens <= 0:
+            return data.Verdict(data.VerdictCode.NOTHING_TO_RELEASE)
+        if entry.reference:
+            account.references.add(reference)
+        account.release(entry.holder, tokens)
+        return data.Verdict(data.VerdictCode.ACCEPTED, tokens)
+
+    def _apply_transfer(self, entry: data.Transfer) -> data.Verdict:
+        """Moves reserve from holder to holder, once for its id."""
+        account = self.budgets.get(entry.budget)
+        if account is None:
+            return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
+        transfer_id = xxhash.xxh3_128_digest(entry.transfer_id)
+        if transfer_id in self.transfers:
+            return _REPEATED
+        if entry.tokens <= 0 or not account.transfer(
+            entry.source,
+            entry.target,
+            entry.tokens,
+            self.is_retired(entry.source),
+            self.is_retired(entry.target),
+        ):
+            return data.Verdict(data.VerdictCode.INSUFFICIENT_TOKENS)
+        self.transfers[transfer_id] = None
+        if len(self.transfers) > MAX_TRANSFERS:
+            del self.transfers[next(iter(self.transfers))]
+        return data.Verdict(data.VerdictCode.ACCEPTED, entry.tokens)
+
+    def _charge(
+        self,
+        account: budget.Budget,
+        holder: data.Incarnation,
+        kind: data.GrantKind,
+        tokens: int,
+    ) -> bool:
+        """Bills tokens from a holder's grant; False when it lacks them."""
+        if not account.take(holder, kind, tokens, self.is_retired(holder)):
+            return False
+        account.settle(tokens)
+        return True
+
+    def _record_claim(
+        self,
+        key: data.KeyDigest,
+        claim: claim_store.ClaimState,
+        status: data.OutcomeStatus,
+        answer: bytes,
+    ) -> None:
+        """Keeps the outcome of a claimed call."""
+        recorded = attrs.evolve(
+            claim, is_recorded=True, status=status, answer=answer
+        )
+        self.claims.put(key, recorded)
+
+    def _advance_time(self, stamp_ms: int) -> None:
+        """Moves the shard's time towards a holder's clock, by a small step.
+
+        With a step for each entry, the time follows the middle of the
+        holders' clocks, whatever one of them shows.
+        """
+        stamp_ms = max(0, min(stamp_ms, _MAX_STAMP_MS))
+        if self.time_ms == 0:
+            self.time_ms = stamp_ms
+            return
+        step_ms = stamp_ms - self.time_ms
+        self.time_ms += max(-_TIME_STEP_MS, min(step_ms, _TIME_STEP_MS))
+
+
+def pack_body(body_digest: bytes) -> bytes:
+    """Returns the part of a body's digest that is kept with its key."""
+    size = key_store.BODY_BYTES
+    return body_digest[:size].ljust(size, b"\0")
+
+
+def _to_stamp_s(stamp_ms: int) -> int:
+    """Returns a holder's clock in seconds, within what a slot can hold."""
+    return max(0, min(stamp_ms, _MAX_STAMP_MS)) // 1000
+
+
+def _digest_reference(action: str, reference: str) -> bytes:
+    """Returns the digest under which an operator's reference is kept."""
+    return xxhash.xxh3_128_digest(f"{action}:{reference}".encode())
+
+
+def _report_claim(
+    claim: claim_store.ClaimState, body_digest: bytes
+) -> data.KeyReport:
+    """Reports a claimed key."""
+    if claim.body_digest != body_digest:
+        return data.KeyReport(data.KeyState.BODY_MISMATCH)
+    if not claim.is_recorded:
+        return data.KeyReport(data.KeyState.CLAIMED)
+    return data.KeyReport(
+        data.KeyState.OUTCOME_RECORDED, claim.status, claim.answer
+    )
+
+
+def _repeat_claim(
+    entry: data.Claim, claim: claim_store.ClaimState
+) -> data.Verdict:
+    """Returns the verdict on a key that is already claimed."""
+    if claim.body_digest != entry.body_digest:
+        return data.Verdict(data.VerdictCode.BODY_MISMATCH)
+    is_own = claim.holder == entry.holder and claim.claim_id == entry.claim_id
+    if is_own and entry.claim_id and not claim.is_recorded:
+        return _REPEATED
+    return data.Verdict(
+        data.VerdictCode.ALREADY_CLAIMED,
+        status=claim.status,
+        answer=claim.answer,
+    )
--- /dev/null
+++ b/redwingchute/process/ledger/follower.py
@@ -0,0 +1,148 @@
+"""Follows the stream of one shard: recovers its fold and keeps it current.
+
+A reader that sees the stream from its first record on folds it from nothing.
+One that comes after the log dropped records waits for a checkpoint whose later
+records it has all seen. It never starts from an empty state in between: a
+shard without a usable checkpoint is refused, not begun anew.
+"""
+
+import enum
+
+import attrs
+
+from redwingchute.core import data
+from redwingchute.process.ledger import checkpoint
+from redwingchute.process.ledger import fold
+from redwingchute.process.ledger import log_outcomes
+from redwingchute.wire import codec
+
+
+class FollowState(enum.Enum):
+    """How far a follower knows its shard.
+
+    Attributes:
+      RECOVERING: The end of the stream has not been seen yet.
+      CURRENT: The fold was current when the stream was last read.
+      STATE_LOST: The log dropped records that no checkpoint covers.
+      NEWER_RELEASE: The stream holds a record of an unknown kind, which this
+        release must not guess at.
+    """
+
+    RECOVERING = 0
+    CURRENT = 1
+    STATE_LOST = 2
+    NEWER_RELEASE = 3
+
+
+@attrs.frozen
+class Applied:
+    """A record that was applied, and the verdicts on it."""
+
+    offset: int
+    record: fold.Record
+    verdicts: tuple[data.Verdict, ...]
+
+
+class ShardFollower:
+    """Applies the pages of one shard's stream.
+
+    Attributes:
+      state: How far the shard is known.
+      shard_fold: The fold; it means something in the state `CURRENT` only.
+      next_offset: The offset to read from next.
+      unreadable_count: Records that are no messages, and were passed over.
+    """
+
+    def __init__(self, wire_codec: codec.Codec) -> None:
+        """Prepares to read the stream from its beginning."""
+        self._codec = wire_codec
+        self.unreadable_count = 0
+        self.state = FollowState.RECOVERING
+        self.next_offset = 0
+        self.shard_fold = fold.ShardFold()
+        self._first_offset = 0
+        self._has_fold = True
+        self._waiting: list[tuple[int, fold.Record]] = []
+        self._assembler = checkpoint.SnapshotAssembler(wire_codec)
+
+    def apply_page(self, page: log_outcomes.Page) -> list[Applied]:
+        """Applies the records of a page that was read from `next_offset`."""
+        applied: list[Applied] = []
+        for log_record in page.records:
+            if log_record.offset < self.next_offset:
+                continue
+            if self.state is FollowState.NEWER_RELEASE:
+                return applied
+            self.next_offset = log_record.offset + 1
+            record = self._decode(log_record.body)
+            if record is not None:
+                applied += self._apply_record(log_record.offset, record)
+        if self.next_offset >= page.next:
+            self._note_end()
+        return applied
+
+    def note_trimmed(self, trimmed: log_outcomes.Trimmed) -> None:
+        """Starts again from the oldest record that the log keeps."""
+        self._restart(trimmed.first)
+        if self.next_offset >= trimmed.next:
+            self._note_end()
+
+    def _restart(self, first_offset: int) -> None:
+        """Forgets the fold and reads from an offset on."""
+        self.state = FollowState.RECOVERING
+        self.next_offset = first_offset
+        self.shard_fold = fold.ShardFold()
+        self._first_offset = first_offset
+        self._has_fold = first_offset == 0
+        self._waiting = []
+        self._assembler = checkpoint.SnapshotAssembler(self._codec)
+
+    def _decode(self, body: bytes) -> fold.Record | None:
+        """Returns the record, or None when it is not one for this fold."""
+        decoded = self._codec.decode(body)
+        match decoded:
+            case codec.UnknownKind():
+                self.state = FollowState.NEWER_RELEASE
+                return None
+            case codec.Decoded(
+                record=data.Takeover()
+                | data.Batch()
+                | data.Checkpoint() as record
+            ):
+                return record
+            case _:
+                self.unreadable_count += 1
+                return None
+
+    def _apply_record(self, offset: int, record: fold.Record) -> list[Applied]:
+        """Applies a record, or keeps it until a checkpoint is whole."""
+        if self._has_fold:
+            verdicts = self.shard_fold.apply(offset, record)
+            return [Applied(offset, record, verdicts)]
+        self._waiting.append((offset, record))
+        if not isinstance(record, data.Checkpoint):
+            return []
+        loaded = self._assembler.add(record)
+        if loaded is None or loaded.offset + 1 < self._first_offset:
+            return []
+        return self._adopt(loaded)
+
+    def _adopt(self, loaded: fold.ShardFold) -> list[Applied]:
+        """Takes a checkpoint's fold and applies what came after it."""
+        self.shard_fold = loaded
+        self._has_fold = True
+        later = [each for each in self._waiting if each[0] > loaded.offset]
+        self._waiting = []
+        return [
+            Applied(offset, record, self.shard_fold.apply(offset, record))
+            for offset, record in later
+        ]
+
+    def _note_end(self) -> None:
+        """Notes that the end of the stream was reached."""
+        if self.state in (FollowState.RECOVERING, FollowState.STATE_LOST):
+            self.state = (
+                FollowState.CURRENT
+                if self._has_fold
+                else FollowState.STATE_LOST
+            )
--- /dev/null
+++ b/redwingchute/process/ledger/key_store.py
@@ -0,0 +1,193 @@
+"""Remembers settled keys in packed memory for a stated window.
+
+A shard of a busy fleet settles tens of thousands of keys an hour. One Python
+object for each would take most of a daemon's memory for control, so keys stand
+in a byte array with open addressing. Two generations bound the window: when
+the current one is older than the window, it becomes the previous one, and what
+the previous one held is forgotten. A key is thus kept for one to two windows.
+"""
+
+import struct
+
+import attrs
+import xxhash
+
+# The size of a key's digest.
+KEY_BYTES = 16
+
+# The first bytes of a body's digest that are kept beside its key.
+BODY_BYTES = 8
+
+# A generation ends at this many keys, even within the window.
+MAX_KEYS_PER_GENERATION = 131_072
+
+# Key, body digest, settled at (seconds), reruns, whether the slot is used.
+_SLOT = struct.Struct("<16s8sIBB")
+_MIN_CAPACITY = 64
+_MAX_RERUNS_KEPT = 255
+
+
+@attrs.frozen
+class SettledKey:
+    """What is remembered of a settled key.
+
+    Attributes:
+      body_digest: The first `BODY_BYTES` bytes of the body's digest.
+      settled_at_s: When it was settled, in seconds since the epoch.
+      reruns: How often the key was settled again by another run.
+    """
+
+    body_digest: bytes
+    settled_at_s: int
+    reruns: int = 0
+
+
+class PackedTable:
+    """A map from 16-byte keys to `SettledKey` in one byte array."""
+
+    def __init__(self, packed: bytes = b"") -> None:
+        """Builds the table from the slots that `pack` returned."""
+        self._capacity = _MIN_CAPACITY
+        self._slots = bytearray(_SLOT.size * self._capacity)
+        self.count = 0
+        for offset in range(0, len(packed), _SLOT.size):
+            key, body, settled_at_s, reruns, _ = _SLOT.unpack_from(
+                packed, offset
+            )
+            self.put(key, SettledKey(body, settled_at_s, reruns))
+
+    def get(self, key: bytes) -> SettledKey | None:
+        """Returns what is known of a key."""
+        slot = self._find_slot(key)
+        _, body, settled_at_s, reruns, is_used = _SLOT.unpack_from(
+            self._slots, slot
+        )
+        return SettledKey(body, settled_at_s, reruns) if is_used else None
+
+    def put(self, key: bytes, settled: SettledKey) -> None:
+        """Adds or replaces a key."""
+        slot = self._find_slot(key)
+        if not self._slots[slot + _SLOT.size - 1]:
+            if 4 * (self.count + 1) > 3 * self._capacity:
+                self._grow()
+                slot = self._find_slot(key)
+            self.count += 1
+        _SLOT.pack_into(
+            self._slots,
+            slot,
+            key,
+            settled.body_digest,
+            settled.settled_at_s,
+            min(settled.reruns, _MAX_RERUNS_KEPT),
+            1,
+        )
+
+    def pack(self) -> bytes:
+        """Returns the used slots, ordered by key."""
+        size = _SLOT.size
+        slots = (
+            bytes(self._slots[offset : offset + size])
+            for offset in range(0, len(self._slots), size)
+            if self._slots[offset + size - 1]
+        )
+        return b"".join(sorted(slots))
+
+    def _find_slot(self, key: bytes) -> int:
+        """Returns the offset of the key's slot, or of the free one for it."""
+        size = _SLOT.size
+        index = int.from_bytes(key[:8], "little") % self._capacity
+        while True:
+            offset = index * size
+            if not self._slots[offset + size - 1]:
+                return offset
+            if self._slots[offset : offset + 16] == key:
+                return offset
+            index = (index + 1) % self._capacity
+
+    def _grow(self) -> None:
+        """Doubles the capacity."""
+        old_slots = self._slots
+        self._capacity *= 2
+        self._slots = bytearray(_SLOT.size * self._capacity)
+        size = _SLOT.size
+        for offset in range(0, len(old_slots), size):
+            if old_slots[offset + size - 1]:
+                slot = self._find_slot(bytes(old_slots[offset : offset + 16]))
+                self._slots[slot : slot + size] = old_slots[
+                    offset : offset + size
+                ]
+
+
+class KeyStore:
+    """The settled keys of the last window.
+
+    Attributes:
+      floor_s: Every key that was settled at or after this time is remembered;
+        what carries an earlier time may have been forgotten.
+    """
+
+    def __init__(self, window_ms: int) -> None:
+        """Builds an empty store that keeps each key for `window_ms`."""
+        self._window_s = window_ms // 1000
+        self._current = PackedTable()
+        self._previous = PackedTable()
+        self._began_at_s = 0
+        self.floor_s = 0
+
+    @property
+    def count(self) -> int:
+        """The number of keys that are remembered."""
+        return self._current.count + self._previous.count
+
+    def get(self, key: bytes) -> SettledKey | None:
+        """Returns what is known of a key."""
+        slot_key = _to_slot_key(key)
+        return self._current.get(slot_key) or self._previous.get(slot_key)
+
+    def put(self, key: bytes, settled: SettledKey, time_ms: int) -> None:
+        """Adds or replaces a key.
+
+        Args:
+          key: The key; one that has not 16 bytes is digested.
+          settled: What to remember.
+          time_ms: The shard's time, which drives the window.
+        """
+        time_s = time_ms // 1000
+        if self._current.count == 0:
+            self._began_at_s = time_s
+        elif self._is_generation_over(time_s):
+            self._previous = self._current
+            self._current = PackedTable()
+            self.floor_s = self._began_at_s
+            self._began_at_s = time_s
+        self._current.put(_to_slot_key(key), settled)
+
+    def save(self) -> tuple[bytes, bytes, int, int]:
+        """Returns both packed generations and the times for `restore`."""
+        return (
+            self._current.pack(),
+            self._previous.pack(),
+            self._began_at_s,
+            self.floor_s,
+        )
+
+    def restore(
+        self, current: bytes, previous: bytes, began_at_s: int, floor_s: int
+    ) -> None:
+        """Replaces the contents by what `save` returned."""
+        self._current = PackedTable(current)
+        self._previous = PackedTable(previous)
+        self._began_at_s = began_at_s
+        self.floor_s = floor_s
+
+    def _is_generation_over(self, time_s: int) -> bool:
+        """Tells whether the current generation is old or full."""
+        return (
+            time_s - self._began_at_s > self._window_s
+            or self._current.count >= MAX_KEYS_PER_GENERATION
+        )
+
+
+def _to_slot_key(key: bytes) -> bytes:
+    """Returns the 16 bytes under which a key is kept."""
+    return key if len(key) == KEY_BYTES else xxhash.xxh3_128_digest(key)
--- /dev/null
+++ b/redwingchute/process/ledger/log_client.py
@@ -0,0 +1,138 @@
+"""Talks to the platform's log service over HTTP.
+
+An append whose answer was lost is told apart from one that did not take
+effect, since only the latter may be sent again without looking.
+"""
+
+import base64
+import binascii
+import json
+from typing import Any
+
+from redwingchute.connection import http_client
+from redwingchute.process.ledger import log_outcomes
+
+_HTTP_OK = 200
+_HTTP_GONE = 410
+_HTTP_SERVER_ERROR = 500
+# How much longer than its wait a read may take.
+_READ_MARGIN_MS = 2_000
+
+
+class LogClient:
+    """Appends to and reads the streams of the log service."""
+
+    def __init__(
+        self,
+        pool: http_client.ClientPool,
+        address: http_client.Address,
+        append_timeout_ms: int = 5_000,
+    ) -> None:
+        """Binds the client to the service.
+
+        Args:
+          pool: Where connections come from.
+          address: Where the service listens.
+          append_timeout_ms: How long an append may take before its outcome
+            counts as unknown.
+        """
+        self._pool = pool
+        self._address = address
+        self._append_timeout_ms = append_timeout_ms
+        self.append_count = 0
+
+    async def append(
+        self, stream: str, body: bytes
+    ) -> log_outcomes.AppendOutcome:
+        """Appends one record to a stream."""
+        self.append_count += 1
+        fetched = await self._pool.fetch(
+            self._address,
+            "POST",
+            f"/streams/{stream}/records",
+            [("content-type", "application/octet-stream")],
+            body,
+            self._append_timeout_ms,
+        )
+        match fetched:
+            case http_client.ConnectFailed(message):
+                return log_outcomes.LogUnreachable(message)
+            case http_client.ExchangeBroken(message):
+                return log_outcomes.AppendUnknown(message)
+            case http_client.Fetched(status, _, content):
+                return _read_append_answer(status, content)
+
+    async def read(
+        self, stream: str, from_offset: int, limit: int, wait_ms: int
+    ) -> log_outcomes.ReadOutcome:
+        """Reads records of a stream.
+
+        Args:
+          stream: The stream's name.
+          from_offset: The offset of the first record wanted.
+          limit: The most records to return.
+          wait_ms: How long the service waits for a record when there is none.
+        """
+        fetched = await self._pool.fetch(
+            self._address,
+            "GET",
+            f"/streams/{stream}/records"
+            f"?from={from_offset}&limit={limit}&wait_ms={wait_ms}",
+            [],
+            b"",
+            wait_ms + _READ_MARGIN_MS,
+        )
+        match fetched:
+            case http_client.ConnectFailed(message):
+                return log_outcomes.LogUnreachable(message)
+            case http_client.ExchangeBroken(message):
+                return log_outcomes.LogUnreachable(message)
+            case http_client.Fetched(status, _, content):
+                return _read_page(status, content)
+
+
+def _read_append_answer(
+    status: int, content: bytes
+) -> log_outcomes.AppendOutcome:
+    """Returns the outcome that an answer to an append stands for."""
+    if status == _HTTP_OK:
+        fields = _parse_object(content)
+        offset = fields.get("offset") if fields is not None else None
+        if isinstance(offset, int):
+            return log_outcomes.Appended(offset)
+        return log_outcomes.AppendUnknown("the answer holds no offset")
+    if status >= _HTTP_SERVER_ERROR:
+        return log_outcomes.AppendUnknown(f"the log answered {status}")
+    return log_outcomes.LogUnreachable(f"the log answered {status}")
+
+
+def _read_page(status: int, content: bytes) -> log_outcomes.ReadOutcome:
+    """Returns the outcome that an answer to a read stands for."""
+    if status not in (_HTTP_OK, _HTTP_GONE):
+        return log_outcomes.LogUnreachable(f"the log answered {status}")
+    fields = _parse_object(content)
+    if fields is None:
+        return log_outcomes.LogUnreachable("the answer is not JSON")
+    try:
+        first, next_offset = int(fields["first"]), int(fields["next"])
+        if status == _HTTP_GONE:
+            return log_outcomes.Trimmed(first, next_offset)
+        records = tuple(
+            log_outcomes.LogRecord(
+                int(item["offset"]),
+                base64.b64decode(item["data"], validate=True),
+            )
+            for item in fields["records"]
+        )
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        return log_outcomes.LogUnreachable(f"the answer is malformed: {error}")
+    return log_outcomes.Page(first, next_offset, records)
+
+
+def _parse_object(content: bytes) -> dict[str, Any] | None:
+    """Returns the JSON object of a body, or None when it holds none."""
+    try:
+        fields = json.loads(content)
+    except ValueError:
+        return None
+    return fields if isinstance(fields, dict) else None
--- /dev/null
+++ b/redwingchute/process/ledger/owner.py
@@ -0,0 +1,497 @@
+"""Decides for the router that owns a shard, or is about to.
+
+The owner commits in groups: one append carries all that its callers sent
+since the last one. It has one append under way at a time and answers only
+after it has read its own record back with no takeover before it. An append
+whose answer was lost is looked for in the stream before the same record is
+sent again.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from redwingchute.core import data
+from redwingchute.process.ledger import append_slot
+from redwingchute.process.ledger import batch_builder
+from redwingchute.process.ledger import checkpoint_schedule
+from redwingchute.process.ledger import fold
+from redwingchute.process.ledger import follower
+from redwingchute.process.ledger import log_outcomes
+from redwingchute.process.ledger import placement_default
+from redwingchute.wire import codec
+
+_MIN_COMMIT_INTERVAL_MS = 10
+# The dead incarnations that an owner keeps in mind.
+_MAX_DEAD = 2_000
+
+
+@attrs.frozen
+class OwnerPolicy:
+    """How an owner works; liveness and cost only, never correctness.
+
+    Attributes:
+      shard_count: The number of shards of the fleet.
+      appends_per_s: The appends a second that all shards may use together.
+      answer_within_ms: When a waiting caller hears that the log is out of
+        reach.
+      retake_after_ms: The pause before a shard that was lost is taken again.
+      retry_append_ms: The pause before an append is tried again.
+      checkpoint_every_ms: The longest time between checkpoints; well under
+        the log's retention.
+      checkpoint_every_records: The most records between checkpoints.
+      grants: How grants are sized.
+    """
+
+    shard_count: int = 16
+    appends_per_s: float = 250.0
+    answer_within_ms: int = 4_000
+    retake_after_ms: int = 10_000
+    retry_append_ms: int = 300
+    checkpoint_every_ms: int = 3_600_000
+    checkpoint_every_records: int = 20_000
+    grants: placement_default.GrantPolicy = placement_default.GrantPolicy()
+
+    @property
+    def commit_interval_ms(self) -> int:
+        """The least time between two appends of one shard."""
+        interval_ms = int(1000 * self.shard_count / self.appends_per_s)
+        return max(_MIN_COMMIT_INTERVAL_MS, interval_ms)
+
+
+@attrs.frozen
+class Answer:
+    """A reply to the call that was received under `call_id`."""
+
+    call_id: int
+    reply: data.LedgerReply
+
+
+@attrs.frozen
+class ReadOrder:
+    """A read of the stream that the shell should make.
+
+    Attributes:
+      number: Counts the reads; returned with the page.
+      from_offset: Where to read from.
+      may_wait: Whether the log may hold the answer until a record comes.
+    """
+
+    number: int
+    from_offset: int
+    may_wait: bool
+
+
+class ShardOwner:
+    """The decisions of one router about one shard.
+
+    Answers to calls gather until the shell takes them with `take_answers`.
+
+    Attributes:
+      follower: The reader of the shard's stream.
+      append_count: Records handed out to be appended.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        incarnation: data.Incarnation,
+        host_name: str,
+        policy: OwnerPolicy,
+        wire_codec: codec.Codec,
+        size_grant: placement_default.SizeGrant,
+    ) -> None:
+        """Prepares to follow the shard's stream.
+
+        Args:
+          shard: The shard.
+          incarnation: This process start.
+          host_name: The host that it runs on.
+          policy: How to work.
+          wire_codec: Reads and writes the records.
+          size_grant: Sizes the answer to each ask.
+        """
+        self._shard = shard
+        self._incarnation = incarnation
+        self._host_name = host_name
+        self._policy = policy
+        self.follower = follower.ShardFollower(wire_codec)
+        self._builder = batch_builder.BatchBuilder(policy.grants, size_grant)
+        self._checkpoints = checkpoint_schedule.CheckpointSchedule(
+            policy.checkpoint_every_ms,
+            policy.checkpoint_every_records,
+            wire_codec,
+        )
+        self._pending: append_slot.PendingAppend | None = None
+        self._answers: list[Answer] = []
+        self._reads_begun = 0
+        self._is_log_up = False
+        self._is_proposed = False
+        self._is_checkpoint_turn = False
+        self._retake_at_ms = 0
+        self._next_commit_ms = 0
+        self._sequence = 0
+        self._dead: dict[data.Incarnation, None] = {}
+        self._unchecked_dead: dict[data.Incarnation, None] = {}
+        self.append_count = 0
+
+    @property
+    def shard_fold(self) -> fold.ShardFold:
+        """The fold of the shard."""
+        return self.follower.shard_fold
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether the stream, as far as it was read, names this process."""
+        return (
+            self.follower.state is follower.FollowState.CURRENT
+            and self.shard_fold.owner == self._incarnation
+            and not self.shard_fold.is_retired(self._incarnation)
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no caller waits for a commit."""
+        has_calls = self._pending is not None and bool(self._pending.calls)
+        return not has_calls and self._builder.is_empty
+
+    def set_proposed(self, is_proposed: bool) -> None:
+        """Notes whether membership proposes this host for the shard."""
+        self._is_proposed = is_proposed
+
+    def holder_declared_dead(self, incarnation: data.Incarnation) -> None:
+        """Notes membership's word; a record retires the incarnation."""
+        if incarnation == self._incarnation:
+            return
+        self._dead[incarnation] = None
+        self._unchecked_dead[incarnation] = None
+        if len(self._dead) > _MAX_DEAD:
+            del self._dead[next(iter(self._dead))]
+
+    def take_answers(self) -> list[Answer]:
+        """Returns the answers that are ready."""
+        answers, self._answers = self._answers, []
+        return answers
+
+    def receive_call(
+        self, now_ms: int, call_id: int, call: data.LedgerCall
+    ) -> None:
+        """Takes a call, to be answered under `call_id`."""
+        status = self._find_status()
+        if status is not data.CallStatus.HANDLED:
+            self._refuse_all((call_id,), status)
+            return
+        if not call.entries and not call.asks:
+            reply = self._make_reply(call, (), (), self._report_keys(call))
+            self._answers.append(Answer(call_id, reply))
+            return
+        if call.holder in self._dead:
+            self._unchecked_dead[call.holder] = None
+        self._builder.add(now_ms, call_id, call)
+
+    def report_balances(self, query: data.BalanceQuery) -> data.BalanceReport:
+        """Answers an operator's query as of the last record read."""
+        status = self._find_status()
+        balances: tuple[data.BudgetBalance, ...] = ()
+        if self.is_owner:
+            balances = self.shard_fold.report_balances(query.budget)
+        return data.BalanceReport(
+            query.shard, status, self.shard_fold.owner_host, balances
+        )
+
+    def begin_read(self) -> ReadOrder:
+        """Returns the next read to make."""
+        self._reads_begun += 1
+        is_looking = (
+            self._pending is not None
+            and self._pending.state is append_slot.AppendState.UNKNOWN
+        )
+        is_current = self.follower.state is follower.FollowState.CURRENT
+        return ReadOrder(
+            self._reads_begun,
+            self.follower.next_offset,
+            may_wait=is_current and self._is_log_up and not is_looking,
+        )
+
+    def note_read(
+        self, now_ms: int, order: ReadOrder, outcome: log_outcomes.ReadOutcome
+    ) -> None:
+        """Takes the outcome of a read."""
+        match outcome:
+            case log_outcomes.LogUnreachable():
+                self._is_log_up = False
+                self._refuse_waiting(data.CallStatus.LOG_UNAVAILABLE)
+            case log_outcomes.Trimmed():
+                self._is_log_up = True
+                self._note_trimmed(outcome)
+            case log_outcomes.Page():
+                self._is_log_up = True
+                self._apply_page(now_ms, order, outcome)
+
+    def next_append(self, now_ms: int) -> append_slot.LoggedRecord | None:
+        """Returns a record to append now, or None.
+
+        Each record that is returned must be followed by `note_append`.
+        """
+        if self._pending is None and now_ms >= self._next_commit_ms:
+            self._pending = self._form_record(now_ms)
+        if self._pending is None:
+            return None
+        record = self._pending.start_sending(now_ms)
+        if record is not None:
+            self.append_count += 1
+            self._next_commit_ms = now_ms + self._policy.commit_interval_ms
+        return record
+
+    def find_wake_ms(self) -> int:
+        """Returns when `next_append` may return something again."""
+        if self._pending is not None:
+            return self._pending.not_before_ms
+        return self._next_commit_ms
+
+    def note_append(
+        self, now_ms: int, outcome: log_outcomes.AppendOutcome
+    ) -> None:
+        """Takes the outcome of the append under way."""
+        pending = self._pending
+        if pending is None:
+            # The record was read back before the answer came.
+            return
+        retry_at_ms = now_ms + self._policy.retry_append_ms
+        is_void = pending.note_outcome(outcome, self._reads_begun, retry_at_ms)
+        if isinstance(outcome, log_outcomes.LogUnreachable):
+            self._refuse_waiting(data.CallStatus.LOG_UNAVAILABLE)
+        if is_void:
+            self._pending = None
+            self._next_commit_ms = retry_at_ms
+            self._retake_at_ms = retry_at_ms
+            if isinstance(pending.record, data.Checkpoint):
+                self._checkpoints.put_back(pending.record)
+
+    def expire_calls(self, now_ms: int) -> None:
+        """Answers callers that have waited too long for the log."""
+        since_ms = now_ms - self._policy.answer_within_ms
+        since_ms -= self._policy.commit_interval_ms
+        expired = self._builder.remove_older(since_ms)
+        if self._pending is not None:
+            expired += self._pending.take_calls_before(since_ms)
+        self._refuse_all(expired, data.CallStatus.LOG_UNAVAILABLE)
+
+    def _find_status(self) -> data.CallStatus:
+        """Returns whether calls can be handled now."""
+        if self.follower.state is not follower.FollowState.CURRENT:
+            return data.CallStatus.LOG_UNAVAILABLE
+        if not self.is_owner:
+            return data.CallStatus.NOT_OWNER
+        if not self._is_log_up:
+            return data.CallStatus.LOG_UNAVAILABLE
+        return data.CallStatus.HANDLED
+
+    def _form_record(self, now_ms: int) -> append_slot.PendingAppend | None:
+        """Returns the next record that this process should append."""
+        if self.follower.state is not follower.FollowState.CURRENT:
+            return None
+        if not self._is_log_up:
+            return None
+        if not self.is_owner:
+            return self._form_takeover(now_ms)
+        is_due = self._checkpoints.is_due(now_ms, self.shard_fold.offset)
+        if is_due and self._is_checkpoint_turn:
+            return self._form_checkpoint(now_ms)
+        self._is_checkpoint_turn = True
+        batch = self._form_batch(now_ms)
+        if batch is None and is_due:
+            return self._form_checkpoint(now_ms)
+        return batch
+
+    def _form_takeover(self, now_ms: int) -> append_slot.PendingAppend | None:
+        """Returns a takeover if this process should own the shard."""
+        if not self._is_proposed or now_ms < self._retake_at_ms:
+            return None
+        if self.shard_fold.is_retired(self._incarnation):
+            return None
+        self._retake_at_ms = now_ms + self._policy.retake_after_ms
+        record = data.Takeover(
+            record_id=self._make_record_id(),
+            epoch=self.shard_fold.epoch + 1,
+            owner=self._incarnation,
+            host=self._host_name,
+        )
+        return append_slot.PendingAppend(record)
+
+    def _form_batch(self, now_ms: int) -> append_slot.PendingAppend | None:
+        """Returns the batch of all that waits; answers what needs none."""
+        retires = [data.Retire(each) for each in self._take_dead_holders()]
+        formed = self._builder.form(now_ms, self.shard_fold, retires)
+        if not formed.entries:
+            for each in formed.calls:
+                self._answer_call(each, ())
+            return None
+        record = data.Batch(
+            record_id=self._make_record_id(),
+            epoch=self.shard_fold.epoch,
+            owner=self._incarnation,
+            entries=formed.entries,
+        )
+        return append_slot.PendingAppend(record, formed.calls)
+
+    def _form_checkpoint(self, now_ms: int) -> append_slot.PendingAppend:
+        """Returns the next part of a checkpoint."""
+        self._is_checkpoint_turn = False
+        part = self._checkpoints.next_part(
+            now_ms, self.shard_fold, self._make_record_id()
+        )
+        return append_slot.PendingAppend(part)
+
+    def _take_dead_holders(self) -> list[data.Incarnation]:
+        """Returns the dead incarnations that still hold tokens here."""
+        unchecked, self._unchecked_dead = self._unchecked_dead, {}
+        return [
+            each
+            for each in unchecked
+            if not self.shard_fold.is_retired(each)
+            and self.shard_fold.is_holder(each)
+        ]
+
+    def _note_trimmed(self, trimmed: log_outcomes.Trimmed) -> None:
+        """Recovers from the oldest record kept.
+
+        The record under way may be among those dropped. It is given up: a
+        later record of this owner has a higher sequence, after which a late
+        copy is void.
+        """
+        self._refuse_waiting(data.CallStatus.LOG_UNAVAILABLE)
+        self._pending = None
+        self._checkpoints.reset()
+        self.follower.note_trimmed(trimmed)
+
+    def _apply_page(
+        self, now_ms: int, order: ReadOrder, page: log_outcomes.Page
+    ) -> None:
+        """Applies the records that were read."""
+        was_owner = self.is_owner
+        for applied in self.follower.apply_page(page):
+            self._note_applied(applied)
+        if was_owner and not self.is_owner:
+            self._retake_at_ms = now_ms + self._policy.retake_after_ms
+            self._refuse_waiting(data.CallStatus.NOT_OWNER)
+        if self.is_owner and not was_owner:
+            self._checkpoints.reset()
+            self._unchecked_dead = dict(self._dead)
+        if self.follower.next_offset >= page.next:
+            self._resend_if_absent(now_ms, order)
+
+    def _note_applied(self, applied: follower.Applied) -> None:
+        """Answers the calls of the record under way when it was read back."""
+        pending = self._pending
+        if pending is None:
+            return
+        identity = append_slot.identify_record(applied.record)
+        if identity != append_slot.identify_record(pending.record):
+            return
+        self._pending = None
+        if self._is_void(applied):
+            call_ids = pending.take_calls()
+            self._refuse_all(call_ids, data.CallStatus.NOT_OWNER)
+            return
+        for each in pending.calls:
+            self._answer_call(each, applied.verdicts)
+
+    def _is_void(self, applied: follower.Applied) -> bool:
+        """Tells whether the fold voided a whole record."""
+        return self.shard_fold.is_retired(self._incarnation) or any(
+            verdict.code is data.VerdictCode.STALE_EPOCH
+            for verdict in applied.verdicts
+        )
+
+    def _resend_if_absent(self, now_ms: int, order: ReadOrder) -> None:
+        """Readies a record whose answer was lost, once it was looked for."""
+        pending = self._pending
+        if pending is None:
+            return
+        retry_at_ms = now_ms + self._policy.retry_append_ms
+        is_absent = pending.note_absent(order.number, retry_at_ms)
+        if is_absent and self._is_outdated(pending.record):
+            self._pending = None
+
+    def _is_outdated(self, record: append_slot.LoggedRecord) -> bool:
+        """Tells whether a record that is not in the log would be void."""
+        match record:
+            case data.Takeover():
+                return record.epoch != self.shard_fold.epoch + 1
+            case data.Batch():
+                return record.epoch != self.shard_fold.epoch
+            case data.Checkpoint():
+                return not self.is_owner
+
+    def _answer_call(
+        self,
+        batched: batch_builder.BatchedCall,
+        verdicts: tuple[data.Verdict, ...],
+    ) -> None:
+        """Answers a call whose batch took effect."""
+        call = batched.call
+        grants = tuple(
+            batch_builder.answer_ask(
+                self.shard_fold,
+                call.holder,
+                planned,
+                verdicts,
+                self._policy.grants.lease_ms,
+            )
+            for planned in batched.asks
+        )
+        reply = self._make_reply(
+            call,
+            batch_builder.list_verdicts(batched, verdicts),
+            grants,
+            self._report_keys(call),
+        )
+        self._answers.append(Answer(batched.call_id, reply))
+
+    def _report_keys(self, call: data.LedgerCall) -> tuple[data.KeyReport, ...]:
+        """Returns the answers to a call's lookups."""
+        return tuple(self.shard_fold.look_up(each) for each in call.lookups)
+
+    def _make_reply(
+        self,
+        call: data.LedgerCall,
+        verdicts: tuple[data.Verdict, ...],
+        grants: tuple[data.Granted, ...],
+        reports: tuple[data.KeyReport, ...],
+    ) -> data.LedgerReply:
+        """Returns the reply to a call that was handled."""
+        return data.LedgerReply(
+            shard=self._shard,
+            epoch=self.shard_fold.epoch,
+            status=data.CallStatus.HANDLED,
+            owner_host=self._host_name,
+            verdicts=verdicts,
+            grants=grants,
+            reports=reports,
+            is_holder_retired=self.shard_fold.is_retired(call.holder),
+        )
+
+    def _refuse_waiting(self, status: data.CallStatus) -> None:
+        """Answers all waiting callers with the same refusal."""
+        call_ids = self._builder.remove_all()
+        if self._pending is not None:
+            call_ids += self._pending.take_calls()
+        self._refuse_all(call_ids, status)
+
+    def _refuse_all(
+        self, call_ids: Iterable[int], status: data.CallStatus
+    ) -> None:
+        """Answers each call with the same refusal."""
+        reply = data.LedgerReply(
+            shard=self._shard,
+            epoch=self.shard_fold.epoch,
+            status=status,
+            owner_host=self.shard_fold.owner_host,
+        )
+        self._answers += [Answer(each, reply) for each in call_ids]
+
+    def _make_record_id(self) -> bytes:
+        """Returns the id of the next record."""
+        self._sequence += 1
+        return fold.make_record_id(self._incarnation, self._sequence)
--- /dev/null
+++ b/redwingchute/process/ledger/owner_service.py
@@ -0,0 +1,356 @@
+"""Runs the shard owners of one router on asyncio.
+
+The service follows the stream of each shard that membership proposes this
+host for, takes it over, and carries calls to the `ShardOwner` and its records
+to the log. All decisions are the owner's.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+from types import TracebackType
+from typing import Protocol
+
+from redwingchute.core import data
+from redwingchute.process.ledger import log_outcomes
+from redwingchute.process.ledger import owner
+from redwingchute.process.ledger import placement_default
+from redwingchute.process.ledger import sharding
+from redwingchute.wire import codec
+
+_READ_LIMIT = 500
+_READ_WAIT_MS = 2_000
+_RETRY_READ_MS = 250
+_TICK_MS = 200
+_STOP_MS = 5_000
+
+_logger = logging.getLogger(__name__)
+
+
+class Log(Protocol):
+    """What the service needs of a log client."""
+
+    async def append(
+        self, stream: str, body: bytes
+    ) -> log_outcomes.AppendOutcome:
+        """Appends one record."""
+
+    async def read(
+        self, stream: str, from_offset: int, limit: int, wait_ms: int
+    ) -> log_outcomes.ReadOutcome:
+        """Reads records."""
+
+
+class OwnerService:
+    """Owns shards for one router; a context manager that hands them over."""
+
+    def __init__(
+        self,
+        incarnation: data.Incarnation,
+        host_name: str,
+        log: Log,
+        wire_codec: codec.Codec,
+        now_ms: Callable[[], int],
+        policy: owner.OwnerPolicy,
+        size_grant: placement_default.SizeGrant = placement_default.size_grant,
+    ) -> None:
+        """Prepares a service that owns nothing yet.
+
+        Args:
+          incarnation: This process start.
+          host_name: The host that it runs on.
+          log: The log service.
+          wire_codec: Encodes the records.
+          now_ms: The clock, in milliseconds.
+          policy: How owners work.
+          size_grant: Sizes the answer to each ask.
+        """
+        self._incarnation = incarnation
+        self._host_name = host_name
+        self._log = log
+        self._codec = wire_codec
+        self._now_ms = now_ms
+        self._policy = policy
+        self._size_grant = size_grant
+        self._hosts: tuple[data.Host, ...] = ()
+        self._dead: dict[data.Incarnation, None] = {}
+        self._workers: dict[int, _ShardWorker] = {}
+        self._is_stopping = False
+
+    async def __aenter__(self) -> "OwnerService":
+        """Returns the service."""
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops the service."""
+        await self.stop()
+
+    @property
+    def append_count(self) -> int:
+        """The number of records sent to the log by the present owners."""
+        return sum(
+            worker.shard_owner.append_count for worker in self._workers.values()
+        )
+
+    def list_owned(self) -> tuple[int, ...]:
+        """Returns the shards that this process owns now."""
+        return tuple(
+            shard
+            for shard, worker in sorted(self._workers.items())
+            if worker.shard_owner.is_owner
+        )
+
+    def propose_owner(self, shard: int) -> data.Host | None:
+        """Returns the host that should own a shard, as membership has it."""
+        return sharding.propose_owner(shard, self._hosts)
+
+    def set_live_hosts(self, hosts: Iterable[data.Host]) -> None:
+        """Takes the live hosts, this one among them.
+
+        A shard that another host should own now is kept until that host's
+        takeover is read, so that it is served all the time.
+        """
+        self._hosts = tuple(hosts)
+        if self._is_stopping:
+            return
+        for shard in range(self._policy.shard_count):
+            proposed = self.propose_owner(shard)
+            is_own = proposed is not None and proposed.name == self._host_name
+            if is_own and shard not in self._workers:
+                self._workers[shard] = self._start_worker(shard)
+            if shard in self._workers:
+                self._workers[shard].set_proposed(is_own)
+        self._drop_lost_workers()
+
+    def declare_dead(self, incarnation: data.Incarnation) -> None:
+        """Retires an incarnation by record in each shard where it has part."""
+        self._dead[incarnation] = None
+        for worker in self._workers.values():
+            worker.shard_owner.holder_declared_dead(incarnation)
+            worker.wake()
+
+    async def handle_call(
+        self, peer: data.Host, call: data.LedgerCall
+    ) -> data.LedgerReply:
+        """Answers a holder's call, after its batch was read back."""
+        del peer
+        worker = self._workers.get(call.shard)
+        if worker is None or self._is_stopping:
+            return self._refuse(call.shard)
+        reply = await worker.handle_call(call)
+        if reply.status is data.CallStatus.NOT_OWNER and not reply.owner_host:
+            return self._refuse(call.shard)
+        return reply
+
+    async def handle_balance_query(
+        self, peer: data.Host, query: data.BalanceQuery
+    ) -> data.BalanceReport:
+        """Answers an operator's query about one shard."""
+        del peer
+        worker = self._workers.get(query.shard)
+        if worker is None:
+            refusal = self._refuse(query.shard)
+            return data.BalanceReport(
+                query.shard, refusal.status, refusal.owner_host
+            )
+        return worker.shard_owner.report_balances(query)
+
+    async def stop(self) -> None:
+        """Commits what waits, answers all callers and lets the shards go."""
+        self._is_stopping = True
+        deadline_ms = self._now_ms() + _STOP_MS
+        while self._now_ms() < deadline_ms and not all(
+            worker.shard_owner.is_idle for worker in self._workers.values()
+        ):
+            await asyncio.sleep(_TICK_MS / 4000)
+        for worker in self._workers.values():
+            await worker.stop()
+        self._workers.clear()
+
+    def _start_worker(self, shard: int) -> "_ShardWorker":
+        """Returns a running worker for a shard."""
+        shard_owner = owner.ShardOwner(
+            shard,
+            self._incarnation,
+            self._host_name,
+            self._policy,
+            self._codec,
+            self._size_grant,
+        )
+        for incarnation in self._dead:
+            shard_owner.holder_declared_dead(incarnation)
+        stream = sharding.name_stream(shard)
+        return _ShardWorker(
+            shard_owner, stream, self._log, self._codec, self._now_ms
+        )
+
+    def _drop_lost_workers(self) -> None:
+        """Stops workers of shards that other hosts now own."""
+        for shard, worker in list(self._workers.items()):
+            if not worker.is_proposed and worker.is_settled_elsewhere():
+                del self._workers[shard]
+                worker.cancel()
+
+    def _refuse(self, shard: int) -> data.LedgerReply:
+        """Returns the reply of a host that does not own the shard."""
+        proposed = self.propose_owner(shard)
+        return data.LedgerReply(
+            shard=shard,
+            epoch=0,
+            status=data.CallStatus.NOT_OWNER,
+            owner_host=proposed.name if proposed is not None else "",
+        )
+
+
+class _ShardWorker:
+    """Carries the messages of one `ShardOwner`."""
+
+    def __init__(
+        self,
+        shard_owner: owner.ShardOwner,
+        stream: str,
+        log: Log,
+        wire_codec: codec.Codec,
+        now_ms: Callable[[], int],
+    ) -> None:
+        """Starts to follow the stream."""
+        self.shard_owner = shard_owner
+        self.is_proposed = False
+        self._stream = stream
+        self._log = log
+        self._codec = wire_codec
+        self._now_ms = now_ms
+        self._wake = asyncio.Event()
+        self._waiting: dict[int, asyncio.Future[data.LedgerReply]] = {}
+        self._last_call_id = 0
+        self._was_owner = False
+        self._tasks = (
+            asyncio.create_task(self._follow()),
+            asyncio.create_task(self._commit()),
+        )
+
+    def set_proposed(self, is_proposed: bool) -> None:
+        """Notes whether membership proposes this host."""
+        self.is_proposed = is_proposed
+        self.shard_owner.set_proposed(is_proposed)
+        self.wake()
+
+    def is_settled_elsewhere(self) -> bool:
+        """Tells whether the shard is no longer this worker's business."""
+        return not self.shard_owner.is_owner and not self._waiting
+
+    def wake(self) -> None:
+        """Lets the commit loop look for work."""
+        self._wake.set()
+
+    async def handle_call(self, call: data.LedgerCall) -> data.LedgerReply:
+        """Passes a call to the owner and waits for its answer."""
+        self._last_call_id += 1
+        call_id = self._last_call_id
+        future: asyncio.Future[data.LedgerReply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[call_id] = future
+        try:
+            self.shard_owner.receive_call(self._now_ms(), call_id, call)
+            self._deliver()
+            self.wake()
+            return await future
+        finally:
+            self._waiting.pop(call_id, None)
+
+    async def stop(self) -> None:
+        """Ends both loops and answers whoever still waits."""
+        self.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def cancel(self) -> None:
+        """Ends both loops without waiting for them."""
+        for task in self._tasks:
+            task.cancel()
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_result(
+                    data.LedgerReply(0, 0, data.CallStatus.LOG_UNAVAILABLE)
+                )
+
+    async def _follow(self) -> None:
+        """Reads the stream for as long as the worker lives."""
+        while True:
+            order = self.shard_owner.begin_read()
+            outcome = await self._log.read(
+                self._stream,
+                order.from_offset,
+                _READ_LIMIT,
+                _READ_WAIT_MS if order.may_wait else 0,
+            )
+            self.shard_owner.note_read(self._now_ms(), order, outcome)
+            self._deliver()
+            self.wake()
+            if _should_pause(order, outcome):
+                await asyncio.sleep(_RETRY_READ_MS / 1000)
+
+    async def _commit(self) -> None:
+        """Appends records for as long as the worker lives."""
+        while True:
+            self._wake.clear()
+            self.shard_owner.expire_calls(self._now_ms())
+            record = self.shard_owner.next_append(self._now_ms())
+            self._deliver()
+            if record is None:
+                await self._wait_for_work()
+                continue
+            outcome = await self._log.append(
+                self._stream, self._codec.encode(record)
+            )
+            self.shard_owner.note_append(self._now_ms(), outcome)
+            self._deliver()
+
+    async def _wait_for_work(self) -> None:
+        """Waits until an append may be due."""
+        pause_ms = self.shard_owner.find_wake_ms() - self._now_ms()
+        if pause_ms > 0:
+            await asyncio.sleep(min(pause_ms, _TICK_MS) / 1000)
+            return
+        try:
+            async with asyncio.timeout(_TICK_MS / 1000):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    def _deliver(self) -> None:
+        """Hands ready answers to their callers and logs changes of owner."""
+        for answer in self.shard_owner.take_answers():
+            future = self._waiting.get(answer.call_id)
+            if future is not None and not future.done():
+                future.set_result(answer.reply)
+        is_owner = self.shard_owner.is_owner
+        if is_owner != self._was_owner:
+            self._was_owner = is_owner
+            _logger.info(
+                "ledger shard owned" if is_owner else "ledger shard lost",
+                extra={
+                    "stream": self._stream,
+                    "epoch": self.shard_owner.shard_fold.epoch,
+                    "owner": self.shard_owner.shard_fold.owner_host,
+                },
+            )
+
+
+def _should_pause(
+    order: owner.ReadOrder, outcome: log_outcomes.ReadOutcome
+) -> bool:
+    """Tells whether to wait before the next read, which would be in vain."""
+    match outcome:
+        case log_outcomes.LogUnreachable():
+            return True
+        case log_outcomes.Page(records=records):
+            return not order.may_wait and not records
+        case log_outcomes.Trimmed():
+            return False
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -13,9 +13,13 @@
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
     codec.Registration(2, data.Batch, _LEDGER),
+    codec.Registration(3, data.Checkpoint, _LEDGER),
+    codec.Registration(4, data.ShardSnapshot, _LEDGER),
     codec.Registration(100, data.LedgerCall, _LEDGER),
     codec.Registration(101, data.LedgerReply, _LEDGER),
     codec.Registration(102, data.Recall, _LEDGER),
+    codec.Registration(110, data.BalanceQuery, _LEDGER),
+    codec.Registration(111, data.BalanceReport, _LEDGER),
 )
 
 
