--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -21,9 +21,13 @@
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
     codec.Registration(2, data.Batch, _LEDGER),
+    codec.Registration(3, data.Checkpoint, _LEDGER),
+    codec.Registration(4, data.ShardSnapshot, _LEDGER),
     codec.Registration(100, data.LedgerCall, _LEDGER),
     codec.Registration(101, data.LedgerReply, _LEDGER),
     codec.Registration(102, data.Recall, _LEDGER),
+    codec.Registration(110, data.BalanceQuery, _LEDGER),
+    codec.Registration(111, data.BalanceReport, _LEDGER),
     codec.Registration(150, spending.HoldBills, _SPEND),
     codec.Registration(151, spending.BillsHeld, _SPEND),
     codec.Registration(152, spending.ForgetBills, _SPEND),
