Run operators' commands behind the administration API

Cause: operators drive the fleet over HTTP with keys of three roles; every command, refused ones too, belongs in the audit trail, and an answer must tell the true outcome. Checks before the append give all findings of a change at once; the fold still decides. Tries with unknown keys are all counted but noted in the log once in 10 s at most. Ruled out: appending without a check first; integers out of range would not fit the schema. After: tests of admin_api over loopback HTTP pass.

--- /dev/null
+++ b/redwingchute/process/admin_api.py
@@ -0,0 +1,212 @@
+"""Serves the operators' language over HTTP.
+
+`POST /admin/v1/command` takes `{"command": ..., "output": "text"|"json"}` with
+an operator key as bearer. Keys are known by their hashes only and compared in
+constant time. A change that is tried with a wrong key or role is counted and
+goes into the audit trail.
+"""
+
+from collections.abc import Callable
+import hmac
+import json
+
+import attrs
+
+from redwingchute.connection import http_server
+from redwingchute.core import configuration
+from redwingchute.core import data
+from redwingchute.process import command_executor
+from redwingchute.request import authentication
+from redwingchute.version import commands
+from redwingchute.version import language
+from redwingchute.version import tables
+
+COMMAND_PATH = "/admin/v1/command"
+
+_TEXT_TYPE = "text/plain; charset=utf-8"
+_JSON_TYPE = "application/json"
+_OUTPUTS = ("text", "json")
+_ROLE_ORDER = (
+    configuration.Role.READ,
+    configuration.Role.BUDGET,
+    configuration.Role.ADMIN,
+)
+# Tries with unknown keys are noted this often at most, so that a guesser does
+# not use up the log's appends; all of them are counted.
+_UNKNOWN_KEY_NOTE_MS = 10_000
+
+
+@attrs.frozen
+class _Call:
+    """The body of a request.
+
+    Attributes:
+      command: The statement.
+      output: `text` or `json`.
+    """
+
+    command: str
+    output: str
+
+
+class AdminApi:
+    """Answers the requests of operators."""
+
+    def __init__(
+        self,
+        executor: command_executor.CommandExecutor,
+        find_current: Callable[[], configuration.Configuration | None],
+        read_clock_ms: Callable[[], int],
+        count_refusal: Callable[[str], None],
+    ) -> None:
+        """Binds the API to the process.
+
+        Args:
+          executor: Runs the statements.
+          find_current: Returns the configuration in force.
+          read_clock_ms: Returns the time.
+          count_refusal: Counts a refusal under its code.
+        """
+        self._executor = executor
+        self._find_current = find_current
+        self._read_clock_ms = read_clock_ms
+        self._count_refusal = count_refusal
+        self._next_unknown_key_note_ms = 0
+
+    async def handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers one request."""
+        call = _parse_call(request)
+        if isinstance(call, command_executor.Refused):
+            await self._send(responder, "json", call)
+            return
+        answer = await self._answer(request, call)
+        await self._send(responder, call.output, answer)
+
+    async def _answer(
+        self, request: http_server.HttpRequest, call: _Call
+    ) -> command_executor.Answer:
+        """Checks the key and the role, then runs the statement."""
+        current = self._find_current()
+        if current is None:
+            return command_executor.refuse(
+                503, "no_configuration", "No configuration is in force here."
+            )
+        statement, findings = language.parse_statement(call.command)
+        operator = find_operator(current, request.headers)
+        if operator is None:
+            await self._note_unknown_key(statement)
+            return command_executor.refuse(
+                401, "unknown_key", "The operator key is missing or unknown."
+            )
+        if statement is None:
+            return command_executor.Refused(400, "bad_command", findings)
+        needed = commands.find_required_role(statement)
+        if _ROLE_ORDER.index(operator.role) < _ROLE_ORDER.index(needed):
+            message = f"This needs the role {needed}; yours is {operator.role}."
+            if isinstance(statement, commands.Command):
+                await self._executor.note_refused(
+                    statement, operator.name, message
+                )
+            return command_executor.refuse(403, "role_too_low", message)
+        return await self._executor.execute(statement, operator.name)
+
+    async def _note_unknown_key(
+        self, statement: commands.Statement | None
+    ) -> None:
+        """Puts a change tried with an unknown key into the audit trail."""
+        now_ms = self._read_clock_ms()
+        is_due = now_ms >= self._next_unknown_key_note_ms
+        if isinstance(statement, commands.Command) and is_due:
+            self._next_unknown_key_note_ms = now_ms + _UNKNOWN_KEY_NOTE_MS
+            await self._executor.note_refused(
+                statement, "", "The operator key is missing or unknown."
+            )
+
+    async def _send(
+        self,
+        responder: http_server.HttpResponder,
+        output: str,
+        answer: command_executor.Answer,
+    ) -> None:
+        """Sends an answer in the form that was asked for."""
+        is_json = output == "json"
+        match answer:
+            case tables.Table():
+                status = 200
+                body = (
+                    tables.render_json(answer)
+                    if is_json
+                    else tables.render_text(answer)
+                )
+            case command_executor.Refused(status, code, findings):
+                self._count_refusal(code)
+                body = (
+                    tables.render_findings_json(code, findings)
+                    if is_json
+                    else tables.render_findings_text(findings)
+                )
+        content_type = _JSON_TYPE if is_json else _TEXT_TYPE
+        await responder.send(
+            status, body.encode(errors="replace"), content_type
+        )
+
+
+def find_operator(
+    current: configuration.Configuration, headers: dict[str, str]
+) -> configuration.Operator | None:
+    """Returns the operator of a request's bearer key, or None.
+
+    Every stored hash is compared, in constant time each.
+    """
+    key = authentication.read_bearer_key(headers)
+    if key is None:
+        return None
+    given = authentication.hash_key(key)
+    found = None
+    for operator in current.operators:
+        if hmac.compare_digest(given, operator.key_hash):
+            found = operator
+    return found
+
+
+def _parse_call(
+    request: http_server.HttpRequest,
+) -> _Call | command_executor.Refused:
+    """Returns the call of a request, or what is wrong with it."""
+    if request.path != COMMAND_PATH:
+        return command_executor.refuse(
+            404, "unknown_path", f"Commands are taken at {COMMAND_PATH}."
+        )
+    if request.method != "POST":
+        return command_executor.refuse(
+            405, "bad_method", "Commands are taken with POST."
+        )
+    try:
+        body = json.loads(request.body)
+    except (ValueError, RecursionError) as error:
+        return command_executor.refuse(
+            400, "bad_body", f"The body is not JSON: {error}."
+        )
+    findings = _check_body(body)
+    if findings:
+        return command_executor.Refused(400, "bad_body", findings)
+    return _Call(body["command"], body.get("output", "text"))
+
+
+def _check_body(body: object) -> tuple[data.Finding, ...]:
+    """Returns what is wrong with the JSON body."""
+    if not isinstance(body, dict):
+        return (data.Finding("$", "The body is not a JSON object."),)
+    findings = []
+    if not isinstance(body.get("command"), str):
+        findings.append(data.Finding("$.command", "A text is required."))
+    if body.get("output", "text") not in _OUTPUTS:
+        message = f"Expected one of {', '.join(_OUTPUTS)}."
+        findings.append(data.Finding("$.output", message))
+    for name in sorted(set(body) - {"command", "output"}):
+        findings.append(data.Finding(f"$.{name}", "The field is unknown."))
+    return tuple(findings)
--- /dev/null
+++ b/redwingchute/process/admin_api_test.py
@@ -0,0 +1,386 @@
+"""Tests of the administration API over HTTP, with fakes behind it."""
+
+import asyncio
+import collections
+import json
+from typing import Any
+
+import attrs
+import pytest
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import data
+from redwingchute.process import admin_api
+from redwingchute.process import command_executor
+from redwingchute.process import operator_ports
+from redwingchute.testing import configuration_builders as builders
+from redwingchute.testing import operator_fakes
+from redwingchute.version import changes
+
+_NOW_MS = 100_000
+_TIMEOUT_MS = 5_000
+
+
+class _Desk:
+    """An administration API with fakes behind it."""
+
+    def __init__(self) -> None:
+        self.stream = operator_fakes.FakeStream()
+        self.ledger = operator_fakes.FakeLedger()
+        self.quarantine = operator_fakes.FakeQuarantine()
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.now_ms = _NOW_MS
+        executor = command_executor.CommandExecutor(
+            self.stream,
+            self.ledger,
+            operator_fakes.FakeFleet(),
+            self.quarantine,
+            lambda: self.now_ms,
+            operator_fakes.CountingIds().make,
+        )
+        self._api = admin_api.AdminApi(
+            executor,
+            self.stream.find_current,
+            lambda: self.now_ms,
+            lambda code: self.refusals.update([code]),
+        )
+
+    def post(
+        self,
+        command: str,
+        key: str = builders.ADMIN_KEY,
+        output: str = "json",
+    ) -> tuple[int, Any]:
+        """Sends a command and returns the status and the body."""
+        body = json.dumps({"command": command, "output": output})
+        status, text = self.send(body.encode(), key)
+        return status, json.loads(text) if output == "json" else text
+
+    def send(
+        self,
+        body: bytes,
+        key: str = builders.ADMIN_KEY,
+        path: str = admin_api.COMMAND_PATH,
+        method: str = "POST",
+    ) -> tuple[int, str]:
+        """Sends a request over a loopback connection."""
+
+        async def exchange() -> http_client.Fetched:
+            headers = [("authorization", f"Bearer {key}")] if key else []
+            server = http_server.HttpServer(self._api.handle, "127.0.0.1", 0)
+            async with server, http_client.ClientPool() as pool:
+                address = http_client.Address("127.0.0.1", server.port)
+                fetched = await pool.fetch(
+                    address, method, path, headers, body, _TIMEOUT_MS
+                )
+            assert isinstance(fetched, http_client.Fetched)
+            return fetched
+
+        fetched = asyncio.run(exchange())
+        return fetched.status, fetched.body.decode()
+
+
+def _read_codes(desk: _Desk) -> list[changes.ChangeCode]:
+    """Returns the codes in the audit trail."""
+    return [entry.code for entry in desk.stream.list_audit()]
+
+
+_QUERIES: list[tuple[str, list[Any], list[str]]] = [
+    (
+        "show spent",
+        [builders.BUDGET, [builders.ACCOUNT], 1_000, 300, 200, 100, 50, 350],
+        ["Budgets of these ledger shards are missing: 3."],
+    ),
+    (
+        "show unaccounted",
+        [builders.BUDGET, "9", "bruny-1", 50],
+        ["Budgets of these ledger shards are missing: 3."],
+    ),
+    (
+        'show running where host = "huon-1"',
+        [
+            *("huon-1", "huon", builders.ACCOUNT, builders.MODEL, "batch"),
+            *("runner-1", "running", 100_000),
+        ],
+        [
+            "Availability zone bruny is missing.",
+            "Availability zone tamar is missing.",
+            "Host bruny-1 (bruny) did not answer.",
+            "Host tamar-1 (tamar) has been out of reach for 60 s.",
+        ],
+    ),
+    (
+        "show in force where is_newest = 'no'",
+        ["huon-2", "huon", 0, False, 10_000],
+        [
+            "Availability zone bruny is missing.",
+            "Availability zone tamar is missing.",
+            "Host bruny-1 (bruny) did not answer.",
+            "Host tamar-1 (tamar) has been out of reach for 60 s.",
+        ],
+    ),
+    (
+        'show hosts where state = "unreachable"',
+        ["tamar-1", "tamar", "unreachable", "127.0.0.1:4", "6", 60_000],
+        [],
+    ),
+    (
+        "show quarantine",
+        [builders.ACCOUNT, "ab", "1970-01-01T00:01:00.000Z", "r"],
+        [],
+    ),
+    (
+        "show operators where role = 'budget'",
+        ["bo", "budget"],
+        ["Version 1 is in force on this host."],
+    ),
+    (
+        "show services",
+        [builders.SERVICE, ["ledger-1"], False, 1],
+        ["Version 1 is in force on this host."],
+    ),
+]
+
+
+@pytest.mark.parametrize(("command", "row", "notes"), _QUERIES)
+def test_query(command: str, row: list[Any], notes: list[str]) -> None:
+    status, body = _Desk().post(command, builders.READ_KEY)
+    assert status == 200
+    assert body["rows"] == [row]
+    assert body["notes"] == notes
+
+
+def test_upstreams_show_the_newest_load_and_those_unknown() -> None:
+    status, body = _Desk().post("show upstreams")
+    assert status == 200
+    assert body["rows"] == [
+        [
+            *("runner-1", builders.MODEL, "huon", "127.0.0.1:8001", "live"),
+            *(3, 1, 8, 10_000),
+        ],
+        [
+            *("ledger-1", builders.SERVICE, "huon", "127.0.0.1:8101"),
+            *("unknown", None, None, 8, None),
+        ],
+    ]
+
+
+@pytest.mark.parametrize(
+    "subject", ["accounts", "budgets", "models", "document", "audit", "config"]
+)
+def test_every_other_table_has_a_text(subject: str) -> None:
+    status, text = _Desk().post(f"show {subject}", output="text")
+    assert status == 200
+    assert len(text.splitlines()) >= 2
+
+
+def test_a_change_takes_effect_and_is_in_the_audit_trail() -> None:
+    desk = _Desk()
+    status, body = desk.post('drain upstream "runner-1" because "reboot"')
+    assert (status, body["rows"]) == (
+        200,
+        [["applied", "drain upstream", "runner-1", 2]],
+    )
+    current = desk.stream.find_current()
+    assert current is not None
+    assert current.models[0].upstreams[0].is_drained
+    _, audit = desk.post("show audit limit 1")
+    row = dict(zip(audit["columns"], audit["rows"][0], strict=True))
+    assert (row["author"], row["reason"], row["version"]) == (
+        "ada",
+        "reboot",
+        2,
+    )
+    assert '"is_drained":true' in row["after"]
+    assert "is_drained" not in row["before"]
+
+
+def test_the_loser_of_a_race_is_told_the_winner() -> None:
+    desk = _Desk()
+    first, second = (
+        desk.post(
+            f'set reserve for budget "{builders.BUDGET}" to 0.{digit}'
+            ' because "x" if version 1'
+        )
+        for digit in (2, 3)
+    )
+    assert first[0] == 200
+    assert second[0] == 409
+    assert "version 2 by 'ada' is in force" in second[1]["error"]["message"]
+    top_up = f'top up budget "{builders.BUDGET}" by 5 reference "r" because "x"'
+    assert desk.post(f"{top_up} if version 1")[0] == 409
+    assert desk.ledger.entries == []
+    assert desk.post(f"{top_up} if version 2")[0] == 200
+
+
+def test_an_invalid_change_is_refused_with_all_findings() -> None:
+    desk = _Desk()
+    status, body = desk.post(
+        'create account "b c" budget "none" because "x" if version 1'
+    )
+    assert status == 422
+    assert len(body["error"]["findings"]) == 2
+    assert _read_codes(desk)[-1] == changes.ChangeCode.REFUSED
+
+
+def test_an_unknown_outcome_names_its_record() -> None:
+    desk = _Desk()
+    desk.stream.next_outcome = operator_ports.SubmissionUnknown(b"\x0a")
+    status, body = desk.post('suspend account "huon" because "x"')
+    assert status == 504
+    assert 'record = "0a"' in body["error"]["message"]
+    desk.stream.next_outcome = operator_ports.SubmissionFailed("it is down")
+    assert desk.post('suspend account "huon" because "x"')[0] == 503
+
+
+def test_a_top_up_reaches_the_ledger_and_the_audit_trail() -> None:
+    desk = _Desk()
+    status, body = desk.post(
+        f'top up budget "{builders.BUDGET}" by 500 reference "inv-7"'
+        " because 'paid'",
+        builders.BUDGET_KEY,
+    )
+    assert (status, body["rows"]) == (200, [["applied", "yield-books", 500]])
+    assert desk.ledger.entries == [
+        data.Credit(builders.BUDGET, "inv-7", 500, "bo", "paid")
+    ]
+    entry = desk.stream.list_audit()[-1]
+    assert (entry.code, entry.action, entry.author) == (
+        changes.ChangeCode.NOTED,
+        "top up budget",
+        "bo",
+    )
+
+
+def test_a_reduction_says_what_it_could_not_take() -> None:
+    desk = _Desk()
+    desk.ledger.verdict = data.Verdict(data.VerdictCode.ACCEPTED, -20)
+    status, body = desk.post(
+        f'reduce budget "{builders.BUDGET}" by 500 reference "r" because "x"'
+    )
+    assert (status, body["rows"][0][2]) == (200, -20)
+    assert "-500 tokens were asked for" in body["notes"][0]
+
+
+_ACTIONS = [
+    (
+        'resolve call "k" of account "huon" as succeeded because "x"',
+        data.Verdict(data.VerdictCode.ACCEPTED),
+        200,
+    ),
+    (
+        'resolve call "k" of account "none" as failed because "x"',
+        data.Verdict(data.VerdictCode.ACCEPTED),
+        422,
+    ),
+    (
+        f'release 5 tokens of budget "{builders.BUDGET}" held by 9 because "x"',
+        data.Verdict(data.VerdictCode.NOTHING_TO_RELEASE),
+        422,
+    ),
+    (
+        'top up budget "none" by 5 reference "r" because "x"',
+        data.Verdict(data.VerdictCode.ACCEPTED),
+        422,
+    ),
+    (
+        f'top up budget "{builders.BUDGET}" by 5 reference "r" because "x"',
+        data.Verdict(data.VerdictCode.REPEATED, 5),
+        200,
+    ),
+    (
+        f'top up budget "{builders.BUDGET}" by 5 reference "r" because "x"',
+        operator_ports.LedgerUnavailable("No owner answered."),
+        504,
+    ),
+    ('lift quarantine "ab" of account "huon" because "x"', None, 200),
+    ('lift quarantine "ac" of account "huon" because "x"', None, 422),
+]
+
+
+@pytest.mark.parametrize(("command", "verdict", "status"), _ACTIONS)
+def test_action(
+    command: str,
+    verdict: data.Verdict | operator_ports.LedgerUnavailable | None,
+    status: int,
+) -> None:
+    desk = _Desk()
+    if verdict is not None:
+        desk.ledger.verdict = verdict
+    assert desk.post(command)[0] == status
+    is_refused = _read_codes(desk)[-1] == changes.ChangeCode.REFUSED
+    assert is_refused == (status != 200)
+
+
+_KEYS = [
+    ("show spent", "no-such-key", 401, None),
+    ("show spent", "", 401, None),
+    ('suspend account "huon" because "x"', "no-such-key", 401, ""),
+    ('suspend account "huon" because "x"', builders.BUDGET_KEY, 403, "bo"),
+    (
+        'lift quarantine "ab" of account "huon" because "x"',
+        builders.READ_KEY,
+        403,
+        "cy",
+    ),
+    ("show document", builders.BUDGET_KEY, 403, None),
+]
+
+
+@pytest.mark.parametrize(("command", "key", "status", "author"), _KEYS)
+def test_wrong_keys_and_roles_are_refused_and_noted(
+    command: str, key: str, status: int, author: str | None
+) -> None:
+    desk = _Desk()
+    assert desk.post(command, key)[0] == status
+    assert desk.refusals.total() == 1
+    refused = [
+        entry.author
+        for entry in desk.stream.list_audit()
+        if entry.code == changes.ChangeCode.REFUSED
+    ]
+    assert refused == ([] if author is None else [author])
+    assert desk.stream.fold.current.version == 1
+
+
+def test_tries_with_unknown_keys_do_not_flood_the_log() -> None:
+    desk = _Desk()
+    for _ in range(5):
+        desk.post('suspend account "huon" because "x"', "guess")
+    assert desk.refusals["unknown_key"] == 5
+    assert len(desk.stream.list_audit()) == 2
+    desk.now_ms += 60_000
+    desk.post('suspend account "huon" because "x"', "guess")
+    assert len(desk.stream.list_audit()) == 3
+
+
+_BAD_REQUESTS = [
+    (b"{", "POST", admin_api.COMMAND_PATH, 400),
+    (b"[]", "POST", admin_api.COMMAND_PATH, 400),
+    (b"{}", "POST", admin_api.COMMAND_PATH, 400),
+    (b'{"command": 5}', "POST", admin_api.COMMAND_PATH, 400),
+    (b'{"command": "x", "more": 1}', "POST", admin_api.COMMAND_PATH, 400),
+    (b'{"command": "x", "output": []}', "POST", admin_api.COMMAND_PATH, 400),
+    (b'{"command": "shwo"}', "POST", admin_api.COMMAND_PATH, 400),
+    (b'{"command": "\\ud800"}', "POST", admin_api.COMMAND_PATH, 400),
+    (b"", "GET", admin_api.COMMAND_PATH, 405),
+    (b"", "POST", "/admin/v2", 404),
+]
+
+
+@pytest.mark.parametrize(("body", "method", "path", "status"), _BAD_REQUESTS)
+def test_bad_request(body: bytes, method: str, path: str, status: int) -> None:
+    assert _Desk().send(body, path=path, method=method)[0] == status
+
+
+def test_a_syntax_error_names_its_place_in_text_output() -> None:
+    status, text = _Desk().post("show spend", output="text")
+    assert status == 400
+    assert text.startswith("line 1 column 6: Found 'spend'; expected")
+
+
+def test_nothing_runs_before_a_configuration_is_in_force() -> None:
+    desk = _Desk()
+    desk.stream.fold.current = attrs.evolve(desk.stream.fold.current, version=0)
+    assert desk.post("show spent")[0] == 503
--- /dev/null
+++ b/redwingchute/process/command_executor.py
@@ -0,0 +1,480 @@
+"""Runs operators' statements against the process.
+
+A query gives a table. A command goes to the log, either as a configuration
+change or as a ledger entry, and its answer tells the true outcome: what took
+effect, why it was refused, or under which record id the outcome can be found.
+Every command is in the audit trail, refused ones too.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import TypeAlias
+
+from redwingchute.core import configuration
+from redwingchute.core import data
+from redwingchute.core import status
+from redwingchute.process import operator_ports
+from redwingchute.process import query_tables
+from redwingchute.request import request_key
+from redwingchute.version import change_apply
+from redwingchute.version import changes
+from redwingchute.version import commands
+from redwingchute.version import tables
+from redwingchute.version import validation
+
+_RECORD_ID_BYTES = 16
+_PLACE = "command"
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """A statement that did not take effect, or whose outcome is unknown.
+
+    Attributes:
+      status: The HTTP status of the answer.
+      code: A short name of the cause, stable across releases.
+      findings: What is wrong.
+    """
+
+    status: int
+    code: str
+    findings: tuple[data.Finding, ...]
+
+
+Answer: TypeAlias = tables.Table | Refused
+
+
+def refuse(status_code: int, code: str, message: str) -> Refused:
+    """Returns a refusal with one message."""
+    return Refused(status_code, code, (data.Finding(_PLACE, message),))
+
+
+class CommandExecutor:
+    """Runs statements of operators whose role was checked before."""
+
+    def __init__(
+        self,
+        stream: operator_ports.ConfigurationStream,
+        ledger: operator_ports.BudgetLedger,
+        fleet: operator_ports.Fleet,
+        quarantine: operator_ports.QuarantineList,
+        read_clock_ms: Callable[[], int],
+        make_id: Callable[[int], bytes],
+    ) -> None:
+        """Binds the executor to the process.
+
+        Args:
+          stream: The configuration and its changes.
+          ledger: The budgets.
+          fleet: The routers and their status.
+          quarantine: The quarantined requests.
+          read_clock_ms: Returns the time.
+          make_id: Returns fresh random bytes of the given number.
+        """
+        self._stream = stream
+        self._ledger = ledger
+        self._fleet = fleet
+        self._quarantine = quarantine
+        self._read_clock_ms = read_clock_ms
+        self._make_id = make_id
+
+    async def execute(
+        self, statement: commands.Statement, author: str
+    ) -> Answer:
+        """Runs a statement.
+
+        Args:
+          statement: The statement.
+          author: The operator's name.
+
+        Returns:
+          A table, or why nothing took effect.
+        """
+        current = self._stream.find_current()
+        if current is None:
+            return refuse(
+                503, "no_configuration", "No configuration is in force here."
+            )
+        match statement:
+            case commands.Show():
+                table = await self._show(statement.subject, current)
+                return tables.select_rows(
+                    table, statement.filters, statement.limit
+                )
+            case commands.Command():
+                return await self._run_command(statement, author, current)
+
+    async def note_refused(
+        self, statement: commands.Command, author: str, cause: str
+    ) -> None:
+        """Puts a refused try into the audit trail, as far as the log takes it.
+
+        Args:
+          statement: What was tried.
+          author: The operator, or empty when the key is unknown.
+          cause: Why it was refused.
+        """
+        note = self._make_note(statement, author, "", cause, is_refused=True)
+        await self._stream.submit(note)
+
+    async def _show(
+        self,
+        subject: commands.Subject,
+        current: configuration.Configuration,
+    ) -> tables.Table:
+        """Returns the whole table of a subject."""
+        match subject:
+            case commands.Subject.SPENT:
+                balances = await self._ledger.read_balances()
+                return query_tables.tabulate_spent(current, balances)
+            case commands.Subject.UNACCOUNTED:
+                balances = await self._ledger.read_balances()
+                return query_tables.tabulate_unaccounted(
+                    balances, self._list_known_hosts()
+                )
+            case commands.Subject.RUNNING:
+                reports, notes = await self._gather(
+                    status.StatusQuery(wants_running=True)
+                )
+                return query_tables.tabulate_running(reports, notes)
+            case commands.Subject.IN_FORCE:
+                reports, notes = await self._gather(status.StatusQuery())
+                return query_tables.tabulate_in_force(reports, notes)
+            case commands.Subject.UPSTREAMS:
+                reports, notes = await self._gather(
+                    status.StatusQuery(wants_upstreams=True)
+                )
+                return query_tables.tabulate_upstreams(current, reports, notes)
+            case commands.Subject.HOSTS:
+                return query_tables.tabulate_hosts(
+                    self._fleet.list_reachable(),
+                    self._fleet.list_unreachable(),
+                    self._read_clock_ms(),
+                )
+            case commands.Subject.QUARANTINE:
+                return query_tables.tabulate_quarantine(
+                    self._quarantine.list_entries()
+                )
+            case commands.Subject.AUDIT:
+                return query_tables.tabulate_audit(self._stream.list_audit())
+            case _:
+                return query_tables.tabulate_configuration(subject, current)
+
+    def _list_known_hosts(self) -> tuple[data.Host, ...]:
+        """Returns all hosts that this router knows of."""
+        unreachable = (host for host, _ in self._fleet.list_unreachable())
+        return (*self._fleet.list_reachable(), *unreachable)
+
+    async def _gather(
+        self, query: status.StatusQuery
+    ) -> tuple[tuple[status.StatusReport, ...], tuple[str, ...]]:
+        """Returns the routers' reports, and notes on those that are missing."""
+        reachable = self._fleet.list_reachable()
+        reports = await self._fleet.gather(query)
+        notes = query_tables.list_missing(
+            reachable,
+            self._fleet.list_unreachable(),
+            reports,
+            self._read_clock_ms(),
+        )
+        return tuple(sorted(reports, key=lambda item: item.host)), notes
+
+    async def _run_command(
+        self,
+        command: commands.Command,
+        author: str,
+        current: configuration.Configuration,
+    ) -> Answer:
+        """Runs a command."""
+        match command.action:
+            case (
+                commands.TopUpBudget()
+                | commands.ReduceBudget()
+                | commands.ReleaseUnaccounted()
+                | commands.ResolveCall()
+                | commands.LiftQuarantine()
+            ):
+                return await self._run_action(command, author, current)
+            case _:
+                return await self._change(
+                    command, command.action, author, current
+                )
+
+    async def _change(
+        self,
+        command: commands.Command,
+        change: changes.Change,
+        author: str,
+        current: configuration.Configuration,
+    ) -> Answer:
+        """Submits a configuration change."""
+        findings = _check_change(current, change)
+        if findings:
+            cause = " ".join(item.message for item in findings)
+            await self.note_refused(command, author, cause)
+            return Refused(422, "invalid_change", findings)
+        record = changes.ConfigurationChange(
+            record_id=self._make_id(_RECORD_ID_BYTES),
+            author=author,
+            reason=command.reason,
+            made_at_ms=self._read_clock_ms(),
+            expected_version=command.expected_version,
+            change=change,
+        )
+        outcome = await self._stream.submit(record)
+        match outcome:
+            case changes.ChangeVerdict(code=changes.ChangeCode.APPLIED):
+                return query_tables.tabulate_verdict(outcome, change)
+            case changes.ChangeVerdict(code=changes.ChangeCode.LOST_RACE):
+                return refuse(409, "lost_race", outcome.message)
+            case changes.ChangeVerdict():
+                return refuse(422, "invalid_change", outcome.message)
+            case operator_ports.SubmissionFailed(message):
+                return refuse(
+                    503,
+                    "log_unavailable",
+                    f"The change did not take effect: {message}.",
+                )
+            case operator_ports.SubmissionUnknown(record_id):
+                return refuse(
+                    504,
+                    "outcome_unknown",
+                    "The change may take effect; once the log answers, `show"
+                    f' audit where record = "{record_id.hex()}"` tells.',
+                )
+
+    async def _run_action(
+        self,
+        command: commands.Command,
+        author: str,
+        current: configuration.Configuration,
+    ) -> Answer:
+        """Runs an action on the ledger or the quarantine."""
+        if command.expected_version not in (0, current.version):
+            message = (
+                "The command was made against version"
+                f" {command.expected_version}, but version {current.version}"
+                f" by {self._stream.find_author()!r} is in force."
+            )
+            await self.note_refused(command, author, message)
+            return refuse(409, "lost_race", message)
+        match command.action:
+            case commands.LiftQuarantine(account, digest):
+                answer = self._lift(account, digest, author)
+            case _:
+                entry = _build_entry(command, author, current)
+                if isinstance(entry, Refused):
+                    answer = entry
+                else:
+                    answer = await self._commit(entry)
+        return await self._note_outcome(command, author, answer)
+
+    def _lift(self, account: str, digest: bytes, author: str) -> Answer:
+        """Ends a quarantine."""
+        if not self._quarantine.lift(account, digest, author):
+            return refuse(
+                422, "not_quarantined", "There is no such quarantine."
+            )
+        return tables.Table(
+            ("outcome", "account", "digest"),
+            (("lifted", account, digest.hex()),),
+        )
+
+    async def _commit(
+        self, entry: data.Credit | data.Release | data.Resolve
+    ) -> Answer:
+        """Commits a ledger entry and describes its verdict."""
+        verdict = await self._ledger.commit(entry)
+        match verdict:
+            case operator_ports.LedgerUnavailable(message):
+                return refuse(
+                    504,
+                    "outcome_unknown",
+                    f"{message} Give the command again: its reference or"
+                    " subject makes a repeat harmless.",
+                )
+            case data.Verdict(code=data.VerdictCode.ACCEPTED):
+                return _describe_entry(entry, "applied", verdict.tokens)
+            case data.Verdict(code=data.VerdictCode.REPEATED):
+                return _describe_entry(entry, "repeated", verdict.tokens)
+            case data.Verdict(code=code):
+                return refuse(
+                    422,
+                    code.name.lower(),
+                    f"The ledger refused the command: {code.name.lower()}.",
+                )
+
+    async def _note_outcome(
+        self, command: commands.Command, author: str, answer: Answer
+    ) -> Answer:
+        """Puts the outcome of an action into the audit trail."""
+        match answer:
+            case Refused():
+                cause = " ".join(item.message for item in answer.findings)
+                note = self._make_note(command, author, "", cause, True)
+            case tables.Table():
+                note = self._make_note(
+                    command, author, "", _join_row(answer), False
+                )
+        outcome = await self._stream.submit(note)
+        if isinstance(outcome, changes.ChangeVerdict):
+            return answer
+        return _add_note(answer, "The audit trail did not take the entry.")
+
+    def _make_note(
+        self,
+        command: commands.Command,
+        author: str,
+        before: str,
+        after: str,
+        is_refused: bool,
+    ) -> changes.AuditNote:
+        """Returns the audit note on a command."""
+        return changes.AuditNote(
+            record_id=self._make_id(_RECORD_ID_BYTES),
+            author=author,
+            reason=command.reason,
+            made_at_ms=self._read_clock_ms(),
+            action=name_action(command.action),
+            subject=name_subject(command.action),
+            before=before,
+            after=after,
+            is_refused=is_refused,
+        )
+
+
+def name_action(action: commands.Action) -> str:
+    """Returns an action's name for the audit trail."""
+    match action:
+        case commands.TopUpBudget():
+            return "top up budget"
+        case commands.ReduceBudget():
+            return "reduce budget"
+        case commands.ReleaseUnaccounted():
+            return "release unaccounted"
+        case commands.ResolveCall():
+            return "resolve call"
+        case commands.LiftQuarantine():
+            return "lift quarantine"
+        case _:
+            return change_apply.name_change(action)
+
+
+def name_subject(action: commands.Action) -> str:
+    """Returns the name of what an action is about."""
+    match action:
+        case commands.TopUpBudget(budget) | commands.ReduceBudget(budget):
+            return budget
+        case commands.ReleaseUnaccounted(budget):
+            return budget
+        case commands.ResolveCall(account) | commands.LiftQuarantine(account):
+            return account
+        case _:
+            return change_apply.name_subject(action)
+
+
+def _check_change(
+    current: configuration.Configuration, change: changes.Change
+) -> tuple[data.Finding, ...]:
+    """Returns what the fold would refuse a change for, as of now."""
+    try:
+        candidate = change_apply.apply_change(
+            current, change, current.version + 1
+        )
+    except change_apply.ChangeError as error:
+        return (data.Finding(_PLACE, error.message),)
+    return validation.validate_configuration(candidate, current)
+
+
+def _build_entry(
+    command: commands.Command,
+    author: str,
+    current: configuration.Configuration,
+) -> data.Credit | data.Release | data.Resolve | Refused:
+    """Returns the ledger entry of an action, or why there is none."""
+    reason = command.reason
+    budgets = {budget.name for budget in current.budgets}
+    match command.action:
+        case commands.TopUpBudget(budget, tokens, reference):
+            entry = data.Credit(budget, reference, tokens, author, reason)
+        case commands.ReduceBudget(budget, tokens, reference):
+            entry = data.Credit(budget, reference, -tokens, author, reason)
+        case commands.ReleaseUnaccounted(budget, holder, tokens):
+            return data.Release(budget, holder, tokens, author, reason)
+        case commands.ResolveCall(name, key, outcome):
+            account = _find_account(current, name)
+            if account is None:
+                return refuse(
+                    422,
+                    "unknown_account",
+                    f"There is no client account named {name!r}.",
+                )
+            digest = request_key.digest_key(name, key)
+            return data.Resolve(account.budget, digest, outcome, author, reason)
+        case _:
+            raise TypeError(f"{command.action} is no ledger action")
+    if entry.budget not in budgets:
+        return refuse(
+            422,
+            "unknown_budget",
+            f"There is no budget named {entry.budget!r}; `create budget` makes"
+            " one.",
+        )
+    return entry
+
+
+def _find_account(
+    current: configuration.Configuration, name: str
+) -> configuration.ClientAccount | None:
+    """Returns the client account of a name, or None."""
+    for account in current.client_accounts:
+        if account.name == name:
+            return account
+    return None
+
+
+def _describe_entry(
+    entry: data.Credit | data.Release | data.Resolve,
+    outcome: str,
+    tokens: int,
+) -> tables.Table:
+    """Returns the answer to a ledger entry that took effect."""
+    match entry:
+        case data.Resolve():
+            return tables.Table(
+                ("outcome", "budget", "status"),
+                ((outcome, entry.budget, entry.status.name.lower()),),
+            )
+        case _:
+            table = tables.Table(
+                ("outcome", "budget", "tokens"),
+                ((outcome, entry.budget, tokens),),
+            )
+    if outcome == "applied" and tokens != entry.tokens:
+        return _add_table_note(
+            table,
+            f"{entry.tokens} tokens were asked for; the rest is leased,"
+            " reserved or settled.",
+        )
+    return table
+
+
+def _add_table_note(table: tables.Table, note: str) -> tables.Table:
+    """Returns a table with one more note."""
+    return tables.Table(table.columns, table.rows, (*table.notes, note))
+
+
+def _add_note(answer: Answer, note: str) -> Answer:
+    """Returns an answer with one more note or finding."""
+    match answer:
+        case tables.Table():
+            return _add_table_note(answer, note)
+        case Refused():
+            findings = (*answer.findings, data.Finding(_PLACE, note))
+            return Refused(answer.status, answer.code, findings)
+
+
+def _join_row(table: tables.Table) -> str:
+    """Returns the first row of an answer as text."""
+    cells = zip(table.columns, table.rows[0], strict=True)
+    return ", ".join(f"{column} {cell}" for column, cell in cells)
--- /dev/null
+++ b/redwingchute/process/query_tables.py
@@ -0,0 +1,378 @@
+"""Builds the tables that answer operators' queries.
+
+Each function takes records and returns a table whose columns are those that
+`version.commands` lists for its subject.
+"""
+
+from collections.abc import Iterable
+import datetime
+
+from redwingchute.core import configuration
+from redwingchute.core import data
+from redwingchute.core import status
+from redwingchute.process import operator_ports
+from redwingchute.version import change_apply
+from redwingchute.version import changes
+from redwingchute.version import commands
+from redwingchute.version import loader
+from redwingchute.version import tables
+
+_MS_PER_S = 1_000
+
+
+def _make_table(
+    subject: commands.Subject,
+    rows: Iterable[tuple[tables.Cell, ...]],
+    notes: tuple[str, ...] = (),
+) -> tables.Table:
+    """Returns a table with the subject's columns."""
+    return tables.Table(commands.COLUMNS[subject], tuple(rows), notes)
+
+
+def tabulate_spent(
+    current: configuration.Configuration, view: operator_ports.Balances
+) -> tables.Table:
+    """Returns what each budget has spent, and who spends from it."""
+    users = _list_budget_users(current)
+    rows = [
+        (
+            balance.budget,
+            users.get(balance.budget, ()),
+            balance.credited_tokens,
+            balance.settled_tokens,
+            balance.leased_tokens,
+            balance.reserved_tokens,
+            balance.unaccounted_tokens,
+            balance.credited_tokens
+            - balance.settled_tokens
+            - balance.leased_tokens
+            - balance.reserved_tokens
+            - balance.unaccounted_tokens,
+        )
+        for balance in sorted(view.balances, key=lambda item: item.budget)
+    ]
+    return _make_table(commands.Subject.SPENT, rows, _note_shards(view))
+
+
+def tabulate_unaccounted(
+    view: operator_ports.Balances, hosts: tuple[data.Host, ...]
+) -> tables.Table:
+    """Returns the unaccounted tokens of each retired holder."""
+    names = {host.incarnation: host.name for host in hosts}
+    rows = [
+        (
+            balance.budget,
+            str(holder.holder),
+            names.get(holder.holder, ""),
+            holder.unaccounted_tokens,
+        )
+        for balance in sorted(view.balances, key=lambda item: item.budget)
+        for holder in balance.holders
+        if holder.unaccounted_tokens
+    ]
+    return _make_table(commands.Subject.UNACCOUNTED, rows, _note_shards(view))
+
+
+def _list_budget_users(
+    current: configuration.Configuration,
+) -> dict[str, tuple[str, ...]]:
+    """Returns the client accounts that are charged to each budget."""
+    users: dict[str, tuple[str, ...]] = {}
+    for account in current.client_accounts:
+        users[account.budget] = (*users.get(account.budget, ()), account.name)
+    return users
+
+
+def _note_shards(view: operator_ports.Balances) -> tuple[str, ...]:
+    """Returns the note on shards that did not answer."""
+    if not view.missing_shards:
+        return ()
+    shards = ", ".join(map(str, view.missing_shards))
+    return (f"Budgets of these ledger shards are missing: {shards}.",)
+
+
+def tabulate_running(
+    reports: tuple[status.StatusReport, ...], notes: tuple[str, ...]
+) -> tables.Table:
+    """Returns the requests that the routers work on."""
+    rows = [
+        (
+            report.host,
+            report.zone,
+            running.account,
+            running.pool,
+            running.kind,
+            running.upstream,
+            running.state,
+            report.reported_ms - running.started_ms,
+        )
+        for report in reports
+        for running in report.running
+    ]
+    return _make_table(commands.Subject.RUNNING, rows, notes)
+
+
+def tabulate_in_force(
+    reports: tuple[status.StatusReport, ...], notes: tuple[str, ...]
+) -> tables.Table:
+    """Returns the configuration version in force on each router."""
+    newest = max((report.version for report in reports), default=0)
+    rows = [
+        (
+            report.host,
+            report.zone,
+            report.version,
+            report.version == newest,
+            report.reported_ms - report.current_ms,
+        )
+        for report in reports
+    ]
+    return _make_table(commands.Subject.IN_FORCE, rows, notes)
+
+
+def tabulate_hosts(
+    reachable: tuple[data.Host, ...],
+    unreachable: tuple[tuple[data.Host, int], ...],
+    now_ms: int,
+) -> tables.Table:
+    """Returns the routers that this one knows."""
+    states = [(host, None) for host in reachable]
+    states_out = [(host, now_ms - since_ms) for host, since_ms in unreachable]
+    rows = [
+        (
+            host.name,
+            host.zone,
+            _name_host_state(host, unreachable_ms),
+            host.peer_address,
+            str(host.incarnation),
+            unreachable_ms,
+        )
+        for host, unreachable_ms in [*states, *states_out]
+    ]
+    return _make_table(commands.Subject.HOSTS, rows)
+
+
+def _name_host_state(host: data.Host, unreachable_ms: int | None) -> str:
+    """Returns the state of a host in one word."""
+    if unreachable_ms is not None:
+        return "unreachable"
+    return "leaving" if host.is_leaving else "live"
+
+
+def tabulate_upstreams(
+    current: configuration.Configuration,
+    reports: tuple[status.StatusReport, ...],
+    notes: tuple[str, ...],
+) -> tables.Table:
+    """Returns the upstreams with the newest load that any router has."""
+    newest: dict[str, tuple[int, status.UpstreamStatus]] = {}
+    for report in reports:
+        for known in report.upstreams:
+            age_ms = report.reported_ms - known.reported_ms
+            best = newest.get(known.upstream)
+            if best is None or age_ms < best[0]:
+                newest[known.upstream] = age_ms, known
+    rows = [
+        _describe_upstream(pool, upstream, newest.get(upstream.name))
+        for pool, upstream in _list_pools(current)
+    ]
+    return _make_table(commands.Subject.UPSTREAMS, rows, notes)
+
+
+def _list_pools(
+    current: configuration.Configuration,
+) -> list[tuple[str, configuration.Upstream]]:
+    """Returns (pool name, upstream) for all models and services."""
+    pools: tuple[configuration.Model | configuration.Service, ...] = (
+        *current.models,
+        *current.services,
+    )
+    return [(pool.name, item) for pool in pools for item in pool.upstreams]
+
+
+def _describe_upstream(
+    pool: str,
+    upstream: configuration.Upstream,
+    newest: tuple[int, status.UpstreamStatus] | None,
+) -> tuple[tables.Cell, ...]:
+    """Returns the row of one upstream."""
+    age_ms, known = newest if newest is not None else (None, None)
+    state = known.state if known is not None else "unknown"
+    has_load = known is not None and known.reported_ms > 0
+    return (
+        upstream.name,
+        pool,
+        upstream.zone,
+        upstream.address,
+        "drained" if upstream.is_drained else state,
+        known.running if known is not None and has_load else None,
+        known.queued if known is not None and has_load else None,
+        upstream.slots,
+        age_ms if has_load else None,
+    )
+
+
+def tabulate_quarantine(
+    entries: tuple[status.QuarantinedRequest, ...],
+) -> tables.Table:
+    """Returns the requests that are refused after crashes."""
+    rows = [
+        (
+            entry.account,
+            entry.digest.hex(),
+            format_time(entry.until_ms),
+            entry.author,
+        )
+        for entry in entries
+    ]
+    return _make_table(commands.Subject.QUARANTINE, rows)
+
+
+def tabulate_audit(entries: tuple[changes.AuditEntry, ...]) -> tables.Table:
+    """Returns the audit trail, newest first."""
+    rows = [
+        (
+            format_time(entry.made_at_ms),
+            entry.author,
+            entry.action,
+            entry.subject,
+            entry.code.name.lower(),
+            entry.version,
+            entry.reason,
+            entry.before,
+            entry.after,
+            entry.message,
+            entry.record_id.hex(),
+        )
+        for entry in reversed(entries)
+    ]
+    return _make_table(commands.Subject.AUDIT, rows)
+
+
+def tabulate_configuration(
+    subject: commands.Subject, current: configuration.Configuration
+) -> tables.Table:
+    """Returns a table of one part of the configuration in force."""
+    note = f"Version {current.version} is in force on this host."
+    return _make_table(subject, _list_parts(subject, current), (note,))
+
+
+def _list_parts(
+    subject: commands.Subject, current: configuration.Configuration
+) -> list[tuple[tables.Cell, ...]]:
+    """Returns the rows of one part of the configuration."""
+    users = _list_budget_users(current)
+    match subject:
+        case commands.Subject.ACCOUNTS:
+            return [
+                (
+                    account.name,
+                    account.budget,
+                    account.models,
+                    account.services,
+                    account.time_zone,
+                    len(account.key_hashes),
+                    len(account.patience),
+                    account.is_suspended,
+                )
+                for account in current.client_accounts
+            ]
+        case commands.Subject.BUDGETS:
+            return [
+                (
+                    budget.name,
+                    users.get(budget.name, ()),
+                    budget.reserve_share,
+                    budget.lease_horizon_ms,
+                )
+                for budget in current.budgets
+            ]
+        case commands.Subject.MODELS:
+            return [
+                (
+                    model.name,
+                    tuple(item.name for item in model.upstreams),
+                    model.max_output_tokens,
+                    model.prompt_price,
+                    model.output_price,
+                )
+                for model in current.models
+            ]
+        case commands.Subject.SERVICES:
+            return [
+                (
+                    service.name,
+                    tuple(item.name for item in service.upstreams),
+                    service.is_repeatable,
+                    service.call_price,
+                )
+                for service in current.services
+            ]
+        case commands.Subject.OPERATORS:
+            return [(item.name, item.role.value) for item in current.operators]
+        case _:
+            return [(loader.dump_configuration(current),)]
+
+
+def tabulate_verdict(
+    verdict: changes.ChangeVerdict, change: changes.Change
+) -> tables.Table:
+    """Returns the answer to an applied change."""
+    return tables.Table(
+        ("outcome", "action", "subject", "version"),
+        (
+            (
+                verdict.code.name.lower(),
+                change_apply.name_change(change),
+                change_apply.name_subject(change),
+                verdict.version,
+            ),
+        ),
+    )
+
+
+def list_missing(
+    reachable: tuple[data.Host, ...],
+    unreachable: tuple[tuple[data.Host, int], ...],
+    reports: tuple[status.StatusReport, ...],
+    now_ms: int,
+) -> tuple[str, ...]:
+    """Returns notes on availability zones and hosts without a report.
+
+    Args:
+      reachable: The hosts that were asked.
+      unreachable: The hosts that could not be asked, and since when.
+      reports: The reports that came.
+      now_ms: The time.
+    """
+    reported = {report.host for report in reports}
+    zones = {report.zone for report in reports}
+    out = {host.name: since_ms for host, since_ms in unreachable}
+    silent = [host for host in reachable if host.name not in reported]
+    missing = [*silent, *(host for host, _ in unreachable)]
+    notes = [
+        f"Availability zone {zone} is missing."
+        for zone in sorted({host.zone for host in missing} - zones)
+    ]
+    for host in sorted(missing, key=lambda item: item.name):
+        since_ms = out.get(host.name)
+        if since_ms is None:
+            notes.append(f"Host {host.name} ({host.zone}) did not answer.")
+            continue
+        seconds = max(0, now_ms - since_ms) // _MS_PER_S
+        notes.append(
+            f"Host {host.name} ({host.zone}) has been out of reach for"
+            f" {seconds} s."
+        )
+    return tuple(notes)
+
+
+def format_time(at_ms: int) -> str:
+    """Returns an instant as ISO 8601 text in UTC."""
+    try:
+        instant = datetime.datetime.fromtimestamp(
+            at_ms / _MS_PER_S, datetime.UTC
+        )
+    except (OverflowError, ValueError, OSError):
+        return str(at_ms)
+    return instant.isoformat(timespec="milliseconds").replace("+00:00", "Z")
--- a/redwingchute/version/change_fold.py
+++ b/redwingchute/version/change_fold.py
@@ -69,6 +69,11 @@
         """The newest entries of the audit trail, oldest first."""
         return tuple(self._audit)
 
+    @property
+    def author(self) -> str:
+        """Who made the version in force."""
+        return self._author
+
     def find_verdict(self, record_id: bytes) -> changes.ChangeVerdict | None:
         """Returns what became of a record id, or None when it is not there."""
         return self._verdicts.get(record_id)
--- a/redwingchute/version/commands.py
+++ b/redwingchute/version/commands.py
@@ -43,7 +43,6 @@
         "reserved_tokens",
         "unaccounted_tokens",
         "available_tokens",
-        "age_ms",
     ),
     Subject.RUNNING: (
         "host",
@@ -54,16 +53,15 @@
         "upstream",
         "state",
         "running_ms",
-        "age_ms",
     ),
-    Subject.IN_FORCE: ("host", "zone", "version", "behind", "age_ms"),
+    Subject.IN_FORCE: ("host", "zone", "version", "is_newest", "age_ms"),
     Subject.HOSTS: (
         "host",
         "zone",
         "state",
         "peer_address",
         "incarnation",
-        "age_ms",
+        "unreachable_ms",
     ),
     Subject.UPSTREAMS: (
         "upstream",
@@ -76,15 +74,8 @@
         "slots",
         "age_ms",
     ),
-    Subject.QUARANTINE: (
-        "digest",
-        "account",
-        "crashes",
-        "host",
-        "since_ms",
-        "age_ms",
-    ),
-    Subject.UNACCOUNTED: ("budget", "holder", "host", "tokens", "age_ms"),
+    Subject.QUARANTINE: ("account", "digest", "until", "author"),
+    Subject.UNACCOUNTED: ("budget", "holder", "host", "tokens"),
     Subject.AUDIT: (
         "time",
         "author",
@@ -96,6 +87,7 @@
         "before",
         "after",
         "message",
+        "record",
     ),
     Subject.ACCOUNTS: (
         "account",
@@ -206,9 +198,10 @@
 
 @attrs.frozen
 class LiftQuarantine:
-    """Lets a quarantined request run again; the digest is in hex."""
+    """Lets a quarantined request of a client account run again."""
 
-    digest: str
+    account: str
+    digest: bytes
 
 
 Action: TypeAlias = (
--- a/redwingchute/version/language_test.py
+++ b/redwingchute/version/language_test.py
@@ -141,7 +141,10 @@
         'resolve call "k" of account "a" as succeeded',
         commands.ResolveCall("a", "k", data.OutcomeStatus.SUCCEEDED),
     ),
-    ('lift quarantine "0AFF"', commands.LiftQuarantine("0aff")),
+    (
+        'lift quarantine "0AFF" of account "a"',
+        commands.LiftQuarantine("a", b"\x0a\xff"),
+    ),
     (
         f'create operator "di" role budget key hash "{_HASH}"',
         changes.PutOperator(
@@ -216,7 +219,7 @@
         "wrong escape",
     ),
     (
-        'lift quarantine "xyz" because "y"',
+        'lift quarantine "xyz" of account "a" because "y"',
         "line 1 column 17",
         "not a digest",
     ),
--- a/redwingchute/version/language_tree.py
+++ b/redwingchute/version/language_tree.py
@@ -65,16 +65,19 @@
 def _read_text(token: lark.Token) -> str:
     """Returns the content of a quoted text; raises StatementError."""
     quoted = str(token)
-    if quoted.startswith("'"):
-        return quoted[1:-1]
-    try:
-        text: str = json.loads(quoted, strict=False)
-    except ValueError as error:
-        raise _fail(token, f"The text has a wrong escape: {error}.") from error
+    text: str = quoted[1:-1]
+    if quoted.startswith('"'):
+        try:
+            text = json.loads(quoted, strict=False)
+        except ValueError as error:
+            message = f"The text has a wrong escape: {error}."
+            raise _fail(token, message) from error
     try:
         text.encode()
     except UnicodeEncodeError as error:
         raise _fail(token, "The text has half a character.") from error
+    if "\0" in text:
+        raise _fail(token, "The text has a zero character.")
     return text
 
 
@@ -423,14 +426,14 @@
         """Returns the status that an operator found out."""
         return _STATUSES[token.type]
 
-    def lift(self, digest: lark.Token) -> commands.LiftQuarantine:
+    def lift(self, digest: lark.Token, account: str) -> commands.LiftQuarantine:
         """Returns the lift of a quarantine."""
         try:
-            bytes.fromhex(str(digest))
+            packed = bytes.fromhex(str(digest))
         except ValueError as error:
             message = f"{str(digest)!r} is not a digest in hex."
             raise _fail(digest, message) from error
-        return commands.LiftQuarantine(str(digest).lower())
+        return commands.LiftQuarantine(str(account), packed)
 
     def drain(self, upstream: str) -> changes.DrainUpstream:
         """Returns the change that drains an upstream."""
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -7,12 +7,14 @@
 
 from redwingchute.core import data
 from redwingchute.core import fleet
+from redwingchute.core import status
 from redwingchute.version import changes
 from redwingchute.wire import codec
 
 _LEDGER = "ledger.capnp"
 _FLEET = "fleet.capnp"
 _CONFIGURATION = "configuration.capnp"
+_STATUS = "status.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -32,6 +34,8 @@
     codec.Registration(300, changes.ConfigurationChange, _CONFIGURATION),
     codec.Registration(301, changes.AuditNote, _CONFIGURATION),
     codec.Registration(302, changes.ConfigurationCheckpoint, _CONFIGURATION),
+    codec.Registration(320, status.StatusQuery, _STATUS),
+    codec.Registration(321, status.StatusReport, _STATUS),
 )
 
 
