--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -9,6 +9,7 @@
 from redwingchute.core import fleet
 from redwingchute.core import requesting
 from redwingchute.core import spending
+from redwingchute.core import status
 from redwingchute.version import changes
 from redwingchute.wire import codec
 
@@ -17,6 +18,7 @@
 _CONFIGURATION = "configuration.capnp"
 _REQUEST = "request.capnp"
 _SPEND = "spend.capnp"
+_STATUS = "status.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -41,6 +43,8 @@
     codec.Registration(300, changes.ConfigurationChange, _CONFIGURATION),
     codec.Registration(301, changes.AuditNote, _CONFIGURATION),
     codec.Registration(302, changes.ConfigurationCheckpoint, _CONFIGURATION),
+    codec.Registration(320, status.StatusQuery, _STATUS),
+    codec.Registration(321, status.StatusReport, _STATUS),
     codec.Registration(400, requesting.CrashNotice, _REQUEST),
     codec.Registration(401, requesting.QuarantineNotice, _REQUEST),
     codec.Registration(402, requesting.LeavingNotice, _REQUEST),
