Add HTTP between processes of a manual loop

Cause: daemons and stand-ins should run unchanged on the manual clock. Chosen: in-memory places of HttpServer and ClientPool; a cut holds bytes back and delivers them late, connecting across it times out, a dead process refuses. Found on the way: the loop holds tasks weakly, so a process keeps its own.

--- a/redwingchute/testing/manual_loop.py
+++ b/redwingchute/testing/manual_loop.py
@@ -19,6 +19,7 @@
 _ResultT = TypeVar("_ResultT")
 
 _CLOCK_RESOLUTION_S = 1e-6
+_CLEAN_UP_S = 600.0
 
 
 class StalledError(Exception):
@@ -64,13 +65,18 @@
         self.context = contextvars.copy_context()
         self.context.run(_PROCESS.set, self)
         self._backlog: list[_GuardedCallback] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
 
     def spawn(
         self, coroutine: Coroutine[Any, Any, _ResultT]
     ) -> asyncio.Task[_ResultT]:
         """Starts a task of the process."""
         loop = asyncio.get_running_loop()
-        return loop.create_task(coroutine, context=self.context)
+        task = loop.create_task(coroutine, context=self.context)
+        # The loop itself holds tasks weakly only.
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
     def freeze(self) -> None:
         """Holds back all callbacks from now on."""
@@ -111,12 +117,14 @@
 
     def __init__(
         self,
+        loop: "ManualLoop",
         process: ModelProcess,
         callback: Callable[..., object],
         arguments: tuple[Any, ...],
         context: contextvars.Context,
     ) -> None:
         """Binds the callback to its process."""
+        self._loop = loop
         self._process = process
         self._callback = callback
         self._arguments = arguments
@@ -125,6 +133,9 @@
 
     def __call__(self) -> None:
         """Runs, holds back or drops the callback."""
+        if self._loop.is_ending:
+            self._callback(*self._arguments)
+            return
         match self._process.state:
             case ProcessState.RUNNING:
                 self._callback(*self._arguments)
@@ -135,9 +146,7 @@
 
     def run_again(self) -> None:
         """Schedules the callback unless it was cancelled meanwhile."""
-        asyncio.get_running_loop().call_soon(
-            self._run_unless_cancelled, context=self._context
-        )
+        self._loop.call_soon(self._run_unless_cancelled, context=self._context)
 
     def _run_unless_cancelled(self) -> None:
         """Runs the callback that was held back."""
@@ -146,10 +155,15 @@
 
 
 class ManualLoop(asyncio.SelectorEventLoop):
-    """An event loop on a manual clock that starts at zero."""
+    """An event loop on a manual clock that starts at zero.
+
+    Attributes:
+      is_ending: Whether frozen and dead processes run again, to be cleaned up.
+    """
 
     def __init__(self) -> None:
         """Starts the clock at zero."""
+        self.is_ending = False
         self._clock = _ClockSelector()
         super().__init__(self._clock)
         self._clock_resolution = _CLOCK_RESOLUTION_S
@@ -169,7 +183,7 @@
         process = context.get(_PROCESS)
         if process is None:
             return super().call_soon(callback, *args, context=context)
-        guarded = _GuardedCallback(process, callback, args, context)
+        guarded = _GuardedCallback(self, process, callback, args, context)
         guarded.handle = super().call_soon(guarded, context=context)
         return guarded.handle
 
@@ -185,7 +199,7 @@
         process = context.get(_PROCESS)
         if process is None:
             return super().call_at(when, callback, *args, context=context)
-        guarded = _GuardedCallback(process, callback, args, context)
+        guarded = _GuardedCallback(self, process, callback, args, context)
         handle = super().call_at(when, guarded, context=context)
         guarded.handle = handle
         return handle
@@ -195,13 +209,20 @@
     """Runs a coroutine to its end on a new manual loop.
 
     Tasks that are left when it ends, as those of killed processes are, are
-    dropped without a word.
+    cancelled.
     """
     loop = ManualLoop()
     asyncio.set_event_loop(loop)
     try:
         return loop.run_until_complete(coroutine)
     finally:
+        loop.is_ending = True
         loop.set_exception_handler(lambda _, __: None)
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            waiting = asyncio.wait(tasks, timeout=_CLEAN_UP_S)
+            loop.run_until_complete(waiting)
         asyncio.set_event_loop(None)
         loop.close()
--- /dev/null
+++ b/redwingchute/testing/memory_transport.py
@@ -0,0 +1,400 @@
+"""HTTP between processes of a manual loop, without sockets.
+
+`MemoryServer` and `MemoryPool` take the places of `HttpServer` and
+`ClientPool`, so that daemons and stand-ins run unchanged. A cut holds bytes
+back and delivers them late, as a network partition does; opening a connection
+across a cut times out; a dead process refuses connections.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import contextvars
+from types import TracebackType
+from typing import TypeAlias
+import urllib.parse
+
+import h11
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.testing import manual_loop
+
+_LATENCY_S = 0.001
+
+_Event: TypeAlias = http_client.ResponseHead | http_client.BodyEvent
+_Callback: TypeAlias = Callable[[], None]
+# A call, and what to call instead when the target process is dead.
+_Delivery: TypeAlias = tuple[Callable[[], object], _Callback | None]
+
+
+class Channel:
+    """Carries calls one way between two processes, in order."""
+
+    def __init__(
+        self,
+        world: "World",
+        source: manual_loop.ModelProcess,
+        target: manual_loop.ModelProcess,
+    ) -> None:
+        """Binds the channel to its ends."""
+        self._world = world
+        self._source = source
+        self._target = target
+        self._waiting: collections.deque[_Delivery] = collections.deque()
+
+    def put(
+        self, deliver: Callable[[], object], on_dead: _Callback | None = None
+    ) -> None:
+        """Runs a call in the target process once it has travelled.
+
+        Args:
+          deliver: The call.
+          on_dead: Called instead when the target process is dead.
+        """
+        self._waiting.append((deliver, on_dead))
+        self._world.call_later(_LATENCY_S, self._deliver_next)
+
+    def release(self) -> None:
+        """Delivers what a cut has held back."""
+        for _ in range(len(self._waiting)):
+            self._deliver_next()
+
+    def _deliver_next(self) -> None:
+        """Delivers the oldest call unless a cut holds it back."""
+        if not self._waiting:
+            return
+        if self._world.is_cut(self._source, self._target):
+            self._world.hold(self)
+            return
+        deliver, on_dead = self._waiting.popleft()
+        if self._target.state is not manual_loop.ProcessState.DEAD:
+            asyncio.get_running_loop().call_soon(
+                deliver, context=self._target.context
+            )
+        elif on_dead is not None:
+            on_dead()
+
+
+class World:
+    """Which processes listen where, and which cannot reach each other.
+
+    Attributes:
+      servers: The HTTP servers by port.
+      errors: Exceptions that escaped from handlers.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty and uncut."""
+        self.servers: dict[int, MemoryServer] = {}
+        self.errors: list[BaseException] = []
+        self._started_servers: list[MemoryServer] = []
+        self._cuts: frozenset[frozenset[str]] = frozenset()
+        self._held: dict[Channel, None] = {}
+        self._next_port = 20_000
+
+    def call_later(self, delay_s: float, callback: _Callback) -> None:
+        """Runs a callback of the world itself, outside of any process."""
+        asyncio.get_running_loop().call_later(
+            delay_s, callback, context=contextvars.Context()
+        )
+
+    def allocate_port(self) -> int:
+        """Returns a port that nothing has used."""
+        self._next_port += 1
+        return self._next_port
+
+    def add_server(self, server: "MemoryServer") -> None:
+        """Lets a server listen on its port, in place of any other."""
+        self.servers[server.port] = server
+        self._started_servers.append(server)
+
+    def is_cut(
+        self, one: manual_loop.ModelProcess, other: manual_loop.ModelProcess
+    ) -> bool:
+        """Tells whether two processes cannot reach each other."""
+        return frozenset((one.name, other.name)) in self._cuts
+
+    def set_cuts(self, cuts: frozenset[frozenset[str]]) -> None:
+        """Replaces the cuts and delivers what is no longer held back."""
+        self._cuts = cuts
+        held, self._held = self._held, {}
+        for channel in held:
+            channel.release()
+
+    def hold(self, channel: Channel) -> None:
+        """Remembers a channel that a cut holds back."""
+        self._held[channel] = None
+
+    def kill(self, process: manual_loop.ModelProcess) -> None:
+        """Ends a process; its connections break."""
+        process.kill()
+        for server in self._started_servers:
+            server.forget_process(process)
+
+
+class MemoryServer:
+    """Takes the place of `HttpServer`; a context manager."""
+
+    def __init__(
+        self,
+        world: World,
+        handler: http_server.Handler,
+        address: str,
+        port: int,
+        limits: http_server.ServerLimits | None = None,
+    ) -> None:
+        """Prepares a server; it listens once its context is entered."""
+        self.world = world
+        self.handler = handler
+        self.port = port
+        self.open_exchanges = 0
+        self.bad_requests = 0
+        process = manual_loop.find_process()
+        assert process is not None
+        self.process = process
+        self._exchanges: set[_Exchange] = set()
+
+    async def __aenter__(self) -> "MemoryServer":
+        """Starts to listen."""
+        self.port = self.port or self.world.allocate_port()
+        self.world.add_server(self)
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops listening and breaks the connections that are left."""
+        self._stop_listening()
+        tasks = [each.task for each in self._exchanges if each.task]
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+
+    def begin_drain(self) -> None:
+        """Does nothing: connections are not kept alive here."""
+
+    def accept(self, exchange: "_Exchange") -> None:
+        """Runs the handler of a request, in the server's process."""
+        self._exchanges.add(exchange)
+        self.open_exchanges += 1
+        exchange.task = asyncio.ensure_future(self._serve(exchange))
+
+    def forget_process(self, process: manual_loop.ModelProcess) -> None:
+        """Breaks the exchanges that a killed process had an end of."""
+        for exchange in list(self._exchanges):
+            if process is self.process:
+                exchange.to_client.put(exchange.break_off)
+            elif process is exchange.client_process:
+                exchange.to_server.put(exchange.cancel)
+        if process is self.process:
+            self._stop_listening()
+
+    def _stop_listening(self) -> None:
+        """Frees the port unless another process has taken it."""
+        if self.world.servers.get(self.port) is self:
+            del self.world.servers[self.port]
+
+    async def _serve(self, exchange: "_Exchange") -> None:
+        """Runs one handler to its end."""
+        assert exchange.request is not None
+        try:
+            await self.handler(exchange.request, MemoryResponder(exchange))
+        except http_server.ClientDisconnectedError:
+            pass
+        except Exception as error:
+            # Daemons must not let these escape; the scenario reports them.
+            self.world.errors.append(error)
+        finally:
+            self.open_exchanges -= 1
+            self._exchanges.discard(exchange)
+            exchange.to_client.put(exchange.break_off)
+
+
+class _Exchange:
+    """One request and its response on their way.
+
+    Attributes:
+      events: What has reached the client.
+      request: The request, once sent.
+      task: The handler, once the request has arrived.
+    """
+
+    def __init__(
+        self, server: MemoryServer, client_process: manual_loop.ModelProcess
+    ) -> None:
+        """Binds the exchange to its two processes."""
+        world = server.world
+        self.server = server
+        self.client_process = client_process
+        self.to_server = Channel(world, client_process, server.process)
+        self.to_client = Channel(world, server.process, client_process)
+        self.events: asyncio.Queue[_Event] = asyncio.Queue()
+        self.request: http_server.HttpRequest | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.is_client_gone = False
+        self.has_ended = False
+
+    def send_request(self, request: http_server.HttpRequest) -> None:
+        """Sends the request to the server."""
+        self.request = request
+        self.to_server.put(
+            self._arrive, lambda: self.to_client.put(self.break_off)
+        )
+
+    def send_event(self, event: _Event) -> None:
+        """Sends a part of the response to the client."""
+        if self.is_client_gone:
+            raise http_server.ClientDisconnectedError
+        self.to_client.put(lambda: self.events.put_nowait(event))
+
+    def break_off(self) -> None:
+        """Tells the client that nothing follows."""
+        broken = http_client.ExchangeBroken("the upstream closed early")
+        self.events.put_nowait(broken)
+
+    def cancel(self) -> None:
+        """Ends the handler because the client has gone."""
+        self.is_client_gone = True
+        if self.task is not None:
+            self.task.cancel()
+
+    def _arrive(self) -> None:
+        """Starts the handler, in the server's process."""
+        is_listening = (
+            self.server.world.servers.get(self.server.port) is self.server
+        )
+        if is_listening and not self.is_client_gone:
+            self.server.accept(self)
+        else:
+            self.to_client.put(self.break_off)
+
+
+class MemoryResponder(http_server.HttpResponder):
+    """Sends one response to the client of an exchange."""
+
+    def __init__(self, exchange: _Exchange) -> None:
+        """Binds the responder to its exchange."""
+        self._exchange = exchange
+        self._must_close = lambda: False
+        self.has_started = False
+
+    async def _send(
+        self, event: h11.Response | h11.Data | h11.EndOfMessage
+    ) -> None:
+        """Sends one event; raises ClientDisconnectedError when it cannot."""
+        match event:
+            case h11.Response():
+                headers = {
+                    name.decode("latin-1").lower(): value.decode("latin-1")
+                    for name, value in event.headers
+                }
+                self._exchange.send_event(
+                    http_client.ResponseHead(event.status_code, headers)
+                )
+            case h11.Data():
+                chunk = http_client.BodyChunk(bytes(event.data))
+                self._exchange.send_event(chunk)
+            case h11.EndOfMessage():
+                self._exchange.send_event(http_client.BodyEnd())
+        # Lets the callers of a real connection's drain run, too.
+        await asyncio.sleep(0)
+
+
+class MemoryConnection(http_client.ClientConnection):
+    """Takes the place of `ClientConnection`; used for one exchange."""
+
+    def __init__(
+        self, address: http_client.Address, exchange: _Exchange
+    ) -> None:
+        """Binds the connection to its exchange."""
+        self.address = address
+        self._exchange = exchange
+        self._is_closed = False
+
+    async def send_request(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> http_client.ExchangeBroken | None:
+        """Sends a whole request."""
+        parts = urllib.parse.urlsplit(target)
+        request = http_server.HttpRequest(
+            method=method,
+            path=urllib.parse.unquote(parts.path),
+            query=dict(urllib.parse.parse_qsl(parts.query)),
+            headers={name.lower(): value for name, value in headers},
+            body=body,
+        )
+        self._exchange.send_request(request)
+        return None
+
+    async def read_head(
+        self,
+    ) -> http_client.ResponseHead | http_client.ExchangeBroken:
+        """Waits for the status and headers."""
+        event = await self._exchange.events.get()
+        if isinstance(event, http_client.ResponseHead):
+            return event
+        return http_client.ExchangeBroken("the upstream closed early")
+
+    async def read_chunk(self) -> http_client.BodyEvent:
+        """Waits for the next part of the body."""
+        event = await self._exchange.events.get()
+        if isinstance(event, http_client.BodyEnd):
+            self._exchange.has_ended = True
+        if isinstance(event, http_client.ResponseHead):
+            return http_client.ExchangeBroken("a second response began")
+        return event
+
+    def make_reusable(self) -> bool:
+        """Returns False: every exchange has a connection of its own."""
+        return False
+
+    def is_quiet(self) -> bool:
+        """Tells whether nothing unread is left."""
+        return self._exchange.events.empty()
+
+    def close(self) -> None:
+        """Closes the connection, which cancels an unfinished exchange."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if not self._exchange.has_ended:
+            self._exchange.to_server.put(self._exchange.cancel)
+
+
+class MemoryPool(http_client.ClientPool):
+    """Takes the place of `ClientPool`."""
+
+    def __init__(
+        self,
+        world: World,
+        connect_ms: int = 1_000,
+        max_idle_per_address: int = 32,
+    ) -> None:
+        """Binds the pool to the world."""
+        super().__init__(connect_ms, max_idle_per_address)
+        self._world = world
+        self._connect_s = connect_ms / 1000
+
+    async def acquire(
+        self, address: http_client.Address
+    ) -> http_client.ClientConnection | http_client.ConnectFailed:
+        """Opens a connection to the process that listens on the port."""
+        process = manual_loop.find_process()
+        assert process is not None
+        server = self._world.servers.get(address.port)
+        if server is not None and self._world.is_cut(process, server.process):
+            await asyncio.sleep(self._connect_s)
+            return http_client.ConnectFailed("connecting timed out")
+        await asyncio.sleep(_LATENCY_S)
+        if server is None:
+            return http_client.ConnectFailed("connection refused")
+        return MemoryConnection(address, _Exchange(server, process))
