Make the stand-ins' entry points plain functions with flags

Cause: main.py hands them to defopt, which neither awaits coroutines nor makes flags of positional parameters. After: run_platform, run_engine and run_service are synchronous, with keyword-only parameters; an engine started through defopt listened and ended by SIGTERM with status 0.

--- a/redwingchute/standin/base.py
+++ b/redwingchute/standin/base.py
@@ -217,6 +217,11 @@
         await wait_for_signal()
 
 
+def run_until_signal(stand_in: StandIn[Any]) -> None:
+    """Runs a stand-in as a process of its own; see `serve_until_signal`."""
+    asyncio.run(serve_until_signal(stand_in))
+
+
 def parse_listen(listen: str) -> http_client.Address:
     """Reads the `ip:port` of a command line; raises ValueError."""
     return http_client.Address.parse(listen)
--- a/redwingchute/standin/engine.py
+++ b/redwingchute/standin/engine.py
@@ -372,11 +372,23 @@
     return faults_lib.to_json({"error": {"message": message}})
 
 
-async def run_engine(
-    listen: str, model: str, name: str, token_interval_ms: int, slots: int
+def run_engine(
+    *,
+    listen: str,
+    model: str,
+    name: str = "engine",
+    token_interval_ms: int = 5,
+    slots: int = 8,
 ) -> None:
-    """Serves an engine on `ip:port` until SIGTERM or SIGINT."""
+    """Run a stand-in of a model engine.
+
+    Args:
+      listen: The ip:port to serve on, port 0 for a free one.
+      model: The name of the model that is loaded.
+      name: The runner's name.
+      token_interval_ms: The time for one token.
+      slots: How many requests run at once.
+    """
     at = base.parse_listen(listen)
     faults = EngineFaults(token_interval_ms=token_interval_ms)
-    engine = Engine(model, name, slots, at.ip, at.port, faults)
-    await base.serve_until_signal(engine)
+    base.run_until_signal(Engine(model, name, slots, at.ip, at.port, faults))
--- a/redwingchute/standin/platform.py
+++ b/redwingchute/standin/platform.py
@@ -262,7 +262,11 @@
     )
 
 
-async def run_platform(listen: str) -> None:
-    """Serves the platform on `ip:port` until SIGTERM or SIGINT."""
+def run_platform(*, listen: str) -> None:
+    """Run a stand-in of the platform: log service, hosts and weights.
+
+    Args:
+      listen: The ip:port to serve on, port 0 for a free one.
+    """
     at = base.parse_listen(listen)
-    await base.serve_until_signal(Platform(at.ip, at.port))
+    base.run_until_signal(Platform(at.ip, at.port))
--- a/redwingchute/standin/service.py
+++ b/redwingchute/standin/service.py
@@ -165,7 +165,12 @@
     )
 
 
-async def run_service(listen: str, name: str) -> None:
-    """Serves a plain service on `ip:port` until SIGTERM or SIGINT."""
+def run_service(*, listen: str, name: str = "service") -> None:
+    """Run a stand-in of a plain service.
+
+    Args:
+      listen: The ip:port to serve on, port 0 for a free one.
+      name: The instance's name.
+    """
     at = base.parse_listen(listen)
-    await base.serve_until_signal(Service(name, at.ip, at.port))
+    base.run_until_signal(Service(name, at.ip, at.port))
