--- /dev/null
+++ b/redwingchute/main.py
@@ -0,0 +1,116 @@
+"""The `redwingchute` command: a thin script over the library.
+
+`router` is the daemon of an entry host, `publish` gives
+a fleet its first configuration, `ask` sends an operator's query or
+command to any router, and `stand-in` runs a small replacement of the platform
+or of an upstream for trials and tests.
+"""
+
+from collections.abc import Callable
+import inspect
+import os
+import sys
+from typing import Any
+
+import defopt
+
+from redwingchute.process import ask_client
+from redwingchute.process import publisher
+from redwingchute.process import router
+from redwingchute.process import settings
+from redwingchute.standin import engine
+from redwingchute.standin import platform
+from redwingchute.standin import service
+
+_EXIT_BAD_SETTINGS = 2
+
+
+def _make_router_command() -> Callable[..., Any]:
+    """Returns the router command with one flag for each setting."""
+
+    def router_command(**flags: str | None) -> int:
+        loaded, findings = settings.load_settings(flags, os.environ)
+        if loaded is None:
+            for finding in findings:
+                print(f"{finding.place}: {finding.message}", file=sys.stderr)
+            return _EXIT_BAD_SETTINGS
+        return router.run_router(loaded)
+
+    parameters = []
+    lines = ["Run the daemon of an entry host.", ""]
+    for description in settings.describe_settings():
+        name = description.flag.removeprefix("--").replace("-", "_")
+        parameters.append(
+            inspect.Parameter(
+                name,
+                inspect.Parameter.KEYWORD_ONLY,
+                default=None,
+                annotation=str | None,
+            )
+        )
+        lines.append(
+            f":param {name}: {description.help} Allowed: "
+            f"{description.allowed}. Variable {description.variable}, "
+            f"default {description.default}."
+        )
+    router_command.__signature__ = inspect.Signature(  # type: ignore[attr-defined]
+        parameters, return_annotation=int
+    )
+    router_command.__annotations__ = {
+        parameter.name: parameter.annotation for parameter in parameters
+    }
+    router_command.__doc__ = "\n".join(lines)
+    return router_command
+
+
+def ask(
+    command: str,
+    *,
+    admin: str | None = None,
+    key: str | None = None,
+    output: str = "text",
+) -> int:
+    """Send an operator's query or command to a router.
+
+    Args:
+      command: The query or command, for example 'show spent'.
+      admin: The ip:port of any router's admin address. Variable
+        REDWINGCHUTE_ADMIN.
+      key: The operator's key. Variable REDWINGCHUTE_OPERATOR_KEY.
+      output: text or json.
+    """
+    admin = admin or os.environ.get("REDWINGCHUTE_ADMIN", "127.0.0.1:8081")
+    key = key or os.environ.get("REDWINGCHUTE_OPERATOR_KEY", "")
+    return ask_client.run_ask(command, admin, key, output)
+
+
+def publish(path: str, *, platform: str, author: str, reason: str) -> int:
+    """Publish a configuration document to the platform's log.
+
+    Args:
+      path: The JSON document.
+      platform: The ip:port of the platform's log service.
+      author: Who publishes, for the audit trail.
+      reason: Why, for the audit trail.
+    """
+    return publisher.run_publish(path, platform, author, reason)
+
+
+def main() -> None:
+    """Runs the command line and exits with the command's status."""
+    commands = {
+        "router": _make_router_command(),
+        "ask": ask,
+        "publish": publish,
+        "stand-in": {
+            "platform": platform.run_platform,
+            "engine": engine.run_engine,
+            "service": service.run_service,
+        },
+    }
+    status = defopt.run(commands, no_negated_flags=True)
+    sys.exit(status or 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/redwingchute/process/operator_adapters.py
@@ -0,0 +1,196 @@
+"""Plugs the parts of a router into the operators' command executor."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from redwingchute.core import configuration
+from redwingchute.core import data
+from redwingchute.core import status
+from redwingchute.process import configuration_reader
+from redwingchute.process import membership_service
+from redwingchute.process import operator_ports
+from redwingchute.process import owner_directory
+from redwingchute.process import peer_network
+from redwingchute.process import publisher
+from redwingchute.process.ledger import log_client
+from redwingchute.process.ledger import log_outcomes
+from redwingchute.process.ledger import sharding
+from redwingchute.version import changes
+from redwingchute.wire import codec
+
+_VERDICT_TIMEOUT_S = 8.0
+_VERDICT_POLL_S = 0.02
+_STATUS_TIMEOUT_MS = 2_000
+
+
+class LogConfigurationStream:
+    """The configuration stream, read here and written through the log."""
+
+    def __init__(
+        self,
+        reader: configuration_reader.ConfigurationReader,
+        log: log_client.LogClient,
+        wire_codec: codec.Codec,
+    ) -> None:
+        """Binds the stream to its reader and the log."""
+        self._reader = reader
+        self._log = log
+        self._codec = wire_codec
+
+    def find_current(self) -> configuration.Configuration | None:
+        """Returns the version in force, or None before the first one."""
+        return self._reader.find_current()
+
+    def find_author(self) -> str:
+        """Returns who made the version in force."""
+        return self._reader.fold.author
+
+    def list_audit(self) -> tuple[changes.AuditEntry, ...]:
+        """Returns the newest entries of the audit trail, oldest first."""
+        return self._reader.fold.audit
+
+    async def submit(
+        self, record: changes.ConfigurationChange | changes.AuditNote
+    ) -> operator_ports.Submission:
+        """Appends a record and waits until the stream tells its verdict."""
+        outcome = await self._log.append(
+            publisher.STREAM, self._codec.encode(record)
+        )
+        if isinstance(outcome, log_outcomes.LogUnreachable):
+            return operator_ports.SubmissionFailed(outcome.message)
+        try:
+            async with asyncio.timeout(_VERDICT_TIMEOUT_S):
+                while True:
+                    verdict = self._reader.fold.find_verdict(record.record_id)
+                    if verdict is not None:
+                        return verdict
+                    await asyncio.sleep(_VERDICT_POLL_S)
+        except TimeoutError:
+            return operator_ports.SubmissionUnknown(record.record_id)
+
+
+class ShardLedger:
+    """The ledger as operators see it: every shard through its owner."""
+
+    def __init__(
+        self,
+        directory: owner_directory.OwnerDirectory,
+        own_host: data.Host,
+        shard_count: int,
+    ) -> None:
+        """Binds the ledger to the directory of owners."""
+        self._directory = directory
+        self._own_host = own_host
+        self._shard_count = shard_count
+
+    async def read_balances(self) -> operator_ports.Balances:
+        """Returns the balances of all budgets whose owner answers."""
+        reports = await asyncio.gather(
+            *(
+                self._directory.query_balances(data.BalanceQuery(shard))
+                for shard in range(self._shard_count)
+            )
+        )
+        balances: list[data.BudgetBalance] = []
+        missing: list[int] = []
+        for shard, report in enumerate(reports):
+            if report is None:
+                missing.append(shard)
+            else:
+                balances += report.balances
+        balances.sort(key=lambda balance: balance.budget)
+        return operator_ports.Balances(tuple(balances), tuple(missing))
+
+    async def commit(
+        self, entry: data.Credit | data.Release | data.Resolve
+    ) -> data.Verdict | operator_ports.LedgerUnavailable:
+        """Commits one entry and returns the verdict on it."""
+        shard = sharding.find_shard(entry.budget, self._shard_count)
+        call = data.LedgerCall(
+            shard,
+            self._own_host.incarnation,
+            self._own_host.name,
+            entries=(entry,),
+        )
+        reply = await self._directory.call(shard, call)
+        if reply is None:
+            return operator_ports.LedgerUnavailable(
+                f"The owner of ledger shard {shard} did not answer."
+            )
+        match reply.status:
+            case data.CallStatus.HANDLED:
+                return reply.verdicts[0]
+            case data.CallStatus.NOT_OWNER:
+                return operator_ports.LedgerUnavailable(
+                    f"Ledger shard {shard} has no owner at the moment."
+                )
+            case data.CallStatus.LOG_UNAVAILABLE:
+                return operator_ports.LedgerUnavailable(
+                    "The log service is out of reach."
+                )
+
+
+class FleetStatus:
+    """The routers in view and their own reports."""
+
+    def __init__(
+        self,
+        members: membership_service.MembershipService,
+        network: peer_network.PeerNetwork,
+        report: Callable[[status.StatusQuery], status.StatusReport],
+    ) -> None:
+        """Binds the fleet to this router's view and answers its queries.
+
+        Args:
+          members: The membership view.
+          network: Carries the queries.
+          report: Returns this router's own status.
+        """
+        self._members = members
+        self._network = network
+        self._report = report
+        network.handle(status.StatusQuery, self._answer_query)
+
+    def list_reachable(self) -> tuple[data.Host, ...]:
+        """Returns the hosts in view, leaving ones included."""
+        return self._members.view.list_reachable()
+
+    def list_unreachable(self) -> tuple[tuple[data.Host, int], ...]:
+        """Returns known hosts out of the view, and since when in ms."""
+        return self._members.view.list_unreachable()
+
+    async def gather(
+        self, query: status.StatusQuery
+    ) -> tuple[status.StatusReport, ...]:
+        """Returns the reports of the hosts in view that answered."""
+        replies = await asyncio.gather(
+            *(
+                self._network.call(host.name, query, _STATUS_TIMEOUT_MS)
+                for host in self.list_reachable()
+            )
+        )
+        return tuple(
+            reply for reply in replies if isinstance(reply, status.StatusReport)
+        )
+
+    async def _answer_query(
+        self, peer: data.Host, query: status.StatusQuery
+    ) -> status.StatusReport:
+        """Answers another router's query."""
+        del peer
+        return self._report(query)
+
+
+@dataclasses.dataclass(frozen=True)
+class NoQuarantine:
+    """The quarantine of a router that does not keep one."""
+
+    def list_entries(self) -> tuple[status.QuarantinedRequest, ...]:
+        """Returns no entries."""
+        return ()
+
+    def lift(self, account: str, digest: bytes, author: str) -> bool:
+        """Finds nothing to lift."""
+        del account, digest, author
+        return False
--- /dev/null
+++ b/redwingchute/process/owner_directory.py
@@ -0,0 +1,91 @@
+"""Finds the router that owns a ledger shard and carries calls to it.
+
+The rendezvous hash over the live routers is only a first guess; a router that
+is not the owner names the one it knows, and that hint is followed once per
+call and remembered.
+"""
+
+from collections.abc import Callable
+
+from redwingchute.core import data
+from redwingchute.process import peer_network
+from redwingchute.process.ledger import sharding
+
+_CALL_TIMEOUT_MS = 5_000
+_MAX_HOPS = 2
+
+
+class OwnerDirectory:
+    """Carries calls to the owners of ledger shards."""
+
+    def __init__(
+        self,
+        network: peer_network.PeerNetwork,
+        list_live_hosts: Callable[[], tuple[data.Host, ...]],
+    ) -> None:
+        """Starts without hints.
+
+        Args:
+          network: Carries the calls.
+          list_live_hosts: Returns the routers that may own shards.
+        """
+        self._network = network
+        self._list_live_hosts = list_live_hosts
+        self._hints: dict[int, str] = {}
+
+    async def call(
+        self, shard: int, call: data.LedgerCall
+    ) -> data.LedgerReply | None:
+        """Carries a call to the owner of its shard.
+
+        Args:
+          shard: The shard.
+          call: The call; it may be handled even when no reply comes.
+
+        Returns:
+          The reply; None when no router answered.
+        """
+        reply = await self._ask(shard, call)
+        return reply if isinstance(reply, data.LedgerReply) else None
+
+    async def query_balances(
+        self, query: data.BalanceQuery
+    ) -> data.BalanceReport | None:
+        """Returns a shard's balances, or None when its owner is not found."""
+        reply = await self._ask(query.shard, query)
+        if not isinstance(reply, data.BalanceReport):
+            return None
+        if reply.status is data.CallStatus.NOT_OWNER:
+            return None
+        return reply
+
+    async def _ask(
+        self, shard: int, record: data.LedgerCall | data.BalanceQuery
+    ) -> data.LedgerReply | data.BalanceReport | None:
+        """Sends a record to the likely owner and follows one hint."""
+        for _ in range(_MAX_HOPS):
+            host_name = self._find_host(shard)
+            if host_name is None:
+                return None
+            reply = await self._network.call(
+                host_name, record, _CALL_TIMEOUT_MS
+            )
+            if not isinstance(reply, data.LedgerReply | data.BalanceReport):
+                self._hints.pop(shard, None)
+                return None
+            if reply.status is not data.CallStatus.NOT_OWNER:
+                return reply
+            self._hints.pop(shard, None)
+            if reply.owner_host in ("", host_name):
+                return reply
+            self._hints[shard] = reply.owner_host
+        return None
+
+    def _find_host(self, shard: int) -> str | None:
+        """Returns the name of the host to ask for a shard."""
+        live = self._list_live_hosts()
+        hint = self._hints.get(shard)
+        if hint is not None and any(host.name == hint for host in live):
+            return hint
+        proposed = sharding.propose_owner(shard, live)
+        return None if proposed is None else proposed.name
--- a/redwingchute/process/peer_network.py
+++ b/redwingchute/process/peer_network.py
@@ -15,6 +15,8 @@
 from typing import Any
 from typing import TypeAlias
 
+import attrs
+
 from redwingchute.connection import http_client
 from redwingchute.connection import peer_link
 from redwingchute.core import data
@@ -50,6 +52,7 @@
         wire_codec: codec.Codec,
         metrics: telemetry.Metrics,
         read_clock_ms: Callable[[], int],
+        advertised: http_client.Address | None = None,
     ) -> None:
         """Prepares the network; it listens once its context is entered.
 
@@ -59,8 +62,10 @@
           wire_codec: Encodes the messages.
           metrics: Where bytes and failures are counted.
           read_clock_ms: Returns the time.
+          advertised: The address that others dial, if it is another one.
         """
         self.own_host = own_host
+        self._advertised = advertised
         self._fleet_key = fleet_key
         self._codec = wire_codec
         self._metrics = metrics
@@ -82,11 +87,9 @@
             self._accept, address.ip, address.port, backlog=256
         )
         port = self._server.sockets[0].getsockname()[1]
-        self.own_host = data.Host(
-            self.own_host.name,
-            self.own_host.zone,
-            f"{address.ip}:{port}",
-            self.own_host.incarnation,
+        bound = http_client.Address(address.ip, port)
+        self.own_host = attrs.evolve(
+            self.own_host, peer_address=str(self._advertised or bound)
         )
         self._spawn(self._close_idle_links())
         return self
--- /dev/null
+++ b/redwingchute/process/router.py
@@ -0,0 +1,342 @@
+"""The daemon of an entry host: a thin shell that joins the library's parts.
+
+A planned stop takes the reverse order of the start: readiness goes off, the
+balancer's lag is waited out, open requests finish, tokens return to their
+budgets, shards are handed over, and only then do the links close.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import logging
+import random
+import secrets
+import signal
+import time
+from types import TracebackType
+from typing import Any
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import data
+from redwingchute.core import spending
+from redwingchute.core import status
+from redwingchute.process import admin_api
+from redwingchute.process import admin_front
+from redwingchute.process import command_executor
+from redwingchute.process import configuration_reader
+from redwingchute.process import incarnations
+from redwingchute.process import membership_service
+from redwingchute.process import operator_adapters
+from redwingchute.process import owner_directory
+from redwingchute.process import peer_network
+from redwingchute.process import settings as settings_lib
+from redwingchute.process import telemetry
+from redwingchute.process.ledger import holder_service
+from redwingchute.process.ledger import log_client
+from redwingchute.process.ledger import owner
+from redwingchute.process.ledger import owner_service
+from redwingchute.request import context
+from redwingchute.request import dispatch
+from redwingchute.request import front
+from redwingchute.wire import registry
+
+_LOG = logging.getLogger(__name__)
+_MS_PER_S = 1_000
+_STOP_POLL_S = 0.05
+_DEAD_CHECK_S = 1.0
+
+
+def read_clock_ms() -> int:
+    """Returns the time in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
+
+
+class Router:
+    """One router; a context manager that owns all of its parts.
+
+    Attributes:
+      settings: The checked settings.
+      network: The links to other routers.
+      callers: The server that callers connect to.
+      admin: The server of health, metrics and the administration API.
+    """
+
+    def __init__(self, settings: settings_lib.RouterSettings) -> None:
+        """Builds the parts; nothing listens before the context is entered.
+
+        Args:
+          settings: The checked settings.
+        """
+        self.settings = settings
+        self._codec = registry.make_codec()
+        self._metrics = telemetry.Metrics(settings.host_name, settings.zone)
+        self._pool = http_client.ClientPool()
+        self._log = log_client.LogClient(self._pool, settings.platform)
+        self._incarnation = incarnations.make_process_incarnation(
+            secrets.randbits
+        )
+        self._is_stopping = False
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._stack = contextlib.AsyncExitStack()
+        self.network = self._make_network()
+        self.reader = configuration_reader.ConfigurationReader(
+            self._log, self._codec, self._note_configuration
+        )
+        self.owners = owner_service.OwnerService(
+            self._incarnation,
+            settings.host_name,
+            self._log,
+            self._codec,
+            read_clock_ms,
+            owner.OwnerPolicy(shard_count=settings.shards),
+        )
+
+    def _make_network(self) -> peer_network.PeerNetwork:
+        """Returns the links of this router."""
+        return peer_network.PeerNetwork(
+            data.Host(
+                self.settings.host_name,
+                self.settings.zone,
+                str(self.settings.peer_listen),
+                self._incarnation,
+            ),
+            self.settings.fleet_key,
+            self._codec,
+            self._metrics,
+            read_clock_ms,
+            self.settings.peer_advertise,
+        )
+
+    async def __aenter__(self) -> "Router":
+        """Starts all parts in the order in which they need each other."""
+        enter = self._stack.enter_async_context
+        await enter(self._pool)
+        await enter(self.network)
+        self.members = membership_service.MembershipService(
+            self.network,
+            random.Random(self._incarnation),
+            read_clock_ms,
+            self._note_members,
+        )
+        self._directory = owner_directory.OwnerDirectory(
+            self.network, lambda: self.members.view.list_live()
+        )
+        await enter(self.owners)
+        numbers = incarnations.HolderNumbers(self._incarnation)
+        self.ledger = await enter(
+            holder_service.LedgerClient(
+                self.settings.host_name,
+                self.settings.shards,
+                self._directory.call,
+                read_clock_ms,
+                numbers.make_incarnation,
+                self._send_to_siblings,
+            )
+        )
+        self._register_handlers()
+        for peer in self.settings.peers:
+            self.members.introduce(peer)
+        self._note_members()
+        self._spawn(self.members.run())
+        self._spawn(self.reader.run())
+        self._spawn(self._declare_dead())
+        self.callers = await enter(self._make_caller_server())
+        self.admin = await enter(self._make_admin_server())
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Closes all parts in the reverse order of their start."""
+        await self._stack.aclose()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._metrics.close()
+
+    async def stop(self) -> None:
+        """Prepares a planned stop: cuts off no request."""
+        _LOG.info("planned stop begins; readiness is off")
+        self._is_stopping = True
+        self.members.begin_leaving()
+        await asyncio.sleep(self.settings.balancer_lag_ms / _MS_PER_S)
+        self.callers.begin_drain()
+        deadline_ms = read_clock_ms() + self.settings.stop_ms
+        while self.callers.open_exchanges and read_clock_ms() < deadline_ms:
+            await asyncio.sleep(_STOP_POLL_S)
+        self.callers.close_idle()
+
+    def explain_not_ready(self) -> str | None:
+        """Returns why requests should not come here, or None."""
+        if self._is_stopping:
+            return "stopping"
+        if self.reader.find_current() is None:
+            return "no configuration yet"
+        return None
+
+    def _make_caller_server(self) -> http_server.HttpServer:
+        """Returns the server of callers."""
+        request_context = context.RequestContext(
+            self.ledger,
+            self._pool,
+            dispatch.UpstreamTable(self.settings.zone),
+            self._metrics,
+            read_clock_ms,
+            secrets.token_bytes,
+        )
+        limits = http_server.ServerLimits(
+            self.settings.max_header_bytes,
+            self.settings.max_body_bytes,
+            self.settings.idle_ms,
+            self.settings.receive_ms,
+        )
+        caller_front = front.CallerFront(
+            request_context, self.reader.find_current
+        )
+        listen = self.settings.listen
+        return http_server.HttpServer(
+            caller_front.handle, listen.ip, listen.port, limits
+        )
+
+    def _make_admin_server(self) -> http_server.HttpServer:
+        """Returns the server of health, metrics and administration."""
+        stream = operator_adapters.LogConfigurationStream(
+            self.reader, self._log, self._codec
+        )
+        executor = command_executor.CommandExecutor(
+            stream,
+            operator_adapters.ShardLedger(
+                self._directory, self.network.own_host, self.settings.shards
+            ),
+            operator_adapters.FleetStatus(
+                self.members, self.network, self._report_status
+            ),
+            operator_adapters.NoQuarantine(),
+            read_clock_ms,
+            secrets.token_bytes,
+        )
+        api = admin_api.AdminApi(
+            executor,
+            self.reader.find_current,
+            read_clock_ms,
+            lambda code: self._metrics.admin_refusals.add(1, {"code": code}),
+        )
+        admin = admin_front.AdminFront(
+            self._metrics, self.explain_not_ready, api.handle
+        )
+        listen = self.settings.admin_listen
+        return http_server.HttpServer(admin.handle, listen.ip, listen.port)
+
+    def _register_handlers(self) -> None:
+        """Registers what other routers may ask of this one."""
+        handle = self.network.handle
+        handle(data.LedgerCall, self.owners.handle_call)
+        handle(data.BalanceQuery, self.owners.handle_balance_query)
+        handle(data.Recall, self._handle_recall)
+        handle(spending.HoldBills, self._handle_hold_bills)
+        handle(spending.ForgetBills, self._handle_forget_bills)
+
+    async def _handle_recall(
+        self, peer: data.Host, recall: data.Recall
+    ) -> None:
+        """Gives tokens back that an owner asks for."""
+        del peer
+        self.ledger.recall(recall)
+
+    async def _handle_hold_bills(
+        self, peer: data.Host, request: spending.HoldBills
+    ) -> spending.BillsHeld:
+        """Keeps copies of a sibling's bills."""
+        del peer
+        return self.ledger.hold_bills(request)
+
+    async def _handle_forget_bills(
+        self, peer: data.Host, request: spending.ForgetBills
+    ) -> None:
+        """Drops copies of bills that are in the log."""
+        del peer
+        self.ledger.forget_bills(request)
+
+    def _send_to_siblings(
+        self, record: spending.HoldBills | spending.ForgetBills
+    ) -> None:
+        """Sends a record to the other routers of the availability zone."""
+        for host in self.members.view.list_reachable():
+            is_self = host.name == self.settings.host_name
+            if host.zone == self.settings.zone and not is_self:
+                self.network.send(host.name, record)
+
+    def _report_status(self, query: status.StatusQuery) -> status.StatusReport:
+        """Returns this router's own status."""
+        del query
+        current = self.reader.find_current()
+        return status.StatusReport(
+            self.settings.host_name,
+            self.settings.zone,
+            0 if current is None else current.version,
+            read_clock_ms(),
+            read_clock_ms(),
+        )
+
+    def _note_members(self) -> None:
+        """Passes a changed view on to the owners of shards."""
+        self.owners.set_live_hosts(self.members.view.list_live())
+
+    def _note_configuration(self) -> None:
+        """Notes that a new configuration version is in force."""
+        current = self.reader.find_current()
+        if current is None:
+            return
+        _LOG.info(
+            "configuration version in force",
+            extra={"version": current.version},
+        )
+        for budget in current.budgets:
+            self.ledger.register_budget(budget.name)
+
+    async def _declare_dead(self) -> None:
+        """Tells the owners of incarnations that membership declared dead."""
+        known: set[data.Incarnation] = set()
+        while True:
+            for dead in self.members.view.list_dead(read_clock_ms()):
+                if dead not in known:
+                    known.add(dead)
+                    self.owners.declare_dead(dead)
+            await asyncio.sleep(_DEAD_CHECK_S)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Runs a part that lives as long as the router."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def run_router(settings: settings_lib.RouterSettings) -> int:
+    """Runs a router until SIGTERM or SIGINT and returns the exit status."""
+    telemetry.set_up_logging(
+        settings.log_level, settings.host_name, settings.zone
+    )
+    return asyncio.run(_run(settings))
+
+
+async def _run(settings: settings_lib.RouterSettings) -> int:
+    """Serves until a signal, then makes a planned stop."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    async with Router(settings) as router:
+        print(
+            f"listening on {settings.listen.ip}:{router.callers.port} "
+            f"admin={settings.admin_listen.ip}:{router.admin.port} "
+            f"peers={router.network.own_host.peer_address}",
+            flush=True,
+        )
+        await stopped.wait()
+        await router.stop()
+    _LOG.info("planned stop is complete")
+    return 0
--- a/redwingchute/process/telemetry.py
+++ b/redwingchute/process/telemetry.py
@@ -26,11 +26,9 @@
           zone: The host's availability zone, likewise.
         """
         self._registry = prometheus_client.CollectorRegistry()
-        reader = prometheus_exporter.PrometheusMetricReader()
-        # The reader registers with the process-wide registry; moving it to an
-        # own one lets several routers run in one test process.
-        prometheus_client.REGISTRY.unregister(reader._collector)
-        self._registry.register(reader._collector)
+        reader = prometheus_exporter.PrometheusMetricReader(
+            scope_info_enabled=False, registry=self._registry
+        )
         self._provider = sdk_metrics.MeterProvider(
             [reader],
             resource=resources.Resource({"host": host_name, "zone": zone}),
@@ -47,6 +45,7 @@
         self.authentication_failures = meter.create_counter(
             "authentication_failures"
         )
+        self.admin_refusals = meter.create_counter("admin_refusals")
         self.peer_bytes_sent = meter.create_counter("peer_bytes_sent")
         self.peer_messages_sent = meter.create_counter("peer_messages_sent")
         self.peer_messages_unknown = meter.create_counter(
--- /dev/null
+++ b/redwingchute/request/front.py
@@ -0,0 +1,116 @@
+"""The entry of every caller's request: authentication, routing by path.
+
+Whatever happens inside a handler, the caller gets a final answer at once, and
+a refusal says truthfully whether the request ran.
+"""
+
+from collections.abc import Callable
+import logging
+
+from redwingchute.connection import http_server
+from redwingchute.core import configuration
+from redwingchute.core import outcomes
+from redwingchute.request import authentication
+from redwingchute.request import chat_handler
+from redwingchute.request import context
+from redwingchute.request import refusals
+from redwingchute.request import service_handler
+
+_LOG = logging.getLogger(__name__)
+_NOT_READY_RETRY_MS = 1_000
+
+
+class CallerFront:
+    """Answers the requests of callers."""
+
+    def __init__(
+        self,
+        request_context: context.RequestContext,
+        find_configuration: Callable[[], configuration.Configuration | None],
+    ) -> None:
+        """Builds the handlers.
+
+        Args:
+          request_context: The parts of the process that requests use.
+          find_configuration: Returns the version in force, if there is one.
+        """
+        self._context = request_context
+        self._find_configuration = find_configuration
+        self._chat = chat_handler.ChatHandler(request_context)
+        self._services = service_handler.ServiceHandler(request_context)
+
+    async def handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers one request and counts how it ended."""
+        metrics = self._context.metrics
+        metrics.requests.add(1, {"route": _name_route(request.path)})
+        metrics.open_requests.add(1)
+        try:
+            refusal = await self._route(request, responder)
+        except http_server.ClientDisconnectedError:
+            metrics.callers_disconnected.add(1)
+            raise
+        except Exception:
+            _LOG.exception("a request handler raised; the request failed")
+            refusal = outcomes.Failed(
+                500, "internal_error", "The router met an internal error."
+            )
+        finally:
+            metrics.open_requests.add(-1)
+        if refusal is not None:
+            metrics.refusals.add(
+                1,
+                {
+                    "type": outcomes.name_refusal_type(refusal),
+                    "code": refusal.code,
+                },
+            )
+            await refusals.send_refusal(responder, refusal)
+
+    async def _route(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> outcomes.Refusal | None:
+        """Finds the caller and runs the handler of the path."""
+        current = self._find_configuration()
+        if current is None:
+            return outcomes.NotRun(
+                503,
+                "not_ready",
+                "The router has no configuration yet.",
+                _NOT_READY_RETRY_MS,
+            )
+        account = authentication.find_client_account(current, request.headers)
+        if isinstance(account, outcomes.NotRun):
+            self._context.metrics.authentication_failures.add(1)
+            return account
+        caller = context.Caller(account, current, self._context.read_clock_ms())
+        match (request.method, request.path):
+            case ("POST", "/v1/chat/completions"):
+                return await self._chat.handle(request, responder, caller)
+            case ("GET", "/v1/models"):
+                await chat_handler.send_models(responder, caller)
+                return None
+            case (_, path) if path.startswith(service_handler.PREFIX):
+                return await self._services.handle(request, responder, caller)
+            case (_, "/v1/chat/completions" | "/v1/models"):
+                return outcomes.NotRun(
+                    405, "bad_method", "The path has no such method."
+                )
+            case _:
+                return outcomes.NotRun(
+                    404, "unknown_path", "Nothing is served at this path."
+                )
+
+
+def _name_route(path: str) -> str:
+    """Returns a path's name in counters, from a small fixed set."""
+    if path.startswith(service_handler.PREFIX):
+        return "services"
+    if path in ("/v1/chat/completions", "/v1/models"):
+        return path
+    return "other"
--- /dev/null
+++ b/redwingchute/request/service_handler.py
@@ -0,0 +1,354 @@
+"""Serves `/services/NAME/...`: plain services beside the model engines.
+
+A call that may not be repeated needs the caller's key, is claimed in the
+ledger before its first byte is sent, has one attempt, and its outcome is
+recorded before it is answered. A repeat gets the recorded outcome, or learns
+that the outcome is unknown; it never runs the call again.
+"""
+
+import base64
+import json
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import configuration
+from redwingchute.core import data
+from redwingchute.core import outcomes
+from redwingchute.core import spending
+from redwingchute.request import context
+from redwingchute.request import request_key
+
+PREFIX = "/services/"
+_TIMEOUT_MS = 30_000
+_MAX_ATTEMPTS = 3
+_RETRY_AFTER_MS = 1_000
+_ATTEMPT_ID_BYTES = 8
+# A longer answer is not kept in the ledger; a repeat is told so.
+MAX_RECORDED_BYTES = 16 * 1024
+
+
+@attrs.frozen
+class _Call:
+    """One call on its way to a service."""
+
+    service: configuration.Service
+    request: http_server.HttpRequest
+    target: str
+    attempt_id: str
+    key: str | None
+
+    def list_headers(self) -> list[tuple[str, str]]:
+        """Returns the headers that the service gets."""
+        headers = [("x-attempt-id", self.attempt_id)]
+        if self.key is not None:
+            headers.append(("idempotency-key", self.key))
+        if content_type := self.request.headers.get("content-type"):
+            headers.append(("content-type", content_type))
+        return headers
+
+
+class ServiceHandler:
+    """Answers calls of plain services."""
+
+    def __init__(self, request_context: context.RequestContext) -> None:
+        """Binds the handler to the parts of the process."""
+        self._context = request_context
+
+    async def handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+        caller: context.Caller,
+    ) -> outcomes.Refusal | None:
+        """Answers one call; returns the refusal to send, if any."""
+        call = self._read_call(request, caller)
+        if isinstance(call, outcomes.NotRun):
+            return call
+        charge = await self._admit(call, caller)
+        if isinstance(charge, outcomes.NotRun):
+            return charge
+        if call.service.is_repeatable:
+            return await self._run_repeatable(call, charge, responder)
+        if charge is None:
+            return _report_unknown()
+        return await self._run_once(call, charge, responder)
+
+    def _read_call(
+        self, request: http_server.HttpRequest, caller: context.Caller
+    ) -> _Call | outcomes.NotRun:
+        """Checks a call."""
+        name, _, rest = request.path.removeprefix(PREFIX).partition("/")
+        service = _find_service(name, caller)
+        if service is None:
+            return outcomes.NotRun(
+                404, "unknown_service", f"The account has no service '{name}'."
+            )
+        key = request_key.read_caller_key(request.headers)
+        if isinstance(key, outcomes.NotRun):
+            return key
+        if key is None and not service.is_repeatable:
+            return outcomes.NotRun(
+                400,
+                "key_required",
+                f"Calls of '{name}' may not be repeated and need an "
+                "Idempotency-Key.",
+            )
+        return _Call(
+            service,
+            request,
+            "/" + rest,
+            self._context.make_id(_ATTEMPT_ID_BYTES).hex(),
+            key,
+        )
+
+    async def _admit(
+        self, call: _Call, caller: context.Caller
+    ) -> spending.Charge | None | outcomes.NotRun:
+        """Reserves the call's price; None when it was settled before."""
+        charge_request = spending.ChargeRequest(
+            budget=caller.account.budget,
+            key=(
+                self._context.make_id(request_key.DIGEST_BYTES)
+                if call.key is None
+                else request_key.digest_key(caller.account.name, call.key)
+            ),
+            body_digest=request_key.digest_body(
+                f"{call.request.method} {call.request.path}", call.request.body
+            ),
+            bound_tokens=call.service.call_price,
+            has_caller_key=call.key is not None,
+            is_repeatable=call.service.is_repeatable,
+        )
+        deadline_ms = caller.arrived_ms + _TIMEOUT_MS
+        match await self._context.ledger.admit(charge_request, deadline_ms):
+            case spending.Charge() as charge:
+                return charge
+            case spending.AlreadySettled():
+                return None
+            case outcomes.NotRun() as refusal:
+                return refusal
+
+    async def _run_repeatable(
+        self,
+        call: _Call,
+        charge: spending.Charge | None,
+        responder: http_server.HttpResponder,
+    ) -> outcomes.Refusal | None:
+        """Runs a call that may run more than once."""
+        is_settled = False
+        try:
+            fetched = await self._try_upstreams(call)
+            if not isinstance(fetched, http_client.Fetched):
+                return fetched
+            if charge is not None:
+                is_settled = True
+                settlement = await self._context.ledger.settle(
+                    charge, call.service.call_price
+                )
+                if not isinstance(settlement, spending.Settled):
+                    return outcomes.Failed(
+                        503,
+                        "settlement_failed",
+                        "The bill did not become durable in time.",
+                        _RETRY_AFTER_MS,
+                    )
+            await _send_fetched(responder, fetched)
+            return None
+        finally:
+            if charge is not None and not is_settled:
+                self._context.ledger.cancel(charge)
+
+    async def _try_upstreams(
+        self, call: _Call
+    ) -> http_client.Fetched | outcomes.Refusal:
+        """Sends a repeatable call until an upstream answers it."""
+        tried: frozenset[str] = frozenset()
+        was_sent = False
+        for _ in range(_MAX_ATTEMPTS):
+            upstream = self._context.upstreams.choose(
+                call.service.upstreams, tried
+            )
+            if upstream is None:
+                break
+            tried |= {upstream.name}
+            match await self._fetch(call, upstream):
+                case http_client.Fetched(status=status) as fetched:
+                    if status < 500:
+                        return fetched
+                    was_sent = True
+                case http_client.ExchangeBroken():
+                    was_sent = True
+                case http_client.ConnectFailed():
+                    pass
+        if was_sent:
+            return outcomes.Failed(
+                502,
+                "service_failed",
+                "Every instance of the service that was tried failed.",
+                _RETRY_AFTER_MS,
+            )
+        return _report_unreachable(call.service)
+
+    async def _fetch(
+        self, call: _Call, upstream: configuration.Upstream
+    ) -> (
+        http_client.Fetched
+        | http_client.ConnectFailed
+        | http_client.ExchangeBroken
+    ):
+        """Runs one attempt on one upstream."""
+        self._context.metrics.attempts.add(1)
+        with self._context.upstreams.count(upstream):
+            return await self._context.pool.fetch(
+                http_client.Address.parse(upstream.address),
+                call.request.method,
+                call.target,
+                call.list_headers(),
+                call.request.body,
+                _TIMEOUT_MS,
+            )
+
+    async def _run_once(
+        self,
+        call: _Call,
+        charge: spending.Charge,
+        responder: http_server.HttpResponder,
+    ) -> outcomes.Refusal | None:
+        """Runs a call that may not be repeated, at most once."""
+        match await self._context.ledger.claim(charge):
+            case outcomes.NotRun() as refusal:
+                self._context.ledger.cancel(charge)
+                return refusal
+            case spending.ClaimRefused(status, answer):
+                self._context.ledger.cancel(charge)
+                return await _send_recorded(responder, status, answer)
+            case spending.Claimed():
+                return await self._run_claimed(call, charge, responder)
+
+    async def _run_claimed(
+        self,
+        call: _Call,
+        charge: spending.Charge,
+        responder: http_server.HttpResponder,
+    ) -> outcomes.Refusal | None:
+        """Makes the single attempt and records its outcome."""
+        upstream = self._context.upstreams.choose(
+            call.service.upstreams, frozenset()
+        )
+        result = (
+            http_client.ConnectFailed("the service has no instance")
+            if upstream is None
+            else await self._fetch(call, upstream)
+        )
+        match result:
+            case http_client.ConnectFailed():
+                await self._context.ledger.record_outcome(
+                    charge, data.OutcomeStatus.NOT_RUN, 0, b""
+                )
+                return _report_unreachable(call.service)
+            case http_client.ExchangeBroken():
+                # The claim stays without an outcome: the call may have run.
+                self._context.ledger.cancel(charge)
+                return _report_unknown()
+            case http_client.Fetched() as fetched:
+                return await self._record(call, charge, fetched, responder)
+
+    async def _record(
+        self,
+        call: _Call,
+        charge: spending.Charge,
+        fetched: http_client.Fetched,
+        responder: http_server.HttpResponder,
+    ) -> outcomes.Refusal | None:
+        """Records an answered call, then answers it."""
+        status = (
+            data.OutcomeStatus.SUCCEEDED
+            if fetched.status < 400
+            else data.OutcomeStatus.FAILED
+        )
+        tokens = call.service.call_price
+        if status is data.OutcomeStatus.FAILED:
+            tokens = 0
+        settlement = await self._context.ledger.record_outcome(
+            charge, status, tokens, encode_answer(fetched)
+        )
+        if not isinstance(settlement, spending.Settled):
+            return _report_unknown()
+        await _send_fetched(responder, fetched)
+        return None
+
+
+def encode_answer(fetched: http_client.Fetched) -> bytes:
+    """Returns a service's answer in the form that the ledger keeps."""
+    is_kept = len(fetched.body) <= MAX_RECORDED_BYTES
+    fields = {
+        "status": fetched.status,
+        "content_type": fetched.headers.get("content-type", ""),
+        "body": base64.b64encode(fetched.body).decode() if is_kept else None,
+    }
+    return json.dumps(fields).encode()
+
+
+def _find_service(
+    name: str, caller: context.Caller
+) -> configuration.Service | None:
+    """Returns a service of the configuration that the account may call."""
+    for service in caller.current.services:
+        if service.name == name and name in caller.account.services:
+            return service
+    return None
+
+
+async def _send_fetched(
+    responder: http_server.HttpResponder, fetched: http_client.Fetched
+) -> None:
+    """Sends a service's answer on."""
+    content_type = fetched.headers.get(
+        "content-type", "application/octet-stream"
+    )
+    await responder.send(fetched.status, fetched.body, content_type)
+
+
+async def _send_recorded(
+    responder: http_server.HttpResponder,
+    status: data.OutcomeStatus,
+    answer: bytes,
+) -> outcomes.Refusal | None:
+    """Answers a repeat from what was recorded."""
+    if status is data.OutcomeStatus.UNKNOWN:
+        return _report_unknown()
+    replayed = [("idempotency-replayed", "true")]
+    if not answer:
+        body = json.dumps({"outcome": status.name.lower()}).encode()
+        await responder.send(200, body, headers=replayed)
+        return None
+    fields = json.loads(answer)
+    if fields["body"] is None:
+        replayed.append(("idempotency-answer", "not-kept"))
+    body = base64.b64decode(fields["body"] or "")
+    await responder.send(
+        fields["status"], body, fields["content_type"], replayed
+    )
+    return None
+
+
+def _report_unknown() -> outcomes.OutcomeUnknown:
+    """Returns the refusal of a call that may have run."""
+    return outcomes.OutcomeUnknown(
+        409,
+        "outcome_unknown",
+        "The call was sent once and may have run; it is not sent again. "
+        "An operator can resolve it.",
+    )
+
+
+def _report_unreachable(service: configuration.Service) -> outcomes.NotRun:
+    """Returns the refusal of a call that was not sent anywhere."""
+    return outcomes.NotRun(
+        503,
+        "no_upstream",
+        f"No instance of service '{service.name}' can be reached.",
+        _RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,158 @@
+#!/bin/sh
+# Shows the whole path on loopback: two availability zones, one router in each,
+# stand-ins for the platform, a model engine and a plain service. Exits with 0,
+# or with the failing step's status. Leaves nothing running.
+set -eu
+
+WORK=$(mktemp -d)
+PIDS=""
+STEP="start"
+
+stop_all() {
+  status=$?
+  for pid in $PIDS; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in $PIDS; do wait "$pid" 2>/dev/null || true; done
+  if [ "$status" -ne 0 ]; then
+    echo "FAILED in step: $STEP (status $status)" >&2
+    tail -n 20 "$WORK"/*.err >&2 || true
+  fi
+  rm -rf "$WORK"
+  exit "$status"
+}
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+say() { STEP="$1"; printf '\n== %s\n' "$1"; }
+
+# Starts a program in the background and waits for its `listening on` line.
+start() {
+  name=$1
+  shift
+  "$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
+  eval "PID_$name=$!"
+  PIDS="$PIDS $!"
+  tries=0
+  until grep -q 'listening on' "$WORK/$name.out"; do
+    kill -0 "$!" 2>/dev/null || { cat "$WORK/$name.err" >&2; return 1; }
+    tries=$((tries + 1))
+    [ "$tries" -lt 200 ] || return 1
+    sleep 0.1
+  done
+}
+address_of() { sed -n 's/^.*listening on \([0-9.:]*\).*$/\1/p' "$WORK/$1.out" | head -1; }
+field_of() { sed -n "s/^.*$2=\([0-9.:]*\).*\$/\1/p" "$WORK/$1.out" | head -1; }
+
+# Runs a command until it succeeds, for at most 30 seconds.
+retry() {
+  tries=0
+  until "$@" >"$WORK/retry.out" 2>&1; do
+    tries=$((tries + 1))
+    if [ "$tries" -ge 150 ]; then cat "$WORK/retry.out" >&2; return 1; fi
+    sleep 0.2
+  done
+}
+expect() { grep -q -- "$1" "$2" || { echo "expected '$1' in:"; cat "$2"; return 1; }; }
+
+say "start the stand-ins: platform, engine, service"
+start platform redwingchute stand-in platform --listen 127.0.0.1:0
+start engine redwingchute stand-in engine --listen 127.0.0.1:0 \
+  --model yield-model --name runner-1 --token-interval-ms 20 --slots 8
+start service redwingchute stand-in service --listen 127.0.0.1:0 --name ledger
+PLATFORM=$(address_of platform)
+ENGINE=$(address_of engine)
+SERVICE=$(address_of service)
+
+say "publish a configuration"
+CALLER_KEY=demo-caller-key
+REDWINGCHUTE_OPERATOR_KEY=demo-operator-key
+export REDWINGCHUTE_OPERATOR_KEY
+hash_of() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
+sed -e "s/ENGINE_ADDRESS/$ENGINE/" -e "s/SERVICE_ADDRESS/$SERVICE/" \
+  -e "s/CALLER_KEY_HASH/$(hash_of "$CALLER_KEY")/" \
+  -e "s/OPERATOR_KEY_HASH/$(hash_of "$REDWINGCHUTE_OPERATOR_KEY")/" \
+  examples/demo.json >"$WORK/configuration.json"
+redwingchute publish "$WORK/configuration.json" --platform "$PLATFORM" \
+  --author demo --reason "first configuration"
+
+say "start a router in each of two availability zones"
+start huon redwingchute router --host-name huon-1 --zone huon \
+  --platform "$PLATFORM" --fleet-key demo-fleet-key-0001 \
+  --listen 127.0.0.1:0 --admin-listen 127.0.0.1:0 --peer-listen 127.0.0.1:0 \
+  --balancer-lag-ms 200
+start bruny redwingchute router --host-name bruny-1 --zone bruny \
+  --platform "$PLATFORM" --fleet-key demo-fleet-key-0001 \
+  --listen 127.0.0.1:0 --admin-listen 127.0.0.1:0 --peer-listen 127.0.0.1:0 \
+  --peers "huon-1=huon@$(field_of huon peers)" --balancer-lag-ms 200
+HUON=$(address_of huon)
+BRUNY=$(address_of bruny)
+HUON_ADMIN=$(field_of huon admin)
+BRUNY_ADMIN=$(field_of bruny admin)
+retry curl -sf "http://$HUON_ADMIN/readyz"
+retry curl -sf "http://$BRUNY_ADMIN/readyz"
+
+say "an operator tops the budget up"
+retry redwingchute ask --admin "$BRUNY_ADMIN" \
+  'top up budget "yield-books" by 100000 reference "invoice-1" because "demo"'
+cat "$WORK/retry.out"
+
+chat() {
+  curl -sS -N "http://$1/v1/chat/completions" \
+    -H "Authorization: Bearer $CALLER_KEY" -H "Idempotency-Key: $2" \
+    -H 'Content-Type: application/json' \
+    -d '{"model": "yield-model", "stream": true, "max_tokens": 60,
+         "messages": [{"role": "user", "content": "reconcile shift 7"}]}'
+}
+
+say "a streamed request through the first router"
+chat "$HUON" shift-7 >"$WORK/stream.txt"
+tail -n 4 "$WORK/stream.txt"
+expect 'data: \[DONE\]' "$WORK/stream.txt"
+
+say "a plain service call that may not be repeated, sent twice"
+post() {
+  curl -sS -i "http://$1/services/certificates/post" \
+    -H "Authorization: Bearer $CALLER_KEY" -H 'Idempotency-Key: certificate-1' \
+    -d 'lot 42'
+}
+post "$BRUNY" >"$WORK/first.txt"
+expect '^HTTP/1.1 200' "$WORK/first.txt"
+post "$HUON" >"$WORK/second.txt"
+expect '^idempotency-replayed: true' "$WORK/second.txt"
+curl -sS "http://$SERVICE/control" >"$WORK/service.json"
+[ "$(grep -o '"attempt_id"' "$WORK/service.json" | wc -l)" -eq 1 ] ||
+  { cat "$WORK/service.json"; exit 1; }
+echo "the service ran it once; the second answer was replayed"
+
+say "what is spent"
+redwingchute ask --admin "$BRUNY_ADMIN" 'show spent'
+
+say "kill the first router with a stream open"
+chat "$HUON" shift-8 >"$WORK/cut.txt" 2>"$WORK/cut.err" &
+CHAT=$!
+retry grep -q 'data:' "$WORK/cut.txt"
+kill -KILL "$PID_huon"
+wait "$CHAT" || echo "the caller saw its connection break"
+if grep -q 'data: \[DONE\]' "$WORK/cut.txt"; then echo "not cut"; exit 1; fi
+
+say "retry with the same key through the other router"
+chat_whole() {
+  chat "$BRUNY" shift-8 >"$WORK/again.txt" && expect 'data: \[DONE\]' "$WORK/again.txt"
+}
+retry chat_whole
+tail -n 2 "$WORK/again.txt"
+
+say "the request was billed once"
+redwingchute ask --admin "$BRUNY_ADMIN" 'show spent' | tee "$WORK/spent.txt"
+redwingchute ask --admin "$BRUNY_ADMIN" --output json 'show spent' >"$WORK/spent.json"
+usage() { sed -n 's/^.*"total_tokens": *\([0-9]*\).*$/\1/p' "$1" | tail -1; }
+WANTED=$(($(usage "$WORK/stream.txt") + $(usage "$WORK/again.txt") + 5))
+python3 - "$WORK/spent.json" "$WANTED" <<'PY'
+import json, sys
+table = json.load(open(sys.argv[1]))
+row = dict(zip(table["columns"], table["rows"][0]))
+settled, wanted = int(row["settled_tokens"]), int(sys.argv[2])
+print(f"settled {settled} tokens, wanted {wanted}")
+sys.exit(0 if settled == wanted else 1)
+PY
+
+say "stop everything"
