--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -6,10 +6,16 @@
 """
 
 from redwingchute.core import data
+from redwingchute.core import fleet
+from redwingchute.core import requesting
 from redwingchute.core import spending
+from redwingchute.version import changes
 from redwingchute.wire import codec
 
 _LEDGER = "ledger.capnp"
+_FLEET = "fleet.capnp"
+_CONFIGURATION = "configuration.capnp"
+_REQUEST = "request.capnp"
 _SPEND = "spend.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
@@ -27,6 +33,17 @@
     codec.Registration(152, spending.ForgetBills, _SPEND),
     codec.Registration(153, spending.TransferRequest, _SPEND),
     codec.Registration(154, spending.TransferReply, _SPEND),
+    codec.Registration(200, fleet.LinkHello, _FLEET),
+    codec.Registration(201, fleet.LinkWelcome, _FLEET),
+    codec.Registration(202, fleet.LinkProof, _FLEET),
+    codec.Registration(203, fleet.Heartbeat, _FLEET),
+    codec.Registration(204, fleet.MemberList, _FLEET),
+    codec.Registration(300, changes.ConfigurationChange, _CONFIGURATION),
+    codec.Registration(301, changes.AuditNote, _CONFIGURATION),
+    codec.Registration(302, changes.ConfigurationCheckpoint, _CONFIGURATION),
+    codec.Registration(400, requesting.CrashNotice, _REQUEST),
+    codec.Registration(401, requesting.QuarantineNotice, _REQUEST),
+    codec.Registration(402, requesting.LeavingNotice, _REQUEST),
 )
 
 
