Place idle budget by demand and recall it where it is lacking

Cause: the default sizing gave no more reserve than was asked for, and nothing that was placed flowed back, so a router could starve beside idle reserve.

Owners send recalls for asks that lack tokens, first to holders above their part, then to all that spoke lately.

Touches the owner's modules: BatchBuilder keeps each holder's last ask and host, Granted.available_tokens adds what others may return, OwnerService takes choose_recalls and send_recall (both default to nothing).

Asks now state the shortfall only; the horizon is the owner's business.

--- a/redwingchute/process/ledger/asking.py
+++ b/redwingchute/process/ledger/asking.py
@@ -24,7 +24,7 @@
             continue
         times.is_asking = True
         times.asked_at_ms = now_ms
-        asks.append(_make_ask(state, held, now_ms))
+        asks.append(_make_ask(held, now_ms))
     return tuple(asks)
 
 
@@ -109,19 +109,19 @@
 
 
 def _make_ask(
-    state: holder_state.HolderState,
     held: position.BudgetPosition,
     now_ms: int,
 ) -> data.Ask:
-    """Returns an ask for what waits and for the demand of the horizon."""
-    demand = held.measure_demand(now_ms)
-    headroom = int(demand * state.settings.lease_horizon_ms / 1_000)
-    free = held.count_free(_LEASE) + held.count_free(_RESERVE)
+    """Returns an ask for what waits, with the demand for the rest.
+
+    The reserve should cover all requests in hand and one more.
+    """
+    in_hand_tokens = held.count_reserved(_LEASE) + held.count_reserved(_RESERVE)
     return data.Ask(
         held.budget,
-        held.count_uncovered() + max(0, headroom - free),
-        held.count_reserved(_LEASE) + held.count_reserved(_RESERVE),
-        demand,
+        held.count_uncovered(),
+        in_hand_tokens + held.largest_bound_tokens,
+        held.measure_demand(now_ms),
     )
 
 
--- a/redwingchute/process/ledger/batch_builder.py
+++ b/redwingchute/process/ledger/batch_builder.py
@@ -11,6 +11,8 @@
 MAX_BATCH_ENTRIES = 4_000
 # How long a holder's stated demand counts.
 _DEMAND_MEMORY_MS = 60_000
+# How soon a holder that did not answer a recall is asked again.
+_RECALL_INTERVAL_MS = 100
 
 _NOT_ALLOWED = data.Verdict(data.VerdictCode.NOT_ALLOWED)
 
@@ -57,6 +59,24 @@
     calls: tuple[BatchedCall, ...]
 
 
+@attrs.define
+class _Spoken:
+    """What a holder last said of a budget."""
+
+    ask: data.Ask
+    host: str
+    at_ms: int
+    recalled_at_ms: int | None = None
+
+
+@attrs.frozen
+class RecallOrder:
+    """A recall that the shell should send to a host."""
+
+    host: str
+    recall: data.Recall
+
+
 @attrs.define
 class _Plan:
     """Tokens that grants of the batch being formed already take."""
@@ -80,17 +100,21 @@
         self,
         policy: placement_default.GrantPolicy,
         size_grant: placement_default.SizeGrant,
+        choose_recalls: placement_default.ChooseRecalls,
     ) -> None:
         """Prepares an empty queue.
 
         Args:
           policy: How grants are sized.
           size_grant: Sizes the answer to each ask.
+          choose_recalls: Chooses who gives back for an ask that lacks tokens.
         """
         self._policy = policy
         self._size_grant = size_grant
+        self._choose_recalls = choose_recalls
         self._waiting: list[BatchedCall] = []
-        self._demand: dict[str, dict[data.Incarnation, tuple[float, int]]] = {}
+        self._spoken: dict[str, dict[data.Incarnation, _Spoken]] = {}
+        self._recalls: list[RecallOrder] = []
 
     @property
     def is_empty(self) -> bool:
@@ -101,8 +125,32 @@
         """Queues a call and notes the demand that it states."""
         self._waiting.append(BatchedCall(call_id, now_ms, call))
         for ask in call.asks:
-            by_holder = self._demand.setdefault(ask.budget, {})
-            by_holder[call.holder] = (ask.demand_tokens_per_s, now_ms)
+            by_holder = self._spoken.setdefault(ask.budget, {})
+            spoken = by_holder.setdefault(
+                call.holder, _Spoken(ask, call.host, now_ms)
+            )
+            spoken.ask = ask
+            spoken.at_ms = now_ms
+
+    def take_recalls(self) -> list[RecallOrder]:
+        """Returns the recalls to send."""
+        recalls, self._recalls = self._recalls, []
+        return recalls
+
+    def count_recallable(
+        self,
+        shard_fold: fold.ShardFold,
+        holder: data.Incarnation,
+        name: str,
+    ) -> int:
+        """Returns what the other holders that spoke lately have."""
+        account = shard_fold.budgets.get(name) or budget.Budget()
+        spoken = self._spoken.get(name, {})
+        return sum(
+            max(0, holding.lease_tokens) + max(0, holding.reserve_tokens)
+            for each, holding in account.holdings.items()
+            if each != holder and each in spoken
+        )
 
     def remove_all(self) -> list[int]:
         """Drops the waiting calls and returns their ids."""
@@ -144,7 +192,7 @@
             indexes = _place_entries(waiting.call, entries)
             asks = tuple(
                 self._plan_ask(
-                    shard_fold, waiting.call.holder, ask, plan, entries
+                    shard_fold, waiting.call.holder, ask, plan, entries, now_ms
                 )
                 for ask in waiting.call.asks
             )
@@ -158,13 +206,15 @@
         ask: data.Ask,
         plan: _Plan,
         entries: list[data.LedgerEntry],
+        now_ms: int,
     ) -> PlannedAsk:
         """Sizes the grants for an ask and adds them to the entries."""
         account = shard_fold.budgets.get(ask.budget)
         if account is None or shard_fold.is_retired(holder):
             return PlannedAsk(ask, None, None)
-        state = self._describe(account, holder, ask.budget, plan)
+        state = self._describe(shard_fold, account, holder, ask.budget, plan)
         lease, reserve = self._size_grant(state, ask, self._policy)
+        self._note_recalls(state, ask, now_ms)
         indexes: list[int | None] = []
         for kind, tokens in (
             (data.GrantKind.LEASE, lease),
@@ -179,8 +229,26 @@
             entries.append(grant)
         return PlannedAsk(ask, indexes[0], indexes[1])
 
+    def _note_recalls(
+        self,
+        state: placement_default.BudgetState,
+        ask: data.Ask,
+        now_ms: int,
+    ) -> None:
+        """Queues recalls for an ask, not too often to the same holder."""
+        for order in self._choose_recalls(state, ask, self._policy):
+            spoken = self._spoken[ask.budget].get(order.holder)
+            if spoken is None:
+                continue
+            last_ms = spoken.recalled_at_ms
+            if last_ms is not None and now_ms - last_ms < _RECALL_INTERVAL_MS:
+                continue
+            spoken.recalled_at_ms = now_ms
+            self._recalls.append(RecallOrder(spoken.host, order.recall))
+
     def _describe(
         self,
+        shard_fold: fold.ShardFold,
         account: budget.Budget,
         holder: data.Incarnation,
         name: str,
@@ -190,6 +258,7 @@
         holding = account.holdings.get(holder) or budget.Holding()
         lease_place = (name, holder, data.GrantKind.LEASE)
         reserve_place = (name, holder, data.GrantKind.RESERVE)
+        spoken = self._spoken.get(name, {})
         return placement_default.BudgetState(
             budget=name,
             holder=holder,
@@ -201,19 +270,30 @@
             holder_reserve_tokens=holding.reserve_tokens
             + plan.held.get(reserve_place, 0),
             demand_tokens_per_s={
-                each: rate
-                for each, (rate, _) in self._demand.get(name, {}).items()
+                each: said.ask.demand_tokens_per_s
+                for each, said in spoken.items()
+                if not shard_fold.is_retired(each)
+            },
+            wish_tokens={
+                each: said.ask.reserve_tokens for each, said in spoken.items()
+            },
+            holders={
+                each: placement_default.HolderTokens(
+                    max(0, held.lease_tokens), max(0, held.reserve_tokens)
+                )
+                for each, held in account.holdings.items()
+                if not shard_fold.is_retired(each)
             },
         )
 
     def _forget_demand(self, now_ms: int) -> None:
         """Drops demand that was stated too long ago."""
-        for name, by_holder in list(self._demand.items()):
-            for holder, (_, stated_at_ms) in list(by_holder.items()):
-                if now_ms - stated_at_ms > _DEMAND_MEMORY_MS:
+        for name, by_holder in list(self._spoken.items()):
+            for holder, said in list(by_holder.items()):
+                if now_ms - said.at_ms > _DEMAND_MEMORY_MS:
                     del by_holder[holder]
             if not by_holder:
-                del self._demand[name]
+                del self._spoken[name]
 
 
 def list_verdicts(
@@ -232,6 +312,7 @@
     planned: PlannedAsk,
     verdicts: tuple[data.Verdict, ...],
     lease_ms: int,
+    recallable_tokens: int,
 ) -> data.Granted:
     """Returns what was granted for one ask."""
     account = shard_fold.budgets.get(planned.ask.budget) or budget.Budget()
@@ -240,7 +321,7 @@
         budget=planned.ask.budget,
         lease_tokens=_count_granted(planned.lease_index, verdicts),
         reserve_tokens=_count_granted(planned.reserve_index, verdicts),
-        available_tokens=max(0, account.free_tokens),
+        available_tokens=max(0, account.free_tokens) + recallable_tokens,
         lease_ms=lease_ms,
         lease_total_tokens=holding.lease_total_tokens,
         reserve_total_tokens=holding.reserve_total_tokens,
--- a/redwingchute/process/ledger/holder_state.py
+++ b/redwingchute/process/ledger/holder_state.py
@@ -18,7 +18,6 @@
       owner_loss_ms: After this long without a reply the owner is out of reach.
       probe_interval_ms: How often an owner out of reach is tried.
       idle_return_ms: A lease without requests for so long is returned.
-      lease_horizon_ms: How long the tokens here should last at the demand.
       isolation_wait_ms: How long a new request waits for reserve in isolation.
       waiting_ask_ms: How often tokens are asked for while requests wait.
       idle_ask_ms: How often a registered budget without requests asks.
@@ -27,7 +26,6 @@
     owner_loss_ms: int = 1_000
     probe_interval_ms: int = 500
     idle_return_ms: int = 10_000
-    lease_horizon_ms: int = 2_000
     isolation_wait_ms: int = 200
     waiting_ask_ms: int = 50
     idle_ask_ms: int = 30_000
--- a/redwingchute/process/ledger/owner.py
+++ b/redwingchute/process/ledger/owner.py
@@ -100,6 +100,9 @@
         policy: OwnerPolicy,
         wire_codec: codec.Codec,
         size_grant: placement_default.SizeGrant,
+        choose_recalls: placement_default.ChooseRecalls = (
+            placement_default.choose_recalls
+        ),
     ) -> None:
         """Prepares to follow the shard's stream.
 
@@ -110,13 +113,16 @@
           policy: How to work.
           wire_codec: Reads and writes the records.
           size_grant: Sizes the answer to each ask.
+          choose_recalls: Chooses who gives back for an ask that lacks tokens.
         """
         self._shard = shard
         self._incarnation = incarnation
         self._host_name = host_name
         self._policy = policy
         self.follower = follower.ShardFollower(wire_codec)
-        self._builder = batch_builder.BatchBuilder(policy.grants, size_grant)
+        self._builder = batch_builder.BatchBuilder(
+            policy.grants, size_grant, choose_recalls
+        )
         self._checkpoints = checkpoint_schedule.CheckpointSchedule(
             policy.checkpoint_every_ms,
             policy.checkpoint_every_records,
@@ -173,6 +179,10 @@
         answers, self._answers = self._answers, []
         return answers
 
+    def take_recalls(self) -> list[batch_builder.RecallOrder]:
+        """Returns the recalls to send to holders' hosts, best effort."""
+        return self._builder.take_recalls()
+
     def receive_call(
         self, now_ms: int, call_id: int, call: data.LedgerCall
     ) -> None:
@@ -438,6 +448,9 @@
                 planned,
                 verdicts,
                 self._policy.grants.lease_ms,
+                self._builder.count_recallable(
+                    self.shard_fold, call.holder, planned.ask.budget
+                ),
             )
             for planned in batched.asks
         )
--- a/redwingchute/process/ledger/owner_service.py
+++ b/redwingchute/process/ledger/owner_service.py
@@ -11,6 +11,7 @@
 import logging
 from types import TracebackType
 from typing import Protocol
+from typing import TypeAlias
 
 from redwingchute.core import data
 from redwingchute.process.ledger import log_outcomes
@@ -28,6 +29,14 @@
 _logger = logging.getLogger(__name__)
 
 
+SendRecall: TypeAlias = Callable[[str, data.Recall], None]
+
+
+def _send_nowhere(host: str, recall: data.Recall) -> None:
+    """Stands for holders that cannot be reached."""
+    del host, recall
+
+
 class Log(Protocol):
     """What the service needs of a log client."""
 
@@ -54,6 +63,10 @@
         now_ms: Callable[[], int],
         policy: owner.OwnerPolicy,
         size_grant: placement_default.SizeGrant = placement_default.size_grant,
+        choose_recalls: placement_default.ChooseRecalls = (
+            placement_default.choose_recalls
+        ),
+        send_recall: SendRecall = _send_nowhere,
     ) -> None:
         """Prepares a service that owns nothing yet.
 
@@ -65,6 +78,8 @@
           now_ms: The clock, in milliseconds.
           policy: How owners work.
           size_grant: Sizes the answer to each ask.
+          choose_recalls: Chooses who gives back for an ask that lacks tokens.
+          send_recall: Sends a recall to a host, best effort.
         """
         self._incarnation = incarnation
         self._host_name = host_name
@@ -73,6 +88,8 @@
         self._now_ms = now_ms
         self._policy = policy
         self._size_grant = size_grant
+        self._choose_recalls = choose_recalls
+        self._send_recall = send_recall
         self._hosts: tuple[data.Host, ...] = ()
         self._dead: dict[data.Incarnation, None] = {}
         self._workers: dict[int, _ShardWorker] = {}
@@ -182,12 +199,18 @@
             self._policy,
             self._codec,
             self._size_grant,
+            self._choose_recalls,
         )
         for incarnation in self._dead:
             shard_owner.holder_declared_dead(incarnation)
         stream = sharding.name_stream(shard)
         return _ShardWorker(
-            shard_owner, stream, self._log, self._codec, self._now_ms
+            shard_owner,
+            stream,
+            self._log,
+            self._codec,
+            self._now_ms,
+            self._send_recall,
         )
 
     def _drop_lost_workers(self) -> None:
@@ -218,8 +241,10 @@
         log: Log,
         wire_codec: codec.Codec,
         now_ms: Callable[[], int],
+        send_recall: SendRecall,
     ) -> None:
         """Starts to follow the stream."""
+        self._send_recall = send_recall
         self.shard_owner = shard_owner
         self.is_proposed = False
         self._stream = stream
@@ -330,6 +355,8 @@
             future = self._waiting.get(answer.call_id)
             if future is not None and not future.done():
                 future.set_result(answer.reply)
+        for order in self.shard_owner.take_recalls():
+            self._send_recall(order.host, order.recall)
         is_owner = self.shard_owner.is_owner
         if is_owner != self._was_owner:
             self._was_owner = is_owner
--- a/redwingchute/process/ledger/placement_default.py
+++ b/redwingchute/process/ledger/placement_default.py
@@ -32,6 +32,14 @@
     reserve_share: float = 0.5
 
 
+@attrs.frozen
+class HolderTokens:
+    """What one holder has of a budget."""
+
+    lease_tokens: int
+    reserve_tokens: int
+
+
 @attrs.frozen
 class BudgetState:
     """What a sizing function may know of a budget and the asking holder.
@@ -45,6 +53,8 @@
       holder_lease_tokens: The asking holder's lease.
       holder_reserve_tokens: The asking holder's reserve.
       demand_tokens_per_s: The recent demand by holder, the asking one too.
+      wish_tokens: The reserve that each holder lately wished for.
+      holders: What each holder has that is not retired.
     """
 
     budget: str
@@ -55,6 +65,16 @@
     holder_lease_tokens: int
     holder_reserve_tokens: int
     demand_tokens_per_s: Mapping[data.Incarnation, float]
+    wish_tokens: Mapping[data.Incarnation, int] = attrs.field(factory=dict)
+    holders: Mapping[data.Incarnation, HolderTokens] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class HolderRecall:
+    """A recall and the holder that it is for."""
+
+    holder: data.Incarnation
+    recall: data.Recall
 
 
 SizeGrant: TypeAlias = Callable[
@@ -62,6 +82,19 @@
 ]
 
 
+ChooseRecalls: TypeAlias = Callable[
+    [BudgetState, data.Ask, GrantPolicy], tuple[HolderRecall, ...]
+]
+
+
+def choose_recalls(
+    state: BudgetState, ask: data.Ask, policy: GrantPolicy
+) -> tuple[HolderRecall, ...]:
+    """Recalls nothing."""
+    del state, ask, policy
+    return ()
+
+
 def size_grant(
     state: BudgetState, ask: data.Ask, policy: GrantPolicy
 ) -> tuple[int, int]:
--- /dev/null
+++ b/redwingchute/process/ledger/placement_test.py
@@ -0,0 +1,102 @@
+"""Tests of where the tokens of a budget are placed."""
+
+from redwingchute.core import configuration
+from redwingchute.core import data
+from redwingchute.process.ledger import placement
+from redwingchute.process.ledger import placement_default
+
+_POLICY = placement_default.GrantPolicy(
+    lease_horizon_ms=2_000, reserve_share=1.0
+)
+_RESERVE = data.GrantKind.RESERVE
+
+
+def _make_state(
+    free_tokens: int,
+    demand: dict[int, float],
+    reserves: dict[int, int] | None = None,
+    wish_tokens: int = 0,
+) -> placement_default.BudgetState:
+    """Returns the state of a budget as holder 1 asks."""
+    reserves = reserves or {}
+    return placement_default.BudgetState(
+        budget="yield-books",
+        holder=1,
+        credited_tokens=free_tokens + sum(reserves.values()),
+        settled_tokens=0,
+        free_tokens=free_tokens,
+        holder_lease_tokens=0,
+        holder_reserve_tokens=reserves.get(1, 0),
+        demand_tokens_per_s=demand,
+        wish_tokens=dict.fromkeys(demand, wish_tokens),
+        holders={
+            each: placement_default.HolderTokens(0, tokens)
+            for each, tokens in reserves.items()
+        },
+    )
+
+
+def _make_ask(lease_tokens: int = 0, demand: float = 0.0) -> data.Ask:
+    return data.Ask("yield-books", lease_tokens, 0, demand)
+
+
+def test_all_idle_budget_is_placed_by_demand() -> None:
+    state = _make_state(1_000, {1: 30.0, 2: 10.0})
+    lease, reserve = placement.size_grant(
+        state, _make_ask(), _POLICY, smoothing=0
+    )
+    assert (lease, reserve) == (0, 750)
+
+
+def test_holder_without_history_gets_a_little() -> None:
+    state = _make_state(1_000, {1: 0.0, 2: 10.0})
+    _, reserve = placement.size_grant(state, _make_ask(), _POLICY)
+    assert 0 < reserve < 500
+
+
+def test_reserve_share_leaves_the_rest_with_the_owner() -> None:
+    budget = configuration.Budget("yield-books", reserve_share=0.4)
+    policy = placement.PlacementPolicy(lambda _: budget, smoothing=0)
+    state = _make_state(1_000, {1: 10.0})
+    assert policy.size_grant(state, _make_ask(), _POLICY) == (0, 400)
+    ask = _make_ask(demand=300.0)
+    assert policy.size_grant(state, ask, _POLICY) == (200, 400)
+
+
+def test_waiting_requests_go_before_the_reserve() -> None:
+    state = _make_state(1_000, {1: 10.0, 2: 10.0})
+    lease, reserve = placement.size_grant(state, _make_ask(900), _POLICY)
+    assert (lease, reserve) == (900, 100)
+
+
+def test_useless_parts_are_not_placed() -> None:
+    state = _make_state(900, {1: 10.0, 2: 9.0, 3: 8.0}, wish_tokens=400)
+    parts = placement.find_parts(state, smoothing=0)
+    assert set(parts) == {1, 2}
+    state = _make_state(300, {1: 10.0, 2: 9.0}, wish_tokens=400)
+    assert placement.find_parts(state, smoothing=0) == {}
+
+
+def test_starving_holder_gets_the_surplus_of_others_first() -> None:
+    state = _make_state(0, {1: 30.0, 2: 10.0, 3: 10.0}, {1: 0, 2: 900, 3: 100})
+    recalls = placement.choose_recalls(state, _make_ask(500), _POLICY)
+    assert [(each.holder, each.recall.tokens) for each in recalls] == [(2, 500)]
+
+
+def test_all_others_are_asked_when_surplus_is_not_enough() -> None:
+    state = _make_state(0, {1: 10.0, 2: 10.0, 3: 10.0}, {2: 300, 3: 300})
+    recalls = placement.choose_recalls(state, _make_ask(500), _POLICY)
+    assert {each.holder for each in recalls} == {2, 3}
+
+
+def test_silent_holders_are_not_asked() -> None:
+    state = _make_state(0, {1: 10.0}, {2: 900})
+    assert placement.choose_recalls(state, _make_ask(500), _POLICY) == ()
+
+
+def test_balanced_reserves_stay_where_they_are() -> None:
+    state = _make_state(0, {1: 10.0, 2: 10.0}, {1: 450, 2: 550})
+    assert placement.choose_recalls(state, _make_ask(), _POLICY) == ()
+    state = _make_state(0, {1: 30.0, 2: 10.0}, {1: 300, 2: 700})
+    (order,) = placement.choose_recalls(state, _make_ask(), _POLICY)
+    assert (order.holder, order.recall.kind) == (2, _RESERVE)
--- a/redwingchute/process/ledger/position.py
+++ b/redwingchute/process/ledger/position.py
@@ -17,6 +17,9 @@
 # The time constant of the exponentially weighted demand.
 DEMAND_WINDOW_MS = 10_000
 
+# What a request leaves of the largest bound before it.
+BOUND_DECAY = 0.98
+
 
 class Phase(enum.Enum):
     """How far a request has come.
@@ -73,6 +76,7 @@
       budget: The name of the budget.
       reservations: The requests in hand, by charge id.
       available_tokens: What the owner last said to be free or recallable.
+      largest_bound_tokens: The largest bound of recent requests.
     """
 
     def __init__(self, budget: str) -> None:
@@ -80,6 +84,7 @@
         self.budget = budget
         self.reservations: dict[int, Reservation] = {}
         self.available_tokens = 0
+        self.largest_bound_tokens = 0
         self._held = dict.fromkeys(data.GrantKind, 0)
         self._reserved = dict.fromkeys(data.GrantKind, 0)
         self._granted = dict.fromkeys(data.GrantKind, 0)
@@ -163,6 +168,9 @@
         self._demand_tokens_per_s = self.measure_demand(now_ms)
         self._demand_tokens_per_s += tokens * 1_000 / DEMAND_WINDOW_MS
         self._demand_at_ms = now_ms
+        self.largest_bound_tokens = max(
+            tokens, int(self.largest_bound_tokens * BOUND_DECAY)
+        )
 
     def measure_demand(self, now_ms: int) -> float:
         """Returns the weighted demand, in tokens per second."""
