--- a/redwingchute/process/ledger/key_store.py
+++ b/redwingchute/process/ledger/key_store.py
@@ -95,7 +95,7 @@
     def _find_slot(self, key: bytes) -> int:
         """Returns the offset of the key's slot, or of the free one for it."""
         size = _SLOT.size
-        index = int.from_bytes(key[:8], "little") % self._capacity
+        index = xxhash.xxh3_64_intdigest(key) % self._capacity
         while True:
             offset = index * size
             if not self._slots[offset + size - 1]:
--- /dev/null
+++ b/redwingchute/process/ledger/log_client_test.py
@@ -0,0 +1,136 @@
+"""Contract tests of the log client against HTTP answers, in a table."""
+
+import asyncio
+import base64
+import json
+
+import pytest
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.process.ledger import log_client
+from redwingchute.process.ledger import log_outcomes
+
+
+def _encode(fields: object) -> bytes:
+    return json.dumps(fields).encode()
+
+
+_RECORD = {"offset": 7, "data": base64.b64encode(b"\x00one").decode()}
+
+_APPENDS = [
+    (200, _encode({"offset": 4}), log_outcomes.Appended),
+    (200, b"{}", log_outcomes.AppendUnknown),
+    (200, b"not json", log_outcomes.AppendUnknown),
+    (500, b"", log_outcomes.AppendUnknown),
+    (503, b"", log_outcomes.AppendUnknown),
+    (429, b"", log_outcomes.LogUnreachable),
+    (413, b"", log_outcomes.LogUnreachable),
+]
+
+_READS = [
+    (
+        200,
+        _encode({"first": 2, "next": 8, "records": [_RECORD]}),
+        log_outcomes.Page(2, 8, (log_outcomes.LogRecord(7, b"\x00one"),)),
+    ),
+    (
+        410,
+        _encode({"first": 9, "next": 12}),
+        log_outcomes.Trimmed(9, 12),
+    ),
+    (200, _encode({"first": 2, "next": 8}), None),
+    (200, _encode([]), None),
+    (
+        200,
+        _encode(
+            {"first": 0, "next": 1, "records": [{"offset": 0, "data": "%"}]}
+        ),
+        None,
+    ),
+    (503, b"", None),
+]
+
+
+class _Answerer:
+    """Gives one answer to every request."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self._status = status
+        self._body = body
+        self.requests: list[http_server.HttpRequest] = []
+
+    async def __call__(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        self.requests.append(request)
+        await responder.send(self._status, self._body)
+
+
+@pytest.mark.parametrize(("status", "body", "expected"), _APPENDS)
+def test_append_answers(
+    status: int, body: bytes, expected: type[object]
+) -> None:
+    async def run() -> None:
+        answerer = _Answerer(status, body)
+        async with (
+            http_server.HttpServer(answerer, "127.0.0.1", 0) as server,
+            http_client.ClientPool() as pool,
+        ):
+            address = http_client.Address("127.0.0.1", server.port)
+            client = log_client.LogClient(pool, address)
+            outcome = await client.append("ledger-3", b"\x00body")
+        assert isinstance(outcome, expected)
+        (request,) = answerer.requests
+        assert request.path == "/streams/ledger-3/records"
+        assert request.body == b"\x00body"
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(("status", "body", "expected"), _READS)
+def test_read_answers(
+    status: int, body: bytes, expected: log_outcomes.ReadOutcome | None
+) -> None:
+    async def run() -> None:
+        answerer = _Answerer(status, body)
+        async with (
+            http_server.HttpServer(answerer, "127.0.0.1", 0) as server,
+            http_client.ClientPool() as pool,
+        ):
+            address = http_client.Address("127.0.0.1", server.port)
+            client = log_client.LogClient(pool, address)
+            outcome = await client.read("ledger-3", 7, 100, 0)
+        if expected is None:
+            assert isinstance(outcome, log_outcomes.LogUnreachable)
+        else:
+            assert outcome == expected
+        (request,) = answerer.requests
+        assert request.query == {"from": "7", "limit": "100", "wait_ms": "0"}
+
+    asyncio.run(run())
+
+
+def test_log_that_closes_without_an_answer_leaves_the_append_unknown() -> None:
+    async def run() -> None:
+        async def close(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read(100)
+            writer.close()
+
+        server = await asyncio.start_server(close, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server, http_client.ClientPool() as pool:
+            address = http_client.Address("127.0.0.1", port)
+            client = log_client.LogClient(pool, address)
+            outcome = await client.append("ledger-3", b"body")
+        assert isinstance(outcome, log_outcomes.AppendUnknown)
+        async with http_client.ClientPool() as pool:
+            client = log_client.LogClient(pool, address)
+            outcome = await client.append("ledger-3", b"body")
+        assert isinstance(outcome, log_outcomes.LogUnreachable)
+
+    asyncio.run(run())
