--- a/redwingchute/process/ledger/__init__.py
+++ b/redwingchute/process/ledger/__init__.py
@@ -1,1 +1,1 @@
-"""The ledger of prepaid budgets, kept in the platform's log."""
+"""The ledger of prepaid budgets: its fold, its owners and its holders."""
