Prove the ledger's promises by a state machine over routers and a log

Beside the promises of the issue, every live holder's reserve must be backed by the fold, which shows a danger of overspend before it happens.

Ruled out: one hypothesis rule per fault.

--- /dev/null
+++ b/redwingchute/process/ledger/ledger_broken_test.py
@@ -0,0 +1,257 @@
+"""Shows that the checks catch rules that are broken on purpose.
+
+Each variant breaks one rule of the fold or of the owner. A scenario that
+holds under the true rule must then fail a check of the state machine.
+"""
+
+from collections.abc import Callable
+
+import pytest
+
+from redwingchute.core import data
+from redwingchute.process.ledger import budget
+from redwingchute.process.ledger import fold
+from redwingchute.process.ledger import key_store
+from redwingchute.testing import ledger_world
+
+_KEY = (7).to_bytes(16, "big")
+_POST = (101).to_bytes(16, "big")
+
+
+def _make_world(tokens: int = 1_000) -> ledger_world.LedgerWorld:
+    """Returns a world where every router holds lease and reserve."""
+    world = ledger_world.LedgerWorld()
+    world.propose("huon-1", True)
+    world.run_for(5)
+    world.send_credit("huon-1", "first", tokens)
+    world.run_for(2)
+    for number, host in enumerate(ledger_world.HOSTS):
+        world.submit(host, (50 + number).to_bytes(16, "big"), 20, 20)
+        world.run_for(15)
+        world.finish(0)
+        world.run_for(5)
+    return world
+
+
+def _run_and_check(world: ledger_world.LedgerWorld, steps: int) -> None:
+    for _ in range(steps):
+        world.run_for(1)
+        world.check()
+
+
+def _settle_one_key_on_two_routers() -> None:
+    world = _make_world()
+    for host in ("huon-1", "bruny-1"):
+        world.submit(host, _KEY, 30, 30)
+    world.run_for(10)
+    world.finish(0)
+    world.finish(0)
+    _run_and_check(world, 20)
+
+
+def _spend_reserve_after_retirement() -> None:
+    world = _make_world()
+    world.cut_off("bruny-1")
+    world.run_for(20)
+    world.declare_dead("huon-1", "bruny-1")
+    for number in range(60):
+        world.submit("bruny-1", number.to_bytes(16, "little"), 20, 20)
+        world.finish(0)
+        world.run_for(1)
+    for number in range(60):
+        key = (1_000 + number).to_bytes(16, "big")
+        world.submit("huon-1", key, 20, 20)
+        world.run_for(3)
+        world.finish(0)
+        world.check()
+    world.heal()
+    world.check_healed()
+
+
+def _claim_one_key_on_two_routers() -> None:
+    world = _make_world()
+    for host in ("huon-1", "bruny-1"):
+        world.submit(host, _POST, 30, 30, is_repeatable=False)
+    _run_and_check(world, 20)
+
+
+def _top_up_with_a_lost_answer() -> None:
+    world = _make_world()
+    for _ in range(3):
+        world.send_credit("huon-1", "again", 500)
+        world.run_for(3)
+    world.check()
+
+
+def _reduce_below_what_is_committed() -> None:
+    world = _make_world()
+    world.send_credit("huon-1", "down", -1_000)
+    _run_and_check(world, 5)
+
+
+def _lose_the_answer_of_an_append() -> None:
+    world = _make_world()
+    world.advance(3_000)
+    world.submit("huon-2", _KEY, 600, 30)
+    while not world.late_appends:
+        world.advance(50)
+        world.serve("huon-2")
+        world.commit("huon-1", ledger_world.AppendFate.LATE)
+        world.read("huon-1")
+        world.deliver(0)
+    _run_and_check(world, 10)
+    world.send_credit("huon-1", "more", 50_000)
+    world.run_for(2)
+    world.land_late_append()
+    _run_and_check(world, 10)
+
+
+def _commit_after_a_takeover() -> None:
+    world = _make_world()
+    world.submit("huon-1", _KEY, 30, 30)
+    world.run_for(5)
+    world.finish(0)
+    world.serve("huon-1")
+    world.deliver(0)
+    world.advance(50)
+    world.commit("huon-1", ledger_world.AppendFate.LATE)
+    world.propose("huon-1", False)
+    world.propose("bruny-1", True)
+    _run_and_check(world, 10)
+    world.land_late_append()
+    _run_and_check(world, 10)
+
+
+_SCENARIOS = (
+    _commit_after_a_takeover,
+    _settle_one_key_on_two_routers,
+    _spend_reserve_after_retirement,
+    _claim_one_key_on_two_routers,
+    _top_up_with_a_lost_answer,
+    _reduce_below_what_is_committed,
+    _lose_the_answer_of_an_append,
+)
+
+
+@pytest.mark.parametrize("scenario", _SCENARIOS)
+def test_scenario_holds_under_the_true_rules(
+    scenario: Callable[[], None],
+) -> None:
+    scenario()
+
+
+def test_settling_a_key_twice_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def find_nothing(
+        self: key_store.KeyStore, key: bytes
+    ) -> key_store.SettledKey | None:
+        return None
+
+    monkeypatch.setattr(key_store.KeyStore, "get", find_nothing)
+    with pytest.raises(AssertionError, match="billed twice"):
+        _settle_one_key_on_two_routers()
+
+
+def test_freeing_the_reserve_of_a_retired_holder_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    true_retire = budget.Budget.retire
+
+    def retire_and_free(self: budget.Budget, holder: data.Incarnation) -> None:
+        true_retire(self, holder)
+        if self.holdings.get(holder):
+            self.held_tokens -= self.holdings[holder].unaccounted_tokens
+            self.holdings[holder].unaccounted_tokens = 0
+
+    monkeypatch.setattr(budget.Budget, "retire", retire_and_free)
+    with pytest.raises(AssertionError, match="believes in"):
+        _spend_reserve_after_retirement()
+
+
+def test_claiming_a_key_twice_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def accept(entry: data.Claim, claim: object) -> data.Verdict:
+        return data.Verdict(data.VerdictCode.ACCEPTED)
+
+    monkeypatch.setattr(fold, "_repeat_claim", accept)
+    with pytest.raises(AssertionError, match="ran twice"):
+        _claim_one_key_on_two_routers()
+
+
+def test_forgetting_references_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    true_credit = fold.ShardFold._apply_credit
+
+    def forget(self: fold.ShardFold, entry: data.Credit) -> data.Verdict:
+        for account in self.budgets.values():
+            account.references.clear()
+        return true_credit(self, entry)
+
+    monkeypatch.setattr(fold.ShardFold, "_apply_credit", forget)
+    with pytest.raises(AssertionError):
+        _top_up_with_a_lost_answer()
+
+
+def test_reducing_what_is_held_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def reduce(self: fold.ShardFold, entry: data.Credit) -> data.Verdict:
+        account = self.budgets.setdefault(entry.budget, budget.Budget())
+        account.credited_tokens += entry.tokens
+        return data.Verdict(data.VerdictCode.ACCEPTED, entry.tokens)
+
+    monkeypatch.setattr(fold.ShardFold, "_apply_credit", reduce)
+    with pytest.raises(AssertionError, match="overcommitted"):
+        _reduce_below_what_is_committed()
+
+
+def test_granting_more_than_is_free_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    true_grant = budget.Budget.grant
+
+    def grant_all(
+        self: budget.Budget,
+        holder: data.Incarnation,
+        kind: data.GrantKind,
+        tokens: int,
+    ) -> int:
+        credited_tokens = self.credited_tokens
+        self.credited_tokens += 10 * tokens
+        moved = true_grant(self, holder, kind, 2 * tokens)
+        self.credited_tokens = credited_tokens
+        return moved
+
+    monkeypatch.setattr(budget.Budget, "grant", grant_all)
+    with pytest.raises(AssertionError):
+        _spend_reserve_after_retirement()
+
+
+def test_applying_late_copies_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    true_check = fold.ShardFold._check_batch
+
+    def forget_sequence(
+        self: fold.ShardFold, record: data.Batch
+    ) -> data.Verdict | None:
+        self.last_sequence = 0
+        return true_check(self, record)
+
+    monkeypatch.setattr(fold.ShardFold, "_check_batch", forget_sequence)
+    with pytest.raises(AssertionError, match="applied twice"):
+        _lose_the_answer_of_an_append()
+
+
+def test_ignoring_the_epoch_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def accept(self: fold.ShardFold, record: data.Batch) -> data.Verdict | None:
+        return None
+
+    monkeypatch.setattr(fold.ShardFold, "_check_batch", accept)
+    with pytest.raises(AssertionError, match="deposed owner"):
+        _commit_after_a_takeover()
--- /dev/null
+++ b/redwingchute/process/ledger/ledger_machine_test.py
@@ -0,0 +1,171 @@
+"""The ledger's promises under arbitrary faults, as a state machine.
+
+Several routers with their owners and holders, a log and a network; hypothesis
+chooses what happens. The promises are checked after every step, and once more
+after all faults are mended.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from redwingchute.testing import ledger_world
+
+_HOST = strategies.sampled_from(ledger_world.HOSTS)
+_PLACE = strategies.sampled_from((*ledger_world.HOSTS, ledger_world.LOG))
+_INDEX = strategies.integers(0, 30)
+_FATE = strategies.sampled_from(ledger_world.AppendFate)
+_TOKENS = strategies.integers(1, 400)
+_SKEW_MS = strategies.sampled_from((-86_400_000, -700, 0, 700, 86_400_000))
+
+_ORDER = strategies.sampled_from(
+    ("propose", "declare dead", "top up", "reduce")
+)
+_FAULT = strategies.sampled_from(
+    ("cut", "cut off", "pause", "kill", "clock jumps")
+)
+
+_SETTINGS = hypothesis.settings(
+    max_examples=120,
+    stateful_step_count=60,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class LedgerMachine(stateful.RuleBasedStateMachine):
+    """Hypothesis chooses the steps of a `LedgerWorld`.
+
+    Steps of one sort share a rule, so that requests and undisturbed time come
+    up often enough between the faults.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = ledger_world.LedgerWorld()
+
+    @stateful.initialize(
+        tokens=strategies.integers(200, 3_000), warm=strategies.booleans()
+    )
+    def start(self, tokens: int, warm: bool) -> None:
+        self.world.propose("huon-1", True)
+        self.world.run_for(5)
+        self.world.send_credit("huon-1", "first", tokens)
+        self.world.run_for(2)
+        if warm:
+            for number, host in enumerate(ledger_world.HOSTS):
+                self.submit(host, 50 + number, 20, 20)
+            self.world.run_for(15)
+            for _ in ledger_world.HOSTS:
+                self.finish(0)
+            self.world.run_for(5)
+
+    @stateful.rule(
+        host=_HOST,
+        key=strategies.integers(1, 40),
+        bound=_TOKENS,
+        tokens=_TOKENS,
+    )
+    def submit(self, host: str, key: int, bound: int, tokens: int) -> None:
+        self.world.submit(host, key.to_bytes(16, "big"), bound, tokens)
+
+    @stateful.rule(host=_HOST, key=strategies.integers(101, 104))
+    def submit_unrepeatable(self, host: str, key: int) -> None:
+        self.world.submit(host, key.to_bytes(16, "big"), 50, 50, False)
+
+    @stateful.rule(index=_INDEX)
+    def finish(self, index: int) -> None:
+        self.world.finish(index)
+
+    @stateful.rule(index=_INDEX, is_cancelled=strategies.booleans())
+    def finish_or_cancel(self, index: int, is_cancelled: bool) -> None:
+        if is_cancelled:
+            self.world.cancel(index)
+        else:
+            self.world.finish(index)
+
+    @stateful.rule(host=_HOST, fate=_FATE, step=strategies.integers(0, 2))
+    def step_host(
+        self, host: str, fate: ledger_world.AppendFate, step: int
+    ) -> None:
+        match step:
+            case 0:
+                self.world.serve(host)
+            case 1:
+                self.world.commit(host, fate)
+            case _:
+                self.world.read(host)
+
+    @stateful.rule(index=_INDEX, step=strategies.integers(0, 3))
+    def step_network(self, index: int, step: int) -> None:
+        match step:
+            case 0:
+                self.world.lose(index)
+            case 1:
+                self.world.deliver(index, is_repeated=True)
+            case 2:
+                self.world.land_late_append()
+            case _:
+                self.world.deliver(index)
+
+    @stateful.rule(ms=strategies.sampled_from((20, 100, 500, 4_000)))
+    def advance(self, ms: int) -> None:
+        self.world.advance(ms)
+
+    @stateful.rule(steps=strategies.integers(1, 30))
+    def run_on(self, steps: int) -> None:
+        self.world.run_for(steps)
+
+    @stateful.rule(
+        host=_HOST, other=_HOST, is_set=strategies.booleans(), what=_ORDER
+    )
+    def order(self, host: str, other: str, is_set: bool, what: str) -> None:
+        match what:
+            case "propose":
+                self.world.propose(host, is_set)
+            case "declare dead":
+                self.world.declare_dead(host, other)
+            case "top up":
+                self.world.send_credit(host, f"up-{other}", 400)
+            case _:
+                self.world.send_credit(host, f"down-{other}", -150)
+
+    @stateful.rule(host=_HOST, other=_PLACE, skew_ms=_SKEW_MS, what=_FAULT)
+    def break_part(
+        self, host: str, other: str, skew_ms: int, what: str
+    ) -> None:
+        match what:
+            case "cut":
+                self.world.cuts.add(frozenset((host, other)))
+            case "cut off":
+                self.world.cut_off(host)
+            case "pause":
+                self.world.routers[host].is_paused = True
+            case "kill":
+                self.world.kill(host)
+            case _:
+                self.world.routers[host].clock_skew_ms = skew_ms
+
+    @stateful.rule(host=_HOST, what=strategies.integers(0, 2))
+    def mend(self, host: str, what: int) -> None:
+        match what:
+            case 0:
+                self.world.cuts.clear()
+            case 1:
+                self.world.routers[host].is_paused = False
+            case _:
+                self.world.restart(host)
+
+    @stateful.invariant()
+    def check(self) -> None:
+        self.world.check()
+
+    def teardown(self) -> None:
+        self.world.heal()
+        self.world.check_healed()
+
+
+def test_promises_hold_under_arbitrary_faults() -> None:
+    stateful.run_state_machine_as_test(LedgerMachine, settings=_SETTINGS)
--- /dev/null
+++ b/redwingchute/testing/ledger_router.py
@@ -0,0 +1,392 @@
+"""One router for tests of the ledger: its owner, its holders, its requests.
+
+It stands where the asyncio shells stand in a daemon, but takes one step at a
+time and puts what it sends into a list, so that a state machine decides what
+arrives, when and how often.
+"""
+
+from typing import TypeAlias
+
+import attrs
+
+from redwingchute.core import data
+from redwingchute.core import spending
+from redwingchute.process.ledger import bill_store
+from redwingchute.process.ledger import holder
+from redwingchute.process.ledger import holder_events
+from redwingchute.process.ledger import holder_state
+from redwingchute.process.ledger import local_keys
+from redwingchute.process.ledger import outbox
+from redwingchute.process.ledger import owner
+from redwingchute.process.ledger import placement
+from redwingchute.wire import codec
+
+SHARD = 0
+_CALL_TIMEOUT_MS = 1_500
+_POLICY = owner.OwnerPolicy(
+    shard_count=1,
+    appends_per_s=50,
+    answer_within_ms=500,
+    retake_after_ms=400,
+    retry_append_ms=50,
+    checkpoint_every_ms=20_000,
+    checkpoint_every_records=25,
+)
+_SETTINGS = holder_state.HolderSettings(
+    owner_loss_ms=400, probe_interval_ms=200, idle_return_ms=3_000
+)
+
+
+@attrs.frozen
+class CallMessage:
+    """A call on its way to the router that may own the shard."""
+
+    call_id: int
+    holder: data.Incarnation
+    call: data.LedgerCall
+
+
+@attrs.frozen
+class ReplyMessage:
+    """The reply to a call."""
+
+    call_id: int
+    holder: data.Incarnation
+    reply: data.LedgerReply
+
+
+Payload: TypeAlias = (
+    CallMessage
+    | ReplyMessage
+    | data.Recall
+    | spending.HoldBills
+    | spending.ForgetBills
+)
+
+
+@attrs.frozen
+class Message:
+    """A message between hosts."""
+
+    source: str
+    target: str
+    payload: Payload
+
+
+@attrs.define(eq=False)
+class RequestRun:
+    """A request as its caller sees it.
+
+    Attributes:
+      charge: What it is charged.
+      tokens: What it really costs, at most its bound.
+      is_admitted: Whether it may run.
+      is_dispatched: Whether it was sent to an upstream.
+      is_finished: Whether its cost was handed to the ledger.
+      refusal: Why it did not run, when it did not.
+      settlement: How its answer ended, when it did.
+      is_rerun: Whether it runs free of charge.
+    """
+
+    charge: spending.Charge
+    tokens: int
+    is_admitted: bool = False
+    is_dispatched: bool = False
+    is_finished: bool = False
+    refusal: object | None = None
+    settlement: spending.Settlement | None = None
+    is_rerun: bool = False
+
+
+class Router:
+    """One process start of a router.
+
+    Attributes:
+      name: Its host's name.
+      zone: Its availability zone.
+      is_alive: Whether the process still exists.
+      is_paused: Whether it is stopped by a signal.
+      clock_skew_ms: How far its clock is off.
+      owner_name: Whom it takes for the shard's owner.
+      outgoing: Messages to be sent.
+      runs: Its requests by charge id.
+      kept_keys: Keys of siblings' bills that it was given to keep.
+      refused_bills: Bills of ended answers that the log refused.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        siblings: tuple[str, ...],
+        first_incarnation: data.Incarnation,
+        now_ms: int,
+        wire_codec: codec.Codec,
+    ) -> None:
+        """Starts the process.
+
+        Args:
+          name: Its host's name.
+          zone: Its availability zone.
+          siblings: The other hosts of the zone.
+          first_incarnation: The first of the incarnations that it may use.
+          now_ms: The time.
+          wire_codec: Encodes the records.
+        """
+        self.name = name
+        self.zone = zone
+        self.is_alive = True
+        self.is_paused = False
+        self.clock_skew_ms = 0
+        self.owner_name = ""
+        self.outgoing: list[Message] = []
+        self.runs: dict[int, RequestRun] = {}
+        self.kept_keys: set[data.KeyDigest] = set()
+        self.refused_bills: list[holder_events.BillRefused] = []
+        self.incarnation = first_incarnation
+        self.shard_owner = owner.ShardOwner(
+            SHARD,
+            first_incarnation,
+            name,
+            _POLICY,
+            wire_codec,
+            placement.size_grant,
+            placement.choose_recalls,
+        )
+        self._siblings = siblings
+        self._next_incarnation = first_incarnation + 1
+        self._keys = local_keys.LocalKeys()
+        self._copies = bill_store.BillStore()
+        self._callers: dict[int, tuple[str, CallMessage]] = {}
+        self._last_call_id = 0
+        self._sent_at_ms: dict[tuple[data.Incarnation, int], int] = {}
+        self._by_charge: dict[int, holder.Holder] = {}
+        self.retired: list[holder.Holder] = []
+        self.holder = self._make_holder(now_ms)
+
+    @property
+    def holders(self) -> tuple[holder.Holder, ...]:
+        """The holders, those that were retired first."""
+        return (*self.retired, self.holder)
+
+    def find_now_ms(self, now_ms: int) -> int:
+        """Returns what the router's clock shows."""
+        return now_ms + self.clock_skew_ms
+
+    def submit(self, now_ms: int, run: RequestRun) -> None:
+        """Takes a request on."""
+        self.runs[run.charge.charge_id] = run
+        self.holder.register_budget(
+            run.charge.request.budget, self.find_now_ms(now_ms)
+        )
+        self.holder.admit(run.charge, self.find_now_ms(now_ms))
+        self._dispatch_events(now_ms)
+
+    def finish(self, now_ms: int, run: RequestRun) -> None:
+        """Hands the cost of a request that ran to the ledger."""
+        run.is_finished = True
+        subject = self._by_charge[run.charge.charge_id]
+        if run.charge.request.is_repeatable:
+            subject.settle(run.charge, run.tokens, self.find_now_ms(now_ms))
+        else:
+            subject.record_outcome(
+                run.charge,
+                data.OutcomeStatus.SUCCEEDED,
+                run.tokens,
+                b"posted",
+                self.find_now_ms(now_ms),
+            )
+        self._dispatch_events(now_ms)
+
+    def cancel(self, now_ms: int, run: RequestRun) -> None:
+        """Gives a request up before it used anything."""
+        run.is_finished = True
+        self._by_charge[run.charge.charge_id].cancel(run.charge)
+        self._dispatch_events(now_ms)
+
+    def serve(self, now_ms: int) -> None:
+        """Does what is due as a holder, as `ShardLink` does."""
+        own_ms = self.find_now_ms(now_ms)
+        self._end_old_calls(now_ms)
+        for each in self.holders:
+            each.advance(own_ms)
+        self._dispatch_events(now_ms)
+        if self.holder.is_reachable:
+            for bill in self._copies.take_due(SHARD, own_ms):
+                self.holder.deliver_copy(bill)
+        for each in self._list_speakers():
+            while (call := each.take_call(own_ms)) is not None:
+                self._send_call(now_ms, each, call)
+        self.retired = [each for each in self.retired if not each.is_finished()]
+
+    def _end_old_calls(self, now_ms: int) -> None:
+        """Gives up calls that got no reply in time, as a link does."""
+        for place, sent_at_ms in list(self._sent_at_ms.items()):
+            if now_ms - sent_at_ms >= _CALL_TIMEOUT_MS:
+                del self._sent_at_ms[place]
+                for each in self.holders:
+                    if each.incarnation == place[0]:
+                        each.call_lost(place[1], self.find_now_ms(now_ms))
+
+    def receive(self, now_ms: int, message: Message) -> None:
+        """Takes a message in."""
+        own_ms = self.find_now_ms(now_ms)
+        match message.payload:
+            case CallMessage() as call:
+                self._last_call_id += 1
+                self._callers[self._last_call_id] = (message.source, call)
+                self.shard_owner.receive_call(
+                    own_ms, self._last_call_id, call.call
+                )
+                self.send_answers()
+            case ReplyMessage() as answer:
+                self._accept_reply(own_ms, message.source, answer)
+            case data.Recall() as recall:
+                for each in self.holders:
+                    each.recall(recall)
+            case spending.HoldBills() as request:
+                held = self._copies.hold(request, own_ms)
+                self.kept_keys.update(held.keys)
+            case spending.ForgetBills() as request:
+                self._copies.forget(request.keys)
+        self._dispatch_events(now_ms)
+
+    def lose_call(self, now_ms: int, lost: CallMessage | ReplyMessage) -> None:
+        """Notes that a call of this router will get no reply."""
+        self._sent_at_ms.pop((lost.holder, lost.call_id), None)
+        for each in self.holders:
+            if each.incarnation == lost.holder:
+                each.call_lost(lost.call_id, self.find_now_ms(now_ms))
+        self._dispatch_events(now_ms)
+
+    def send_answers(self) -> None:
+        """Puts the owner's answers and recalls among the messages."""
+        for answer in self.shard_owner.take_answers():
+            source, call = self._callers.pop(answer.call_id)
+            reply = ReplyMessage(call.call_id, call.holder, answer.reply)
+            self.outgoing.append(Message(self.name, source, reply))
+        for order in self.shard_owner.take_recalls():
+            message = Message(self.name, order.host, order.recall)
+            self.outgoing.append(message)
+
+    def _accept_reply(
+        self, own_ms: int, source: str, answer: ReplyMessage
+    ) -> None:
+        """Gives a reply to the holder that called."""
+        reply = answer.reply
+        if reply.status is data.CallStatus.HANDLED:
+            self.owner_name = source
+        elif reply.owner_host:
+            self.owner_name = reply.owner_host
+        if self._sent_at_ms.pop((answer.holder, answer.call_id), None) is None:
+            return
+        for each in self.holders:
+            if each.incarnation == answer.holder:
+                each.accept_reply(answer.call_id, reply, own_ms)
+
+    def _list_speakers(self) -> tuple[holder.Holder, ...]:
+        """Returns the holders that may call the owner now."""
+        if any(each.has_open_bills() for each in self.retired):
+            return tuple(self.retired)
+        return self.holders
+
+    def _send_call(
+        self, now_ms: int, caller: holder.Holder, call: outbox.OutgoingCall
+    ) -> None:
+        """Sends a call to whom this router takes for the owner."""
+        message = CallMessage(call.call_id, caller.incarnation, call.message)
+        place = (caller.incarnation, call.call_id)
+        self._sent_at_ms[place] = now_ms
+        target = self.owner_name or self.name
+        self.outgoing.append(Message(self.name, target, message))
+
+    def _dispatch_events(self, now_ms: int) -> None:
+        """Hands the holders' events on until there are none."""
+        is_done = False
+        while not is_done:
+            is_done = True
+            for each in self.holders:
+                for event in each.take_events():
+                    is_done = False
+                    self._dispatch_event(now_ms, each, event)
+
+    def _dispatch_event(
+        self, now_ms: int, source: holder.Holder, event: holder_events.Event
+    ) -> None:
+        """Hands one event on."""
+        match event:
+            case holder_events.AdmissionEnded(charge_id, result):
+                self._end_admission(now_ms, source, charge_id, result)
+            case holder_events.ClaimEnded(charge_id, result):
+                run = self.runs[charge_id]
+                if isinstance(result, spending.Claimed):
+                    run.is_dispatched = True
+                else:
+                    run.refusal = result
+            case holder_events.SettlementEnded(charge_id, result):
+                self.runs[charge_id].settlement = result
+            case holder_events.BillKept(bill):
+                self._send_to_siblings(
+                    spending.HoldBills(SHARD, bill.holder, (bill,))
+                )
+            case holder_events.BillDelivered(key):
+                self._copies.forget((key,))
+                self._send_to_siblings(
+                    spending.ForgetBills(SHARD, source.incarnation, (key,))
+                )
+            case holder_events.BillRefused():
+                self.refused_bills.append(event)
+            case holder_events.HolderRetired():
+                self._replace(now_ms, source)
+
+    def _end_admission(
+        self,
+        now_ms: int,
+        source: holder.Holder,
+        charge_id: int,
+        result: spending.Admission,
+    ) -> None:
+        """Lets a request run, claim its key, or end."""
+        run = self.runs[charge_id]
+        match result:
+            case spending.Charge():
+                run.is_admitted = True
+                self._by_charge[charge_id] = source
+                if run.charge.request.is_repeatable:
+                    run.is_dispatched = True
+                else:
+                    source.claim(run.charge, self.find_now_ms(now_ms))
+            case spending.AlreadySettled():
+                run.is_rerun = True
+                run.is_finished = True
+            case _:
+                run.refusal = result
+
+    def _send_to_siblings(
+        self, record: spending.HoldBills | spending.ForgetBills
+    ) -> None:
+        """Sends a record to the other hosts of the zone."""
+        for sibling in self._siblings:
+            self.outgoing.append(Message(self.name, sibling, record))
+
+    def _replace(self, now_ms: int, retired: holder.Holder) -> None:
+        """Makes a successor that adopts the requests of a retired holder."""
+        if retired is self.holder:
+            self.retired.append(retired)
+            self.holder = self._make_holder(now_ms)
+        for reservation in retired.take_transferable():
+            self._by_charge[reservation.charge.charge_id] = self.holder
+            self.holder.adopt(reservation, self.find_now_ms(now_ms))
+
+    def _make_holder(self, now_ms: int) -> holder.Holder:
+        """Returns a holder of a new incarnation."""
+        incarnation = self._next_incarnation
+        self._next_incarnation += 1
+        return holder.Holder(
+            SHARD,
+            incarnation,
+            self.name,
+            self.find_now_ms(now_ms),
+            _SETTINGS,
+            self._keys,
+        )
