--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test format lint types unit demo clean
+.PHONY: test format lint types unit demo clean prove scenarios-live mutants slopes
 
 test: lint types unit
 
@@ -30,5 +30,8 @@
 demo: $(STAMP)
 	PATH=$(abspath $(BIN)):$$PATH sh scripts/demo.sh
 
+slopes: $(STAMP)
+	$(BIN)/python scripts/slopes.py
+
 clean:
 	rm -rf build
--- /dev/null
+++ b/redwingchute/testing/memory_network.py
@@ -0,0 +1,178 @@
+"""Peer links between routers of a manual loop, without sockets.
+
+`MemoryNetwork` takes the place of `PeerNetwork`. Records pass through the real
+codec, so that a record that is not registered or does not survive the wire
+fails here as well.
+"""
+
+import asyncio
+from collections.abc import Callable
+import itertools
+from types import TracebackType
+from typing import Any
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.core import data
+from redwingchute.process import peer_network
+from redwingchute.process import telemetry
+from redwingchute.testing import manual_loop
+from redwingchute.testing import memory_transport
+from redwingchute.wire import codec
+
+
+class Switchboard:
+    """The networks of all routers by their port.
+
+    Attributes:
+      world: The processes and cuts.
+    """
+
+    def __init__(self, world: memory_transport.World) -> None:
+        """Starts without networks."""
+        self.world = world
+        self.networks: dict[int, MemoryNetwork] = {}
+
+
+class MemoryNetwork(peer_network.PeerNetwork):
+    """The links of one router; a context manager.
+
+    Attributes:
+      process: The process that it belongs to.
+    """
+
+    def __init__(
+        self,
+        switchboard: Switchboard,
+        own_host: data.Host,
+        fleet_key: bytes,
+        wire_codec: codec.Codec,
+        metrics: telemetry.Metrics,
+        read_clock_ms: Callable[[], int],
+    ) -> None:
+        """Prepares the network; see `PeerNetwork`."""
+        super().__init__(
+            own_host, fleet_key, wire_codec, metrics, read_clock_ms
+        )
+        process = manual_loop.find_process()
+        assert process is not None
+        self.process = process
+        self._switchboard = switchboard
+        self._own_port = 0
+        self._channels: dict[MemoryNetwork, memory_transport.Channel] = {}
+        self._numbers = itertools.count(1)
+
+    async def __aenter__(self) -> "MemoryNetwork":
+        """Starts to listen."""
+        address = http_client.Address.parse(self.own_host.peer_address)
+        world = self._switchboard.world
+        self._own_port = address.port or world.allocate_port()
+        self.own_host = attrs.evolve(
+            self.own_host, peer_address=f"{address.ip}:{self._own_port}"
+        )
+        self._switchboard.networks[self._own_port] = self
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops listening."""
+        if self._switchboard.networks.get(self._own_port) is self:
+            del self._switchboard.networks[self._own_port]
+        for task in list(self._tasks):
+            task.cancel()
+
+    def send(self, host_name: str, record: Any) -> bool:
+        """Sends a one-way message; False when the host is not known."""
+        target = self._find_target(host_name)
+        if target is None:
+            return False
+        encoded = self._encode(record)
+        self._open(target).put(lambda: target.accept(self, encoded, 0))
+        return True
+
+    async def call(
+        self, host_name: str, record: Any, timeout_ms: int
+    ) -> Any | peer_network.PeerUnreachable:
+        """Sends a request and waits for its reply; see `PeerNetwork`."""
+        if host_name == self.own_host.name:
+            reply = await self._dispatch(self.own_host, record)
+            return reply or peer_network.PeerUnreachable("there was no reply")
+        target = self._find_target(host_name)
+        if target is None:
+            return peer_network.PeerUnreachable(f"no link to {host_name}")
+        number = next(self._numbers)
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._replies[number] = future
+        encoded = self._encode(record)
+        self._open(target).put(lambda: target.accept(self, encoded, number))
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await future
+        except TimeoutError:
+            return peer_network.PeerUnreachable(
+                f"{host_name} did not reply in time"
+            )
+        finally:
+            del self._replies[number]
+
+    def accept(
+        self, sender: "MemoryNetwork", encoded: bytes, number: int
+    ) -> None:
+        """Runs the handler of a message, in this network's process."""
+        record = self._decode(encoded)
+        self._spawn(self._answer_memory(sender, record, number))
+
+    def resolve(self, number: int, encoded: bytes) -> None:
+        """Takes the reply to a call, in this network's process."""
+        future = self._replies.get(number)
+        if future is not None and not future.done():
+            future.set_result(self._decode(encoded))
+
+    async def _answer_memory(
+        self, sender: "MemoryNetwork", record: Any, number: int
+    ) -> None:
+        """Runs the handler and sends its reply back."""
+        reply = await self._dispatch(sender.own_host, record)
+        if reply is not None and number:
+            encoded = self._encode(reply)
+            self._open(sender).put(lambda: sender.resolve(number, encoded))
+
+    def _find_target(self, host_name: str) -> "MemoryNetwork | None":
+        """Returns the network that listens at a host's address."""
+        address = self._addresses.get(host_name)
+        if address is None:
+            return None
+        target = self._switchboard.networks.get(address.port)
+        if target is None:
+            return None
+        if target.process.state is manual_loop.ProcessState.DEAD:
+            return None
+        return target
+
+    def _open(self, target: "MemoryNetwork") -> memory_transport.Channel:
+        """Returns the channel to another network."""
+        channel = self._channels.get(target)
+        if channel is None:
+            channel = memory_transport.Channel(
+                self._switchboard.world, self.process, target.process
+            )
+            self._channels[target] = channel
+        return channel
+
+    def _encode(self, record: Any) -> bytes:
+        """Returns the bytes of a record and counts them."""
+        encoded = self._codec.encode(record)
+        self._metrics.peer_bytes_sent.add(len(encoded))
+        self._metrics.peer_messages_sent.add(1)
+        return encoded
+
+    def _decode(self, encoded: bytes) -> Any:
+        """Returns the record of bytes that this codec has written."""
+        decoded = self._codec.decode(encoded)
+        assert isinstance(decoded, codec.Decoded), decoded
+        return decoded.record
--- /dev/null
+++ b/scripts/slopes.py
@@ -0,0 +1,452 @@
+"""Measures what one more of each thing costs: memory, bytes and time.
+
+The slopes come from the daemons' decision code and codec. `build/slopes.json`
+holds every figure with its unit; docs/CAPACITY.md multiplies them by the
+target's numbers. The run is seeded and ends by itself in a few minutes.
+"""
+
+import base64
+from collections.abc import Callable
+import gc
+import json
+import pathlib
+import platform
+import random
+import statistics
+import subprocess
+import sys
+import time
+import tracemalloc
+from typing import Any
+
+import attrs
+
+from redwingchute.core import configuration
+from redwingchute.core import data
+from redwingchute.core import fleet
+from redwingchute.process import membership
+from redwingchute.process.ledger import fold
+from redwingchute.process.ledger import holder
+from redwingchute.process.ledger import key_store
+from redwingchute.process.ledger import owner
+from redwingchute.testing import ledger_pair
+from redwingchute.version import change_fold
+from redwingchute.version import changes
+from redwingchute.version import loader
+from redwingchute.wire import registry
+
+_OUTPUT = pathlib.Path("build/slopes.json")
+_SEED = 20_261_203
+_REPEATS = 5
+_TARGET_ACCOUNTS = 240
+_TARGET_BUDGETS = 80_000
+_TARGET_MODELS = 6
+_TARGET_RUNNERS = 4_500
+_TARGET_DAEMONS = 540
+_ZONES = 7
+_NOW_MS = 1_800_000_000_000
+
+
+def measure_bytes_each(
+    build: Callable[[int], object], small: int, large: int
+) -> float:
+    """Returns the memory of one more item, in bytes.
+
+    Args:
+      build: Builds and returns a structure of so many items.
+      small: The smaller count.
+      large: The larger count.
+    """
+    sizes = []
+    for count in (small, large):
+        gc.collect()
+        tracemalloc.start()
+        kept = build(count)
+        gc.collect()
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        sizes.append(size)
+        del kept
+    return (sizes[1] - sizes[0]) / (large - small)
+
+
+def measure_us(run: Callable[[], object], count: int) -> float:
+    """Returns the processor time of one call, the median of several runs."""
+    times = []
+    for _ in range(_REPEATS):
+        started_ns = time.process_time_ns()
+        for _ in range(count):
+            run()
+        times.append((time.process_time_ns() - started_ns) / count / 1_000)
+    return statistics.median(times)
+
+
+def make_account(number: int) -> configuration.ClientAccount:
+    """Returns a client account as the target has them."""
+    return configuration.ClientAccount(
+        name=f"account-{number:03}",
+        key_hashes=(f"{number:064x}", f"{number + 10_000:064x}"),
+        budget=f"budget-{number:05}",
+        models=tuple(f"model-{index}" for index in range(_TARGET_MODELS)),
+        services=("certificates",),
+        time_zone="Australia/Hobart",
+        patience=tuple(
+            configuration.PatienceRule(
+                kind, 0, 1_440, (1, 2, 3, 4, 5, 6, 7), 60_000 + number, index
+            )
+            for index, kind in enumerate(configuration.WorkKind)
+        ),
+    )
+
+
+def make_configuration(
+    accounts: int, budgets: int, runners: int
+) -> configuration.Configuration:
+    """Returns a configuration of a given size."""
+    each = runners // _TARGET_MODELS
+    return configuration.Configuration(
+        version=1,
+        client_accounts=tuple(make_account(i) for i in range(accounts)),
+        budgets=tuple(
+            configuration.Budget(f"budget-{i:05}") for i in range(budgets)
+        ),
+        models=tuple(
+            configuration.Model(
+                f"model-{m}",
+                tuple(
+                    configuration.Upstream(
+                        f"runner-{m}-{i:04}",
+                        f"10.{m}.{i // 250}.{i % 250 + 1}:8000",
+                        f"zone-{i % _ZONES}",
+                    )
+                    for i in range(each)
+                ),
+            )
+            for m in range(_TARGET_MODELS)
+        ),
+        services=(configuration.Service("certificates", ()),),
+    )
+
+
+def make_fold(budgets: int, holders: int) -> fold.ShardFold:
+    """Returns a shard's fold with credited budgets and holders of each."""
+    shard_fold = fold.ShardFold()
+    shard_fold.apply(0, data.Takeover(fold.make_record_id(1, 1), 1, 1, "h"))
+    for number in range(budgets):
+        name = f"budget-{number:05}"
+        entries: list[data.LedgerEntry] = [
+            data.Credit(name, f"invoice-{number}", 10**9, "ops", "top-up")
+        ]
+        for each in range(holders):
+            for kind in data.GrantKind:
+                entries.append(data.Grant(name, 10**9 + each, kind, 1_000))
+        record_id = fold.make_record_id(1, number + 2)
+        shard_fold.apply(
+            number + 1, data.Batch(record_id, 1, 1, tuple(entries))
+        )
+    return shard_fold
+
+
+def make_key_table(count: int) -> key_store.PackedTable:
+    """Returns a table of settled keys."""
+    source = random.Random(_SEED)
+    table = key_store.PackedTable()
+    for _ in range(count):
+        settled = key_store.SettledKey(source.randbytes(8), 1, 0)
+        table.put(source.randbytes(16), settled)
+    return table
+
+
+def make_holder(budgets: int) -> holder.Holder:
+    """Returns a holder that knows so many budgets of its shard."""
+    known = holder.Holder(0, 7, "huon-1", _NOW_MS)
+    for number in range(budgets):
+        known.register_budget(f"budget-{number:05}", _NOW_MS)
+    return known
+
+
+def make_host(number: int) -> data.Host:
+    """Returns a router of the target fleet."""
+    return data.Host(
+        f"router-{number:03}",
+        f"zone-{number % _ZONES}",
+        f"10.9.{number // 250}.{number % 250 + 1}:8082",
+        2**60 + number,
+    )
+
+
+def make_membership(hosts: int) -> membership.Membership:
+    """Returns the view of one router that knows so many others."""
+    view = membership.Membership(
+        make_host(0),
+        membership.MembershipTiming(),
+        random.Random(_SEED),
+        _NOW_MS,
+    )
+    states = tuple(
+        fleet.MemberState(make_host(number), _NOW_MS + number)
+        for number in range(1, hosts)
+    )
+    view.receive_list("x", fleet.MemberList(states, False), _NOW_MS)
+    return view
+
+
+def measure_memory() -> dict[str, float]:
+    """Returns the memory slopes, in bytes for one more."""
+    return {
+        "client_account": measure_bytes_each(
+            lambda n: [make_account(i) for i in range(n)], 60, 240
+        ),
+        "budget_policy_in_configuration": measure_bytes_each(
+            lambda n: make_configuration(1, n, 0), 1_000, 5_000
+        ),
+        "runner_in_configuration": measure_bytes_each(
+            lambda n: make_configuration(1, 1, n), 600, 4_500
+        ),
+        "budget_in_fold": measure_bytes_each(
+            lambda n: make_fold(n, 0), 200, 1_000
+        ),
+        "lease_and_reserve_of_one_holder_in_fold": measure_bytes_each(
+            lambda n: make_fold(1, n), 200, 1_000
+        ),
+        "budget_position_of_a_holder": measure_bytes_each(
+            make_holder, 200, 1_000
+        ),
+        "sibling_in_membership": measure_bytes_each(
+            make_membership, 140, _TARGET_DAEMONS
+        ),
+        "settled_key_packed": measure_bytes_each(
+            make_key_table, 45_000, 90_000
+        ),
+    }
+
+
+def measure_heartbeat() -> dict[str, float]:
+    """Returns what one heartbeat and its answer cost at the target."""
+    wire_codec = registry.make_codec()
+    sender = make_membership(_TARGET_DAEMONS)
+    receiver = make_membership(_TARGET_DAEMONS)
+    repair = receiver.receive_list(
+        "router-001", fleet.MemberList((), True), _NOW_MS
+    )
+    quiet = fleet.Heartbeat(
+        fleet.MemberState(make_host(1), _NOW_MS + 1), False, 12_345
+    )
+    # The answer tells the receiver's digest; the same one means no repair.
+    answer = receiver.receive_heartbeat(quiet, _NOW_MS)[0].record
+    quiet = attrs.evolve(quiet, digest=answer.digest)
+    encoded = wire_codec.encode(quiet)
+    busy_state = fleet.MemberState(make_host(2), _NOW_MS + 2)
+    busy = fleet.Heartbeat(quiet.sender, False, 12_345, (busy_state,) * 8)
+
+    def exchange() -> None:
+        received = wire_codec.decode(wire_codec.encode(quiet))
+        answers = receiver.receive_heartbeat(received.record, _NOW_MS)
+        for answer in answers:
+            wire_codec.decode(wire_codec.encode(answer.record))
+
+    return {
+        "bytes_quiet": len(encoded),
+        "bytes_with_8_updates": len(wire_codec.encode(busy)),
+        "us_for_one_and_its_answer": measure_us(exchange, 200),
+        "neighbours": len(sender.neighbours),
+        "bytes_full_repair": sum(
+            len(wire_codec.encode(part.record)) for part in repair
+        ),
+    }
+
+
+def measure_settlements() -> dict[str, Any]:
+    """Returns what a settlement costs on each link, by batch size."""
+    rows = {}
+    for batch in (1, 8, 22, 44, 128):
+        pair = ledger_pair.LedgerPair("yield-books")
+        pair.run_requests(batch, 200)
+        start = ledger_pair.LinkBytes(
+            **{
+                name: getattr(pair.link_bytes, name)
+                for name in ledger_pair.LinkBytes.__slots__
+                if not name.startswith("_")
+            }
+        )
+        rounds = max(4, 400 // batch)
+        started_ns = time.process_time_ns()
+        for _ in range(rounds):
+            pair.run_requests(batch, 200)
+        elapsed_us = (time.process_time_ns() - started_ns) / 1_000
+        done = rounds * batch
+        used = pair.link_bytes
+        rows[str(batch)] = {
+            "settlements": done,
+            "bytes_router_to_owner": (used.to_owner - start.to_owner) / done,
+            "bytes_owner_to_router": (used.to_holder - start.to_holder) / done,
+            "bytes_owner_to_log": (used.to_log - start.to_log) / done,
+            "bytes_log_to_owner_base64": (used.from_log - start.from_log)
+            * (4 / 3)
+            / done,
+            "calls": (used.calls - start.calls) / done,
+            "appends": (used.appends - start.appends) / done,
+            "us_holder_owner_and_codec": elapsed_us / done,
+        }
+    return rows
+
+
+def measure_lease_renewal() -> dict[str, float]:
+    """Returns the messages of one renewal: call, reply and log entry."""
+    wire_codec = registry.make_codec()
+    ask = data.Ask("budget-00017", 4_000, 8_000, 1_234.5)
+    granted = data.Granted("budget-00017", 4_000, 0, 10**6, 5_000, 4_000, 8_000)
+    call = data.LedgerCall(17, 2**60, "router-017", asks=(ask,))
+    reply = data.LedgerReply(
+        17, 4, data.CallStatus.HANDLED, "router-018", grants=(granted,)
+    )
+    grant = data.Grant("budget-00017", 2**60, data.GrantKind.LEASE, 4_000)
+
+    def make_batch(count: int) -> data.Batch:
+        return data.Batch(fold.make_record_id(1, 2), 1, 1, (grant,) * count)
+
+    def carry() -> None:
+        for record in (call, reply, make_batch(1)):
+            wire_codec.decode(wire_codec.encode(record))
+
+    one = len(wire_codec.encode(make_batch(1)))
+    many = len(wire_codec.encode(make_batch(101)))
+    return {
+        "bytes_call": len(wire_codec.encode(call)),
+        "bytes_reply": len(wire_codec.encode(reply)),
+        "bytes_grant_entry_in_batch": (many - one) / 100,
+        "bytes_batch_envelope": one - (many - one) / 100,
+        "us_codec_of_all_three": measure_us(carry, 300),
+    }
+
+
+def measure_change() -> dict[str, Any]:
+    """Returns what one configuration change costs, by configuration size."""
+    wire_codec = registry.make_codec()
+    rows: dict[str, Any] = {}
+    sizes = {
+        "today": (10, 10, 18),
+        "target_without_budgets": (_TARGET_ACCOUNTS, 240, _TARGET_RUNNERS),
+        "target": (_TARGET_ACCOUNTS, _TARGET_BUDGETS, _TARGET_RUNNERS),
+    }
+    for name, (accounts, budgets, runners) in sizes.items():
+        document = loader.dump_configuration(
+            make_configuration(accounts, budgets, runners)
+        )
+        packed = loader.compress_document(document)
+        whole = changes.ConfigurationChange(
+            b"0" * 16, "ops", "start", 0, 0, changes.ReplaceDocument(packed)
+        )
+        state = change_fold.ConfigurationFold()
+        started_ns = time.process_time_ns()
+        state.apply(change_fold.StreamRecord(0, whole))
+        load_ms = (time.process_time_ns() - started_ns) / 10**6
+        times = []
+        for number in range(1, _REPEATS + 1):
+            change = changes.ConfigurationChange(
+                number.to_bytes(16, "big"),
+                "ops",
+                "more reserve",
+                _NOW_MS,
+                0,
+                changes.SetReserve("budget-00003", 0.1 * number),
+            )
+            started_ns = time.process_time_ns()
+            state.apply(change_fold.StreamRecord(number, change))
+            times.append((time.process_time_ns() - started_ns) / 1_000)
+        verdict = state.find_verdict(whole.record_id)
+        rows[name] = {
+            "accounts": accounts,
+            "budgets": budgets,
+            "runners": runners,
+            "first_verdict": None if verdict is None else verdict.code.name,
+            "version_in_force": state.current.version,
+            "bytes_document_packed": len(packed),
+            "bytes_one_change": len(wire_codec.encode(change)),
+            "ms_load_whole": load_ms,
+            "us_one_change": statistics.median(times),
+        }
+    return rows
+
+
+def measure_appends() -> dict[str, float]:
+    """Returns the appends a second that the owners' pacing allows."""
+    rates = {}
+    for shards in (8, 16, 64, 270, _TARGET_DAEMONS):
+        policy = owner.OwnerPolicy(shard_count=shards)
+        rates[f"{shards}_shards_commit_interval_ms"] = float(
+            policy.commit_interval_ms
+        )
+        rates[f"{shards}_shards_appends_per_s"] = (
+            1_000 * shards / policy.commit_interval_ms
+        )
+    return rates
+
+
+def measure_log_read() -> dict[str, float]:
+    """Returns the cost of base64 in a page, the log's own encoding."""
+    body = random.Random(_SEED).randbytes(2_000)
+    return {
+        "us_decode_2000_bytes": measure_us(
+            lambda: base64.b64decode(base64.b64encode(body)), 500
+        )
+    }
+
+
+def measure_resident() -> dict[str, float]:
+    """Returns the resident memory of interpreters at start, in MB."""
+    named = "attrs, capnp, defopt, h11, pythonjsonlogger"
+    telemetry = "opentelemetry.sdk.metrics, opentelemetry.exporter.prometheus"
+    programs = {
+        "bare_interpreter": "pass",
+        "asyncio": "import asyncio",
+        "named_libraries": f"import asyncio, {named}, {telemetry}",
+        "named_libraries_without_telemetry": f"import asyncio, {named}",
+        "router_modules": "import redwingchute.main",
+    }
+    report = (
+        "\nimport re, pathlib"
+        "\nstatus = pathlib.Path('/proc/self/status').read_text()"
+        "\nprint(re.search(r'VmRSS:\\s+(\\d+)', status)[1])"
+    )
+    resident = {}
+    for name, program in programs.items():
+        result = subprocess.run(
+            [sys.executable, "-c", program + report],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if result.returncode == 0:
+            resident[f"{name}_mb"] = int(result.stdout) / 1024
+    return resident
+
+
+def main() -> None:
+    """Runs all measurements and writes them as JSON."""
+    started_s = time.monotonic()
+    sections: dict[str, Callable[[], Any]] = {
+        "resident": measure_resident,
+        "memory_bytes_each": measure_memory,
+        "heartbeat": measure_heartbeat,
+        "lease_renewal": measure_lease_renewal,
+        "settlement_by_batch": measure_settlements,
+        "configuration_change": measure_change,
+        "appends": measure_appends,
+        "log_read": measure_log_read,
+    }
+    results: dict[str, Any] = {
+        "machine": f"{platform.machine()}, Python {platform.python_version()}",
+        "seed": _SEED,
+    }
+    for name, measure in sections.items():
+        results[name] = measure()
+        print(f"{name}: {json.dumps(results[name], indent=2)}", flush=True)
+    results["elapsed_s"] = time.monotonic() - started_s
+    _OUTPUT.parent.mkdir(exist_ok=True)
+    _OUTPUT.write_text(json.dumps(results, indent=2) + "\n")
+    print(f"written to {_OUTPUT} in {results['elapsed_s']:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
