--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,12 @@
 demo: $(STAMP)
 	PATH=$(abspath $(BIN)):$$PATH sh scripts/demo.sh
 
+prove: $(STAMP)
+	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/prove.py
+
+mutants: $(STAMP)
+	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/mutants.py
+
 slopes: $(STAMP)
 	$(BIN)/python scripts/slopes.py
 
--- a/redwingchute/standin/engine.py
+++ b/redwingchute/standin/engine.py
@@ -82,7 +82,9 @@
       finished: Attempts whose answer ended whole.
       cancelled: Attempts whose caller went away, queued or running.
       tokens_produced: Tokens of all attempts.
-      attempt_ids: The ids of all attempts that came, in order.
+      dispatched: Attempts that came, refused ones included.
+      attempt_ids: The ids of all attempts that were taken, in order.
+      attempts_by_prompt: How many were taken, by the prompt's text.
       orders: The orders that it took.
     """
 
@@ -104,7 +106,9 @@
         self.cancelled = 0
         self.cut = 0
         self.tokens_produced = 0
+        self.dispatched = 0
         self.attempt_ids: list[str] = []
+        self.attempts_by_prompt: dict[str, int] = {}
         self.orders = orders.OrderBook(model)
         self._slots = batching.SlotQueue(slots)
         self._history = batching.LoadHistory(self._report_load())
@@ -144,7 +148,9 @@
             "cancelled": self.cancelled,
             "cut": self.cut,
             "tokens_produced": self.tokens_produced,
+            "dispatched": self.dispatched,
             "attempt_ids": self.attempt_ids,
+            "attempts_by_prompt": self.attempts_by_prompt,
             "load": self._report_load(),
             "fence": self.orders.fence,
             "loaded": sorted(self.orders.loaded),
@@ -160,6 +166,7 @@
         """Answers a chat completion, refusing it while leaving."""
         attempt_id = request.headers.get("x-attempt-id", "")
         headers = [("x-attempt-id", attempt_id)]
+        self.dispatched += 1
         if self.faults.is_leaving:
             headers.append(("x-leaving", "1"))
             body = _make_error("the engine is leaving")
@@ -171,6 +178,8 @@
             await responder.send(400, body, headers=headers)
             return
         self.attempt_ids.append(attempt_id)
+        seen = self.attempts_by_prompt.get(chat.prompt, 0)
+        self.attempts_by_prompt[chat.prompt] = seen + 1
         if (text := self.faults.crash_on_text) and text in chat.prompt:
             self.begin_crash()
             await asyncio.Event().wait()
--- a/redwingchute/standin/service.py
+++ b/redwingchute/standin/service.py
@@ -60,6 +60,7 @@
 
     Attributes:
       name: The instance's name.
+      dispatched: Calls that came, refused ones included.
       started: Calls that came and were not refused.
       runs: The calls that it ran, in order.
       cancelled: Calls whose caller went away before the run.
@@ -75,6 +76,7 @@
         """Prepares a service without runs."""
         super().__init__(faults or ServiceFaults(), address, port)
         self.name = name
+        self.dispatched = 0
         self.started = 0
         self.runs: list[ServiceRun] = []
         self.cancelled = 0
@@ -86,6 +88,7 @@
     ) -> None:
         """Runs one call."""
         headers = [("x-attempt-id", request.headers.get("x-attempt-id", ""))]
+        self.dispatched += 1
         if self.faults.is_leaving:
             headers.append(("x-leaving", "1"))
             body = b'{"error": "the service is leaving"}'
@@ -123,6 +126,7 @@
             runs_by_key[key] = runs_by_key.get(key, 0) + 1
         return {
             "name": self.name,
+            "dispatched": self.dispatched,
             "started": self.started,
             "runs": self.runs,
             "runs_by_key": runs_by_key,
--- a/redwingchute/testing/memory_network.py
+++ b/redwingchute/testing/memory_network.py
@@ -50,8 +50,10 @@
         wire_codec: codec.Codec,
         metrics: telemetry.Metrics,
         read_clock_ms: Callable[[], int],
+        advertised: http_client.Address | None = None,
     ) -> None:
         """Prepares the network; see `PeerNetwork`."""
+        del advertised
         super().__init__(
             own_host, fleet_key, wire_codec, metrics, read_clock_ms
         )
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -178,6 +178,9 @@
     def begin_drain(self) -> None:
         """Does nothing: connections are not kept alive here."""
 
+    def close_idle(self) -> None:
+        """Does nothing: connections are not kept alive here."""
+
     def accept(self, exchange: "_Exchange") -> None:
         """Runs the handler of a request, in the server's process."""
         self._exchanges.add(exchange)
--- a/redwingchute/testing/scenario_language.py
+++ b/redwingchute/testing/scenario_language.py
@@ -148,7 +148,7 @@
         pools = {upstream.pool for upstream in self._upstreams}
         accounts = {account.name for account in self._accounts}
         budgets = {account.budget for account in self._accounts}
-        places = routers | zones | {steps.PLATFORM}
+        places = routers | zones | upstreams | {steps.PLATFORM}
         requests = set()
         commands = set()
         for step in self._steps:
--- /dev/null
+++ b/redwingchute/testing/scenario_runner.py
@@ -0,0 +1,362 @@
+"""Runs a scenario on a backend and checks what must always hold.
+
+Besides the scenario's own expectations, the runner checks at the end, after
+all cuts are healed, that no budget was overspent, that every answer is the
+right one and billed once, that a key is never billed twice, that "not run"
+requests reached no upstream, and that calls that may not be repeated ran at
+most once.
+"""
+
+import collections
+from collections.abc import Callable
+import operator
+
+from redwingchute.core import data
+from redwingchute.request import request_key
+from redwingchute.testing import scenario_audit
+from redwingchute.testing import scenario_backend
+from redwingchute.testing import scenario_requests
+from redwingchute.testing import scenario_steps as steps
+
+_COMPARISONS: dict[str, Callable[[int, int], bool]] = {
+    "=": operator.eq,
+    "<=": operator.le,
+    ">=": operator.ge,
+}
+# How long an expectation waits to come true.
+_PATIENCE_MS = 60_000
+_POLL_MS = 100
+# How long the fleet gets to settle its bills after the last step.
+_SETTLE_MS = 30_000
+
+
+class ScenarioRun:
+    """One run of one scenario.
+
+    Attributes:
+      failures: What was not as it must be, with its place.
+    """
+
+    def __init__(
+        self, scenario: steps.Scenario, backend: scenario_backend.Backend
+    ) -> None:
+        """Prepares a run on a backend that is entered already."""
+        self.failures: list[data.Finding] = []
+        self._scenario = scenario
+        self._backend = backend
+        self._cuts: dict[frozenset[str], frozenset[frozenset[str]]] = {}
+        self._requests: dict[str, scenario_requests.RequestResult] = {}
+        self._commands: dict[str, scenario_requests.CommandResult] = {}
+
+    async def run(self) -> tuple[data.Finding, ...]:
+        """Runs all steps and the final checks; returns the failures."""
+        for step in self._scenario.steps:
+            await self._perform(step)
+        await self._settle_down()
+        await self._check_invariants()
+        return tuple(self.failures)
+
+    def _fail(self, line: int, message: str) -> None:
+        """Notes a failure."""
+        place = f"{self._scenario.path}:{line}"
+        self.failures.append(data.Finding(place, message))
+
+    async def _perform(self, step: steps.Step) -> None:
+        """Runs one step."""
+        match step:
+            case steps.Lifecycle():
+                await self._backend.act(step)
+            case steps.Cut() | steps.Heal() | steps.HealAll():
+                await self._change_cuts(step)
+            case steps.PlatformFault():
+                await self._switch_platform(step)
+            case steps.PlatformTrim():
+                await self._backend.trim()
+            case steps.UpstreamFault():
+                await self._switch_upstream(step)
+            case steps.UpstreamRestart():
+                await self._backend.switch(
+                    step.upstream, "/control/restart", {}
+                )
+            case steps.Wait():
+                await self._backend.sleep(step.duration_ms)
+            case steps.Request():
+                result = scenario_requests.RequestResult(step)
+                self._requests[step.name] = result
+                self._backend.spawn_request(result)
+            case steps.Command():
+                command = scenario_requests.CommandResult(step)
+                self._commands[step.name] = command
+                self._backend.spawn_command(command)
+            case _:
+                await self._expect(step)
+
+    async def _change_cuts(
+        self, step: steps.Cut | steps.Heal | steps.HealAll
+    ) -> None:
+        """Cuts or heals the pairs that two names stand for."""
+        match step:
+            case steps.Cut():
+                pairs = self._list_pairs(step.one, step.other)
+                self._cuts[frozenset((step.one, step.other))] = pairs
+            case steps.Heal():
+                self._cuts.pop(frozenset((step.one, step.other)), None)
+            case steps.HealAll():
+                self._cuts.clear()
+        pairs = frozenset().union(*self._cuts.values())
+        await self._backend.set_cuts(pairs)
+
+    def _list_pairs(self, one: str, other: str) -> frozenset[frozenset[str]]:
+        """Returns the pairs of processes between two names."""
+        return frozenset(
+            frozenset((left, right))
+            for left in self._list_members(one)
+            for right in self._list_members(other)
+            if left != right
+        )
+
+    def _list_members(self, name: str) -> list[str]:
+        """Returns the processes of a zone, or the single one of a name."""
+        members = [
+            each.name
+            for each in (*self._scenario.routers, *self._scenario.upstreams)
+            if each.zone == name
+        ]
+        return members or [name]
+
+    async def _switch_platform(self, step: steps.PlatformFault) -> None:
+        """Changes the platform's faults."""
+        patch = {
+            name: value
+            for name, value in (
+                ("is_down", step.is_down),
+                ("slow_ms", step.slow_ms),
+                ("lose_next_answers", step.lose_answers),
+            )
+            if value is not None
+        }
+        await self._backend.switch(steps.PLATFORM, "/control", patch)
+
+    async def _switch_upstream(self, step: steps.UpstreamFault) -> None:
+        """Changes an upstream's faults."""
+        is_engine = any(
+            each.is_engine
+            for each in self._scenario.upstreams
+            if each.name == step.upstream
+        )
+        slow_field = "token_interval_ms" if is_engine else "slow_ms"
+        patch: dict[str, object] = {}
+        if step.is_leaving is not None:
+            patch["is_leaving"] = step.is_leaving
+        if step.crash_on_text is not None:
+            patch["crash_on_text"] = step.crash_on_text
+        if step.cut_after_tokens is not None:
+            patch["cut_after_tokens"] = step.cut_after_tokens
+        if step.slow_ms is not None:
+            patch[slow_field] = step.slow_ms
+        for name in ("close_before_run", "close_after_run"):
+            count = getattr(step, name)
+            if count is not None:
+                patch[name] = count > 0
+                patch["fault_limit"] = count
+        await self._backend.switch(step.upstream, "/control", patch)
+
+    async def _expect(self, step: steps.Step) -> None:
+        """Checks one expectation."""
+        match step:
+            case steps.ExpectOutcome():
+                await self._expect_outcome(step)
+            case steps.ExpectSpend():
+                await self._expect_spend(step)
+            case steps.ExpectRuns():
+                count = (await self._count_runs())[step.key]
+                if not _COMPARISONS[step.comparison](count, step.runs):
+                    self._fail(step.line, f"the key ran {count} times")
+            case steps.ExpectVersion():
+                await self._expect_version(step)
+            case steps.ExpectCommand():
+                await self._expect_command(step)
+            case steps.ExpectDispatched():
+                state = await self._backend.read_control(step.upstream)
+                count = state["dispatched"]
+                if not _COMPARISONS[step.comparison](count, step.attempts):
+                    self._fail(step.line, f"{count} attempts were sent")
+
+    async def _expect_outcome(self, step: steps.ExpectOutcome) -> None:
+        """Waits for a request's end and compares its outcome."""
+        result = self._requests[step.request]
+        if steps.Outcome.PENDING not in step.outcomes:
+            await self._wait_for(
+                lambda: result.outcome is not steps.Outcome.PENDING
+            )
+        if result.outcome not in step.outcomes:
+            found = f"{result.outcome.value} {result.code}".strip()
+            self._fail(step.line, f"request {step.request} is {found}")
+
+    async def _expect_command(self, step: steps.ExpectCommand) -> None:
+        """Waits for a command's end and compares its verdict."""
+        result = self._commands[step.command]
+        await self._wait_for(lambda: result.verdict is not None)
+        if result.verdict not in step.verdicts:
+            found = result.verdict.value if result.verdict else "pending"
+            message = f"command {step.command} is {found}: {result.message}"
+            self._fail(step.line, message)
+
+    async def _expect_spend(self, step: steps.ExpectSpend) -> None:
+        """Waits until what is settled of a budget compares as it should."""
+        spent_tokens = 0
+        for _ in range(_SETTLE_MS // _POLL_MS):
+            audit = await self._audit()
+            spent_tokens = audit.settled_tokens.get(step.budget, 0)
+            if _COMPARISONS[step.comparison](spent_tokens, step.tokens):
+                return
+            await self._backend.sleep(_POLL_MS)
+        self._fail(step.line, f"{spent_tokens} tokens are settled")
+
+    async def _expect_version(self, step: steps.ExpectVersion) -> None:
+        """Waits until routers have the same version in force."""
+        found: list[str | None] = []
+        for _ in range(_SETTLE_MS // _POLL_MS):
+            found = [await self._read_document(name) for name in step.routers]
+            if len(set(found)) == 1 and found[0] is not None:
+                return
+            await self._backend.sleep(_POLL_MS)
+        self._fail(step.line, f"the versions in force differ: {found}")
+
+    async def _read_document(self, router: str) -> str | None:
+        """Returns the configuration that a router has in force."""
+        answer = await self._backend.ask(router, "show config")
+        return None if answer is None else answer.decode()
+
+    async def _wait_for(self, is_met: Callable[[], bool]) -> None:
+        """Waits for a condition, but not for ever."""
+        for _ in range(_PATIENCE_MS // _POLL_MS):
+            if is_met():
+                return
+            await self._backend.sleep(_POLL_MS)
+
+    async def _settle_down(self) -> None:
+        """Heals everything and gives the fleet time to settle its bills."""
+        await self._backend.set_cuts(frozenset())
+        await self._backend.switch(
+            steps.PLATFORM,
+            "/control",
+            {"is_down": False, "slow_ms": 0, "lose_next_answers": 0},
+        )
+        await self._backend.sleep(_SETTLE_MS)
+
+    async def _audit(self) -> scenario_audit.Audit:
+        """Returns the audit of the ledger's streams."""
+        return scenario_audit.audit_streams(await self._backend.read_streams())
+
+    async def _count_runs(self) -> collections.Counter[str]:
+        """Returns how often plain services ran calls, by key."""
+        runs: collections.Counter[str] = collections.Counter()
+        for upstream in self._scenario.upstreams:
+            if not upstream.is_engine:
+                state = await self._backend.read_control(upstream.name)
+                runs.update(state["runs_by_key"])
+        return runs
+
+    async def _check_invariants(self) -> None:
+        """Checks what must hold at the end of every scenario."""
+        for error in self._backend.list_errors():
+            self._fail(0, f"a process met an error: {error}")
+        audit = await self._audit()
+        for finding in audit.findings:
+            self._fail(0, finding)
+        self._check_answers()
+        self._check_bills(audit)
+        await self._check_not_run()
+        await self._check_single_runs()
+
+    def _check_answers(self) -> None:
+        """Checks that every answer is whole and the request's own."""
+        for result in self._list_results(steps.Outcome.ANSWERED):
+            expected = scenario_requests.find_expected_text(
+                result.step, scenario_backend.ANSWER_TOKENS
+            )
+            if result.text != expected:
+                message = f"the answer is '{result.text}', not '{expected}'"
+                self._fail(result.step.line, message)
+
+    def _check_bills(self, audit: scenario_audit.Audit) -> None:
+        """Checks that each key is billed at most once, and if answered."""
+        counts = collections.Counter(bill.key for bill in audit.bills)
+        for key, count in counts.items():
+            if count > 1:
+                self._fail(0, f"key {key.hex()} is billed {count} times")
+        for result in self._list_results(steps.Outcome.ANSWERED):
+            if result.step.key and not counts[_digest_key(result.step)]:
+                self._fail(result.step.line, "an answer is not billed")
+        answered = len(self._list_results(steps.Outcome.ANSWERED))
+        keyed = {_digest_key(r.step) for r in self._requests.values()}
+        extra = sum(count for key, count in counts.items() if key not in keyed)
+        keyless = [
+            result
+            for result in self._requests.values()
+            if not result.step.key
+            and result.outcome is not steps.Outcome.NOT_RUN
+        ]
+        if extra > len(keyless):
+            message = f"{extra} bills for {len(keyless)} requests without key"
+            self._fail(0, message)
+        if answered and not audit.bills:
+            self._fail(0, "there are answers but no bill")
+
+    async def _check_not_run(self) -> None:
+        """Checks that requests which are "not run" reached no upstream."""
+        attempts: collections.Counter[str] = collections.Counter()
+        for upstream in self._scenario.upstreams:
+            if upstream.is_engine:
+                state = await self._backend.read_control(upstream.name)
+                attempts.update(state["attempts_by_prompt"])
+        runs = await self._count_runs()
+        texts = collections.Counter(
+            r.step.text for r in self._requests.values()
+        )
+        for result in self._list_results(steps.Outcome.NOT_RUN):
+            step = result.step
+            if texts[step.text] > 1:
+                # Another request with the same text may have run.
+                continue
+            seen = runs[step.key] if step.is_call else attempts[step.text]
+            if seen:
+                message = f"the request is 'not run' but ran {seen} times"
+                self._fail(step.line, message)
+
+    async def _check_single_runs(self) -> None:
+        """Checks that calls which may not be repeated ran at most once."""
+        single = {
+            each.pool
+            for each in self._scenario.upstreams
+            if not each.is_engine and not each.is_repeatable
+        }
+        runs = await self._count_runs()
+        keys = {
+            result.step.key
+            for result in self._requests.values()
+            if result.step.pool in single
+        }
+        for key in sorted(keys):
+            if runs[key] > 1:
+                self._fail(
+                    0, f"the call with key '{key}' ran {runs[key]} times"
+                )
+
+    def _list_results(
+        self, outcome: steps.Outcome
+    ) -> list[scenario_requests.RequestResult]:
+        """Returns the requests that ended in one way."""
+        return [
+            result
+            for result in self._requests.values()
+            if result.outcome is outcome
+        ]
+
+
+def _digest_key(step: steps.Request) -> bytes:
+    """Returns the digest under which a keyed request is billed."""
+    if not step.key:
+        return b""
+    return request_key.digest_key(step.account, step.key)
--- /dev/null
+++ b/scripts/mutants.py
@@ -0,0 +1,160 @@
+"""Shows that the tests catch named breaks of the decision code.
+
+Each mutant is a small change of one file, made in a scratch copy of the
+package. Its tests must fail there; a mutant that they pass, or a change that
+no longer applies, is reported and makes the exit status 1.
+"""
+
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+import attrs
+
+_SCENARIOS = "redwingchute/testing/scenario_test.py::test_scenario_holds"
+_FOLD = "redwingchute/process/ledger/fold.py"
+_FOLD_TEST = "redwingchute/process/ledger/fold_test.py"
+
+
+@attrs.frozen
+class Mutant:
+    """One break of the code.
+
+    Attributes:
+      name: What the broken code does.
+      path: The file that is changed.
+      old: The text that is replaced; it must stand there exactly once.
+      new: The text in its place.
+      tests: The pytest node ids that must not all pass.
+    """
+
+    name: str
+    path: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+
+
+MUTANTS = (
+    Mutant(
+        "settle twice",
+        _FOLD,
+        "        if settled is not None:\n"
+        "            return self._repeat_settle(entry, settled)\n",
+        "",
+        (_FOLD_TEST, f"{_SCENARIOS}[cut-and-router-death]"),
+    ),
+    Mutant(
+        "ignore epoch",
+        _FOLD,
+        "if record.epoch != self.epoch or record.owner != self.owner:",
+        "if record.epoch < 0:",
+        (_FOLD_TEST,),
+    ),
+    Mutant(
+        "release reserve by time",
+        "redwingchute/process/ledger/budget.py",
+        "holding.unaccounted_tokens += holding.reserve_tokens",
+        "self.held_tokens -= holding.reserve_tokens",
+        (_FOLD_TEST, f"{_SCENARIOS}[freeze-and-cut]"),
+    ),
+    Mutant(
+        "retry after first byte",
+        "redwingchute/request/retry.py",
+        "if has_sent and not failure.is_repeatable:",
+        "if has_sent and failure.attempts < 0:",
+        ("redwingchute/request/retry_test.py",),
+    ),
+    Mutant(
+        "accept an older version",
+        "redwingchute/version/change_fold.py",
+        "if checkpoint.version < self.current.version:",
+        "if checkpoint.version < 0:",
+        ("redwingchute/version/change_fold_test.py",),
+    ),
+    Mutant(
+        "let both operators win",
+        "redwingchute/version/change_fold.py",
+        "if record.expected_version not in (0, in_force):",
+        "if record.expected_version < 0:",
+        (
+            "redwingchute/version/change_fold_test.py",
+            f"{_SCENARIOS}[operator-race]",
+        ),
+    ),
+    Mutant(
+        "skip claim",
+        "redwingchute/request/service_handler.py",
+        "match await self._context.ledger.claim(charge):",
+        "match spending.Claimed():",
+        (
+            f"{_SCENARIOS}[unknown-outcome]",
+            f"{_SCENARIOS}[claim-and-router-death]",
+        ),
+    ),
+)
+
+
+def run_tests_in(
+    scratch: pathlib.Path, tests: tuple[str, ...]
+) -> subprocess.CompletedProcess[str]:
+    """Runs tests of the scratch copy and returns how they ended."""
+    environment = dict(os.environ, PYTHONPATH=str(scratch))
+    environment["PYTHONDONTWRITEBYTECODE"] = "1"
+    return subprocess.run(
+        [sys.executable, "-m", "pytest", "-x", *tests],
+        cwd=scratch,
+        env=environment,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def run_mutant(mutant: Mutant, scratch: pathlib.Path) -> str:
+    """Applies one mutant, runs its tests and returns the verdict."""
+    if run_tests_in(scratch, mutant.tests).returncode != 0:
+        return "NOT RUN: the tests fail without the mutant"
+    path = scratch / mutant.path
+    original = path.read_text()
+    if original.count(mutant.old) != 1:
+        return "DOES NOT APPLY"
+    path.write_text(original.replace(mutant.old, mutant.new))
+    result = run_tests_in(scratch, mutant.tests)
+    path.write_text(original)
+    # Status 1 means failed tests; any other means that they did not run.
+    if result.returncode == 1:
+        failed = [
+            line for line in result.stdout.splitlines() if "FAILED" in line
+        ]
+        name = failed[0].split(" - ")[0].removeprefix("FAILED ")
+        return f"caught by {name}"
+    if result.returncode == 0:
+        return "NOT CAUGHT"
+    return f"NOT RUN (status {result.returncode}): {result.stdout[-300:]}"
+
+
+def main() -> int:
+    """Runs every mutant and returns 1 unless all were caught."""
+    is_complete = True
+    with tempfile.TemporaryDirectory() as folder:
+        scratch = pathlib.Path(folder)
+        for name in ("redwingchute", "scenarios"):
+            shutil.copytree(
+                name,
+                scratch / name,
+                ignore=shutil.ignore_patterns("__pycache__"),
+            )
+        shutil.copy("pyproject.toml", scratch)
+        for mutant in MUTANTS:
+            verdict = run_mutant(mutant, scratch)
+            is_complete = is_complete and verdict.startswith("caught")
+            print(f"{mutant.name}: {verdict}", flush=True)
+    return 0 if is_complete else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
