--- a/redwingchute/testing/scenario_runner.py
+++ b/redwingchute/testing/scenario_runner.py
@@ -117,12 +117,13 @@
 
     def _list_members(self, name: str) -> list[str]:
         """Returns the processes of a zone, or the single one of a name."""
-        members = [
-            each.name
-            for each in (*self._scenario.routers, *self._scenario.upstreams)
-            if each.zone == name
+        routers = [r.name for r in self._scenario.routers if r.zone == name]
+        upstreams = [
+            upstream.name
+            for upstream in self._scenario.upstreams
+            if upstream.zone == name
         ]
-        return members or [name]
+        return [*routers, *upstreams] or [name]
 
     async def _switch_platform(self, step: steps.PlatformFault) -> None:
         """Changes the platform's faults."""
