--- a/redwingchute/version/change_fold.py
+++ b/redwingchute/version/change_fold.py
@@ -47,6 +47,8 @@
       next_offset: The offset of the next record.
       is_anchored: Whether the state is complete.
       unknown_records: How many records this release could not read.
+      checkpointed_offset: The offset of the newest checkpoint in the log.
+      checkpointed_ms: When that checkpoint was made, 0 for never.
     """
 
     def __init__(self) -> None:
@@ -55,6 +57,8 @@
         self.next_offset = 0
         self.is_anchored = True
         self.unknown_records = 0
+        self.checkpointed_offset = 0
+        self.checkpointed_ms = 0
         self._author = ""
         self._audit: collections.deque[changes.AuditEntry] = collections.deque(
             maxlen=MAX_AUDIT_ENTRIES
@@ -107,8 +111,16 @@
         if isinstance(item.record, changes.ConfigurationCheckpoint):
             self.adopt_checkpoint(item.record)
 
-    def make_checkpoint(self) -> changes.ConfigurationCheckpoint:
-        """Returns the state as a record, for readers that start later."""
+    def make_checkpoint(
+        self, made_at_ms: int | None = None
+    ) -> changes.ConfigurationCheckpoint:
+        """Returns the state as a record, for readers that start later.
+
+        Args:
+          made_at_ms: The time, for a checkpoint that goes into the log.
+        """
+        if made_at_ms is None:
+            made_at_ms = self.checkpointed_ms
         return changes.ConfigurationCheckpoint(
             next_offset=self.next_offset,
             version=self.current.version,
@@ -118,6 +130,7 @@
             ),
             audit=self.audit,
             verdicts=tuple(self._verdicts.values()),
+            made_at_ms=made_at_ms,
         )
 
     def adopt_checkpoint(
@@ -183,6 +196,8 @@
             self._verdicts[verdict.record_id] = verdict
         self.is_anchored = True
         self.next_offset = checkpoint.next_offset
+        self.checkpointed_offset = checkpoint.next_offset
+        self.checkpointed_ms = checkpoint.made_at_ms
         for item in waiting:
             self.apply(item)
 
@@ -195,8 +210,9 @@
             case changes.AuditNote() as note:
                 if note.record_id not in self._verdicts:
                     self._apply_note(item.offset, note)
-            case changes.ConfigurationCheckpoint():
-                pass
+            case changes.ConfigurationCheckpoint(made_at_ms=made_at_ms):
+                self.checkpointed_offset = item.offset
+                self.checkpointed_ms = made_at_ms
             case None:
                 self.unknown_records += 1
 
--- a/redwingchute/version/changes.py
+++ b/redwingchute/version/changes.py
@@ -336,6 +336,8 @@
       audit: The newest entries of the audit trail, oldest first.
       verdicts: The newest verdicts, oldest first, so that repeated record ids
         stay without effect.
+      made_at_ms: When the newest checkpoint of the log was made; it tells when
+        the next one is due, nothing else.
     """
 
     next_offset: int
@@ -344,6 +346,7 @@
     document: bytes
     audit: tuple[AuditEntry, ...]
     verdicts: tuple[ChangeVerdict, ...]
+    made_at_ms: int = 0
 
 
 Record: TypeAlias = ConfigurationChange | AuditNote | ConfigurationCheckpoint
