Mend the registry's merge and let others renew a late checkpoint

The test (a router without the log follows its sibling) failed for a real fault: the one chosen checkpoint writer might not reach the log, so that no checkpoint would be renewed ahead of retention. Now each further router in the order of writers follows a minute later. Ruled out: choosing the writer among readers only; a whole availability zone may be cut off from the log.

--- a/redwingchute/process/configuration_follower.py
+++ b/redwingchute/process/configuration_follower.py
@@ -31,6 +31,7 @@
 _SUBMIT_TIMEOUT_MS = 15_000
 _SUBMIT_RETRY_S = 0.25
 _PULL_TIMEOUT_MS = 2_000
+_CHECKPOINT_RETRY_S = 10.0
 
 _logger = logging.getLogger(__name__)
 
@@ -245,9 +246,11 @@
             )
             if checkpoint is None:
                 continue
-            await self._log.append(STREAM, self._codec.encode(checkpoint))
-            # The checkpoint is noted when it is read, so read it first.
-            await self._read_to_end()
+            body = self._codec.encode(checkpoint)
+            await self._log.append(STREAM, body)
+            # The checkpoint counts once it was read; until then none is due.
+            if not await self._read_to_end():
+                await asyncio.sleep(_CHECKPOINT_RETRY_S)
 
     def _send(self, outgoing: list[distribution.Outgoing]) -> None:
         """Sends messages; a pull runs until its answer is applied."""
--- a/redwingchute/process/configuration_follower_test.py
+++ b/redwingchute/process/configuration_follower_test.py
@@ -212,7 +212,9 @@
         await first.submit(_make_start())
         await _wait_for(lambda: second.find_current() is not None)
         await _wait_for(lambda: second.explain_not_ready() is None)
-        # The first router also renews the log's checkpoint.
+        # The first router also writes the log's checkpoint, a little later
+        # when the other one is before it in the order of writers.
+        fleet.now_ms += distribution.DistributionPolicy().checkpoint_stagger_ms
         await _wait_for(lambda: fleet.log.append_count > 1)
         for task in tasks:
             task.cancel()
--- a/redwingchute/process/distribution.py
+++ b/redwingchute/process/distribution.py
@@ -46,6 +46,9 @@
       read_retry_ms: The pause after a read that the log did not answer.
       checkpoint_ms: The age at which the log's checkpoint is renewed.
       checkpoint_records: The records after which it is renewed.
+      checkpoint_stagger_ms: How much later each further router in the order
+        of checkpoint writers renews it, if those before it did not.
+      checkpoint_stagger_records: The same in records.
     """
 
     readers_per_zone: int = 2
@@ -57,6 +60,8 @@
     read_retry_ms: int = 500
     checkpoint_ms: int = 3_600_000
     checkpoint_records: int = 500
+    checkpoint_stagger_ms: int = 60_000
+    checkpoint_stagger_records: int = 25
 
 
 Message: TypeAlias = messages.ConfigurationDigest | messages.ConfigurationPull
@@ -120,7 +125,7 @@
         self._started_ms = now_ms
         self._neighbours: tuple[str, ...] = ()
         self._is_reader = True
-        self._is_checkpoint_writer = True
+        self._checkpoint_rank = 0
         self._heard: dict[str, int] = {}
         self._pull: _Pull | None = None
         self._next_digest_ms = now_ms
@@ -149,8 +154,9 @@
         zone = [host.name for host in live if host.zone == self._own_host.zone]
         readers = rank_hosts("reader", zone)[: self._policy.readers_per_zone]
         self._is_reader = self._own_host.name in readers or not zone
-        ranked = rank_hosts("checkpoint", [host.name for host in live])
-        self._is_checkpoint_writer = ranked[:1] in ([], [self._own_host.name])
+        names = {self._own_host.name, *(host.name for host in live)}
+        ranked = rank_hosts("checkpoint", names)
+        self._checkpoint_rank = ranked.index(self._own_host.name)
 
     def explain_not_ready(self, now_ms: int) -> str | None:
         """Returns why this router may not serve yet, or None."""
@@ -280,20 +286,33 @@
     ) -> changes.ConfigurationCheckpoint | None:
         """Returns the checkpoint that this router should append, if any."""
         fold = self.fold
-        if not self._is_checkpoint_writer or not fold.is_anchored:
-            return None
         is_current = now_ms - self.current_ms <= self._policy.read_wait_ms * 2
-        if not fold.current.version or not is_current:
+        if not fold.is_anchored or not fold.current.version or not is_current:
             return None
-        records = fold.next_offset - fold.checkpointed_offset
-        age_ms = now_ms - fold.checkpointed_ms
-        if (
-            records < self._policy.checkpoint_records
-            and age_ms < self._policy.checkpoint_ms
-        ):
+        if not self._is_checkpoint_due(now_ms):
             return None
         return fold.make_checkpoint(now_ms)
 
+    def _is_checkpoint_due(self, now_ms: int) -> bool:
+        """Tells whether the log's checkpoint should be renewed by now.
+
+        The first router in the order is due first; the others only follow when
+        it could not, for example because the log does not answer it.
+        """
+        policy = self._policy
+        delay_ms = self._checkpoint_rank * policy.checkpoint_stagger_ms
+        if not self.fold.checkpointed_ms:
+            return now_ms - self._started_ms >= delay_ms
+        age_ms = now_ms - self.fold.checkpointed_ms
+        records = self.fold.next_offset - self.fold.checkpointed_offset
+        delay_records = (
+            self._checkpoint_rank * policy.checkpoint_stagger_records
+        )
+        return (
+            age_ms >= policy.checkpoint_ms + delay_ms
+            or records >= policy.checkpoint_records + delay_records
+        )
+
     def _wants_read(self, now_ms: int) -> bool:
         """Tells whether this router should read the log."""
         is_new = now_ms < self._started_ms + self._policy.settle_ms
--- a/redwingchute/process/distribution_test.py
+++ b/redwingchute/process/distribution_test.py
@@ -141,6 +141,17 @@
     )
 
 
+def test_another_router_renews_the_checkpoint_that_is_overdue() -> None:
+    fleet = _make_fleet(routers=3, zones=3)
+    first = distribution.rank_hosts("checkpoint", fleet.routers)[0]
+    fleet.without_log = {first}
+    before = fleet.routers["router-0"].fold.checkpointed_offset
+    fleet.run(3_800_000)
+    offsets = {r.fold.checkpointed_offset for r in fleet.routers.values()}
+    assert len(offsets) == 1
+    assert offsets.pop() > before
+
+
 def test_a_router_without_news_reads_the_log_itself() -> None:
     policy = distribution.DistributionPolicy()
     zones = {"router-0": "zone-0", "router-1": "zone-0", "router-2": "zone-0"}
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -17,15 +17,12 @@
 _LEDGER = "ledger.capnp"
 _FLEET = "fleet.capnp"
 _CONFIGURATION = "configuration.capnp"
-<<<<<<< HEAD
 _STATUS = "status.capnp"
 _REQUEST = "request.capnp"
 _SPEND = "spend.capnp"
-=======
 _REQUEST = "request.capnp"
 _SPEND = "spend.capnp"
 _STATUS = "status.capnp"
->>>>>>> main
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -50,12 +47,9 @@
     codec.Registration(300, changes.ConfigurationChange, _CONFIGURATION),
     codec.Registration(301, changes.AuditNote, _CONFIGURATION),
     codec.Registration(302, changes.ConfigurationCheckpoint, _CONFIGURATION),
-<<<<<<< HEAD
     codec.Registration(310, distribution.ConfigurationDigest, _CONFIGURATION),
     codec.Registration(311, distribution.ConfigurationPull, _CONFIGURATION),
     codec.Registration(312, distribution.ConfigurationRecords, _CONFIGURATION),
-=======
->>>>>>> main
     codec.Registration(320, status.StatusQuery, _STATUS),
     codec.Registration(321, status.StatusReport, _STATUS),
     codec.Registration(400, requesting.CrashNotice, _REQUEST),
