--- a/redwingchute/testing/distribution_fakes.py
+++ b/redwingchute/testing/distribution_fakes.py
@@ -79,7 +79,7 @@
         self._codec = registry.make_codec()
         self._numbers = itertools.count()
         self._events: list[tuple[int, int, Any, tuple[Any, ...]]] = []
-        self._waiting: dict[str, int] = {}
+        self._waiting: dict[str, tuple[int, int]] = {}
         for name in zones:
             self.start(name)
 
@@ -110,11 +110,12 @@
     def append(self, record: changes.Record) -> None:
         """Appends a record to the log."""
         self.log.append(STREAM, self._codec.encode(record))
-        for name, order_number in list(self._waiting.items()):
-            del self._waiting[name]
+        for name, (_, from_offset) in self._waiting.items():
+            router = self.routers[name]
             self._schedule(
-                0, self._answer_read, self.routers[name], order_number
+                self._link_ms, self._answer_read, router, from_offset
             )
+        self._waiting.clear()
 
     def run(self, duration_ms: int) -> None:
         """Lets time pass."""
@@ -155,10 +156,6 @@
         event = (self.now_ms + delay_ms, next(self._numbers), action, arguments)
         heapq.heappush(self._events, event)
 
-    def _is_current(self, name: str, router: distribution.Distribution) -> bool:
-        """Tells whether a router was not replaced meanwhile."""
-        return self.routers.get(name) is router
-
     def _find_name(self, router: distribution.Distribution) -> str | None:
         """Returns the host of a router, or None once it was replaced."""
         for name, known in self.routers.items():
@@ -205,14 +202,18 @@
                 self._link_ms, self._answer_read, router, order.from_offset
             )
             return
-        self._waiting[name] = order.from_offset
-        self._schedule(order.wait_ms, self._end_wait, router, name)
+        number = next(self._numbers)
+        self._waiting[name] = number, order.from_offset
+        self._schedule(order.wait_ms, self._end_wait, router, name, number)
 
-    def _end_wait(self, router: distribution.Distribution, name: str) -> None:
+    def _end_wait(
+        self, router: distribution.Distribution, name: str, number: int
+    ) -> None:
         """Answers a read for which no record came."""
-        if self._is_current(name, router) and name in self._waiting:
-            from_offset = self._waiting.pop(name)
-            self._answer_read(router, from_offset)
+        waiting = self._waiting.get(name)
+        if waiting is not None and waiting[0] == number:
+            del self._waiting[name]
+            self._answer_read(router, waiting[1])
 
     def _answer_read(
         self, router: distribution.Distribution, from_offset: int
--- /dev/null
+++ b/scripts/measure_distribution.py
@@ -0,0 +1,292 @@
+"""Measures how a configuration change reaches every router.
+
+Runs the decision code under a manual clock, at several fleet sizes, in three
+ways: through siblings (as the daemon does), with every router reading the log,
+and with the delegate hierarchy of hpmcast (Eugster and Guerraoui), which
+pushes each change by gossip, level by level. Sizes are those of the real codec.
+
+Usage: python scripts/measure_distribution.py [--changes N] [--seed N]
+"""
+
+import argparse
+import collections
+import math
+import random
+
+import attrs
+
+from redwingchute.core import distribution as messages
+from redwingchute.process import distribution
+from redwingchute.testing import configuration_builders as builders
+from redwingchute.testing import distribution_fakes
+from redwingchute.version import changes
+from redwingchute.version import loader
+from redwingchute.wire import registry
+
+_FLEETS = ((3, 3), (8, 4), (20, 4), (40, 4), (540, 7))
+_LIMIT_MS = 60_000
+_WARM_UP_MS = 30_000
+_IDLE_MS = 60_000
+_AFTER_MS = 1_000
+_LINK_MS = 2
+_FRAME_BYTES = 4
+_CHANGES_PER_DAY = 5_700
+_S_PER_DAY = 86_400
+# Parameters of the delegate hierarchy.
+_DELEGATES = 3
+_FANOUT = 3
+_PERIOD_MS = 100
+_EXTRA_ROUNDS = 2
+
+
+@attrs.frozen
+class Result:
+    """What one way cost at one size.
+
+    Attributes:
+      name: The way.
+      routers: The number of routers.
+      reached: The least share of routers that a change reached.
+      slowest_ms: The longest time until a change was in force everywhere.
+      messages: Messages between routers for each change.
+      bytes: Their bytes for each change.
+      log_reads: Reads that the log answered with the change.
+      log_bytes: Bytes of the log's answers for each change.
+      idle_bytes_per_s: Bytes that one router sends without changes.
+      day_bytes_per_s: Bytes that one router sends on average over a day.
+      idle_reads_per_s: Reads that the log answers without changes.
+    """
+
+    name: str
+    routers: int
+    reached: float
+    slowest_ms: int
+    messages: float
+    bytes: float
+    log_reads: float
+    log_bytes: float
+    idle_bytes_per_s: float
+    day_bytes_per_s: float
+    idle_reads_per_s: float
+
+
+def make_start() -> changes.ConfigurationChange:
+    """Returns the change that makes the first version."""
+    text = loader.dump_configuration(builders.make_configuration())
+    return changes.ConfigurationChange(
+        bytes(16),
+        "ada",
+        "start",
+        0,
+        0,
+        changes.ReplaceDocument(loader.compress_document(text)),
+    )
+
+
+def make_step(number: int) -> changes.ConfigurationChange:
+    """Returns a small change such as operators make most of the time."""
+    share = number % 100 / 100
+    return changes.ConfigurationChange(
+        (number + 1).to_bytes(16),
+        "operator-with-a-name",
+        "more reserve for the shift change",
+        1_700_000_000_000,
+        0,
+        changes.SetReserve(builders.BUDGET, share),
+    )
+
+
+def measure_routers(
+    name: str, routers: int, zones: int, has_links: bool, count: int, seed: int
+) -> Result:
+    """Measures the daemon's decision code.
+
+    Args:
+      name: The way's name in the table.
+      routers: The number of routers.
+      zones: The number of availability zones.
+      has_links: Whether siblings pass changes on; otherwise all read the log.
+      count: The number of changes.
+      seed: Makes the run repeatable.
+    """
+    policy = distribution.DistributionPolicy()
+    if not has_links:
+        policy = attrs.evolve(policy, readers_per_zone=routers)
+    fleet = distribution_fakes.FakeRouters(
+        distribution_fakes.make_zones(routers, zones),
+        policy,
+        seed,
+        _LINK_MS,
+        has_links,
+    )
+    fleet.append(make_start())
+    fleet.run(_WARM_UP_MS)
+    fleet.reset_counts()
+    fleet.run(_IDLE_MS)
+    idle_bytes_per_ms = fleet.bytes_sent / _IDLE_MS
+    idle_messages_per_ms = fleet.messages_sent / _IDLE_MS
+    idle_reads_per_ms = fleet.log_reads / _IDLE_MS
+    fleet.reset_counts()
+    slowest_ms = 0
+    duration_ms = 0
+    for number in range(count):
+        fleet.append(make_step(number))
+        version = fleet.log.read(distribution_fakes.STREAM, 0).next
+        took_ms = fleet.run_until_in_force(version, _LIMIT_MS)
+        assert took_ms is not None
+        slowest_ms = max(slowest_ms, took_ms)
+        fleet.run(_AFTER_MS)
+        duration_ms += took_ms + _AFTER_MS
+    change_bytes = (fleet.bytes_sent - idle_bytes_per_ms * duration_ms) / count
+    idle_bytes_per_s = idle_bytes_per_ms * 1_000 / routers
+    return Result(
+        name,
+        routers,
+        1.0,
+        slowest_ms,
+        (fleet.messages_sent - idle_messages_per_ms * duration_ms) / count,
+        change_bytes,
+        (fleet.log_reads - idle_reads_per_ms * duration_ms) / count,
+        fleet.log_bytes / count,
+        idle_bytes_per_s,
+        idle_bytes_per_s
+        + change_bytes / routers * _CHANGES_PER_DAY / _S_PER_DAY,
+        idle_reads_per_ms * 1_000,
+    )
+
+
+def measure_delegates(
+    routers: int, zones: int, count: int, seed: int
+) -> Result:
+    """Measures the delegate hierarchy, two levels: zones and their routers.
+
+    Every delegate of the first zone reads the log. An infected router gossips
+    the change to a few random members of its group each period, for the
+    expected number of rounds of the paper (Pittel's formula and a constant);
+    delegates do so among all delegates first, then in their zone.
+    """
+    random_source = random.Random(seed)
+    groups: dict[str, list[str]] = collections.defaultdict(list)
+    for name, zone in distribution_fakes.make_zones(routers, zones).items():
+        groups[zone].append(name)
+    delegates = [n for group in groups.values() for n in group[:_DELEGATES]]
+    first = next(iter(groups.values()))[:_DELEGATES]
+    size = _FRAME_BYTES + len(
+        registry.make_codec().encode(
+            messages.ConfigurationRecords(
+                1,
+                (
+                    messages.LoggedRecord(
+                        1, registry.make_codec().encode(make_step(1))
+                    ),
+                ),
+            )
+        )
+    )
+    slowest_ms = sent = 0
+    reached = 1.0
+    for _ in range(count):
+        top, rounds, top_sent = _gossip(delegates, set(first), random_source)
+        infected = set(top)
+        longest = 0
+        for group in groups.values():
+            start = top & set(group)
+            if not start:
+                continue
+            members, group_rounds, group_sent = _gossip(
+                group, start, random_source
+            )
+            infected |= members
+            sent += group_sent
+            longest = max(longest, group_rounds)
+        sent += top_sent
+        slowest_ms = max(slowest_ms, (rounds + longest) * _PERIOD_MS)
+        reached = min(reached, len(infected) / routers)
+    change_bytes = sent * size / count
+    return Result(
+        "delegates",
+        routers,
+        reached,
+        slowest_ms,
+        sent / count,
+        change_bytes,
+        len(first),
+        len(first) * size,
+        0.0,
+        change_bytes / routers * _CHANGES_PER_DAY / _S_PER_DAY,
+        len(first) / (distribution.DistributionPolicy().read_wait_ms / 1_000),
+    )
+
+
+def _gossip(
+    group: list[str], infected: set[str], random_source: random.Random
+) -> tuple[set[str], int, int]:
+    """Gossips in a group.
+
+    Returns:
+      Who was reached, the rounds until the last one was, and the messages.
+    """
+    infected = set(infected)
+    size = max(2, len(group))
+    limit = _EXTRA_ROUNDS + math.ceil(
+        math.log(size) * (1 / _FANOUT + 1 / math.log(_FANOUT + 1))
+    )
+    last = sent = 0
+    for number in range(1, limit + 1):
+        fresh: set[str] = set()
+        for name in sorted(infected):
+            others = [other for other in group if other != name]
+            chosen = random_source.sample(others, min(_FANOUT, len(others)))
+            sent += len(chosen)
+            fresh.update(chosen)
+        if fresh - infected:
+            last = number
+        infected |= fresh
+    return infected, last, sent
+
+
+def print_results(results: list[Result]) -> None:
+    """Prints the results as a Markdown table."""
+    print(
+        "| way | routers | reached | slowest ms | messages | bytes |"
+        " log reads | log bytes | idle B/s per router |"
+        " day B/s per router | idle log reads/s |"
+    )
+    print("|---" * 11 + "|")
+    for item in results:
+        print(
+            f"| {item.name} | {item.routers} | {item.reached:.3f} |"
+            f" {item.slowest_ms} | {item.messages:.0f} | {item.bytes:.0f} |"
+            f" {item.log_reads:.1f} | {item.log_bytes:.0f} |"
+            f" {item.idle_bytes_per_s:.1f} | {item.day_bytes_per_s:.1f} |"
+            f" {item.idle_reads_per_s:.1f} |"
+        )
+
+
+def main() -> None:
+    """Measures all ways at all sizes."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--changes", type=int, default=20)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    results = []
+    for routers, zones in _FLEETS:
+        for name, has_links in (("siblings", True), ("all read", False)):
+            results.append(
+                measure_routers(
+                    name,
+                    routers,
+                    zones,
+                    has_links,
+                    options.changes,
+                    options.seed,
+                )
+            )
+        results.append(
+            measure_delegates(routers, zones, options.changes, options.seed)
+        )
+    print_results(results)
+
+
+if __name__ == "__main__":
+    main()
