Bound what copies of one crashing request can take down

Cause: a caller may send copies at once, so counting crashes comes too late; and a leaving engine still reports its load, so that a load answer alone must not end a sign of leaving. Ruled out: one copy at a time always; equal requests of a load test would then run one by one. Copies share an upstream until one produced output. After: crash_guard.CrashGuard in pool.Pool; leaving signs end after the upstream was seen down; attempts turned away by a leaving upstream are free.

--- a/redwingchute/core/requesting.py
+++ b/redwingchute/core/requesting.py
@@ -93,6 +93,7 @@
       expected_output_tokens: The answer's expected size.
       arrived_at_ms: When it arrived.
       prefix_digests: Digests of ever longer prefixes of its prompt.
+      body_digest: The digest of its body, for crashes under it.
       is_suspect: Whether an upstream crashed under it before.
       excluded_upstreams: Upstreams that failed it in this request's life.
     """
@@ -106,6 +107,7 @@
     expected_output_tokens: int
     arrived_at_ms: int
     prefix_digests: tuple[bytes, ...] = ()
+    body_digest: bytes = b""
     is_suspect: bool = False
     excluded_upstreams: frozenset[str] = frozenset()
 
--- a/redwingchute/request/leaving.py
+++ b/redwingchute/request/leaving.py
@@ -1,17 +1,18 @@
 """Keeps new work away from upstreams that are leaving.
 
 The first sign counts: the host list, the upstream's own answer, or a sibling
-router's notice. A sign ends by evidence of a return that is younger than it:
-the host list lags, so that its word that a host is live ends its own sign
-only, while an answer's sign ends with an answered load request.
+router's notice. The host list lags, so that its word that a host is live ends
+other signs only after it had called the host leaving itself. A leaving
+upstream still reports its load, so that a load report ends a sign only after
+the upstream was seen down.
 """
 
 import enum
 
 import attrs
 
-# A leaving engine may still answer load requests. After this time one request
-# may try it; if it turns that away, the sign starts anew.
+# After this time without further evidence a request may try the upstream; if
+# it is turned away, the sign starts anew.
 SIGN_LIFE_MS = 30_000
 
 # A sibling's notice about something older than this is of no use.
@@ -40,6 +41,7 @@
     def __init__(self) -> None:
         """Starts with no signs."""
         self._signs: dict[str, dict[SignSource, _Sign]] = {}
+        self._seen_down_ms: dict[str, int] = {}
 
     def note_answer(self, upstream: str, now_ms: int) -> bool:
         """Takes an answer with X-Leaving; True when siblings need to know."""
@@ -58,20 +60,23 @@
         """Takes what the host list says of an upstream now."""
         if is_leaving:
             self._set(upstream, SignSource.HOST_LIST, now_ms, None)
-        else:
-            self._signs.get(upstream, {}).pop(SignSource.HOST_LIST, None)
-
-    def note_returned(self, upstream: str, asked_at_ms: int) -> None:
-        """Takes an answered load request that does not say leaving.
-
-        Args:
-          upstream: The upstream.
-          asked_at_ms: When the load request was sent; only older signs end.
-        """
+        elif SignSource.HOST_LIST in self._signs.get(upstream, {}):
+            del self._signs[upstream]
+
+    def note_down(self, upstream: str, now_ms: int) -> None:
+        """Records that an upstream refused a connection."""
+        if upstream in self._signs:
+            self._seen_down_ms[upstream] = now_ms
+
+    def note_load_answer(self, upstream: str) -> None:
+        """Ends the signs of an upstream that was down and answers again."""
+        seen_down_ms = self._seen_down_ms.pop(upstream, None)
+        if seen_down_ms is None:
+            return
         signs = self._signs.get(upstream, {})
         for source in (SignSource.ANSWER, SignSource.SIBLING):
             sign = signs.get(source)
-            if sign is not None and sign.seen_at_ms < asked_at_ms:
+            if sign is not None and sign.seen_at_ms <= seen_down_ms:
                 del signs[source]
 
     def is_leaving(self, upstream: str, now_ms: int) -> bool:
--- a/redwingchute/request/pool.py
+++ b/redwingchute/request/pool.py
@@ -15,6 +15,7 @@
 from redwingchute.core import outcomes
 from redwingchute.core import requesting
 from redwingchute.request import admission
+from redwingchute.request import crash_guard
 from redwingchute.request import leaving
 from redwingchute.request import load_model
 from redwingchute.request import outlier
@@ -75,6 +76,14 @@
     completion_ms: float
 
 
+@attrs.frozen
+class _Running:
+    """A request that an upstream runs."""
+
+    ticket: requesting.Ticket
+    load: load_model.UpstreamLoad
+
+
 class Pool:
     """The decisions for one pool of upstreams.
 
@@ -104,7 +113,8 @@
         self._queue = queue.PoolQueue(settings.max_queued)
         self._loads: dict[str, load_model.UpstreamLoad] = {}
         self._prefixes: dict[str, prefix_affinity.PrefixIndex] = {}
-        self._running: dict[int, load_model.UpstreamLoad] = {}
+        self._running: dict[int, _Running] = {}
+        self._guard = crash_guard.CrashGuard()
         self.retry_budget = retry.RetryBudget(settings.retry_policy)
         self.outliers = outlier.OutlierDetector(())
         self.configure(upstreams, sharing_routers)
@@ -204,20 +214,24 @@
 
     def note_first_token(self, ticket_id: int, now_ms: int) -> None:
         """Records the first output of a running request."""
-        load = self._running.get(ticket_id)
-        if load is not None:
-            load.note_first_token(ticket_id, now_ms)
+        running = self._running.get(ticket_id)
+        if running is not None:
+            running.load.note_first_token(ticket_id, now_ms)
+            self._guard.note_output(running.ticket)
 
     def note_end(
         self, ticket_id: int, now_ms: int, output_tokens: int | None
     ) -> None:
         """Records that an attempt ended, with its size if it was whole."""
-        load = self._running.pop(ticket_id, None)
-        if load is None:
+        running = self._running.pop(ticket_id, None)
+        if running is None:
             return
-        load.note_end(ticket_id, now_ms, output_tokens)
-        if output_tokens is not None:
-            self.outliers.note_success(load.upstream.name)
+        name = running.load.upstream.name
+        is_whole = output_tokens is not None
+        running.load.note_end(ticket_id, now_ms, output_tokens)
+        self._guard.note_end(running.ticket, name, is_whole)
+        if is_whole:
+            self.outliers.note_success(name)
 
     def note_report(
         self, upstream: str, report: requesting.LoadReport, now_ms: int
@@ -252,8 +266,9 @@
         """Moves a request from the queue to its upstream."""
         self._queue.start(ticket.ticket_id)
         choice.load.note_start(ticket, now_ms, choice.cached_tokens)
-        self._running[ticket.ticket_id] = choice.load
+        self._running[ticket.ticket_id] = _Running(ticket, choice.load)
         upstream = choice.load.upstream
+        self._guard.note_start(ticket, upstream.name)
         index = self._prefixes.get(upstream.name)
         if index is not None:
             index.note_dispatch(ticket.prefix_digests)
@@ -266,12 +281,10 @@
         now_ms: int,
     ) -> routing.Choice | None:
         """Chooses among upstreams that have a free slot for a request."""
-        # Of requests that an upstream crashed under, each upstream runs one
-        # at a time, so that a further crash shows which of them was to blame.
         fitting = [
             load
             for load in loads
-            if not ticket.is_suspect or load.suspect_count == 0
+            if self._guard.may_start(ticket, load.upstream.name)
         ]
         others = [
             load
--- a/redwingchute/request/request_life.py
+++ b/redwingchute/request/request_life.py
@@ -56,7 +56,8 @@
         self._retry_budget = retry_budget
         self._rng = rng
         self._state: attempt.Unsent | attempt.Sent = attempt.Unsent()
-        self._connect_failures = 0
+        self._free_failures = 0
+        self._failures = 0
 
     @property
     def has_sent(self) -> bool:
@@ -86,11 +87,12 @@
           now_ms: The current time.
           work_left_ms: How long the rest of the work is expected to take.
         """
-        if kind is retry.FailureKind.NOT_CONNECTED:
-            self._connect_failures += 1
-            attempts = self._connect_failures
+        if retry.is_free(kind):
+            self._free_failures += 1
+            attempts = self._free_failures
         else:
-            attempts = len(self.attempt_ids)
+            self._failures += 1
+            attempts = self._failures
         failure = retry.FailedAttempt(
             kind,
             attempts,
--- a/redwingchute/request/retry.py
+++ b/redwingchute/request/retry.py
@@ -18,8 +18,8 @@
 _MIN_BUDGET_RETRIES = 3.0
 _MAX_BUDGET_RETRIES = 50.0
 
-# Connecting may fail more often than attempts may, since it costs nobody.
-_MAX_CONNECT_FAILURES = 8
+# Attempts that nobody worked on may fail more often than others may.
+_MAX_FREE_FAILURES = 8
 
 
 class FailureKind(enum.Enum):
@@ -27,6 +27,7 @@
 
     Attributes:
       NOT_CONNECTED: No byte was sent.
+      LEAVING: The upstream answered that it is leaving; it did not run.
       TURNED_AWAY: The upstream answered that it takes no work (503, 429).
       SERVER_ERROR: The upstream answered with another 5xx status.
       BROKEN: The exchange broke after bytes were sent.
@@ -34,20 +35,24 @@
     """
 
     NOT_CONNECTED = "not_connected"
+    LEAVING = "leaving"
     TURNED_AWAY = "turned_away"
     SERVER_ERROR = "server_error"
     BROKEN = "broken"
     MISMATCHED = "mismatched"
 
 
+_FREE_KINDS = frozenset({FailureKind.NOT_CONNECTED, FailureKind.LEAVING})
+
+
 @attrs.frozen
 class FailedAttempt:
     """What the decision needs to know of a failure.
 
     Attributes:
       kind: How the attempt failed.
-      attempts: The request's attempts so far that sent a byte or, when this
-        one did not connect, those that did not connect; this one included.
+      attempts: The request's failures so far, this one included: those that
+        nobody worked on or the others, whichever this one is.
       is_repeatable: Whether the work may run more than once.
       deadline_ms: When the answer must have ended.
       work_left_ms: The expected time that the rest of the work takes.
@@ -122,23 +127,27 @@
         """
         policy = self._policy
         has_sent = failure.kind is not FailureKind.NOT_CONNECTED
+        adds_load = failure.kind not in _FREE_KINDS
         if has_sent and not failure.is_repeatable:
             return GiveUp(GiveUpCause.NOT_REPEATABLE)
-        max_attempts = (
-            policy.max_attempts if has_sent else _MAX_CONNECT_FAILURES
-        )
+        max_attempts = policy.max_attempts if adds_load else _MAX_FREE_FAILURES
         if failure.attempts >= max_attempts:
             return GiveUp(GiveUpCause.ATTEMPTS_USED)
         delay_ms = _draw_delay_ms(policy, failure.attempts, rng)
         if now_ms + delay_ms + failure.work_left_ms > failure.deadline_ms:
             return GiveUp(GiveUpCause.DEADLINE)
-        if has_sent:
+        if adds_load:
             if self._retries < 1:
                 return GiveUp(GiveUpCause.RETRY_BUDGET_EMPTY)
             self._retries -= 1
         return RetryAfterDelay(delay_ms)
 
 
+def is_free(kind: FailureKind) -> bool:
+    """Tells whether no upstream worked on an attempt that failed so."""
+    return kind in _FREE_KINDS
+
+
 def _draw_delay_ms(
     policy: configuration.RetryPolicy, attempts: int, rng: random.Random
 ) -> int:
--- a/redwingchute/request/transcript.py
+++ b/redwingchute/request/transcript.py
@@ -37,6 +37,7 @@
         self._earlier_tokens = 0
         self._attempts = 0
         self._stream_id: object = None
+        self._id_attempt = 0
 
     @property
     def is_oversized(self) -> bool:
@@ -98,16 +99,16 @@
 
     def _render(self, event: sse.ChatEvent) -> bytes:
         """Returns an event as the caller shall see it."""
-        if self._attempts == 1:
-            if self._stream_id is None:
-                self._stream_id = _read_id(event.raw)
-            return event.raw
-        if event.is_done:
+        if event.is_done or self._attempts == self._id_attempt:
             return event.raw
         fields = _read_fields(event.raw)
         if fields is None:
             return event.raw
-        if self._stream_id is not None:
+        if self._id_attempt == 0:
+            # The first event that is delivered gives the stream its id.
+            self._id_attempt = self._attempts
+            self._stream_id = fields.get("id")
+        else:
             fields["id"] = self._stream_id
         usage = self.usage
         if event.usage is not None and usage is not None:
@@ -126,8 +127,3 @@
     except ValueError:
         return None
     return fields if isinstance(fields, dict) else None
-
-
-def _read_id(raw: bytes) -> object:
-    """Returns the stream's id that an event carries."""
-    return (_read_fields(raw) or {}).get("id")
--- a/redwingchute/testing/request_builders.py
+++ b/redwingchute/testing/request_builders.py
@@ -66,6 +66,7 @@
     expected_output_tokens: int = 100,
     arrived_at_ms: int = 0,
     prefix_digests: tuple[bytes, ...] = (),
+    body_digest: bytes = b"",
     is_suspect: bool = False,
     excluded_upstreams: frozenset[str] = frozenset(),
 ) -> requesting.Ticket:
@@ -80,6 +81,7 @@
         expected_output_tokens,
         arrived_at_ms,
         prefix_digests,
+        body_digest,
         is_suspect,
         excluded_upstreams,
     )
