--- a/redwingchute/request/leaving.py
+++ b/redwingchute/request/leaving.py
@@ -68,7 +68,7 @@
         if upstream in self._signs:
             self._seen_down_ms[upstream] = now_ms
 
-    def note_load_answer(self, upstream: str) -> None:
+    def note_up(self, upstream: str) -> None:
         """Ends the signs of an upstream that was down and answers again."""
         seen_down_ms = self._seen_down_ms.pop(upstream, None)
         if seen_down_ms is None:
--- a/redwingchute/request/leaving_test.py
+++ b/redwingchute/request/leaving_test.py
@@ -30,7 +30,7 @@
         (
             [
                 lambda up: up.note_answer("r", 50),
-                lambda up: up.note_load_answer("r"),
+                lambda up: up.note_up("r"),
             ],
             60,
             True,
@@ -41,7 +41,7 @@
                 lambda up: up.note_answer("r", 50),
                 lambda up: up.note_sibling("r", 50, 55),
                 lambda up: up.note_down("r", 60),
-                lambda up: up.note_load_answer("r"),
+                lambda up: up.note_up("r"),
             ],
             70,
             False,
@@ -52,7 +52,7 @@
                 lambda up: up.note_answer("r", 10),
                 lambda up: up.note_down("r", 20),
                 lambda up: up.note_answer("r", 50),
-                lambda up: up.note_load_answer("r"),
+                lambda up: up.note_up("r"),
             ],
             60,
             True,
@@ -62,7 +62,7 @@
             [
                 lambda up: up.note_host_list("r", True, 0),
                 lambda up: up.note_down("r", 50),
-                lambda up: up.note_load_answer("r"),
+                lambda up: up.note_up("r"),
             ],
             70,
             True,
--- a/redwingchute/request/load_model.py
+++ b/redwingchute/request/load_model.py
@@ -71,6 +71,11 @@
         """How many of this router's attempts run there."""
         return len(self._running)
 
+    @property
+    def report(self) -> requesting.LoadReport | None:
+        """The newest load report."""
+        return self._report
+
     @property
     def slots(self) -> int:
         """How many requests the upstream runs at once."""
--- /dev/null
+++ b/redwingchute/request/load_poller.py
@@ -0,0 +1,180 @@
+"""Asks the upstreams of a router's subset for their load and cache events.
+
+Plain services have no load interface; for them only connecting is tried, so
+that an instance that is down is found before a call meets it.
+"""
+
+import asyncio
+import json
+import random
+from typing import Any
+
+from redwingchute.connection import http_client
+from redwingchute.core import configuration
+from redwingchute.core import requesting
+from redwingchute.request import dispatcher
+from redwingchute.request import prefix_affinity
+
+_PERIOD_MS = 1_000
+_TIMEOUT_MS = 800
+_MAX_BYTES = 256 * 1024
+_MODEL_PREFIX = dispatcher.name_model_pool("")
+
+
+class LoadPoller:
+    """Polls upstreams for one dispatcher."""
+
+    def __init__(
+        self,
+        target: dispatcher.Dispatcher,
+        connections: http_client.ClientPool,
+        rng: random.Random,
+    ) -> None:
+        """Binds the poller.
+
+        Args:
+          target: Gets the reports.
+          connections: Connections to upstreams.
+          rng: Spreads the polls of routers over time.
+        """
+        self._target = target
+        self._connections = connections
+        self._rng = rng
+        self._next_events: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        while True:
+            await self.poll_once()
+            pause_ms = _PERIOD_MS * self._rng.uniform(0.8, 1.2)
+            await asyncio.sleep(pause_ms / 1000)
+
+    async def poll_once(self) -> None:
+        """Asks every upstream of the subset once."""
+        polls = [
+            self._poll(pool_name, upstream)
+            for pool_name, known in self._target.list_pools().items()
+            for upstream in known.list_upstreams()
+        ]
+        await asyncio.gather(*polls)
+
+    async def _poll(
+        self, pool_name: str, upstream: configuration.Upstream
+    ) -> None:
+        """Asks one upstream and passes on what it says."""
+        address = http_client.Address.parse(upstream.address)
+        if not pool_name.startswith(_MODEL_PREFIX):
+            await self._try_connecting(pool_name, upstream, address)
+            return
+        fetched = await self._connections.fetch(
+            address, "GET", "/load", [], b"", _TIMEOUT_MS, _MAX_BYTES
+        )
+        match fetched:
+            case http_client.ConnectFailed():
+                self._target.note_unreachable(pool_name, upstream.name)
+                # A new process counts its events anew.
+                self._next_events.pop(upstream.name, None)
+            case http_client.Fetched(status=200):
+                report = read_load_report(fetched.body)
+                if report is not None:
+                    self._target.note_load(pool_name, upstream.name, report)
+                await self._poll_cache(pool_name, upstream, address)
+            case _:
+                # A slow or odd answer says nothing about requests.
+                return
+
+    async def _poll_cache(
+        self,
+        pool_name: str,
+        upstream: configuration.Upstream,
+        address: http_client.Address,
+    ) -> None:
+        """Asks one engine for the cache events since the last poll."""
+        start = self._next_events.get(upstream.name, 0)
+        fetched = await self._connections.fetch(
+            address,
+            "GET",
+            f"/cache_events?from={start}",
+            [],
+            b"",
+            _TIMEOUT_MS,
+            _MAX_BYTES,
+        )
+        if not isinstance(fetched, http_client.Fetched):
+            return
+        events = read_cache_events(fetched.body)
+        if events:
+            self._next_events[upstream.name] = events[-1].sequence + 1
+            self._target.note_cache_events(pool_name, upstream.name, events)
+
+    async def _try_connecting(
+        self,
+        pool_name: str,
+        upstream: configuration.Upstream,
+        address: http_client.Address,
+    ) -> None:
+        """Notes a service instance that refuses connections."""
+        connection = await self._connections.acquire(address)
+        if isinstance(connection, http_client.ConnectFailed):
+            self._target.note_unreachable(pool_name, upstream.name)
+        else:
+            self._target.note_reachable(pool_name, upstream.name)
+            self._connections.release(connection)
+
+
+def read_load_report(body: bytes) -> requesting.LoadReport | None:
+    """Returns an engine's load report, or None when it is malformed."""
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return None
+    if not isinstance(fields, dict):
+        return None
+    running = _read_count(fields, "running")
+    queued = _read_count(fields, "queued")
+    slots = _read_count(fields, "slots")
+    at_ms = _read_count(fields, "at_ms")
+    if running is None or queued is None or slots is None or at_ms is None:
+        return None
+    return requesting.LoadReport(running, queued, slots, at_ms)
+
+
+def read_cache_events(
+    body: bytes,
+) -> tuple[prefix_affinity.CacheEvent, ...] | None:
+    """Returns an engine's cache events, or None when they are malformed."""
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return None
+    events = fields.get("events") if isinstance(fields, dict) else None
+    if not isinstance(events, list):
+        return None
+    read = [_read_cache_event(event) for event in events]
+    return tuple(event for event in read if event is not None)
+
+
+def _read_cache_event(event: Any) -> prefix_affinity.CacheEvent | None:
+    """Returns one event; None when it is malformed or of another kind."""
+    if not isinstance(event, dict):
+        return None
+    offset = _read_count(event, "offset")
+    block = event.get("block")
+    kind = event.get("kind")
+    if offset is None or not isinstance(block, str):
+        return None
+    if kind not in ("stored", "evicted"):
+        return None
+    try:
+        digest = bytes.fromhex(block)
+    except ValueError:
+        return None
+    return prefix_affinity.CacheEvent(offset, digest, kind == "stored")
+
+
+def _read_count(fields: dict[str, Any], name: str) -> int | None:
+    """Returns a whole number that is not negative, or None."""
+    value = fields.get(name)
+    if type(value) is not int or value < 0:
+        return None
+    return value
--- a/redwingchute/request/outlier.py
+++ b/redwingchute/request/outlier.py
@@ -84,6 +84,11 @@
         state.ejected_until_ms = now_ms + delay_ms
         return True
 
+    def is_unreachable(self, name: str, now_ms: int) -> bool:
+        """Tells whether an upstream refused connections until lately."""
+        state = self._states.get(name, _State())
+        return state.unreachable_until_ms > now_ms
+
     def count_ejected(self, now_ms: int) -> int:
         """Returns how many upstreams are ejected now."""
         return sum(
--- a/redwingchute/request/pool.py
+++ b/redwingchute/request/pool.py
@@ -14,6 +14,7 @@
 from redwingchute.core import configuration
 from redwingchute.core import outcomes
 from redwingchute.core import requesting
+from redwingchute.core import status
 from redwingchute.request import admission
 from redwingchute.request import crash_guard
 from redwingchute.request import leaving
@@ -147,6 +148,36 @@
         """Returns the upstreams of the version in force."""
         return tuple(load.upstream for load in self._loads.values())
 
+    def list_waiting(
+        self, client_account: str, body_digest: bytes
+    ) -> tuple[requesting.Ticket, ...]:
+        """Returns the waiting copies of one request."""
+        return tuple(
+            ticket
+            for ticket in self._queue
+            if ticket.client_account == client_account
+            and ticket.body_digest == body_digest
+        )
+
+    def list_states(self, now_ms: int) -> tuple[status.UpstreamStatus, ...]:
+        """Returns what is known of each upstream, for operators."""
+        return tuple(
+            self._describe(name, load, now_ms)
+            for name, load in self._loads.items()
+        )
+
+    def forecast(
+        self,
+        ticket: requesting.Ticket,
+        patience_change: patience.PatienceChange | None,
+        now_ms: int,
+    ) -> admission.AdmissionResult:
+        """Tells whether a request would be admitted now."""
+        ahead = self._queue.list_ahead(ticket) if len(self._queue) else []
+        return admission.decide_admission(
+            ticket, ahead, self._view(now_ms), patience_change, now_ms
+        )
+
     def submit(
         self,
         ticket: requesting.Ticket,
@@ -154,11 +185,7 @@
         now_ms: int,
     ) -> SubmitResult:
         """Admits a request to the queue or refuses it at once."""
-        view = self._view(now_ms)
-        ahead = self._queue.list_ahead(ticket) if len(self._queue) else []
-        decision = admission.decide_admission(
-            ticket, ahead, view, patience_change, now_ms
-        )
+        decision = self.forecast(ticket, patience_change, now_ms)
         if isinstance(decision, admission.Refused):
             return decision
         match self._queue.add(ticket):
@@ -242,6 +269,13 @@
             load.note_report(report, now_ms)
             self.outliers.note_connected(upstream)
 
+    def note_unreachable(self, upstream: str, now_ms: int) -> None:
+        """Records that an upstream refused a connection."""
+        self.outliers.note_connect_failure(upstream, now_ms)
+        index = self._prefixes.get(upstream)
+        if index is not None:
+            index.forget_all()
+
     def note_cache_events(
         self, upstream: str, events: Iterable[prefix_affinity.CacheEvent]
     ) -> None:
@@ -340,6 +374,29 @@
                 returns.append(until_ms)
         return min(returns, default=None)
 
+    def _describe(
+        self, name: str, load: load_model.UpstreamLoad, now_ms: int
+    ) -> status.UpstreamStatus:
+        """Returns what is known of one upstream."""
+        report = load.report
+        return status.UpstreamStatus(
+            name,
+            self._name_state(name, now_ms),
+            running=0 if report is None else report.running,
+            queued=0 if report is None else report.queued,
+            reported_ms=0 if report is None else report.at_ms,
+        )
+
+    def _name_state(self, name: str, now_ms: int) -> str:
+        """Returns the state of an upstream in one word."""
+        if self._leaving.is_leaving(name, now_ms):
+            return "leaving"
+        if self.outliers.is_unreachable(name, now_ms):
+            return "unreachable"
+        if self.outliers.find_return_ms(name) > now_ms:
+            return "ejected"
+        return "live"
+
     def _refuse_expired(
         self, ticket: requesting.Ticket, now_ms: int
     ) -> outcomes.NotRun:
--- a/redwingchute/request/prefix_affinity.py
+++ b/redwingchute/request/prefix_affinity.py
@@ -12,9 +12,9 @@
 
 import attrs
 
-PREFIX_BLOCK_BYTES = 256
+BLOCK_WORDS = 16
+MAX_BLOCKS = 64
 _DIGEST_BYTES = 8
-_MAX_BLOCKS = 64
 _MAX_DIGESTS_PER_UPSTREAM = 8_192
 _DOUBTFUL_WORTH = 0.5
 
@@ -39,15 +39,20 @@
     return hashlib.sha256(b"cache-salt:" + client_account.encode()).hexdigest()
 
 
-def make_prefix_digests(salt: str, prompt: bytes) -> tuple[bytes, ...]:
-    """Returns a digest for each whole block of a prompt and all before it."""
-    running = hashlib.sha256(salt.encode())
+def make_prefix_digests(salt: str, prompt: str) -> tuple[bytes, ...]:
+    """Returns the digests that engines name a prompt's prefixes by.
+
+    One digest stands for each whole block of words and all blocks before it.
+    """
+    words = prompt.split(maxsplit=MAX_BLOCKS * BLOCK_WORDS)
+    block_count = min(len(words) // BLOCK_WORDS, MAX_BLOCKS)
+    running = hashlib.blake2b(salt.encode(), digest_size=_DIGEST_BYTES)
     digests = []
-    block_count = min(len(prompt) // PREFIX_BLOCK_BYTES, _MAX_BLOCKS)
     for number in range(block_count):
-        start = number * PREFIX_BLOCK_BYTES
-        running.update(prompt[start : start + PREFIX_BLOCK_BYTES])
-        digests.append(running.digest()[:_DIGEST_BYTES])
+        start = number * BLOCK_WORDS
+        block = words[start : start + BLOCK_WORDS]
+        running.update(" ".join(block).encode())
+        digests.append(running.digest())
     return tuple(digests)
 
 
--- a/redwingchute/request/prefix_affinity_test.py
+++ b/redwingchute/request/prefix_affinity_test.py
@@ -3,22 +3,33 @@
 import pytest
 
 from redwingchute.request import prefix_affinity
+from redwingchute.standin import answers
 
 _STORED = prefix_affinity.CacheEvent
 
 
 def test_digests_are_salted_per_account_and_chain() -> None:
-    prompt = b"x" * 1_000
+    prompt = " ".join(f"word{number}" for number in range(50))
     salt = prefix_affinity.make_cache_salt("derwent")
     digests = prefix_affinity.make_prefix_digests(salt, prompt)
     assert len(digests) == len(set(digests)) == 3
-    longer = prefix_affinity.make_prefix_digests(salt, prompt + b"y" * 256)
+    longer = prefix_affinity.make_prefix_digests(salt, prompt + " more" * 20)
     assert longer[:3] == digests
     other_salt = prefix_affinity.make_cache_salt("karri")
     others = prefix_affinity.make_prefix_digests(other_salt, prompt)
     assert not set(others) & set(digests)
 
 
+@pytest.mark.parametrize("word_count", [0, 15, 16, 17, 100, 1_024])
+def test_digests_are_those_that_engines_publish(word_count: int) -> None:
+    prompt = " ".join(f"w{number}" for number in range(word_count))
+    published = [
+        bytes.fromhex(block) for block in answers.list_blocks("salt", prompt)
+    ]
+    digests = prefix_affinity.make_prefix_digests("salt", prompt)
+    assert list(digests) == published[: prefix_affinity.MAX_BLOCKS]
+
+
 @pytest.mark.parametrize(
     ("events", "expected"),
     [
