Add the request bench on a manual clock

Cause: the policy must be judged by answers within patience, against round-robin and least-outstanding. Ruled out: measuring to the end of the load, where a drained backlog flatters every policy with a queue.

--- /dev/null
+++ b/redwingchute/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the decisions and the daemon against the target."""
--- /dev/null
+++ b/redwingchute/bench/request_bench.py
@@ -0,0 +1,214 @@
+"""Measures the share of requests that are answered within patience.
+
+Run as `python -m redwingchute.bench.request_bench --output FILE`. Eight
+routers stand before six runners, of which one is slow and one is gone, with
+load reports two seconds late.
+"""
+
+import json
+import pathlib
+import random
+import statistics
+
+import attrs
+import defopt
+
+from redwingchute.bench import request_clock
+from redwingchute.bench import request_engine
+from redwingchute.bench import request_policies
+from redwingchute.bench import request_profiles
+
+ROUTERS = 8
+SLOTS = 8
+SLOWNESS = 3.0
+REPORT_LAG_MS = 2_000
+LOAD_FACTORS = (0.7, 1.0, 1.5)
+POLICIES = ("chosen", "round_robin", "least_outstanding")
+_DRAIN_MS = 120_000
+
+
+@attrs.frozen
+class Result:
+    """What one run gave.
+
+    Attributes:
+      profile: The load profile.
+      policy: The policy.
+      load_factor: The load as a multiple of the pool's capacity.
+      seed: The seed of arrivals and sizes.
+      offered: Measured requests.
+      in_time: Those that were answered within patience.
+      late: Those that were answered after it.
+      refused: Those that were refused.
+      in_time_share: `in_time` of `offered`.
+      of_possible: The work whose answers ended in time within the measured
+        window, as a share of what the pool can do in it, or of the work that
+        was offered in it if that is less.
+    """
+
+    profile: str
+    policy: str
+    load_factor: float
+    seed: int
+    offered: int
+    in_time: int
+    late: int
+    refused: int
+    in_time_share: float
+    of_possible: float
+
+
+def make_engines(
+    clock: request_clock.Clock,
+) -> list[request_engine.SimulatedEngine]:
+    """Returns six runners, of which one is slow and one is gone."""
+    engine = request_engine.SimulatedEngine
+    return [
+        engine(clock, "runner-1", SLOTS, slowness=SLOWNESS),
+        engine(clock, "runner-2", SLOTS, is_gone=True),
+        *(engine(clock, f"runner-{n}", SLOTS) for n in (3, 4, 5, 6)),
+    ]
+
+
+def run_once(
+    profile: request_profiles.Profile,
+    policy: str,
+    load_factor: float,
+    seed: int,
+) -> Result:
+    """Runs one policy under one load."""
+    clock = request_clock.Clock(profile.height_ms - request_profiles.RAMP_MS)
+    engines = make_engines(clock)
+    routers = [
+        _make_policy(policy, clock, engines, number)
+        for number in range(ROUTERS)
+    ]
+    rng = random.Random(seed)
+    capacity_per_ms = sum(
+        engine.slots / engine.slowness
+        for engine in engines
+        if not engine.is_gone
+    )
+    rate_per_s = load_factor * capacity_per_ms / profile.mean_work_ms * 1000
+    requests = list(
+        request_profiles.generate_requests(profile, rate_per_s, rng)
+    )
+    for request in requests:
+        _plan_arrival(clock, rng.choice(routers), request)
+    end_ms = profile.height_ms + request_profiles.HEIGHT_MS + _DRAIN_MS
+    clock.run_until(end_ms)
+    possible_work_ms = capacity_per_ms * request_profiles.WINDOW_MS
+    return _summarize(
+        profile, policy, load_factor, seed, requests, possible_work_ms
+    )
+
+
+def _plan_arrival(
+    clock: request_clock.Clock,
+    router: request_policies.Policy,
+    request: request_engine.SimulatedRequest,
+) -> None:
+    """Plans the arrival of a request at a router."""
+    arrived_ms = request.ticket_hint.arrived_at_ms
+    clock.call_at(arrived_ms, lambda: router.take(request))
+
+
+def _make_policy(
+    policy: str,
+    clock: request_clock.Clock,
+    engines: list[request_engine.SimulatedEngine],
+    number: int,
+) -> request_policies.Policy:
+    """Returns one router with the named policy."""
+    match policy:
+        case "chosen":
+            return request_policies.ChosenPolicy(
+                clock, engines, ROUTERS, REPORT_LAG_MS
+            )
+        case "round_robin":
+            return request_policies.RoundRobinPolicy(engines, number)
+        case "least_outstanding":
+            return request_policies.LeastOutstandingPolicy(engines)
+        case _:
+            raise ValueError(policy)
+
+
+def _summarize(
+    profile: request_profiles.Profile,
+    policy: str,
+    load_factor: float,
+    seed: int,
+    requests: list[request_engine.SimulatedRequest],
+    possible_work_ms: float,
+) -> Result:
+    """Counts what became of the measured requests."""
+    measured = [request for request in requests if request.is_measured]
+    in_time = [request for request in measured if request.is_in_time]
+    refused = sum(request.is_refused for request in measured)
+    offered_work_ms = sum(request.work_ms for request in measured)
+    start_ms = profile.height_ms + request_profiles.WINDOW_START_MS
+    end_ms = start_ms + request_profiles.WINDOW_MS
+    done_work_ms = sum(
+        request.work_ms
+        for request in requests
+        if request.is_in_time and start_ms <= (request.ended_ms or 0) < end_ms
+    )
+    return Result(
+        profile.name,
+        policy,
+        load_factor,
+        seed,
+        offered=len(measured),
+        in_time=len(in_time),
+        late=len(measured) - len(in_time) - refused,
+        refused=refused,
+        in_time_share=round(len(in_time) / len(measured), 4),
+        of_possible=round(
+            done_work_ms / min(offered_work_ms, possible_work_ms), 4
+        ),
+    )
+
+
+def main(*, output: pathlib.Path, seeds: int = 3) -> None:
+    """Runs every profile, policy and load, and writes the results as JSON.
+
+    Args:
+      output: The file to write.
+      seeds: How many seeds each is run with.
+    """
+    profiles = [
+        request_profiles.make_derwent_shift_change(),
+        request_profiles.make_karri_rush(),
+    ]
+    results = []
+    for profile in profiles:
+        for load_factor in LOAD_FACTORS:
+            for policy in POLICIES:
+                runs = [
+                    run_once(profile, policy, load_factor, seed)
+                    for seed in range(seeds)
+                ]
+                results += runs
+                _print_runs(runs)
+    output.parent.mkdir(parents=True, exist_ok=True)
+    rows = [attrs.asdict(result) for result in results]
+    output.write_text(json.dumps({"patience": rows}, indent=1) + "\n")
+
+
+def _print_runs(runs: list[Result]) -> None:
+    """Prints the means of some runs that differ by their seed."""
+    first = runs[0]
+    in_time = statistics.mean(run.in_time_share for run in runs)
+    possible = statistics.mean(run.of_possible for run in runs)
+    worst = min(run.of_possible for run in runs)
+    late = sum(run.late for run in runs)
+    print(
+        f"{first.profile} x{first.load_factor} {first.policy}: "
+        f"in time {in_time:.3f}, of possible work {possible:.3f} "
+        f"(least {worst:.3f}), late {late}",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/redwingchute/bench/request_policies.py
@@ -0,0 +1,198 @@
+"""The policies that the request bench compares.
+
+Each instance is one router before the shared engines. The chosen policy is
+the router's own decision code; the two baselines send every request at once.
+"""
+
+import abc
+from collections.abc import Sequence
+import itertools
+
+import attrs
+
+from redwingchute.bench import request_clock
+from redwingchute.bench import request_engine
+from redwingchute.core import configuration
+from redwingchute.request import admission
+from redwingchute.request import leaving
+from redwingchute.request import output_estimator
+from redwingchute.request import pool
+
+_TICK_MS = 50
+_REPORT_PERIOD_MS = 1_000
+
+
+class Policy(request_engine.Listener, abc.ABC):
+    """One router of the bench."""
+
+    @abc.abstractmethod
+    def take(self, request: request_engine.SimulatedRequest) -> None:
+        """Takes a request that arrives now."""
+
+
+class ChosenPolicy(Policy):
+    """The decision code of the router, with reports that come late."""
+
+    def __init__(
+        self,
+        clock: request_clock.Clock,
+        engines: Sequence[request_engine.SimulatedEngine],
+        router_count: int,
+        report_lag_ms: int,
+    ) -> None:
+        """Builds the pool and starts its ticks and polls."""
+        self._clock = clock
+        self._engines = {engine.name: engine for engine in engines}
+        self._report_lag_ms = report_lag_ms
+        upstreams = [
+            configuration.Upstream(
+                engine.name, "127.0.0.1:1", "zone", engine.slots
+            )
+            for engine in engines
+        ]
+        self._pool = pool.Pool(
+            pool.PoolSettings("zone"),
+            upstreams,
+            leaving.LeavingUpstreams(),
+            router_count,
+        )
+        self._estimator = output_estimator.OutputEstimator()
+        self._ids = itertools.count(1)
+        self._requests: dict[int, request_engine.SimulatedRequest] = {}
+        self._ticket_ids: dict[int, int] = {}
+        self._tick()
+        self._poll()
+
+    def take(self, request: request_engine.SimulatedRequest) -> None:
+        """Submits a request to the pool."""
+        ticket_id = next(self._ids)
+        hint = request.ticket_hint
+        ticket = attrs.evolve(
+            hint,
+            ticket_id=ticket_id,
+            expected_output_tokens=self._estimator.estimate_tokens(
+                hint.client_account, hint.kind, request.max_output_tokens
+            ),
+        )
+        self._requests[ticket_id] = request
+        match self._pool.submit(ticket, None, self._now_ms()):
+            case admission.Refused():
+                request.is_refused = True
+                del self._requests[ticket_id]
+            case pool.Accepted(displaced):
+                if displaced is not None:
+                    self._refuse(displaced.ticket.ticket_id)
+        self._advance()
+
+    def note_first_token(
+        self, request: request_engine.SimulatedRequest
+    ) -> None:
+        """Tells the pool that output began."""
+        self._pool.note_first_token(
+            self._ticket_ids[id(request)], self._now_ms()
+        )
+
+    def note_end(self, request: request_engine.SimulatedRequest) -> None:
+        """Tells the pool that an answer ended."""
+        hint = request.ticket_hint
+        self._estimator.note_output(
+            hint.client_account,
+            hint.kind,
+            request.max_output_tokens,
+            request.output_tokens,
+        )
+        ticket_id = self._ticket_ids.pop(id(request))
+        self._pool.note_end(ticket_id, self._now_ms(), request.output_tokens)
+        self._advance()
+
+    def _now_ms(self) -> int:
+        """Returns the time as routers read it."""
+        return int(self._clock.now_ms)
+
+    def _refuse(self, ticket_id: int) -> None:
+        """Ends a waiting request with a refusal."""
+        self._requests.pop(ticket_id).is_refused = True
+
+    def _advance(self) -> None:
+        """Runs what the pool decides."""
+        now_ms = self._now_ms()
+        for given_up in self._pool.expire(now_ms):
+            self._refuse(given_up.ticket.ticket_id)
+        while (start := self._pool.start_next(now_ms)) is not None:
+            self._send(start, now_ms)
+
+    def _send(self, start: pool.Start, now_ms: int) -> None:
+        """Sends a request, which an engine that is gone does not take."""
+        ticket_id = start.ticket.ticket_id
+        request = self._requests.pop(ticket_id)
+        engine = self._engines[start.upstream.name]
+        self._ticket_ids[id(request)] = ticket_id
+        if engine.submit(request, self):
+            return
+        del self._ticket_ids[id(request)]
+        self._pool.note_unreachable(engine.name, now_ms)
+        self._pool.note_end(ticket_id, now_ms, None)
+        self.take(request)
+
+    def _tick(self) -> None:
+        """Lets time pass for waiting requests."""
+        if self._pool.queued_count:
+            self._advance()
+        self._clock.call_later(_TICK_MS, self._tick)
+
+    def _poll(self) -> None:
+        """Takes the late load reports."""
+        for engine in self._engines.values():
+            if engine.is_gone:
+                self._pool.note_unreachable(engine.name, self._now_ms())
+                continue
+            report = engine.find_report(self._report_lag_ms)
+            self._pool.note_report(engine.name, report, self._now_ms())
+        self._advance()
+        self._clock.call_later(_REPORT_PERIOD_MS, self._poll)
+
+
+class RoundRobinPolicy(Policy):
+    """Sends each request to the next engine, without admission."""
+
+    def __init__(
+        self, engines: Sequence[request_engine.SimulatedEngine], offset: int
+    ) -> None:
+        """Starts at an engine of its own."""
+        self._engines = engines
+        self._next = offset
+
+    def take(self, request: request_engine.SimulatedRequest) -> None:
+        """Tries engines in turn until one takes the request."""
+        for _ in self._engines:
+            engine = self._engines[self._next % len(self._engines)]
+            self._next += 1
+            if engine.submit(request, self):
+                return
+
+
+class LeastOutstandingPolicy(Policy):
+    """Sends each request where this router has the fewest running."""
+
+    def __init__(
+        self, engines: Sequence[request_engine.SimulatedEngine]
+    ) -> None:
+        """Starts with nothing outstanding."""
+        self._outstanding = {engine.name: 0 for engine in engines}
+        self._engines = engines
+        self._places: dict[int, str] = {}
+
+    def take(self, request: request_engine.SimulatedRequest) -> None:
+        """Tries engines from the least outstanding on."""
+        ranked = sorted(
+            self._engines, key=lambda engine: self._outstanding[engine.name]
+        )
+        for engine in ranked:
+            if engine.submit(request, self):
+                self._outstanding[engine.name] += 1
+                self._places[id(request)] = engine.name
+                return
+
+    def note_end(self, request: request_engine.SimulatedRequest) -> None:
+        """Counts an answer that ended."""
+        self._outstanding[self._places.pop(id(request))] -= 1
