Send every request through the dispatcher

Cause: the thin path chose upstreams by count and gave up on a cut stream. Ruled out: keeping the counting table for services; its failures and leaving instances must be known to both kinds of request. Before: first usable upstream, no queue, a cut ended the request.

--- a/redwingchute/process/operator_adapters.py
+++ b/redwingchute/process/operator_adapters.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 
 from redwingchute.core import configuration
 from redwingchute.core import data
@@ -16,6 +15,7 @@
 from redwingchute.process.ledger import log_client
 from redwingchute.process.ledger import log_outcomes
 from redwingchute.process.ledger import sharding
+from redwingchute.request import dispatcher
 from redwingchute.version import changes
 from redwingchute.wire import codec
 
@@ -182,15 +182,17 @@
         return self._report(query)
 
 
-@dataclasses.dataclass(frozen=True)
-class NoQuarantine:
-    """The quarantine of a router that does not keep one."""
+class DispatcherQuarantine:
+    """The quarantine that the dispatcher of requests keeps."""
+
+    def __init__(self, requests: dispatcher.Dispatcher) -> None:
+        """Binds the adapter to the dispatcher."""
+        self._requests = requests
 
     def list_entries(self) -> tuple[status.QuarantinedRequest, ...]:
-        """Returns no entries."""
-        return ()
+        """Returns the entries in force."""
+        return self._requests.list_quarantined()
 
     def lift(self, account: str, digest: bytes, author: str) -> bool:
-        """Finds nothing to lift."""
-        del account, digest, author
-        return False
+        """Ends a quarantine everywhere; False when there is none."""
+        return self._requests.lift_quarantine(account, digest, author)
--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -19,12 +19,14 @@
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
 from redwingchute.core import data
+from redwingchute.core import requesting
 from redwingchute.core import spending
 from redwingchute.core import status
 from redwingchute.process import admin_api
 from redwingchute.process import admin_front
 from redwingchute.process import command_executor
 from redwingchute.process import configuration_reader
+from redwingchute.process import host_list_reader
 from redwingchute.process import incarnations
 from redwingchute.process import membership_service
 from redwingchute.process import operator_adapters
@@ -37,8 +39,9 @@
 from redwingchute.process.ledger import owner
 from redwingchute.process.ledger import owner_service
 from redwingchute.request import context
-from redwingchute.request import dispatch
+from redwingchute.request import dispatcher
 from redwingchute.request import front
+from redwingchute.request import load_poller
 from redwingchute.wire import registry
 
 _LOG = logging.getLogger(__name__)
@@ -80,6 +83,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._stack = contextlib.AsyncExitStack()
         self.network = self._make_network()
+        self.dispatcher = self._make_dispatcher()
         self.reader = configuration_reader.ConfigurationReader(
             self._log, self._codec, self._note_configuration
         )
@@ -108,6 +112,19 @@
             self.settings.peer_advertise,
         )
 
+    def _make_dispatcher(self) -> dispatcher.Dispatcher:
+        """Returns the dispatcher of requests."""
+        return dispatcher.Dispatcher(
+            dispatcher.DispatcherParts(
+                self.settings.host_name,
+                self.settings.zone,
+                self._incarnation,
+                read_clock_ms,
+                random.Random(self._incarnation),
+                self._broadcast,
+            )
+        )
+
     async def __aenter__(self) -> "Router":
         """Starts all parts in the order in which they need each other."""
         enter = self._stack.enter_async_context
@@ -141,6 +158,7 @@
         self._spawn(self.members.run())
         self._spawn(self.reader.run())
         self._spawn(self._declare_dead())
+        self._spawn_upstream_watchers()
         self.callers = await enter(self._make_caller_server())
         self.admin = await enter(self._make_admin_server())
         return self
@@ -183,7 +201,7 @@
         request_context = context.RequestContext(
             self.ledger,
             self._pool,
-            dispatch.UpstreamTable(self.settings.zone),
+            self.dispatcher,
             self._metrics,
             read_clock_ms,
             secrets.token_bytes,
@@ -215,7 +233,7 @@
             operator_adapters.FleetStatus(
                 self.members, self.network, self._report_status
             ),
-            operator_adapters.NoQuarantine(),
+            operator_adapters.DispatcherQuarantine(self.dispatcher),
             read_clock_ms,
             secrets.token_bytes,
         )
@@ -240,6 +258,38 @@
         handle(spending.HoldBills, self._handle_hold_bills)
         handle(spending.ForgetBills, self._handle_forget_bills)
 
+        for notice in (
+            requesting.CrashNotice,
+            requesting.QuarantineNotice,
+            requesting.LeavingNotice,
+        ):
+            handle(notice, self._handle_notice)
+
+    async def _handle_notice(
+        self, peer: data.Host, notice: dispatcher.Notice
+    ) -> None:
+        """Takes what another router tells of requests and upstreams."""
+        del peer
+        self.dispatcher.take_notice(notice)
+
+    def _broadcast(self, notice: dispatcher.Notice) -> None:
+        """Sends a notice to all other routers in view."""
+        for host in self.members.view.list_reachable():
+            if host.name != self.settings.host_name:
+                self.network.send(host.name, notice)
+
+    def _spawn_upstream_watchers(self) -> None:
+        """Starts what follows the state of upstreams."""
+        poller = load_poller.LoadPoller(
+            self.dispatcher, self._pool, random.Random(self._incarnation + 1)
+        )
+        hosts = host_list_reader.HostListReader(
+            self._pool, self.settings.platform, self.dispatcher.note_host_state
+        )
+        self._spawn(self.dispatcher.run())
+        self._spawn(poller.run())
+        self._spawn(hosts.run())
+
     async def _handle_recall(
         self, peer: data.Host, recall: data.Recall
     ) -> None:
@@ -272,7 +322,6 @@
 
     def _report_status(self, query: status.StatusQuery) -> status.StatusReport:
         """Returns this router's own status."""
-        del query
         current = self.reader.find_current()
         return status.StatusReport(
             self.settings.host_name,
@@ -280,11 +329,27 @@
             0 if current is None else current.version,
             read_clock_ms(),
             read_clock_ms(),
+            running=(
+                self.dispatcher.list_running() if query.wants_running else ()
+            ),
+            upstreams=(
+                self.dispatcher.list_upstreams()
+                if query.wants_upstreams
+                else ()
+            ),
         )
 
     def _note_members(self) -> None:
         """Passes a changed view on to the owners of shards."""
         self.owners.set_live_hosts(self.members.view.list_live())
+        self._configure_dispatcher()
+
+    def _configure_dispatcher(self) -> None:
+        """Passes the configuration and the size of the fleet on."""
+        current = self.reader.find_current()
+        if current is not None:
+            router_count = len(self.members.view.list_live())
+            self.dispatcher.configure(current, max(1, router_count))
 
     def _note_configuration(self) -> None:
         """Notes that a new configuration version is in force."""
@@ -295,6 +360,7 @@
             "configuration version in force",
             extra={"version": current.version},
         )
+        self._configure_dispatcher()
         for budget in current.budgets:
             self.ledger.register_budget(budget.name)
 
--- /dev/null
+++ b/redwingchute/request/chat_answer.py
@@ -0,0 +1,203 @@
+"""The answer of one chat request on its way from upstreams to the caller.
+
+Output is passed on as it comes; the end of the answer is held until the true
+cost is settled. An answer that did not end is not billed.
+"""
+
+import json
+import math
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import configuration
+from redwingchute.core import outcomes
+from redwingchute.core import spending
+from redwingchute.request import chat_request
+from redwingchute.request import context
+from redwingchute.request import dispatcher
+from redwingchute.request import exchange
+from redwingchute.request import retry
+from redwingchute.request import sse
+from redwingchute.request import transcript
+
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_RETRY_AFTER_MS = 1_000
+
+
+@attrs.frozen
+class Billing:
+    """How a request is paid: by a charge, or not at all on a rerun."""
+
+    charge: spending.Charge | None
+
+
+class ChatAnswer:
+    """The answer of one request, over all of its attempts.
+
+    Attributes:
+      chat: The request.
+      stream: What the caller received of a streamed answer.
+      output_tokens: The size of the whole answer, once it ended.
+      is_settled: Whether the request was billed or may have been.
+    """
+
+    def __init__(
+        self,
+        request_context: context.RequestContext,
+        chat: chat_request.ChatRequest,
+        billing: Billing,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Starts with nothing passed on."""
+        self.chat = chat
+        self.stream = transcript.StreamTranscript(chat.max_output_tokens)
+        self.output_tokens: int | None = None
+        self.is_settled = False
+        self._context = request_context
+        self._billing = billing
+        self._responder = responder
+
+    def make_upstream_body(self) -> bytes:
+        """Returns the body of the next attempt, which goes on after a cut."""
+        fields = dict(self.chat.fields)
+        fields.pop("max_completion_tokens", None)
+        fields["max_tokens"] = self.stream.left_tokens
+        if self.chat.is_streamed:
+            fields["stream_options"] = {"include_usage": True}
+        if self.stream.text:
+            fields["continue_from_text"] = self.stream.text
+        return json.dumps(fields).encode()
+
+    async def pass_on(
+        self, started: exchange.Started, slot: dispatcher.Slot
+    ) -> outcomes.Refusal | exchange.AttemptFailed | None:
+        """Passes an upstream's response on and settles before its end.
+
+        Returns:
+          None when the caller has the whole answer, the refusal that ends the
+          request, or that another attempt must go on.
+        """
+        if started.head.status != 200:
+            return outcomes.Failed(
+                502,
+                "upstream_refused",
+                f"The upstream answered with status {started.head.status}.",
+            )
+        if not self.chat.is_streamed:
+            return await self._pass_whole(started, slot)
+        await self._start_stream()
+        self.stream.begin_attempt()
+        if not await self._pass_events(started.connection, slot):
+            return exchange.AttemptFailed(
+                retry.FailureKind.BROKEN, started.attempt_id
+            )
+        slot.output_tokens = self.stream.attempt_tokens
+        return await self.finish_stream()
+
+    async def finish_stream(self) -> outcomes.Refusal | None:
+        """Bills a stream that is whole and releases its end."""
+        self.output_tokens = self.stream.output_tokens
+        refusal = await self._settle(self.stream.usage)
+        if refusal is None:
+            await self._responder.send_chunk(self.stream.release_held())
+            await self._responder.finish()
+        return refusal
+
+    async def _start_stream(self) -> None:
+        """Sends the head of the response, on the first attempt only."""
+        if self._responder.has_started:
+            return
+        await self._responder.start(
+            200,
+            [
+                ("content-type", "text/event-stream"),
+                ("cache-control", "no-store"),
+                ("transfer-encoding", "chunked"),
+            ],
+        )
+
+    async def _pass_events(
+        self, connection: http_client.ClientConnection, slot: dispatcher.Slot
+    ) -> bool:
+        """Passes events on; True when the upstream ended its stream whole."""
+        while True:
+            match await exchange.read_chunk(connection):
+                case http_client.BodyChunk(chunk):
+                    before_tokens = self.stream.output_tokens
+                    output = self.stream.take(chunk)
+                    tokens = self.stream.output_tokens - before_tokens
+                    if tokens:
+                        slot.note_first_token()
+                        self._context.metrics.tokens_delivered.add(tokens)
+                    await self._responder.send_chunk(output)
+                    if self.stream.is_oversized:
+                        return False
+                case http_client.BodyEnd():
+                    return self.stream.is_done
+                case http_client.ExchangeBroken():
+                    return self.stream.is_done
+
+    async def _pass_whole(
+        self, started: exchange.Started, slot: dispatcher.Slot
+    ) -> outcomes.Refusal | exchange.AttemptFailed | None:
+        """Passes on a response that is not streamed."""
+        body = await exchange.read_body(started.connection, _MAX_ANSWER_BYTES)
+        if isinstance(body, http_client.ExchangeBroken):
+            return exchange.AttemptFailed(
+                retry.FailureKind.BROKEN, started.attempt_id
+            )
+        try:
+            usage = sse.read_usage(json.loads(body))
+        except ValueError:
+            usage = None
+        if usage is not None:
+            slot.output_tokens = self.output_tokens = usage.output_tokens
+        refusal = await self._settle(usage)
+        if refusal is None:
+            await self._responder.send(200, body)
+        return refusal
+
+    async def _settle(self, usage: sse.Usage | None) -> outcomes.Failed | None:
+        """Bills the true cost; returns a refusal when it can't be covered."""
+        charge = self._billing.charge
+        if charge is None:
+            return None
+        bound_tokens = charge.request.bound_tokens
+        tokens = count_cost(self.chat.model, usage, bound_tokens)
+        match await self._context.ledger.settle(charge, tokens):
+            case spending.Settled():
+                self.is_settled = True
+                self._context.metrics.tokens_settled.add(tokens)
+                return None
+            case spending.SettlementVoid(message):
+                self.is_settled = True
+                return outcomes.Failed(
+                    503, "settlement_void", message, _RETRY_AFTER_MS
+                )
+            case spending.SettlementDelayed():
+                self.is_settled = True
+                return outcomes.Failed(
+                    503,
+                    "settlement_delayed",
+                    "The bill did not become durable in time. "
+                    "A repeat with the same key is billed once.",
+                    _RETRY_AFTER_MS,
+                )
+
+
+def count_cost(
+    model: configuration.Model, usage: sse.Usage | None, bound_tokens: int
+) -> int:
+    """Returns what a request cost, in budget tokens, at most its bound.
+
+    An upstream that reports no usage is billed the bound.
+    """
+    if usage is None:
+        return bound_tokens
+    cost = (
+        usage.prompt_tokens * model.prompt_price
+        + usage.output_tokens * model.output_price
+    )
+    return min(math.ceil(cost), bound_tokens)
--- a/redwingchute/request/context.py
+++ b/redwingchute/request/context.py
@@ -8,7 +8,8 @@
 from redwingchute.core import configuration
 from redwingchute.process import telemetry
 from redwingchute.process.ledger import holder_service
-from redwingchute.request import dispatch
+from redwingchute.request import dispatcher as dispatcher_lib
+from redwingchute.request import exchange
 
 
 @attrs.frozen
@@ -18,7 +19,7 @@
     Attributes:
       ledger: Reserves and settles tokens.
       pool: Connections to upstreams.
-      upstreams: Chooses upstreams.
+      dispatcher: Decides when requests start, and where.
       metrics: Counters.
       read_clock_ms: Returns the time.
       make_id: Returns fresh random bytes of the given number.
@@ -26,11 +27,23 @@
 
     ledger: holder_service.LedgerClient
     pool: http_client.ClientPool
-    upstreams: dispatch.UpstreamTable
+    dispatcher: dispatcher_lib.Dispatcher
     metrics: telemetry.Metrics
     read_clock_ms: Callable[[], int]
     make_id: Callable[[int], bytes]
 
+    async def note_failure(
+        self,
+        work: dispatcher_lib.Work,
+        slot: dispatcher_lib.Slot,
+        failed: exchange.AttemptFailed,
+    ) -> None:
+        """Counts a failed attempt and tells the dispatcher."""
+        self.metrics.attempt_failures.add(1, {"cause": failed.kind.value})
+        await self.dispatcher.note_failure(
+            work, slot, failed.kind, failed.attempt_id
+        )
+
 
 @attrs.frozen
 class Caller:
--- a/redwingchute/request/dispatcher.py
+++ b/redwingchute/request/dispatcher.py
@@ -388,6 +388,19 @@
                     notice.upstream, notice.seen_at_ms, now_ms
                 )
 
+    def list_quarantined(self) -> tuple[status.QuarantinedRequest, ...]:
+        """Returns the requests that are refused after crashes."""
+        entries = self.quarantine.list_entries(self._parts.read_clock_ms())
+        return tuple(
+            status.QuarantinedRequest(
+                entry.key.client_account,
+                entry.key.body_digest,
+                entry.until_ms,
+                entry.author,
+            )
+            for entry in entries
+        )
+
     def lift_quarantine(self, account: str, digest: bytes, author: str) -> bool:
         """Ends a quarantine on all routers; False when there is none."""
         key = quarantine.RequestKey(account, digest)
--- /dev/null
+++ b/redwingchute/request/give_up.py
@@ -0,0 +1,46 @@
+"""Words the refusals of requests that are not tried again."""
+
+from redwingchute.core import outcomes
+from redwingchute.request import retry
+
+_RETRY_AFTER_MS = 1_000
+
+
+def describe(cause: retry.GiveUpCause, has_sent: bool) -> outcomes.NotRun:
+    """Returns the refusal of a request whose last attempt failed.
+
+    Args:
+      cause: Why there is no further attempt.
+      has_sent: Whether any attempt sent a byte.
+
+    Returns:
+      The refusal as for an unsent request; the request's life gives it the
+      type that is true.
+    """
+    if cause is retry.GiveUpCause.DEADLINE:
+        return outcomes.NotRun(
+            504,
+            "deadline_passed",
+            "An attempt failed, and no time is left for another.",
+            _RETRY_AFTER_MS,
+        )
+    if not has_sent:
+        return outcomes.NotRun(
+            503,
+            "no_upstream",
+            "No upstream of the pool could be reached.",
+            _RETRY_AFTER_MS,
+        )
+    if cause is retry.GiveUpCause.RETRY_BUDGET_EMPTY:
+        return outcomes.NotRun(
+            503,
+            "retry_budget_empty",
+            "An attempt failed, and the pool takes no more retries now.",
+            _RETRY_AFTER_MS,
+        )
+    return outcomes.NotRun(
+        502,
+        "upstreams_failed",
+        "Every upstream that was tried failed.",
+        _RETRY_AFTER_MS,
+    )
--- a/redwingchute/request/load_model.py
+++ b/redwingchute/request/load_model.py
@@ -220,6 +220,7 @@
             return
         first_ms = attempt.first_token_at_ms
         if first_ms is None:
+            self._learn_from_whole(attempt, now_ms, output_tokens)
             return
         if output_tokens > 1:
             self._learn_output_speed((now_ms - first_ms) / (output_tokens - 1))
@@ -230,6 +231,16 @@
                 measured - self.prefill_token_ms
             )
 
+    def _learn_from_whole(
+        self, attempt: _Attempt, now_ms: int, output_tokens: int
+    ) -> None:
+        """Learns from an answer that came in one piece."""
+        if not attempt.is_alone_in_slot or output_tokens == 0:
+            return
+        prefill_ms = attempt.ticket.prompt_tokens * self.prefill_token_ms
+        output_ms = now_ms - attempt.started_at_ms - prefill_ms
+        self._learn_output_speed(max(0.0, output_ms) / output_tokens)
+
     def _learn_output_speed(self, measured_ms: float) -> None:
         """Moves the time for one output token towards a measured one."""
         self.output_token_ms += _LEARNING_RATE * (
--- a/redwingchute/request/retry.py
+++ b/redwingchute/request/retry.py
@@ -30,6 +30,7 @@
       LEAVING: The upstream answered that it is leaving; it did not run.
       TURNED_AWAY: The upstream answered that it takes no work (503, 429).
       SERVER_ERROR: The upstream answered with another 5xx status.
+      TIMED_OUT: No answer began in time.
       BROKEN: The exchange broke after bytes were sent.
       MISMATCHED: The reply did not echo the attempt's id.
     """
@@ -38,6 +39,7 @@
     LEAVING = "leaving"
     TURNED_AWAY = "turned_away"
     SERVER_ERROR = "server_error"
+    TIMED_OUT = "timed_out"
     BROKEN = "broken"
     MISMATCHED = "mismatched"
 
--- a/redwingchute/request/service_handler.py
+++ b/redwingchute/request/service_handler.py
@@ -6,6 +6,7 @@
 that the outcome is unknown; it never runs the call again.
 """
 
+import asyncio
 import base64
 import json
 
@@ -18,13 +19,18 @@
 from redwingchute.core import outcomes
 from redwingchute.core import spending
 from redwingchute.request import context
+from redwingchute.request import dispatcher
+from redwingchute.request import exchange
+from redwingchute.request import give_up
 from redwingchute.request import request_key
+from redwingchute.request import request_life
+from redwingchute.request import retry
+from redwingchute.request import work_kind
 
 PREFIX = "/services/"
 _TIMEOUT_MS = 30_000
-_MAX_ATTEMPTS = 3
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _RETRY_AFTER_MS = 1_000
-_ATTEMPT_ID_BYTES = 8
 # A longer answer is not kept in the ledger; a repeat is told so.
 MAX_RECORDED_BYTES = 16 * 1024
 
@@ -36,12 +42,17 @@
     service: configuration.Service
     request: http_server.HttpRequest
     target: str
-    attempt_id: str
+    kind: configuration.WorkKind
     key: str | None
 
+    def digest_body(self) -> bytes:
+        """Returns the digest that tells whether two calls are the same."""
+        path = f"{self.request.method} {self.request.path}"
+        return request_key.digest_body(path, self.request.body)
+
     def list_headers(self) -> list[tuple[str, str]]:
         """Returns the headers that the service gets."""
-        headers = [("x-attempt-id", self.attempt_id)]
+        headers = []
         if self.key is not None:
             headers.append(("idempotency-key", self.key))
         if content_type := self.request.headers.get("content-type"):
@@ -49,6 +60,14 @@
         return headers
 
 
+@attrs.frozen
+class _Run:
+    """A call as the dispatcher sees it, and its life."""
+
+    work: dispatcher.Work
+    life: request_life.RequestLife
+
+
 class ServiceHandler:
     """Answers calls of plain services."""
 
@@ -69,11 +88,24 @@
         charge = await self._admit(call, caller)
         if isinstance(charge, outcomes.NotRun):
             return charge
+        run = self._begin_run(call, caller)
         if call.service.is_repeatable:
-            return await self._run_repeatable(call, charge, responder)
+            return await self._run_repeatable(call, charge, run, responder)
         if charge is None:
             return _report_unknown()
-        return await self._run_once(call, charge, responder)
+        return await self._run_once(call, charge, run, responder)
+
+    def _begin_run(self, call: _Call, caller: context.Caller) -> _Run:
+        """Starts the life of a call."""
+        work = dispatcher.Work(
+            pool_name=dispatcher.name_service_pool(call.service.name),
+            account=caller.account,
+            kind=call.kind,
+            arrived_ms=caller.arrived_ms,
+            body_digest=call.digest_body(),
+            is_repeatable=call.service.is_repeatable,
+        )
+        return _Run(work, self._context.dispatcher.begin_life(work))
 
     def _read_call(
         self, request: http_server.HttpRequest, caller: context.Caller
@@ -88,6 +120,9 @@
         key = request_key.read_caller_key(request.headers)
         if isinstance(key, outcomes.NotRun):
             return key
+        kind = work_kind.read_work_kind(request.headers)
+        if isinstance(kind, outcomes.NotRun):
+            return kind
         if key is None and not service.is_repeatable:
             return outcomes.NotRun(
                 400,
@@ -99,7 +134,7 @@
             service,
             request,
             "/" + rest,
-            self._context.make_id(_ATTEMPT_ID_BYTES).hex(),
+            kind,
             key,
         )
 
@@ -114,9 +149,7 @@
                 if call.key is None
                 else request_key.digest_key(caller.account.name, call.key)
             ),
-            body_digest=request_key.digest_body(
-                f"{call.request.method} {call.request.path}", call.request.body
-            ),
+            body_digest=call.digest_body(),
             bound_tokens=call.service.call_price,
             has_caller_key=call.key is not None,
             is_repeatable=call.service.is_repeatable,
@@ -134,12 +167,13 @@
         self,
         call: _Call,
         charge: spending.Charge | None,
+        run: _Run,
         responder: http_server.HttpResponder,
     ) -> outcomes.Refusal | None:
         """Runs a call that may run more than once."""
         is_settled = False
         try:
-            fetched = await self._try_upstreams(call)
+            fetched = await self._run_attempts(call, run)
             if not isinstance(fetched, http_client.Fetched):
                 return fetched
             if charge is not None:
@@ -160,60 +194,86 @@
             if charge is not None and not is_settled:
                 self._context.ledger.cancel(charge)
 
-    async def _try_upstreams(
-        self, call: _Call
+    async def _run_attempts(
+        self, call: _Call, run: _Run
     ) -> http_client.Fetched | outcomes.Refusal:
-        """Sends a repeatable call until an upstream answers it."""
-        tried: frozenset[str] = frozenset()
-        was_sent = False
-        for _ in range(_MAX_ATTEMPTS):
-            upstream = self._context.upstreams.choose(
-                call.service.upstreams, tried
+        """Sends a call until an instance answers it or it is over."""
+        progress = dispatcher.Progress()
+        while True:
+            async with self._context.dispatcher.hold_slot(
+                run.work, progress
+            ) as slot:
+                if isinstance(slot, outcomes.NotRun):
+                    return run.life.refuse(slot).refusal
+                if isinstance(slot, dispatcher.Requeue):
+                    continue
+                result = await self._attempt(call, run, slot)
+                if isinstance(result, http_client.Fetched):
+                    slot.output_tokens = 1
+                    return result
+                await self._context.note_failure(run.work, slot, result)
+            progress = dispatcher.Progress(
+                has_sent=run.life.has_sent,
+                failed_upstreams=progress.failed_upstreams
+                | {slot.upstream.name},
             )
-            if upstream is None:
-                break
-            tried |= {upstream.name}
-            match await self._fetch(call, upstream):
-                case http_client.Fetched(status=status) as fetched:
-                    if status < 500:
-                        return fetched
-                    was_sent = True
-                case http_client.ExchangeBroken():
-                    was_sent = True
-                case http_client.ConnectFailed():
-                    pass
-        if was_sent:
-            return outcomes.Failed(
-                502,
-                "service_failed",
-                "Every instance of the service that was tried failed.",
-                _RETRY_AFTER_MS,
-            )
-        return _report_unreachable(call.service)
-
-    async def _fetch(
-        self, call: _Call, upstream: configuration.Upstream
-    ) -> (
-        http_client.Fetched
-        | http_client.ConnectFailed
-        | http_client.ExchangeBroken
-    ):
-        """Runs one attempt on one upstream."""
+            refusal = await self._pause(run, progress, result.kind)
+            if refusal is not None:
+                return refusal
+
+    async def _attempt(
+        self, call: _Call, run: _Run, slot: dispatcher.Slot
+    ) -> http_client.Fetched | exchange.AttemptFailed:
+        """Runs one attempt on one instance."""
         self._context.metrics.attempts.add(1)
-        with self._context.upstreams.count(upstream):
-            return await self._context.pool.fetch(
-                http_client.Address.parse(upstream.address),
-                call.request.method,
-                call.target,
-                call.list_headers(),
-                call.request.body,
-                _TIMEOUT_MS,
+        outgoing = exchange.Outgoing(
+            call.request.method,
+            call.target,
+            tuple(call.list_headers()),
+            call.request.body,
+        )
+        timeout_ms = exchange.find_timeout_ms(
+            run.life.settings.deadline_ms, self._context.read_clock_ms()
+        )
+        async with exchange.open_exchange(
+            self._context.pool, slot, run.life, outgoing, timeout_ms
+        ) as started:
+            if isinstance(started, exchange.AttemptFailed):
+                return started
+            body = await exchange.read_body(
+                started.connection, _MAX_ANSWER_BYTES
             )
+            if isinstance(body, http_client.ExchangeBroken):
+                return exchange.AttemptFailed(
+                    retry.FailureKind.BROKEN, started.attempt_id
+                )
+            head = started.head
+            return http_client.Fetched(head.status, head.headers, body)
+
+    async def _pause(
+        self,
+        run: _Run,
+        progress: dispatcher.Progress,
+        kind: retry.FailureKind,
+    ) -> outcomes.Refusal | None:
+        """Waits before the next attempt; returns the refusal if none comes."""
+        work_left_ms = self._context.dispatcher.estimate_work_left_ms(
+            run.work, progress
+        )
+        now_ms = self._context.read_clock_ms()
+        match run.life.note_failure(kind, now_ms, work_left_ms):
+            case retry.RetryAfterDelay(delay_ms):
+                await asyncio.sleep(delay_ms / 1000)
+                return None
+            case retry.GiveUp(cause):
+                refusal = give_up.describe(cause, run.life.has_sent)
+                return run.life.refuse(refusal).refusal
 
     async def _run_once(
         self,
         call: _Call,
         charge: spending.Charge,
+        run: _Run,
         responder: http_server.HttpResponder,
     ) -> outcomes.Refusal | None:
         """Runs a call that may not be repeated, at most once."""
@@ -225,35 +285,28 @@
                 self._context.ledger.cancel(charge)
                 return await _send_recorded(responder, status, answer)
             case spending.Claimed():
-                return await self._run_claimed(call, charge, responder)
+                return await self._run_claimed(call, charge, run, responder)
 
     async def _run_claimed(
         self,
         call: _Call,
         charge: spending.Charge,
+        run: _Run,
         responder: http_server.HttpResponder,
     ) -> outcomes.Refusal | None:
-        """Makes the single attempt and records its outcome."""
-        upstream = self._context.upstreams.choose(
-            call.service.upstreams, frozenset()
-        )
-        result = (
-            http_client.ConnectFailed("the service has no instance")
-            if upstream is None
-            else await self._fetch(call, upstream)
-        )
-        match result:
-            case http_client.ConnectFailed():
+        """Sends a claimed call at most once and records its outcome."""
+        match await self._run_attempts(call, run):
+            case outcomes.NotRun() as refusal:
                 await self._context.ledger.record_outcome(
                     charge, data.OutcomeStatus.NOT_RUN, 0, b""
                 )
-                return _report_unreachable(call.service)
-            case http_client.ExchangeBroken():
+                return refusal
+            case http_client.Fetched() as fetched:
+                return await self._record(call, charge, fetched, responder)
+            case _:
                 # The claim stays without an outcome: the call may have run.
                 self._context.ledger.cancel(charge)
                 return _report_unknown()
-            case http_client.Fetched() as fetched:
-                return await self._record(call, charge, fetched, responder)
 
     async def _record(
         self,
@@ -342,13 +395,3 @@
         "The call was sent once and may have run; it is not sent again. "
         "An operator can resolve it.",
     )
-
-
-def _report_unreachable(service: configuration.Service) -> outcomes.NotRun:
-    """Returns the refusal of a call that was not sent anywhere."""
-    return outcomes.NotRun(
-        503,
-        "no_upstream",
-        f"No instance of service '{service.name}' can be reached.",
-        _RETRY_AFTER_MS,
-    )
--- a/redwingchute/request/transcript.py
+++ b/redwingchute/request/transcript.py
@@ -49,6 +49,11 @@
         """How many tokens a continuation may still produce."""
         return self._max_output_tokens - self.output_tokens
 
+    @property
+    def attempt_tokens(self) -> int:
+        """How many tokens the current attempt produced."""
+        return self.output_tokens - self._earlier_tokens
+
     @property
     def usage(self) -> sse.Usage | None:
         """The usage of the whole answer, once the upstream told it."""
@@ -97,6 +102,17 @@
         self._held.clear()
         return held
 
+    def end_at_bound(self) -> None:
+        """Ends a stream that was cut after the last token that it may have."""
+        fields = {
+            "id": self._stream_id,
+            "object": "chat.completion.chunk",
+            "choices": [{"index": 0, "delta": {}, "finish_reason": "length"}],
+        }
+        self._held.clear()
+        self._held += b"data: " + json.dumps(fields).encode() + b"\n\n"
+        self._held += b"data: [DONE]\n\n"
+
     def _render(self, event: sse.ChatEvent) -> bytes:
         """Returns an event as the caller shall see it."""
         if event.is_done or self._attempts == self._id_attempt:
