--- a/redwingchute/request/pool.py
+++ b/redwingchute/request/pool.py
@@ -14,7 +14,9 @@
 from redwingchute.core import configuration
 from redwingchute.core import outcomes
 from redwingchute.core import requesting
+from redwingchute.core import status
 from redwingchute.request import admission
+from redwingchute.request import crash_guard
 from redwingchute.request import leaving
 from redwingchute.request import load_model
 from redwingchute.request import outlier
@@ -75,6 +77,14 @@
     completion_ms: float
 
 
+@attrs.frozen
+class _Running:
+    """A request that an upstream runs."""
+
+    ticket: requesting.Ticket
+    load: load_model.UpstreamLoad
+
+
 class Pool:
     """The decisions for one pool of upstreams.
 
@@ -104,7 +114,8 @@
         self._queue = queue.PoolQueue(settings.max_queued)
         self._loads: dict[str, load_model.UpstreamLoad] = {}
         self._prefixes: dict[str, prefix_affinity.PrefixIndex] = {}
-        self._running: dict[int, load_model.UpstreamLoad] = {}
+        self._running: dict[int, _Running] = {}
+        self._guard = crash_guard.CrashGuard()
         self.retry_budget = retry.RetryBudget(settings.retry_policy)
         self.outliers = outlier.OutlierDetector(())
         self.configure(upstreams, sharing_routers)
@@ -137,6 +148,36 @@
         """Returns the upstreams of the version in force."""
         return tuple(load.upstream for load in self._loads.values())
 
+    def list_waiting(
+        self, client_account: str, body_digest: bytes
+    ) -> tuple[requesting.Ticket, ...]:
+        """Returns the waiting copies of one request."""
+        return tuple(
+            ticket
+            for ticket in self._queue
+            if ticket.client_account == client_account
+            and ticket.body_digest == body_digest
+        )
+
+    def list_states(self, now_ms: int) -> tuple[status.UpstreamStatus, ...]:
+        """Returns what is known of each upstream, for operators."""
+        return tuple(
+            self._describe(name, load, now_ms)
+            for name, load in self._loads.items()
+        )
+
+    def forecast(
+        self,
+        ticket: requesting.Ticket,
+        patience_change: patience.PatienceChange | None,
+        now_ms: int,
+    ) -> admission.AdmissionResult:
+        """Tells whether a request would be admitted now."""
+        ahead = self._queue.list_ahead(ticket) if len(self._queue) else []
+        return admission.decide_admission(
+            ticket, ahead, self._view(now_ms), patience_change, now_ms
+        )
+
     def submit(
         self,
         ticket: requesting.Ticket,
@@ -144,11 +185,7 @@
         now_ms: int,
     ) -> SubmitResult:
         """Admits a request to the queue or refuses it at once."""
-        view = self._view(now_ms)
-        ahead = self._queue.list_ahead(ticket) if len(self._queue) else []
-        decision = admission.decide_admission(
-            ticket, ahead, view, patience_change, now_ms
-        )
+        decision = self.forecast(ticket, patience_change, now_ms)
         if isinstance(decision, admission.Refused):
             return decision
         match self._queue.add(ticket):
@@ -204,20 +241,24 @@
 
     def note_first_token(self, ticket_id: int, now_ms: int) -> None:
         """Records the first output of a running request."""
-        load = self._running.get(ticket_id)
-        if load is not None:
-            load.note_first_token(ticket_id, now_ms)
+        running = self._running.get(ticket_id)
+        if running is not None:
+            running.load.note_first_token(ticket_id, now_ms)
+            self._guard.note_output(running.ticket)
 
     def note_end(
         self, ticket_id: int, now_ms: int, output_tokens: int | None
     ) -> None:
         """Records that an attempt ended, with its size if it was whole."""
-        load = self._running.pop(ticket_id, None)
-        if load is None:
+        running = self._running.pop(ticket_id, None)
+        if running is None:
             return
-        load.note_end(ticket_id, now_ms, output_tokens)
-        if output_tokens is not None:
-            self.outliers.note_success(load.upstream.name)
+        name = running.load.upstream.name
+        is_whole = output_tokens is not None
+        running.load.note_end(ticket_id, now_ms, output_tokens)
+        self._guard.note_end(running.ticket, name, is_whole)
+        if is_whole:
+            self.outliers.note_success(name)
 
     def note_report(
         self, upstream: str, report: requesting.LoadReport, now_ms: int
@@ -228,6 +269,13 @@
             load.note_report(report, now_ms)
             self.outliers.note_connected(upstream)
 
+    def note_unreachable(self, upstream: str, now_ms: int) -> None:
+        """Records that an upstream refused a connection."""
+        self.outliers.note_connect_failure(upstream, now_ms)
+        index = self._prefixes.get(upstream)
+        if index is not None:
+            index.forget_all()
+
     def note_cache_events(
         self, upstream: str, events: Iterable[prefix_affinity.CacheEvent]
     ) -> None:
@@ -252,8 +300,9 @@
         """Moves a request from the queue to its upstream."""
         self._queue.start(ticket.ticket_id)
         choice.load.note_start(ticket, now_ms, choice.cached_tokens)
-        self._running[ticket.ticket_id] = choice.load
+        self._running[ticket.ticket_id] = _Running(ticket, choice.load)
         upstream = choice.load.upstream
+        self._guard.note_start(ticket, upstream.name)
         index = self._prefixes.get(upstream.name)
         if index is not None:
             index.note_dispatch(ticket.prefix_digests)
@@ -266,12 +315,10 @@
         now_ms: int,
     ) -> routing.Choice | None:
         """Chooses among upstreams that have a free slot for a request."""
-        # Of requests that an upstream crashed under, each upstream runs one
-        # at a time, so that a further crash shows which of them was to blame.
         fitting = [
             load
             for load in loads
-            if not ticket.is_suspect or load.suspect_count == 0
+            if self._guard.may_start(ticket, load.upstream.name)
         ]
         others = [
             load
@@ -327,6 +374,29 @@
                 returns.append(until_ms)
         return min(returns, default=None)
 
+    def _describe(
+        self, name: str, load: load_model.UpstreamLoad, now_ms: int
+    ) -> status.UpstreamStatus:
+        """Returns what is known of one upstream."""
+        report = load.report
+        return status.UpstreamStatus(
+            name,
+            self._name_state(name, now_ms),
+            running=0 if report is None else report.running,
+            queued=0 if report is None else report.queued,
+            reported_ms=0 if report is None else report.at_ms,
+        )
+
+    def _name_state(self, name: str, now_ms: int) -> str:
+        """Returns the state of an upstream in one word."""
+        if self._leaving.is_leaving(name, now_ms):
+            return "leaving"
+        if self.outliers.is_unreachable(name, now_ms):
+            return "unreachable"
+        if self.outliers.find_return_ms(name) > now_ms:
+            return "ejected"
+        return "live"
+
     def _refuse_expired(
         self, ticket: requesting.Ticket, now_ms: int
     ) -> outcomes.NotRun:
