--- a/redwingchute/process/ledger/fold.py
+++ b/redwingchute/process/ledger/fold.py
@@ -13,23 +13,16 @@
 
 from redwingchute.core import data
 from redwingchute.process.ledger import budget
-from redwingchute.process.ledger import claim_store
+from redwingchute.process.ledger import claim_rules
 from redwingchute.process.ledger import key_store
+from redwingchute.process.ledger import shard_state
 
-# How long a settled key is kept at least, by the shard's time.
-KEY_WINDOW_MS = 6 * 3600 * 1000
 # How often a settled key may be run again.
 MAX_RERUNS = 5
 # The number of transfer ids that are remembered.
 MAX_TRANSFERS = 50_000
 # The number of retired holders that are remembered.
 MAX_RETIRED = 100_000
-# The furthest that one entry moves the shard's time. A holder with a wrong
-# clock thus cannot end the window of the keys.
-_TIME_STEP_MS = 1_000
-
-_MAX_STAMP_MS = 2**32 * 1000 - 1
-
 Record: TypeAlias = data.Takeover | data.Batch | data.Checkpoint
 
 _ACCEPTED = data.Verdict(data.VerdictCode.ACCEPTED)
@@ -41,31 +34,8 @@
     return owner.to_bytes(8, "big") + sequence.to_bytes(8, "big")
 
 
-class ShardFold:
-    """The state of one shard after the records that were applied.
-
-    Attributes:
-      offset: The offset of the last applied record, or -1.
-      epoch: The number of the current ownership; 0 before the first.
-      owner: The incarnation that owns the shard, 0 before the first.
-      owner_host: The host that it runs on.
-      budgets: The budgets by name.
-      retired: The holders whose entries are void, oldest first.
-    """
-
-    def __init__(self) -> None:
-        """Builds the state before the first record."""
-        self.offset = -1
-        self.epoch = 0
-        self.owner: data.Incarnation = 0
-        self.owner_host = ""
-        self.budgets: dict[str, budget.Budget] = {}
-        self.retired: dict[data.Incarnation, None] = {}
-        self.last_sequence = 0
-        self.time_ms = 0
-        self.transfers: dict[bytes, None] = {}
-        self.keys = key_store.KeyStore(KEY_WINDOW_MS)
-        self.claims = claim_store.ClaimStore()
+class ShardFold(shard_state.ShardState):
+    """The state of one shard after the records that were applied."""
 
     def apply(self, offset: int, record: Record) -> tuple[data.Verdict, ...]:
         """Applies the next record of the stream.
@@ -92,7 +62,7 @@
         """Reports what is known of a key."""
         claim = self.claims.get(lookup.key)
         if claim is not None:
-            return _report_claim(claim, lookup.body_digest)
+            return claim_rules.report_claim(claim, lookup.body_digest)
         if self.claims.has_expired(lookup.key):
             return data.KeyReport(data.KeyState.EXPIRED)
         settled = self.keys.get(lookup.key)
@@ -112,16 +82,6 @@
             if name in ("", each)
         )
 
-    def is_retired(self, holder: data.Incarnation) -> bool:
-        """Tells whether a holder's entries are void."""
-        return holder in self.retired
-
-    def is_holder(self, holder: data.Incarnation) -> bool:
-        """Tells whether an incarnation has, or had, tokens of a budget."""
-        return any(
-            holder in account.holdings for account in self.budgets.values()
-        )
-
     def _apply_takeover(self, record: data.Takeover) -> data.Verdict:
         """Changes the owner if the record follows the current epoch."""
         is_current = record.epoch == self.epoch and record.owner == self.owner
@@ -173,11 +133,11 @@
             case data.Settle():
                 return self._apply_settle(entry)
             case data.Claim():
-                return self._apply_claim(entry)
+                return claim_rules.apply_claim(self, entry)
             case data.RecordOutcome():
-                return self._apply_outcome(entry)
+                return claim_rules.apply_outcome(self, entry)
             case data.Resolve():
-                return self._apply_resolve(entry)
+                return claim_rules.apply_resolve(self, entry)
             case data.Retire():
                 return self._apply_retire(entry)
             case data.Release():
@@ -245,9 +205,9 @@
         refusal = self._check_settle(entry)
         if refusal is not None:
             return refusal
-        if not self._charge(account, entry.holder, entry.kind, entry.tokens):
+        if not self.charge(account, entry.holder, entry.kind, entry.tokens):
             return data.Verdict(data.VerdictCode.INSUFFICIENT_TOKENS)
-        self._advance_time(entry.settled_at_ms)
+        self.advance_time(entry.settled_at_ms)
         settled = key_store.SettledKey(
             pack_body(entry.body_digest), _to_stamp_s(entry.settled_at_ms)
         )
@@ -287,70 +247,6 @@
         self.keys.put(entry.key, rerun, self.time_ms)
         return _REPEATED
 
-    def _apply_claim(self, entry: data.Claim) -> data.Verdict:
-        """Claims the single run of a key."""
-        if entry.budget not in self.budgets:
-            return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
-        if self.is_retired(entry.holder):
-            return data.Verdict(data.VerdictCode.HOLDER_RETIRED)
-        self._advance_time(entry.claimed_at_ms)
-        self.claims.expire(self.time_ms)
-        claim = self.claims.get(entry.key)
-        if claim is not None:
-            return _repeat_claim(entry, claim)
-        if self.claims.has_expired(entry.key):
-            return data.Verdict(data.VerdictCode.KEY_EXPIRED)
-        settled = self.keys.get(entry.key)
-        if settled is not None:
-            return data.Verdict(data.VerdictCode.BODY_MISMATCH)
-        age_ms = self.time_ms - entry.claimed_at_ms
-        if age_ms > claim_store.CLAIM_WINDOW_MS:
-            return data.Verdict(data.VerdictCode.KEY_EXPIRED)
-        state = claim_store.ClaimState(
-            entry.holder, entry.body_digest, self.time_ms, entry.claim_id
-        )
-        self.claims.put(entry.key, state)
-        return _ACCEPTED
-
-    def _apply_outcome(self, entry: data.RecordOutcome) -> data.Verdict:
-        """Records and bills the outcome of a claimed call."""
-        account = self.budgets.get(entry.budget)
-        if account is None:
-            return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
-        claim = self.claims.get(entry.key)
-        if claim is None or claim.holder != entry.holder:
-            return data.Verdict(data.VerdictCode.NOT_CLAIMED)
-        if claim.is_recorded:
-            return data.Verdict(
-                data.VerdictCode.REPEATED,
-                status=claim.status,
-                answer=claim.answer,
-            )
-        if entry.status is data.OutcomeStatus.NOT_RUN:
-            self.claims.remove(entry.key)
-            return _ACCEPTED
-        is_lease = entry.kind is data.GrantKind.LEASE
-        if is_lease and entry.tokens and self.is_retired(entry.holder):
-            return data.Verdict(data.VerdictCode.HOLDER_RETIRED)
-        if not self._charge(account, entry.holder, entry.kind, entry.tokens):
-            return data.Verdict(data.VerdictCode.INSUFFICIENT_TOKENS)
-        self._record_claim(entry.key, claim, entry.status, entry.answer)
-        return data.Verdict(data.VerdictCode.ACCEPTED, entry.tokens)
-
-    def _apply_resolve(self, entry: data.Resolve) -> data.Verdict:
-        """Decides, for an operator, on an outcome that is unknown."""
-        claim = self.claims.get(entry.key)
-        if claim is None:
-            return data.Verdict(data.VerdictCode.NOT_CLAIMED)
-        if claim.is_recorded:
-            code = data.VerdictCode.REPEATED
-            return data.Verdict(code, status=claim.status)
-        if entry.status is data.OutcomeStatus.NOT_RUN:
-            self.claims.remove(entry.key)
-        else:
-            self._record_claim(entry.key, claim, entry.status, b"")
-        return _ACCEPTED
-
     def _apply_retire(self, entry: data.Retire) -> data.Verdict:
         """Voids a holder's later entries and takes its grants."""
         if self.is_retired(entry.holder):
@@ -400,45 +296,6 @@
             del self.transfers[next(iter(self.transfers))]
         return data.Verdict(data.VerdictCode.ACCEPTED, entry.tokens)
 
-    def _charge(
-        self,
-        account: budget.Budget,
-        holder: data.Incarnation,
-        kind: data.GrantKind,
-        tokens: int,
-    ) -> bool:
-        """Bills tokens from a holder's grant; False when it lacks them."""
-        if not account.take(holder, kind, tokens, self.is_retired(holder)):
-            return False
-        account.settle(tokens)
-        return True
-
-    def _record_claim(
-        self,
-        key: data.KeyDigest,
-        claim: claim_store.ClaimState,
-        status: data.OutcomeStatus,
-        answer: bytes,
-    ) -> None:
-        """Keeps the outcome of a claimed call."""
-        recorded = attrs.evolve(
-            claim, is_recorded=True, status=status, answer=answer
-        )
-        self.claims.put(key, recorded)
-
-    def _advance_time(self, stamp_ms: int) -> None:
-        """Moves the shard's time towards a holder's clock, by a small step.
-
-        With a step for each entry, the time follows the middle of the
-        holders' clocks, whatever one of them shows.
-        """
-        stamp_ms = max(0, min(stamp_ms, _MAX_STAMP_MS))
-        if self.time_ms == 0:
-            self.time_ms = stamp_ms
-            return
-        step_ms = stamp_ms - self.time_ms
-        self.time_ms += max(-_TIME_STEP_MS, min(step_ms, _TIME_STEP_MS))
-
 
 def pack_body(body_digest: bytes) -> bytes:
     """Returns the part of a body's digest that is kept with its key."""
@@ -448,38 +305,9 @@
 
 def _to_stamp_s(stamp_ms: int) -> int:
     """Returns a holder's clock in seconds, within what a slot can hold."""
-    return max(0, min(stamp_ms, _MAX_STAMP_MS)) // 1000
+    return max(0, min(stamp_ms, shard_state.MAX_STAMP_MS)) // 1000
 
 
 def _digest_reference(action: str, reference: str) -> bytes:
     """Returns the digest under which an operator's reference is kept."""
     return xxhash.xxh3_128_digest(f"{action}:{reference}".encode())
-
-
-def _report_claim(
-    claim: claim_store.ClaimState, body_digest: bytes
-) -> data.KeyReport:
-    """Reports a claimed key."""
-    if claim.body_digest != body_digest:
-        return data.KeyReport(data.KeyState.BODY_MISMATCH)
-    if not claim.is_recorded:
-        return data.KeyReport(data.KeyState.CLAIMED)
-    return data.KeyReport(
-        data.KeyState.OUTCOME_RECORDED, claim.status, claim.answer
-    )
-
-
-def _repeat_claim(
-    entry: data.Claim, claim: claim_store.ClaimState
-) -> data.Verdict:
-    """Returns the verdict on a key that is already claimed."""
-    if claim.body_digest != entry.body_digest:
-        return data.Verdict(data.VerdictCode.BODY_MISMATCH)
-    is_own = claim.holder == entry.holder and claim.claim_id == entry.claim_id
-    if is_own and entry.claim_id and not claim.is_recorded:
-        return _REPEATED
-    return data.Verdict(
-        data.VerdictCode.ALREADY_CLAIMED,
-        status=claim.status,
-        answer=claim.answer,
-    )
--- a/redwingchute/process/ledger/ledger_broken_test.py
+++ b/redwingchute/process/ledger/ledger_broken_test.py
@@ -10,6 +10,7 @@
 
 from redwingchute.core import data
 from redwingchute.process.ledger import budget
+from redwingchute.process.ledger import claim_rules
 from redwingchute.process.ledger import fold
 from redwingchute.process.ledger import key_store
 from redwingchute.testing import ledger_world
@@ -175,7 +176,7 @@
     def accept(entry: data.Claim, claim: object) -> data.Verdict:
         return data.Verdict(data.VerdictCode.ACCEPTED)
 
-    monkeypatch.setattr(fold, "_repeat_claim", accept)
+    monkeypatch.setattr(claim_rules, "_repeat_claim", accept)
     with pytest.raises(AssertionError, match="ran twice"):
         _claim_one_key_on_two_routers()
 
