Place reserves, recall, follow the configuration by siblings, retire by process

Cause: the thin path left placement to the default and had every router read the configuration stream; membership names a process, but the ledger's holders have numbers of their own, so a dead router's leases stayed out (test_holders_of_a_dead_process_are_retired_by_record failed first). Ruled out: giving each holder's number to membership (one number per shard and router would travel in every heartbeat).

--- a/redwingchute/process/ledger/owner.py
+++ b/redwingchute/process/ledger/owner.py
@@ -12,6 +12,7 @@
 import attrs
 
 from redwingchute.core import data
+from redwingchute.process import incarnations
 from redwingchute.process.ledger import append_slot
 from redwingchute.process.ledger import batch_builder
 from redwingchute.process.ledger import checkpoint_schedule
@@ -171,11 +172,16 @@
         self._is_proposed = is_proposed
 
     def holder_declared_dead(self, incarnation: data.Incarnation) -> None:
-        """Notes membership's word; a record retires the incarnation."""
+        """Notes membership's word; records retire what the process held.
+
+        Args:
+          incarnation: A process start, all of whose holders are dead with it,
+            or a single holder.
+        """
         if incarnation == self._incarnation:
             return
         self._dead[incarnation] = None
-        self._unchecked_dead[incarnation] = None
+        self._check_dead_holders()
         if len(self._dead) > _MAX_DEAD:
             del self._dead[next(iter(self._dead))]
 
@@ -200,7 +206,7 @@
             reply = self._make_reply(call, (), (), self._report_keys(call))
             self._answers.append(Answer(call_id, reply))
             return
-        if call.holder in self._dead:
+        if self._is_declared_dead(call.holder):
             self._unchecked_dead[call.holder] = None
         self._builder.add(now_ms, call_id, call)
 
@@ -360,6 +366,19 @@
         )
         return append_slot.PendingAppend(part)
 
+    def _is_declared_dead(self, holder: data.Incarnation) -> bool:
+        """Tells whether a holder or its process was declared dead."""
+        return (
+            holder in self._dead
+            or incarnations.find_process(holder) in self._dead
+        )
+
+    def _check_dead_holders(self) -> None:
+        """Marks the fold's dead holders to be retired by record."""
+        for holder in self.shard_fold.list_holders():
+            if self._is_declared_dead(holder):
+                self._unchecked_dead[holder] = None
+
     def _take_dead_holders(self) -> list[data.Incarnation]:
         """Returns the dead incarnations that still hold tokens here."""
         unchecked, self._unchecked_dead = self._unchecked_dead, {}
@@ -405,7 +424,7 @@
             self._refuse_waiting(data.CallStatus.NOT_OWNER)
         if self.is_owner and not was_owner:
             self._checkpoints.reset()
-            self._unchecked_dead = dict(self._dead)
+            self._check_dead_holders()
         if self.follower.next_offset >= page.next:
             self._resend_if_absent(now_ms, order)
 
--- a/redwingchute/process/ledger/owner_service_test.py
+++ b/redwingchute/process/ledger/owner_service_test.py
@@ -4,7 +4,10 @@
 from collections.abc import Callable
 import time
 
+import attrs
+
 from redwingchute.core import data
+from redwingchute.process import incarnations
 from redwingchute.process.ledger import owner
 from redwingchute.process.ledger import owner_service
 from redwingchute.testing import fake_log
@@ -153,3 +156,28 @@
             assert report.balances[0].unaccounted_tokens == 50
 
     asyncio.run(run())
+
+
+def test_holders_of_a_dead_process_are_retired_by_record() -> None:
+    """Holders have numbers of their own; membership names the process.
+
+    Retiring the process's number alone left the leases of its holders out.
+    """
+
+    async def run() -> None:
+        process = incarnations.make_process_incarnation(lambda bits: 5)
+        numbers = incarnations.HolderNumbers(process)
+        holder = numbers.make_incarnation()
+        client = fake_log.FakeLogClient(fake_log.FakeLog())
+        async with _make_service(_HUON, client) as service:
+            service.set_live_hosts([_HUON])
+            await _wait_until(lambda: service.list_owned() == (0,))
+            await _call(service, build.make_call(build.make_credit(1_000)))
+            ask = build.make_call(asks=(build.make_ask(100, 50),))
+            await _call(service, attrs.evolve(ask, holder=holder))
+            service.declare_dead(process)
+            settle = build.make_call(build.make_settle(60, holder=holder))
+            reply = await _call(service, attrs.evolve(settle, holder=holder))
+            assert reply.is_holder_retired
+
+    asyncio.run(run())
--- a/redwingchute/process/ledger/shard_state.py
+++ b/redwingchute/process/ledger/shard_state.py
@@ -53,6 +53,15 @@
         """Tells whether a holder's entries are void."""
         return holder in self.retired
 
+    def list_holders(self) -> tuple[data.Incarnation, ...]:
+        """Returns the incarnations that have, or had, tokens of a budget."""
+        holders = {
+            holder
+            for account in self.budgets.values()
+            for holder in account.holdings
+        }
+        return tuple(sorted(holders))
+
     def is_holder(self, holder: data.Incarnation) -> bool:
         """Tells whether an incarnation has, or had, tokens of a budget."""
         return any(
--- a/redwingchute/process/operator_adapters.py
+++ b/redwingchute/process/operator_adapters.py
@@ -3,73 +3,18 @@
 import asyncio
 from collections.abc import Callable
 
-from redwingchute.core import configuration
 from redwingchute.core import data
 from redwingchute.core import status
-from redwingchute.process import configuration_reader
 from redwingchute.process import membership_service
 from redwingchute.process import operator_ports
 from redwingchute.process import owner_directory
 from redwingchute.process import peer_network
-from redwingchute.process import publisher
-from redwingchute.process.ledger import log_client
-from redwingchute.process.ledger import log_outcomes
 from redwingchute.process.ledger import sharding
 from redwingchute.request import dispatcher
-from redwingchute.version import changes
-from redwingchute.wire import codec
 
-_VERDICT_TIMEOUT_S = 8.0
-_VERDICT_POLL_S = 0.02
 _STATUS_TIMEOUT_MS = 2_000
 
 
-class LogConfigurationStream:
-    """The configuration stream, read here and written through the log."""
-
-    def __init__(
-        self,
-        reader: configuration_reader.ConfigurationReader,
-        log: log_client.LogClient,
-        wire_codec: codec.Codec,
-    ) -> None:
-        """Binds the stream to its reader and the log."""
-        self._reader = reader
-        self._log = log
-        self._codec = wire_codec
-
-    def find_current(self) -> configuration.Configuration | None:
-        """Returns the version in force, or None before the first one."""
-        return self._reader.find_current()
-
-    def find_author(self) -> str:
-        """Returns who made the version in force."""
-        return self._reader.fold.author
-
-    def list_audit(self) -> tuple[changes.AuditEntry, ...]:
-        """Returns the newest entries of the audit trail, oldest first."""
-        return self._reader.fold.audit
-
-    async def submit(
-        self, record: changes.ConfigurationChange | changes.AuditNote
-    ) -> operator_ports.Submission:
-        """Appends a record and waits until the stream tells its verdict."""
-        outcome = await self._log.append(
-            publisher.STREAM, self._codec.encode(record)
-        )
-        if isinstance(outcome, log_outcomes.LogUnreachable):
-            return operator_ports.SubmissionFailed(outcome.message)
-        try:
-            async with asyncio.timeout(_VERDICT_TIMEOUT_S):
-                while True:
-                    verdict = self._reader.fold.find_verdict(record.record_id)
-                    if verdict is not None:
-                        return verdict
-                    await asyncio.sleep(_VERDICT_POLL_S)
-        except TimeoutError:
-            return operator_ports.SubmissionUnknown(record.record_id)
-
-
 class ShardLedger:
     """The ledger as operators see it: every shard through its owner."""
 
--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -18,6 +18,7 @@
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
+from redwingchute.core import configuration
 from redwingchute.core import data
 from redwingchute.core import requesting
 from redwingchute.core import spending
@@ -25,7 +26,7 @@
 from redwingchute.process import admin_api
 from redwingchute.process import admin_front
 from redwingchute.process import command_executor
-from redwingchute.process import configuration_reader
+from redwingchute.process import configuration_follower
 from redwingchute.process import host_list_reader
 from redwingchute.process import incarnations
 from redwingchute.process import membership_service
@@ -38,6 +39,7 @@
 from redwingchute.process.ledger import log_client
 from redwingchute.process.ledger import owner
 from redwingchute.process.ledger import owner_service
+from redwingchute.process.ledger import placement
 from redwingchute.request import context
 from redwingchute.request import dispatcher
 from redwingchute.request import front
@@ -80,21 +82,12 @@
             secrets.randbits
         )
         self._is_stopping = False
+        self._budgets: dict[str, configuration.Budget] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._stack = contextlib.AsyncExitStack()
         self.network = self._make_network()
         self.dispatcher = self._make_dispatcher()
-        self.reader = configuration_reader.ConfigurationReader(
-            self._log, self._codec, self._note_configuration
-        )
-        self.owners = owner_service.OwnerService(
-            self._incarnation,
-            settings.host_name,
-            self._log,
-            self._codec,
-            read_clock_ms,
-            owner.OwnerPolicy(shard_count=settings.shards),
-        )
+        self.owners = self._make_owners()
 
     def _make_network(self) -> peer_network.PeerNetwork:
         """Returns the links of this router."""
@@ -112,6 +105,44 @@
             self.settings.peer_advertise,
         )
 
+    def _make_owners(self) -> owner_service.OwnerService:
+        """Returns the owners of this router's ledger shards."""
+        policy = placement.PlacementPolicy(self._find_budget)
+        return owner_service.OwnerService(
+            self._incarnation,
+            self.settings.host_name,
+            self._log,
+            self._codec,
+            read_clock_ms,
+            owner.OwnerPolicy(shard_count=self.settings.shards),
+            policy.size_grant,
+            policy.choose_recalls,
+            self._send_recall,
+        )
+
+    def _make_follower(self) -> configuration_follower.ConfigurationFollower:
+        """Returns what keeps the configuration current."""
+        return configuration_follower.ConfigurationFollower(
+            self.network.own_host,
+            self._log,
+            self.network,
+            self._codec,
+            read_clock_ms,
+            random.Random(self._incarnation + 2),
+            self._note_configuration,
+        )
+
+    def _find_budget(self, name: str) -> configuration.Budget | None:
+        """Returns a budget's policy in the version in force."""
+        return self._budgets.get(name)
+
+    def _send_recall(self, host_name: str, recall: data.Recall) -> None:
+        """Asks a holder to give tokens back."""
+        if host_name == self.settings.host_name:
+            self.ledger.recall(recall)
+        else:
+            self.network.send(host_name, recall)
+
     def _make_dispatcher(self) -> dispatcher.Dispatcher:
         """Returns the dispatcher of requests."""
         return dispatcher.Dispatcher(
@@ -130,6 +161,7 @@
         enter = self._stack.enter_async_context
         await enter(self._pool)
         await enter(self.network)
+        self.follower = self._make_follower()
         self.members = membership_service.MembershipService(
             self.network,
             random.Random(self._incarnation),
@@ -156,7 +188,7 @@
             self.members.introduce(peer)
         self._note_members()
         self._spawn(self.members.run())
-        self._spawn(self.reader.run())
+        self._spawn(self.follower.run())
         self._spawn(self._declare_dead())
         self._spawn_upstream_watchers()
         self.callers = await enter(self._make_caller_server())
@@ -192,9 +224,7 @@
         """Returns why requests should not come here, or None."""
         if self._is_stopping:
             return "stopping"
-        if self.reader.find_current() is None:
-            return "no configuration yet"
-        return None
+        return self.follower.explain_not_ready()
 
     def _make_caller_server(self) -> http_server.HttpServer:
         """Returns the server of callers."""
@@ -213,7 +243,7 @@
             self.settings.receive_ms,
         )
         caller_front = front.CallerFront(
-            request_context, self.reader.find_current
+            request_context, self.follower.find_current
         )
         listen = self.settings.listen
         return http_server.HttpServer(
@@ -222,11 +252,8 @@
 
     def _make_admin_server(self) -> http_server.HttpServer:
         """Returns the server of health, metrics and administration."""
-        stream = operator_adapters.LogConfigurationStream(
-            self.reader, self._log, self._codec
-        )
         executor = command_executor.CommandExecutor(
-            stream,
+            self.follower,
             operator_adapters.ShardLedger(
                 self._directory, self.network.own_host, self.settings.shards
             ),
@@ -239,7 +266,7 @@
         )
         api = admin_api.AdminApi(
             executor,
-            self.reader.find_current,
+            self.follower.find_current,
             read_clock_ms,
             lambda code: self._metrics.admin_refusals.add(1, {"code": code}),
         )
@@ -322,12 +349,12 @@
 
     def _report_status(self, query: status.StatusQuery) -> status.StatusReport:
         """Returns this router's own status."""
-        current = self.reader.find_current()
+        current = self.follower.find_current()
         return status.StatusReport(
             self.settings.host_name,
             self.settings.zone,
             0 if current is None else current.version,
-            read_clock_ms(),
+            self.follower.find_current_ms(),
             read_clock_ms(),
             running=(
                 self.dispatcher.list_running() if query.wants_running else ()
@@ -341,19 +368,21 @@
 
     def _note_members(self) -> None:
         """Passes a changed view on to the owners of shards."""
-        self.owners.set_live_hosts(self.members.view.list_live())
+        live = self.members.view.list_live()
+        self.owners.set_live_hosts(live)
+        self.follower.set_view(self.members.view.neighbours, live)
         self._configure_dispatcher()
 
     def _configure_dispatcher(self) -> None:
         """Passes the configuration and the size of the fleet on."""
-        current = self.reader.find_current()
+        current = self.follower.find_current()
         if current is not None:
             router_count = len(self.members.view.list_live())
             self.dispatcher.configure(current, max(1, router_count))
 
     def _note_configuration(self) -> None:
         """Notes that a new configuration version is in force."""
-        current = self.reader.find_current()
+        current = self.follower.find_current()
         if current is None:
             return
         _LOG.info(
@@ -361,6 +390,7 @@
             extra={"version": current.version},
         )
         self._configure_dispatcher()
+        self._budgets = {budget.name: budget for budget in current.budgets}
         for budget in current.budgets:
             self.ledger.register_budget(budget.name)
 
--- a/redwingchute/testing/scenario_runner.py
+++ b/redwingchute/testing/scenario_runner.py
@@ -9,6 +9,7 @@
 
 import collections
 from collections.abc import Callable
+import json
 import operator
 
 from redwingchute.core import data
@@ -216,18 +217,23 @@
 
     async def _expect_version(self, step: steps.ExpectVersion) -> None:
         """Waits until routers have the same version in force."""
-        found: list[str | None] = []
+        found: list[int | None] = []
         for _ in range(_SETTLE_MS // _POLL_MS):
-            found = [await self._read_document(name) for name in step.routers]
-            if len(set(found)) == 1 and found[0] is not None:
+            found = [await self._read_version(name) for name in step.routers]
+            if len(set(found)) == 1 and found[0]:
                 return
             await self._backend.sleep(_POLL_MS)
         self._fail(step.line, f"the versions in force differ: {found}")
 
-    async def _read_document(self, router: str) -> str | None:
-        """Returns the configuration that a router has in force."""
-        answer = await self._backend.ask(router, "show config")
-        return None if answer is None else answer.decode()
+    async def _read_version(self, router: str) -> int | None:
+        """Returns the version that a router itself has in force."""
+        answer = await self._backend.ask(router, "show in force")
+        if answer is None:
+            return None
+        table = json.loads(answer)
+        host, version = (table["columns"].index(c) for c in ("host", "version"))
+        own = [row[version] for row in table["rows"] if row[host] == router]
+        return int(own[0]) if own else None
 
     async def _wait_for(self, is_met: Callable[[], bool]) -> None:
         """Waits for a condition, but not for ever."""
