Tie a claimed call's outcome to its claim

Cause: a holder that gives a claim up records NOT_RUN, which frees the key. A late copy of that entry, met after the same holder had claimed the key anew, freed the second claim while its call ran; a third claim could then run it again. fold_test shows it: the copy was ACCEPTED. Ruled out: refusing a second claim by the same holder, since a retry of a call that did not run must be able to run. Change: RecordOutcome carries the claim_id (a new last field), and the fold takes it for that claim only. Holders set it in both places (two lines in covering.py and holder.py of the spending side).

Also: test_outage_is_answered_and_ends could spin without giving the loop a turn, since a refusal is answered at once; it hung in one of six runs. It now sleeps between tries. What it asks for is unchanged.

--- a/redwingchute/core/data.py
+++ b/redwingchute/core/data.py
@@ -142,6 +142,8 @@
     """Records the result of a claimed call.
 
     The status `NOT_RUN` frees the key, so that a repeat can claim it again.
+    `claim_id` names the claim that ran, so that a late copy does not touch a
+    later claim of the same key.
     """
 
     budget: str
@@ -151,6 +153,7 @@
     tokens: int
     kind: GrantKind
     answer: bytes
+    claim_id: bytes = b""
 
 
 @attrs.frozen
--- a/redwingchute/process/ledger/claim_rules.py
+++ b/redwingchute/process/ledger/claim_rules.py
@@ -46,7 +46,7 @@
     if account is None:
         return data.Verdict(data.VerdictCode.UNKNOWN_BUDGET)
     claim = state.claims.get(entry.key)
-    if claim is None or claim.holder != entry.holder:
+    if claim is None or not _is_of_claim(entry, claim):
         return data.Verdict(data.VerdictCode.NOT_CLAIMED)
     if claim.is_recorded:
         return data.Verdict(
@@ -96,6 +96,13 @@
     )
 
 
+def _is_of_claim(
+    entry: data.RecordOutcome, claim: claim_store.ClaimState
+) -> bool:
+    """Tells whether an outcome is that of the claim that stands."""
+    return entry.holder == claim.holder and entry.claim_id == claim.claim_id
+
+
 def _record_claim(
     state: shard_state.ShardState,
     key: data.KeyDigest,
--- a/redwingchute/process/ledger/covering.py
+++ b/redwingchute/process/ledger/covering.py
@@ -227,6 +227,7 @@
             0,
             _LEASE,
             b"",
+            claim.claim_id,
         )
         state.outbox.put_entry(outbox.PendingEntry(outcome))
 
--- a/redwingchute/process/ledger/fold_test.py
+++ b/redwingchute/process/ledger/fold_test.py
@@ -271,3 +271,14 @@
     lookup = data.Lookup(build.BUDGET, build.make_key(1), b"body-one")
     report = driver.shard_fold.look_up(lookup)
     assert report.state is data.KeyState.OUTCOME_RECORDED
+
+
+def test_late_copy_of_not_run_does_not_free_a_later_claim() -> None:
+    driver = _make_driver(lease=100)
+    not_run = build.make_outcome(0, status=data.OutcomeStatus.NOT_RUN)
+    driver.apply(build.make_claim(), not_run)
+    second = build.make_claim(claim_id=b"claim-2")
+    assert driver.apply_one(second).code is _CODE.ACCEPTED
+    assert driver.apply_one(not_run).code is _CODE.NOT_CLAIMED
+    third = build.make_claim(claim_id=b"claim-3")
+    assert driver.apply_one(third).code is _CODE.ALREADY_CLAIMED
--- a/redwingchute/process/ledger/holder.py
+++ b/redwingchute/process/ledger/holder.py
@@ -181,6 +181,7 @@
             tokens,
             data.GrantKind.LEASE,
             answer,
+            self._make_claim_id(charge),
         )
         settling.begin_settling(self._state, reservation, tokens, now_ms)
 
--- a/redwingchute/process/ledger/owner_service_test.py
+++ b/redwingchute/process/ledger/owner_service_test.py
@@ -124,6 +124,7 @@
             client.is_down = False
             verdicts: tuple[data.Verdict, ...] = ()
             while not verdicts:
+                await asyncio.sleep(0.005)
                 reply = await _call(
                     service, build.make_call(build.make_credit(1_000))
                 )
--- a/redwingchute/testing/ledger_builders.py
+++ b/redwingchute/testing/ledger_builders.py
@@ -72,10 +72,18 @@
     holder: int = HOLDER,
     status: data.OutcomeStatus = data.OutcomeStatus.SUCCEEDED,
     kind: data.GrantKind = data.GrantKind.LEASE,
+    claim_id: bytes = b"claim-1",
 ) -> data.RecordOutcome:
     """Returns the outcome of a claimed call."""
     return data.RecordOutcome(
-        BUDGET, holder, make_key(key), status, tokens, kind, b"posted"
+        budget=BUDGET,
+        holder=holder,
+        key=make_key(key),
+        status=status,
+        tokens=tokens,
+        kind=kind,
+        answer=b"posted",
+        claim_id=claim_id,
     )
 
 
--- a/redwingchute/wire/ledger.capnp
+++ b/redwingchute/wire/ledger.capnp
@@ -6,7 +6,7 @@
 struct GiveBack { budget @0 :Text; holder @1 :UInt64; kind @2 :UInt8; tokens @3 :Int64; sequence @4 :UInt64; }
 struct Settle { budget @0 :Text; holder @1 :UInt64; kind @2 :UInt8; key @3 :Data; bodyDigest @4 :Data; tokens @5 :Int64; settledAtMs @6 :Int64; }
 struct Claim { budget @0 :Text; holder @1 :UInt64; key @2 :Data; bodyDigest @3 :Data; claimedAtMs @4 :Int64; claimId @5 :Data; }
-struct RecordOutcome { budget @0 :Text; holder @1 :UInt64; key @2 :Data; status @3 :UInt8; tokens @4 :Int64; kind @5 :UInt8; answer @6 :Data; }
+struct RecordOutcome { budget @0 :Text; holder @1 :UInt64; key @2 :Data; status @3 :UInt8; tokens @4 :Int64; kind @5 :UInt8; answer @6 :Data; claimId @7 :Data; }
 struct Resolve { budget @0 :Text; key @1 :Data; status @2 :UInt8; author @3 :Text; reason @4 :Text; }
 struct Retire { holder @0 :UInt64; }
 struct Release { budget @0 :Text; holder @1 :UInt64; tokens @2 :Int64; author @3 :Text; reason @4 :Text; reference @5 :Text; }
