Let routers of a cut-off zone pass reserve to each other

The source deducts before the transfer record exists and the target counts it on receipt; both queue the record, and siblings keep copies of it beside the bills, so it reaches the fold whichever router dies. A lost answer strands the tokens until the ledger hears of them; the sum of reserve never grows.

A copied bill that the fold refuses for lack of tokens is kept and tried again, since the transfer that funds it may come later.

--- a/redwingchute/core/spending.py
+++ b/redwingchute/core/spending.py
@@ -119,6 +119,19 @@
 ClaimResult: TypeAlias = Claimed | ClaimRefused | outcomes.NotRun
 
 
+# What siblings keep for each other until it is in the log.
+KeptEntry: TypeAlias = data.Settle | data.RecordOutcome | data.Transfer
+
+
+def identify_entry(entry: KeptEntry) -> bytes:
+    """Returns what names a kept entry: its key, or its transfer id."""
+    match entry:
+        case data.Transfer():
+            return entry.transfer_id
+        case _:
+            return entry.key
+
+
 @attrs.frozen
 class HoldBills:
     """Asks a sibling to keep copies of bills that are not in the log yet."""
--- a/redwingchute/process/ledger/bill_store.py
+++ b/redwingchute/process/ledger/bill_store.py
@@ -23,7 +23,7 @@
     """One kept bill."""
 
     shard: int
-    bill: data.Settle | data.RecordOutcome
+    bill: spending.KeptEntry
     due_at_ms: int
 
 
@@ -44,13 +44,14 @@
         """Keeps the bills of a sibling and says which are kept now."""
         kept = []
         for bill in request.bills:
-            if not isinstance(bill, data.Settle | data.RecordOutcome):
+            if not isinstance(bill, spending.KeptEntry):
                 continue
-            if bill.key not in self._copies and len(self) >= MAX_COPIES:
+            name = spending.identify_entry(bill)
+            if name not in self._copies and len(self) >= MAX_COPIES:
                 continue
             due_at_ms = now_ms + DELIVERY_DELAY_MS
-            self._copies[bill.key] = _Copy(request.shard, bill, due_at_ms)
-            kept.append(bill.key)
+            self._copies[name] = _Copy(request.shard, bill, due_at_ms)
+            kept.append(name)
         return spending.BillsHeld(request.shard, request.holder, tuple(kept))
 
     def forget(self, keys: tuple[data.KeyDigest, ...]) -> None:
@@ -60,7 +61,7 @@
 
     def take_due(
         self, shard: int, now_ms: int
-    ) -> tuple[data.Settle | data.RecordOutcome, ...]:
+    ) -> tuple[spending.KeptEntry, ...]:
         """Returns the copies to deliver now; they are due again later.
 
         Args:
--- a/redwingchute/process/ledger/holder.py
+++ b/redwingchute/process/ledger/holder.py
@@ -21,6 +21,7 @@
 from redwingchute.process.ledger import outbox
 from redwingchute.process.ledger import position
 from redwingchute.process.ledger import settling
+from redwingchute.process.ledger import transferring
 
 _ENDED = spending.SettlementVoid("The charge has ended.")
 
@@ -227,6 +228,8 @@
             covering.end_expired(self._state, held, now_ms)
             if self._state.is_reachable:
                 asking.return_idle(self._state, held, now_ms)
+            else:
+                transferring.request_reserve(self._state, held, now_ms)
 
     def recall(self, recall: data.Recall) -> None:
         """Gives back what an owner asks for, as far as it is free."""
@@ -234,7 +237,17 @@
         if held is not None and self._state.is_reachable:
             asking.give_back(self._state, held, recall.kind, recall.tokens)
 
-    def deliver_copy(self, bill: data.Settle | data.RecordOutcome) -> None:
+    def answer_transfer(
+        self, request: spending.TransferRequest, now_ms: int
+    ) -> spending.TransferReply:
+        """Gives a sibling of a cut-off zone part of the free reserve."""
+        return transferring.answer_request(self._state, request, now_ms)
+
+    def accept_transfer(self, transfer: data.Transfer, now_ms: int) -> None:
+        """Takes in reserve that a sibling gave."""
+        transferring.accept_transfer(self._state, transfer, now_ms)
+
+    def deliver_copy(self, bill: spending.KeptEntry) -> None:
         """Queues a bill that was kept for a sibling; the fold drops repeats."""
         self._state.outbox.put_entry(outbox.PendingEntry(bill))
 
--- a/redwingchute/process/ledger/holder_events.py
+++ b/redwingchute/process/ledger/holder_events.py
@@ -34,14 +34,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class BillKept:
-    """An answer ended on reserve; siblings should hold a copy of its bill."""
+    """An answer ended, or reserve changed hands, without the ledger.
 
-    bill: data.Settle | data.RecordOutcome
+    Siblings should hold a copy of the entry.
+    """
+
+    bill: spending.KeptEntry
+
+
+@dataclasses.dataclass(frozen=True)
+class ReserveWanted:
+    """Siblings should be asked for reserve."""
+
+    request: spending.TransferRequest
 
 
 @dataclasses.dataclass(frozen=True)
 class BillDelivered:
-    """A kept bill is in the log; siblings may forget it."""
+    """A kept entry is in the log; siblings may forget it."""
 
     key: data.KeyDigest
 
@@ -67,6 +77,7 @@
     | ClaimEnded
     | BillKept
     | BillDelivered
+    | ReserveWanted
     | BillRefused
     | HolderRetired
 )
--- a/redwingchute/process/ledger/holder_service.py
+++ b/redwingchute/process/ledger/holder_service.py
@@ -30,6 +30,14 @@
     del record
 
 
+async def _ask_nobody(
+    request: spending.TransferRequest,
+) -> tuple[spending.TransferReply, ...]:
+    """Stands for siblings where there are none."""
+    del request
+    return ()
+
+
 def _make_random_incarnation() -> data.Incarnation:
     """Returns a random number above 0."""
     return secrets.randbits(63) + 1
@@ -52,6 +60,7 @@
             [], data.Incarnation
         ] = _make_random_incarnation,
         send_to_siblings: shard_link.SendToSiblings = _send_nowhere,
+        ask_siblings: shard_link.AskSiblings = _ask_nobody,
         settings: holder_state.HolderSettings | None = None,
         stop_timeout_ms: int = STOP_TIMEOUT_MS,
     ) -> None:
@@ -65,6 +74,7 @@
           clock_ms: Returns the time.
           make_incarnation: Returns a number that was never used before.
           send_to_siblings: Sends a record to the siblings of this zone.
+          ask_siblings: Asks the siblings of this zone for reserve.
           settings: The times that holders go by.
           stop_timeout_ms: How long the exit waits for the owners.
         """
@@ -78,6 +88,7 @@
             clock_ms=clock_ms,
             make_incarnation=make_incarnation,
             send_to_siblings=send_to_siblings,
+            ask_siblings=ask_siblings,
             holder_settings=settings or holder_state.HolderSettings(),
         )
         self._links: dict[int, shard_link.ShardLink] = {}
@@ -200,6 +211,15 @@
         link.holder.recall(recall)
         link.wake()
 
+    def answer_transfer(
+        self, request: spending.TransferRequest
+    ) -> spending.TransferReply:
+        """Gives a sibling part of this router's free reserve."""
+        link = self._open_link(request.budget)
+        reply = link.holder.answer_transfer(request, self._clock_ms())
+        link.wake()
+        return reply
+
     def hold_bills(self, request: spending.HoldBills) -> spending.BillsHeld:
         """Keeps copies of a sibling's bills."""
         return self._copies.hold(request, self._clock_ms())
--- a/redwingchute/process/ledger/holder_state.py
+++ b/redwingchute/process/ledger/holder_state.py
@@ -39,6 +39,7 @@
       used_at_ms: When a request last came for it.
       asked_at_ms: When it last asked its owner, or None.
       next_ask_ms: When an active budget asks again.
+      next_transfer_ms: When siblings may be asked for reserve again.
       is_asking: Whether an ask is under way.
       sequence: The number of the last give-back.
       give_back: The give-back without a verdict, or None.
@@ -47,6 +48,7 @@
     used_at_ms: int
     asked_at_ms: int | None = None
     next_ask_ms: int = 0
+    next_transfer_ms: int = 0
     is_asking: bool = False
     sequence: int = 0
     give_back: data.GiveBack | None = None
@@ -68,7 +70,9 @@
       times: When budgets were used, by budget.
       events: What the shell has to hear.
       transferable: Requests that a successor has to adopt.
-      transfers: Transfers of reserve that have no verdict yet, by id.
+      given_transfers: Reserve given to siblings, by transfer id.
+      taken_transfers: The ids of transfers from siblings that were counted.
+      transfer_count: The requests made to siblings.
     """
 
     incarnation: data.Incarnation
@@ -82,7 +86,9 @@
     times: dict[str, BudgetTimes] = attrs.field(factory=dict)
     events: list[holder_events.Event] = attrs.field(factory=list)
     transferable: list[position.Reservation] = attrs.field(factory=list)
-    transfers: dict[bytes, data.Transfer] = attrs.field(factory=dict)
+    given_transfers: dict[bytes, data.Transfer] = attrs.field(factory=dict)
+    taken_transfers: set[bytes] = attrs.field(factory=set)
+    transfer_count: int = 0
 
 
 def open_position(
--- a/redwingchute/process/ledger/settling.py
+++ b/redwingchute/process/ledger/settling.py
@@ -70,7 +70,7 @@
         case data.GiveBack():
             state.times[entry.budget].give_back = None
         case data.Transfer():
-            state.transfers.pop(entry.transfer_id, None)
+            state.events.append(holder_events.BillDelivered(entry.transfer_id))
         case _:
             pass
     if (
@@ -215,6 +215,9 @@
     verdict: data.Verdict,
 ) -> None:
     """Ends the delivery of a bill that was kept for a sibling."""
+    if verdict.code is _Code.INSUFFICIENT_TOKENS:
+        # A transfer that funds it may still be on its way; try again later.
+        return
     billed = (_Code.ACCEPTED, _Code.REPEATED, _Code.TOO_MANY_RERUNS)
     if verdict.code not in billed:
         state.events.append(holder_events.BillRefused(bill, verdict.code))
--- a/redwingchute/process/ledger/shard_link.py
+++ b/redwingchute/process/ledger/shard_link.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Sequence
 from typing import Any
 from typing import TypeAlias
 
@@ -26,6 +28,9 @@
 Call: TypeAlias = Callable[
     [int, data.LedgerCall], Awaitable[data.LedgerReply | None]
 ]
+AskSiblings: TypeAlias = Callable[
+    [spending.TransferRequest], Awaitable[Sequence[spending.TransferReply]]
+]
 SendToSiblings: TypeAlias = Callable[
     [spending.HoldBills | spending.ForgetBills], None
 ]
@@ -41,6 +46,7 @@
       clock_ms: Returns the time.
       make_incarnation: Returns a random 64-bit number.
       send_to_siblings: Sends a record to the siblings, best effort.
+      ask_siblings: Asks all siblings for reserve and returns their replies.
       holder_settings: The times that holders go by.
       batch_window_ms: How long entries of concurrent requests are gathered.
       tick_ms: How often deadlines are looked at.
@@ -51,6 +57,7 @@
     clock_ms: Callable[[], int]
     make_incarnation: Callable[[], data.Incarnation]
     send_to_siblings: SendToSiblings
+    ask_siblings: AskSiblings
     holder_settings: holder_state.HolderSettings
     batch_window_ms: int = 3
     tick_ms: int = 25
@@ -160,10 +167,23 @@
         self, caller: holder.Holder, call: outbox.OutgoingCall
     ) -> None:
         """Sends a call without waiting for it."""
-        task = asyncio.create_task(self._call(caller, call))
+        self._start_task(self._call(caller, call))
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs work beside the loop; `close` ends it."""
+        task = asyncio.create_task(work)
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
+    async def _ask_siblings(
+        self, asker: holder.Holder, request: spending.TransferRequest
+    ) -> None:
+        """Asks the siblings for reserve and takes in what they give."""
+        replies = await self._settings.ask_siblings(request)
+        for reply in replies:
+            asker.accept_transfer(reply.transfer, self._settings.clock_ms())
+        self.wake()
+
     async def _call(
         self, caller: holder.Holder, call: outbox.OutgoingCall
     ) -> None:
@@ -200,7 +220,7 @@
             case holder_events.BillKept():
                 self._settings.send_to_siblings(
                     spending.HoldBills(
-                        self._shard, event.bill.holder, (event.bill,)
+                        self._shard, source.incarnation, (event.bill,)
                     )
                 )
             case holder_events.BillDelivered():
@@ -210,6 +230,8 @@
                         self._shard, source.incarnation, (event.key,)
                     )
                 )
+            case holder_events.ReserveWanted():
+                self._start_task(self._ask_siblings(source, event.request))
             case holder_events.BillRefused():
                 pass
             case holder_events.HolderRetired():
--- /dev/null
+++ b/redwingchute/process/ledger/transferring_test.py
@@ -0,0 +1,100 @@
+"""Tests of reserve that passes between the routers of a cut-off zone."""
+
+from redwingchute.core import data
+from redwingchute.core import spending
+from redwingchute.process.ledger import bill_store
+from redwingchute.process.ledger import fold
+from redwingchute.process.ledger import holder
+from redwingchute.process.ledger import holder_events
+from redwingchute.testing import ledger_builders
+from redwingchute.testing import spend_builders as build
+
+_RESERVE = data.GrantKind.RESERVE
+
+
+def _make_isolated(reserve_tokens: int) -> holder.Holder:
+    subject = build.make_funded_holder(reserve_tokens=reserve_tokens)
+    subject.owner_lost(1)
+    return subject
+
+
+def _make_request(tokens: int, name: bytes = b"t") -> spending.TransferRequest:
+    return spending.TransferRequest(build.BUDGET, 99, name, tokens, 10.0)
+
+
+def _count_reserve(subject: holder.Holder) -> int:
+    held = subject.find_position(build.BUDGET)
+    assert held is not None
+    return held.count_held(_RESERVE)
+
+
+def test_starving_router_asks_its_siblings_and_is_admitted() -> None:
+    target = holder.Holder(build.SHARD, 99, "huon-2", 0)
+    target.owner_lost(1)
+    charge = build.make_charge(1)
+    target.admit(charge, 2)
+    target.advance(2)
+    (wanted,) = target.take_events()
+    assert isinstance(wanted, holder_events.ReserveWanted)
+    source = _make_isolated(1_000)
+    reply = source.answer_transfer(wanted.request, 3)
+    target.accept_transfer(reply.transfer, 4)
+    assert build.take_results(target) == [charge]
+    assert _count_reserve(source) + _count_reserve(target) == 1_000
+
+
+def test_repeated_messages_move_reserve_once() -> None:
+    source = _make_isolated(1_000)
+    first = source.answer_transfer(_make_request(300), 3)
+    assert source.answer_transfer(_make_request(300), 9) == first
+    assert _count_reserve(source) == 700
+    target = holder.Holder(build.SHARD, 99, "huon-2", 0)
+    target.accept_transfer(first.transfer, 4)
+    target.accept_transfer(first.transfer, 5)
+    assert _count_reserve(target) == 300
+
+
+def test_router_that_reaches_the_owner_gives_nothing() -> None:
+    source = build.make_funded_holder(reserve_tokens=1_000)
+    reply = source.answer_transfer(_make_request(300), 3)
+    assert reply.transfer.tokens == 0
+
+
+def test_reserve_in_use_is_not_given() -> None:
+    source = _make_isolated(1_000)
+    build.admit(source, build.make_charge(1, bound_tokens=900), 2)
+    reply = source.answer_transfer(_make_request(300), 3)
+    assert reply.transfer.tokens <= 100
+
+
+def test_transfer_arrives_although_its_source_and_target_died() -> None:
+    source = _make_isolated(1_000)
+    source.take_events()
+    transfer = source.answer_transfer(_make_request(300), 3).transfer
+    (kept,) = source.take_events()
+    assert isinstance(kept, holder_events.BillKept)
+    store = bill_store.BillStore()
+    hold = spending.HoldBills(build.SHARD, build.INCARNATION, (kept.bill,))
+    store.hold(hold, 0)
+    (copy,) = store.take_due(build.SHARD, bill_store.DELIVERY_DELAY_MS)
+    assert copy == transfer
+    driver = ledger_builders.FoldDriver(fold.ShardFold())
+    credit = ledger_builders.make_credit(1_000)
+    grant = data.Grant(credit.budget, build.INCARNATION, _RESERVE, 1_000)
+    driver.apply(credit, grant)
+    driver.apply(data.Retire(build.INCARNATION), data.Retire(99))
+    codes = [each.code for each in driver.apply(copy, copy)]
+    assert codes == [data.VerdictCode.ACCEPTED, data.VerdictCode.REPEATED]
+    assert driver.report().unaccounted_tokens == 1_000
+
+
+def test_copies_are_forgotten_and_bounded_in_time() -> None:
+    store = bill_store.BillStore()
+    bill = data.Settle(build.BUDGET, 7, _RESERVE, b"key", b"body", 5, 1)
+    store.hold(spending.HoldBills(0, 7, (bill,)), 0)
+    assert store.take_due(0, 10) == ()
+    assert store.take_due(1, 60_000) == ()
+    assert store.take_due(0, 60_000) == (bill,)
+    assert store.take_due(0, 60_001) == ()
+    store.forget((b"key",))
+    assert len(store) == 0
