--- a/redwingchute/standin/engine.py
+++ b/redwingchute/standin/engine.py
@@ -82,7 +82,9 @@
       finished: Attempts whose answer ended whole.
       cancelled: Attempts whose caller went away, queued or running.
       tokens_produced: Tokens of all attempts.
-      attempt_ids: The ids of all attempts that came, in order.
+      dispatched: Attempts that came, refused ones included.
+      attempt_ids: The ids of all attempts that were taken, in order.
+      attempts_by_prompt: How many were taken, by the prompt's text.
       orders: The orders that it took.
     """
 
@@ -104,7 +106,9 @@
         self.cancelled = 0
         self.cut = 0
         self.tokens_produced = 0
+        self.dispatched = 0
         self.attempt_ids: list[str] = []
+        self.attempts_by_prompt: dict[str, int] = {}
         self.orders = orders.OrderBook(model)
         self._slots = batching.SlotQueue(slots)
         self._history = batching.LoadHistory(self._report_load())
@@ -144,7 +148,9 @@
             "cancelled": self.cancelled,
             "cut": self.cut,
             "tokens_produced": self.tokens_produced,
+            "dispatched": self.dispatched,
             "attempt_ids": self.attempt_ids,
+            "attempts_by_prompt": self.attempts_by_prompt,
             "load": self._report_load(),
             "fence": self.orders.fence,
             "loaded": sorted(self.orders.loaded),
@@ -160,6 +166,7 @@
         """Answers a chat completion, refusing it while leaving."""
         attempt_id = request.headers.get("x-attempt-id", "")
         headers = [("x-attempt-id", attempt_id)]
+        self.dispatched += 1
         if self.faults.is_leaving:
             headers.append(("x-leaving", "1"))
             body = _make_error("the engine is leaving")
@@ -171,6 +178,8 @@
             await responder.send(400, body, headers=headers)
             return
         self.attempt_ids.append(attempt_id)
+        seen = self.attempts_by_prompt.get(chat.prompt, 0)
+        self.attempts_by_prompt[chat.prompt] = seen + 1
         if (text := self.faults.crash_on_text) and text in chat.prompt:
             self.begin_crash()
             await asyncio.Event().wait()
@@ -372,11 +381,23 @@
     return faults_lib.to_json({"error": {"message": message}})
 
 
-async def run_engine(
-    listen: str, model: str, name: str, token_interval_ms: int, slots: int
+def run_engine(
+    *,
+    listen: str,
+    model: str,
+    name: str = "engine",
+    token_interval_ms: int = 5,
+    slots: int = 8,
 ) -> None:
-    """Serves an engine on `ip:port` until SIGTERM or SIGINT."""
+    """Run a stand-in of a model engine.
+
+    Args:
+      listen: The ip:port to serve on, port 0 for a free one.
+      model: The name of the model that is loaded.
+      name: The runner's name.
+      token_interval_ms: The time for one token.
+      slots: How many requests run at once.
+    """
     at = base.parse_listen(listen)
     faults = EngineFaults(token_interval_ms=token_interval_ms)
-    engine = Engine(model, name, slots, at.ip, at.port, faults)
-    await base.serve_until_signal(engine)
+    base.run_until_signal(Engine(model, name, slots, at.ip, at.port, faults))
