--- /dev/null
+++ b/redwingchute/request/context.py
@@ -0,0 +1,60 @@
+"""What every request handler works with, made once for the process."""
+
+from collections.abc import Callable
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.core import configuration
+from redwingchute.process import telemetry
+from redwingchute.process.ledger import holder_service
+from redwingchute.request import dispatcher as dispatcher_lib
+from redwingchute.request import exchange
+
+
+@attrs.frozen
+class RequestContext:
+    """The parts of the process that requests use.
+
+    Attributes:
+      ledger: Reserves and settles tokens.
+      pool: Connections to upstreams.
+      dispatcher: Decides when requests start, and where.
+      metrics: Counters.
+      read_clock_ms: Returns the time.
+      make_id: Returns fresh random bytes of the given number.
+    """
+
+    ledger: holder_service.LedgerClient
+    pool: http_client.ClientPool
+    dispatcher: dispatcher_lib.Dispatcher
+    metrics: telemetry.Metrics
+    read_clock_ms: Callable[[], int]
+    make_id: Callable[[int], bytes]
+
+    async def note_failure(
+        self,
+        work: dispatcher_lib.Work,
+        slot: dispatcher_lib.Slot,
+        failed: exchange.AttemptFailed,
+    ) -> None:
+        """Counts a failed attempt and tells the dispatcher."""
+        self.metrics.attempt_failures.add(1, {"cause": failed.kind.value})
+        await self.dispatcher.note_failure(
+            work, slot, failed.kind, failed.attempt_id
+        )
+
+
+@attrs.frozen
+class Caller:
+    """Who sent a request, under which configuration.
+
+    Attributes:
+      account: The client account.
+      current: The configuration in force when the request arrived.
+      arrived_ms: When it arrived.
+    """
+
+    account: configuration.ClientAccount
+    current: configuration.Configuration
+    arrived_ms: int
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -6,6 +6,7 @@
 """
 
 from redwingchute.core import data
+from redwingchute.core import distribution
 from redwingchute.core import fleet
 from redwingchute.core import requesting
 from redwingchute.core import spending
@@ -16,6 +17,9 @@
 _LEDGER = "ledger.capnp"
 _FLEET = "fleet.capnp"
 _CONFIGURATION = "configuration.capnp"
+_STATUS = "status.capnp"
+_REQUEST = "request.capnp"
+_SPEND = "spend.capnp"
 _REQUEST = "request.capnp"
 _SPEND = "spend.capnp"
 _STATUS = "status.capnp"
@@ -43,6 +47,9 @@
     codec.Registration(300, changes.ConfigurationChange, _CONFIGURATION),
     codec.Registration(301, changes.AuditNote, _CONFIGURATION),
     codec.Registration(302, changes.ConfigurationCheckpoint, _CONFIGURATION),
+    codec.Registration(310, distribution.ConfigurationDigest, _CONFIGURATION),
+    codec.Registration(311, distribution.ConfigurationPull, _CONFIGURATION),
+    codec.Registration(312, distribution.ConfigurationRecords, _CONFIGURATION),
     codec.Registration(320, status.StatusQuery, _STATUS),
     codec.Registration(321, status.StatusReport, _STATUS),
     codec.Registration(400, requesting.CrashNotice, _REQUEST),
