--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,9 @@
 prove: $(STAMP)
 	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/prove.py
 
+scenarios-live: $(STAMP)
+	$(BIN)/python scripts/scenarios_live.py
+
 mutants: $(STAMP)
 	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/mutants.py
 
--- a/redwingchute/testing/scenario_language.py
+++ b/redwingchute/testing/scenario_language.py
@@ -174,6 +174,9 @@
                     self._check(step.line, "request", step.request, requests)
                 case steps.ExpectCommand():
                     self._check(step.line, "command", step.command, commands)
+                case steps.ExpectOneAccepted():
+                    for name in step.commands:
+                        self._check(step.line, "command", name, commands)
                 case steps.ExpectSpend():
                     self._check(step.line, "budget", step.budget, budgets)
                 case steps.ExpectVersion():
@@ -285,6 +288,8 @@
             return steps.ExpectRuns(line, words[0], words[1], int(words[2]))
         case "expect_version":
             return steps.ExpectVersion(line, tuple(words))
+        case "expect_one_accepted":
+            return steps.ExpectOneAccepted(line, tuple(words))
         case "expect_operator":
             verdicts = tuple(steps.CommandVerdict(word) for word in words[1:])
             return steps.ExpectCommand(line, words[0], verdicts)
--- a/redwingchute/testing/scenario_language_test.py
+++ b/redwingchute/testing/scenario_language_test.py
@@ -90,12 +90,14 @@
         'request r from derwent to h1 of yield prompt "p"\n'
         'operator o at h1 "show spent"\n'
         "expect r answered or not_run\n"
-        "expect operator o accepted"
+        "expect operator o accepted\n"
+        "expect one accepted of o"
     )
     answered, not_run = steps.Outcome.ANSWERED, steps.Outcome.NOT_RUN
     assert found[2:] == (
         steps.ExpectOutcome(10, "r", (answered, not_run)),
         steps.ExpectCommand(11, "o", (steps.CommandVerdict.ACCEPTED,)),
+        steps.ExpectOneAccepted(12, ("o",)),
     )
 
 
--- a/redwingchute/testing/scenario_requests.py
+++ b/redwingchute/testing/scenario_requests.py
@@ -181,3 +181,8 @@
     assert isinstance(answer, http_client.Fetched), answer
     assert answer.status == 200, answer.body
     return json.loads(answer.body)
+
+
+def read_json(answer: http_client.Fetched) -> Any:
+    """Returns the JSON of a response."""
+    return json.loads(answer.body)
--- a/redwingchute/testing/scenario_runner.py
+++ b/redwingchute/testing/scenario_runner.py
@@ -25,7 +25,7 @@
 }
 # How long an expectation waits to come true.
 _PATIENCE_MS = 60_000
-_POLL_MS = 100
+_POLL_MS = 250
 # How long the fleet gets to settle its bills after the last step.
 _SETTLE_MS = 30_000
 
@@ -177,6 +177,8 @@
                 await self._expect_version(step)
             case steps.ExpectCommand():
                 await self._expect_command(step)
+            case steps.ExpectOneAccepted():
+                await self._expect_one_accepted(step)
             case steps.ExpectDispatched():
                 state = await self._backend.read_control(step.upstream)
                 count = state["dispatched"]
@@ -203,6 +205,19 @@
             message = f"command {step.command} is {found}: {result.message}"
             self._fail(step.line, message)
 
+    async def _expect_one_accepted(self, step: steps.ExpectOneAccepted) -> None:
+        """Waits for the commands' ends and counts the accepted ones."""
+        results = [self._commands[name] for name in step.commands]
+        await self._wait_for(lambda: all(each.verdict for each in results))
+        accepted = [
+            each.step.name
+            for each in results
+            if each.verdict is steps.CommandVerdict.ACCEPTED
+        ]
+        if len(accepted) != 1:
+            found = "; ".join(each.message for each in results)
+            self._fail(step.line, f"accepted are {accepted}: {found}")
+
     async def _expect_spend(self, step: steps.ExpectSpend) -> None:
         """Waits until what is settled of a budget compares as it should."""
         spent_tokens = 0
--- a/redwingchute/testing/scenario_steps.py
+++ b/redwingchute/testing/scenario_steps.py
@@ -255,6 +255,14 @@
     verdicts: tuple[CommandVerdict, ...]
 
 
+@attrs.frozen
+class ExpectOneAccepted:
+    """Expects that exactly one of several commands was accepted."""
+
+    line: int
+    commands: tuple[str, ...]
+
+
 @attrs.frozen
 class ExpectDispatched:
     """Compares how many attempts were sent to an upstream."""
@@ -282,6 +290,7 @@
     | ExpectRuns
     | ExpectVersion
     | ExpectCommand
+    | ExpectOneAccepted
     | ExpectDispatched
 )
 
--- /dev/null
+++ b/scripts/scenarios_live.py
@@ -0,0 +1,63 @@
+"""Runs the scenarios that are marked `live` on real processes on loopback.
+
+Names of scenarios may be given; without any, all marked ones run, a few at
+once. The exit status is 1 when one failed.
+"""
+
+import asyncio
+import pathlib
+import sys
+import time
+
+from redwingchute.testing import scenario_language
+from redwingchute.testing import scenario_live
+from redwingchute.testing import scenario_runner
+from redwingchute.testing import scenario_steps
+
+_FOLDER = pathlib.Path("scenarios")
+_CONCURRENT_SCENARIOS = 5
+
+
+async def run_one(
+    path: pathlib.Path,
+    scenario: scenario_steps.Scenario,
+    limit: asyncio.Semaphore,
+) -> bool:
+    """Runs one scenario, prints its verdict and tells whether it held."""
+    async with limit:
+        started_s = time.monotonic()
+        async with scenario_live.LiveBackend(scenario) as backend:
+            run = scenario_runner.ScenarioRun(scenario, backend)
+            failures = await run.run()
+        elapsed_s = time.monotonic() - started_s
+    verdict = "failed" if failures else "held"
+    print(f"{path.stem}: {verdict} in {elapsed_s:.0f} s", flush=True)
+    for failure in failures:
+        print(f"  {failure.place}: {failure.message}", flush=True)
+    return not failures
+
+
+async def run_all(names: set[str]) -> bool:
+    """Runs the marked scenarios, a few at once."""
+    limit = asyncio.Semaphore(_CONCURRENT_SCENARIOS)
+    runs = []
+    is_held = True
+    for path in sorted(_FOLDER.glob("*.scenario")):
+        if names and path.stem not in names:
+            continue
+        scenario, findings = scenario_language.load_scenario(path)
+        for finding in findings:
+            print(f"{finding.place}: {finding.message}")
+            is_held = False
+        if scenario is not None and scenario.is_live:
+            runs.append(run_one(path, scenario, limit))
+    return all(await asyncio.gather(*runs)) and is_held
+
+
+def main() -> int:
+    """Runs the scenarios and returns the exit status."""
+    return 0 if asyncio.run(run_all(set(sys.argv[1:]))) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
