Test the request side before stand-ins on loopback

Cause: resume, quarantine, leaving, cancelling and at-most-once must hold over real connections. Ruled out: not charging retries after crashes at all, which would let a crashing pool multiply its own load.

--- a/redwingchute/request/context.py
+++ b/redwingchute/request/context.py
@@ -1,17 +1,48 @@
 """What every request handler works with, made once for the process."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
 from redwingchute.connection import http_client
 from redwingchute.core import configuration
+from redwingchute.core import data
+from redwingchute.core import spending
 from redwingchute.process import telemetry
-from redwingchute.process.ledger import holder_service
 from redwingchute.request import dispatcher as dispatcher_lib
 from redwingchute.request import exchange
 
 
+class RequestLedger(Protocol):
+    """What requests need of the ledger; `LedgerClient` provides it."""
+
+    async def admit(
+        self, request: spending.ChargeRequest, deadline_ms: int
+    ) -> spending.Admission:
+        """Reserves a request's upper bound."""
+
+    async def settle(
+        self, charge: spending.Charge, tokens: int
+    ) -> spending.Settlement:
+        """Bills a request; its answer may end after this."""
+
+    def cancel(self, charge: spending.Charge) -> None:
+        """Ends a charge of which nothing was used."""
+
+    async def claim(self, charge: spending.Charge) -> spending.ClaimResult:
+        """Claims the single run of a call before its first byte."""
+
+    async def record_outcome(
+        self,
+        charge: spending.Charge,
+        status: data.OutcomeStatus,
+        tokens: int,
+        answer: bytes,
+    ) -> spending.Settlement:
+        """Records and bills the result of a claimed call."""
+
+
 @attrs.frozen
 class RequestContext:
     """The parts of the process that requests use.
@@ -25,7 +56,7 @@
       make_id: Returns fresh random bytes of the given number.
     """
 
-    ledger: holder_service.LedgerClient
+    ledger: RequestLedger
     pool: http_client.ClientPool
     dispatcher: dispatcher_lib.Dispatcher
     metrics: telemetry.Metrics
--- /dev/null
+++ b/redwingchute/request/front_test.py
@@ -0,0 +1,311 @@
+"""Tests of the request side before real upstreams on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import json
+
+import attrs
+import pytest
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import configuration
+from redwingchute.standin import answers
+from redwingchute.standin import engine
+from redwingchute.standin import service
+from redwingchute.testing import request_rig
+from redwingchute.testing import standin_calls
+
+_PROMPT = "reconcile shift seven"
+_FAST = engine.EngineFaults(token_interval_ms=1)
+
+
+@contextlib.asynccontextmanager
+async def _run_rig(
+    faults: list[engine.EngineFaults],
+    zones: tuple[str, ...] = ("huon",),
+    router_count: int = 1,
+) -> AsyncIterator[tuple[request_rig.RequestRig, list[engine.Engine]]]:
+    async with contextlib.AsyncExitStack() as stack:
+        engines = [
+            await stack.enter_async_context(
+                engine.Engine(request_rig.MODEL, f"runner-{n}", faults=fault)
+            )
+            for n, fault in enumerate(faults)
+        ]
+        current = request_rig.make_configuration(list(engines), zones=zones)
+        rig = request_rig.RequestRig(current, router_count)
+        yield await stack.enter_async_context(rig), engines
+
+
+async def _wait_until(condition: Callable[[], bool]) -> None:
+    """Waits for a state that must come; the test's end bounds the wait."""
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def _find_truth(prompt: str) -> list[str]:
+    return answers.list_answer_tokens(request_rig.MODEL, prompt, 0)
+
+
+@pytest.mark.parametrize("cut_after_tokens", [0, 1, 5, 11])
+def test_cut_stream_is_resumed_and_billed_once(cut_after_tokens: int) -> None:
+    async def run() -> None:
+        cutting = attrs.evolve(_FAST, cut_after_tokens=cut_after_tokens)
+        zones = ("huon", "bruny")
+        async with _run_rig([cutting, _FAST], zones) as (rig, engines):
+            reply = await rig.chat(_PROMPT)
+            truth = _find_truth(_PROMPT)
+            chunks = standin_calls.read_stream(reply.body)
+            assert standin_calls.join_content(chunks) == "".join(truth)
+            assert len({chunk["id"] for chunk in chunks}) == 1
+            assert reply.body.count(b"[DONE]") == 1
+            usage = chunks[-1]["usage"]
+            assert usage["completion_tokens"] == len(truth)
+            assert usage["prompt_tokens"] == 3
+            assert [tokens for _, tokens in rig.ledger.bills] == [
+                3 + len(truth)
+            ]
+            assert [e.started for e in engines] == [1, 1]
+            produced = sum(e.tokens_produced for e in engines)
+            assert produced == len(truth)
+
+    asyncio.run(run())
+
+
+def test_whole_answer_is_retried_after_a_cut() -> None:
+    async def run() -> None:
+        cutting = attrs.evolve(_FAST, cut_after_tokens=3)
+        async with _run_rig([cutting, _FAST], ("huon", "bruny")) as (rig, _):
+            reply = await rig.chat(_PROMPT, stream=False)
+            content = json.loads(reply.body)["choices"][0]["message"]
+            assert content["content"] == "".join(_find_truth(_PROMPT))
+            assert len(rig.ledger.bills) == 1
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("are_concurrent", [False, True])
+def test_poisoned_prompt_takes_down_at_most_two(are_concurrent: bool) -> None:
+    async def run() -> None:
+        poisonous = attrs.evolve(_FAST, crash_on_text="poison")
+        async with _run_rig([poisonous] * 6, router_count=2) as (rig, engines):
+            innocent = [
+                asyncio.create_task(rig.chat(f"innocent {n}", n % 2))
+                for n in range(8)
+            ]
+            if are_concurrent:
+                replies = await asyncio.gather(
+                    *(rig.chat("poison") for _ in range(20))
+                )
+            else:
+                replies = [await rig.chat("poison", n % 2) for n in range(20)]
+            # An engine counts a crash for each copy that it had taken.
+            assert sum(e.crashes > 0 for e in engines) == 2
+            assert {reply.error["code"] for reply in replies} == {"quarantined"}
+            types = [reply.error["type"] for reply in replies]
+            # Those that ran say so; the others promise that they did not.
+            ran = 1 if not are_concurrent else types.count("failed")
+            assert types.count("failed") == ran >= 1
+            assert types.count("not_run") == 20 - ran
+            for number, task in enumerate(innocent):
+                reply = await task
+                chunks = standin_calls.read_stream(reply.body)
+                truth = "".join(_find_truth(f"innocent {number}"))
+                assert standin_calls.join_content(chunks) == truth
+            for other in rig.dispatchers:
+                (entry,) = other.list_quarantined()
+                assert entry.account == "huon"
+
+    asyncio.run(run())
+
+
+def test_quarantine_is_per_account_and_can_be_lifted() -> None:
+    async def run() -> None:
+        poisonous = attrs.evolve(_FAST, crash_on_text="poison")
+        async with _run_rig([poisonous] * 4, router_count=2) as (rig, engines):
+            await rig.chat("poison")
+            for crashed in engines:
+                crashed.faults = _FAST
+            assert (await rig.chat("poison", 1)).status == 422
+            assert (await rig.chat("poison", 1, account="bruny")).status == 200
+            (entry,) = rig.dispatchers[0].list_quarantined()
+            assert rig.dispatchers[0].lift_quarantine(
+                entry.account, entry.digest, "operator"
+            )
+            assert (await rig.chat("poison", 1)).status == 200
+
+    asyncio.run(run())
+
+
+def test_leaving_engine_is_told_of_to_siblings_and_avoided() -> None:
+    async def run() -> None:
+        leaving = attrs.evolve(_FAST, is_leaving=True)
+        zones = ("huon", "bruny")
+        async with _run_rig([leaving, _FAST], zones, 2) as (rig, engines):
+            assert (await rig.chat(_PROMPT)).status == 200
+            # A leaving engine goes on reporting its load.
+            await rig.poll()
+            for other in rig.dispatchers:
+                states = [state.state for state in other.list_upstreams()]
+                assert states == ["leaving", "live"]
+            engines[0].faults = _FAST
+            assert (await rig.chat(_PROMPT, 1)).status == 200
+            assert [e.started for e in engines] == [0, 2]
+            await engines[0].crash()
+            await rig.poll()
+            await engines[0].restart()
+            await rig.poll()
+            assert (await rig.chat(_PROMPT, 1)).status == 200
+            assert engines[0].started == 1
+
+    asyncio.run(run())
+
+
+def test_whole_pool_down_is_refused_as_not_run() -> None:
+    async def run() -> None:
+        async with _run_rig([_FAST, _FAST]) as (rig, engines):
+            for stopped in engines:
+                await stopped.crash()
+            for _ in range(3):
+                reply = await rig.chat(_PROMPT)
+                assert reply.status == 503
+                assert reply.error["type"] == "not_run"
+                assert "retry-after" in reply.headers
+            assert rig.ledger.bills == []
+            for started in engines:
+                await started.restart()
+            await rig.poll()
+            assert (await rig.chat(_PROMPT)).status == 200
+
+    asyncio.run(run())
+
+
+def test_unreachable_deadline_is_refused_before_anything_runs() -> None:
+    async def run() -> None:
+        async with _run_rig([_FAST]) as (rig, engines):
+            short = configuration.PatienceRule(
+                configuration.WorkKind.INTERACTIVE,
+                0,
+                1440,
+                (1, 2, 3, 4, 5, 6, 7),
+                1,
+                0,
+            )
+            accounts = tuple(
+                attrs.evolve(account, patience=(short,))
+                for account in rig.current.client_accounts
+            )
+            rig.current = attrs.evolve(rig.current, client_accounts=accounts)
+            reply = await rig.chat(_PROMPT)
+            assert reply.error["type"] == "not_run"
+            assert reply.error["code"] == "deadline_unreachable"
+            assert engines[0].attempt_ids == []
+
+    asyncio.run(run())
+
+
+def test_cancelling_reaches_the_engine() -> None:
+    async def run() -> None:
+        slow = engine.EngineFaults(token_interval_ms=50)
+        async with _run_rig([slow]) as (rig, engines):
+            task = asyncio.create_task(rig.chat(_PROMPT))
+            await _wait_until(lambda: engines[0].tokens_produced > 0)
+            task.cancel()
+            await _wait_until(lambda: engines[0].cancelled == 1)
+            await _wait_until(lambda: rig.ledger.cancelled == 1)
+            assert rig.ledger.bills == []
+
+    asyncio.run(run())
+
+
+def test_reply_of_another_attempt_is_never_passed_on() -> None:
+    async def answer_wrongly(
+        request: http_server.HttpRequest, responder: http_server.HttpResponder
+    ) -> None:
+        del request
+        headers = [("x-attempt-id", "another")]
+        await responder.send(200, b'{"secret": 1}', headers=headers)
+
+    async def run() -> None:
+        server = http_server.HttpServer(answer_wrongly, "127.0.0.1", 0)
+        async with server, _run_rig([_FAST]) as (rig, engines):
+            engines[0].port = server.port
+            current = request_rig.make_configuration(list(engines))
+            rig.current = current
+            rig.dispatchers[0].configure(current, 1)
+            reply = await rig.chat(_PROMPT, stream=False)
+            assert reply.status == 502
+            assert b"secret" not in reply.body
+            assert rig.ledger.bills == []
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("faults", "expected_status", "expected_runs"),
+    [
+        (service.ServiceFaults(), 200, 1),
+        (service.ServiceFaults(close_after_run=True), 409, 1),
+        (service.ServiceFaults(close_before_run=True), 409, 0),
+    ],
+)
+def test_call_that_may_not_be_repeated_runs_at_most_once(
+    faults: service.ServiceFaults, expected_status: int, expected_runs: int
+) -> None:
+    async def run() -> None:
+        async with (
+            service.Service("records", faults=faults) as records,
+            _run_rig([_FAST]) as (rig, engines),
+        ):
+            rig.current = request_rig.make_configuration(
+                list(engines), (records,)
+            )
+            rig.dispatchers[0].configure(rig.current, 1)
+            for _ in range(3):
+                reply = await rig.send(
+                    f"/services/{request_rig.SERVICE}/post",
+                    b"lot 42",
+                    headers=(("idempotency-key", "certificate-1"),),
+                )
+                assert reply.status == expected_status
+            assert len(records.runs) == expected_runs
+
+    asyncio.run(run())
+
+
+def test_service_that_is_down_is_refused_as_not_run() -> None:
+    async def run() -> None:
+        async with (
+            service.Service("records") as records,
+            _run_rig([_FAST]) as (rig, engines),
+        ):
+            rig.current = request_rig.make_configuration(
+                list(engines), (records,)
+            )
+            rig.dispatchers[0].configure(rig.current, 1)
+            await records.crash()
+            reply = await rig.send(
+                f"/services/{request_rig.SERVICE}/post",
+                b"lot 42",
+                headers=(("idempotency-key", "certificate-1"),),
+            )
+            assert reply.error["type"] == "not_run"
+
+    asyncio.run(run())
+
+
+def test_unknown_work_kind_is_refused() -> None:
+    async def run() -> None:
+        async with _run_rig([_FAST]) as (rig, _):
+            reply = await rig.send(
+                "/v1/chat/completions",
+                standin_calls.make_chat(_PROMPT, model=request_rig.MODEL),
+                headers=(("x-work-kind", "leisure"),),
+            )
+            assert reply.error["code"] == "bad_work_kind"
+            assert isinstance(rig.find_address(), http_client.Address)
+
+    asyncio.run(run())
--- a/redwingchute/request/load_model.py
+++ b/redwingchute/request/load_model.py
@@ -45,6 +45,7 @@
       upstream: The upstream.
       prefill_token_ms: The learned time for one uncached prompt token.
       output_token_ms: The learned time for one output token.
+      has_learned: Whether the speeds come from its own answers.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.upstream = upstream
         self.prefill_token_ms = _INITIAL_PREFILL_TOKEN_MS
         self.output_token_ms = _INITIAL_OUTPUT_TOKEN_MS
+        self.has_learned = False
         self._sharing_routers = max(1, sharing_routers)
         self._slots = upstream.slots
         self._report: requesting.LoadReport | None = None
@@ -81,6 +83,12 @@
         """How many requests the upstream runs at once."""
         return self._slots
 
+    def assume_speed(self, other: "UpstreamLoad") -> None:
+        """Takes another upstream's speeds until it has some of its own."""
+        if not self.has_learned:
+            self.prefill_token_ms = other.prefill_token_ms
+            self.output_token_ms = other.output_token_ms
+
     def set_sharing_routers(self, count: int) -> None:
         """Updates how many routers send work to the upstream."""
         self._sharing_routers = max(1, count)
@@ -212,6 +220,7 @@
         self, attempt: _Attempt, now_ms: int, output_tokens: int
     ) -> None:
         """Updates the speeds from a whole answer."""
+        self.has_learned = True
         if attempt.ticket.prompt_tokens == 0:
             # A call of a plain service, whose size is counted as output.
             self._learn_output_speed(
--- a/redwingchute/request/pool.py
+++ b/redwingchute/request/pool.py
@@ -259,6 +259,19 @@
         self._guard.note_end(running.ticket, name, is_whole)
         if is_whole:
             self.outliers.note_success(name)
+            self._share_speed()
+
+    def _share_speed(self) -> None:
+        """Has upstreams without experience count as the fastest known one.
+
+        Else a new upstream that looks slow would never be tried.
+        """
+        learned = [load for load in self._loads.values() if load.has_learned]
+        if not learned:
+            return
+        fastest = min(learned, key=lambda load: load.output_token_ms)
+        for load in self._loads.values():
+            load.assume_speed(fastest)
 
     def note_report(
         self, upstream: str, report: requesting.LoadReport, now_ms: int
--- a/redwingchute/request/pool_test.py
+++ b/redwingchute/request/pool_test.py
@@ -187,3 +187,15 @@
     assert _start_all(model_pool) == []
     model_pool.note_end(start.ticket.ticket_id, 20, None)
     assert len(_start_all(model_pool)) == 1
+
+
+def test_upstream_without_experience_is_tried() -> None:
+    model_pool, _ = _make_pool(count=2, slots=4)
+    _submit_all(model_pool, [builders.make_ticket(1)])
+    (first,) = _start_all(model_pool)
+    model_pool.note_first_token(1, 1)
+    model_pool.note_end(1, 100, 100)
+    _submit_all(model_pool, [builders.make_ticket(n) for n in (2, 3)])
+    names = {start.upstream.name for start in _start_all(model_pool, 100)}
+    assert names == {"runner-1", "runner-2"}
+    assert first.upstream.name in names
--- a/redwingchute/request/retry.py
+++ b/redwingchute/request/retry.py
@@ -14,9 +14,10 @@
 
 from redwingchute.core import configuration
 
-# What a pool may always spend, so that a quiet pool can retry too.
-_MIN_BUDGET_RETRIES = 3.0
-_MAX_BUDGET_RETRIES = 50.0
+# What a quiet pool may spend: enough to resume the streams of two upstreams
+# that go down, each with the usual number of slots.
+MIN_BUDGET_RETRIES = 16.0
+_MAX_BUDGET_RETRIES = 64.0
 
 # Attempts that nobody worked on may fail more often than others may.
 _MAX_FREE_FAILURES = 8
@@ -99,7 +100,7 @@
     def __init__(self, policy: configuration.RetryPolicy) -> None:
         """Starts with the least budget."""
         self._policy = policy
-        self._retries = _MIN_BUDGET_RETRIES
+        self._retries = MIN_BUDGET_RETRIES
 
     def note_first_attempt(self) -> None:
         """Adds the share that a first attempt brings."""
@@ -109,9 +110,9 @@
 
     def note_time(self, elapsed_ms: int) -> None:
         """Refills a quiet pool to the least budget, one retry a second."""
-        if self._retries < _MIN_BUDGET_RETRIES:
+        if self._retries < MIN_BUDGET_RETRIES:
             self._retries = min(
-                _MIN_BUDGET_RETRIES, self._retries + elapsed_ms / 1_000
+                MIN_BUDGET_RETRIES, self._retries + elapsed_ms / 1_000
             )
 
     def decide(
