--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test format lint types unit demo clean
+.PHONY: test format lint types unit demo clean prove scenarios-live mutants slopes
 
 test: lint types unit
 
@@ -30,5 +30,14 @@
 demo: $(STAMP)
 	PATH=$(abspath $(BIN)):$$PATH sh scripts/demo.sh
 
+prove: $(STAMP)
+	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/prove.py
+
+mutants: $(STAMP)
+	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/mutants.py
+
+slopes: $(STAMP)
+	$(BIN)/python scripts/slopes.py
+
 clean:
 	rm -rf build
--- /dev/null
+++ b/redwingchute/process/configuration_follower_test.py
@@ -0,0 +1,223 @@
+"""Tests of the follower's shell with a log in memory and direct links."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+from typing import Any
+
+from redwingchute.core import data
+from redwingchute.process import configuration_follower
+from redwingchute.process import distribution
+from redwingchute.process import operator_ports
+from redwingchute.process import peer_network
+from redwingchute.process.ledger import log_outcomes
+from redwingchute.testing import configuration_builders as builders
+from redwingchute.testing import fake_log
+from redwingchute.version import changes
+from redwingchute.version import loader
+from redwingchute.wire import registry
+
+_POLICY = distribution.DistributionPolicy(settle_ms=50, digest_ms=100)
+_GUARD_S = 20.0
+
+
+class _Links:
+    """Links of routers in one process."""
+
+    def __init__(self) -> None:
+        self.ends: dict[str, _LinkEnd] = {}
+
+
+class _LinkEnd:
+    """The network of one router."""
+
+    def __init__(self, links: _Links, host: data.Host) -> None:
+        self._links = links
+        self._host = host
+        self._handlers: dict[type[Any], peer_network.MessageHandler] = {}
+        links.ends[host.name] = self
+
+    def handle(
+        self, record_type: type[Any], handler: peer_network.MessageHandler
+    ) -> None:
+        self._handlers[record_type] = handler
+
+    def send(self, host_name: str, record: Any) -> bool:
+        asyncio.ensure_future(self.call(host_name, record, 0))
+        return True
+
+    async def call(
+        self, host_name: str, record: Any, timeout_ms: int
+    ) -> Any | peer_network.PeerUnreachable:
+        del timeout_ms
+        await asyncio.sleep(0)
+        end = self._links.ends.get(host_name)
+        if end is None:
+            return peer_network.PeerUnreachable("no such host")
+        return await end._handlers[type(record)](self._host, record)
+
+
+class _Fleet:
+    """Followers of two routers, one of which may be without the log."""
+
+    def __init__(self) -> None:
+        self.log = fake_log.FakeLog()
+        self.links = _Links()
+        self.versions: list[int] = []
+        self.now_ms = 1_000_000
+
+    def start(
+        self, name: str, log: fake_log.FakeLogClient
+    ) -> configuration_follower.ConfigurationFollower:
+        """Builds the follower of a router."""
+        host = data.Host(name, "zone", "127.0.0.1:1", 1)
+        follower = configuration_follower.ConfigurationFollower(
+            host,
+            log,
+            _LinkEnd(self.links, host),
+            registry.make_codec(),
+            self.read_clock_ms,
+            random.Random(1),
+            lambda: self.versions.append(
+                follower.distribution.fold.current.version
+            ),
+            _POLICY,
+        )
+        return follower
+
+    def read_clock_ms(self) -> int:
+        """Returns a time that moves with every look at it."""
+        self.now_ms += 10
+        return self.now_ms
+
+
+def _make_start(number: int = 1) -> changes.ConfigurationChange:
+    """Returns the change that sets the builders' configuration."""
+    text = loader.dump_configuration(builders.make_configuration())
+    return changes.ConfigurationChange(
+        number.to_bytes(16),
+        "ada",
+        "test",
+        0,
+        0,
+        changes.ReplaceDocument(loader.compress_document(text)),
+    )
+
+
+async def _wait_for(condition: Callable[[], bool]) -> None:
+    """Waits until a condition holds."""
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def _run(scenario: Awaitable[None]) -> None:
+    """Runs a scenario that must not hang."""
+
+    async def guard() -> None:
+        async with asyncio.timeout(_GUARD_S):
+            await scenario
+
+    asyncio.run(guard())
+
+
+def test_a_submitted_change_gets_its_verdict() -> None:
+    async def scenario() -> None:
+        fleet = _Fleet()
+        follower = fleet.start("a", fake_log.FakeLogClient(fleet.log))
+        verdict = await follower.submit(_make_start())
+        assert isinstance(verdict, changes.ChangeVerdict)
+        assert verdict.code == changes.ChangeCode.APPLIED
+        assert fleet.versions == [1]
+        assert follower.find_current() == builders.make_configuration(1)
+        assert follower.find_author() == "ada"
+        assert len(follower.list_audit()) == 1
+
+    _run(scenario())
+
+
+def test_a_change_whose_answer_was_lost_has_its_true_outcome() -> None:
+    async def scenario() -> None:
+        fleet = _Fleet()
+        log = fake_log.FakeLogClient(fleet.log)
+        log.lost_answers = 1
+        follower = fleet.start("a", log)
+        verdict = await follower.submit(_make_start())
+        assert isinstance(verdict, changes.ChangeVerdict)
+        assert verdict.code == changes.ChangeCode.APPLIED
+        assert fleet.log.append_count == 1
+
+    _run(scenario())
+
+
+def test_a_change_that_the_log_did_not_take_has_no_effect() -> None:
+    async def scenario() -> None:
+        fleet = _Fleet()
+        log = fake_log.FakeLogClient(fleet.log)
+        log.is_down = True
+        outcome = await fleet.start("a", log).submit(_make_start())
+        assert isinstance(outcome, operator_ports.SubmissionFailed)
+        assert fleet.log.append_count == 0
+
+    _run(scenario())
+
+
+class _LogThatDies(fake_log.FakeLogClient):
+    """A log that goes down once it has lost an answer."""
+
+    async def append(
+        self, stream: str, body: bytes
+    ) -> log_outcomes.AppendOutcome:
+        outcome = await super().append(stream, body)
+        if isinstance(outcome, log_outcomes.AppendUnknown):
+            self.is_down = True
+        return outcome
+
+
+def test_an_outcome_that_cannot_be_read_is_unknown() -> None:
+    async def scenario() -> None:
+        fleet = _Fleet()
+        log = _LogThatDies(fleet.log)
+        log.lost_answers = 1
+        follower = fleet.start("a", log)
+        fleet.now_ms += 1
+        submission = asyncio.ensure_future(follower.submit(_make_start()))
+        await asyncio.sleep(0.05)
+        fleet.now_ms += 60_000
+        outcome = await submission
+        assert outcome == operator_ports.SubmissionUnknown((1).to_bytes(16))
+        log.is_down = False
+        # The operator's repeat under another id finds the change in force.
+        verdict = await follower.submit(_make_start(2))
+        assert isinstance(verdict, changes.ChangeVerdict)
+        assert follower.distribution.fold.find_verdict((1).to_bytes(16))
+
+    _run(scenario())
+
+
+def test_a_router_without_the_log_follows_its_sibling() -> None:
+    async def scenario() -> None:
+        fleet = _Fleet()
+        with_log = fake_log.FakeLogClient(fleet.log)
+        without_log = fake_log.FakeLogClient(fleet.log)
+        without_log.is_down = True
+        first = fleet.start("a", with_log)
+        second = fleet.start("b", without_log)
+        hosts = tuple(
+            data.Host(name, "zone", "127.0.0.1:1", 1) for name in "ab"
+        )
+        first.set_view(("b",), hosts)
+        second.set_view(("a",), hosts)
+        tasks = [asyncio.ensure_future(item.run()) for item in (first, second)]
+        await first.submit(_make_start())
+        await _wait_for(lambda: second.find_current() is not None)
+        await _wait_for(lambda: second.explain_not_ready() is None)
+        # The first router also writes the log's checkpoint, a little later
+        # when the other one is before it in the order of writers.
+        fleet.now_ms += distribution.DistributionPolicy().checkpoint_stagger_ms
+        await _wait_for(lambda: fleet.log.append_count > 1)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    _run(scenario())
--- /dev/null
+++ b/redwingchute/process/distribution.py
@@ -0,0 +1,454 @@
+"""Decides how the configuration stream reaches every router.
+
+In each availability zone a few routers, chosen by rendezvous hashing, read the
+log. A router that makes progress announces how far it is to its overlay
+neighbours; one that is behind pulls what it lacks. The same exchange, repeated
+now and then with a random neighbour, repairs gaps. It also carries how long
+ago the state was known to be the newest, so that a router that has heard
+nothing for long reads the log itself.
+
+A router only moves forward: records below its own offset have no effect, and
+the fold takes no older checkpoint.
+"""
+
+import collections
+from collections.abc import Iterable
+import random
+from typing import TypeAlias
+
+import attrs
+import xxhash
+
+from redwingchute.core import data
+from redwingchute.core import distribution as messages
+from redwingchute.process.ledger import log_outcomes
+from redwingchute.version import change_fold
+from redwingchute.version import changes
+from redwingchute.wire import codec
+
+_MAX_KEPT_RECORDS = 256
+_MAX_KEPT_BYTES = 256 * 1024
+_MAX_REPLY_BYTES = 64 * 1024
+
+
+@attrs.frozen
+class DistributionPolicy:
+    """How the stream is read, passed on and repaired.
+
+    Attributes:
+      readers_per_zone: Routers of each availability zone that read the log.
+      digest_ms: Between digests to a random neighbour.
+      pull_timeout_ms: When a pull without answer is given up.
+      settle_ms: How long a new router waits for siblings, before it reads the
+        log and before it may be ready.
+      stale_ms: Without news for this long, any router reads the log.
+      read_wait_ms: How long a read may wait at the log for a record.
+      read_retry_ms: The pause after a read that the log did not answer.
+      checkpoint_ms: The age at which the log's checkpoint is renewed.
+      checkpoint_records: The records after which it is renewed.
+      checkpoint_stagger_ms: How much later each further router in the order
+        of checkpoint writers renews it, if those before it did not.
+      checkpoint_stagger_records: The same in records.
+    """
+
+    readers_per_zone: int = 2
+    digest_ms: int = 5_000
+    pull_timeout_ms: int = 2_000
+    settle_ms: int = 1_500
+    stale_ms: int = 120_000
+    read_wait_ms: int = 10_000
+    read_retry_ms: int = 500
+    checkpoint_ms: int = 3_600_000
+    checkpoint_records: int = 500
+    checkpoint_stagger_ms: int = 60_000
+    checkpoint_stagger_records: int = 25
+
+
+Message: TypeAlias = messages.ConfigurationDigest | messages.ConfigurationPull
+
+
+@attrs.frozen
+class Outgoing:
+    """A message for one host. A pull is answered by records."""
+
+    host_name: str
+    record: Message
+
+
+@attrs.frozen
+class ReadOrder:
+    """A read of the log to make now."""
+
+    from_offset: int
+    wait_ms: int
+
+
+@attrs.frozen
+class _Pull:
+    """The pull that waits for its answer."""
+
+    host_name: str
+    started_ms: int
+
+
+class Distribution:
+    """The part of one router in passing the configuration stream on.
+
+    Attributes:
+      fold: The state after the records so far.
+      current_ms: When the state was last known to be the newest, 0 for never.
+    """
+
+    def __init__(
+        self,
+        own_host: data.Host,
+        wire_codec: codec.Codec,
+        policy: DistributionPolicy,
+        random_source: random.Random,
+        now_ms: int,
+    ) -> None:
+        """Starts without a configuration.
+
+        Args:
+          own_host: This router.
+          wire_codec: Encodes and decodes records.
+          policy: How the stream is read and passed on.
+          random_source: Chooses neighbours for digests.
+          now_ms: The time.
+        """
+        self.fold = change_fold.ConfigurationFold()
+        self.current_ms = 0
+        self._own_host = own_host
+        self._codec = wire_codec
+        self._policy = policy
+        self._random = random_source
+        self._started_ms = now_ms
+        self._neighbours: tuple[str, ...] = ()
+        self._is_reader = True
+        self._checkpoint_rank = 0
+        self._heard: dict[str, int] = {}
+        self._pull: _Pull | None = None
+        self._next_digest_ms = now_ms
+        self._next_read_ms = now_ms
+        self._kept: collections.deque[messages.LoggedRecord] = (
+            collections.deque()
+        )
+        self._kept_bytes = 0
+        self._packed_checkpoint: tuple[int, bytes] = (-1, b"")
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this router reads the log for its availability zone."""
+        return self._is_reader
+
+    def set_view(
+        self, neighbours: tuple[str, ...], live: tuple[data.Host, ...]
+    ) -> None:
+        """Takes the overlay neighbours and the live routers."""
+        self._neighbours = neighbours
+        self._heard = {
+            name: offset
+            for name, offset in self._heard.items()
+            if name in neighbours
+        }
+        zone = [host.name for host in live if host.zone == self._own_host.zone]
+        readers = rank_hosts("reader", zone)[: self._policy.readers_per_zone]
+        self._is_reader = self._own_host.name in readers or not zone
+        names = {self._own_host.name, *(host.name for host in live)}
+        ranked = rank_hosts("checkpoint", names)
+        self._checkpoint_rank = ranked.index(self._own_host.name)
+
+    def explain_not_ready(self, now_ms: int) -> str | None:
+        """Returns why this router may not serve yet, or None."""
+        if not self.fold.current.version:
+            return "no configuration is in force"
+        if self.current_ms:
+            return None
+        if now_ms < self._started_ms + self._policy.settle_ms:
+            return "siblings may hold a newer configuration"
+        if self._find_source() is not None:
+            return "a sibling holds a newer configuration"
+        return None
+
+    def tick(self, now_ms: int) -> list[Outgoing]:
+        """Returns the digest that is due, and a pull after one timed out."""
+        outgoing = []
+        pull = self._pull
+        if pull and now_ms >= pull.started_ms + self._policy.pull_timeout_ms:
+            outgoing += self.note_pull_failed(pull.host_name, now_ms)
+        if now_ms >= self._next_digest_ms and self._neighbours:
+            outgoing += self._make_due_digests(now_ms)
+        return outgoing
+
+    def _make_due_digests(self, now_ms: int) -> list[Outgoing]:
+        """Returns digests to one neighbour, or to all while empty."""
+        has_version = bool(self.fold.current.version)
+        pause_ms = self._policy.digest_ms if has_version else 500
+        jitter_ms = self._random.randrange(pause_ms // 4 + 1)
+        self._next_digest_ms = now_ms + pause_ms - jitter_ms
+        digest = self._make_digest(now_ms)
+        if not has_version:
+            return [Outgoing(name, digest) for name in self._neighbours]
+        return [Outgoing(self._random.choice(self._neighbours), digest)]
+
+    def receive_digest(
+        self, sender: str, digest: messages.ConfigurationDigest, now_ms: int
+    ) -> list[Outgoing]:
+        """Takes in a digest; answers a sender that is behind."""
+        own_offset = self._count_known()
+        self._heard[sender] = digest.next_offset
+        if digest.next_offset == own_offset and own_offset:
+            known_ms = now_ms - max(0, digest.age_ms)
+            if digest.age_ms >= 0:
+                self.current_ms = max(self.current_ms, known_ms)
+        if digest.next_offset < own_offset:
+            return [Outgoing(sender, self._make_digest(now_ms))]
+        return self._start_pull(now_ms)
+
+    def answer_pull(
+        self, pull: messages.ConfigurationPull
+    ) -> messages.ConfigurationRecords:
+        """Returns what a router that is behind lacks."""
+        next_offset = self._count_known()
+        first = self._kept[0].offset if self._kept else next_offset
+        if not pull.needs_checkpoint and first <= pull.from_offset:
+            records = self._select_records(pull.from_offset)
+            return messages.ConfigurationRecords(next_offset, records)
+        if not self.fold.is_anchored or not next_offset:
+            return messages.ConfigurationRecords(0)
+        return messages.ConfigurationRecords(
+            next_offset, checkpoint=self._pack_checkpoint()
+        )
+
+    def receive_records(
+        self, sender: str, reply: messages.ConfigurationRecords, now_ms: int
+    ) -> list[Outgoing]:
+        """Applies the answer to a pull, passes the news on, pulls the rest."""
+        self._pull = None
+        before = self._count_known()
+        if reply.checkpoint:
+            self._adopt(reply.checkpoint)
+        self._apply_records(reply.records)
+        if self._count_known() <= before:
+            # The sender cannot help; its next digest may say otherwise.
+            self._heard.pop(sender, None)
+            return self._start_pull(now_ms)
+        self._heard[sender] = reply.next_offset
+        return [*self._announce(now_ms), *self._start_pull(now_ms)]
+
+    def note_pull_failed(self, host_name: str, now_ms: int) -> list[Outgoing]:
+        """Takes note that a pull had no answer; tries another source."""
+        self._heard.pop(host_name, None)
+        if self._pull is not None and self._pull.host_name == host_name:
+            self._pull = None
+        return self._start_pull(now_ms)
+
+    def plan_read(self, now_ms: int) -> ReadOrder | None:
+        """Returns the read of the log that is due, if any."""
+        if now_ms < self._next_read_ms or not self._wants_read(now_ms):
+            return None
+        wait_ms = self._policy.read_wait_ms if self._is_reader else 0
+        if not self.current_ms:
+            wait_ms = 0
+        return ReadOrder(self.fold.next_offset, wait_ms)
+
+    def receive_page(
+        self, page: log_outcomes.Page, now_ms: int
+    ) -> list[Outgoing]:
+        """Applies a page of the log and passes the news on."""
+        before = self._count_known()
+        self._apply_records(
+            messages.LoggedRecord(item.offset, item.body)
+            for item in page.records
+        )
+        if self.fold.next_offset >= page.next and self.fold.is_anchored:
+            self.current_ms = now_ms
+        if self._count_known() <= before:
+            return []
+        return self._announce(now_ms)
+
+    def receive_trimmed(self, trimmed: log_outcomes.Trimmed) -> None:
+        """Takes note of the log's retention."""
+        self.fold.skip_to(trimmed.first)
+        if not self.fold.is_anchored:
+            self._forget_kept()
+
+    def note_log_unreachable(self, now_ms: int) -> None:
+        """Puts the next read off."""
+        pause_ms = self._policy.read_retry_ms
+        if not self._is_reader:
+            pause_ms = self._policy.stale_ms // 4
+        jitter_ms = self._random.randrange(pause_ms // 2 + 1)
+        self._next_read_ms = now_ms + pause_ms + jitter_ms
+
+    def make_due_checkpoint(
+        self, now_ms: int
+    ) -> changes.ConfigurationCheckpoint | None:
+        """Returns the checkpoint that this router should append, if any."""
+        fold = self.fold
+        is_current = now_ms - self.current_ms <= self._policy.read_wait_ms * 2
+        if not fold.is_anchored or not fold.current.version or not is_current:
+            return None
+        if not self._is_checkpoint_due(now_ms):
+            return None
+        return fold.make_checkpoint(now_ms)
+
+    def _is_checkpoint_due(self, now_ms: int) -> bool:
+        """Tells whether the log's checkpoint should be renewed by now.
+
+        The first router in the order is due first; the others only follow when
+        it could not, for example because the log does not answer it.
+        """
+        policy = self._policy
+        delay_ms = self._checkpoint_rank * policy.checkpoint_stagger_ms
+        if not self.fold.checkpointed_ms:
+            return now_ms - self._started_ms >= delay_ms
+        age_ms = now_ms - self.fold.checkpointed_ms
+        records = self.fold.next_offset - self.fold.checkpointed_offset
+        delay_records = (
+            self._checkpoint_rank * policy.checkpoint_stagger_records
+        )
+        return (
+            age_ms >= policy.checkpoint_ms + delay_ms
+            or records >= policy.checkpoint_records + delay_records
+        )
+
+    def _wants_read(self, now_ms: int) -> bool:
+        """Tells whether this router should read the log."""
+        is_new = now_ms < self._started_ms + self._policy.settle_ms
+        has_version = bool(self.fold.current.version)
+        if self._is_reader:
+            return has_version or not self._neighbours or not is_new
+        if not has_version:
+            return now_ms >= self._started_ms + 2 * self._policy.settle_ms
+        last_ms = max(self.current_ms, self._started_ms)
+        return now_ms - last_ms > self._policy.stale_ms
+
+    def _count_known(self) -> int:
+        """Returns the offset up to which the state is complete, else 0."""
+        return self.fold.next_offset if self.fold.is_anchored else 0
+
+    def _make_digest(self, now_ms: int) -> messages.ConfigurationDigest:
+        """Returns how far this router is; the age is -1 for unknown."""
+        age_ms = now_ms - self.current_ms if self.current_ms else -1
+        return messages.ConfigurationDigest(
+            self._count_known(), self.fold.current.version, age_ms
+        )
+
+    def _announce(self, now_ms: int) -> list[Outgoing]:
+        """Returns digests for the neighbours not known to be as far."""
+        digest = self._make_digest(now_ms)
+        return [
+            Outgoing(name, digest)
+            for name in self._neighbours
+            if self._heard.get(name, -1) < digest.next_offset
+        ]
+
+    def _find_source(self) -> str | None:
+        """Returns the neighbour that is furthest ahead of this router."""
+        ahead = [
+            (offset, name)
+            for name, offset in self._heard.items()
+            if offset > self._count_known()
+        ]
+        return max(ahead)[1] if ahead else None
+
+    def _start_pull(self, now_ms: int) -> list[Outgoing]:
+        """Returns a pull from a router that is ahead, one at a time."""
+        source = self._find_source()
+        if self._pull is not None or source is None:
+            return []
+        self._pull = _Pull(source, now_ms)
+        pull = messages.ConfigurationPull(
+            self._count_known(), not self.fold.is_anchored
+        )
+        return [Outgoing(source, pull)]
+
+    def _adopt(self, packed: bytes) -> None:
+        """Takes the state that a sibling sent, if it is ahead."""
+        decoded = self._codec.decode(packed)
+        match decoded:
+            case codec.Decoded(
+                record=changes.ConfigurationCheckpoint() as checkpoint
+            ):
+                if self.fold.adopt_checkpoint(checkpoint):
+                    self._forget_kept()
+
+    def _apply_records(self, records: Iterable[messages.LoggedRecord]) -> None:
+        """Applies records in order and keeps them for siblings."""
+        for logged in records:
+            if logged.offset < self.fold.next_offset:
+                continue
+            if logged.offset > self.fold.next_offset:
+                self._forget_kept()
+            record = self._decode(logged.body)
+            self.fold.apply(change_fold.StreamRecord(logged.offset, record))
+            self._keep(logged, record)
+
+    def _decode(self, body: bytes) -> changes.Record | None:
+        """Returns a record of the stream, or None for an unknown one."""
+        match self._codec.decode(body):
+            case codec.Decoded(
+                record=changes.ConfigurationChange()
+                | changes.AuditNote()
+                | changes.ConfigurationCheckpoint() as record
+            ):
+                return record
+            case _:
+                return None
+
+    def _keep(
+        self, logged: messages.LoggedRecord, record: changes.Record | None
+    ) -> None:
+        """Keeps a record for siblings, the content of checkpoints excepted."""
+        if isinstance(record, changes.ConfigurationCheckpoint):
+            marker = attrs.evolve(record, document=b"", audit=(), verdicts=())
+            body = self._codec.encode(marker)
+            logged = messages.LoggedRecord(logged.offset, body)
+        self._kept.append(logged)
+        self._kept_bytes += len(logged.body)
+        while (
+            len(self._kept) > _MAX_KEPT_RECORDS
+            or self._kept_bytes > _MAX_KEPT_BYTES
+        ):
+            self._kept_bytes -= len(self._kept.popleft().body)
+
+    def _forget_kept(self) -> None:
+        """Drops the kept records, which no longer join the state."""
+        self._kept.clear()
+        self._kept_bytes = 0
+
+    def _select_records(
+        self, from_offset: int
+    ) -> tuple[messages.LoggedRecord, ...]:
+        """Returns kept records from an offset on, up to a reply's size."""
+        selected: list[messages.LoggedRecord] = []
+        size = 0
+        for logged in self._kept:
+            if logged.offset < from_offset:
+                continue
+            size += len(logged.body)
+            if selected and size > _MAX_REPLY_BYTES:
+                break
+            selected.append(logged)
+        return tuple(selected)
+
+    def _pack_checkpoint(self) -> bytes:
+        """Returns the encoded state, made once for each offset."""
+        if self._packed_checkpoint[0] != self.fold.next_offset:
+            packed = self._codec.encode(self.fold.make_checkpoint())
+            self._packed_checkpoint = self.fold.next_offset, packed
+        return self._packed_checkpoint[1]
+
+
+def rank_hosts(purpose: str, names: Iterable[str]) -> list[str]:
+    """Returns host names by their rendezvous hash for a purpose.
+
+    Args:
+      purpose: What the hosts are chosen for.
+      names: The names.
+    """
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh3_64_intdigest(f"{purpose}/{name}".encode()),
+    )
--- a/redwingchute/process/ledger/holder_service.py
+++ b/redwingchute/process/ledger/holder_service.py
@@ -13,24 +13,18 @@
 from typing import Self
 from typing import cast
 
-import xxhash
-
 from redwingchute.core import data
 from redwingchute.core import spending
 from redwingchute.process.ledger import bill_store
 from redwingchute.process.ledger import holder_events
 from redwingchute.process.ledger import holder_state
 from redwingchute.process.ledger import shard_link
+from redwingchute.process.ledger import sharding
 
 # How long a planned stop waits for the owner to confirm returned tokens.
 STOP_TIMEOUT_MS = 10_000
 
 
-def find_shard(budget: str, shard_count: int) -> int:
-    """Returns the shard that holds a budget."""
-    return xxhash.xxh3_64_intdigest(budget.encode()) % shard_count
-
-
 def _send_nowhere(record: spending.HoldBills | spending.ForgetBills) -> None:
     """Stands for siblings where there are none."""
     del record
@@ -228,7 +222,7 @@
 
     def _open_link(self, budget: str) -> shard_link.ShardLink:
         """Returns the link of a budget's shard and starts it on first use."""
-        shard = find_shard(budget, self._shard_count)
+        shard = sharding.find_shard(budget, self._shard_count)
         if shard not in self._links:
             link = shard_link.ShardLink(
                 shard, self._link_settings, self._copies
--- a/redwingchute/wire/configuration.capnp
+++ b/redwingchute/wire/configuration.capnp
@@ -67,4 +67,9 @@
 struct AuditNote { recordId @0 :Data; author @1 :Text; reason @2 :Text; madeAtMs @3 :Int64; action @4 :Text; subject @5 :Text; before @6 :Text; after @7 :Text; isRefused @8 :Bool; }
 struct AuditEntry { offset @0 :UInt64; version @1 :UInt64; recordId @2 :Data; author @3 :Text; reason @4 :Text; madeAtMs @5 :Int64; code @6 :UInt8; action @7 :Text; subject @8 :Text; before @9 :Text; after @10 :Text; message @11 :Text; }
 struct ChangeVerdict { recordId @0 :Data; code @1 :UInt8; version @2 :UInt64; winner @3 :Text; message @4 :Text; }
-struct ConfigurationCheckpoint { nextOffset @0 :UInt64; version @1 :UInt64; author @2 :Text; document @3 :Data; audit @4 :List(AuditEntry); verdicts @5 :List(ChangeVerdict); }
+struct ConfigurationCheckpoint { nextOffset @0 :UInt64; version @1 :UInt64; author @2 :Text; document @3 :Data; audit @4 :List(AuditEntry); verdicts @5 :List(ChangeVerdict); madeAtMs @6 :Int64; }
+
+struct ConfigurationDigest { nextOffset @0 :UInt64; version @1 :UInt64; ageMs @2 :Int64; }
+struct ConfigurationPull { fromOffset @0 :UInt64; needsCheckpoint @1 :Bool; }
+struct LoggedRecord { offset @0 :UInt64; body @1 :Data; }
+struct ConfigurationRecords { nextOffset @0 :UInt64; records @1 :List(LoggedRecord); checkpoint @2 :Data; }
