Try an unreachable pool again; prefer upstreams that leave room

Ruled out: a shorter back-off, which only narrows the window. Requests that leave 30 % room start first.

--- a/redwingchute/request/pool.py
+++ b/redwingchute/request/pool.py
@@ -26,6 +26,13 @@
 from redwingchute.request import retry
 from redwingchute.request import routing
 
+# How many upstreams a request tries while none of the pool is reachable.
+_LAST_RESORT_TRIES = 2
+
+# The share by which an answer may take longer than expected and still be in
+# time, on the upstreams that are preferred for it.
+_SAFETY_SHARE = 0.3
+
 
 @attrs.frozen
 class PoolSettings:
@@ -175,7 +182,7 @@
         """Tells whether a request would be admitted now."""
         ahead = self._queue.list_ahead(ticket) if len(self._queue) else []
         return admission.decide_admission(
-            ticket, ahead, self._view(now_ms), patience_change, now_ms
+            ticket, ahead, self._view(ticket, now_ms), patience_change, now_ms
         )
 
     def submit(
@@ -202,27 +209,38 @@
 
     def start_next(self, now_ms: int) -> Start | None:
         """Takes out the next request that can start and end in time."""
-        free_loads = [
-            load
-            for load in self._list_usable(now_ms)
-            if load.count_free_slots() > 0
-        ]
-        if not free_loads or not len(self._queue):
+        if not len(self._queue):
+            return None
+        usable = self._list_usable(now_ms)
+        free_loads = [load for load in usable if load.count_free_slots() > 0]
+        if usable and not free_loads:
             return None
+        unsafe: list[tuple[requesting.Ticket, routing.Choice]] = []
         for ticket in self._queue.iterate_in_order():
-            choice = self._choose(ticket, free_loads, now_ms)
+            loads = free_loads or self._list_last_resort(ticket, now_ms)
+            choice = self._choose(ticket, loads, now_ms)
             if choice is None or choice.completion_ms > ticket.deadline_ms:
                 continue
-            return self._start(ticket, choice, now_ms)
+            if _is_safe(ticket, choice, now_ms):
+                return self._start(ticket, choice, now_ms)
+            unsafe.append((ticket, choice))
+        is_overloaded = self._is_overloaded(usable)
+        for ticket, choice in unsafe:
+            if is_overloaded or not any(
+                _could_be_safe(ticket, load, now_ms) for load in usable
+            ):
+                return self._start(ticket, choice, now_ms)
+        # The rest waits for upstreams that are fast enough.
         return None
 
     def expire(self, now_ms: int) -> tuple[GivenUp, ...]:
         """Takes out the requests that cannot end in time any more."""
         if not len(self._queue):
             return ()
-        loads = self._list_usable(now_ms)
+        usable = self._list_usable(now_ms)
         given_up = []
         for ticket in self._queue:
+            loads = usable or self._list_last_resort(ticket, now_ms)
             if not loads:
                 refusal = admission.refuse_pool_down(
                     self._find_next_return_ms(now_ms), now_ms
@@ -321,6 +339,15 @@
             index.note_dispatch(ticket.prefix_digests)
         return Start(ticket, upstream, choice.completion_ms)
 
+    def _is_overloaded(self, usable: list[load_model.UpstreamLoad]) -> bool:
+        """Tells whether more requests wait than this router can run at once.
+
+        Some will then be given up, so that an upstream is better used for an
+        answer that may be late than not at all.
+        """
+        slots = sum(load.count_usable_slots() for load in usable)
+        return len(self._queue) > slots
+
     def _choose(
         self,
         ticket: requesting.Ticket,
@@ -358,10 +385,13 @@
             return 0.0
         return index.estimate_cached_share(ticket.prefix_digests)
 
-    def _view(self, now_ms: int) -> admission.PoolView:
+    def _view(
+        self, ticket: requesting.Ticket, now_ms: int
+    ) -> admission.PoolView:
         """Returns what admission needs to know."""
         return admission.PoolView(
-            self._list_usable(now_ms), self._find_next_return_ms(now_ms)
+            self._list_usable(now_ms) or self._list_last_resort(ticket, now_ms),
+            self._find_next_return_ms(now_ms),
         )
 
     def _list_usable(self, now_ms: int) -> list[load_model.UpstreamLoad]:
@@ -374,6 +404,25 @@
             and self.outliers.find_return_ms(name) <= now_ms
         ]
 
+    def _list_last_resort(
+        self, ticket: requesting.Ticket, now_ms: int
+    ) -> list[load_model.UpstreamLoad]:
+        """Returns unreachable upstreams that a request may still try.
+
+        When a whole pool was unreachable, a request finds out whether it
+        still is, but tries few upstreams before it is refused.
+        """
+        if len(ticket.excluded_upstreams) >= _LAST_RESORT_TRIES:
+            return []
+        return [
+            load
+            for name, load in self._loads.items()
+            if not load.upstream.is_drained
+            and not self._leaving.is_leaving(name, now_ms)
+            and self.outliers.is_unreachable(name, now_ms)
+            and name not in ticket.excluded_upstreams
+        ]
+
     def _find_next_return_ms(self, now_ms: int) -> int | None:
         """Returns when an upstream that is out may come back, if known."""
         returns = []
@@ -427,6 +476,22 @@
         return admission.refuse_too_late(admission.bound_wait_ms(late_ms))
 
 
+def _is_safe(
+    ticket: requesting.Ticket, choice: routing.Choice, now_ms: int
+) -> bool:
+    """Tells whether a choice leaves room for an answer of unusual length."""
+    duration_ms = choice.completion_ms - now_ms
+    return now_ms + duration_ms * (1 + _SAFETY_SHARE) <= ticket.deadline_ms
+
+
+def _could_be_safe(
+    ticket: requesting.Ticket, load: load_model.UpstreamLoad, now_ms: int
+) -> bool:
+    """Tells the same of an upstream, if it were free now."""
+    duration_ms = load.estimate_duration_ms(ticket)
+    return now_ms + duration_ms * (1 + _SAFETY_SHARE) <= ticket.deadline_ms
+
+
 def _can_end_in_time(
     ticket: requesting.Ticket,
     loads: list[load_model.UpstreamLoad],
