Share free slots more boldly and count half of a shared wait

Cause: with eight routers each saw only its own slots; the forecast refused work that slots freed by others could take, and free slots stayed empty until the next late report.

--- a/redwingchute/request/admission.py
+++ b/redwingchute/request/admission.py
@@ -34,10 +34,15 @@
     Attributes:
       loads: The upstreams that may take work now.
       next_return_ms: When an upstream that is out may come back, or None.
+      wait_share: The share of the forecast wait that is counted. A router
+        that shares its upstreams also gets slots that others free, which the
+        forecast cannot see; a request admitted for that is given up as soon
+        as it is late.
     """
 
     loads: Sequence[load_model.UpstreamLoad]
     next_return_ms: int | None
+    wait_share: float = 1.0
 
 
 @attrs.frozen
@@ -131,6 +136,7 @@
     forecast = forecast_request(ticket, ahead, pool.loads, now_ms)
     if forecast is None:
         return Refused(refuse_pool_down(pool.next_return_ms, now_ms))
+    forecast = _shorten_wait(forecast, pool.wait_share, now_ms)
     if forecast.completion_ms <= ticket.deadline_ms:
         return Admitted(forecast)
     retry_after_ms = _find_retry_after_ms(
@@ -139,6 +145,18 @@
     return Refused(refuse_too_late(retry_after_ms))
 
 
+def _shorten_wait(
+    forecast: Forecast, wait_share: float, now_ms: int
+) -> Forecast:
+    """Returns a forecast of which only a share of the wait counts."""
+    wait_ms = (forecast.start_ms - now_ms) * wait_share
+    return Forecast(
+        now_ms + wait_ms,
+        now_ms + wait_ms + forecast.duration_ms,
+        forecast.duration_ms,
+    )
+
+
 def refuse_pool_down(
     next_return_ms: int | None, now_ms: int
 ) -> outcomes.NotRun:
--- a/redwingchute/request/admission_test.py
+++ b/redwingchute/request/admission_test.py
@@ -1,5 +1,6 @@
 """Tests of admission and of the time to come back."""
 
+import attrs
 import pytest
 
 from redwingchute.core import outcomes
@@ -121,3 +122,21 @@
     assert isinstance(result, admission.Refused), case
     assert isinstance(result.refusal, outcomes.NotRun)
     assert result.refusal.retry_after_ms == expected_ms, case
+
+
+@pytest.mark.parametrize(
+    ("wait_share", "deadline_ms", "is_admitted"),
+    [
+        (1.0, 2 * _DURATION_MS, True),
+        (1.0, 2 * _DURATION_MS - 1, False),
+        (0.5, 1.5 * _DURATION_MS, True),
+        (0.5, 1.5 * _DURATION_MS - 1, False),
+    ],
+)
+def test_share_of_the_wait_counts_where_routers_share(
+    wait_share: float, deadline_ms: float, is_admitted: bool
+) -> None:
+    view = attrs.evolve(_make_pool(own_count=2), wait_share=wait_share)
+    ticket = builders.make_ticket(99, deadline_ms=int(deadline_ms))
+    result = admission.decide_admission(ticket, [], view, None, 0)
+    assert isinstance(result, admission.Admitted) is is_admitted
--- a/redwingchute/request/pool.py
+++ b/redwingchute/request/pool.py
@@ -29,6 +29,9 @@
 # How many upstreams a request tries while none of the pool is reachable.
 _LAST_RESORT_TRIES = 2
 
+# The share of a forecast wait that counts where routers share upstreams.
+_SHARED_WAIT_SHARE = 0.5
+
 # The share by which an answer may take longer than expected and still be in
 # time, on the upstreams that are preferred for it.
 _SAFETY_SHARE = 0.3
@@ -117,7 +120,6 @@
         """
         self._settings = settings
         self._leaving = leaving_upstreams
-        self._sharing_routers = sharing_routers
         self._queue = queue.PoolQueue(settings.max_queued)
         self._loads: dict[str, load_model.UpstreamLoad] = {}
         self._prefixes: dict[str, prefix_affinity.PrefixIndex] = {}
@@ -133,6 +135,7 @@
         sharing_routers: int,
     ) -> None:
         """Takes the upstreams of a new version; known ones keep their state."""
+        self._sharing_routers = sharing_routers
         loads: dict[str, load_model.UpstreamLoad] = {}
         for upstream in upstreams:
             known = self._loads.get(upstream.name)
@@ -392,6 +395,7 @@
         return admission.PoolView(
             self._list_usable(now_ms) or self._list_last_resort(ticket, now_ms),
             self._find_next_return_ms(now_ms),
+            1.0 if self._sharing_routers == 1 else _SHARED_WAIT_SHARE,
         )
 
     def _list_usable(self, now_ms: int) -> list[load_model.UpstreamLoad]:
