Measure spending by a bench with the real decision code

make bench drives ShardOwner, ShardFold, Holder and PlacementPolicy by a manual clock and a small message loop, beside an equal split, an owner asked for each request and a clairvoyant placement made at the cut.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test format lint types unit demo clean prove scenarios-live mutants slopes
+.PHONY: test format lint types unit demo clean prove scenarios-live mutants slopes bench
 
 test: lint types unit
 
@@ -39,5 +39,8 @@
 slopes: $(STAMP)
 	$(BIN)/python scripts/slopes.py
 
+bench: $(STAMP)
+	$(BIN)/python -m redwingchute.bench.spend_bench --output build/bench.json
+
 clean:
 	rm -rf build
--- /dev/null
+++ b/redwingchute/bench/spend_baselines.py
@@ -0,0 +1,279 @@
+"""The two baselines and the clairvoyant bound of the spending bench."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from redwingchute.bench import spend_world
+
+# How often a baseline tries again for a request that waits for tokens.
+RETRY_MS = 50
+
+# How soon another router owns the counter after its owner went away.
+FAILOVER_MS = 2_000
+
+
+class Design(Protocol):
+    """A way to spend a budget from many routers."""
+
+    def offer(self, request: spend_world.Request, router: int) -> None:
+        """Takes a request at a router."""
+
+    def lose_router(self, router: int) -> None:
+        """Notes that a router died with all that it had."""
+
+    def restart_router(self, router: int) -> None:
+        """Notes that a dead router's address starts anew."""
+
+    def count_appends(self) -> int:
+        """Returns the records appended to the log."""
+
+    def count_control_bytes(self) -> Sequence[int]:
+        """Returns the bytes sent and received for control, by router."""
+
+
+class _Counter:
+    """Tokens at one place and the requests that reserved some of them."""
+
+    def __init__(self, tokens: int) -> None:
+        """Starts with free tokens."""
+        self.free_tokens = tokens
+
+    def reserve(self, request: spend_world.Request) -> bool:
+        """Takes a request's upper bound if it is there."""
+        if request.bound_tokens > self.free_tokens:
+            return False
+        self.free_tokens -= request.bound_tokens
+        return True
+
+    def settle(self, request: spend_world.Request) -> None:
+        """Returns what a request did not use."""
+        self.free_tokens += request.bound_tokens - request.cost_tokens
+
+
+class EqualSplit:
+    """Each host has a fixed equal part and asks nobody."""
+
+    def __init__(
+        self, world: spend_world.World, tally: spend_world.Tally
+    ) -> None:
+        """Divides the credit."""
+        self._world = world
+        self._tally = tally
+        count = len(world.zones)
+        self._parts = [
+            _Counter(tally.credited_tokens // count) for _ in range(count)
+        ]
+        self._lives = [0] * count
+
+    def offer(self, request: spend_world.Request, router: int) -> None:
+        """Runs a request from the router's part; waits for room."""
+        self._try(request, router, self._lives[router])
+
+    def lose_router(self, router: int) -> None:
+        """Strands the router's part: nobody knows what it used."""
+        self._lives[router] += 1
+        self._parts[router].free_tokens = 0
+
+    def restart_router(self, router: int) -> None:
+        """Leaves the new process without a part."""
+
+    def count_appends(self) -> int:
+        """Returns 0: nothing is logged."""
+        return 0
+
+    def count_control_bytes(self) -> Sequence[int]:
+        """Returns zeros: nothing is sent."""
+        return [0] * len(self._parts)
+
+    def _try(
+        self, request: spend_world.Request, router: int, life: int
+    ) -> None:
+        """Admits, waits, or refuses at the deadline."""
+        if self._lives[router] != life:
+            self._tally.lost += 1
+        elif self._parts[router].reserve(request):
+            self._tally.start(request)
+            self._world.schedule(
+                request.duration_ms,
+                lambda: self._finish(request, router, life),
+            )
+        elif self._world.now_ms + RETRY_MS >= request.deadline_ms:
+            self._tally.refuse(request)
+        else:
+            self._world.schedule(
+                RETRY_MS, lambda: self._try(request, router, life)
+            )
+
+    def _finish(
+        self, request: spend_world.Request, router: int, life: int
+    ) -> None:
+        """Ends a request."""
+        if self._lives[router] != life:
+            self._tally.lose(request)
+            return
+        self._parts[router].settle(request)
+        self._tally.answer(request)
+
+
+class AskOwner:
+    """One owner keeps the budget in the log and is asked each time."""
+
+    # A question and its answer, and a bill and its answer, with addresses.
+    MESSAGE_BYTES = 60
+
+    def __init__(
+        self, world: spend_world.World, tally: spend_world.Tally
+    ) -> None:
+        """Puts all credit at the owner."""
+        self._world = world
+        self._tally = tally
+        self._counter = _Counter(tally.credited_tokens)
+        self._lives = [0] * len(world.zones)
+        self._bytes = [0] * len(world.zones)
+        self._last_append_ms = -1
+        self._appends = 0
+        self._owner = 0
+        self._owner_from_ms = 0
+
+    def offer(self, request: spend_world.Request, router: int) -> None:
+        """Asks the owner for the request's bound."""
+        self._try(request, router, self._lives[router])
+
+    def lose_router(self, router: int) -> None:
+        """Drops the router's requests; the owner frees what they had."""
+        self._lives[router] += 1
+
+    def restart_router(self, router: int) -> None:
+        """Has nothing to do."""
+
+    def count_appends(self) -> int:
+        """Returns the group commits."""
+        return self._appends
+
+    def count_control_bytes(self) -> Sequence[int]:
+        """Returns the bytes by router."""
+        return self._bytes
+
+    def _can_ask(self, router: int) -> bool:
+        """Returns whether the owner can be asked now; elects one if not."""
+        if not self._world.can_log(self._owner):
+            live = [
+                each
+                for each in range(len(self._lives))
+                if self._world.can_log(each)
+            ]
+            if live:
+                self._owner = live[0]
+                self._owner_from_ms = self._world.now_ms + FAILOVER_MS
+        if self._world.now_ms < self._owner_from_ms:
+            return False
+        if not self._world.can_log(self._owner):
+            return False
+        return self._world.can_reach(router, self._owner)
+
+    def _commit(self, router: int) -> None:
+        """Counts a question or bill and the group commit that holds it."""
+        for each in (router, self._owner):
+            self._bytes[each] += 2 * self.MESSAGE_BYTES
+        slot_ms = self._world.now_ms // spend_world.LOG_DELAY_MS
+        if slot_ms != self._last_append_ms:
+            self._last_append_ms = slot_ms
+            self._appends += 1
+
+    def _try(
+        self, request: spend_world.Request, router: int, life: int
+    ) -> None:
+        """Admits, waits, or refuses at the deadline."""
+        if self._lives[router] != life:
+            self._tally.lost += 1
+            return
+        if self._can_ask(router):
+            self._commit(router)
+            if self._counter.reserve(request):
+                self._tally.start(request)
+                self._world.schedule(
+                    request.duration_ms,
+                    lambda: self._finish(request, router, life),
+                )
+                return
+        if self._world.now_ms + RETRY_MS >= request.deadline_ms:
+            self._tally.refuse(request)
+            return
+        self._world.schedule(RETRY_MS, lambda: self._try(request, router, life))
+
+    def _finish(
+        self, request: spend_world.Request, router: int, life: int
+    ) -> None:
+        """Bills a request, or ends it unbilled at its deadline."""
+        if self._lives[router] != life:
+            self._counter.free_tokens += request.bound_tokens
+            self._tally.lose(request)
+        elif self._can_ask(router):
+            self._commit(router)
+            self._counter.settle(request)
+            self._tally.answer(request)
+        elif self._world.now_ms >= request.deadline_ms:
+            self._counter.free_tokens += request.bound_tokens
+            self._tally.void(request)
+        else:
+            self._world.schedule(
+                RETRY_MS, lambda: self._finish(request, router, life)
+            )
+
+
+def find_clairvoyant_refusals(
+    requests: Sequence[spend_world.Request],
+    is_isolated: Sequence[bool],
+    credited_tokens: int,
+    cut_from_ms: int,
+    cut_until_ms: int,
+) -> int:
+    """Returns the fewest false refusals of any placement made at the cut.
+
+    Each side serves its requests in order from its own part and returns what
+    is left when the cut heals. The placement is chosen with full knowledge of
+    what will be asked.
+
+    Args:
+      requests: The trace, by arrival.
+      is_isolated: Whether each router is on the cut-off side.
+      credited_tokens: The budget.
+      cut_from_ms: When the cut begins.
+      cut_until_ms: When it heals.
+    """
+    spent_before = 0
+    for request in requests:
+        if request.at_ms >= cut_from_ms:
+            break
+        if spent_before + request.cost_tokens <= credited_tokens:
+            spent_before += request.cost_tokens
+    left_tokens = credited_tokens - spent_before
+    during = [
+        each for each in requests if cut_from_ms <= each.at_ms < cut_until_ms
+    ]
+    steps = 200
+    return min(
+        _replay_cut(during, is_isolated, left_tokens, step / steps)
+        for step in range(steps + 1)
+    )
+
+
+def _replay_cut(
+    during: Sequence[spend_world.Request],
+    is_isolated: Sequence[bool],
+    left_tokens: int,
+    share: float,
+) -> int:
+    """Returns the false refusals when a share is placed with the cut side."""
+    parts = {
+        True: int(left_tokens * share),
+        False: left_tokens - int(left_tokens * share),
+    }
+    false_refusals = 0
+    for request in during:
+        side = is_isolated[request.router]
+        if parts[side] >= request.bound_tokens:
+            parts[side] -= request.cost_tokens
+        elif parts[True] + parts[False] >= request.bound_tokens:
+            false_refusals += 1
+    return false_refusals
--- /dev/null
+++ b/redwingchute/bench/spend_bench.py
@@ -0,0 +1,245 @@
+"""Measures overspend and false refusals of the design and its baselines.
+
+Every design meets the same requests, cuts and deaths. The results go to the
+key `spending` of a JSON file; other keys of the file are kept.
+"""
+
+from collections.abc import Callable
+import json
+import pathlib
+import statistics
+
+import attrs
+import defopt
+
+from redwingchute.bench import spend_baselines
+from redwingchute.bench import spend_cases
+from redwingchute.bench import spend_fleet
+from redwingchute.bench import spend_world
+
+# Disputes first: nothing differs but the share, the horizon and the smoothing.
+DERWENT_POLICY = spend_fleet.FleetPolicy()
+KARRI_POLICY = spend_fleet.FleetPolicy()
+
+FIRMS = (
+    ("derwent", spend_cases.DERWENT_ZONES, DERWENT_POLICY),
+    ("karri", spend_cases.KARRI_ZONES, KARRI_POLICY),
+)
+
+MakeDesign = Callable[
+    [spend_world.World, spend_world.Tally, int], spend_baselines.Design
+]
+
+
+@attrs.frozen
+class Result:
+    """One run of one design; ratios are parts of all requests."""
+
+    firm: str
+    case: str
+    design: str
+    seed: int
+    offered: int
+    answered: int
+    lost: int
+    overspend_tokens: int
+    false_refusals: int
+    false_refusal_ratio: float
+    true_refusals: int
+    stranded_tokens: int
+    appends_per_s: float
+    control_bytes_per_s: float
+    control_bytes_per_s_busiest: float
+
+
+def run_design(
+    firm: str,
+    zones: tuple[str, ...],
+    case: spend_cases.Case,
+    design_name: str,
+    make_design: MakeDesign,
+    seed: int,
+) -> Result:
+    """Runs one design through one case.
+
+    Args:
+      firm: The firm's name, for the result.
+      zones: The zone of each router.
+      case: The case.
+      design_name: The design's name, for the result.
+      make_design: Starts the design.
+      seed: Names the trace.
+    """
+    world = spend_world.World(zones)
+    tally = spend_world.Tally(spend_cases.find_credit(case))
+    design = make_design(world, tally, seed)
+    _schedule_faults(world, design, case)
+    for request in spend_cases.make_trace(case, zones, seed):
+        world.schedule(
+            request.at_ms,
+            lambda each=request: _arrive(  # type: ignore[misc]
+                world, tally, design, each
+            ),
+        )
+    end_ms = spend_cases.END_MS + spend_cases.QUIET_MS
+    world.run_until(end_ms)
+    control = [each * 1_000 / end_ms for each in design.count_control_bytes()]
+    return Result(
+        firm=firm,
+        case=case.name,
+        design=design_name,
+        seed=seed,
+        offered=tally.offered,
+        answered=tally.answered,
+        lost=tally.lost,
+        overspend_tokens=tally.overspend_tokens,
+        false_refusals=tally.false_refusals,
+        false_refusal_ratio=tally.false_refusals / tally.offered,
+        true_refusals=tally.true_refusals,
+        stranded_tokens=tally.stranded_tokens,
+        appends_per_s=design.count_appends() * 1_000 / end_ms,
+        control_bytes_per_s=statistics.mean(control),
+        control_bytes_per_s_busiest=max(control),
+    )
+
+
+def find_bound(
+    zones: tuple[str, ...], case: spend_cases.Case, seed: int
+) -> float | None:
+    """Returns the clairvoyant false refusal ratio, for cases with a cut."""
+    cut_zone = spend_cases.find_cut_zone(case, zones)
+    if cut_zone is None:
+        return None
+    trace = spend_cases.make_trace(case, zones, seed)
+    false_refusals = spend_baselines.find_clairvoyant_refusals(
+        trace,
+        [zone == cut_zone for zone in zones],
+        spend_cases.find_credit(case),
+        spend_cases.CUT_FROM_MS,
+        spend_cases.CUT_UNTIL_MS,
+    )
+    return false_refusals / len(trace)
+
+
+def main(*, output: pathlib.Path, seeds: int = 3) -> None:
+    """Runs every case and design and writes the results as JSON.
+
+    Args:
+      output: The file to write.
+      seeds: How many seeds each is run with.
+    """
+    rows = []
+    for firm, zones, policy in FIRMS:
+        designs: dict[str, MakeDesign] = {
+            "chosen": lambda world, tally, seed, each=policy: (  # type: ignore[misc]
+                spend_fleet.Fleet(world, tally, each, seed)
+            ),
+            "equal split": lambda world, tally, seed: (
+                spend_baselines.EqualSplit(world, tally)
+            ),
+            "ask owner": lambda world, tally, seed: spend_baselines.AskOwner(
+                world, tally
+            ),
+        }
+        for case in spend_cases.CASES:
+            for name, make_design in designs.items():
+                runs = [
+                    run_design(firm, zones, case, name, make_design, seed)
+                    for seed in range(seeds)
+                ]
+                rows += [attrs.asdict(each) for each in runs]
+                _print_runs(runs)
+            bounds = [find_bound(zones, case, seed) for seed in range(seeds)]
+            known = [each for each in bounds if each is not None]
+            if known:
+                print(
+                    f"{firm} | {case.name} | clairvoyant bound: "
+                    f"{statistics.mean(known):.4f}",
+                    flush=True,
+                )
+                rows.append(
+                    {
+                        "firm": firm,
+                        "case": case.name,
+                        "design": "clairvoyant bound",
+                        "false_refusal_ratio": statistics.mean(known),
+                    }
+                )
+    _write(output, rows)
+
+
+def _arrive(
+    world: spend_world.World,
+    tally: spend_world.Tally,
+    design: spend_baselines.Design,
+    request: spend_world.Request,
+) -> None:
+    """Sends a request to a router, as the balancer does."""
+    router = world.find_router(request.router)
+    if router is None:
+        return
+    tally.offered += 1
+    design.offer(request, router)
+
+
+def _schedule_faults(
+    world: spend_world.World,
+    design: spend_baselines.Design,
+    case: spend_cases.Case,
+) -> None:
+    """Puts the faults of a case on the clock."""
+    cut_zone = spend_cases.find_cut_zone(case, world.zones)
+
+    def begin() -> None:
+        if cut_zone is not None:
+            world.cut_zones.add(cut_zone)
+        world.is_log_up = not case.has_outage
+
+    def end() -> None:
+        world.cut_zones.clear()
+        world.is_log_up = True
+
+    def lose(router: int) -> None:
+        world.dead.add(router)
+        design.lose_router(router)
+
+    def restart(router: int) -> None:
+        world.dead.discard(router)
+        design.restart_router(router)
+
+    world.schedule(spend_cases.CUT_FROM_MS, begin)
+    world.schedule(spend_cases.CUT_UNTIL_MS, end)
+    for router, from_ms, until_ms in case.deaths:
+        world.schedule(from_ms, lambda each=router: lose(each))  # type: ignore[misc]
+        world.schedule(until_ms, lambda each=router: restart(each))  # type: ignore[misc]
+
+
+def _print_runs(runs: list[Result]) -> None:
+    """Prints the means of runs that differ by their seed."""
+    first = runs[0]
+    print(
+        f"{first.firm} | {first.case} | {first.design}: overspend "
+        f"{max(run.overspend_tokens for run in runs)}, false refusals "
+        f"{statistics.mean(run.false_refusal_ratio for run in runs):.4f}, "
+        f"stranded {statistics.mean(run.stranded_tokens for run in runs):.0f}, "
+        f"appends/s {statistics.mean(run.appends_per_s for run in runs):.1f}, "
+        "control B/s mean "
+        f"{statistics.mean(run.control_bytes_per_s for run in runs):.0f}, "
+        "busiest "
+        f"{max(run.control_bytes_per_s_busiest for run in runs):.0f}",
+        flush=True,
+    )
+
+
+def _write(output: pathlib.Path, rows: list[dict[str, object]]) -> None:
+    """Writes the rows beside what other benches wrote."""
+    output.parent.mkdir(parents=True, exist_ok=True)
+    document = {}
+    if output.exists():
+        document = json.loads(output.read_text())
+    document["spending"] = rows
+    output.write_text(json.dumps(document, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/redwingchute/bench/spend_cases.py
@@ -0,0 +1,132 @@
+"""The cases of the spending bench: demand, cuts, outages and deaths."""
+
+from collections.abc import Callable
+import random
+
+import attrs
+
+from redwingchute.bench import spend_world
+
+DERWENT_ZONES = tuple(
+    zone for zone in ("huon", "bruny", "tamar", "derwent") for _ in range(2)
+)
+KARRI_ZONES = ("perth-a",) * 3 + ("perth-b",) * 2 + ("bunbury-c",) * 2
+
+WARM_UP_MS = 20_000
+CUT_FROM_MS = 40_000
+CUT_UNTIL_MS = 80_000
+END_MS = 100_000
+QUIET_MS = 20_000
+
+_BOUND_TOKENS = 1_000
+_COST_RANGE = (100, 600)
+_MEAN_COST_TOKENS = 350
+_DURATION_MS = 1_500
+_PATIENCE_MS = 8_000
+
+# Requests per second of the whole fleet.
+_FLEET_RATE_PER_S = 20.0
+
+
+def _weigh_even(router: int, at_ms: int) -> float:
+    """Returns the same weight for every router."""
+    del router, at_ms
+    return 1.0
+
+
+def _weigh_skewed(router: int, at_ms: int) -> float:
+    """Returns weights that fall with the router's rank."""
+    del at_ms
+    return 1 / (1 + (router + 5) % 8)
+
+
+def _weigh_moving(router: int, at_ms: int) -> float:
+    """Returns skewed weights that move to other routers at the cut."""
+    if at_ms < CUT_FROM_MS:
+        return _weigh_skewed(router, at_ms)
+    return _weigh_skewed(router + 3, at_ms)
+
+
+@attrs.frozen
+class Case:
+    """One case.
+
+    Attributes:
+      name: Its name in the results.
+      weigh: The weight of a router's demand at a time.
+      budget_ratio: The credit, as a part of the expected cost of all requests.
+      cut_zone: The index of the zone that is cut off, or None.
+      has_outage: Whether the log is down during the cut's time.
+      deaths: (router, when it dies, when it starts anew).
+    """
+
+    name: str
+    weigh: Callable[[int, int], float] = _weigh_even
+    budget_ratio: float = 1.1
+    cut_zone: int | None = None
+    has_outage: bool = False
+    deaths: tuple[tuple[int, int, int], ...] = ()
+
+
+CASES = (
+    Case("zone cut, even demand", cut_zone=1),
+    Case("zone cut, skewed demand", _weigh_skewed, cut_zone=1),
+    Case("zone cut, moving demand", _weigh_moving, cut_zone=1),
+    Case("zone cut, moving demand, ample", _weigh_moving, 3.0, cut_zone=1),
+    Case("platform outage, even demand", has_outage=True),
+    Case("platform outage, skewed demand", _weigh_skewed, has_outage=True),
+    Case(
+        "router deaths",
+        _weigh_skewed,
+        deaths=((0, 35_000, 45_000), (3, 50_000, 60_000), (5, 65_000, 75_000)),
+    ),
+    Case("skewed demand, no fault", _weigh_skewed),
+    Case("moving demand, no fault", _weigh_moving),
+    Case("budget nearly spent", _weigh_skewed, 0.6),
+    Case("budget nearly spent, zone cut", _weigh_skewed, 0.6, cut_zone=1),
+)
+
+
+def make_trace(
+    case: Case, zones: tuple[str, ...], seed: int
+) -> list[spend_world.Request]:
+    """Returns the requests of a case, by arrival.
+
+    Args:
+      case: The case.
+      zones: The zone of each router.
+      seed: Names the trace.
+    """
+    source = random.Random(seed)
+    requests: list[spend_world.Request] = []
+    at_ms = 2_000.0
+    while at_ms < END_MS:
+        at_ms += source.expovariate(_FLEET_RATE_PER_S) * 1_000
+        weights = [case.weigh(each, int(at_ms)) for each in range(len(zones))]
+        router = source.choices(range(len(zones)), weights)[0]
+        requests.append(
+            spend_world.Request(
+                number=len(requests) + 1,
+                router=router,
+                at_ms=int(at_ms),
+                bound_tokens=_BOUND_TOKENS,
+                cost_tokens=source.randint(*_COST_RANGE),
+                duration_ms=int(source.expovariate(1 / _DURATION_MS)) + 50,
+                deadline_ms=int(at_ms) + _PATIENCE_MS,
+            )
+        )
+    return requests
+
+
+def find_credit(case: Case) -> int:
+    """Returns the budget of a case."""
+    seconds = (END_MS - 2_000) / 1_000
+    expected_tokens = _FLEET_RATE_PER_S * seconds * _MEAN_COST_TOKENS
+    return int(case.budget_ratio * expected_tokens)
+
+
+def find_cut_zone(case: Case, zones: tuple[str, ...]) -> str | None:
+    """Returns the name of the zone that is cut off, or None."""
+    if case.cut_zone is None:
+        return None
+    return list(dict.fromkeys(zones))[case.cut_zone]
--- a/redwingchute/process/ledger/covering.py
+++ b/redwingchute/process/ledger/covering.py
@@ -82,7 +82,7 @@
                 if now_ms >= reservation.charge.deadline_ms:
                     refuse_waiting(state, held, reservation)
             case _Phase.SETTLING:
-                if now_ms >= reservation.charge.deadline_ms:
+                if now_ms >= reservation.wait_until_ms:
                     _end_late_settlement(state, reservation)
             case _:
                 pass
--- a/redwingchute/process/ledger/holder.py
+++ b/redwingchute/process/ledger/holder.py
@@ -303,7 +303,9 @@
                 self._queue_probe()
         if not asks and not state.outbox.has_entries():
             return None
-        call = state.outbox.make_call(asks)
+        # One entry is enough to try an owner that is out of reach.
+        limit = outbox.MAX_CALL_ENTRIES if state.is_reachable else 1
+        call = state.outbox.make_call(asks, limit)
         self._mark_sent(call)
         return call
 
--- a/redwingchute/process/ledger/holder_state.py
+++ b/redwingchute/process/ledger/holder_state.py
@@ -19,6 +19,8 @@
       probe_interval_ms: How often an owner out of reach is tried.
       idle_return_ms: A lease without requests for so long is returned.
       isolation_wait_ms: How long a new request waits for reserve in isolation.
+      settle_wait_ms: How long a bill may take at least, for a request that
+        ends near its deadline or after it.
       waiting_ask_ms: How often tokens are asked for while requests wait.
       idle_ask_ms: How often a registered budget without requests asks.
     """
@@ -27,6 +29,7 @@
     probe_interval_ms: int = 500
     idle_return_ms: int = 10_000
     isolation_wait_ms: int = 200
+    settle_wait_ms: int = 3_000
     waiting_ask_ms: int = 50
     idle_ask_ms: int = 30_000
 
--- a/redwingchute/process/ledger/holder_test.py
+++ b/redwingchute/process/ledger/holder_test.py
@@ -103,6 +103,33 @@
     assert not any(isinstance(e, data.Settle) for e in call.message.entries)
 
 
+def test_answer_that_ends_after_its_deadline_is_still_billed() -> None:
+    subject = build.make_funded_holder(lease_tokens=500)
+    charge = build.make_charge(1, deadline_ms=1_000)
+    build.admit(subject, charge)
+    subject.settle(charge, 60, 1_200)
+    subject.advance(1_200)
+    assert build.take_results(subject) == []
+    call = build.take_call(subject, 1_200)
+    reply = build.make_reply((_Code.ACCEPTED,))
+    subject.accept_reply(call.call_id, reply, 1_210)
+    assert build.take_results(subject) == [spending.Settled(60, True)]
+
+
+def test_lost_owner_is_tried_with_one_entry() -> None:
+    subject = build.make_funded_holder(reserve_tokens=5_000)
+    subject.owner_lost(1)
+    for number in range(1, 30):
+        charge = build.make_charge(number)
+        build.admit(subject, charge, 2)
+        subject.settle(charge, 10, 3)
+    call = build.take_call(subject, 2_000)
+    assert len(call.message.entries) == 1
+    reply = build.make_reply((_Code.ACCEPTED,))
+    subject.accept_reply(call.call_id, reply, 2_010)
+    assert len(build.take_call(subject, 2_010).message.entries) == 28
+
+
 def test_lease_bill_without_a_verdict_is_replaced_by_reserve() -> None:
     subject = build.make_funded_holder(lease_tokens=500, reserve_tokens=500)
     charge = build.make_charge(1)
--- a/redwingchute/process/ledger/outbox.py
+++ b/redwingchute/process/ledger/outbox.py
@@ -110,9 +110,13 @@
         )
         return self._start(message, (), tuple(lookups))
 
-    def make_call(self, asks: tuple[data.Ask, ...]) -> OutgoingCall:
+    def make_call(
+        self,
+        asks: tuple[data.Ask, ...],
+        max_entries: int = MAX_CALL_ENTRIES,
+    ) -> OutgoingCall:
         """Returns a call with the oldest waiting entries and the asks."""
-        count = min(len(self._entries), MAX_CALL_ENTRIES)
+        count = min(len(self._entries), max_entries)
         pending = tuple(self._entries.popleft() for _ in range(count))
         message = data.LedgerCall(
             self._shard,
--- a/redwingchute/process/ledger/position.py
+++ b/redwingchute/process/ledger/position.py
@@ -50,7 +50,7 @@
       kind: What covers it, or None while nothing does.
       bill: The entry that bills it, once its cost is known.
       claim: The entry that claims its single run, until that is decided.
-      wait_until_ms: When it stops waiting for tokens.
+      wait_until_ms: When it stops waiting for tokens or for its bill.
       is_sent: Whether its bill or claim was sent to the owner.
       is_claimed: Whether its single run is claimed by this holder.
       is_outcome_needed: Whether the bill also records the outcome of a call
--- a/redwingchute/process/ledger/settling.py
+++ b/redwingchute/process/ledger/settling.py
@@ -36,6 +36,9 @@
         tokens = min(tokens, reservation.tokens)
     reservation.tokens = tokens
     reservation.phase = _Phase.SETTLING
+    reservation.wait_until_ms = max(
+        reservation.charge.deadline_ms, now_ms + state.settings.settle_wait_ms
+    )
     if reservation.bill is None:
         reservation.bill = data.Settle(
             request.budget,
--- a/redwingchute/testing/ledger_router.py
+++ b/redwingchute/testing/ledger_router.py
@@ -327,7 +327,7 @@
                 self.runs[charge_id].settlement = result
             case holder_events.BillKept(bill):
                 self._send_to_siblings(
-                    spending.HoldBills(SHARD, bill.holder, (bill,))
+                    spending.HoldBills(SHARD, source.incarnation, (bill,))
                 )
             case holder_events.BillDelivered(key):
                 self._copies.forget((key,))
