--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: bench test format lint types unit demo clean prove scenarios-live mutants slopes
+.PHONY: test format lint types unit demo clean prove scenarios-live mutants slopes bench
 
 test: lint types unit
 
@@ -46,6 +46,7 @@
 bench: $(STAMP)
 	$(BIN)/python -m redwingchute.bench.request_bench \
 		--output build/request_bench.json
+	$(BIN)/python -m redwingchute.bench.spend_bench --output build/bench.json
 
 clean:
 	rm -rf build
