Serve one request at a time when a budget is near its end

Cause, from a trace of 'budget nearly spent': an ask for several requests got what was free, often less than one upper bound, and that part lay idle while others lacked it. An ask now states what its smallest request needs, and the owner grants that or nothing when it cannot serve all.

--- a/redwingchute/bench/spend_baselines.py
+++ b/redwingchute/bench/spend_baselines.py
@@ -24,6 +24,9 @@
     def restart_router(self, router: int) -> None:
         """Notes that a dead router's address starts anew."""
 
+    def count_unaccounted(self) -> int:
+        """Returns the tokens of dead routers whose use nobody knows."""
+
     def count_appends(self) -> int:
         """Returns the records appended to the log."""
 
@@ -64,6 +67,7 @@
             _Counter(tally.credited_tokens // count) for _ in range(count)
         ]
         self._lives = [0] * count
+        self._unaccounted_tokens = 0
 
     def offer(self, request: spend_world.Request, router: int) -> None:
         """Runs a request from the router's part; waits for room."""
@@ -72,11 +76,16 @@
     def lose_router(self, router: int) -> None:
         """Strands the router's part: nobody knows what it used."""
         self._lives[router] += 1
+        self._unaccounted_tokens += self._parts[router].free_tokens
         self._parts[router].free_tokens = 0
 
     def restart_router(self, router: int) -> None:
         """Leaves the new process without a part."""
 
+    def count_unaccounted(self) -> int:
+        """Returns what died with its routers."""
+        return self._unaccounted_tokens
+
     def count_appends(self) -> int:
         """Returns 0: nothing is logged."""
         return 0
@@ -146,6 +155,10 @@
     def restart_router(self, router: int) -> None:
         """Has nothing to do."""
 
+    def count_unaccounted(self) -> int:
+        """Returns 0: the owner frees what a dead router had."""
+        return 0
+
     def count_appends(self) -> int:
         """Returns the group commits."""
         return self._appends
--- a/redwingchute/bench/spend_bench.py
+++ b/redwingchute/bench/spend_bench.py
@@ -47,6 +47,8 @@
     false_refusal_ratio: float
     true_refusals: int
     stranded_tokens: int
+    unaccounted_tokens: int
+    undurable: int
     appends_per_s: float
     control_bytes_per_s: float
     control_bytes_per_s_busiest: float
@@ -97,6 +99,8 @@
         false_refusal_ratio=tally.false_refusals / tally.offered,
         true_refusals=tally.true_refusals,
         stranded_tokens=tally.stranded_tokens,
+        unaccounted_tokens=design.count_unaccounted(),
+        undurable=tally.undurable,
         appends_per_s=design.count_appends() * 1_000 / end_ms,
         control_bytes_per_s=statistics.mean(control),
         control_bytes_per_s_busiest=max(control),
@@ -222,6 +226,9 @@
         f"{max(run.overspend_tokens for run in runs)}, false refusals "
         f"{statistics.mean(run.false_refusal_ratio for run in runs):.4f}, "
         f"stranded {statistics.mean(run.stranded_tokens for run in runs):.0f}, "
+        "unaccounted "
+        f"{statistics.mean(run.unaccounted_tokens for run in runs):.0f}, "
+        f"undurable {statistics.mean(run.undurable for run in runs):.0f}, "
         f"appends/s {statistics.mean(run.appends_per_s for run in runs):.1f}, "
         "control B/s mean "
         f"{statistics.mean(run.control_bytes_per_s for run in runs):.0f}, "
--- a/redwingchute/bench/spend_fleet.py
+++ b/redwingchute/bench/spend_fleet.py
@@ -44,6 +44,7 @@
 
     Attributes:
       reserve_share: The part of the idle budget that is placed as reserve.
+      reserve_horizon_ms: How long a reserve lasts at the demand.
       lease_horizon_ms: How long a lease lasts at the demand.
       smoothing: The part of the mean demand that every holder counts.
       lease_ms: How often holders state their demand.
@@ -51,6 +52,7 @@
     """
 
     reserve_share: float = 1.0
+    reserve_horizon_ms: int = 3_600_000
     lease_horizon_ms: int = 2_000
     smoothing: float = placement.SMOOTHING
     lease_ms: int = 2_000
@@ -215,6 +217,8 @@
         run = self.runs.pop(event.charge_id)
         self.by_charge.pop(event.charge_id, None)
         if isinstance(event.result, spending.Settled):
+            if not event.result.is_durable:
+                self.fleet.tally.undurable += 1
             self.fleet.tally.answer(run.request)
         else:
             self.fleet.tally.void(run.request)
@@ -259,7 +263,10 @@
         self._owner_policy = owner.OwnerPolicy(
             shard_count=1,
             appends_per_s=1_000 / policy.commit_interval_ms,
-            grants=placement_default.GrantPolicy(lease_ms=policy.lease_ms),
+            grants=placement_default.GrantPolicy(
+                lease_ms=policy.lease_ms,
+                reserve_horizon_ms=policy.reserve_horizon_ms,
+            ),
         )
         self._owner_index = 0
         self._calls: dict[int, tuple[_Router, holder.Holder, Any]] = {}
@@ -308,6 +315,14 @@
         """Returns the bytes sent and received for control, by router."""
         return self._bytes
 
+    def count_unaccounted(self) -> int:
+        """Returns the reserve of dead routers whose use nobody knows."""
+        shard_owner = self.routers[self._owner_index].shard_owner
+        if shard_owner is None:
+            return 0
+        balances = shard_owner.shard_fold.report_balances(BUDGET)
+        return sum(each.unaccounted_tokens for each in balances)
+
     # Messages between routers.
 
     def send_call(
--- a/redwingchute/bench/spend_world.py
+++ b/redwingchute/bench/spend_world.py
@@ -118,6 +118,7 @@
       answered: Requests that were answered.
       false_refusals: Refused although the true remainder covered them.
       true_refusals: Refused for want of tokens.
+      undurable: Answers that ended before their bill was in the log.
       lost: Requests that died with their router.
       false_tokens: The true cost of the falsely refused requests.
     """
@@ -131,6 +132,7 @@
         self.answered = 0
         self.false_refusals = 0
         self.true_refusals = 0
+        self.undurable = 0
         self.lost = 0
         self.false_tokens = 0
         self._running_tokens = 0
--- a/redwingchute/core/data.py
+++ b/redwingchute/core/data.py
@@ -381,12 +381,15 @@
       lease_tokens: The least that the waiting requests need now.
       reserve_tokens: The reserve that the holder would like to hold in all.
       demand_tokens_per_s: What the holder's requests lately committed.
+      smallest_tokens: What the smallest of the waiting requests needs; less
+        would be of no use.
     """
 
     budget: str
     lease_tokens: int
     reserve_tokens: int
     demand_tokens_per_s: float
+    smallest_tokens: int = 0
 
 
 @attrs.frozen
--- a/redwingchute/process/ledger/asking.py
+++ b/redwingchute/process/ledger/asking.py
@@ -117,11 +117,13 @@
     The reserve should cover all requests in hand and one more.
     """
     in_hand_tokens = held.count_reserved(_LEASE) + held.count_reserved(_RESERVE)
+    free_tokens = held.count_free(_LEASE)
     return data.Ask(
         held.budget,
-        held.count_uncovered(),
+        max(0, held.count_uncovered() - free_tokens),
         in_hand_tokens + held.largest_bound_tokens,
         held.measure_demand(now_ms),
+        max(0, held.find_smallest_uncovered() - free_tokens),
     )
 
 
--- a/redwingchute/process/ledger/placement.py
+++ b/redwingchute/process/ledger/placement.py
@@ -17,6 +17,9 @@
 # A holder without recent demand counts like this part of the mean demand.
 SMOOTHING = 0.25
 
+# A holder keeps this part of its share as reserve whatever its demand was.
+RESERVE_FLOOR = 0.1
+
 # Reserve is moved when a holder lacks this part of its target.
 REBALANCE_SLACK = 0.2
 
@@ -95,8 +98,8 @@
     """
     parts = find_parts(state, smoothing)
     part_tokens = parts.get(state.holder, 0)
-    target_tokens = int(part_tokens * policy.reserve_share)
-    needed_tokens = min(max(0, ask.lease_tokens), state.free_tokens)
+    target_tokens = find_target(state, state.holder, part_tokens, policy)
+    needed_tokens = _size_need(state, ask)
     rest_tokens = state.free_tokens - needed_tokens
     reserve_tokens = target_tokens - state.holder_reserve_tokens
     reserve_tokens = max(0, min(reserve_tokens, rest_tokens))
@@ -115,6 +118,19 @@
     return needed_tokens + ahead_tokens, reserve_tokens
 
 
+def _size_need(state: placement_default.BudgetState, ask: data.Ask) -> int:
+    """Returns the lease for waiting requests.
+
+    When there is not enough for all of them, one is served at a time: a lease
+    too small for any request would lie idle while others lack it.
+    """
+    if ask.lease_tokens <= state.free_tokens:
+        return max(0, ask.lease_tokens)
+    if ask.smallest_tokens <= state.free_tokens:
+        return ask.smallest_tokens
+    return 0
+
+
 def find_parts(
     state: placement_default.BudgetState, smoothing: float
 ) -> dict[data.Incarnation, int]:
@@ -158,6 +174,38 @@
     return {}
 
 
+def find_target(
+    state: placement_default.BudgetState,
+    holder: data.Incarnation,
+    part_tokens: int,
+    policy: placement_default.GrantPolicy,
+) -> int:
+    """Returns the reserve that a holder should have.
+
+    Args:
+      state: The budget as the fold has it.
+      holder: The holder.
+      part_tokens: Its part of what is not settled.
+      policy: How grants of this budget are sized.
+    """
+    most_tokens = int(part_tokens * policy.reserve_share)
+    total_tokens_per_s = sum(state.demand_tokens_per_s.values())
+    placeable_tokens = state.free_tokens + sum(
+        held.lease_tokens + held.reserve_tokens
+        for held in state.holders.values()
+    )
+    # The part divides by smoothed demand, and so does the horizon.
+    horizon_tokens = total_tokens_per_s * policy.reserve_horizon_ms / 1_000
+    if placeable_tokens > 0:
+        horizon_tokens *= part_tokens / placeable_tokens
+    useful_tokens = max(
+        int(horizon_tokens),
+        state.wish_tokens.get(holder, 0),
+        int(part_tokens * RESERVE_FLOOR),
+    )
+    return min(most_tokens, useful_tokens)
+
+
 def choose_recalls(
     state: placement_default.BudgetState,
     ask: data.Ask,
@@ -185,7 +233,9 @@
         if lacking_tokens <= 0:
             return recalls
         return _take_from_all(state, lacking_tokens)
-    target_tokens = int(parts.get(state.holder, 0) * policy.reserve_share)
+    target_tokens = find_target(
+        state, state.holder, parts.get(state.holder, 0), policy
+    )
     missing_tokens = target_tokens - state.holder_reserve_tokens
     missing_tokens -= state.free_tokens
     if missing_tokens <= target_tokens * REBALANCE_SLACK:
@@ -216,7 +266,7 @@
     for each, held in state.holders.items():
         if each == state.holder or each not in state.demand_tokens_per_s:
             continue
-        target_tokens = int(parts.get(each, 0) * policy.reserve_share)
+        target_tokens = find_target(state, each, parts.get(each, 0), policy)
         if held.reserve_tokens > target_tokens:
             surplus[each] = held.reserve_tokens - target_tokens
     return surplus
--- a/redwingchute/process/ledger/placement_test.py
+++ b/redwingchute/process/ledger/placement_test.py
@@ -54,6 +54,21 @@
     assert 0 < reserve < 500
 
 
+def test_reserve_is_no_more_than_a_long_cut_needs() -> None:
+    state = _make_state(1_000_000, {1: 10.0, 2: 10.0})
+    policy = placement_default.GrantPolicy(
+        reserve_share=1.0, reserve_horizon_ms=10_000_000
+    )
+    _, reserve = placement.size_grant(state, _make_ask(), policy)
+    assert reserve == 100_000
+
+
+def test_idle_budget_keeps_a_floor_of_reserve() -> None:
+    state = _make_state(1_000, {1: 0.0, 2: 0.0})
+    _, reserve = placement.size_grant(state, _make_ask(), _POLICY)
+    assert reserve == 50
+
+
 def test_reserve_share_leaves_the_rest_with_the_owner() -> None:
     budget = configuration.Budget("yield-books", reserve_share=0.4)
     policy = placement.PlacementPolicy(lambda _: budget, smoothing=0)
@@ -69,6 +84,14 @@
     assert (lease, reserve) == (900, 100)
 
 
+def test_lease_too_small_for_any_request_is_not_granted() -> None:
+    state = _make_state(900, {1: 10.0}, wish_tokens=1_000)
+    ask = data.Ask("yield-books", 3_000, 0, 10.0, smallest_tokens=1_000)
+    assert placement.size_grant(state, ask, _POLICY) == (0, 0)
+    state = _make_state(1_200, {1: 10.0}, wish_tokens=2_000)
+    assert placement.size_grant(state, ask, _POLICY) == (1_000, 0)
+
+
 def test_useless_parts_are_not_placed() -> None:
     state = _make_state(900, {1: 10.0, 2: 9.0, 3: 8.0}, wish_tokens=400)
     parts = placement.find_parts(state, smoothing=0)
--- a/redwingchute/process/ledger/position.py
+++ b/redwingchute/process/ledger/position.py
@@ -177,11 +177,18 @@
         age_ms = max(0, now_ms - self._demand_at_ms)
         return self._demand_tokens_per_s * math.exp(-age_ms / DEMAND_WINDOW_MS)
 
+    def find_smallest_uncovered(self) -> int:
+        """Returns what the smallest waiting request needs, 0 without one."""
+        return min((each.tokens for each in self._list_uncovered()), default=0)
+
     def count_uncovered(self) -> int:
         """Returns the tokens that requests wait for."""
-        return sum(
-            reservation.tokens
-            for reservation in self.reservations.values()
-            if reservation.kind is None
-            and reservation.phase is not Phase.LOOKING_UP
-        )
+        return sum(each.tokens for each in self._list_uncovered())
+
+    def _list_uncovered(self) -> list[Reservation]:
+        """Returns the requests that wait for tokens."""
+        return [
+            each
+            for each in self.reservations.values()
+            if each.kind is None and each.phase is not Phase.LOOKING_UP
+        ]
--- a/redwingchute/wire/ledger.capnp
+++ b/redwingchute/wire/ledger.capnp
@@ -31,7 +31,7 @@
 struct Takeover { recordId @0 :Data; epoch @1 :UInt64; owner @2 :UInt64; host @3 :Text; }
 struct Batch { recordId @0 :Data; epoch @1 :UInt64; owner @2 :UInt64; entries @3 :List(LedgerEntry); }
 
-struct Ask { budget @0 :Text; leaseTokens @1 :Int64; reserveTokens @2 :Int64; demandTokensPerS @3 :Float64; }
+struct Ask { budget @0 :Text; leaseTokens @1 :Int64; reserveTokens @2 :Int64; demandTokensPerS @3 :Float64; smallestTokens @4 :Int64; }
 struct Granted { budget @0 :Text; leaseTokens @1 :Int64; reserveTokens @2 :Int64; availableTokens @3 :Int64; leaseMs @4 :Int64; leaseTotalTokens @5 :Int64; reserveTotalTokens @6 :Int64; }
 struct Lookup { budget @0 :Text; key @1 :Data; bodyDigest @2 :Data; }
 struct KeyReport { state @0 :UInt8; status @1 :UInt8; answer @2 :Data; }
