--- a/redwingchute/process/ledger/asking.py
+++ b/redwingchute/process/ledger/asking.py
@@ -7,6 +7,8 @@
 from redwingchute.process.ledger import outbox
 from redwingchute.process.ledger import position
 
+# Bounds the doubling of the wait between asks that bring nothing.
+_MAX_DOUBLINGS = 10
 _LEASE = data.GrantKind.LEASE
 _RESERVE = data.GrantKind.RESERVE
 
@@ -41,6 +43,7 @@
     held.add_granted(_LEASE, granted.lease_total_tokens)
     held.add_granted(_RESERVE, granted.reserve_total_tokens)
     held.available_tokens = granted.available_tokens
+    times.empty_asks = 0 if held.count_held(_RESERVE) else times.empty_asks + 1
     covering.cover_all(state, held)
     _end_hopeless(state, held)
 
@@ -104,8 +107,25 @@
     if now_ms < times.next_ask_ms:
         return False
     is_active = times.used_at_ms >= times.asked_at_ms
-    idle_ask_ms = times.asked_at_ms + state.settings.idle_ask_ms
-    return is_active or now_ms >= idle_ask_ms
+    wait_ms = _find_idle_wait_ms(state, held)
+    return is_active or now_ms >= times.asked_at_ms + wait_ms
+
+
+def _find_idle_wait_ms(
+    state: holder_state.HolderState, held: position.BudgetPosition
+) -> int:
+    """Returns how long a budget without requests waits between asks.
+
+    The first ask of a budget may come before its top-up, or before the owner
+    knows the other holders.
+    """
+    empty_asks = state.times[held.budget].empty_asks
+    if empty_asks == 0:
+        return state.settings.idle_ask_ms
+    doubled = min(empty_asks - 1, _MAX_DOUBLINGS)
+    return min(
+        state.settings.empty_ask_ms << doubled, state.settings.idle_ask_ms
+    )
 
 
 def _make_ask(
--- a/redwingchute/process/ledger/holder_state.py
+++ b/redwingchute/process/ledger/holder_state.py
@@ -23,6 +23,8 @@
         ends near its deadline or after it.
       waiting_ask_ms: How often tokens are asked for while requests wait.
       idle_ask_ms: How often a registered budget without requests asks.
+      empty_ask_ms: How soon such a budget first asks again when it got no
+        reserve although tokens are left; the wait doubles up to `idle_ask_ms`.
     """
 
     owner_loss_ms: int = 1_000
@@ -32,6 +34,7 @@
     settle_wait_ms: int = 3_000
     waiting_ask_ms: int = 50
     idle_ask_ms: int = 30_000
+    empty_ask_ms: int = 1_000
 
 
 @attrs.define
@@ -44,6 +47,7 @@
       next_ask_ms: When an active budget asks again.
       next_transfer_ms: When siblings may be asked for reserve again.
       is_asking: Whether an ask is under way.
+      empty_asks: How many asks in a row brought no reserve.
       sequence: The number of the last give-back.
       give_back: The give-back without a verdict, or None.
     """
@@ -53,6 +57,7 @@
     next_ask_ms: int = 0
     next_transfer_ms: int = 0
     is_asking: bool = False
+    empty_asks: int = 0
     sequence: int = 0
     give_back: data.GiveBack | None = None
 
--- /dev/null
+++ b/redwingchute/process/reserve_keepers_test.py
@@ -0,0 +1,25 @@
+"""Tests of the choice of reserve keepers."""
+
+import collections
+
+import pytest
+
+from redwingchute.process import reserve_keepers
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 77])
+def test_every_bucket_has_its_keepers(count: int) -> None:
+    names = [f"host-{number}" for number in range(count)]
+    keepers: collections.Counter[int] = collections.Counter()
+    for name in names:
+        keepers.update(reserve_keepers.choose_kept_buckets(name, names))
+    expected = min(count, reserve_keepers.KEEPERS_PER_ZONE)
+    assert set(keepers.values()) == {expected}
+    assert len(keepers) == 256
+
+
+def test_a_lost_host_moves_only_its_own_buckets() -> None:
+    names = [f"host-{number}" for number in range(10)]
+    before = reserve_keepers.choose_kept_buckets("host-0", names)
+    after = reserve_keepers.choose_kept_buckets("host-0", names[:-1])
+    assert before <= after
--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -33,6 +33,7 @@
 from redwingchute.process import operator_adapters
 from redwingchute.process import owner_directory
 from redwingchute.process import peer_network
+from redwingchute.process import reserve_keepers
 from redwingchute.process import settings as settings_lib
 from redwingchute.process import telemetry
 from redwingchute.process.ledger import holder_service
@@ -399,11 +400,21 @@
             ),
         )
 
+    def _register_reserves(self) -> None:
+        """Asks for reserve of the budgets whose reserve is kept here."""
+        own_name = self.settings.host_name
+        names = [host.name for host in self._list_siblings()] + [own_name]
+        kept = reserve_keepers.choose_kept_buckets(own_name, names)
+        for budget in self._budgets:
+            if reserve_keepers.find_bucket(budget) in kept:
+                self.ledger.register_budget(budget)
+
     def _note_members(self) -> None:
         """Passes a changed view on to the owners of shards."""
         live = self.members.view.list_live()
         self.owners.set_live_hosts(live)
         self.follower.set_view(self.members.view.neighbours, live)
+        self._register_reserves()
         self._configure_dispatcher()
 
     def _configure_dispatcher(self) -> None:
@@ -424,8 +435,7 @@
         )
         self._configure_dispatcher()
         self._budgets = {budget.name: budget for budget in current.budgets}
-        for budget in current.budgets:
-            self.ledger.register_budget(budget.name)
+        self._register_reserves()
 
     async def _declare_dead(self) -> None:
         """Tells the owners of incarnations that membership declared dead."""
