Keep a sent bill's tokens taken after its deadline

Cause: a paused router woke after a request's deadline. It ended the request as delayed and counted its tokens as free reserve again, though the bill had been sent and was in the log. Cut off, it would have spent them once more: "believes in 440 tokens of reserve, the fold has 420". The scenario stands in ledger_broken_test (_lose_the_reply_until_the_deadline) and failed before. Ruled out: a bill of 0 tokens in its place, since a retry would then be free. Change: a bill that was sent stays and is sent again until the fold has decided; cancelling a request that is being billed no longer frees tokens.

--- a/redwingchute/process/ledger/covering.py
+++ b/redwingchute/process/ledger/covering.py
@@ -247,13 +247,17 @@
 def _end_late_settlement(
     state: holder_state.HolderState, reservation: position.Reservation
 ) -> None:
-    """Ends a request whose bill was not durable by its deadline."""
+    """Ends a request whose bill was not durable by its deadline.
+
+    A bill that was sent may be in the log. Its tokens stay taken, and it is
+    sent again, until the fold has decided on it.
+    """
     holder_state.end_settlement(
         state,
         reservation.charge,
         spending.SettlementDelayed(may_be_billed=reservation.is_sent),
     )
-    if reservation.is_outcome_needed:
+    if reservation.is_outcome_needed or reservation.is_sent:
         reservation.phase = _Phase.BILLED
         return
     holder_state.drop_reservation(state, reservation)
--- a/redwingchute/process/ledger/holder.py
+++ b/redwingchute/process/ledger/holder.py
@@ -106,7 +106,8 @@
     def cancel(self, charge: spending.Charge) -> None:
         """Ends a request that used nothing, or gives up one that waits."""
         reservation = self._find_reservation(charge)
-        if reservation is None or reservation.phase is position.Phase.BILLED:
+        billing = (position.Phase.SETTLING, position.Phase.BILLED)
+        if reservation is None or reservation.phase in billing:
             return
         holder_state.drop_reservation(self._state, reservation)
         held = self._state.positions[charge.request.budget]
--- a/redwingchute/process/ledger/ledger_broken_test.py
+++ b/redwingchute/process/ledger/ledger_broken_test.py
@@ -123,7 +123,28 @@
     _run_and_check(world, 10)
 
 
+def _lose_the_reply_until_the_deadline() -> None:
+    world = _make_world()
+    world.submit("huon-2", _KEY, 20, 20)
+    world.run_for(10)
+    world.finish(0)
+    world.serve("huon-2")
+    world.deliver(0)
+    world.advance(100)
+    world.commit("huon-1", ledger_world.AppendFate.ANSWERED)
+    world.read("huon-1")
+    for _ in range(3):
+        world.messages.clear()
+        world.check()
+        world.advance(4_000)
+        world.serve("huon-2")
+        world.check()
+    world.heal()
+    world.check_healed()
+
+
 _SCENARIOS = (
+    _lose_the_reply_until_the_deadline,
     _commit_after_a_takeover,
     _settle_one_key_on_two_routers,
     _spend_reserve_after_retirement,
--- a/redwingchute/process/ledger/ledger_machine_test.py
+++ b/redwingchute/process/ledger/ledger_machine_test.py
@@ -22,7 +22,7 @@
     ("propose", "declare dead", "top up", "reduce")
 )
 _FAULT = strategies.sampled_from(
-    ("cut", "cut off", "pause", "kill", "clock jumps")
+    ("cut", "cut off", "cut zone", "pause", "kill", "clock jumps")
 )
 
 _SETTINGS = hypothesis.settings(
@@ -71,6 +71,14 @@
     def submit(self, host: str, key: int, bound: int, tokens: int) -> None:
         self.world.submit(host, key.to_bytes(16, "big"), bound, tokens)
 
+    @stateful.rule(host=_HOST, first_key=strategies.integers(200, 10_000))
+    def serve_in_isolation(self, host: str, first_key: int) -> None:
+        self.world.cut_zone(host)
+        for number in range(4):
+            self.world.run_for(4)
+            self.submit(host, first_key + number, 60, 40)
+            self.world.finish(number)
+
     @stateful.rule(host=_HOST, key=strategies.integers(101, 104))
     def submit_unrepeatable(self, host: str, key: int) -> None:
         self.world.submit(host, key.to_bytes(16, "big"), 50, 50, False)
@@ -141,6 +149,8 @@
                 self.world.cuts.add(frozenset((host, other)))
             case "cut off":
                 self.world.cut_off(host)
+            case "cut zone":
+                self.world.cut_zone(host)
             case "pause":
                 self.world.routers[host].is_paused = True
             case "kill":
--- a/redwingchute/testing/ledger_checks.py
+++ b/redwingchute/testing/ledger_checks.py
@@ -27,6 +27,7 @@
     Attributes:
       billed: How often each key was billed.
       credits: How often each operator's reference took effect.
+      transferred: How often each transfer took effect.
     """
 
     def __init__(self, wire_codec: codec.Codec) -> None:
@@ -34,6 +35,7 @@
         self._follower = follower.ShardFollower(wire_codec)
         self.billed: collections.Counter[data.KeyDigest] = collections.Counter()
         self.credits: collections.Counter[str] = collections.Counter()
+        self.transferred: collections.Counter[bytes] = collections.Counter()
         self._ownership: tuple[int, data.Incarnation] = (0, 0)
         self._effective: set[bytes] = set()
 
@@ -94,6 +96,8 @@
                     self.billed[entry.key] += 1
             case data.Credit():
                 self.credits[entry.reference] += 1
+            case data.Transfer():
+                self.transferred[entry.transfer_id] += 1
             case _:
                 pass
 
@@ -101,6 +105,7 @@
         """Fails when the fold itself breaks a promise."""
         assert all(count == 1 for count in self.billed.values()), "billed twice"
         assert all(count == 1 for count in self.credits.values())
+        assert all(count == 1 for count in self.transferred.values())
         for account in self.shard_fold.budgets.values():
             _check_budget(account)
 
@@ -120,13 +125,23 @@
 
 
 def check_reserve_is_backed(
-    checker: StreamChecker, subject: holder.Holder, name: str
+    checker: StreamChecker,
+    subject: holder.Holder,
+    name: str,
+    transfers: Iterable[data.Transfer],
 ) -> None:
     """Fails when a holder believes to have more reserve than the fold.
 
     What counts is the reserve that it would still spend, with the open bills
     on reserve that are not in the log yet: the fold must be able to charge
-    all of it.
+    all of it, once it has heard of the transfers that the holder gave and
+    took.
+
+    Args:
+      checker: The fold of the whole stream.
+      subject: The holder.
+      name: The budget.
+      transfers: What the holder's router gave and took.
     """
     held = subject.find_position(name)
     account = checker.shard_fold.budgets.get(name)
@@ -142,6 +157,13 @@
         subject.incarnation, budget.Holding()
     )
     backed_tokens = holding.reserve_tokens + holding.unaccounted_tokens
+    for transfer in transfers:
+        if checker.transferred[transfer.transfer_id]:
+            continue
+        if transfer.target == subject.incarnation:
+            backed_tokens += transfer.tokens
+        if transfer.source == subject.incarnation:
+            backed_tokens -= transfer.tokens
     assert believed_tokens <= backed_tokens, (
         f"holder {subject.incarnation} believes in {believed_tokens} "
         f"tokens of reserve, the fold has {backed_tokens}"
--- a/redwingchute/testing/ledger_router.py
+++ b/redwingchute/testing/ledger_router.py
@@ -61,6 +61,8 @@
     | data.Recall
     | spending.HoldBills
     | spending.ForgetBills
+    | spending.TransferRequest
+    | spending.TransferReply
 )
 
 
@@ -111,6 +113,7 @@
       outgoing: Messages to be sent.
       runs: Its requests by charge id.
       kept_keys: Keys of siblings' bills that it was given to keep.
+      transfers: Transfers of reserve that it gave or took, by id.
       refused_bills: Bills of ended answers that the log refused.
     """
 
@@ -142,6 +145,7 @@
         self.outgoing: list[Message] = []
         self.runs: dict[int, RequestRun] = {}
         self.kept_keys: set[data.KeyDigest] = set()
+        self.transfers: dict[bytes, data.Transfer] = {}
         self.refused_bills: list[holder_events.BillRefused] = []
         self.incarnation = first_incarnation
         self.shard_owner = owner.ShardOwner(
@@ -247,8 +251,15 @@
             case spending.HoldBills() as request:
                 held = self._copies.hold(request, own_ms)
                 self.kept_keys.update(held.keys)
-            case spending.ForgetBills() as request:
-                self._copies.forget(request.keys)
+            case spending.ForgetBills() as forgotten:
+                self._copies.forget(forgotten.keys)
+            case spending.TransferRequest() as wish:
+                given = self.holder.answer_transfer(wish, own_ms)
+                answered = Message(self.name, message.source, given)
+                self.outgoing.append(answered)
+            case spending.TransferReply(transfer):
+                for each in self.holders:
+                    each.accept_transfer(transfer, own_ms)
         self._dispatch_events(now_ms)
 
     def lose_call(self, now_ms: int, lost: CallMessage | ReplyMessage) -> None:
@@ -326,9 +337,13 @@
             case holder_events.SettlementEnded(charge_id, result):
                 self.runs[charge_id].settlement = result
             case holder_events.BillKept(bill):
+                if isinstance(bill, data.Transfer):
+                    self.transfers[bill.transfer_id] = bill
                 self._send_to_siblings(
-                    spending.HoldBills(SHARD, bill.holder, (bill,))
+                    spending.HoldBills(SHARD, source.incarnation, (bill,))
                 )
+            case holder_events.ReserveWanted(request):
+                self._send_to_siblings(request)
             case holder_events.BillDelivered(key):
                 self._copies.forget((key,))
                 self._send_to_siblings(
@@ -363,7 +378,10 @@
                 run.refusal = result
 
     def _send_to_siblings(
-        self, record: spending.HoldBills | spending.ForgetBills
+        self,
+        record: (
+            spending.HoldBills | spending.ForgetBills | spending.TransferRequest
+        ),
     ) -> None:
         """Sends a record to the other hosts of the zone."""
         for sibling in self._siblings:
--- a/redwingchute/testing/ledger_world.py
+++ b/redwingchute/testing/ledger_world.py
@@ -187,6 +187,13 @@
         for other in (*HOSTS, LOG):
             self.cuts.add(frozenset((name, other)))
 
+    def cut_zone(self, name: str) -> None:
+        """Cuts a host's zone off from the other zones and from the log."""
+        inside = {host for host in HOSTS if ZONES[host] == ZONES[name]}
+        for one in inside:
+            for other in {*HOSTS, LOG} - inside:
+                self.cuts.add(frozenset((one, other)))
+
     def propose(self, name: str, is_proposed: bool) -> None:
         """Lets a router's membership propose it as owner, or not."""
         self.routers[name].shard_owner.set_proposed(is_proposed)
@@ -239,7 +246,9 @@
             self.land_late_append()
         for name, router in self.routers.items():
             router.is_paused = False
-            router.clock_skew_ms = 0
+            # A clock that was set back would stall its router until it has
+            # caught up; daemons use one that does not jump.
+            router.clock_skew_ms = max(router.clock_skew_ms, 86_400_000)
             router.shard_owner.set_proposed(False)
             self.restart(name)
         self.routers[HOSTS[0]].shard_owner.set_proposed(True)
@@ -260,7 +269,10 @@
             if router.is_alive:
                 for subject in router.holders:
                     ledger_checks.check_reserve_is_backed(
-                        self.checker, subject, BUDGET
+                        self.checker,
+                        subject,
+                        BUDGET,
+                        router.transfers.values(),
                     )
         account = self.checker.shard_fold.budgets.get(BUDGET)
         credited_tokens = account.credited_tokens if account else 0
