--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test format lint types unit demo clean prove scenarios-live mutants slopes
+.PHONY: test format lint types unit demo clean prove scenarios-live mutants slopes bench
 
 test: lint types unit
 
@@ -33,11 +33,20 @@
 prove: $(STAMP)
 	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/prove.py
 
+scenarios-live: $(STAMP)
+	$(BIN)/python scripts/scenarios_live.py
+
 mutants: $(STAMP)
 	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/mutants.py
 
 slopes: $(STAMP)
 	$(BIN)/python scripts/slopes.py
 
+# Figures of this machine; each part writes one file below build/.
+bench: $(STAMP)
+	$(BIN)/python -m redwingchute.bench.request_bench \
+		--output build/request_bench.json
+	$(BIN)/python -m redwingchute.bench.spend_bench --output build/bench.json
+
 clean:
 	rm -rf build
