Retire holders whose grant was under way as they died; test the owner's steps

Ruled out: dropping asks of dead holders, since a holder that is alive after all would wait for its answer. Change: grants read back are checked against the dead.

--- a/redwingchute/process/ledger/owner.py
+++ b/redwingchute/process/ledger/owner.py
@@ -7,15 +7,14 @@
 sent again.
 """
 
-from collections.abc import Iterable
-
 import attrs
 
 from redwingchute.core import data
-from redwingchute.process import incarnations
+from redwingchute.process.ledger import answer_desk
 from redwingchute.process.ledger import append_slot
 from redwingchute.process.ledger import batch_builder
 from redwingchute.process.ledger import checkpoint_schedule
+from redwingchute.process.ledger import dead_holders
 from redwingchute.process.ledger import fold
 from redwingchute.process.ledger import follower
 from redwingchute.process.ledger import log_outcomes
@@ -23,8 +22,6 @@
 from redwingchute.wire import codec
 
 _MIN_COMMIT_INTERVAL_MS = 10
-# The dead incarnations that an owner keeps in mind.
-_MAX_DEAD = 2_000
 
 
 @attrs.frozen
@@ -65,14 +62,6 @@
         return self.commit_interval_ms * place // self.shard_count
 
 
-@attrs.frozen
-class Answer:
-    """A reply to the call that was received under `call_id`."""
-
-    call_id: int
-    reply: data.LedgerReply
-
-
 @attrs.frozen
 class ReadOrder:
     """A read of the stream that the shell should make.
@@ -135,7 +124,9 @@
             wire_codec,
         )
         self._pending: append_slot.PendingAppend | None = None
-        self._answers: list[Answer] = []
+        self._desk = answer_desk.AnswerDesk(
+            shard, host_name, policy.grants.lease_ms, self._builder
+        )
         self._reads_begun = 0
         self._is_log_up = False
         self._is_proposed = False
@@ -143,8 +134,7 @@
         self._retake_at_ms = 0
         self._next_commit_ms = 0
         self._sequence = 0
-        self._dead: dict[data.Incarnation, None] = {}
-        self._unchecked_dead: dict[data.Incarnation, None] = {}
+        self._dead = dead_holders.DeadHolders()
         self.append_count = 0
 
     @property
@@ -178,17 +168,12 @@
           incarnation: A process start, all of whose holders are dead with it,
             or a single holder.
         """
-        if incarnation == self._incarnation:
-            return
-        self._dead[incarnation] = None
-        self._check_dead_holders()
-        if len(self._dead) > _MAX_DEAD:
-            del self._dead[next(iter(self._dead))]
+        if incarnation != self._incarnation:
+            self._dead.add(incarnation, self.shard_fold)
 
-    def take_answers(self) -> list[Answer]:
+    def take_answers(self) -> list[answer_desk.Answer]:
         """Returns the answers that are ready."""
-        answers, self._answers = self._answers, []
-        return answers
+        return self._desk.take_answers()
 
     def take_recalls(self) -> list[batch_builder.RecallOrder]:
         """Returns the recalls to send to holders' hosts, best effort."""
@@ -200,14 +185,12 @@
         """Takes a call, to be answered under `call_id`."""
         status = self._find_status()
         if status is not data.CallStatus.HANDLED:
-            self._refuse_all((call_id,), status)
+            self._desk.refuse_all(self.shard_fold, (call_id,), status)
             return
         if not call.entries and not call.asks:
-            reply = self._make_reply(call, (), (), self._report_keys(call))
-            self._answers.append(Answer(call_id, reply))
+            self._desk.answer_lookups(self.shard_fold, call_id, call)
             return
-        if self._is_declared_dead(call.holder):
-            self._unchecked_dead[call.holder] = None
+        self._dead.note_caller(call.holder)
         self._builder.add(now_ms, call_id, call)
 
     def report_balances(self, query: data.BalanceQuery) -> data.BalanceReport:
@@ -298,7 +281,9 @@
         expired = self._builder.remove_older(since_ms)
         if self._pending is not None:
             expired += self._pending.take_calls_before(since_ms)
-        self._refuse_all(expired, data.CallStatus.LOG_UNAVAILABLE)
+        self._desk.refuse_all(
+            self.shard_fold, expired, data.CallStatus.LOG_UNAVAILABLE
+        )
 
     def _find_status(self) -> data.CallStatus:
         """Returns whether calls can be handled now."""
@@ -344,11 +329,14 @@
 
     def _form_batch(self, now_ms: int) -> append_slot.PendingAppend | None:
         """Returns the batch of all that waits; answers what needs none."""
-        retires = [data.Retire(each) for each in self._take_dead_holders()]
+        retires = [
+            data.Retire(each)
+            for each in self._dead.take_unretired(self.shard_fold)
+        ]
         formed = self._builder.form(now_ms, self.shard_fold, retires)
         if not formed.entries:
             for each in formed.calls:
-                self._answer_call(each, ())
+                self._desk.answer_call(self.shard_fold, each, ())
             return None
         record = data.Batch(
             record_id=self._make_record_id(),
@@ -366,29 +354,6 @@
         )
         return append_slot.PendingAppend(part)
 
-    def _is_declared_dead(self, holder: data.Incarnation) -> bool:
-        """Tells whether a holder or its process was declared dead."""
-        return (
-            holder in self._dead
-            or incarnations.find_process(holder) in self._dead
-        )
-
-    def _check_dead_holders(self) -> None:
-        """Marks the fold's dead holders to be retired by record."""
-        for holder in self.shard_fold.list_holders():
-            if self._is_declared_dead(holder):
-                self._unchecked_dead[holder] = None
-
-    def _take_dead_holders(self) -> list[data.Incarnation]:
-        """Returns the dead incarnations that still hold tokens here."""
-        unchecked, self._unchecked_dead = self._unchecked_dead, {}
-        return [
-            each
-            for each in unchecked
-            if not self.shard_fold.is_retired(each)
-            and self.shard_fold.is_holder(each)
-        ]
-
     def _note_log_up(self, now_ms: int) -> None:
         """Notes that the log answers.
 
@@ -419,12 +384,13 @@
         was_owner = self.is_owner
         for applied in self.follower.apply_page(page):
             self._note_applied(applied)
+            self._dead.note_granted(applied.record)
         if was_owner and not self.is_owner:
             self._retake_at_ms = now_ms + self._policy.retake_after_ms
             self._refuse_waiting(data.CallStatus.NOT_OWNER)
         if self.is_owner and not was_owner:
             self._checkpoints.reset()
-            self._check_dead_holders()
+            self._dead.check(self.shard_fold)
         if self.follower.next_offset >= page.next:
             self._resend_if_absent(now_ms, order)
 
@@ -439,10 +405,12 @@
         self._pending = None
         if self._is_void(applied):
             call_ids = pending.take_calls()
-            self._refuse_all(call_ids, data.CallStatus.NOT_OWNER)
+            self._desk.refuse_all(
+                self.shard_fold, call_ids, data.CallStatus.NOT_OWNER
+            )
             return
         for each in pending.calls:
-            self._answer_call(each, applied.verdicts)
+            self._desk.answer_call(self.shard_fold, each, applied.verdicts)
 
     def _is_void(self, applied: follower.Applied) -> bool:
         """Tells whether the fold voided a whole record."""
@@ -471,75 +439,12 @@
             case data.Checkpoint():
                 return not self.is_owner
 
-    def _answer_call(
-        self,
-        batched: batch_builder.BatchedCall,
-        verdicts: tuple[data.Verdict, ...],
-    ) -> None:
-        """Answers a call whose batch took effect."""
-        call = batched.call
-        grants = tuple(
-            batch_builder.answer_ask(
-                self.shard_fold,
-                call.holder,
-                planned,
-                verdicts,
-                self._policy.grants.lease_ms,
-                self._builder.count_recallable(
-                    self.shard_fold, call.holder, planned.ask.budget
-                ),
-            )
-            for planned in batched.asks
-        )
-        reply = self._make_reply(
-            call,
-            batch_builder.list_verdicts(batched, verdicts),
-            grants,
-            self._report_keys(call),
-        )
-        self._answers.append(Answer(batched.call_id, reply))
-
-    def _report_keys(self, call: data.LedgerCall) -> tuple[data.KeyReport, ...]:
-        """Returns the answers to a call's lookups."""
-        return tuple(self.shard_fold.look_up(each) for each in call.lookups)
-
-    def _make_reply(
-        self,
-        call: data.LedgerCall,
-        verdicts: tuple[data.Verdict, ...],
-        grants: tuple[data.Granted, ...],
-        reports: tuple[data.KeyReport, ...],
-    ) -> data.LedgerReply:
-        """Returns the reply to a call that was handled."""
-        return data.LedgerReply(
-            shard=self._shard,
-            epoch=self.shard_fold.epoch,
-            status=data.CallStatus.HANDLED,
-            owner_host=self._host_name,
-            verdicts=verdicts,
-            grants=grants,
-            reports=reports,
-            is_holder_retired=self.shard_fold.is_retired(call.holder),
-        )
-
     def _refuse_waiting(self, status: data.CallStatus) -> None:
         """Answers all waiting callers with the same refusal."""
         call_ids = self._builder.remove_all()
         if self._pending is not None:
             call_ids += self._pending.take_calls()
-        self._refuse_all(call_ids, status)
-
-    def _refuse_all(
-        self, call_ids: Iterable[int], status: data.CallStatus
-    ) -> None:
-        """Answers each call with the same refusal."""
-        reply = data.LedgerReply(
-            shard=self._shard,
-            epoch=self.shard_fold.epoch,
-            status=status,
-            owner_host=self.shard_fold.owner_host,
-        )
-        self._answers += [Answer(each, reply) for each in call_ids]
+        self._desk.refuse_all(self.shard_fold, call_ids, status)
 
     def _make_record_id(self) -> bytes:
         """Returns the id of the next record."""
