--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -50,6 +50,7 @@
 _MS_PER_S = 1_000
 _STOP_POLL_S = 0.05
 _DEAD_CHECK_S = 1.0
+_TRANSFER_TIMEOUT_MS = 500
 
 
 def read_clock_ms() -> int:
@@ -181,6 +182,7 @@
                 read_clock_ms,
                 numbers.make_incarnation,
                 self._send_to_siblings,
+                self._ask_siblings,
             )
         )
         self._register_handlers()
@@ -284,6 +286,7 @@
         handle(data.Recall, self._handle_recall)
         handle(spending.HoldBills, self._handle_hold_bills)
         handle(spending.ForgetBills, self._handle_forget_bills)
+        handle(spending.TransferRequest, self._handle_transfer_request)
 
         for notice in (
             requesting.CrashNotice,
@@ -338,14 +341,44 @@
         del peer
         self.ledger.forget_bills(request)
 
+    async def _handle_transfer_request(
+        self, peer: data.Host, request: spending.TransferRequest
+    ) -> spending.TransferReply:
+        """Passes reserve to a sibling that lacks it."""
+        del peer
+        return self.ledger.answer_transfer(request)
+
+    def _list_siblings(self) -> tuple[data.Host, ...]:
+        """Returns the other routers in view of the availability zone."""
+        return tuple(
+            host
+            for host in self.members.view.list_reachable()
+            if host.zone == self.settings.zone
+            and host.name != self.settings.host_name
+        )
+
     def _send_to_siblings(
         self, record: spending.HoldBills | spending.ForgetBills
     ) -> None:
-        """Sends a record to the other routers of the availability zone."""
-        for host in self.members.view.list_reachable():
-            is_self = host.name == self.settings.host_name
-            if host.zone == self.settings.zone and not is_self:
-                self.network.send(host.name, record)
+        """Sends a record to the siblings, best effort."""
+        for host in self._list_siblings():
+            self.network.send(host.name, record)
+
+    async def _ask_siblings(
+        self, request: spending.TransferRequest
+    ) -> tuple[spending.TransferReply, ...]:
+        """Asks the siblings for reserve and returns the replies."""
+        replies = await asyncio.gather(
+            *(
+                self.network.call(host.name, request, _TRANSFER_TIMEOUT_MS)
+                for host in self._list_siblings()
+            )
+        )
+        return tuple(
+            reply
+            for reply in replies
+            if isinstance(reply, spending.TransferReply)
+        )
 
     def _report_status(self, query: status.StatusQuery) -> status.StatusReport:
         """Returns this router's own status."""
