Show that a plain crash strands a budget's reserve; measure idle parts

Seen: three routers, 600 tokens placed as reserve; one request moves most of it to one router; that router is killed and starts again; two minutes later 536 tokens are left, and r3 to r5 (bound 69) are refused as exhausted.

--- a/redwingchute/testing/scenario_language.py
+++ b/redwingchute/testing/scenario_language.py
@@ -67,6 +67,7 @@
         self._path = path
         self._name = ""
         self._promises: list[int] = []
+        self._needs_promise = True
         self._is_live = False
         self._routers: list[steps.Router] = []
         self._upstreams: list[steps.Upstream] = []
@@ -83,6 +84,8 @@
                 self._name = words[0]
             case "promise":
                 self._add_promises(line, words)
+            case "no_promise":
+                self._needs_promise = False
             case "live":
                 self._is_live = True
             case "zone":
@@ -110,8 +113,9 @@
         """Returns the scenario, or None with all findings."""
         if not self._name:
             self._report(1, "A scenario needs a line 'scenario \"name\"'.")
-        if not self._promises:
-            self._report(1, "A scenario needs a line 'promise N'.")
+        if not self._promises and self._needs_promise:
+            message = "A scenario needs 'promise N' or 'no promise'."
+            self._report(1, message)
         self._check_names()
         if self._findings:
             return None, tuple(self._findings)
--- a/redwingchute/testing/scenario_live.py
+++ b/redwingchute/testing/scenario_live.py
@@ -196,6 +196,19 @@
                 errors.append(f"{name} stopped with {process.returncode}")
         return errors
 
+    def list_pids(self) -> dict[str, int]:
+        """Returns the process ids of the routers, for measurements."""
+        return {name: each.pid for name, each in self._routers.items()}
+
+    async def read_metrics(self, router: str) -> str:
+        """Returns a router's metrics as Prometheus text."""
+        address = http_client.Address(_IP, self._ports[router].admin)
+        answer = await self._pool.fetch(
+            address, "GET", "/metrics", [], b"", 5_000
+        )
+        assert isinstance(answer, http_client.Fetched), answer
+        return answer.body.decode()
+
     def _spawn(self, coroutine: Any) -> None:
         """Runs a caller or operator."""
         task: asyncio.Task[None] = asyncio.ensure_future(coroutine)
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -13,13 +13,12 @@
 import platform
 import random
 import statistics
-import subprocess
-import sys
 import time
 import tracemalloc
 from typing import Any
 
 import attrs
+import slopes_processes
 
 from redwingchute.core import configuration
 from redwingchute.core import data
@@ -393,40 +392,11 @@
     }
 
 
-def measure_resident() -> dict[str, float]:
-    """Returns the resident memory of interpreters at start, in MB."""
-    named = "attrs, capnp, defopt, h11, pythonjsonlogger"
-    telemetry = "opentelemetry.sdk.metrics, opentelemetry.exporter.prometheus"
-    programs = {
-        "bare_interpreter": "pass",
-        "asyncio": "import asyncio",
-        "named_libraries": f"import asyncio, {named}, {telemetry}",
-        "named_libraries_without_telemetry": f"import asyncio, {named}",
-        "router_modules": "import redwingchute.main",
-    }
-    report = (
-        "\nimport re, pathlib"
-        "\nstatus = pathlib.Path('/proc/self/status').read_text()"
-        "\nprint(re.search(r'VmRSS:\\s+(\\d+)', status)[1])"
-    )
-    resident = {}
-    for name, program in programs.items():
-        result = subprocess.run(
-            [sys.executable, "-c", program + report],
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-        if result.returncode == 0:
-            resident[f"{name}_mb"] = int(result.stdout) / 1024
-    return resident
-
-
 def main() -> None:
     """Runs all measurements and writes them as JSON."""
     started_s = time.monotonic()
     sections: dict[str, Callable[[], Any]] = {
-        "resident": measure_resident,
+        "resident": slopes_processes.measure_resident,
         "memory_bytes_each": measure_memory,
         "heartbeat": measure_heartbeat,
         "lease_renewal": measure_lease_renewal,
@@ -434,6 +404,8 @@
         "configuration_change": measure_change,
         "appends": measure_appends,
         "log_read": measure_log_read,
+        "idle_ledger_links": slopes_processes.measure_idle_links,
+        "idle_routers": slopes_processes.measure_idle_routers,
     }
     results: dict[str, Any] = {
         "machine": f"{platform.machine()}, Python {platform.python_version()}",
