--- /dev/null
+++ b/redwingchute/request/upstream_watch_test.py
@@ -0,0 +1,79 @@
+"""Tests of what is read from upstreams and the host list, and of subsets."""
+
+import pytest
+
+from redwingchute.core import requesting
+from redwingchute.process import host_list_reader
+from redwingchute.request import load_poller
+from redwingchute.request import prefix_affinity
+from redwingchute.request import upstream_subset
+from redwingchute.testing import request_builders as builders
+
+
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        (
+            b'{"running": 1, "queued": 2, "slots": 8, "at_ms": 5}',
+            requesting.LoadReport(1, 2, 8, 5),
+        ),
+        (b'{"running": 1, "queued": 2, "slots": 8}', None),
+        (b'{"running": -1, "queued": 2, "slots": 8, "at_ms": 5}', None),
+        (b'{"running": true, "queued": 2, "slots": 8, "at_ms": 5}', None),
+        (b"[]", None),
+        (b"{", None),
+    ],
+)
+def test_load_reports(
+    body: bytes, expected: requesting.LoadReport | None
+) -> None:
+    assert load_poller.read_load_report(body) == expected
+
+
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        (
+            b'{"events": [{"offset": 3, "kind": "stored", "block": "0a"}]}',
+            (prefix_affinity.CacheEvent(3, b"\n", True),),
+        ),
+        (b'{"events": [{"offset": 3, "kind": "moved", "block": "0a"}]}', ()),
+        (b'{"events": [{"offset": 3, "kind": "stored", "block": "x"}]}', ()),
+        (b'{"events": 1}', None),
+        (b"x", None),
+    ],
+)
+def test_cache_events(
+    body: bytes, expected: tuple[prefix_affinity.CacheEvent, ...] | None
+) -> None:
+    assert load_poller.read_cache_events(body) == expected
+
+
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        (b'[{"name": "r", "state": "leaving"}]', [("r", True)]),
+        (b'[{"name": "r", "state": "live"}, 1, {}]', [("r", False)]),
+        (b'[{"name": "r", "state": "odd"}]', []),
+        (b"{}", []),
+        (b"", []),
+    ],
+)
+def test_host_list(body: bytes, expected: list[tuple[str, bool]]) -> None:
+    assert host_list_reader.read_host_states(body) == expected
+
+
+def test_subsets_are_bounded_stable_and_even() -> None:
+    upstreams = [
+        builders.make_upstream(f"runner-{n}", f"zone-{n % 7}")
+        for n in range(4_480)
+    ]
+    chosen = upstream_subset.choose_subset(upstreams, "r-1", "zone-1", 540)
+    assert len(chosen.upstreams) == upstream_subset.MAX_SUBSET
+    local = sum(u.zone == "zone-1" for u in chosen.upstreams)
+    assert local == 18
+    assert chosen.sharing_routers == 3
+    again = upstream_subset.choose_subset(upstreams[:-1], "r-1", "zone-1", 540)
+    assert len(set(again.upstreams) & set(chosen.upstreams)) >= 23
+    small = upstream_subset.choose_subset(upstreams[:6], "r-1", "zone-1", 8)
+    assert small == upstream_subset.Subset(tuple(upstreams[:6]), 8)
