Answer what waits for a removed pool; use all slots of silent upstreams

Cause, found on reading: waiting requests of a pool that a new configuration removes were never answered; plain services, which never report load, got one slot a router; answers that are not streamed never proved their request, so that equal ones ran on one upstream. Ruled out: keeping a removed pool until its queue drains.

--- a/redwingchute/request/chat_handler.py
+++ b/redwingchute/request/chat_handler.py
@@ -24,6 +24,7 @@
 from redwingchute.request import work_kind
 
 _CHAT_PATH = "/v1/chat/completions"
+_CHARACTERS_PER_TOKEN = 4
 
 
 class ChatHandler:
@@ -193,13 +194,16 @@
     kind = work_kind.read_work_kind(request.headers)
     if isinstance(kind, outcomes.NotRun):
         return kind
+    prompt = "\n".join(m["content"] for m in chat.fields["messages"])
+    salt = prefix_affinity.make_cache_salt(caller.account.name)
     return dispatcher.Work(
         pool_name=dispatcher.name_model_pool(chat.model.name),
         account=caller.account,
         kind=kind,
         arrived_ms=caller.arrived_ms,
         body_digest=request_key.digest_body(_CHAT_PATH, request.body),
-        prompt="\n".join(m["content"] for m in chat.fields["messages"]),
+        prompt_tokens=max(1, len(prompt) // _CHARACTERS_PER_TOKEN),
+        prefix_digests=prefix_affinity.make_prefix_digests(salt, prompt),
         max_output_tokens=chat.max_output_tokens,
     )
 
--- a/redwingchute/request/crash_guard.py
+++ b/redwingchute/request/crash_guard.py
@@ -67,7 +67,9 @@
             running[upstream] -= 1
             if running.total() <= 0:
                 del self._upstreams[key]
-        if not is_whole:
+        if is_whole:
+            self.note_output(ticket)
+        else:
             self._proven.pop(key, None)
 
 
--- a/redwingchute/request/dispatcher.py
+++ b/redwingchute/request/dispatcher.py
@@ -40,8 +40,6 @@
 # A request that has run goes before all that have not.
 _RESUME_PRIORITY = -1
 
-_BYTES_PER_TOKEN = 4
-
 Notice: TypeAlias = (
     requesting.CrashNotice
     | requesting.QuarantineNotice
@@ -90,7 +88,8 @@
       kind: The kind of work.
       arrived_ms: When it arrived.
       body_digest: The digest of its body.
-      prompt: The prompt, empty for calls of plain services.
+      prompt_tokens: The prompt's estimated size, 0 for plain services.
+      prefix_digests: The digests of its prompt's prefixes.
       max_output_tokens: The bound of its output; 1 for calls of services.
       is_repeatable: Whether it may run more than once.
     """
@@ -100,7 +99,8 @@
     kind: configuration.WorkKind
     arrived_ms: int
     body_digest: bytes
-    prompt: str = ""
+    prompt_tokens: int = 0
+    prefix_digests: tuple[bytes, ...] = ()
     max_output_tokens: int = 1
     is_repeatable: bool = True
 
@@ -210,7 +210,11 @@
                 known = pool.Pool(settings, (), self.leaving)
             known.configure(subset.upstreams, subset.sharing_routers)
             pools[name] = known
+        removed = [known for n, known in self._pools.items() if n not in pools]
         self._pools = pools
+        for known in removed:
+            for given_up in known.give_up_all(_refuse_unknown_pool()):
+                self._resolve(given_up.ticket, given_up.refusal)
         for name in pools:
             self._advance(name)
 
@@ -453,22 +457,18 @@
         expected_tokens = self.estimator.estimate_tokens(
             work.account.name, work.kind, work.max_output_tokens
         )
-        salt = prefix_affinity.make_cache_salt(work.account.name)
         return requesting.Ticket(
             ticket_id=next(self._ticket_ids),
             client_account=work.account.name,
             kind=work.kind,
             priority=_RESUME_PRIORITY if progress.has_sent else found.priority,
             deadline_ms=work.arrived_ms + found.deadline_ms,
-            prompt_tokens=len(work.prompt) // _BYTES_PER_TOKEN
-            + progress.delivered_tokens,
+            prompt_tokens=work.prompt_tokens + progress.delivered_tokens,
             expected_output_tokens=max(
                 1, expected_tokens - progress.delivered_tokens
             ),
             arrived_at_ms=work.arrived_ms,
-            prefix_digests=prefix_affinity.make_prefix_digests(
-                salt, work.prompt
-            ),
+            prefix_digests=work.prefix_digests,
             body_digest=work.body_digest,
             is_suspect=self.quarantine.is_suspect(work.key, now_ms),
             excluded_upstreams=progress.failed_upstreams,
--- a/redwingchute/request/front_test.py
+++ b/redwingchute/request/front_test.py
@@ -309,3 +309,23 @@
             assert isinstance(rig.find_address(), http_client.Address)
 
     asyncio.run(run())
+
+
+def test_removed_pool_refuses_what_waits_for_it() -> None:
+    async def run() -> None:
+        slow = engine.EngineFaults(token_interval_ms=20)
+        async with _run_rig([slow]) as (rig, engines):
+            tasks = [
+                asyncio.create_task(rig.chat(f"shift {n}")) for n in range(12)
+            ]
+            await _wait_until(lambda: len(engines[0].attempt_ids) == 8)
+            waits = rig.dispatchers[0].list_running
+            await _wait_until(lambda: len(waits()) == 12)
+            rig.dispatchers[0].configure(
+                attrs.evolve(rig.current, models=()), 1
+            )
+            replies = await asyncio.gather(*tasks)
+            statuses = sorted(reply.status for reply in replies)
+            assert statuses == [200] * 8 + [503] * 4
+
+    asyncio.run(run())
--- a/redwingchute/request/load_model.py
+++ b/redwingchute/request/load_model.py
@@ -163,9 +163,10 @@
         takes only part of the free slots of a report, since the other routers
         see the same report.
         """
-        even_share = math.ceil(self._slots / self._sharing_routers)
         if self._report is None:
-            return even_share
+            # Plain services never report, and queue what is too much.
+            return self._slots
+        even_share = math.ceil(self._slots / self._sharing_routers)
         left = self._slots - self.estimate_others()
         free = max(0, self._slots - self._report.running - self._report.queued)
         share = min(1.0, _FREE_SHARE_FACTOR / self._sharing_routers)
--- a/redwingchute/request/pool.py
+++ b/redwingchute/request/pool.py
@@ -256,6 +256,13 @@
             given_up.append(GivenUp(ticket, refusal))
         return tuple(given_up)
 
+    def give_up_all(self, refusal: outcomes.NotRun) -> tuple[GivenUp, ...]:
+        """Takes out all waiting requests, when the pool is removed."""
+        tickets = tuple(self._queue)
+        for ticket in tickets:
+            self._queue.remove(ticket.ticket_id)
+        return tuple(GivenUp(ticket, refusal) for ticket in tickets)
+
     def cancel(self, ticket_id: int) -> None:
         """Takes out a waiting request whose caller went away."""
         self._queue.remove(ticket_id)
--- a/redwingchute/request/pool_test.py
+++ b/redwingchute/request/pool_test.py
@@ -220,3 +220,13 @@
     names = {start.upstream.name for start in _start_all(model_pool, 100)}
     assert names == {"runner-1", "runner-2"}
     assert first.upstream.name in names
+
+
+def test_whole_answer_proves_its_request() -> None:
+    model_pool, _ = _make_pool(count=3, slots=2)
+    copies = [builders.make_ticket(n, body_digest=b"same") for n in range(5)]
+    _submit_all(model_pool, copies)
+    starts = _start_all(model_pool)
+    assert len(starts) == 2
+    model_pool.note_end(starts[0].ticket.ticket_id, 10, 100)
+    assert len(_start_all(model_pool, 10)) == 3
