--- a/redwingchute/request/chat_answer.py
+++ b/redwingchute/request/chat_answer.py
@@ -16,9 +16,9 @@
 from redwingchute.core import spending
 from redwingchute.request import chat_request
 from redwingchute.request import context
-from redwingchute.request import dispatcher
 from redwingchute.request import exchange
 from redwingchute.request import retry
+from redwingchute.request import slot as slot_lib
 from redwingchute.request import sse
 from redwingchute.request import transcript
 
@@ -71,7 +71,7 @@
         return json.dumps(fields).encode()
 
     async def pass_on(
-        self, started: exchange.Started, slot: dispatcher.Slot
+        self, started: exchange.Started, slot: slot_lib.Slot
     ) -> outcomes.Refusal | exchange.AttemptFailed | None:
         """Passes an upstream's response on and settles before its end.
 
@@ -119,7 +119,7 @@
         )
 
     async def _pass_events(
-        self, connection: http_client.ClientConnection, slot: dispatcher.Slot
+        self, connection: http_client.ClientConnection, slot: slot_lib.Slot
     ) -> bool:
         """Passes events on; True when the upstream ended its stream whole."""
         before_tokens = self.stream.output_tokens
@@ -131,7 +131,7 @@
             self._context.metrics.tokens_delivered.add(tokens)
 
     async def _pass_chunks(
-        self, watch: exchange.PauseWatch, slot: dispatcher.Slot
+        self, watch: exchange.PauseWatch, slot: slot_lib.Slot
     ) -> bool:
         """Passes each part of the stream on as it comes."""
         while True:
@@ -149,7 +149,7 @@
                     return self.stream.is_done
 
     async def _pass_whole(
-        self, started: exchange.Started, slot: dispatcher.Slot
+        self, started: exchange.Started, slot: slot_lib.Slot
     ) -> outcomes.Refusal | exchange.AttemptFailed | None:
         """Passes on a response that is not streamed."""
         body = await exchange.read_body(started.connection, _MAX_ANSWER_BYTES)
--- a/redwingchute/request/chat_handler.py
+++ b/redwingchute/request/chat_handler.py
@@ -21,6 +21,8 @@
 from redwingchute.request import request_key
 from redwingchute.request import request_life
 from redwingchute.request import retry
+from redwingchute.request import slot as slot_lib
+from redwingchute.request import work as work_lib
 from redwingchute.request import work_kind
 
 _CHAT_PATH = "/v1/chat/completions"
@@ -69,7 +71,7 @@
     async def _admit(
         self,
         request: http_server.HttpRequest,
-        work: dispatcher.Work,
+        work: work_lib.Work,
         chat: chat_request.ChatRequest,
     ) -> chat_answer.Billing | outcomes.NotRun:
         """Reserves the request's highest cost."""
@@ -97,11 +99,11 @@
                 return refusal
 
     async def _run(
-        self, answer: chat_answer.ChatAnswer, work: dispatcher.Work
+        self, answer: chat_answer.ChatAnswer, work: work_lib.Work
     ) -> outcomes.Refusal | None:
         """Runs attempts until the answer is whole or the request is over."""
         life = self._context.dispatcher.begin_life(work)
-        progress = dispatcher.Progress()
+        progress = work_lib.Progress()
         while True:
             async with self._context.dispatcher.hold_slot(
                 work, progress
@@ -115,7 +117,7 @@
                     self._learn(answer, work)
                     return result
                 await self._context.note_failure(work, slot, result)
-            progress = dispatcher.Progress(
+            progress = work_lib.Progress(
                 answer.stream.output_tokens,
                 life.has_sent,
                 progress.failed_upstreams | {slot.upstream.name},
@@ -130,9 +132,9 @@
     async def _attempt(
         self,
         answer: chat_answer.ChatAnswer,
-        work: dispatcher.Work,
+        work: work_lib.Work,
         life: request_life.RequestLife,
-        slot: dispatcher.Slot,
+        slot: slot_lib.Slot,
     ) -> outcomes.Refusal | exchange.AttemptFailed | None:
         """Runs one attempt."""
         self._context.metrics.attempts.add(1)
@@ -159,8 +161,8 @@
 
     async def _pause(
         self,
-        work: dispatcher.Work,
-        progress: dispatcher.Progress,
+        work: work_lib.Work,
+        progress: work_lib.Progress,
         life: request_life.RequestLife,
         kind: retry.FailureKind,
     ) -> outcomes.Refusal | None:
@@ -178,7 +180,7 @@
                 return life.refuse(refusal).refusal
 
     def _learn(
-        self, answer: chat_answer.ChatAnswer, work: dispatcher.Work
+        self, answer: chat_answer.ChatAnswer, work: work_lib.Work
     ) -> None:
         """Learns from the size of a whole answer."""
         if answer.output_tokens is not None:
@@ -189,14 +191,14 @@
     request: http_server.HttpRequest,
     caller: context.Caller,
     chat: chat_request.ChatRequest,
-) -> dispatcher.Work | outcomes.NotRun:
+) -> work_lib.Work | outcomes.NotRun:
     """Returns what the dispatcher needs to know of a request."""
     kind = work_kind.read_work_kind(request.headers)
     if isinstance(kind, outcomes.NotRun):
         return kind
     prompt = "\n".join(m["content"] for m in chat.fields["messages"])
     salt = prefix_affinity.make_cache_salt(caller.account.name)
-    return dispatcher.Work(
+    return work_lib.Work(
         pool_name=dispatcher.name_model_pool(chat.model.name),
         account=caller.account,
         kind=kind,
--- a/redwingchute/request/context.py
+++ b/redwingchute/request/context.py
@@ -12,6 +12,8 @@
 from redwingchute.process import telemetry
 from redwingchute.request import dispatcher as dispatcher_lib
 from redwingchute.request import exchange
+from redwingchute.request import slot as slot_lib
+from redwingchute.request import work as work_lib
 
 
 class RequestLedger(Protocol):
@@ -65,8 +67,8 @@
 
     async def note_failure(
         self,
-        work: dispatcher_lib.Work,
-        slot: dispatcher_lib.Slot,
+        work: work_lib.Work,
+        slot: slot_lib.Slot,
         failed: exchange.AttemptFailed,
     ) -> None:
         """Counts a failed attempt and tells the dispatcher."""
--- /dev/null
+++ b/redwingchute/request/dispatch_refusals.py
@@ -0,0 +1,24 @@
+"""Words the refusals that the dispatcher gives."""
+
+from redwingchute.core import outcomes
+from redwingchute.request import quarantine
+
+
+def refuse_quarantined(
+    entry: quarantine.QuarantineEntry, now_ms: int
+) -> outcomes.NotRun:
+    """Returns the refusal of a quarantined request."""
+    return outcomes.NotRun(
+        422,
+        "quarantined",
+        "Upstreams crashed while they ran this request; it is not run again "
+        "until its quarantine ends or an operator lifts it.",
+        max(1, entry.until_ms - now_ms),
+    )
+
+
+def refuse_unknown_pool() -> outcomes.NotRun:
+    """Returns the refusal of a request whose pool was removed."""
+    return outcomes.NotRun(
+        503, "pool_removed", "The pool is not in the configuration any more."
+    )
--- a/redwingchute/request/dispatcher.py
+++ b/redwingchute/request/dispatcher.py
@@ -16,13 +16,14 @@
 
 import attrs
 
-from redwingchute.connection import http_client
 from redwingchute.core import configuration
 from redwingchute.core import outcomes
 from redwingchute.core import requesting
 from redwingchute.core import status
 from redwingchute.request import admission
 from redwingchute.request import attempt
+from redwingchute.request import crash_probe
+from redwingchute.request import dispatch_refusals
 from redwingchute.request import leaving
 from redwingchute.request import output_estimator
 from redwingchute.request import patience
@@ -31,11 +32,11 @@
 from redwingchute.request import quarantine
 from redwingchute.request import request_life
 from redwingchute.request import retry
+from redwingchute.request import slot as slot_lib
 from redwingchute.request import upstream_subset
+from redwingchute.request import work as work_lib
 
 _TICK_MS = 50
-_CRASH_PROBE_MS = 500
-_CRASH_PROBE_PAUSE_MS = 50
 
 # A request that has run goes before all that have not.
 _RESUME_PRIORITY = -1
@@ -78,92 +79,12 @@
     broadcast: Callable[[Notice], None]
 
 
-@attrs.frozen
-class Work:
-    """What a caller asks of a pool.
-
-    Attributes:
-      pool_name: The pool that runs it.
-      account: Whose request it is.
-      kind: The kind of work.
-      arrived_ms: When it arrived.
-      body_digest: The digest of its body.
-      prompt_tokens: The prompt's estimated size, 0 for plain services.
-      prefix_digests: The digests of its prompt's prefixes.
-      max_output_tokens: The bound of its output; 1 for calls of services.
-      is_repeatable: Whether it may run more than once.
-    """
-
-    pool_name: str
-    account: configuration.ClientAccount
-    kind: configuration.WorkKind
-    arrived_ms: int
-    body_digest: bytes
-    prompt_tokens: int = 0
-    prefix_digests: tuple[bytes, ...] = ()
-    max_output_tokens: int = 1
-    is_repeatable: bool = True
-
-    @property
-    def key(self) -> quarantine.RequestKey:
-        """The key that it is quarantined by."""
-        return quarantine.RequestKey(self.account.name, self.body_digest)
-
-
-@attrs.frozen
-class Progress:
-    """What earlier attempts of a request left.
-
-    Attributes:
-      delivered_tokens: Output that the caller has already.
-      has_sent: Whether an attempt has sent a byte.
-      failed_upstreams: The upstreams that failed it.
-    """
-
-    delivered_tokens: int = 0
-    has_sent: bool = False
-    failed_upstreams: frozenset[str] = frozenset()
-
-
 @dataclasses.dataclass(frozen=True)
 class Requeue:
     """The request must be looked at anew, since a copy of it crashed."""
 
 
-class Slot:
-    """A request's place on an upstream, held while an attempt runs.
-
-    Attributes:
-      upstream: Where the attempt goes.
-      ticket: The request.
-      output_tokens: Set to the answer's size once it ended whole.
-    """
-
-    def __init__(
-        self,
-        pool_of_slot: pool.Pool,
-        start: pool.Start,
-        read_clock_ms: Callable[[], int],
-    ) -> None:
-        """Binds the slot to its pool."""
-        self.upstream = start.upstream
-        self.ticket = start.ticket
-        self.output_tokens: int | None = None
-        self._has_output = False
-        self._pool = pool_of_slot
-        self._read_clock_ms = read_clock_ms
-
-    def note_first_token(self) -> None:
-        """Records that output arrives; only the first call counts."""
-        if self._has_output:
-            return
-        self._has_output = True
-        self._pool.note_first_token(
-            self.ticket.ticket_id, self._read_clock_ms()
-        )
-
-
-SlotResult: TypeAlias = Slot | outcomes.NotRun | Requeue
+SlotResult: TypeAlias = slot_lib.Slot | outcomes.NotRun | Requeue
 _Wait: TypeAlias = "asyncio.Future[pool.Start | outcomes.NotRun | Requeue]"
 
 
@@ -181,10 +102,10 @@
         self._parts = parts
         self._pools: dict[str, pool.Pool] = {}
         self._waits: dict[int, _Wait] = {}
-        self._works: dict[int, tuple[Work, str]] = {}
+        self._works: dict[int, tuple[work_lib.Work, str]] = {}
         self._ticket_ids = itertools.count(1)
         self._ids = attempt.AttemptIds(parts.incarnation)
-        self._probes = http_client.ClientPool(_CRASH_PROBE_MS, 0)
+        self._probe = crash_probe.CrashProbe()
         self.quarantine = quarantine.Quarantine(parts.router_name)
         self.leaving = leaving.LeavingUpstreams()
         self.estimator = output_estimator.OutputEstimator()
@@ -213,7 +134,9 @@
         removed = [known for n, known in self._pools.items() if n not in pools]
         self._pools = pools
         for known in removed:
-            for given_up in known.give_up_all(_refuse_unknown_pool()):
+            for given_up in known.give_up_all(
+                dispatch_refusals.refuse_unknown_pool()
+            ):
                 self._resolve(given_up.ticket, given_up.refusal)
         for name in pools:
             self._advance(name)
@@ -222,7 +145,7 @@
         """Returns the pools by name."""
         return dict(self._pools)
 
-    def begin_life(self, work: Work) -> request_life.RequestLife:
+    def begin_life(self, work: work_lib.Work) -> request_life.RequestLife:
         """Starts the life of a request."""
         found = self._pools.get(work.pool_name)
         budget = (
@@ -237,21 +160,21 @@
             settings, self._ids, budget, self._parts.rng
         )
 
-    def find_deadline_ms(self, work: Work) -> int:
+    def find_deadline_ms(self, work: work_lib.Work) -> int:
         """Returns when a request's answer must have ended."""
         found = patience.find_patience(work.account, work.kind, work.arrived_ms)
         return work.arrived_ms + found.deadline_ms
 
-    def refuse_early(self, work: Work) -> outcomes.NotRun | None:
+    def refuse_early(self, work: work_lib.Work) -> outcomes.NotRun | None:
         """Returns the refusal of a request that need not be tried, or None."""
         now_ms = self._parts.read_clock_ms()
         entry = self.quarantine.find(work.key, now_ms)
         if entry is not None:
-            return _refuse_quarantined(entry, now_ms)
+            return dispatch_refusals.refuse_quarantined(entry, now_ms)
         found = self._pools.get(work.pool_name)
         if found is None:
-            return _refuse_unknown_pool()
-        ticket = self._make_ticket(work, Progress())
+            return dispatch_refusals.refuse_unknown_pool()
+        ticket = self._make_ticket(work, work_lib.Progress())
         change = patience.find_next_change(work.account, work.kind, now_ms)
         match found.forecast(ticket, change, now_ms):
             case admission.Refused(refusal):
@@ -261,7 +184,7 @@
 
     @contextlib.asynccontextmanager
     async def hold_slot(
-        self, work: Work, progress: Progress
+        self, work: work_lib.Work, progress: work_lib.Progress
     ) -> AsyncIterator[SlotResult]:
         """Waits for a slot and holds it while the context lasts.
 
@@ -272,16 +195,16 @@
         entry = self.quarantine.find(work.key, now_ms)
         found = self._pools.get(work.pool_name)
         if entry is not None:
-            yield _refuse_quarantined(entry, now_ms)
+            yield dispatch_refusals.refuse_quarantined(entry, now_ms)
         elif found is None:
-            yield _refuse_unknown_pool()
+            yield dispatch_refusals.refuse_unknown_pool()
         else:
             ticket = self._make_ticket(work, progress)
             result = await self._wait(work, found, ticket)
             if not isinstance(result, pool.Start):
                 yield result
                 return
-            slot = Slot(found, result, self._parts.read_clock_ms)
+            slot = slot_lib.Slot(found, result, self._parts.read_clock_ms)
             self._works[ticket.ticket_id] = work, slot.upstream.name
             try:
                 yield slot
@@ -294,7 +217,7 @@
                 )
                 self._advance(work.pool_name)
 
-    def note_output(self, work: Work, output_tokens: int) -> None:
+    def note_output(self, work: work_lib.Work, output_tokens: int) -> None:
         """Learns from the size of an answer that ended by itself."""
         self.estimator.note_output(
             work.account.name,
@@ -303,7 +226,9 @@
             output_tokens,
         )
 
-    def estimate_work_left_ms(self, work: Work, progress: Progress) -> int:
+    def estimate_work_left_ms(
+        self, work: work_lib.Work, progress: work_lib.Progress
+    ) -> int:
         """Returns how long the rest of a request is expected to take."""
         found = self._pools.get(work.pool_name)
         if found is None:
@@ -312,7 +237,11 @@
         return found.estimate_work_left_ms(ticket, self._parts.read_clock_ms())
 
     async def note_failure(
-        self, work: Work, slot: Slot, kind: retry.FailureKind, attempt_id: str
+        self,
+        work: work_lib.Work,
+        slot: slot_lib.Slot,
+        kind: retry.FailureKind,
+        attempt_id: str,
     ) -> None:
         """Records a failed attempt while its slot is still held."""
         now_ms = self._parts.read_clock_ms()
@@ -330,7 +259,7 @@
                     )
             case retry.FailureKind.BROKEN:
                 found.outliers.note_failure(name, now_ms)
-                if await self._is_down(slot.upstream):
+                if await self._probe.is_down(slot.upstream):
                     self.note_unreachable(work.pool_name, name)
                     self._note_crash(work, name, attempt_id)
             case _:
@@ -450,7 +379,9 @@
                 if known.queued_count:
                     self._advance(name)
 
-    def _make_ticket(self, work: Work, progress: Progress) -> requesting.Ticket:
+    def _make_ticket(
+        self, work: work_lib.Work, progress: work_lib.Progress
+    ) -> requesting.Ticket:
         """Returns the ticket of a request's next attempt."""
         now_ms = self._parts.read_clock_ms()
         found = patience.find_patience(work.account, work.kind, work.arrived_ms)
@@ -475,7 +406,7 @@
         )
 
     async def _wait(
-        self, work: Work, found: pool.Pool, ticket: requesting.Ticket
+        self, work: work_lib.Work, found: pool.Pool, ticket: requesting.Ticket
     ) -> pool.Start | outcomes.NotRun | Requeue:
         """Queues a ticket and waits for what the pool decides."""
         now_ms = self._parts.read_clock_ms()
@@ -523,18 +454,9 @@
         if future is not None and not future.done():
             future.set_result(result)
 
-    async def _is_down(self, upstream: configuration.Upstream) -> bool:
-        """Tells whether an upstream refuses connections, now or soon."""
-        address = http_client.Address.parse(upstream.address)
-        for _ in range(2):
-            connection = await self._probes.acquire(address)
-            if isinstance(connection, http_client.ConnectFailed):
-                return True
-            connection.close()
-            await asyncio.sleep(_CRASH_PROBE_PAUSE_MS / 1000)
-        return False
-
-    def _note_crash(self, work: Work, upstream: str, attempt_id: str) -> None:
+    def _note_crash(
+        self, work: work_lib.Work, upstream: str, attempt_id: str
+    ) -> None:
         """Counts a crash here and on the other routers."""
         now_ms = self._parts.read_clock_ms()
         crash = requesting.CrashNotice(
@@ -549,23 +471,3 @@
             for ticket in found.list_waiting(account, digest):
                 found.cancel(ticket.ticket_id)
                 self._resolve(ticket, Requeue())
-
-
-def _refuse_quarantined(
-    entry: quarantine.QuarantineEntry, now_ms: int
-) -> outcomes.NotRun:
-    """Returns the refusal of a quarantined request."""
-    return outcomes.NotRun(
-        422,
-        "quarantined",
-        "Upstreams crashed while they ran this request; it is not run again "
-        "until its quarantine ends or an operator lifts it.",
-        max(1, entry.until_ms - now_ms),
-    )
-
-
-def _refuse_unknown_pool() -> outcomes.NotRun:
-    """Returns the refusal of a request whose pool was removed."""
-    return outcomes.NotRun(
-        503, "pool_removed", "The pool is not in the configuration any more."
-    )
--- a/redwingchute/request/exchange.py
+++ b/redwingchute/request/exchange.py
@@ -15,9 +15,9 @@
 
 from redwingchute.connection import http_client
 from redwingchute.request import attempt
-from redwingchute.request import dispatcher
 from redwingchute.request import request_life
 from redwingchute.request import retry
+from redwingchute.request import slot as slot_lib
 
 # How long past its deadline an upstream may still begin to answer.
 _GRACE_MS = 2_000
@@ -61,7 +61,7 @@
 @contextlib.asynccontextmanager
 async def open_exchange(
     connections: http_client.ClientPool,
-    slot: dispatcher.Slot,
+    slot: slot_lib.Slot,
     life: request_life.RequestLife,
     outgoing: Outgoing,
     timeout_ms: int,
--- a/redwingchute/request/service_handler.py
+++ b/redwingchute/request/service_handler.py
@@ -25,6 +25,8 @@
 from redwingchute.request import request_key
 from redwingchute.request import request_life
 from redwingchute.request import retry
+from redwingchute.request import slot as slot_lib
+from redwingchute.request import work as work_lib
 from redwingchute.request import work_kind
 
 PREFIX = "/services/"
@@ -64,7 +66,7 @@
 class _Run:
     """A call as the dispatcher sees it, and its life."""
 
-    work: dispatcher.Work
+    work: work_lib.Work
     life: request_life.RequestLife
 
 
@@ -97,7 +99,7 @@
 
     def _begin_run(self, call: _Call, caller: context.Caller) -> _Run:
         """Starts the life of a call."""
-        work = dispatcher.Work(
+        work = work_lib.Work(
             pool_name=dispatcher.name_service_pool(call.service.name),
             account=caller.account,
             kind=call.kind,
@@ -198,7 +200,7 @@
         self, call: _Call, run: _Run
     ) -> http_client.Fetched | outcomes.Refusal:
         """Sends a call until an instance answers it or it is over."""
-        progress = dispatcher.Progress()
+        progress = work_lib.Progress()
         while True:
             async with self._context.dispatcher.hold_slot(
                 run.work, progress
@@ -212,7 +214,7 @@
                     slot.output_tokens = 1
                     return result
                 await self._context.note_failure(run.work, slot, result)
-            progress = dispatcher.Progress(
+            progress = work_lib.Progress(
                 has_sent=run.life.has_sent,
                 failed_upstreams=progress.failed_upstreams
                 | {slot.upstream.name},
@@ -222,7 +224,7 @@
                 return refusal
 
     async def _attempt(
-        self, call: _Call, run: _Run, slot: dispatcher.Slot
+        self, call: _Call, run: _Run, slot: slot_lib.Slot
     ) -> http_client.Fetched | exchange.AttemptFailed:
         """Runs one attempt on one instance."""
         self._context.metrics.attempts.add(1)
@@ -253,7 +255,7 @@
     async def _pause(
         self,
         run: _Run,
-        progress: dispatcher.Progress,
+        progress: work_lib.Progress,
         kind: retry.FailureKind,
     ) -> outcomes.Refusal | None:
         """Waits before the next attempt; returns the refusal if none comes."""
