--- a/redwingchute/bench/request_policies.py
+++ b/redwingchute/bench/request_policies.py
@@ -130,7 +130,7 @@
         if engine.submit(request, self):
             return
         del self._ticket_ids[id(request)]
-        self._pool.note_unreachable(engine.name, now_ms)
+        self._pool.upstreams.note_unreachable(engine.name, now_ms)
         self._pool.note_end(ticket_id, now_ms, None)
         self.take(request)
 
@@ -144,10 +144,14 @@
         """Takes the late load reports."""
         for engine in self._engines.values():
             if engine.is_gone:
-                self._pool.note_unreachable(engine.name, self._now_ms())
+                self._pool.upstreams.note_unreachable(
+                    engine.name, self._now_ms()
+                )
                 continue
             report = engine.find_report(self._report_lag_ms)
-            self._pool.note_report(engine.name, report, self._now_ms())
+            self._pool.upstreams.note_report(
+                engine.name, report, self._now_ms()
+            )
         self._advance()
         self._clock.call_later(_REPORT_PERIOD_MS, self._poll)
 
--- a/redwingchute/request/dispatcher.py
+++ b/redwingchute/request/dispatcher.py
@@ -129,7 +129,7 @@
             known = self._pools.get(name)
             if known is None:
                 known = pool.Pool(settings, (), self.leaving)
-            known.configure(subset.upstreams, subset.sharing_routers)
+            known.upstreams.configure(subset.upstreams, subset.sharing_routers)
             pools[name] = known
         removed = [known for n, known in self._pools.items() if n not in pools]
         self._pools = pools
@@ -258,26 +258,26 @@
                         requesting.LeavingNotice(name, now_ms)
                     )
             case retry.FailureKind.BROKEN:
-                found.outliers.note_failure(name, now_ms)
+                found.upstreams.outliers.note_failure(name, now_ms)
                 if await self._probe.is_down(slot.upstream):
                     self.note_unreachable(work.pool_name, name)
                     self._note_crash(work, name, attempt_id)
             case _:
-                found.outliers.note_failure(name, now_ms)
+                found.upstreams.outliers.note_failure(name, now_ms)
 
     def note_unreachable(self, pool_name: str, upstream: str) -> None:
         """Records that an upstream refused a connection."""
         now_ms = self._parts.read_clock_ms()
         found = self._pools.get(pool_name)
         if found is not None:
-            found.note_unreachable(upstream, now_ms)
+            found.upstreams.note_unreachable(upstream, now_ms)
         self.leaving.note_down(upstream, now_ms)
 
     def note_reachable(self, pool_name: str, upstream: str) -> None:
         """Records that an upstream accepted a connection."""
         found = self._pools.get(pool_name)
         if found is not None:
-            found.outliers.note_connected(upstream)
+            found.upstreams.outliers.note_connected(upstream)
         self.leaving.note_up(upstream)
 
     def note_load(
@@ -288,7 +288,9 @@
         if found is None:
             return
         self.leaving.note_up(upstream)
-        found.note_report(upstream, report, self._parts.read_clock_ms())
+        found.upstreams.note_report(
+            upstream, report, self._parts.read_clock_ms()
+        )
         self._advance(pool_name)
 
     def note_cache_events(
@@ -300,7 +302,7 @@
         """Takes cache events of an engine."""
         found = self._pools.get(pool_name)
         if found is not None:
-            found.note_cache_events(upstream, events)
+            found.upstreams.note_cache_events(upstream, events)
 
     def note_host_state(self, upstream: str, is_leaving: bool) -> None:
         """Takes what the host list says of an upstream."""
@@ -367,7 +369,7 @@
         return tuple(
             state
             for known in self._pools.values()
-            for state in known.list_states(now_ms)
+            for state in known.upstreams.list_states(now_ms)
         )
 
     async def run(self) -> None:
--- a/redwingchute/request/load_poller.py
+++ b/redwingchute/request/load_poller.py
@@ -54,7 +54,7 @@
         polls = [
             self._poll(pool_name, upstream)
             for pool_name, known in self._target.list_pools().items()
-            for upstream in known.list_upstreams()
+            for upstream in known.upstreams.list_upstreams()
         ]
         await asyncio.gather(*polls)
 
--- a/redwingchute/request/pool.py
+++ b/redwingchute/request/pool.py
@@ -14,20 +14,15 @@
 from redwingchute.core import configuration
 from redwingchute.core import outcomes
 from redwingchute.core import requesting
-from redwingchute.core import status
 from redwingchute.request import admission
 from redwingchute.request import crash_guard
 from redwingchute.request import leaving
 from redwingchute.request import load_model
-from redwingchute.request import outlier
 from redwingchute.request import patience
-from redwingchute.request import prefix_affinity
 from redwingchute.request import queue
 from redwingchute.request import retry
 from redwingchute.request import routing
-
-# How many upstreams a request tries while none of the pool is reachable.
-_LAST_RESORT_TRIES = 2
+from redwingchute.request import upstream_table
 
 # The share of a forecast wait that counts where routers share upstreams.
 _SHARED_WAIT_SHARE = 0.5
@@ -100,7 +95,7 @@
 
     Attributes:
       retry_budget: The pool's budget of retries.
-      outliers: The failures of its upstreams.
+      upstreams: What is known of its upstreams.
     """
 
     def __init__(
@@ -119,45 +114,18 @@
           sharing_routers: How many routers send work to each upstream.
         """
         self._settings = settings
-        self._leaving = leaving_upstreams
         self._queue = queue.PoolQueue(settings.max_queued)
-        self._loads: dict[str, load_model.UpstreamLoad] = {}
-        self._prefixes: dict[str, prefix_affinity.PrefixIndex] = {}
         self._running: dict[int, _Running] = {}
         self._guard = crash_guard.CrashGuard()
         self.retry_budget = retry.RetryBudget(settings.retry_policy)
-        self.outliers = outlier.OutlierDetector(())
-        self.configure(upstreams, sharing_routers)
-
-    def configure(
-        self,
-        upstreams: Iterable[configuration.Upstream],
-        sharing_routers: int,
-    ) -> None:
-        """Takes the upstreams of a new version; known ones keep their state."""
-        self._sharing_routers = sharing_routers
-        loads: dict[str, load_model.UpstreamLoad] = {}
-        for upstream in upstreams:
-            known = self._loads.get(upstream.name)
-            if known is None or known.upstream.address != upstream.address:
-                known = load_model.UpstreamLoad(upstream)
-                self._prefixes[upstream.name] = prefix_affinity.PrefixIndex()
-            known.upstream = upstream
-            known.set_sharing_routers(sharing_routers)
-            loads[upstream.name] = known
-        self._loads = loads
-        self._prefixes = {name: self._prefixes[name] for name in loads}
-        self.outliers.set_upstreams(tuple(loads))
+        self.upstreams = upstream_table.UpstreamTable(leaving_upstreams)
+        self.upstreams.configure(upstreams, sharing_routers)
 
     @property
     def queued_count(self) -> int:
         """How many requests wait."""
         return len(self._queue)
 
-    def list_upstreams(self) -> tuple[configuration.Upstream, ...]:
-        """Returns the upstreams of the version in force."""
-        return tuple(load.upstream for load in self._loads.values())
-
     def list_waiting(
         self, client_account: str, body_digest: bytes
     ) -> tuple[requesting.Ticket, ...]:
@@ -169,13 +137,6 @@
             and ticket.body_digest == body_digest
         )
 
-    def list_states(self, now_ms: int) -> tuple[status.UpstreamStatus, ...]:
-        """Returns what is known of each upstream, for operators."""
-        return tuple(
-            self._describe(name, load, now_ms)
-            for name, load in self._loads.items()
-        )
-
     def forecast(
         self,
         ticket: requesting.Ticket,
@@ -214,13 +175,15 @@
         """Takes out the next request that can start and end in time."""
         if not len(self._queue):
             return None
-        usable = self._list_usable(now_ms)
+        usable = self.upstreams.list_usable(now_ms)
         free_loads = [load for load in usable if load.count_free_slots() > 0]
         if usable and not free_loads:
             return None
         unsafe: list[tuple[requesting.Ticket, routing.Choice]] = []
         for ticket in self._queue.iterate_in_order():
-            loads = free_loads or self._list_last_resort(ticket, now_ms)
+            loads = free_loads or self.upstreams.list_last_resort(
+                ticket, now_ms
+            )
             choice = self._choose(ticket, loads, now_ms)
             if choice is None or choice.completion_ms > ticket.deadline_ms:
                 continue
@@ -240,13 +203,13 @@
         """Takes out the requests that cannot end in time any more."""
         if not len(self._queue):
             return ()
-        usable = self._list_usable(now_ms)
+        usable = self.upstreams.list_usable(now_ms)
         given_up = []
         for ticket in self._queue:
-            loads = usable or self._list_last_resort(ticket, now_ms)
+            loads = usable or self.upstreams.list_last_resort(ticket, now_ms)
             if not loads:
                 refusal = admission.refuse_pool_down(
-                    self._find_next_return_ms(now_ms), now_ms
+                    self.upstreams.find_next_return_ms(now_ms), now_ms
                 )
             elif _can_end_in_time(ticket, loads, now_ms):
                 continue
@@ -286,44 +249,8 @@
         running.load.note_end(ticket_id, now_ms, output_tokens)
         self._guard.note_end(running.ticket, name, is_whole)
         if is_whole:
-            self.outliers.note_success(name)
-            self._share_speed()
-
-    def _share_speed(self) -> None:
-        """Has upstreams without experience count as the fastest known one.
-
-        Else a new upstream that looks slow would never be tried.
-        """
-        learned = [load for load in self._loads.values() if load.has_learned]
-        if not learned:
-            return
-        fastest = min(learned, key=lambda load: load.output_token_ms)
-        for load in self._loads.values():
-            load.assume_speed(fastest)
-
-    def note_report(
-        self, upstream: str, report: requesting.LoadReport, now_ms: int
-    ) -> None:
-        """Takes an upstream's load report."""
-        load = self._loads.get(upstream)
-        if load is not None:
-            load.note_report(report, now_ms)
-            self.outliers.note_connected(upstream)
-
-    def note_unreachable(self, upstream: str, now_ms: int) -> None:
-        """Records that an upstream refused a connection."""
-        self.outliers.note_connect_failure(upstream, now_ms)
-        index = self._prefixes.get(upstream)
-        if index is not None:
-            index.forget_all()
-
-    def note_cache_events(
-        self, upstream: str, events: Iterable[prefix_affinity.CacheEvent]
-    ) -> None:
-        """Takes cache events of an upstream."""
-        index = self._prefixes.get(upstream)
-        if index is not None:
-            index.note_events(events)
+            self.upstreams.outliers.note_success(name)
+            self.upstreams.share_speed()
 
     def estimate_work_left_ms(
         self, ticket: requesting.Ticket, now_ms: int
@@ -331,7 +258,7 @@
         """Returns the time that a request takes on the best upstream."""
         durations = [
             load.estimate_duration_ms(ticket)
-            for load in self._list_usable(now_ms)
+            for load in self.upstreams.list_usable(now_ms)
         ]
         return round(min(durations, default=0.0))
 
@@ -344,9 +271,7 @@
         self._running[ticket.ticket_id] = _Running(ticket, choice.load)
         upstream = choice.load.upstream
         self._guard.note_start(ticket, upstream.name)
-        index = self._prefixes.get(upstream.name)
-        if index is not None:
-            index.note_dispatch(ticket.prefix_digests)
+        self.upstreams.note_dispatch(upstream.name, ticket.prefix_digests)
         return Start(ticket, upstream, choice.completion_ms)
 
     def _is_overloaded(self, usable: list[load_model.UpstreamLoad]) -> bool:
@@ -378,7 +303,7 @@
         candidates = [
             routing.Candidate(
                 load,
-                self._estimate_cached_share(ticket, load),
+                self.upstreams.estimate_cached_share(ticket, load),
                 load.upstream.zone == self._settings.local_zone,
                 float(now_ms),
             )
@@ -386,90 +311,17 @@
         ]
         return routing.choose_upstream(ticket, candidates)
 
-    def _estimate_cached_share(
-        self, ticket: requesting.Ticket, load: load_model.UpstreamLoad
-    ) -> float:
-        """Returns the share of a prompt that an upstream probably holds."""
-        index = self._prefixes.get(load.upstream.name)
-        if index is None:
-            return 0.0
-        return index.estimate_cached_share(ticket.prefix_digests)
-
     def _view(
         self, ticket: requesting.Ticket, now_ms: int
     ) -> admission.PoolView:
         """Returns what admission needs to know."""
         return admission.PoolView(
-            self._list_usable(now_ms) or self._list_last_resort(ticket, now_ms),
-            self._find_next_return_ms(now_ms),
-            1.0 if self._sharing_routers == 1 else _SHARED_WAIT_SHARE,
+            self.upstreams.list_usable(now_ms)
+            or self.upstreams.list_last_resort(ticket, now_ms),
+            self.upstreams.find_next_return_ms(now_ms),
+            1.0 if self.upstreams.sharing_routers == 1 else _SHARED_WAIT_SHARE,
         )
 
-    def _list_usable(self, now_ms: int) -> list[load_model.UpstreamLoad]:
-        """Returns the upstreams that may take new work."""
-        return [
-            load
-            for name, load in self._loads.items()
-            if not load.upstream.is_drained
-            and not self._leaving.is_leaving(name, now_ms)
-            and self.outliers.find_return_ms(name) <= now_ms
-        ]
-
-    def _list_last_resort(
-        self, ticket: requesting.Ticket, now_ms: int
-    ) -> list[load_model.UpstreamLoad]:
-        """Returns unreachable upstreams that a request may still try.
-
-        When a whole pool was unreachable, a request finds out whether it
-        still is, but tries few upstreams before it is refused.
-        """
-        if len(ticket.excluded_upstreams) >= _LAST_RESORT_TRIES:
-            return []
-        return [
-            load
-            for name, load in self._loads.items()
-            if not load.upstream.is_drained
-            and not self._leaving.is_leaving(name, now_ms)
-            and self.outliers.is_unreachable(name, now_ms)
-            and name not in ticket.excluded_upstreams
-        ]
-
-    def _find_next_return_ms(self, now_ms: int) -> int | None:
-        """Returns when an upstream that is out may come back, if known."""
-        returns = []
-        for name, load in self._loads.items():
-            leaving_until_ms = self._leaving.find_return_ms(name)
-            if load.upstream.is_drained or leaving_until_ms is None:
-                continue
-            outlier_until_ms = self.outliers.find_return_ms(name)
-            until_ms = max(leaving_until_ms, outlier_until_ms)
-            if until_ms > now_ms:
-                returns.append(until_ms)
-        return min(returns, default=None)
-
-    def _describe(
-        self, name: str, load: load_model.UpstreamLoad, now_ms: int
-    ) -> status.UpstreamStatus:
-        """Returns what is known of one upstream."""
-        report = load.report
-        return status.UpstreamStatus(
-            name,
-            self._name_state(name, now_ms),
-            running=0 if report is None else report.running,
-            queued=0 if report is None else report.queued,
-            reported_ms=0 if report is None else report.at_ms,
-        )
-
-    def _name_state(self, name: str, now_ms: int) -> str:
-        """Returns the state of an upstream in one word."""
-        if self._leaving.is_leaving(name, now_ms):
-            return "leaving"
-        if self.outliers.is_unreachable(name, now_ms):
-            return "unreachable"
-        if self.outliers.find_return_ms(name) > now_ms:
-            return "ejected"
-        return "live"
-
     def _refuse_expired(
         self, ticket: requesting.Ticket, now_ms: int
     ) -> outcomes.NotRun:
@@ -477,7 +329,7 @@
         forecast = admission.forecast_request(
             ticket,
             self._queue.iterate_in_order(),
-            self._list_usable(now_ms),
+            self.upstreams.list_usable(now_ms),
             now_ms,
         )
         patience_ms = ticket.deadline_ms - ticket.arrived_at_ms
--- a/redwingchute/request/pool_test.py
+++ b/redwingchute/request/pool_test.py
@@ -54,10 +54,16 @@
         (lambda p, up: up.note_answer("runner-1", 0), 2),
         (lambda p, up: up.note_host_list("runner-1", True, 0), 2),
         (lambda p, up: up.note_sibling("runner-1", 0, 0), 2),
-        (lambda p, up: p.outliers.note_connect_failure("runner-1", 0), 2),
+        (
+            lambda p, up: p.upstreams.outliers.note_connect_failure(
+                "runner-1", 0
+            ),
+            2,
+        ),
         (
             lambda p, up: [
-                p.outliers.note_failure("runner-1", 0) for _ in range(3)
+                p.upstreams.outliers.note_failure("runner-1", 0)
+                for _ in range(3)
             ],
             2,
         ),
@@ -81,7 +87,7 @@
     first = model_pool.start_next(0)
     assert first is not None
     drained = attrs.evolve(first.upstream, is_drained=True)
-    model_pool.configure([drained], 1)
+    model_pool.upstreams.configure([drained], 1)
     assert model_pool.start_next(0) is None
     model_pool.note_end(first.ticket.ticket_id, 10, 5)
     assert [given.refusal.code for given in model_pool.expire(10)] == [
@@ -92,7 +98,9 @@
 def test_unreachable_pool_is_tried_twice_then_refused_with_its_return() -> None:
     model_pool, _ = _make_pool()
     for number in (1, 2, 3):
-        model_pool.outliers.note_connect_failure(f"runner-{number}", 0)
+        model_pool.upstreams.outliers.note_connect_failure(
+            f"runner-{number}", 0
+        )
     # The pool may be back; each request finds out, but not at length.
     for tried in ((), ("runner-1",)):
         ticket = builders.make_ticket(1, excluded_upstreams=frozenset(tried))
