--- a/redwingchute/process/ledger/position.py
+++ b/redwingchute/process/ledger/position.py
@@ -50,7 +50,7 @@
       kind: What covers it, or None while nothing does.
       bill: The entry that bills it, once its cost is known.
       claim: The entry that claims its single run, until that is decided.
-      wait_until_ms: When it stops waiting for tokens.
+      wait_until_ms: When it stops waiting for tokens or for its bill.
       is_sent: Whether its bill or claim was sent to the owner.
       is_claimed: Whether its single run is claimed by this holder.
       is_outcome_needed: Whether the bill also records the outcome of a call
@@ -177,11 +177,18 @@
         age_ms = max(0, now_ms - self._demand_at_ms)
         return self._demand_tokens_per_s * math.exp(-age_ms / DEMAND_WINDOW_MS)
 
+    def find_smallest_uncovered(self) -> int:
+        """Returns what the smallest waiting request needs, 0 without one."""
+        return min((each.tokens for each in self._list_uncovered()), default=0)
+
     def count_uncovered(self) -> int:
         """Returns the tokens that requests wait for."""
-        return sum(
-            reservation.tokens
-            for reservation in self.reservations.values()
-            if reservation.kind is None
-            and reservation.phase is not Phase.LOOKING_UP
-        )
+        return sum(each.tokens for each in self._list_uncovered())
+
+    def _list_uncovered(self) -> list[Reservation]:
+        """Returns the requests that wait for tokens."""
+        return [
+            each
+            for each in self.reservations.values()
+            if each.kind is None and each.phase is not Phase.LOOKING_UP
+        ]
