Note budgets' balances before and after in the audit trail; ask without key

'ask' with no key raised LocalProtocolError, since h11 refuses the header value 'Bearer '. After: the note holds the balance before, the balance after and the outcome; 'ask' without a key prints the refusal and exits with 1. Tests for both.

--- a/redwingchute/process/admin_api_test.py
+++ b/redwingchute/process/admin_api_test.py
@@ -12,6 +12,7 @@
 from redwingchute.connection import http_server
 from redwingchute.core import data
 from redwingchute.process import admin_api
+from redwingchute.process import ask_client
 from redwingchute.process import command_executor
 from redwingchute.process import operator_ports
 from redwingchute.testing import configuration_builders as builders
@@ -46,6 +47,11 @@
             lambda code: self.refusals.update([code]),
         )
 
+    @property
+    def handle(self) -> http_server.Handler:
+        """The API's handler."""
+        return self._api.handle
+
     def post(
         self,
         command: str,
@@ -251,6 +257,8 @@
         "top up budget",
         "bo",
     )
+    assert entry.before == "credited 1000, settled 300, unaccounted 50 tokens"
+    assert entry.after.startswith("credited 1500, settled 300, ")
 
 
 def test_a_reduction_says_what_it_could_not_take() -> None:
@@ -380,6 +388,24 @@
     assert text.startswith("line 1 column 6: Found 'spend'; expected")
 
 
+def test_ask_without_a_key_is_refused(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def scenario() -> int:
+        server = http_server.HttpServer(_Desk().handle, "127.0.0.1", 0)
+        async with server:
+            return await asyncio.to_thread(
+                ask_client.run_ask,
+                "show spent",
+                f"127.0.0.1:{server.port}",
+                "",
+                "text",
+            )
+
+    assert asyncio.run(scenario()) == 1
+    assert "missing or unknown" in capsys.readouterr().err
+
+
 def test_nothing_runs_before_a_configuration_is_in_force() -> None:
     desk = _Desk()
     desk.stream.fold.current = attrs.evolve(desk.stream.fold.current, version=0)
--- a/redwingchute/process/ask_client.py
+++ b/redwingchute/process/ask_client.py
@@ -39,10 +39,9 @@
 ) -> int:
     """Runs the exchange and prints the answer."""
     body = json.dumps({"command": command, "output": output}).encode()
-    headers = [
-        ("content-type", "application/json"),
-        ("authorization", f"Bearer {key}"),
-    ]
+    headers = [("content-type", "application/json")]
+    if key:
+        headers.append(("authorization", f"Bearer {key}"))
     async with http_client.ClientPool() as pool:
         result = await pool.fetch(
             address, "POST", "/admin/v1/command", headers, body, _TIMEOUT_MS
--- a/redwingchute/process/command_executor.py
+++ b/redwingchute/process/command_executor.py
@@ -258,6 +258,7 @@
             )
             await self.note_refused(command, author, message)
             return refuse(409, "lost_race", message)
+        before = after = ""
         match command.action:
             case commands.LiftQuarantine(account, digest):
                 answer = self._lift(account, digest, author)
@@ -266,8 +267,23 @@
                 if isinstance(entry, Refused):
                     answer = entry
                 else:
+                    before = await self._describe_balance(entry.budget)
                     answer = await self._commit(entry)
-        return await self._note_outcome(command, author, answer)
+                    after = await self._describe_balance(entry.budget)
+        return await self._note_outcome(
+            command, author, (before, after), answer
+        )
+
+    async def _describe_balance(self, budget: str) -> str:
+        """Returns a budget's balance as the audit trail shows it."""
+        balance = await self._ledger.read_balance(budget)
+        if balance is None:
+            return ""
+        return (
+            f"credited {balance.credited_tokens}, settled"
+            f" {balance.settled_tokens}, unaccounted"
+            f" {balance.unaccounted_tokens} tokens"
+        )
 
     def _lift(self, account: str, digest: bytes, author: str) -> Answer:
         """Ends a quarantine."""
@@ -305,19 +321,35 @@
                 )
 
     async def _note_outcome(
-        self, command: commands.Command, author: str, answer: Answer
+        self,
+        command: commands.Command,
+        author: str,
+        balances: tuple[str, str],
+        answer: Answer,
     ) -> Answer:
-        """Puts the outcome of an action into the audit trail."""
+        """Puts the outcome of an action into the audit trail.
+
+        Args:
+          command: The command.
+          author: Who gave it.
+          balances: The budget's balance before and after, or empty texts.
+          answer: The outcome.
+        """
+        before, after = balances
         match answer:
             case Refused():
-                cause = " ".join(item.message for item in answer.findings)
-                note = self._make_note(command, author, "", cause, True)
+                outcome = " ".join(item.message for item in answer.findings)
             case tables.Table():
-                note = self._make_note(
-                    command, author, "", _join_row(answer), False
-                )
-        outcome = await self._stream.submit(note)
-        if isinstance(outcome, changes.ChangeVerdict):
+                outcome = _join_row(answer)
+        note = self._make_note(
+            command,
+            author,
+            before,
+            f"{after}; {outcome}" if after else outcome,
+            isinstance(answer, Refused),
+        )
+        submission = await self._stream.submit(note)
+        if isinstance(submission, changes.ChangeVerdict):
             return answer
         return _add_note(answer, "The audit trail did not take the entry.")
 
--- a/redwingchute/process/operator_adapters.py
+++ b/redwingchute/process/operator_adapters.py
@@ -47,6 +47,16 @@
         balances.sort(key=lambda balance: balance.budget)
         return operator_ports.Balances(tuple(balances), tuple(missing))
 
+    async def read_balance(self, budget: str) -> data.BudgetBalance | None:
+        """Returns the balance of a budget, or None when it is not known."""
+        shard = sharding.find_shard(budget, self._shard_count)
+        report = await self._directory.query_balances(
+            data.BalanceQuery(shard, budget)
+        )
+        if report is None:
+            return None
+        return next(iter(report.balances), None)
+
     async def commit(
         self, entry: data.Credit | data.Release | data.Resolve
     ) -> data.Verdict | operator_ports.LedgerUnavailable:
--- a/redwingchute/process/operator_ports.py
+++ b/redwingchute/process/operator_ports.py
@@ -79,6 +79,9 @@
     async def read_balances(self) -> Balances:
         """Returns the balances of all budgets."""
 
+    async def read_balance(self, budget: str) -> data.BudgetBalance | None:
+        """Returns the balance of a budget, or None when it is not known."""
+
     async def commit(
         self, entry: data.Credit | data.Release | data.Resolve
     ) -> data.Verdict | LedgerUnavailable:
--- a/redwingchute/testing/operator_fakes.py
+++ b/redwingchute/testing/operator_fakes.py
@@ -109,6 +109,21 @@
         """Returns the balances."""
         return self.balances
 
+    async def read_balance(self, budget: str) -> data.BudgetBalance | None:
+        """Returns the balance of a budget, credits included."""
+        credited_tokens = sum(
+            entry.tokens
+            for entry in self.entries
+            if isinstance(entry, data.Credit)
+        )
+        for balance in self.balances.balances:
+            if balance.budget == budget:
+                return attrs.evolve(
+                    balance,
+                    credited_tokens=balance.credited_tokens + credited_tokens,
+                )
+        return None
+
     async def commit(
         self, entry: data.Credit | data.Release | data.Resolve
     ) -> data.Verdict | operator_ports.LedgerUnavailable:
