--- a/redwingchute/testing/scenario_runner.py
+++ b/redwingchute/testing/scenario_runner.py
@@ -9,6 +9,7 @@
 
 import collections
 from collections.abc import Callable
+import json
 import operator
 
 from redwingchute.core import data
@@ -25,7 +26,7 @@
 }
 # How long an expectation waits to come true.
 _PATIENCE_MS = 60_000
-_POLL_MS = 100
+_POLL_MS = 250
 # How long the fleet gets to settle its bills after the last step.
 _SETTLE_MS = 30_000
 
@@ -177,6 +178,8 @@
                 await self._expect_version(step)
             case steps.ExpectCommand():
                 await self._expect_command(step)
+            case steps.ExpectOneAccepted():
+                await self._expect_one_accepted(step)
             case steps.ExpectDispatched():
                 state = await self._backend.read_control(step.upstream)
                 count = state["dispatched"]
@@ -203,6 +206,19 @@
             message = f"command {step.command} is {found}: {result.message}"
             self._fail(step.line, message)
 
+    async def _expect_one_accepted(self, step: steps.ExpectOneAccepted) -> None:
+        """Waits for the commands' ends and counts the accepted ones."""
+        results = [self._commands[name] for name in step.commands]
+        await self._wait_for(lambda: all(each.verdict for each in results))
+        accepted = [
+            each.step.name
+            for each in results
+            if each.verdict is steps.CommandVerdict.ACCEPTED
+        ]
+        if len(accepted) != 1:
+            found = "; ".join(each.message for each in results)
+            self._fail(step.line, f"accepted are {accepted}: {found}")
+
     async def _expect_spend(self, step: steps.ExpectSpend) -> None:
         """Waits until what is settled of a budget compares as it should."""
         spent_tokens = 0
@@ -216,18 +232,23 @@
 
     async def _expect_version(self, step: steps.ExpectVersion) -> None:
         """Waits until routers have the same version in force."""
-        found: list[str | None] = []
+        found: list[int | None] = []
         for _ in range(_SETTLE_MS // _POLL_MS):
-            found = [await self._read_document(name) for name in step.routers]
-            if len(set(found)) == 1 and found[0] is not None:
+            found = [await self._read_version(name) for name in step.routers]
+            if len(set(found)) == 1 and found[0]:
                 return
             await self._backend.sleep(_POLL_MS)
         self._fail(step.line, f"the versions in force differ: {found}")
 
-    async def _read_document(self, router: str) -> str | None:
-        """Returns the configuration that a router has in force."""
-        answer = await self._backend.ask(router, "show config")
-        return None if answer is None else answer.decode()
+    async def _read_version(self, router: str) -> int | None:
+        """Returns the version that a router itself has in force."""
+        answer = await self._backend.ask(router, "show in force")
+        if answer is None:
+            return None
+        table = json.loads(answer)
+        host, version = (table["columns"].index(c) for c in ("host", "version"))
+        own = [row[version] for row in table["rows"] if row[host] == router]
+        return int(own[0]) if own else None
 
     async def _wait_for(self, is_met: Callable[[], bool]) -> None:
         """Waits for a condition, but not for ever."""
