--- a/redwingchute/bench/spend_bench.py
+++ b/redwingchute/bench/spend_bench.py
@@ -17,9 +17,9 @@
 from redwingchute.bench import spend_fleet
 from redwingchute.bench import spend_world
 
-# Disputes first: nothing differs but the share, the horizon and the smoothing.
-DERWENT_POLICY = spend_fleet.FleetPolicy()
-KARRI_POLICY = spend_fleet.FleetPolicy()
+# Derwent puts disputes first, Karri false refusals; see SPENDING.md.
+DERWENT_POLICY = spend_fleet.FleetPolicy(reserve_share=0.5)
+KARRI_POLICY = spend_fleet.FleetPolicy(reserve_share=0.75)
 
 FIRMS = (
     ("derwent", spend_cases.DERWENT_ZONES, DERWENT_POLICY),
