Let an asking holder give back reserve above its part

Cause: the first holder that asks for a new budget is the only one known and gets the whole share; with a share below 1 the owner never ran out of free tokens, so nothing was ever recalled and the placement stayed as the order of the first asks had made it.

New cases: demand that moves into the cut zone, with budgets of 1.1, 1.5 and 3 times the demand.

--- a/redwingchute/bench/spend_cases.py
+++ b/redwingchute/bench/spend_cases.py
@@ -47,6 +47,13 @@
     return _weigh_skewed(router + 3, at_ms)
 
 
+def _weigh_moving_in(router: int, at_ms: int) -> float:
+    """Returns weights whose weightiest router is cut off as they move."""
+    if at_ms < CUT_FROM_MS:
+        return _weigh_skewed(router + 3, at_ms)
+    return _weigh_skewed(router, at_ms)
+
+
 @attrs.frozen
 class Case:
     """One case.
@@ -72,7 +79,19 @@
     Case("zone cut, even demand", cut_zone=1),
     Case("zone cut, skewed demand", _weigh_skewed, cut_zone=1),
     Case("zone cut, moving demand", _weigh_moving, cut_zone=1),
-    Case("zone cut, moving demand, ample", _weigh_moving, 3.0, cut_zone=1),
+    Case("zone cut, demand moves in", _weigh_moving_in, cut_zone=1),
+    Case(
+        "zone cut, demand moves in, half as much again",
+        _weigh_moving_in,
+        1.5,
+        cut_zone=1,
+    ),
+    Case(
+        "zone cut, demand moves in, ample",
+        _weigh_moving_in,
+        3.0,
+        cut_zone=1,
+    ),
     Case("platform outage, even demand", has_outage=True),
     Case("platform outage, skewed demand", _weigh_skewed, has_outage=True),
     Case(
--- a/redwingchute/process/ledger/placement.py
+++ b/redwingchute/process/ledger/placement.py
@@ -222,7 +222,8 @@
 
     Returns:
       Recalls from holders that have spoken lately. For waiting requests all
-      may be asked, for the reserve's balance only those above their part.
+      may be asked, for the reserve's balance only those above their part, the
+      asking holder too.
     """
     parts = find_parts(state, smoothing)
     lacking_tokens = max(0, ask.lease_tokens - state.free_tokens)
@@ -236,6 +237,13 @@
     target_tokens = find_target(
         state, state.holder, parts.get(state.holder, 0), policy
     )
+    slack_tokens = max(
+        target_tokens * REBALANCE_SLACK, state.wish_tokens.get(state.holder, 0)
+    )
+    own_surplus_tokens = state.holder_reserve_tokens - target_tokens
+    if own_surplus_tokens > slack_tokens:
+        recall = data.Recall(state.budget, _RESERVE, own_surplus_tokens)
+        return (placement_default.HolderRecall(state.holder, recall),)
     missing_tokens = target_tokens - state.holder_reserve_tokens
     missing_tokens -= state.free_tokens
     if missing_tokens <= target_tokens * REBALANCE_SLACK:
--- a/redwingchute/process/ledger/placement_test.py
+++ b/redwingchute/process/ledger/placement_test.py
@@ -117,6 +117,14 @@
     assert placement.choose_recalls(state, _make_ask(500), _POLICY) == ()
 
 
+def test_asking_holder_gives_back_what_is_above_its_part() -> None:
+    state = _make_state(500, {1: 10.0, 2: 10.0}, {1: 500, 2: 0})
+    assert placement.choose_recalls(state, _make_ask(), _POLICY) == ()
+    state = _make_state(0, {1: 10.0, 2: 10.0}, {1: 1_000, 2: 0})
+    (order,) = placement.choose_recalls(state, _make_ask(), _POLICY)
+    assert (order.holder, order.recall.tokens) == (1, 500)
+
+
 def test_balanced_reserves_stay_where_they_are() -> None:
     state = _make_state(0, {1: 10.0, 2: 10.0}, {1: 450, 2: 550})
     assert placement.choose_recalls(state, _make_ask(), _POLICY) == ()
