Place small parts of an idle budget whole as reserve

Cause: a budget without history got a tenth of each part as reserve, 50 tokens of a part of 500, which covers no request of 69 (trace of scenario cut-and-router-death: the cut zone's routers held 50 each). Ruled out: a wish of a typical request for holders without history (a part below the wish is left out, so nothing was placed); placing whole parts of any size (a crash strands them: crash-strands-reserve). Before: cut-and-router-death and outage-top-up-restart refused with ledger_unreachable. After: both hold, and crash-strands-reserve passes too. The floor's test now uses a part above the bound, with the same share; a new one covers small parts.

--- a/redwingchute/process/ledger/placement.py
+++ b/redwingchute/process/ledger/placement.py
@@ -20,6 +20,10 @@
 # A holder keeps this part of its share as reserve whatever its demand was.
 RESERVE_FLOOR = 0.1
 
+# A part up to this size is placed whole: less would not cover one request of
+# an account whose requests the holder has not seen yet.
+SMALL_RESERVE_TOKENS = 2_048
+
 # Reserve is moved when a holder lacks this part of its target.
 REBALANCE_SLACK = 0.2
 
@@ -202,6 +206,7 @@
         int(horizon_tokens),
         state.wish_tokens.get(holder, 0),
         int(part_tokens * RESERVE_FLOOR),
+        SMALL_RESERVE_TOKENS,
     )
     return min(most_tokens, useful_tokens)
 
--- a/redwingchute/process/ledger/placement_test.py
+++ b/redwingchute/process/ledger/placement_test.py
@@ -64,9 +64,15 @@
 
 
 def test_idle_budget_keeps_a_floor_of_reserve() -> None:
+    state = _make_state(100_000, {1: 0.0, 2: 0.0})
+    _, reserve = placement.size_grant(state, _make_ask(), _POLICY)
+    assert reserve == 5_000
+
+
+def test_small_part_is_placed_whole() -> None:
     state = _make_state(1_000, {1: 0.0, 2: 0.0})
     _, reserve = placement.size_grant(state, _make_ask(), _POLICY)
-    assert reserve == 50
+    assert reserve == 500
 
 
 def test_reserve_share_leaves_the_rest_with_the_owner() -> None:
