Let the log drop covered records in the state machine

Cause: recovery from a checkpoint was tested by itself, but not together with takeovers, lost appends and cuts. Change: a step trims the stream to what the newest whole checkpoint covers. Isolated serving ends with mended links half the time, so that more of the run is spent reachable again.

--- a/redwingchute/process/ledger/ledger_machine_test.py
+++ b/redwingchute/process/ledger/ledger_machine_test.py
@@ -19,7 +19,7 @@
 _SKEW_MS = strategies.sampled_from((-86_400_000, -700, 0, 700, 86_400_000))
 
 _ORDER = strategies.sampled_from(
-    ("propose", "declare dead", "top up", "reduce")
+    ("propose", "declare dead", "trim", "top up", "reduce")
 )
 _FAULT = strategies.sampled_from(
     ("cut", "cut off", "cut zone", "pause", "kill", "clock jumps")
@@ -71,13 +71,21 @@
     def submit(self, host: str, key: int, bound: int, tokens: int) -> None:
         self.world.submit(host, key.to_bytes(16, "big"), bound, tokens)
 
-    @stateful.rule(host=_HOST, first_key=strategies.integers(200, 10_000))
-    def serve_in_isolation(self, host: str, first_key: int) -> None:
+    @stateful.rule(
+        host=_HOST,
+        first_key=strategies.integers(200, 10_000),
+        is_mended=strategies.booleans(),
+    )
+    def serve_in_isolation(
+        self, host: str, first_key: int, is_mended: bool
+    ) -> None:
         self.world.cut_zone(host)
         for number in range(4):
             self.world.run_for(4)
             self.submit(host, first_key + number, 60, 40)
             self.world.finish(number)
+        if is_mended:
+            self.world.cuts.clear()
 
     @stateful.rule(host=_HOST, key=strategies.integers(101, 104))
     def submit_unrepeatable(self, host: str, key: int) -> None:
@@ -135,6 +143,8 @@
                 self.world.propose(host, is_set)
             case "declare dead":
                 self.world.declare_dead(host, other)
+            case "trim":
+                self.world.trim()
             case "top up":
                 self.world.send_credit(host, f"up-{other}", 400)
             case _:
--- a/redwingchute/testing/ledger_checks.py
+++ b/redwingchute/testing/ledger_checks.py
@@ -28,6 +28,7 @@
       billed: How often each key was billed.
       credits: How often each operator's reference took effect.
       transferred: How often each transfer took effect.
+      needed_offset: The first record that a new reader needs.
     """
 
     def __init__(self, wire_codec: codec.Codec) -> None:
@@ -36,6 +37,8 @@
         self.billed: collections.Counter[data.KeyDigest] = collections.Counter()
         self.credits: collections.Counter[str] = collections.Counter()
         self.transferred: collections.Counter[bytes] = collections.Counter()
+        self.needed_offset = 0
+        self._parts: dict[bytes, set[int]] = {}
         self._ownership: tuple[int, data.Incarnation] = (0, 0)
         self._effective: set[bytes] = set()
 
@@ -57,8 +60,16 @@
                     self._note_takeover(takeover, applied.verdicts[0])
                 case data.Batch() as batch:
                     self._note_batch(batch, applied.verdicts)
-                case _:
-                    pass
+                case data.Checkpoint() as part:
+                    self._note_part(part)
+
+    def _note_part(self, part: data.Checkpoint) -> None:
+        """Follows from where on the stream is covered by a checkpoint."""
+        parts = self._parts.setdefault(part.checkpoint_id, set())
+        parts.add(part.part)
+        if len(parts) == part.part_count:
+            covered = part.as_of_offset + 1
+            self.needed_offset = max(self.needed_offset, covered)
 
     def _note_takeover(
         self, record: data.Takeover, verdict: data.Verdict
--- a/redwingchute/testing/ledger_world.py
+++ b/redwingchute/testing/ledger_world.py
@@ -178,6 +178,11 @@
 
     # Steps of the surroundings.
 
+    def trim(self) -> None:
+        """Lets the log drop all records that a checkpoint covers."""
+        self.check()
+        self.log.trim(_STREAM, self.checker.needed_offset)
+
     def advance(self, ms: int) -> None:
         """Lets time pass."""
         self.now_ms += ms
