Bound the recorded answers in a record and in a checkpoint

Cause: a message holds 4 MiB. Ruled out: a larger limit for messages, which only moves the edge, and a daemon has 32 MB for all its control. Change: a batch takes no further call after 1 MiB of answers; an answer that would outgrow a record is left out, while its outcome is recorded and billed; a shard keeps 1 MiB of answers, the oldest go first, their outcomes stay. Conclusion: a retry of an old call may learn its outcome without its answer.

--- a/redwingchute/core/data.py
+++ b/redwingchute/core/data.py
@@ -303,7 +303,10 @@
 
 @attrs.frozen
 class ClaimSnapshot:
-    """One claimed key, within a `ShardSnapshot`."""
+    """One claimed key, within a `ShardSnapshot`.
+
+    `answered_number` gives the order in which answers were recorded.
+    """
 
     key: KeyDigest
     holder: Incarnation
@@ -313,6 +316,7 @@
     is_recorded: bool
     status: OutcomeStatus
     answer: bytes
+    answered_number: int = 0
 
 
 @attrs.frozen
--- a/redwingchute/process/ledger/batch_builder.py
+++ b/redwingchute/process/ledger/batch_builder.py
@@ -9,6 +9,9 @@
 
 # The most entries of one batch; further calls wait for the next one.
 MAX_BATCH_ENTRIES = 4_000
+# The bytes of recorded answers after which a batch takes no further call; a
+# record must stay within what a message may hold.
+_MAX_BATCH_ANSWER_BYTES = 1024 * 1024
 # How long a holder's stated demand counts.
 _DEMAND_MEMORY_MS = 60_000
 # How soon a holder that did not answer a recall is asked again.
@@ -187,7 +190,11 @@
         entries: list[data.LedgerEntry] = list(first_entries)
         calls: list[BatchedCall] = []
         plan = _Plan()
+        answer_bytes = 0
         while self._waiting and len(entries) < MAX_BATCH_ENTRIES:
+            answer_bytes += _count_answer_bytes(self._waiting[0].call)
+            if calls and answer_bytes > _MAX_BATCH_ANSWER_BYTES:
+                break
             waiting = self._waiting.pop(0)
             indexes = _place_entries(waiting.call, entries)
             asks = tuple(
@@ -344,13 +351,31 @@
 ) -> tuple[int | None, ...]:
     """Adds a call's entries to the batch; returns where they stand.
 
-    Only the owner itself grants and retires.
+    Only the owner itself grants and retires. Answers that would outgrow the
+    record are left out; their outcomes are recorded all the same.
     """
     indexes: list[int | None] = []
+    answer_bytes = 0
     for entry in call.entries:
-        if isinstance(entry, data.Grant | data.Retire):
-            indexes.append(None)
-            continue
+        match entry:
+            case data.Grant() | data.Retire():
+                indexes.append(None)
+                continue
+            case data.RecordOutcome(answer=answer):
+                answer_bytes += len(answer)
+                if answer_bytes > _MAX_BATCH_ANSWER_BYTES:
+                    entry = attrs.evolve(entry, answer=b"")
+            case _:
+                pass
         indexes.append(len(entries))
         entries.append(entry)
     return tuple(indexes)
+
+
+def _count_answer_bytes(call: data.LedgerCall) -> int:
+    """Returns the bytes of the outcomes' answers in a call."""
+    return sum(
+        len(entry.answer)
+        for entry in call.entries
+        if isinstance(entry, data.RecordOutcome)
+    )
--- a/redwingchute/process/ledger/checkpoint_test.py
+++ b/redwingchute/process/ledger/checkpoint_test.py
@@ -146,6 +146,32 @@
     assert reader.state is follower.FollowState.STATE_LOST
 
 
+def test_large_recorded_answers_do_not_outgrow_a_checkpoint() -> None:
+    wire_codec = registry.make_codec()
+    driver = build.FoldDriver()
+    driver.apply(build.make_credit(10_000), build.make_grant(500))
+    answer = bytes(range(256)) * 400
+    for key in range(100):
+        outcome = attrs.evolve(build.make_outcome(1, key), answer=answer)
+        driver.apply(build.make_claim(key), outcome)
+    assembler = checkpoint.SnapshotAssembler(wire_codec)
+    copies = [
+        assembler.add(part)
+        for part in checkpoint.split_fold(
+            driver.shard_fold, b"checkpoint", wire_codec
+        )
+    ]
+    assert copies[-1] is not None
+    look_up = copies[-1].look_up
+    for key, kept in ((0, b""), (99, answer)):
+        lookup = data.Lookup(build.BUDGET, build.make_key(key), b"body-one")
+        assert look_up(lookup) == data.KeyReport(
+            data.KeyState.OUTCOME_RECORDED,
+            data.OutcomeStatus.SUCCEEDED,
+            kept,
+        )
+
+
 def test_emptied_stream_is_refused_and_not_begun_anew() -> None:
     log = fake_log.FakeLog()
     log.append(_STREAM, b"gone")
--- a/redwingchute/process/ledger/claim_store.py
+++ b/redwingchute/process/ledger/claim_store.py
@@ -14,6 +14,9 @@
 CLAIM_WINDOW_MS = 7 * 24 * 3600 * 1000
 # The number of claims kept with their outcomes, even within the window.
 MAX_CLAIMS = 20_000
+# The bytes of recorded answers that are kept; the oldest go first, and their
+# claims stay without an answer.
+MAX_ANSWER_BYTES = 1024 * 1024
 _TRACE_WINDOW_MS = 2**52
 _TRACE = key_store.SettledKey(b"", 0)
 
@@ -47,6 +50,8 @@
     def __init__(self) -> None:
         """Builds an empty store."""
         self._claims: dict[data.KeyDigest, ClaimState] = {}
+        self._answered: dict[data.KeyDigest, None] = {}
+        self._answer_bytes = 0
         self._expired = key_store.KeyStore(_TRACE_WINDOW_MS)
 
     def get(self, key: data.KeyDigest) -> ClaimState | None:
@@ -58,13 +63,28 @@
         return self._expired.get(key) is not None
 
     def put(self, key: data.KeyDigest, claim: ClaimState) -> None:
-        """Adds or replaces a claim."""
+        """Adds a claim, or replaces one that has no answer."""
         self._claims[key] = claim
+        if not claim.answer:
+            return
+        self._answered[key] = None
+        self._answer_bytes += len(claim.answer)
+        while self._answer_bytes > MAX_ANSWER_BYTES:
+            oldest = next(iter(self._answered))
+            self._drop_answer(oldest)
 
     def remove(self, key: data.KeyDigest) -> None:
         """Forgets a claim that did not run."""
         del self._claims[key]
 
+    def _drop_answer(self, key: data.KeyDigest) -> None:
+        """Forgets the answer of a claim, but not its outcome."""
+        if key in self._answered:
+            del self._answered[key]
+            claim = self._claims[key]
+            self._answer_bytes -= len(claim.answer)
+            self._claims[key] = attrs.evolve(claim, answer=b"")
+
     def expire(self, time_ms: int) -> None:
         """Turns claims that are older than the window into traces."""
         while self._claims:
@@ -73,10 +93,12 @@
             if not is_old and len(self._claims) <= MAX_CLAIMS:
                 return
             self._expired.put(key, _TRACE, time_ms)
+            self._drop_answer(key)
             del self._claims[key]
 
     def save(self) -> tuple[tuple[data.ClaimSnapshot, ...], bytes, bytes]:
         """Returns the claims and the two packed generations of traces."""
+        numbers = {key: index for index, key in enumerate(self._answered)}
         claims = tuple(
             data.ClaimSnapshot(
                 key=key,
@@ -87,6 +109,7 @@
                 is_recorded=claim.is_recorded,
                 status=claim.status,
                 answer=claim.answer,
+                answered_number=numbers.get(key, 0),
             )
             for key, claim in self._claims.items()
         )
@@ -112,4 +135,11 @@
             )
             for claim in claims
         }
+        answered = sorted(
+            (claim.answered_number, claim.key)
+            for claim in claims
+            if claim.answer
+        )
+        self._answered = {key: None for _, key in answered}
+        self._answer_bytes = sum(len(claim.answer) for claim in claims)
         self._expired.restore(current, previous, 0, 0)
--- a/redwingchute/process/ledger/owner_test.py
+++ b/redwingchute/process/ledger/owner_test.py
@@ -206,6 +206,32 @@
     assert verdict.code is data.VerdictCode.REPEATED
 
 
+def test_large_answers_are_spread_over_several_records() -> None:
+    driver = _make_owning()
+    calls = []
+    for key in range(12):
+        outcome = attrs.evolve(
+            build.make_outcome(0, key), answer=bytes(range(256)) * 2_000
+        )
+        call = build.make_call(build.make_claim(key), outcome)
+        calls.append(driver.call(call))
+    driver.run(20)
+    for call_id in calls:
+        codes = [each.code for each in driver.replies[call_id].verdicts]
+        assert codes == [data.VerdictCode.ACCEPTED] * 2
+
+
+def test_answer_that_outgrows_a_record_is_left_out() -> None:
+    driver = _make_owning()
+    outcome = attrs.evolve(
+        build.make_outcome(0), answer=bytes(range(256)) * 20_000
+    )
+    call_id = driver.call(build.make_call(build.make_claim(), outcome))
+    driver.run()
+    codes = [each.code for each in driver.replies[call_id].verdicts]
+    assert codes == [data.VerdictCode.ACCEPTED] * 2
+
+
 def test_reads_may_wait_only_when_nothing_is_looked_for() -> None:
     driver = _make_owning()
     assert driver.owner.begin_read().may_wait
--- a/redwingchute/wire/ledger.capnp
+++ b/redwingchute/wire/ledger.capnp
@@ -42,7 +42,7 @@
 struct Checkpoint { checkpointId @0 :Data; asOfOffset @1 :Int64; part @2 :UInt32; partCount @3 :UInt32; body @4 :Data; }
 struct HoldingSnapshot { holder @0 :UInt64; leaseTokens @1 :Int64; reserveTokens @2 :Int64; unaccountedTokens @3 :Int64; leaseTotalTokens @4 :Int64; reserveTotalTokens @5 :Int64; sequenceWatermark @6 :UInt64; laterSequences @7 :List(UInt64); releasedTokens @8 :Int64; }
 struct BudgetSnapshot { budget @0 :Text; creditedTokens @1 :Int64; settledTokens @2 :Int64; references @3 :Data; holdings @4 :List(HoldingSnapshot); }
-struct ClaimSnapshot { key @0 :Data; holder @1 :UInt64; bodyDigest @2 :Data; claimedAtMs @3 :Int64; claimId @4 :Data; isRecorded @5 :Bool; status @6 :UInt8; answer @7 :Data; }
+struct ClaimSnapshot { key @0 :Data; holder @1 :UInt64; bodyDigest @2 :Data; claimedAtMs @3 :Int64; claimId @4 :Data; isRecorded @5 :Bool; status @6 :UInt8; answer @7 :Data; answeredNumber @8 :UInt32; }
 struct ShardSnapshot { epoch @0 :UInt64; owner @1 :UInt64; ownerHost @2 :Text; lastSequence @3 :UInt64; timeMs @4 :Int64; retired @5 :List(UInt64); transfers @6 :Data; budgets @7 :List(BudgetSnapshot); claims @8 :List(ClaimSnapshot); expiredClaims @9 :Data; keysBeganAtS @10 :Int64; keysFloorS @11 :Int64; olderExpiredClaims @12 :Data; }
 
 struct HolderBalance { holder @0 :UInt64; leaseTokens @1 :Int64; reserveTokens @2 :Int64; unaccountedTokens @3 :Int64; }
