--- a/redwingchute/testing/scenario_live.py
+++ b/redwingchute/testing/scenario_live.py
@@ -20,11 +20,11 @@
 import attrs
 
 from redwingchute.connection import http_client
-from redwingchute.process import publisher
 from redwingchute.standin import relay
 from redwingchute.testing import scenario_backend
 from redwingchute.testing import scenario_requests
 from redwingchute.testing import scenario_steps as steps
+from redwingchute.version import changes
 from redwingchute.wire import registry
 
 _IP = "127.0.0.1"
@@ -196,6 +196,19 @@
                 errors.append(f"{name} stopped with {process.returncode}")
         return errors
 
+    def list_pids(self) -> dict[str, int]:
+        """Returns the process ids of the routers, for measurements."""
+        return {name: each.pid for name, each in self._routers.items()}
+
+    async def read_metrics(self, router: str) -> str:
+        """Returns a router's metrics as Prometheus text."""
+        address = http_client.Address(_IP, self._ports[router].admin)
+        answer = await self._pool.fetch(
+            address, "GET", "/metrics", [], b"", 5_000
+        )
+        assert isinstance(answer, http_client.Fetched), answer
+        return answer.body.decode()
+
     def _spawn(self, coroutine: Any) -> None:
         """Runs a caller or operator."""
         task: asyncio.Task[None] = asyncio.ensure_future(coroutine)
@@ -264,7 +277,7 @@
         answer = await self._pool.fetch(
             self._stand_ins[steps.PLATFORM].address,
             "POST",
-            f"/streams/{publisher.STREAM}/records",
+            f"/streams/{changes.STREAM}/records",
             [],
             registry.make_codec().encode(change),
             10_000,
