--- a/redwingchute/process/distribution_test.py
+++ b/redwingchute/process/distribution_test.py
@@ -188,6 +188,39 @@
     )
 
 
+def test_a_new_router_waits_for_the_newest_that_its_siblings_hold() -> None:
+    policy = distribution.DistributionPolicy()
+    wire_codec = registry.make_codec()
+    router = distribution.Distribution(
+        data.Host("a", "z", "127.0.0.1:1", 1),
+        wire_codec,
+        policy,
+        random.Random(1),
+        0,
+    )
+    router.set_view(("b", "c"), ())
+    logged = tuple(
+        messages.LoggedRecord(offset, wire_codec.encode(record))
+        for offset, record in enumerate((_make_start(), _make_step(2)))
+    )
+    # The ages are not known, as in a long outage of the log.
+    router.receive_digest("b", messages.ConfigurationDigest(1, 1, -1), 10)
+    first = messages.ConfigurationRecords(1, logged[:1])
+    router.receive_records("b", first, 20)
+    assert router.fold.current.version == 1
+    assert router.explain_not_ready(30) is not None
+    (pull,) = router.receive_digest(
+        "c", messages.ConfigurationDigest(2, 2, -1), policy.settle_ms + 1
+    )
+    assert pull.host_name == "c"
+    assert router.explain_not_ready(policy.settle_ms + 2) is not None
+    router.receive_records(
+        "c", messages.ConfigurationRecords(2, logged[1:]), policy.settle_ms + 3
+    )
+    assert router.fold.current.version == 2
+    assert router.explain_not_ready(policy.settle_ms + 4) is None
+
+
 def test_noise_from_a_sibling_is_not_adopted() -> None:
     fleet = _make_fleet(routers=3, zones=3)
     router = fleet.routers["router-0"]
--- a/redwingchute/version/change_fold_test.py
+++ b/redwingchute/version/change_fold_test.py
@@ -213,6 +213,18 @@
     assert fold.current.version == 2
 
 
+def test_a_checkpoint_that_is_behind_takes_no_audit_entry_back() -> None:
+    start = _make_record(1, _make_document())
+    old = _fold(start).make_checkpoint()
+    note = changes.AuditNote(
+        bytes(16), "ada", "why", 5, "top up", "yield-books", "", "", False
+    )
+    fold = _fold(start, note)
+    assert not fold.adopt_checkpoint(old)
+    assert fold.next_offset == 2
+    assert len(fold.audit) == 2
+
+
 def test_a_checkpoint_that_cannot_be_read_is_not_taken() -> None:
     fold = change_fold.ConfigurationFold()
     good = _fold(_make_record(1, _make_document())).make_checkpoint()
