Pass over gaps in what a sibling sends

Cause: a reply with a gap made the fold take it for a loss of the log and wait for a checkpoint; found by a hypothesis test that failed first. After: only records that join the state are applied; a gap counts in pages of the log alone.

--- a/redwingchute/process/distribution.py
+++ b/redwingchute/process/distribution.py
@@ -228,7 +228,7 @@
         before = self._count_known()
         if reply.checkpoint:
             self._adopt(reply.checkpoint)
-        self._apply_records(reply.records)
+        self._apply_records(self._select_joined(reply.records))
         if self._count_known() <= before:
             # The sender cannot help; its next digest may say otherwise.
             self._heard.pop(sender, None)
@@ -385,6 +385,22 @@
             self.fold.apply(change_fold.StreamRecord(logged.offset, record))
             self._keep(logged, record)
 
+    def _select_joined(
+        self, records: tuple[messages.LoggedRecord, ...]
+    ) -> list[messages.LoggedRecord]:
+        """Returns the records that join the state without a gap.
+
+        A gap in the log is a loss that the fold must know of; a gap in what a
+        sibling sent is the sibling's fault.
+        """
+        joined = []
+        next_offset = self.fold.next_offset
+        for logged in records:
+            if logged.offset == next_offset:
+                joined.append(logged)
+                next_offset += 1
+        return joined
+
     def _keep(
         self, logged: messages.LoggedRecord, record: changes.Record | None
     ) -> None:
--- a/redwingchute/process/distribution_test.py
+++ b/redwingchute/process/distribution_test.py
@@ -221,6 +221,34 @@
     assert router.explain_not_ready(policy.settle_ms + 4) is None
 
 
+@hypothesis.given(
+    strategies.lists(strategies.integers(0, 6), max_size=6),
+    strategies.integers(0, 2**64 - 1),
+)
+def test_records_out_of_order_leave_the_state_complete(
+    offsets: list[int], next_offset: int
+) -> None:
+    wire_codec = registry.make_codec()
+    router = distribution.Distribution(
+        data.Host("a", "z", "127.0.0.1:1", 1),
+        wire_codec,
+        distribution.DistributionPolicy(),
+        random.Random(1),
+        0,
+    )
+    bodies = [wire_codec.encode(_make_start())]
+    bodies += [wire_codec.encode(_make_step(n)) for n in range(2, 8)]
+    records = tuple(messages.LoggedRecord(n, bodies[n]) for n in offsets)
+    reply = messages.ConfigurationRecords(next_offset, records)
+    router.receive_records("b", reply, 10)
+    assert router.fold.is_anchored
+    known = router.fold.next_offset
+    assert router.fold.current.version == known
+    assert router.answer_pull(messages.ConfigurationPull(0, False)).records == (
+        tuple(messages.LoggedRecord(n, bodies[n]) for n in range(known))
+    )
+
+
 def test_noise_from_a_sibling_is_not_adopted() -> None:
     fleet = _make_fleet(routers=3, zones=3)
     router = fleet.routers["router-0"]
