--- a/redwingchute/request/chat_handler.py
+++ b/redwingchute/request/chat_handler.py
@@ -21,9 +21,12 @@
 from redwingchute.request import request_key
 from redwingchute.request import request_life
 from redwingchute.request import retry
+from redwingchute.request import slot as slot_lib
+from redwingchute.request import work as work_lib
 from redwingchute.request import work_kind
 
 _CHAT_PATH = "/v1/chat/completions"
+_CHARACTERS_PER_TOKEN = 4
 
 
 class ChatHandler:
@@ -68,7 +71,7 @@
     async def _admit(
         self,
         request: http_server.HttpRequest,
-        work: dispatcher.Work,
+        work: work_lib.Work,
         chat: chat_request.ChatRequest,
     ) -> chat_answer.Billing | outcomes.NotRun:
         """Reserves the request's highest cost."""
@@ -96,11 +99,11 @@
                 return refusal
 
     async def _run(
-        self, answer: chat_answer.ChatAnswer, work: dispatcher.Work
+        self, answer: chat_answer.ChatAnswer, work: work_lib.Work
     ) -> outcomes.Refusal | None:
         """Runs attempts until the answer is whole or the request is over."""
         life = self._context.dispatcher.begin_life(work)
-        progress = dispatcher.Progress()
+        progress = work_lib.Progress()
         while True:
             async with self._context.dispatcher.hold_slot(
                 work, progress
@@ -114,7 +117,7 @@
                     self._learn(answer, work)
                     return result
                 await self._context.note_failure(work, slot, result)
-            progress = dispatcher.Progress(
+            progress = work_lib.Progress(
                 answer.stream.output_tokens,
                 life.has_sent,
                 progress.failed_upstreams | {slot.upstream.name},
@@ -129,9 +132,9 @@
     async def _attempt(
         self,
         answer: chat_answer.ChatAnswer,
-        work: dispatcher.Work,
+        work: work_lib.Work,
         life: request_life.RequestLife,
-        slot: dispatcher.Slot,
+        slot: slot_lib.Slot,
     ) -> outcomes.Refusal | exchange.AttemptFailed | None:
         """Runs one attempt."""
         self._context.metrics.attempts.add(1)
@@ -158,8 +161,8 @@
 
     async def _pause(
         self,
-        work: dispatcher.Work,
-        progress: dispatcher.Progress,
+        work: work_lib.Work,
+        progress: work_lib.Progress,
         life: request_life.RequestLife,
         kind: retry.FailureKind,
     ) -> outcomes.Refusal | None:
@@ -177,7 +180,7 @@
                 return life.refuse(refusal).refusal
 
     def _learn(
-        self, answer: chat_answer.ChatAnswer, work: dispatcher.Work
+        self, answer: chat_answer.ChatAnswer, work: work_lib.Work
     ) -> None:
         """Learns from the size of a whole answer."""
         if answer.output_tokens is not None:
@@ -188,18 +191,21 @@
     request: http_server.HttpRequest,
     caller: context.Caller,
     chat: chat_request.ChatRequest,
-) -> dispatcher.Work | outcomes.NotRun:
+) -> work_lib.Work | outcomes.NotRun:
     """Returns what the dispatcher needs to know of a request."""
     kind = work_kind.read_work_kind(request.headers)
     if isinstance(kind, outcomes.NotRun):
         return kind
-    return dispatcher.Work(
+    prompt = "\n".join(m["content"] for m in chat.fields["messages"])
+    salt = prefix_affinity.make_cache_salt(caller.account.name)
+    return work_lib.Work(
         pool_name=dispatcher.name_model_pool(chat.model.name),
         account=caller.account,
         kind=kind,
         arrived_ms=caller.arrived_ms,
         body_digest=request_key.digest_body(_CHAT_PATH, request.body),
-        prompt="\n".join(m["content"] for m in chat.fields["messages"]),
+        prompt_tokens=max(1, len(prompt) // _CHARACTERS_PER_TOKEN),
+        prefix_digests=prefix_affinity.make_prefix_digests(salt, prompt),
         max_output_tokens=chat.max_output_tokens,
     )
 
