--- a/redwingchute/process/ledger/placement.py
+++ b/redwingchute/process/ledger/placement.py
@@ -17,9 +17,6 @@
 # A holder without recent demand counts like this part of the mean demand.
 SMOOTHING = 0.25
 
-# A holder keeps this part of its share as reserve whatever its demand was.
-RESERVE_FLOOR = 0.1
-
 # Reserve is moved when a holder lacks this part of its target.
 REBALANCE_SLACK = 0.2
 
@@ -98,7 +95,7 @@
     """
     parts = find_parts(state, smoothing)
     part_tokens = parts.get(state.holder, 0)
-    target_tokens = find_target(state, state.holder, part_tokens, policy)
+    target_tokens = int(part_tokens * policy.reserve_share)
     needed_tokens = _size_need(state, ask)
     rest_tokens = state.free_tokens - needed_tokens
     reserve_tokens = target_tokens - state.holder_reserve_tokens
@@ -174,38 +171,6 @@
     return {}
 
 
-def find_target(
-    state: placement_default.BudgetState,
-    holder: data.Incarnation,
-    part_tokens: int,
-    policy: placement_default.GrantPolicy,
-) -> int:
-    """Returns the reserve that a holder should have.
-
-    Args:
-      state: The budget as the fold has it.
-      holder: The holder.
-      part_tokens: Its part of what is not settled.
-      policy: How grants of this budget are sized.
-    """
-    most_tokens = int(part_tokens * policy.reserve_share)
-    total_tokens_per_s = sum(state.demand_tokens_per_s.values())
-    placeable_tokens = state.free_tokens + sum(
-        held.lease_tokens + held.reserve_tokens
-        for held in state.holders.values()
-    )
-    # The part divides by smoothed demand, and so does the horizon.
-    horizon_tokens = total_tokens_per_s * policy.reserve_horizon_ms / 1_000
-    if placeable_tokens > 0:
-        horizon_tokens *= part_tokens / placeable_tokens
-    useful_tokens = max(
-        int(horizon_tokens),
-        state.wish_tokens.get(holder, 0),
-        int(part_tokens * RESERVE_FLOOR),
-    )
-    return min(most_tokens, useful_tokens)
-
-
 def choose_recalls(
     state: placement_default.BudgetState,
     ask: data.Ask,
@@ -234,9 +199,7 @@
         if lacking_tokens <= 0:
             return recalls
         return _take_from_all(state, lacking_tokens)
-    target_tokens = find_target(
-        state, state.holder, parts.get(state.holder, 0), policy
-    )
+    target_tokens = int(parts.get(state.holder, 0) * policy.reserve_share)
     slack_tokens = max(
         target_tokens * REBALANCE_SLACK, state.wish_tokens.get(state.holder, 0)
     )
@@ -274,7 +237,7 @@
     for each, held in state.holders.items():
         if each == state.holder or each not in state.demand_tokens_per_s:
             continue
-        target_tokens = find_target(state, each, parts.get(each, 0), policy)
+        target_tokens = int(parts.get(each, 0) * policy.reserve_share)
         if held.reserve_tokens > target_tokens:
             surplus[each] = held.reserve_tokens - target_tokens
     return surplus
--- a/redwingchute/process/ledger/placement_default.py
+++ b/redwingchute/process/ledger/placement_default.py
@@ -24,15 +24,12 @@
       max_lease_share: The most of the free remainder that one grant takes
         beyond what waiting requests need.
       reserve_share: The part of the free remainder that may become reserve.
-      reserve_horizon_ms: The time in isolation that a holder's reserve should
-        last at its demand; more would only be out of use if the holder died.
     """
 
     lease_horizon_ms: int = 10_000
     lease_ms: int = 5_000
     max_lease_share: float = 0.25
     reserve_share: float = 0.5
-    reserve_horizon_ms: int = 3_600_000
 
 
 @attrs.frozen
