--- a/redwingchute/process/ledger/holder.py
+++ b/redwingchute/process/ledger/holder.py
@@ -258,6 +258,10 @@
         self._state.is_stopping = True
         self.advance(now_ms)
 
+    def has_requests(self) -> bool:
+        """Returns whether any request is in hand."""
+        return any(held.reservations for held in self._state.positions.values())
+
     def is_finished(self) -> bool:
         """Returns whether no request, entry or call is left."""
         return self._state.outbox.is_idle() and not any(
--- a/redwingchute/process/ledger/shard_link.py
+++ b/redwingchute/process/ledger/shard_link.py
@@ -49,7 +49,9 @@
       ask_siblings: Asks all siblings for reserve and returns their replies.
       holder_settings: The times that holders go by.
       batch_window_ms: How long entries of concurrent requests are gathered.
-      tick_ms: How often deadlines are looked at.
+      tick_ms: How often deadlines are looked at while requests are in hand.
+      busy_tick_ms: The same while only messages are, or the owner is lost.
+      idle_tick_ms: The same while nothing is; a wake comes in between.
     """
 
     host: str
@@ -61,6 +63,8 @@
     holder_settings: holder_state.HolderSettings
     batch_window_ms: int = 3
     tick_ms: int = 25
+    busy_tick_ms: int = 250
+    idle_tick_ms: int = 1_000
 
 
 class ShardLink:
@@ -135,13 +139,22 @@
     async def _wait(self) -> None:
         """Waits for work, then gathers entries for the batch window."""
         try:
-            async with asyncio.timeout(self._settings.tick_ms / 1_000):
+            async with asyncio.timeout(self._find_tick_ms() / 1_000):
                 await self._wake.wait()
         except TimeoutError:
             return
         self._wake.clear()
         await asyncio.sleep(self._settings.batch_window_ms / 1_000)
 
+    def _find_tick_ms(self) -> int:
+        """Returns how long the link may sleep unless it is woken."""
+        holders = (*self._retired, self.holder)
+        if self._waiting or any(each.has_requests() for each in holders):
+            return self._settings.tick_ms
+        if self.is_finished() and self.holder.is_reachable:
+            return self._settings.idle_tick_ms
+        return self._settings.busy_tick_ms
+
     def _serve(self, now_ms: int) -> None:
         """Does what is due and sends the calls that may leave."""
         for each in (*self._retired, self.holder):
