--- a/redwingchute/process/ledger/asking.py
+++ b/redwingchute/process/ledger/asking.py
@@ -151,8 +151,11 @@
     state: holder_state.HolderState, held: position.BudgetPosition
 ) -> None:
     """Refuses at once what the rest of the budget can never cover."""
+    give_back = state.times[held.budget].give_back
+    returning_tokens = 0 if give_back is None else give_back.tokens
     reachable_tokens = (
         held.available_tokens
+        + returning_tokens
         + held.count_held(_LEASE)
         + held.count_held(_RESERVE)
     )
--- a/redwingchute/process/ledger/placement.py
+++ b/redwingchute/process/ledger/placement.py
@@ -303,14 +303,16 @@
 def _take_from_all(
     state: placement_default.BudgetState, tokens: int
 ) -> tuple[placement_default.HolderRecall, ...]:
-    """Recalls from every other holder as much as would do alone.
+    """Recalls from every holder as much as would do alone.
 
     What they have is partly taken up by their own requests, which only they
-    know; each returns what is free, and the rest is placed again.
+    know; each returns what is free, and the rest is placed again. The asking
+    holder is among them: while the owner is in reach it may not spend its
+    reserve, which may be what its own request lacks.
     """
     recalls = []
     for each, held in state.holders.items():
-        if each == state.holder or each not in state.demand_tokens_per_s:
+        if each not in state.demand_tokens_per_s:
             continue
         for kind, held_tokens in (
             (_RESERVE, held.reserve_tokens),
--- a/redwingchute/process/ledger/placement_test.py
+++ b/redwingchute/process/ledger/placement_test.py
@@ -137,3 +137,12 @@
     state = _make_state(0, {1: 30.0, 2: 10.0}, {1: 300, 2: 700})
     (order,) = placement.choose_recalls(state, _make_ask(), _POLICY)
     assert (order.holder, order.recall.kind) == (2, _RESERVE)
+
+
+def test_own_reserve_is_recalled_for_a_waiting_request() -> None:
+    """With 46 free and 40 in its own reserve, a request of 69 can be had."""
+    state = _make_state(46, {1: 10.0, 2: 10.0}, reserves={1: 40})
+    recalls = placement.choose_recalls(state, _make_ask(69), _POLICY)
+    assert [each.holder for each in recalls] == [1]
+    assert recalls[0].recall.kind is data.GrantKind.RESERVE
+    assert recalls[0].recall.tokens >= 23
