Run the daemon on a clock without jumps; test tokens on their way back

Cause: a host's clock set back stalled every timeout of a router until it had caught up (found by the ledger's state machine; steady_clock stood unused). The new holder test fails when tokens on their way back are left out (checked). Before: time.time_ns in router. After: monotonic time from the start on.

--- a/redwingchute/process/ledger/holder_test.py
+++ b/redwingchute/process/ledger/holder_test.py
@@ -309,3 +309,14 @@
     outcome_list = [e for e in entries if isinstance(e, data.RecordOutcome)]
     assert [e.status for e in outcome_list] == [data.OutcomeStatus.NOT_RUN]
     assert not any(isinstance(e, data.Claim) for e in entries)
+
+
+def test_tokens_on_their_way_back_are_not_taken_for_spent() -> None:
+    """A recall may be obeyed before the reply to the ask that caused it."""
+    subject = build.make_funded_holder(reserve_tokens=40)
+    build.admit(subject, build.make_charge(1, bound_tokens=69))
+    call = build.take_call(subject, 100)
+    subject.recall(data.Recall(build.BUDGET, data.GrantKind.RESERVE, 40))
+    grant = build.make_grant(reserve_total_tokens=40, available_tokens=46)
+    subject.accept_reply(call.call_id, build.make_reply(grants=(grant,)), 101)
+    assert build.take_results(subject) == []
--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -12,7 +12,6 @@
 import random
 import secrets
 import signal
-import time
 from types import TracebackType
 from typing import Any
 
@@ -35,6 +34,7 @@
 from redwingchute.process import peer_network
 from redwingchute.process import reserve_keepers
 from redwingchute.process import settings as settings_lib
+from redwingchute.process import steady_clock
 from redwingchute.process import telemetry
 from redwingchute.process.ledger import holder_service
 from redwingchute.process.ledger import log_client
@@ -54,9 +54,12 @@
 _TRANSFER_TIMEOUT_MS = 500
 
 
+_CLOCK = steady_clock.SteadyClock()
+
+
 def read_clock_ms() -> int:
-    """Returns the time in milliseconds since the epoch."""
-    return time.time_ns() // 1_000_000
+    """Returns the milliseconds since the epoch, by a clock without jumps."""
+    return _CLOCK.find_now_ms()
 
 
 class Router:
