--- a/redwingchute/process/ledger/shard_link.py
+++ b/redwingchute/process/ledger/shard_link.py
@@ -64,7 +64,7 @@
     batch_window_ms: int = 3
     tick_ms: int = 25
     busy_tick_ms: int = 250
-    idle_tick_ms: int = 1_000
+    idle_tick_ms: int = 4_000
 
 
 class ShardLink:
--- a/redwingchute/process/membership.py
+++ b/redwingchute/process/membership.py
@@ -92,6 +92,10 @@
         self._timing = timing
         self._random = random_source
         self._members: dict[str, _Member] = {}
+        # Names of members whose state is still passed on, and of those out of
+        # the view, so that a heartbeat does not look at every member.
+        self._passing_on: set[str] = set()
+        self._out_of_view: set[str] = set()
         self._neighbours: tuple[str, ...] = ()
         self._heard_ms: dict[str, int] = {}
         self._next_heartbeat_ms: dict[str, int] = {}
@@ -148,7 +152,8 @@
         `dead_ms`. Either may still run: retiring must be harmless then.
         """
         dead = set(self._superseded)
-        for member in self._members.values():
+        for name in self._out_of_view:
+            member = self._members[name]
             since_ms = member.unreachable_since_ms
             if since_ms is None or not member.state.host.incarnation:
                 continue
@@ -230,15 +235,13 @@
     def _make_heartbeat(self, is_reply: bool) -> fleet.Heartbeat:
         """Returns a heartbeat with the states that are due to be passed on."""
         due = sorted(
-            (
-                member
-                for name, member in self._members.items()
-                if member.remaining_sends and name != self._own_name
-            ),
+            (self._members[name] for name in self._passing_on),
             key=lambda member: -member.remaining_sends,
         )[:_MAX_UPDATES]
         for member in due:
             member.remaining_sends -= 1
+            if member.remaining_sends == 0:
+                self._passing_on.discard(member.state.host.name)
         return fleet.Heartbeat(
             self._members[self._own_name].state,
             is_reply,
@@ -275,7 +278,9 @@
             self._digest ^= _digest_state(member.state)
             member.state = state
         self._digest ^= _digest_state(state)
-        member.remaining_sends = self._count_sends()
+        if name != self._own_name:
+            member.remaining_sends = self._count_sends()
+            self._passing_on.add(name)
         self._is_stale = True
 
     def _is_newer(
@@ -330,11 +335,12 @@
         oldest_ms = now_ms - self._timing.forget_ms
         forgotten = [
             name
-            for name, member in self._members.items()
-            if member.unreachable_since_ms is not None
-            and member.unreachable_since_ms < oldest_ms
+            for name in self._out_of_view
+            if (self._members[name].unreachable_since_ms or now_ms) < oldest_ms
         ]
         for name in forgotten:
+            self._passing_on.discard(name)
+            self._out_of_view.discard(name)
             self._digest ^= _digest_state(self._members.pop(name).state)
             self._is_stale = True
         self._refresh(now_ms)
@@ -363,7 +369,10 @@
         for name, member in self._members.items():
             if name in self._reachable:
                 member.unreachable_since_ms = None
-            elif member.unreachable_since_ms is None:
+                self._out_of_view.discard(name)
+                continue
+            self._out_of_view.add(name)
+            if member.unreachable_since_ms is None:
                 member.unreachable_since_ms = now_ms
 
 
