--- a/redwingchute/process/ledger/shard_link.py
+++ b/redwingchute/process/ledger/shard_link.py
@@ -2,8 +2,7 @@
 
 When the ledger retires a holder, a successor with a new incarnation takes its
 requests over. It stays silent until the predecessor's bills and returns have
-their verdicts, because a new incarnation on a host may be taken as proof that
-the old one spends no more.
+their verdicts, so that the two never spend the same tokens.
 """
 
 import asyncio
--- a/redwingchute/request/load_poller.py
+++ b/redwingchute/request/load_poller.py
@@ -16,11 +16,18 @@
 from redwingchute.request import prefix_affinity
 
 _PERIOD_MS = 1_000
+# More upstreams are asked less often each, so that the cost stays bounded.
+_MAX_POLLS_PER_S = 8
 _TIMEOUT_MS = 800
 _MAX_BYTES = 256 * 1024
 _MODEL_PREFIX = dispatcher.name_model_pool("")
 
 
+def find_period_ms(upstream_count: int) -> int:
+    """Returns how often each of so many upstreams is asked."""
+    return max(_PERIOD_MS, upstream_count * 1_000 // _MAX_POLLS_PER_S)
+
+
 class LoadPoller:
     """Polls upstreams for one dispatcher."""
 
@@ -45,18 +52,35 @@
     async def run(self) -> None:
         """Polls until cancelled."""
         while True:
-            await self.poll_once()
-            pause_ms = _PERIOD_MS * self._rng.uniform(0.8, 1.2)
-            await asyncio.sleep(pause_ms / 1000)
+            upstreams = self._list_upstreams()
+            period_ms = find_period_ms(len(upstreams))
+            pause_ms = period_ms / max(len(upstreams), 1)
+            async with asyncio.TaskGroup() as group:
+                for pool_name, upstream in upstreams:
+                    group.create_task(self._poll(pool_name, upstream))
+                    await self._pause(pause_ms)
+            if not upstreams:
+                await self._pause(period_ms)
 
     async def poll_once(self) -> None:
         """Asks every upstream of the subset once."""
         polls = [
             self._poll(pool_name, upstream)
+            for pool_name, upstream in self._list_upstreams()
+        ]
+        await asyncio.gather(*polls)
+
+    def _list_upstreams(self) -> list[tuple[str, configuration.Upstream]]:
+        """Returns the upstreams of the subset, each with its pool's name."""
+        return [
+            (pool_name, upstream)
             for pool_name, known in self._target.list_pools().items()
             for upstream in known.upstreams.list_upstreams()
         ]
-        await asyncio.gather(*polls)
+
+    async def _pause(self, pause_ms: float) -> None:
+        """Waits about so long."""
+        await asyncio.sleep(pause_ms * self._rng.uniform(0.8, 1.2) / 1_000)
 
     async def _poll(
         self, pool_name: str, upstream: configuration.Upstream
