Pause before a refused call to the ledger's owner is sent again

Ruled out: taking one refusal for the owner's loss, since a takeover refuses calls for a moment as well.

--- a/redwingchute/process/ledger/holder.py
+++ b/redwingchute/process/ledger/holder.py
@@ -63,6 +63,7 @@
         )
         self._unanswered_since_ms: int | None = None
         self._next_probe_ms = now_ms
+        self._next_try_ms = now_ms
 
     @property
     def is_reachable(self) -> bool:
@@ -298,6 +299,8 @@
     def take_call(self, now_ms: int) -> outbox.OutgoingCall | None:
         """Returns the next message to send, or None if nothing is due."""
         state = self._state
+        if now_ms < self._next_try_ms:
+            return None
         if state.outbox.has_lookups():
             return state.outbox.make_lookup_call()
         if not self._may_call(now_ms):
@@ -353,6 +356,8 @@
         for ask in call.message.asks:
             self._state.times[ask.budget].is_asking = False
         settling.requeue(self._state, call.entries)
+        pause_ms = self._state.settings.retry_pause_ms
+        self._next_try_ms = now_ms + pause_ms
         if self._unanswered_since_ms is None:
             self._unanswered_since_ms = now_ms
         self.advance(now_ms)
--- a/redwingchute/process/ledger/holder_state.py
+++ b/redwingchute/process/ledger/holder_state.py
@@ -16,6 +16,7 @@
 
     Attributes:
       owner_loss_ms: After this long without a reply the owner is out of reach.
+      retry_pause_ms: The pause after a call that was lost or refused.
       probe_interval_ms: How often an owner out of reach is tried.
       idle_return_ms: A lease without requests for so long is returned.
       isolation_wait_ms: How long a new request waits for reserve in isolation.
@@ -28,6 +29,7 @@
     """
 
     owner_loss_ms: int = 1_000
+    retry_pause_ms: int = 50
     probe_interval_ms: int = 500
     idle_return_ms: int = 10_000
     isolation_wait_ms: int = 200
--- a/redwingchute/process/ledger/holder_test.py
+++ b/redwingchute/process/ledger/holder_test.py
@@ -201,6 +201,19 @@
     assert refusal.code == "budget_exhausted"
 
 
+def test_refused_calls_are_not_repeated_at_once() -> None:
+    """An owner that answers at once that its log is out would be flooded."""
+    subject = build.make_funded_holder(lease_tokens=500)
+    charge = build.make_charge(1)
+    build.admit(subject, charge)
+    subject.settle(charge, 40, 1_000)
+    call = build.take_call(subject, 1_000)
+    refusal = data.LedgerReply(0, 1, data.CallStatus.LOG_UNAVAILABLE)
+    subject.accept_reply(call.call_id, refusal, 1_001)
+    assert subject.take_call(1_010) is None
+    assert subject.take_call(1_100) is not None
+
+
 def test_recall_returns_only_what_is_free() -> None:
     subject = build.make_funded_holder(reserve_tokens=300)
     build.admit(subject, build.make_charge(1))
