Pass a service's path and query on as the caller sent them

Cause: found in the read-through: the target was built from the decoded path, so the query was lost, and a space in the path raised in h11 after the call had been claimed, which left it as outcome unknown. The new front_test failed first with LocalProtocolError. Ruled out: quoting the decoded path again, which is not the caller's spelling. Before: query dropped, %20 answered 500. After: both arrive as sent; two calls that differ in their query are different bodies to the ledger as well.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -50,6 +50,7 @@
 
     Attributes:
       method: The method in upper case.
+      target: Path and query as they came.
       path: The decoded path without the query.
       query: The query's parameters; of repeated ones, the last.
       headers: Header values by lower-case name; of repeated ones, the last.
@@ -57,6 +58,7 @@
     """
 
     method: str
+    target: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
@@ -402,6 +404,7 @@
     parts = urllib.parse.urlsplit(target)
     return HttpRequest(
         method=head.method.decode("latin-1").upper(),
+        target=urllib.parse.urlunsplit(("", "", parts.path, parts.query, "")),
         path=urllib.parse.unquote(parts.path),
         query=dict(urllib.parse.parse_qsl(parts.query)),
         headers={
--- a/redwingchute/request/front_test.py
+++ b/redwingchute/request/front_test.py
@@ -276,6 +276,28 @@
     asyncio.run(run())
 
 
+def test_service_gets_path_and_query_as_the_caller_sent_them() -> None:
+    async def run() -> None:
+        async with (
+            service.Service("records") as records,
+            _run_rig([_FAST]) as (rig, engines),
+        ):
+            rig.current = request_rig.make_configuration(
+                list(engines), (records,)
+            )
+            rig.dispatchers[0].configure(rig.current, 1)
+            for number, target in enumerate(("/a%20lot?id=4%2F2&x", "/?y=1")):
+                reply = await rig.send(
+                    f"/services/{request_rig.SERVICE}{target}",
+                    b"",
+                    headers=(("idempotency-key", f"lookup-{number}"),),
+                )
+                assert reply.status == 200
+                assert records.runs[-1].target == target
+
+    asyncio.run(run())
+
+
 def test_service_that_is_down_is_refused_as_not_run() -> None:
     async def run() -> None:
         async with (
--- a/redwingchute/request/service_handler.py
+++ b/redwingchute/request/service_handler.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import json
+import urllib.parse
 
 import attrs
 
@@ -49,8 +50,8 @@
 
     def digest_body(self) -> bytes:
         """Returns the digest that tells whether two calls are the same."""
-        path = f"{self.request.method} {self.request.path}"
-        return request_key.digest_body(path, self.request.body)
+        line = f"{self.request.method} {self.request.target}"
+        return request_key.digest_body(line, self.request.body)
 
     def list_headers(self) -> list[tuple[str, str]]:
         """Returns the headers that the service gets."""
@@ -113,7 +114,7 @@
         self, request: http_server.HttpRequest, caller: context.Caller
     ) -> _Call | outcomes.NotRun:
         """Checks a call."""
-        name, _, rest = request.path.removeprefix(PREFIX).partition("/")
+        name, target = _split_target(request.target)
         service = _find_service(name, caller)
         if service is None:
             return outcomes.NotRun(
@@ -135,7 +136,7 @@
         return _Call(
             service,
             request,
-            "/" + rest,
+            target,
             kind,
             key,
         )
@@ -346,6 +347,13 @@
     return json.dumps(fields).encode()
 
 
+def _split_target(target: str) -> tuple[str, str]:
+    """Returns a service's name, and the path and query that it gets."""
+    path, mark, query = target.partition("?")
+    name, _, rest = path.removeprefix(PREFIX).partition("/")
+    return urllib.parse.unquote(name), f"/{rest}{mark}{query}"
+
+
 def _find_service(
     name: str, caller: context.Caller
 ) -> configuration.Service | None:
--- a/redwingchute/standin/service.py
+++ b/redwingchute/standin/service.py
@@ -44,14 +44,14 @@
       attempt_id: The router's id of the attempt.
       idempotency_key: The caller's key, empty when it sent none.
       method: The HTTP method.
-      path: The path below the service's root.
+      target: Path and query below the service's root, as they came.
       body_digest: A digest of the body, in hex.
     """
 
     attempt_id: str
     idempotency_key: str
     method: str
-    path: str
+    target: str
     body_digest: str
 
 
@@ -164,7 +164,7 @@
         attempt_id=request.headers.get("x-attempt-id", ""),
         idempotency_key=request.headers.get("idempotency-key", ""),
         method=request.method,
-        path=request.path,
+        target=request.target,
         body_digest=hashlib.blake2b(request.body, digest_size=8).hexdigest(),
     )
 
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -330,6 +330,7 @@
         parts = urllib.parse.urlsplit(target)
         request = http_server.HttpRequest(
             method=method,
+            target=target,
             path=urllib.parse.unquote(parts.path),
             query=dict(urllib.parse.parse_qsl(parts.query)),
             headers={name.lower(): value for name, value in headers},
