Let a new process hear the others before it acts on its view

Cause: a router that has just started reached only itself, proposed itself as the owner of every ledger shard and sent its first calls nowhere; it then took the owners for lost. Membership tests cover both ways to settle.

--- a/redwingchute/process/membership.py
+++ b/redwingchute/process/membership.py
@@ -88,6 +88,7 @@
           now_ms: The time.
         """
         self._own_name = own_host.name
+        self._started_ms = now_ms
         self._zone = own_host.zone
         self._timing = timing
         self._random = random_source
@@ -122,6 +123,18 @@
             self._merge(fleet.MemberState(host, 0), now_ms)
             self._refresh(now_ms)
 
+    def is_settled(self, now_ms: int) -> bool:
+        """Tells whether the view is worth acting on.
+
+        A process that has just started reaches only itself. It must not take
+        the work of routers that it has not had the time to hear from.
+        """
+        if now_ms - self._started_ms >= self._timing.broken_ms:
+            return True
+        return all(
+            member.state.host.incarnation for member in self._members.values()
+        )
+
     def begin_leaving(self, now_ms: int) -> None:
         """Publishes that this router is about to stop."""
         own = self._members[self._own_name].state
--- a/redwingchute/process/membership_service.py
+++ b/redwingchute/process/membership_service.py
@@ -34,6 +34,7 @@
         self._read_clock_ms = read_clock_ms
         self._on_change = on_change
         self._seen: tuple[data.Host, ...] = ()
+        self._was_settled = False
         self.view = membership.Membership(
             network.own_host,
             membership.MembershipTiming(),
@@ -43,6 +44,10 @@
         network.handle(fleet.Heartbeat, self._handle_heartbeat)
         network.handle(fleet.MemberList, self._handle_list)
 
+    def is_settled(self) -> bool:
+        """Tells whether the view is worth acting on."""
+        return self.view.is_settled(self._read_clock_ms())
+
     def introduce(self, host: data.Host) -> None:
         """Adds a host that the settings or the host list name."""
         self._network.set_address(host.name, host.peer_address)
@@ -86,9 +91,11 @@
     def _tell_changes(self) -> None:
         """Passes addresses on and calls back when the view changed."""
         reachable = self.view.list_reachable()
-        if reachable == self._seen:
+        is_settled = self.is_settled()
+        if reachable == self._seen and is_settled == self._was_settled:
             return
         self._seen = reachable
+        self._was_settled = is_settled
         for host in reachable:
             self._network.set_address(host.name, host.peer_address)
         self._on_change()
--- a/redwingchute/process/membership_test.py
+++ b/redwingchute/process/membership_test.py
@@ -132,6 +132,25 @@
     assert incarnations["host-001"] == 99
 
 
+def test_view_of_a_new_process_settles_once_the_others_were_heard() -> None:
+    routers = _Fleet(_make_zones(4, 2))
+    routers.run(5_000)
+    routers.start("host-001", incarnation=99)
+    restarted = routers.members["host-001"]
+    assert not restarted.is_settled(routers.now_ms)
+    routers.run(2_000)
+    assert restarted.is_settled(routers.now_ms)
+
+
+def test_view_without_answers_settles_when_the_links_count_as_broken() -> None:
+    routers = _Fleet(_make_zones(2, 1))
+    routers.stopped.add("host-001")
+    alone = routers.members["host-000"]
+    assert not alone.is_settled(routers.now_ms)
+    routers.run(_TIMING.broken_ms)
+    assert alone.is_settled(routers.now_ms)
+
+
 def test_leaving_router_is_not_live_but_reachable() -> None:
     routers = _Fleet(_make_zones(4, 2))
     routers.run(5_000)
--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -230,6 +230,8 @@
         """Returns why requests should not come here, or None."""
         if self._is_stopping:
             return "stopping"
+        if not self.members.is_settled():
+            return "other routers were not heard yet"
         return self.follower.explain_not_ready()
 
     def _make_caller_server(self) -> http_server.HttpServer:
@@ -404,7 +406,13 @@
         )
 
     def _register_reserves(self) -> None:
-        """Asks for reserve of the budgets whose reserve is kept here."""
+        """Asks for reserve of the budgets whose reserve is kept here.
+
+        A process that has just started does not know the owners; its calls
+        would be lost, and it would take the owners for lost.
+        """
+        if not self.members.is_settled():
+            return
         own_name = self.settings.host_name
         names = [host.name for host in self._list_siblings()] + [own_name]
         kept = reserve_keepers.choose_kept_buckets(own_name, names)
@@ -415,7 +423,8 @@
     def _note_members(self) -> None:
         """Passes a changed view on to the owners of shards."""
         live = self.members.view.list_live()
-        self.owners.set_live_hosts(live)
+        if self.members.is_settled():
+            self.owners.set_live_hosts(live)
         self.follower.set_view(self.members.view.neighbours, live)
         self._register_reserves()
         self._configure_dispatcher()
--- a/scripts/measure_overhead.py
+++ b/scripts/measure_overhead.py
@@ -175,6 +175,14 @@
     }
 
 
+def make_top_up(admin: http_client.Address) -> tuple[str, ...]:
+    """Returns the command that tops the budget up."""
+    return (
+        *("ask", "--admin", str(admin), "--key", _OPERATOR_KEY),
+        'top up budget "yield-books" by 100000000 reference "r" because "m"',
+    )
+
+
 def make_document(engine: http_client.Address) -> str:
     """Returns a configuration with one account, model and operator."""
     key_hash = hashlib.sha256(_KEY.encode()).hexdigest()
@@ -251,11 +259,7 @@
         *("--listen", anywhere, "--admin-listen", anywhere),
         *("--peer-listen", anywhere, "--balancer-lag-ms", "0"),
     )
-    run_command(
-        *("ask", "--admin", str(find_address(line, "admin"))),
-        *("--key", _OPERATOR_KEY),
-        'top up budget "yield-books" by 100000000 reference "r" because "m"',
-    )
+    run_command(*make_top_up(find_address(line, "admin")))
     return asyncio.run(
         measure(
             engine, find_address(line, "on"), options.rounds, options.at_once
--- /dev/null
+++ b/scripts/rolling_restart.py
@@ -0,0 +1,161 @@
+"""Restarts all routers in turn under load and counts requests cut off.
+
+Starts stand-ins and three routers as processes on loopback. A small balancer
+asks each router's readiness five times a second and sends streamed requests to
+the ready ones. Prints how the requests ended as JSON; the exit status is 1 if
+any was not answered whole.
+"""
+
+import argparse
+import asyncio
+import collections
+import itertools
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+
+import measure_overhead as common
+
+from redwingchute.connection import http_client
+
+_ANYWHERE = "127.0.0.1:0"
+_READY_PERIOD_S = 0.2
+_AFTER_RESTART_S = 3.0
+
+
+class Fleet:
+    """Three routers and the balancer's view of them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Starts the stand-ins and publishes a configuration."""
+        self.processes = common.Processes(folder)
+        self.lines: dict[str, str] = {}
+        self.children: dict[str, subprocess.Popen[str]] = {}
+        self.ready: list[str] = []
+        start = self.processes.start
+        line = start("stand-in", "platform", "--listen", _ANYWHERE)
+        self.platform = str(common.find_address(line, "on"))
+        line = start(
+            *("stand-in", "engine", "--listen", _ANYWHERE),
+            *("--model", "yield-model", "--slots", "64"),
+            *("--token-interval-ms", "20"),
+        )
+        document = folder / "configuration.json"
+        engine = common.find_address(line, "on")
+        document.write_text(common.make_document(engine))
+        common.run_command(
+            *("publish", str(document), "--platform", self.platform),
+            *("--author", "ops", "--reason", "rolling restart"),
+        )
+
+    def start_router(self, name: str) -> None:
+        """Starts a router that knows the others that run."""
+        peers = ",".join(
+            f"{other}=huon@{common.find_address(line, 'peers')}"
+            for other, line in self.lines.items()
+            if other != name
+        )
+        self.lines[name] = self.processes.start(
+            *("router", "--host-name", name, "--zone", "huon"),
+            *("--platform", self.platform, "--peers", peers),
+            *("--fleet-key", "rolling-restart-key"),
+            *("--listen", _ANYWHERE, "--admin-listen", _ANYWHERE),
+            *("--peer-listen", _ANYWHERE, "--balancer-lag-ms", "1000"),
+        )
+        self.children[name] = self.processes.children[-1]
+
+    async def watch(self, pool: http_client.ClientPool) -> None:
+        """Keeps the list of ready routers."""
+        while True:
+            ready = []
+            for name, line in list(self.lines.items()):
+                fetched = await pool.fetch(
+                    common.find_address(line, "admin"),
+                    *("GET", "/readyz", [], b"", 500),
+                )
+                is_up = isinstance(fetched, http_client.Fetched)
+                if is_up and fetched.status == 200:
+                    ready.append(name)
+            self.ready = ready
+            await asyncio.sleep(_READY_PERIOD_S)
+
+    async def restart(self, name: str) -> int:
+        """Stops a router as planned, starts it anew; returns its status."""
+        child = self.children[name]
+        child.send_signal(signal.SIGTERM)
+        status = await asyncio.to_thread(child.wait, 60)
+        await asyncio.to_thread(self.start_router, name)
+        return status
+
+
+async def run_load(
+    fleet: Fleet,
+    pool: http_client.ClientPool,
+    endings: collections.Counter[str],
+) -> None:
+    """Sends one request after the other to the ready routers."""
+    for number in itertools.count():
+        if not fleet.ready:
+            await asyncio.sleep(0.05)
+            continue
+        name = fleet.ready[number % len(fleet.ready)]
+        address = common.find_address(fleet.lines[name], "on")
+        series = common.Series()
+        try:
+            await common.time_stream(
+                pool, address, common.make_fields(f"shift {number}"), series
+            )
+            endings["whole"] += 1
+        except (AssertionError, RuntimeError) as error:
+            endings[f"not whole: {str(error)[:200]}"] += 1
+
+
+async def run(folder: pathlib.Path, workers: int) -> collections.Counter[str]:
+    """Restarts every router under load and returns how requests ended."""
+    fleet = Fleet(folder)
+    endings: collections.Counter[str] = collections.Counter()
+    names = [f"huon-{number}" for number in (1, 2, 3)]
+    try:
+        for name in names:
+            fleet.start_router(name)
+        admin = common.find_address(fleet.lines[names[0]], "admin")
+        await asyncio.to_thread(common.run_command, *common.make_top_up(admin))
+        async with http_client.ClientPool() as pool:
+            tasks = [asyncio.ensure_future(fleet.watch(pool))]
+            tasks += [
+                asyncio.ensure_future(run_load(fleet, pool, endings))
+                for _ in range(workers)
+            ]
+            await asyncio.sleep(_AFTER_RESTART_S)
+            for name in names:
+                status = await fleet.restart(name)
+                endings[f"exit status {status}"] += 1
+                await asyncio.sleep(_AFTER_RESTART_S)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+    finally:
+        for child in fleet.processes.children:
+            if child.poll() is None:
+                child.send_signal(signal.SIGTERM)
+        for child in fleet.processes.children:
+            child.wait(timeout=60)
+    return endings
+
+
+def main() -> int:
+    """Runs the restart and prints how requests ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--workers", type=int, default=8)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as name:
+        endings = asyncio.run(run(pathlib.Path(name), options.workers))
+    print(json.dumps(endings, indent=2))
+    return int(any(ending.startswith("not whole") for ending in endings))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
