Try a lost owner soon while a request waits for tokens

Ruled out: a shorter interval for every probe (idle links at the target). A request that waits when the owner comes back now waits to its deadline.

--- a/redwingchute/process/ledger/covering.py
+++ b/redwingchute/process/ledger/covering.py
@@ -244,6 +244,13 @@
     )
 
 
+def end_isolation(held: position.BudgetPosition) -> None:
+    """Lets waiting requests wait for the owner again, to their deadlines."""
+    for reservation in held.reservations.values():
+        if reservation.phase is _Phase.WAITING:
+            reservation.wait_until_ms = reservation.charge.deadline_ms
+
+
 def _end_late_settlement(
     state: holder_state.HolderState, reservation: position.Reservation
 ) -> None:
--- a/redwingchute/process/ledger/holder.py
+++ b/redwingchute/process/ledger/holder.py
@@ -62,7 +62,7 @@
             outbox.Outbox(shard, incarnation, host),
         )
         self._unanswered_since_ms: int | None = None
-        self._next_probe_ms = now_ms
+        self._last_probe_ms = now_ms
         self._next_try_ms = now_ms
 
     @property
@@ -210,6 +210,7 @@
             return
         self._state.is_reachable = True
         for held in self._state.positions.values():
+            covering.end_isolation(held)
             covering.cover_all(self._state, held)
 
     def owner_lost(self, now_ms: int) -> None:
@@ -217,7 +218,7 @@
         if not self._state.is_reachable:
             return
         self._state.is_reachable = False
-        self._next_probe_ms = now_ms + self._state.settings.probe_interval_ms
+        self._last_probe_ms = now_ms
         for held in self._state.positions.values():
             covering.move_to_reserve(self._state, held, now_ms)
 
@@ -307,7 +308,7 @@
             return None
         asks = asking.make_asks(state, now_ms)
         if not state.is_reachable:
-            self._next_probe_ms = now_ms + state.settings.probe_interval_ms
+            self._last_probe_ms = now_ms
             if not state.outbox.has_entries():
                 self._queue_probe()
         if not asks and not state.outbox.has_entries():
@@ -367,7 +368,15 @@
         outstanding = self._state.outbox.count_outstanding()
         if self._state.is_reachable:
             return outstanding < outbox.MAX_OUTSTANDING_CALLS
-        return outstanding == 0 and now_ms >= self._next_probe_ms
+        probe_ms = self._last_probe_ms + self._find_probe_interval_ms()
+        return outstanding == 0 and now_ms >= probe_ms
+
+    def _find_probe_interval_ms(self) -> int:
+        """Returns how often an owner out of reach is tried now."""
+        positions = self._state.positions.values()
+        if any(held.count_uncovered() > 0 for held in positions):
+            return self._state.settings.waiting_probe_ms
+        return self._state.settings.probe_interval_ms
 
     def _queue_probe(self) -> None:
         """Queues an entry that changes nothing but needs the log."""
--- a/redwingchute/process/ledger/holder_state.py
+++ b/redwingchute/process/ledger/holder_state.py
@@ -18,6 +18,7 @@
       owner_loss_ms: After this long without a reply the owner is out of reach.
       retry_pause_ms: The pause after a call that was lost or refused.
       probe_interval_ms: How often an owner out of reach is tried.
+      waiting_probe_ms: The same while a request waits for tokens.
       idle_return_ms: A lease without requests for so long is returned.
       isolation_wait_ms: How long a new request waits for reserve in isolation.
       settle_wait_ms: How long a bill may take at least, for a request that
@@ -31,6 +32,7 @@
     owner_loss_ms: int = 1_000
     retry_pause_ms: int = 50
     probe_interval_ms: int = 500
+    waiting_probe_ms: int = 100
     idle_return_ms: int = 10_000
     isolation_wait_ms: int = 200
     settle_wait_ms: int = 3_000
--- a/redwingchute/process/ledger/holder_test.py
+++ b/redwingchute/process/ledger/holder_test.py
@@ -130,6 +130,30 @@
     assert len(build.take_call(subject, 2_010).message.entries) == 28
 
 
+def test_lost_owner_is_tried_soon_while_a_request_waits() -> None:
+    """A request that finds no reserve waits only briefly in isolation."""
+    subject = build.make_holder()
+    subject.register_budget(build.BUDGET, 0)
+    subject.owner_lost(1_000)
+    probe = build.take_call(subject, 1_500)
+    subject.call_lost(probe.call_id, 1_510)
+    charge = build.make_charge(1)
+    build.admit(subject, charge, 1_600)
+    probe = build.take_call(subject, 1_610)
+    assert probe.message.asks[0].lease_tokens >= charge.request.bound_tokens
+    reply = build.make_reply(
+        (_Code.ACCEPTED,), grants=(build.make_grant(available_tokens=900),)
+    )
+    subject.accept_reply(probe.call_id, reply, 1_790)
+    # The owner is back, so the request waits on for what others return.
+    subject.advance(1_900)
+    assert build.take_results(subject) == []
+    call = build.take_call(subject, 1_900)
+    grant = build.make_grant(lease_total_tokens=5_000)
+    subject.accept_reply(call.call_id, build.make_reply(grants=(grant,)), 1_950)
+    assert build.take_results(subject) == [charge]
+
+
 def test_lease_bill_without_a_verdict_is_replaced_by_reserve() -> None:
     subject = build.make_funded_holder(lease_tokens=500, reserve_tokens=500)
     charge = build.make_charge(1)
