--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -18,6 +18,12 @@
 _READ_BYTES = 64 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
 
+# How long an idle connection is reused when the upstream names no time.
+_DEFAULT_KEEP_ALIVE_S = 30.0
+# A request must arrive before the upstream closes, so it leaves earlier.
+_KEEP_ALIVE_MARGIN_S = 0.5
+_METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+
 
 @attrs.frozen
 class Address:
@@ -59,10 +65,17 @@
 
 @attrs.frozen
 class ResponseHead:
-    """The status and headers of a response; names are in lower case."""
+    """The status and headers of a response; names are in lower case.
+
+    Attributes:
+      status: The HTTP status.
+      headers: Header values by name; of repeated ones, the last.
+      header_list: All headers in order.
+    """
 
     status: int
     headers: dict[str, str]
+    header_list: tuple[tuple[str, str], ...] = ()
 
 
 @attrs.frozen
@@ -91,6 +104,8 @@
     ) -> None:
         """Binds the connection to its streams."""
         self.address = address
+        self._idle_since_s = 0.0
+        self._keep_alive_s = _DEFAULT_KEEP_ALIVE_S
         self._reader = reader
         self._writer = writer
         self._protocol = h11.Connection(
@@ -110,16 +125,27 @@
         target: str,
         headers: list[tuple[str, str]],
         body: bytes,
+        host: str | None = None,
     ) -> ExchangeBroken | None:
-        """Sends a whole request; bytes may have left even when it breaks."""
+        """Sends a whole request; bytes may have left even when it breaks.
+
+        The body is queued and not waited for: an upstream may answer before
+        it has read the whole of it.
+
+        Args:
+          method: The HTTP method.
+          target: Path and query.
+          headers: Headers besides host and content-length.
+          body: The whole body.
+          host: The host that is asked for; the address by default.
+        """
+        framing = []
+        if body or method not in _METHODS_WITHOUT_BODY:
+            framing.append(("content-length", str(len(body))))
         request = h11.Request(
             method=method,
             target=target,
-            headers=[
-                ("host", str(self.address)),
-                ("content-length", str(len(body))),
-                *headers,
-            ],
+            headers=[("host", host or str(self.address)), *framing, *headers],
         )
         payload = self._protocol.send(request) or b""
         if body:
@@ -127,7 +153,6 @@
         payload += self._protocol.send(h11.EndOfMessage()) or b""
         try:
             self._writer.write(payload)
-            await self._writer.drain()
         except ConnectionError as error:
             return ExchangeBroken(f"sending failed: {error}")
         return None
@@ -138,11 +163,16 @@
             event = await self._next_event()
             match event:
                 case h11.Response():
-                    headers = {
-                        name.decode("latin-1").lower(): value.decode("latin-1")
+                    header_list = tuple(
+                        (
+                            name.decode("latin-1").lower(),
+                            value.decode("latin-1"),
+                        )
                         for name, value in event.headers
-                    }
-                    return ResponseHead(event.status_code, headers)
+                    )
+                    headers = dict(header_list)
+                    self._keep_alive_s = _read_keep_alive_s(headers)
+                    return ResponseHead(event.status_code, headers, header_list)
                 case h11.InformationalResponse():
                     continue
                 case ExchangeBroken():
@@ -208,8 +238,14 @@
         if not self.is_quiet():
             return False
         self._protocol.start_next_cycle()
+        self._idle_since_s = asyncio.get_running_loop().time()
         return True
 
+    def is_kept_alive(self) -> bool:
+        """Tells whether the upstream still keeps the idle connection."""
+        idle_s = asyncio.get_running_loop().time() - self._idle_since_s
+        return idle_s < self._keep_alive_s - _KEEP_ALIVE_MARGIN_S
+
     def is_quiet(self) -> bool:
         """Tells whether the connection is open with nothing unread on it."""
         buffered = getattr(self._reader, "_buffer", b"")
@@ -276,7 +312,7 @@
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
-            if connection.is_quiet():
+            if connection.is_quiet() and connection.is_kept_alive():
                 return connection
             connection.close()
         try:
@@ -366,3 +402,12 @@
     if isinstance(content, ExchangeBroken):
         return content
     return Fetched(head.status, head.headers, content)
+
+
+def _read_keep_alive_s(headers: dict[str, str]) -> float:
+    """Returns how long an upstream keeps an idle connection."""
+    for field in headers.get("keep-alive", "").split(","):
+        name, _, value = field.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdigit():
+            return float(value)
+    return _DEFAULT_KEEP_ALIVE_S
--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -55,6 +55,8 @@
       query: The query's parameters; of repeated ones, the last.
       headers: Header values by lower-case name; of repeated ones, the last.
       body: The whole body.
+      header_list: All headers in order, names in lower case.
+      raw_path: The path without the query as it came.
     """
 
     method: str
@@ -63,6 +65,8 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    header_list: tuple[tuple[str, str], ...] = ()
+    raw_path: str = ""
 
 
 class ClientDisconnectedError(Exception):
@@ -216,6 +220,10 @@
         if self._connections:
             await asyncio.wait(self._connections)
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Takes other limits, for open connections too."""
+        self._limits = limits
+
     def begin_drain(self) -> None:
         """Answers from now on with `Connection: close`.
 
@@ -264,7 +272,7 @@
             if request is None:
                 return
             responder = HttpResponder(
-                connection, writer, self._limits, lambda: self._is_draining
+                connection, writer, self._limits, self._must_close
             )
             pipelined = await self._answer(request, responder, reader)
             if connection.our_state is not h11.DONE:
@@ -275,6 +283,10 @@
             if pipelined:
                 connection.receive_data(pipelined)
 
+    def _must_close(self) -> bool:
+        """Tells whether connections close after their next answer."""
+        return self._is_draining
+
     async def _answer(
         self,
         request: HttpRequest,
@@ -367,11 +379,17 @@
             async with asyncio.timeout(wait_ms / 1000):
                 return await reader.read(_READ_BYTES)
         except TimeoutError:
-            if is_idle:
-                return None
-            raise _BadRequestError(408, "the request did not arrive") from None
+            if not is_idle:
+                raise _BadRequestError(
+                    408, "the request did not arrive"
+                ) from None
         finally:
             self._idle.discard(writer)
+        # The limit may have been raised while the connection was idle.
+        longer_ms = self._limits.idle_ms - wait_ms
+        if longer_ms <= 0:
+            return None
+        return await self._read(reader, writer, longer_ms, is_idle)
 
     async def _refuse(
         self,
@@ -402,16 +420,19 @@
     """Builds the request that handlers see."""
     target = head.target.decode("latin-1")
     parts = urllib.parse.urlsplit(target)
+    header_list = tuple(
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
+        for name, value in head.headers
+    )
     return HttpRequest(
         method=head.method.decode("latin-1").upper(),
         target=urllib.parse.urlunsplit(("", "", parts.path, parts.query, "")),
         path=urllib.parse.unquote(parts.path),
         query=dict(urllib.parse.parse_qsl(parts.query)),
-        headers={
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in head.headers
-        },
+        headers=dict(header_list),
         body=body,
+        header_list=header_list,
+        raw_path=parts.path,
     )
 
 
--- /dev/null
+++ b/redwingchute/platform/headers.py
@@ -0,0 +1,212 @@
+"""Translates the headers of requests and answers.
+
+Headers that the system sets itself are dropped from what a caller sent, so
+that nobody can speak for it. Headers that concern one connection only are
+never passed on.
+"""
+
+import json
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import forwarding
+from redwingchute.core import outcomes
+from redwingchute.request import forward_wire
+
+# Names an attempt of the caller's, not one of ours at an upstream.
+_REQUEST_ID = "attempt-id"
+_DEADLINE = "deadline-ms"
+# Prompt tokens, then the most output tokens; not what was used.
+_TOKENS = "token-usage"
+_PROMPT_PARTS = "prompt-prefix"
+_LAST_EVENT_ID = "last-event-id"
+_EXPECTED_UPSTREAM = "target-instance"
+_ACCOUNT = "tenant"
+# Proves which upstream made an answer; a digest over its whole body.
+_SIGNATURE = "runner-signature"
+# Present when the upstream did not run the request.
+_NOT_RUN = "not-executed"
+_PRIORITY = "request-priority"
+_RETRY_AFTER = "retry-after"
+
+_KEY_SCHEME = "bearer "
+_NOT_RUN_STATUSES = frozenset({421})
+
+_CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+# Only the system sets these; a caller's are dropped.
+_SYSTEM_HEADERS = frozenset(
+    {
+        _ACCOUNT,
+        _EXPECTED_UPSTREAM,
+        _PRIORITY,
+        "cache-retain",
+        "expected-version",
+        "kv-backup",
+        "kv-fetch",
+        "kv-from",
+        "pin-ms",
+    }
+)
+_REPLACED_HEADERS = frozenset(
+    {"authorization", "content-length", "expect", "host", _DEADLINE}
+)
+
+
+class HeaderTranslator:
+    """The platform's headers; implements `forward_wire.ForwardWire`."""
+
+    def read_request(
+        self, request: http_server.HttpRequest
+    ) -> forwarding.ForwardRequest | outcomes.NotRun:
+        """Reads what decisions need of a request's headers."""
+        headers = request.headers
+        request_id = headers.get(_REQUEST_ID)
+        if not request_id:
+            return _refuse_header("Attempt-Id is missing")
+        try:
+            return forwarding.ForwardRequest(
+                id=request_id,
+                host=_read_host(headers.get("host", "")),
+                path=request.raw_path,
+                patience_ms=_read_int(headers.get(_DEADLINE)),
+                key=_read_key(headers.get("authorization", "")),
+                generation=_read_generation(headers),
+                last_event_id=_read_int(headers.get(_LAST_EVENT_ID)),
+            )
+        except ValueError as error:
+            return _refuse_header(str(error))
+
+    def build_upstream_headers(
+        self,
+        request: http_server.HttpRequest,
+        send: forward_wire.UpstreamSend,
+    ) -> list[tuple[str, str]]:
+        """Returns the headers that an upstream gets, without framing."""
+        dropped = _CONNECTION_HEADERS | _SYSTEM_HEADERS | _REPLACED_HEADERS
+        dropped |= _list_nominated(request.headers)
+        if send.last_event_id is not None:
+            dropped |= {_LAST_EVENT_ID}
+        headers = [
+            (name, value)
+            for name, value in request.header_list
+            if name not in dropped
+        ]
+        headers.append((_EXPECTED_UPSTREAM, send.upstream_id))
+        headers.append((_DEADLINE, str(send.remaining_ms)))
+        if send.account is not None:
+            headers.append((_ACCOUNT, send.account))
+        if send.priority is not None:
+            headers.append((_PRIORITY, str(send.priority)))
+        if send.last_event_id is not None:
+            headers.append((_LAST_EVENT_ID, str(send.last_event_id)))
+        return headers
+
+    def read_answer(
+        self, head: http_client.ResponseHead
+    ) -> forward_wire.AnswerHead:
+        """Reads what decisions need of an answer's head."""
+        return forward_wire.AnswerHead(
+            status=head.status,
+            request_id=head.headers.get(_REQUEST_ID),
+            was_not_run=_NOT_RUN in head.headers
+            or head.status in _NOT_RUN_STATUSES,
+            is_signed=_SIGNATURE in head.headers,
+        )
+
+    def build_answer_headers(
+        self, head: http_client.ResponseHead
+    ) -> list[tuple[str, str]]:
+        """Returns the headers of an upstream's answer that a caller gets."""
+        dropped = _CONNECTION_HEADERS | _list_nominated(head.headers)
+        return [
+            (name, value)
+            for name, value in head.header_list
+            if name not in dropped
+        ]
+
+    def build_refusal(
+        self, refusal: outcomes.Refusal, request_id: str | None
+    ) -> forward_wire.RefusalAnswer:
+        """Returns the headers and body of an answer of the system's own."""
+        headers = [("content-type", "application/json")]
+        if request_id is not None:
+            headers.append((_REQUEST_ID, request_id))
+        if refusal.retry_after_ms is not None:
+            headers.append(
+                (_RETRY_AFTER, f"{refusal.retry_after_ms / 1000:.3f}")
+            )
+        body = {
+            "error": {
+                "type": outcomes.name_refusal_type(refusal),
+                "code": refusal.code,
+                "message": refusal.message,
+            }
+        }
+        return forward_wire.RefusalAnswer(headers, json.dumps(body).encode())
+
+
+def _refuse_header(message: str) -> outcomes.NotRun:
+    """Returns the refusal of a request with unusable headers."""
+    return outcomes.NotRun(400, "bad_header", message)
+
+
+def _read_host(value: str) -> str:
+    """Returns a host name without its port, in lower case."""
+    return value.partition(":")[0].strip().lower()
+
+
+def _read_key(value: str) -> str | None:
+    """Returns the key of an Authorization header, or None."""
+    if not value.lower().startswith(_KEY_SCHEME):
+        return None
+    return value[len(_KEY_SCHEME) :].strip() or None
+
+
+def _read_int(value: str | None) -> int | None:
+    """Returns the number in a header, or None when it is absent."""
+    return None if value is None else int(value)
+
+
+def _read_generation(
+    headers: dict[str, str],
+) -> forwarding.Generation | None:
+    """Returns what a request asks of a model, or None."""
+    tokens = headers.get(_TOKENS)
+    if tokens is None:
+        return None
+    prompt_tokens, _, max_output_tokens = tokens.partition(",")
+    parts = [
+        _read_part(entry)
+        for entry in headers.get(_PROMPT_PARTS, "").split(",")
+        if entry.strip()
+    ]
+    return forwarding.Generation(
+        max(0, int(prompt_tokens)),
+        max(0, int(max_output_tokens or 0)),
+        tuple(parts),
+    )
+
+
+def _read_part(entry: str) -> forwarding.PromptPart:
+    """Reads one part of a prompt, written as ID:TOKENS."""
+    part_id, _, tokens = entry.strip().partition(":")
+    return forwarding.PromptPart(part_id, int(tokens or 0))
+
+
+def _list_nominated(headers: dict[str, str]) -> set[str]:
+    """Returns the headers that a Connection header names."""
+    names = headers.get("connection", "").lower().split(",")
+    return {name.strip() for name in names} - {""}
--- /dev/null
+++ b/redwingchute/platform/main.py
@@ -0,0 +1,76 @@
+"""Runs a router on the platform's hosts: the entry that the platform starts."""
+
+import asyncio
+import os
+import signal
+import sys
+
+from redwingchute.connection import http_client
+from redwingchute.platform import configuration_document
+from redwingchute.platform import headers
+from redwingchute.platform import settings_file
+from redwingchute.platform import store_client
+from redwingchute.platform import upstream_entries
+from redwingchute.process import decision_log
+from redwingchute.process import gateway
+from redwingchute.process import gateway_settings
+
+_EXIT_BAD_SETTINGS = 2
+_READY_PATH = "/v1/readyz"
+
+
+def make_ports(
+    pool: http_client.ClientPool, address: http_client.Address
+) -> gateway.GatewayPorts:
+    """Returns the ports of the platform.
+
+    Args:
+      pool: Connections to the platform's store.
+      address: Where the store is.
+    """
+    return gateway.GatewayPorts(
+        log=store_client.StoreClient(pool, address),
+        wire=headers.HeaderTranslator(),
+        configuration_topic=configuration_document.TOPIC,
+        configuration_key=configuration_document.KEY,
+        decode_configuration=configuration_document.decode_configuration,
+        upstream_topic=upstream_entries.TOPIC,
+        decode_upstream=upstream_entries.decode_upstream,
+        ready_path=_READY_PATH,
+    )
+
+
+async def run_gateway(settings: gateway_settings.GatewaySettings) -> None:
+    """Runs a router until it is told to stop.
+
+    Args:
+      settings: The checked settings.
+    """
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    # Nothing that a running process uses changes with the file.
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: decision_log.log_event("reloaded")
+    )
+    async with http_client.ClientPool() as pool:
+        ports = make_ports(pool, settings.log_address)
+        async with gateway.Gateway(settings, ports, pool) as running:
+            await stopping.wait()
+            await running.stop()
+
+
+def main() -> None:
+    """Loads the settings and runs the router."""
+    settings, findings = settings_file.load_settings(os.environ)
+    if settings is None:
+        for finding in findings:
+            print(f"{finding.place}: {finding.message}", file=sys.stderr)
+        sys.exit(_EXIT_BAD_SETTINGS)
+    decision_log.LOG.open(host=settings.host_name, zone=settings.zone)
+    asyncio.run(run_gateway(settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/redwingchute/platform/settings_file.py
@@ -0,0 +1,130 @@
+"""Reads the settings file that the platform writes for each process.
+
+Lines have the form `a.b=value`. Fields that are not known are ignored, since
+the platform may add some; findings name the fields that are missing or bad.
+"""
+
+from collections.abc import Mapping
+import hashlib
+import pathlib
+from typing import TypeVar
+
+from redwingchute.connection import http_client
+from redwingchute.core import data
+from redwingchute.process import gateway_settings
+
+PATH_VARIABLE = "REDWINGCHUTE_CONFIG"
+DEFAULT_PATH = "/etc/redwingchute/settings.conf"
+# The port that deploy/system.toml names for metrics.
+_METRICS_PORT = 9464
+
+_ValueT = TypeVar("_ValueT")
+
+
+def load_settings(
+    environment: Mapping[str, str],
+) -> tuple[gateway_settings.GatewaySettings | None, list[data.Finding]]:
+    """Loads the settings file that the environment names.
+
+    Args:
+      environment: The environment variables.
+
+    Returns:
+      The settings, or None, and what is wrong with the file.
+    """
+    path = pathlib.Path(environment.get(PATH_VARIABLE, DEFAULT_PATH))
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return None, [data.Finding(str(path), str(error))]
+    return decode_settings(text, str(path))
+
+
+def decode_settings(
+    text: str, place: str
+) -> tuple[gateway_settings.GatewaySettings | None, list[data.Finding]]:
+    """Decodes the lines of a settings file; see `load_settings`."""
+    fields = _split_lines(text)
+    reader = _FieldReader(fields, place)
+    first_port, _ = reader.read_ports("internalPorts")
+    platform_address = reader.read_address("platform.address")
+    decoded = gateway_settings.GatewaySettings(
+        host_name=reader.read_text("nodeName"),
+        zone=reader.read_text("zone"),
+        listen=reader.read_address("listen.frontend"),
+        ready_listen=reader.read_address("listen.ready"),
+        peer_listen=http_client.Address(reader.read_text("ip"), first_port),
+        metrics_listen=http_client.Address(
+            reader.read_text("ip"), _METRICS_PORT
+        ),
+        log_address=platform_address,
+        # The platform hands out no secret. The key keeps the routers of two
+        # fleets apart; the internal ports are reachable by hosts only.
+        fleet_key=hashlib.sha256(str(platform_address).encode()).digest(),
+        stop_ms=int(1000 * reader.read_number("bounds.graceS", 8.0)),
+        retry_ratio=reader.read_number("bounds.retryBudgetRatio", 0.2),
+        retry_window_ms=int(
+            1000 * reader.read_number("bounds.retryWindowS", 10.0)
+        ),
+        retry_slack=reader.read_number("bounds.retrySlack", 0.0),
+        configuration_fresh_ms=int(
+            reader.read_number("bounds.configApplyMs", 2000.0)
+        ),
+    )
+    return (None if reader.findings else decoded), reader.findings
+
+
+class _FieldReader:
+    """Reads typed fields and collects what is wrong with them.
+
+    Attributes:
+      findings: What is wrong so far.
+    """
+
+    def __init__(self, fields: dict[str, str], place: str) -> None:
+        """Reads from the fields of one file."""
+        self.findings: list[data.Finding] = []
+        self._fields = fields
+        self._place = place
+
+    def read_text(self, name: str) -> str:
+        """Returns a field that has to be there."""
+        if name not in self._fields:
+            self._note(name, "is missing")
+        return self._fields.get(name, "")
+
+    def read_address(self, name: str) -> http_client.Address:
+        """Returns a field of the form ip:port."""
+        text = self.read_text(name)
+        try:
+            return http_client.Address.parse(text)
+        except ValueError as error:
+            self._note(name, str(error))
+            return http_client.Address("", 0)
+
+    def read_ports(self, name: str) -> tuple[int, int]:
+        """Returns a field of the form first,last."""
+        first, _, last = self.read_text(name).partition(",")
+        try:
+            return int(first), int(last)
+        except ValueError:
+            self._note(name, "is not of the form first,last")
+            return 0, 0
+
+    def read_number(self, name: str, default: float) -> float:
+        """Returns a number, or the default when the field is absent."""
+        try:
+            return float(self._fields.get(name, default))
+        except ValueError:
+            self._note(name, "is not a number")
+            return default
+
+    def _note(self, name: str, message: str) -> None:
+        """Adds a finding."""
+        self.findings.append(data.Finding(f"{self._place}: {name}", message))
+
+
+def _split_lines(text: str) -> dict[str, str]:
+    """Returns the fields of a settings file."""
+    pairs = (line.partition("=") for line in text.splitlines())
+    return {name.strip(): value.strip() for name, _, value in pairs if name}
--- /dev/null
+++ b/redwingchute/platform/store_client.py
@@ -0,0 +1,213 @@
+"""The client of the platform's store, as the product's shared log.
+
+Calls that the store refuses did nothing. A call without an answer may have
+run, or may run later; its connection brings nothing more and is closed.
+"""
+
+import base64
+import json
+import struct
+from typing import Any
+import urllib.parse
+
+from redwingchute.connection import http_client
+from redwingchute.process import shared_log
+
+# How long a call may take beyond the wait that it asks for. The store answers
+# in milliseconds, and in tens to hundreds when it is slow.
+_CALL_TIMEOUT_MS = 1_500
+_MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_PARTITION = 0
+_LENGTH = struct.Struct(">I")
+_ENDS = struct.Struct(">QQ")
+
+
+class StoreClient:
+    """Calls the platform's store.
+
+    Attributes:
+      calls: How many calls were made.
+    """
+
+    def __init__(
+        self, pool: http_client.ClientPool, address: http_client.Address
+    ) -> None:
+        """Binds the client to the store's address."""
+        self._pool = pool
+        self._address = address
+        self.calls = 0
+
+    async def append(
+        self,
+        topic: str,
+        records: tuple[shared_log.KeyedRecord, ...],
+        stamp: shared_log.ProducerStamp,
+        at_offset: int | None = None,
+    ) -> shared_log.AppendResult:
+        """Appends records; see `shared_log.SharedLog`."""
+        query = {
+            "topic": topic,
+            "part": _PARTITION,
+            "producer": stamp.producer,
+            "epoch": stamp.epoch,
+            "sequence": stamp.sequence,
+        }
+        if at_offset is not None:
+            query["at"] = at_offset
+        body = b"".join(map(_encode_record, records))
+        fetched = await self._call("POST", "/v1/log-append", query, body, 0)
+        if isinstance(fetched, shared_log.LogUnavailable):
+            return fetched
+        return _read_append_answer(fetched)
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> shared_log.ReadResult:
+        """Reads records; see `shared_log.SharedLog`."""
+        query = {"topic": topic, "part": _PARTITION, "source": offset}
+        if wait_ms:
+            query["waitMs"] = wait_ms
+        fetched = await self._call("GET", "/v1/log-read", query, b"", wait_ms)
+        if isinstance(fetched, shared_log.LogUnavailable):
+            return fetched
+        if fetched.status == 410:
+            return shared_log.HistoryGone()
+        if fetched.status == 404:
+            # The topic is created by its first append.
+            return shared_log.ReadRecords((), offset)
+        if fetched.status != 200:
+            return _refused(fetched)
+        return _decode_records(fetched.body, offset)
+
+    async def read_newest(
+        self, topic: str
+    ) -> shared_log.Newest | shared_log.LogUnavailable:
+        """Reads the newest records; see `shared_log.SharedLog`."""
+        query: dict[str, Any] = {"topic": topic, "part": _PARTITION}
+        records: list[shared_log.KeyedRecord] = []
+        next_offset: int | None = None
+        while True:
+            fetched = await self._call("GET", "/v1/log-newest", query, b"", 0)
+            if isinstance(fetched, shared_log.LogUnavailable):
+                return fetched
+            if fetched.status == 404:
+                return shared_log.Newest((), 0)
+            if fetched.status != 200:
+                return _refused(fetched)
+            try:
+                page = json.loads(fetched.body)
+                records += [_read_entry(entry) for entry in page["entries"]]
+                # Pages are no snapshot: reading goes on from the first one.
+                if next_offset is None:
+                    next_offset = int(page["endOffset"])
+                has_more = bool(page.get("hasMore"))
+            except (ValueError, KeyError, TypeError) as error:
+                return shared_log.LogUnavailable(f"unreadable page: {error}")
+            if not has_more or not records:
+                return shared_log.Newest(tuple(records), next_offset)
+            query["after"] = records[-1].key
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: bytes,
+        wait_ms: int,
+    ) -> http_client.Fetched | shared_log.LogUnavailable:
+        """Runs one call on a kept connection."""
+        self.calls += 1
+        headers = [("content-type", "application/octet-stream")] if body else []
+        fetched = await self._pool.fetch(
+            self._address,
+            method,
+            f"{path}?{urllib.parse.urlencode(query)}",
+            headers,
+            body,
+            _CALL_TIMEOUT_MS + wait_ms,
+            _MAX_ANSWER_BYTES,
+        )
+        match fetched:
+            case http_client.Fetched():
+                return fetched
+            case http_client.ConnectFailed(message):
+                return shared_log.LogUnavailable(message)
+            case http_client.ExchangeBroken(message):
+                return shared_log.LogUnavailable(message, may_have_run=True)
+
+
+def _encode_record(record: shared_log.KeyedRecord) -> bytes:
+    """Returns a record as it is appended: lengths, key and value."""
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + (record.value or b"")
+    return _LENGTH.pack(len(content)) + content
+
+
+def _read_append_answer(
+    fetched: http_client.Fetched,
+) -> shared_log.AppendResult:
+    """Returns what the answer to an append says."""
+    try:
+        fields = json.loads(fetched.body) if fetched.body else {}
+        match fetched.status:
+            case 200:
+                return shared_log.Appended(int(fields["endOffset"]))
+            case 412:
+                return shared_log.ConditionFailed(int(fields["endOffset"]))
+            case 409 if fields.get("reason") == "fenced":
+                return shared_log.Fenced()
+            case 409:
+                expected = fields.get("sequence", fields.get("next"))
+                return shared_log.WrongSequence(int(str(expected)))
+    except (ValueError, KeyError, TypeError) as error:
+        return shared_log.LogUnavailable(
+            f"unreadable answer {fetched.status}: {error}", may_have_run=True
+        )
+    return _refused(fetched)
+
+
+def _refused(fetched: http_client.Fetched) -> shared_log.LogUnavailable:
+    """Returns the outcome of a call that the store did not carry out."""
+    return shared_log.LogUnavailable(f"the store answered {fetched.status}")
+
+
+def _decode_records(body: bytes, offset: int) -> shared_log.ReadResult:
+    """Reads the records of a topic as the store sends them."""
+    if len(body) < _ENDS.size:
+        return shared_log.LogUnavailable("the answer is too short")
+    _, first_offset = _ENDS.unpack_from(body)
+    # A read that starts before the first record that is kept begins there.
+    next_offset = max(offset, first_offset)
+    records = []
+    position = _ENDS.size
+    while position + _LENGTH.size <= len(body):
+        (size,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        content = body[position : position + size]
+        if len(content) < size:
+            break
+        position += size
+        record = _decode_content(content, next_offset)
+        if record is not None:
+            records.append(record)
+        next_offset += 1
+    return shared_log.ReadRecords(tuple(records), next_offset)
+
+
+def _decode_content(
+    content: bytes, offset: int
+) -> shared_log.KeyedRecord | None:
+    """Reads one record's key and value; None when it has no key."""
+    if not content or len(content) < 1 + content[0]:
+        return None
+    key_end = 1 + content[0]
+    key = content[1:key_end].decode("utf-8", "replace")
+    return shared_log.KeyedRecord(key, content[key_end:] or None, offset)
+
+
+def _read_entry(entry: dict[str, Any]) -> shared_log.KeyedRecord:
+    """Reads one entry of the newest records."""
+    value = base64.b64decode(entry.get("value") or "")
+    return shared_log.KeyedRecord(
+        str(entry["key"]), value or None, int(entry["offset"])
+    )
--- /dev/null
+++ b/redwingchute/platform/upstream_entries.py
@@ -0,0 +1,64 @@
+"""Decodes the entries that upstreams keep in the platform's store.
+
+An entry may come from another writer. One that lacks a field or holds a value
+of another type names no upstream to use.
+"""
+
+import json
+from typing import Any
+
+from redwingchute.connection import http_client
+from redwingchute.core import forwarding
+
+TOPIC = "keyed.servers"
+
+_READY = "ready"
+_LEAVING = "draining"
+
+
+def decode_upstream(
+    upstream_id: str, value: bytes
+) -> forwarding.Upstream | None:
+    """Returns the upstream that an entry names, or None."""
+    try:
+        fields = json.loads(value)
+    except ValueError:
+        return None
+    if not isinstance(fields, dict):
+        return None
+    service = fields.get("service")
+    address = fields.get("address")
+    state = fields.get("state")
+    if not isinstance(service, str) or state not in (_READY, _LEAVING):
+        return None
+    if not isinstance(address, str) or not _is_address(address):
+        return None
+    return forwarding.Upstream(
+        id=upstream_id,
+        service=service,
+        address=address,
+        zone=_read_text(fields.get("zone")),
+        is_ready=state == _READY,
+        slots=max(1, _read_count(fields.get("slots"))),
+        born_ms=_read_count(fields.get("born")),
+    )
+
+
+def _is_address(text: str) -> bool:
+    """Tells whether a text is of the form ip:port."""
+    try:
+        http_client.Address.parse(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _read_text(value: Any) -> str:
+    """Returns a text field, empty when it is none."""
+    return value if isinstance(value, str) else ""
+
+
+def _read_count(value: Any) -> int:
+    """Returns a whole number field, 0 when it is none."""
+    is_count = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_count else 0
--- /dev/null
+++ b/redwingchute/process/gateway.py
@@ -0,0 +1,422 @@
+"""The router of hosts that forward by route: joins the library's parts.
+
+What speaks to the platform comes in through ports: the shared log, the header
+names, and the decoders of the configuration and of upstreams' entries. The
+gateway follows their topics, keeps its grants, links to the other routers and
+serves callers.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import contextlib
+import secrets
+import time
+from types import TracebackType
+from typing import Any
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import data
+from redwingchute.core import forwarding
+from redwingchute.core import prepaid
+from redwingchute.core import requesting
+from redwingchute.process import decision_log
+from redwingchute.process import gateway_settings
+from redwingchute.process import keyed_follower
+from redwingchute.process import peer_network
+from redwingchute.process import shared_log
+from redwingchute.process import telemetry
+from redwingchute.process.prepaid import charging
+from redwingchute.process.prepaid import grant_keeper
+from redwingchute.request import forward_wire
+from redwingchute.request import forwarding_handler
+from redwingchute.request import quarantine
+from redwingchute.request import retry_allowance
+from redwingchute.request import upstream_directory
+from redwingchute.version import route_index
+from redwingchute.wire import registry
+
+# A version has to be in force within two seconds of its acknowledgement.
+_CONFIGURATION_PACE = keyed_follower.FollowPace(wait_ms=10_000, interval_ms=200)
+# An upstream that leaves takes work for two seconds more.
+_UPSTREAM_PACE = keyed_follower.FollowPace(wait_ms=0, interval_ms=500)
+# The balancer takes a host out after two misses, a second apart.
+_BALANCER_LAG_S = 2.2
+# What is left of the time for a planned stop to return the grants.
+_RETURN_S = 1.0
+_STOP_POLL_S = 0.05
+
+
+@attrs.frozen
+class GatewayPorts:
+    """How the gateway reaches the platform.
+
+    Attributes:
+      log: The shared log.
+      wire: The names of headers.
+      configuration_topic: Where the configuration is.
+      configuration_key: Its key.
+      decode_configuration: Returns a route table, or why there is none.
+      upstream_topic: Where upstreams keep their entries, by their ids.
+      decode_upstream: Returns an upstream, or None for an unusable entry.
+      ready_path: The path that the balancer asks for.
+    """
+
+    log: shared_log.SharedLog
+    wire: forward_wire.ForwardWire
+    configuration_topic: str
+    configuration_key: str
+    decode_configuration: Callable[[bytes], forwarding.RouteTable | str]
+    upstream_topic: str
+    decode_upstream: Callable[[str, bytes], forwarding.Upstream | None]
+    ready_path: str
+
+
+def read_boot_ms() -> int:
+    """Returns the milliseconds since the boot, suspended time included."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+def read_wall_ms() -> int:
+    """Returns the milliseconds since the epoch by the time of day."""
+    return time.time_ns() // 1_000_000
+
+
+class Gateway:
+    """One router; a context manager that owns all of its parts."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        ports: GatewayPorts,
+        pool: http_client.ClientPool,
+    ) -> None:
+        """Builds the parts; nothing listens before the context is entered.
+
+        Args:
+          settings: The checked settings.
+          ports: How the platform is reached.
+          pool: Connections to upstreams and to the platform.
+        """
+        self.settings = settings
+        self._ports = ports
+        self._pool = pool
+        self._incarnation = secrets.randbits(47) or 1
+        self._metrics = telemetry.Metrics(settings.host_name, settings.zone)
+        self._index: route_index.RouteIndex | None = None
+        self._directory = upstream_directory.UpstreamDirectory(settings.zone)
+        self._quarantine = quarantine.Quarantine(settings.host_name)
+        self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
+        self._is_stopping = False
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._stack = contextlib.AsyncExitStack()
+        self._network = self._make_network()
+        self._keeper = self._make_keeper()
+        self._charging = charging.Charging(
+            self._keeper, self._network, read_boot_ms, self._incarnation
+        )
+        self._configuration = keyed_follower.KeyedFollower(
+            ports.log,
+            ports.configuration_topic,
+            _CONFIGURATION_PACE,
+            read_boot_ms,
+            self._take_configuration,
+        )
+        self._upstreams = keyed_follower.KeyedFollower(
+            ports.log,
+            ports.upstream_topic,
+            _UPSTREAM_PACE,
+            read_boot_ms,
+            self._take_upstream,
+            self._directory.keep_only,
+        )
+        self._callers = self._make_caller_server()
+
+    def _make_network(self) -> peer_network.PeerNetwork:
+        """Returns the links to other routers."""
+        return peer_network.PeerNetwork(
+            data.Host(
+                self.settings.host_name,
+                self.settings.zone,
+                str(self.settings.peer_listen),
+                self._incarnation,
+            ),
+            self.settings.fleet_key,
+            registry.make_codec(),
+            self._metrics,
+            read_boot_ms,
+        )
+
+    def _make_keeper(self) -> grant_keeper.GrantKeeper:
+        """Returns what keeps this router's grants."""
+        stamp = prepaid.HostStamp(
+            host=self.settings.host_name,
+            zone=self.settings.zone,
+            peer_address=str(self.settings.peer_listen),
+            epoch=0,
+            boot_ms=0,
+            wall_ms=0,
+            proof_ms=0,
+        )
+        return grant_keeper.GrantKeeper(
+            self._ports.log,
+            stamp,
+            grant_keeper.Clocks(read_boot_ms, read_wall_ms),
+            self._find_prepaid,
+            note_host=self._note_host,
+        )
+
+    def _make_caller_server(self) -> http_server.HttpServer:
+        """Returns the server of callers."""
+        handler = forwarding_handler.ForwardingHandler(
+            forwarding_handler.ForwardingParts(
+                pool=self._pool,
+                wire=self._ports.wire,
+                directory=self._directory,
+                charger=self._charging,
+                find_index=lambda: self._index,
+                is_fresh=self._is_fresh,
+                find_allowance=self._find_allowance,
+                quarantine=self._quarantine,
+                broadcast=self._broadcast,
+                read_clock_ms=read_boot_ms,
+                note_outcome=self._note_outcome,
+            )
+        )
+        listen = self.settings.listen
+        return http_server.HttpServer(handler.handle, listen.ip, listen.port)
+
+    async def __aenter__(self) -> "Gateway":
+        """Starts all parts; callers are let in last."""
+        enter = self._stack.enter_async_context
+        await enter(self._network)
+        self._network.handle(prepaid.RemoteCharge, self._charging.handle_charge)
+        self._network.handle(
+            prepaid.RemoteSettlement, self._charging.handle_settlement
+        )
+        self._network.handle(requesting.CrashNotice, self._handle_crash)
+        self._spawn(self._configuration.run())
+        self._spawn(self._upstreams.run())
+        self._spawn(self._keeper.run())
+        await enter(
+            self._make_side_server(
+                self.settings.ready_listen, self._answer_ready
+            )
+        )
+        await enter(
+            self._make_side_server(
+                self.settings.metrics_listen, self._answer_metrics
+            )
+        )
+        await enter(self._callers)
+        decision_log.log_event("started", incarnation=self._incarnation)
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Closes all parts in the reverse order of their start."""
+        await self._stack.aclose()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._metrics.close()
+        decision_log.log_event("stopped")
+
+    async def stop(self) -> None:
+        """Prepares a planned stop: cuts off no request."""
+        decision_log.log_event(
+            "stop_begins", open_requests=self._callers.open_exchanges
+        )
+        self._is_stopping = True
+        deadline_ms = read_boot_ms() + self.settings.stop_ms
+        deadline_ms -= int(1000 * _RETURN_S) + 500
+        await asyncio.sleep(_BALANCER_LAG_S)
+        self._callers.begin_drain()
+        while self._callers.open_exchanges and read_boot_ms() < deadline_ms:
+            await asyncio.sleep(_STOP_POLL_S)
+        self._callers.close_idle()
+        await self._keeper.stop(_RETURN_S)
+
+    def _make_side_server(
+        self, address: http_client.Address, handler: http_server.Handler
+    ) -> http_server.HttpServer:
+        """Returns a server beside that of callers."""
+        return http_server.HttpServer(handler, address.ip, address.port)
+
+    async def _answer_ready(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Tells the balancer whether callers may come."""
+        if request.path != self._ports.ready_path:
+            await responder.send(404, b"")
+            return
+        reason = self._explain_not_ready()
+        if reason is None:
+            await responder.send(200, b"{}")
+            return
+        await responder.send(503, b"{}")
+
+    async def _answer_metrics(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers with all metrics as text."""
+        del request
+        await responder.send(200, self._metrics.render(), "text/plain")
+
+    def _explain_not_ready(self) -> str | None:
+        """Returns why callers should not come here, or None."""
+        if self._is_stopping:
+            return "stopping"
+        if self._index is None:
+            return "no configuration"
+        if self._upstreams.next_offset < 0:
+            return "no upstreams"
+        return None
+
+    def _take_configuration(self, record: shared_log.KeyedRecord) -> None:
+        """Takes a configuration version, if it is newer."""
+        if record.key != self._ports.configuration_key or not record.value:
+            return
+        table = self._ports.decode_configuration(record.value)
+        if isinstance(table, str):
+            decision_log.log_failure(
+                "configuration_unreadable", offset=record.offset, reason=table
+            )
+            return
+        before = self._index.table.version if self._index else None
+        if before is not None and table.version <= before:
+            return
+        self._index = route_index.RouteIndex(table)
+        limits = table.limits
+        self._callers.set_limits(
+            http_server.ServerLimits(
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                idle_ms=limits.idle_ms,
+                receive_ms=limits.receive_ms,
+            )
+        )
+        decision_log.log_event(
+            "configuration_in_force",
+            version=table.version,
+            version_before=before,
+            routes=len(table.routes),
+            accounts=len(table.accounts),
+        )
+
+    def _take_upstream(self, record: shared_log.KeyedRecord) -> None:
+        """Takes an upstream's entry, or its removal."""
+        upstream = None
+        if record.value is not None:
+            upstream = self._ports.decode_upstream(record.key, record.value)
+        known = self._directory.find(record.key)
+        if upstream is None:
+            self._directory.drop(record.key)
+        else:
+            self._directory.take(upstream)
+        if _is_notable(known, upstream):
+            decision_log.log_event(
+                "upstream_changed",
+                upstream=record.key,
+                address=upstream.address if upstream else None,
+                is_listed=upstream is not None,
+                is_ready=upstream is not None and upstream.is_ready,
+            )
+
+    def _is_fresh(self) -> bool:
+        """Tells whether the configuration is surely the newest."""
+        follower = self._configuration
+        if follower.failed_since_ms or self._index is None:
+            return False
+        age_ms = read_boot_ms() - follower.confirmed_ms
+        # An open read would have answered if there were a newer version.
+        allowed_ms = _CONFIGURATION_PACE.wait_ms
+        return age_ms <= allowed_ms + self.settings.configuration_fresh_ms
+
+    def _find_prepaid(self) -> dict[str, int]:
+        """Returns the prepaid tokens of each account that has a limit."""
+        if self._index is None:
+            return {}
+        return {
+            account.name: account.prepaid_tokens
+            for account in self._index.table.accounts
+            if account.prepaid_tokens is not None
+        }
+
+    def _note_host(self, stamp: prepaid.HostStamp) -> None:
+        """Learns where another router is reached."""
+        if stamp.host == self.settings.host_name:
+            return
+        self._network.set_address(stamp.host, stamp.peer_address)
+        hosts = max(1, len(self._keeper.fold.list_hosts()))
+        for allowance in self._allowances.values():
+            allowance.set_slack(self.settings.retry_slack / hosts)
+
+    def _find_allowance(self, service: str) -> retry_allowance.RetryAllowance:
+        """Returns the repeats that this router may make at a service."""
+        allowance = self._allowances.get(service)
+        if allowance is None:
+            hosts = max(1, len(self._keeper.fold.list_hosts()))
+            allowance = self._allowances[service] = (
+                retry_allowance.RetryAllowance(
+                    self.settings.retry_ratio,
+                    self.settings.retry_slack / hosts,
+                    self.settings.retry_window_ms,
+                )
+            )
+        return allowance
+
+    def _broadcast(self, notice: requesting.CrashNotice) -> None:
+        """Sends a notice to all other routers, best effort."""
+        for stamp in self._keeper.fold.list_hosts():
+            if stamp.host != self.settings.host_name:
+                self._network.send(stamp.host, notice)
+
+    async def _handle_crash(
+        self, peer: data.Host, notice: requesting.CrashNotice
+    ) -> None:
+        """Takes a crash that another router saw."""
+        del peer
+        self._quarantine.take_crash(notice, read_boot_ms())
+
+    def _note_outcome(self, outcome: str, elapsed_ms: int) -> None:
+        """Counts an ended request."""
+        self._metrics.requests.add(1, {"outcome": outcome})
+        self._metrics.request_ms.record(elapsed_ms, {"outcome": outcome})
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        """Runs a coroutine that this gateway owns."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_ended)
+
+    def _note_ended(self, task: asyncio.Task[Any]) -> None:
+        """Logs a part that ended by itself, which none should."""
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            decision_log.log_failure(
+                "part_failed", reason=repr(task.exception())
+            )
+
+
+def _is_notable(
+    known: forwarding.Upstream | None, upstream: forwarding.Upstream | None
+) -> bool:
+    """Tells whether an entry changes where requests may go."""
+    if known is None or upstream is None:
+        return known is not upstream
+    return (known.address, known.is_ready) != (
+        upstream.address,
+        upstream.is_ready,
+    )
--- /dev/null
+++ b/redwingchute/process/keyed_follower.py
@@ -0,0 +1,163 @@
+"""Follows a keyed topic of the shared log.
+
+The follower starts with the newest record of each key and then reads on. It
+starts anew when history is gone. A record that is older than one already
+taken for its key is passed over, so that a reader never goes back.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+import attrs
+
+from redwingchute.process import decision_log
+from redwingchute.process import shared_log
+
+# The first and longest pause after a failed read.
+_MIN_RETRY_S = 0.1
+_MAX_RETRY_S = 1.0
+
+
+@attrs.frozen
+class FollowPace:
+    """How often a topic is read.
+
+    Attributes:
+      wait_ms: How long a read waits for a record.
+      interval_ms: The least time between the starts of two reads.
+    """
+
+    wait_ms: int
+    interval_ms: int
+
+
+class KeyedFollower:
+    """Reads one topic and hands on its records in order.
+
+    Attributes:
+      confirmed_ms: When the newest state was last known; 0 before the first
+        read ended.
+      next_offset: Where the next read starts.
+      failed_since_ms: When reads began to fail; 0 while they work.
+    """
+
+    def __init__(
+        self,
+        log: shared_log.SharedLog,
+        topic: str,
+        pace: FollowPace,
+        read_clock_ms: Callable[[], int],
+        take: Callable[[shared_log.KeyedRecord], None],
+        forget_missing: Callable[[frozenset[str]], None] | None = None,
+    ) -> None:
+        """Prepares a follower.
+
+        Args:
+          log: The shared log.
+          topic: The keyed topic.
+          pace: How often it is read.
+          read_clock_ms: Returns the time.
+          take: Called with each record that is new.
+          forget_missing: Called with all keys of a new start, so that what
+            is not among them can be dropped.
+        """
+        self.confirmed_ms = 0
+        self.failed_since_ms = 0
+        self.next_offset = -1
+        self._log = log
+        self._topic = topic
+        self._pace = pace
+        self._read_clock_ms = read_clock_ms
+        self._take = take
+        self._forget_missing = forget_missing
+        self._offsets: dict[str, int] = {}
+        self._lock = asyncio.Lock()
+        self._wake = asyncio.Event()
+
+    def read_soon(self) -> None:
+        """Ends the pause before the next read."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Follows the topic until cancelled."""
+        retry_s = _MIN_RETRY_S
+        while True:
+            started_ms = self._read_clock_ms()
+            if await self.read_once(self._pace.wait_ms):
+                retry_s = _MIN_RETRY_S
+                elapsed_ms = self._read_clock_ms() - started_ms
+                pause_s = (self._pace.interval_ms - elapsed_ms) / 1000
+            else:
+                pause_s = retry_s
+                retry_s = min(_MAX_RETRY_S, 2 * retry_s)
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), max(0.0, pause_s))
+
+    async def read_once(self, wait_ms: int = 0) -> bool:
+        """Reads once; True when the state is known to be the newest."""
+        async with self._lock:
+            if self.next_offset < 0:
+                return self._note(await self._start())
+            started_ms = self._read_clock_ms()
+            match await self._log.read(self._topic, self.next_offset, wait_ms):
+                case shared_log.ReadRecords(records, next_offset):
+                    for record in records:
+                        self._take_newer(record)
+                    self.next_offset = next_offset
+                    if not wait_ms:
+                        self.confirmed_ms = started_ms
+                    else:
+                        self.confirmed_ms = self._read_clock_ms()
+                    return self._note(None)
+                case shared_log.HistoryGone():
+                    decision_log.log_event(
+                        "log_history_gone",
+                        topic=self._topic,
+                        offset=self.next_offset,
+                    )
+                    return self._note(await self._start())
+                case shared_log.LogUnavailable() as failure:
+                    return self._note(failure)
+
+    async def _start(self) -> shared_log.LogUnavailable | None:
+        """Reads the newest record of each key."""
+        started_ms = self._read_clock_ms()
+        newest = await self._log.read_newest(self._topic)
+        if isinstance(newest, shared_log.LogUnavailable):
+            return newest
+        for record in newest.records:
+            self._take_newer(record)
+        if self._forget_missing is not None:
+            keys = frozenset(record.key for record in newest.records)
+            self._forget_missing(keys)
+        self.next_offset = newest.next_offset
+        self.confirmed_ms = started_ms
+        return None
+
+    def _take_newer(self, record: shared_log.KeyedRecord) -> None:
+        """Hands on a record unless a newer one of its key was taken."""
+        if record.offset <= self._offsets.get(record.key, -1):
+            return
+        self._offsets[record.key] = record.offset
+        self._take(record)
+
+    def _note(self, failure: shared_log.LogUnavailable | None) -> bool:
+        """Logs when the topic gets out of reach and when it is back."""
+        now_ms = self._read_clock_ms()
+        if failure is None:
+            if self.failed_since_ms:
+                decision_log.log_event(
+                    "log_regained",
+                    topic=self._topic,
+                    outage_ms=now_ms - self.failed_since_ms,
+                )
+            self.failed_since_ms = 0
+            return True
+        if not self.failed_since_ms:
+            self.failed_since_ms = now_ms
+            decision_log.log_event(
+                "log_lost", topic=self._topic, reason=failure.message
+            )
+        return False
--- /dev/null
+++ b/redwingchute/process/prepaid/__init__.py
@@ -0,0 +1,1 @@
+"""Prepaid tokens: grants in the shared log, charges between routers."""
--- /dev/null
+++ b/redwingchute/process/prepaid/charging.py
@@ -0,0 +1,353 @@
+"""Charges requests to prepaid tokens, wherever in the fleet they are granted.
+
+A request is charged at its most before it runs and settled at what it
+consumed. What this router's grant lacks is first asked of the log, while it
+answers, and then of the other routers: each reserves what it can spare in its
+own grant. A charge whose settlement never comes counts as spent.
+"""
+
+import asyncio
+from collections.abc import Callable
+import itertools
+from typing import Any
+from typing import Protocol
+
+import attrs
+
+from redwingchute.core import data
+from redwingchute.core import outcomes
+from redwingchute.core import prepaid
+from redwingchute.process import decision_log
+from redwingchute.process import peer_network
+from redwingchute.process.prepaid import grant_keeper
+
+# How long a request waits for its router's grant to be raised. An append takes
+# some ten milliseconds, and a few are needed when routers raise at once.
+_RAISE_WAIT_S = 0.12
+# How long another router may take to answer, connecting included.
+_PEER_TIMEOUT_MS = 200
+# A router that did not answer is not asked again for this long.
+_PEER_PAUSE_MS = 1_500
+# Settlements are sent again this often before they are given up.
+_SETTLE_TRIES = 4
+_SETTLE_TIMEOUT_MS = 1_000
+# A charge that is not settled this long after its request's end is spent.
+_EXPIRY_SLACK_MS = 10_000
+# How soon a refused caller may come back: grants move within a few ticks.
+_RETRY_AFTER_MS = 700
+# Ended charges are remembered so that late messages do not revive them.
+_MAX_ENDED = 4_096
+
+
+class Network(Protocol):
+    """What charging needs of the links between routers."""
+
+    async def call(
+        self, host_name: str, record: Any, timeout_ms: int
+    ) -> Any | peer_network.PeerUnreachable:
+        """Sends a request and waits for its reply."""
+
+
+@attrs.frozen
+class ChargePart:
+    """Tokens that are reserved at one router.
+
+    Attributes:
+      host: The router; this one's own name for a local part.
+      charge_id: Names the part at another router.
+      tokens: How many are reserved.
+    """
+
+    host: str
+    charge_id: str
+    tokens: int
+
+
+@attrs.frozen
+class Charge:
+    """Tokens that are reserved for one request.
+
+    Attributes:
+      account: The client account that pays.
+      parts: Where they are reserved.
+    """
+
+    account: str
+    parts: tuple[ChargePart, ...]
+
+
+@attrs.define
+class _Held:
+    """A charge of another router's request in this router's grant."""
+
+    account: str
+    tokens: int
+    timer: asyncio.TimerHandle
+
+
+class Charging:
+    """Charges and settles requests; serves other routers' charges."""
+
+    def __init__(
+        self,
+        keeper: grant_keeper.GrantKeeper,
+        network: Network,
+        read_clock_ms: Callable[[], int],
+        incarnation: int,
+    ) -> None:
+        """Binds charging to the router's grants and links.
+
+        Args:
+          keeper: The router's grants.
+          network: The links to other routers.
+          read_clock_ms: Returns the time on the boot clock.
+          incarnation: Names this process start.
+        """
+        self._keeper = keeper
+        self._network = network
+        self._read_clock_ms = read_clock_ms
+        self._prefix = f"{keeper.own_host}.{incarnation:x}"
+        self._numbers = itertools.count(1)
+        self._held: dict[str, _Held] = {}
+        self._ended: dict[str, None] = {}
+        self._paused_until_ms: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def admit(
+        self,
+        request_id: str,
+        account: str,
+        prepaid_tokens: int,
+        tokens: int,
+        patience_ms: int,
+        is_fresh: bool,
+    ) -> Charge | outcomes.NotRun:
+        """Reserves the most that a request can consume.
+
+        Args:
+          request_id: Names the request, for logs.
+          account: The client account that pays.
+          prepaid_tokens: All tokens of the account.
+          tokens: The most that the request can consume.
+          patience_ms: How long the caller waits for the answer.
+          is_fresh: Whether the prepaid tokens are surely the newest figure.
+        """
+        keeper = self._keeper
+        grant = keeper.find_grant(account)
+        grant.note_demand(tokens, self._read_clock_ms())
+        is_local = keeper.reserve(account, tokens)
+        if not is_local:
+            remaining = keeper.find_remaining(account, prepaid_tokens)
+            if tokens > remaining:
+                return self._refuse(request_id, account, tokens, is_fresh)
+            is_local = await keeper.wait_for_tokens(
+                account, tokens, _RAISE_WAIT_S
+            )
+        if is_local:
+            part = ChargePart(keeper.own_host, "", tokens)
+            return Charge(account, (part,))
+        charge = await self._gather(account, tokens, patience_ms)
+        if charge is not None:
+            return charge
+        remaining = keeper.find_remaining(account, prepaid_tokens)
+        is_spent = tokens > remaining and is_fresh
+        return self._refuse(request_id, account, tokens, is_spent)
+
+    def settle(self, charge: Charge, spent_tokens: int) -> None:
+        """Ends a charge with what its request consumed.
+
+        Args:
+          charge: The charge.
+          spent_tokens: Input and delivered output tokens; 0 when it never ran.
+        """
+        left = spent_tokens
+        for part in charge.parts:
+            spent = min(left, part.tokens)
+            left -= spent
+            if part.host == self._keeper.own_host:
+                grant = self._keeper.find_grant(charge.account)
+                grant.settle(part.tokens, spent)
+            else:
+                self._settle_later(charge.account, part, spent)
+
+    async def handle_charge(
+        self, peer: data.Host, request: prepaid.RemoteCharge
+    ) -> prepaid.RemoteChargeReply:
+        """Reserves tokens for another router's request."""
+        grant = self._keeper.find_grant(request.account)
+        reserved = 0
+        is_known = request.charge_id in self._held
+        if not is_known and request.charge_id not in self._ended:
+            reserved = self._keeper.reserve_part(
+                request.account, request.tokens
+            )
+        if reserved:
+            self._hold(request, reserved)
+            decision_log.log_event(
+                "tokens_lent",
+                account=request.account,
+                borrower=peer.name,
+                tokens=reserved,
+                asked_tokens=request.tokens,
+            )
+        return prepaid.RemoteChargeReply(reserved, grant.spent_tokens)
+
+    async def handle_settlement(
+        self, peer: data.Host, settlement: prepaid.RemoteSettlement
+    ) -> prepaid.RemoteSettlementReply:
+        """Ends another router's charge."""
+        del peer
+        self._end_held(settlement.charge_id, settlement.spent_tokens)
+        return prepaid.RemoteSettlementReply(settlement.charge_id)
+
+    def _refuse(
+        self, request_id: str, account: str, tokens: int, is_spent: bool
+    ) -> outcomes.NotRun:
+        """Returns the refusal of a request that cannot be charged."""
+        grant = self._keeper.find_grant(account)
+        decision_log.log_failure(
+            "charge_refused",
+            request_id=request_id,
+            account=account,
+            tokens=tokens,
+            is_spent=is_spent,
+            granted_tokens=grant.granted_tokens,
+            committed_tokens=grant.committed_tokens,
+            is_connected=self._keeper.is_connected,
+        )
+        if is_spent:
+            return outcomes.NotRun(
+                402,
+                "budget_spent",
+                f"What is left of the account does not cover {tokens} tokens.",
+            )
+        return outcomes.NotRun(
+            503,
+            "budget_out_of_reach",
+            "The account's tokens are not within reach at the moment.",
+            _RETRY_AFTER_MS,
+        )
+
+    async def _gather(
+        self, account: str, tokens: int, patience_ms: int
+    ) -> Charge | None:
+        """Reserves tokens here and at other routers until they suffice."""
+        own_host = self._keeper.own_host
+        parts = []
+        own = self._keeper.reserve_part(account, tokens)
+        if own:
+            parts.append(ChargePart(own_host, "", own))
+        lacking = tokens - own
+        is_complete = False
+        try:
+            for host in self._list_lenders(account):
+                if lacking <= 0:
+                    break
+                part = await self._borrow(host, account, lacking, patience_ms)
+                if part is not None:
+                    parts.append(part)
+                    lacking -= part.tokens
+            is_complete = lacking <= 0
+        finally:
+            charge = Charge(account, tuple(parts))
+            if not is_complete:
+                self.settle(charge, 0)
+        return charge if is_complete else None
+
+    async def _borrow(
+        self, host: str, account: str, tokens: int, patience_ms: int
+    ) -> ChargePart | None:
+        """Reserves tokens at another router."""
+        charge_id = f"{self._prefix}.{next(self._numbers)}"
+        request = prepaid.RemoteCharge(
+            charge_id, account, tokens, patience_ms + _EXPIRY_SLACK_MS
+        )
+        asked = ChargePart(host, charge_id, tokens)
+        try:
+            reply = await self._network.call(host, request, _PEER_TIMEOUT_MS)
+        except asyncio.CancelledError:
+            self._settle_later(account, asked, 0)
+            raise
+        if not isinstance(reply, prepaid.RemoteChargeReply):
+            # It may have been reserved: an answer can get lost.
+            self._pause(host)
+            self._settle_later(account, asked, 0)
+            return None
+        if reply.reserved_tokens <= 0:
+            return None
+        return attrs.evolve(asked, tokens=reply.reserved_tokens)
+
+    def _list_lenders(self, account: str) -> list[str]:
+        """Returns other routers, those with the most free tokens first."""
+        now_ms = self._read_clock_ms()
+        free_tokens = {
+            row.host: row.granted_tokens - row.spent_tokens
+            for row in self._keeper.fold.list_rows(account)
+        }
+        names = [
+            stamp.host
+            for stamp in self._keeper.fold.list_hosts()
+            if stamp.host != self._keeper.own_host
+            and free_tokens.get(stamp.host, 0) > 0
+            and self._paused_until_ms.get(stamp.host, 0) <= now_ms
+        ]
+        return sorted(names, key=lambda name: -free_tokens[name])
+
+    def _pause(self, host: str) -> None:
+        """Leaves a router alone that did not answer."""
+        now_ms = self._read_clock_ms()
+        decision_log.log_event("lender_unreachable", lender=host)
+        self._paused_until_ms[host] = now_ms + _PEER_PAUSE_MS
+
+    def _settle_later(
+        self, account: str, part: ChargePart, spent_tokens: int
+    ) -> None:
+        """Settles a part at another router, trying a few times."""
+        task = asyncio.ensure_future(
+            self._settle_remotely(account, part, spent_tokens)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _settle_remotely(
+        self, account: str, part: ChargePart, spent_tokens: int
+    ) -> None:
+        """Settles a part at another router."""
+        settlement = prepaid.RemoteSettlement(
+            part.charge_id, account, spent_tokens
+        )
+        for _ in range(_SETTLE_TRIES):
+            reply = await self._network.call(
+                part.host, settlement, _SETTLE_TIMEOUT_MS
+            )
+            if isinstance(reply, prepaid.RemoteSettlementReply):
+                return
+        decision_log.log_event(
+            "settlement_given_up",
+            account=account,
+            lender=part.host,
+            tokens=part.tokens,
+            spent_tokens=spent_tokens,
+        )
+
+    def _hold(self, request: prepaid.RemoteCharge, tokens: int) -> None:
+        """Keeps another router's charge until it is settled or expires."""
+        timer = asyncio.get_running_loop().call_later(
+            request.expires_in_ms / 1000,
+            self._end_held,
+            request.charge_id,
+            tokens,
+        )
+        self._held[request.charge_id] = _Held(request.account, tokens, timer)
+
+    def _end_held(self, charge_id: str, spent_tokens: int) -> None:
+        """Ends another router's charge, once."""
+        self._ended[charge_id] = None
+        while len(self._ended) > _MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
+        held = self._held.pop(charge_id, None)
+        if held is None:
+            return
+        held.timer.cancel()
+        grant = self._keeper.find_grant(held.account)
+        grant.settle(held.tokens, spent_tokens)
--- /dev/null
+++ b/redwingchute/process/prepaid/grant_keeper.py
@@ -0,0 +1,457 @@
+"""Keeps this router's grants in the shared log.
+
+Every append carries the host's stamp and the rows that changed. It is repeated
+unchanged until its outcome is known, so that the log never holds a row that
+its host does not obey. An append that raises a grant takes effect only if no
+other row came in between.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+import attrs
+
+from redwingchute.core import prepaid
+from redwingchute.process import decision_log
+from redwingchute.process import keyed_follower
+from redwingchute.process import shared_log
+from redwingchute.process.prepaid import grant as grant_lib
+from redwingchute.process.prepaid import grant_fold
+from redwingchute.process.prepaid import grant_planner
+
+TOPIC = "keyed.grants"
+
+# Stamps are written this often, and rows with them; well below the proof.
+_TICK_MS = 700
+# Others' rows are read this often when nothing is raised.
+_READ_PACE = keyed_follower.FollowPace(wait_ms=0, interval_ms=2_000)
+_RETRY_S = 0.15
+# Others start at the same time; their stamps say among how many to divide.
+_SETTLE_S = 0.5
+_MAX_CONDITION_TRIES = 6
+
+
+@attrs.frozen
+class Clocks:
+    """The clocks of a host; each returns milliseconds.
+
+    Attributes:
+      read_boot_ms: Counts on while the host is suspended.
+      read_wall_ms: The time of day; may jump.
+    """
+
+    read_boot_ms: Callable[[], int]
+    read_wall_ms: Callable[[], int]
+
+
+@attrs.frozen
+class _Append:
+    """An append whose outcome may not be known yet."""
+
+    stamp: prepaid.HostStamp
+    rows: tuple[prepaid.GrantRow, ...]
+    at_offset: int | None
+    sequence: int
+
+
+class GrantKeeper:
+    """The grants of one router.
+
+    Attributes:
+      fold: The rows and stamps of all hosts, as last read.
+      is_taken_over: Whether the grants of the process before are this one's.
+      is_connected: Whether the last append was answered.
+    """
+
+    def __init__(
+        self,
+        log: shared_log.SharedLog,
+        own_stamp: prepaid.HostStamp,
+        clocks: Clocks,
+        find_prepaid: Callable[[], dict[str, int]],
+        note_host: Callable[[prepaid.HostStamp], None] = lambda stamp: None,
+        policy: grant_planner.GrantPolicy | None = None,
+    ) -> None:
+        """Prepares the keeper.
+
+        Args:
+          log: The shared log.
+          own_stamp: The host, its zone and address; times are filled in.
+          clocks: The host's clocks.
+          find_prepaid: Returns the prepaid tokens of each account.
+          note_host: Called with each new stamp of a host.
+          policy: How grants are sized.
+        """
+        self.fold = grant_fold.GrantFold()
+        self.is_taken_over = False
+        self.is_connected = False
+        self._log = log
+        self._own_stamp = own_stamp
+        self._clocks = clocks
+        self._find_prepaid = find_prepaid
+        self._note_host = note_host
+        self._policy = policy or grant_planner.GrantPolicy()
+        self._follower = keyed_follower.KeyedFollower(
+            log, TOPIC, _READ_PACE, clocks.read_boot_ms, self._take_record
+        )
+        self._grants: dict[str, grant_lib.Grant] = {}
+        self._wanted: dict[str, int] = {}
+        self._wake = asyncio.Event()
+        self._turn = asyncio.Event()
+        # The process before on this host ended before this one started.
+        self._started_boot_ms = clocks.read_boot_ms()
+        self._started_wall_ms = clocks.read_wall_ms()
+        self._epoch = 0
+        self._sequence = 0
+        self._bound_until_ms = 0
+        self._pending: _Append | None = None
+        self._is_stopping = False
+
+    @property
+    def own_host(self) -> str:
+        """This router's host."""
+        return self._own_stamp.host
+
+    def find_grant(self, account: str) -> grant_lib.Grant:
+        """Returns the counts of an account, empty ones when it is new."""
+        grant = self._grants.get(account)
+        if grant is None:
+            grant = self._grants[account] = grant_lib.Grant(account)
+        return grant
+
+    def reserve(self, account: str, tokens: int) -> bool:
+        """Reserves tokens of this router's grant, if they are available."""
+        return self.find_grant(account).reserve(tokens, self._is_bound())
+
+    def reserve_part(self, account: str, tokens: int) -> int:
+        """Reserves as many of the tokens as are available."""
+        grant = self.find_grant(account)
+        available = min(tokens, grant.find_available(self._is_bound()))
+        if available and grant.reserve(available, self._is_bound()):
+            return available
+        return 0
+
+    async def wait_for_tokens(
+        self, account: str, tokens: int, timeout_s: float
+    ) -> bool:
+        """Raises the grant or its ceiling for a request that waits.
+
+        Args:
+          account: The client account.
+          tokens: What the request needs.
+          timeout_s: How long it may wait.
+
+        Returns:
+          Whether the tokens are reserved now.
+        """
+        if not self.is_connected or not self.is_taken_over:
+            return False
+        self._wanted[account] = max(tokens, self._wanted.get(account, 0))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                # The first turn may have been planned before the request.
+                for _ in range(2):
+                    turn = self._turn
+                    self._wake.set()
+                    await turn.wait()
+                    if self.reserve(account, tokens):
+                        return True
+        return False
+
+    def find_remaining(self, account: str, prepaid_tokens: int) -> int:
+        """Returns the most that can be left of an account.
+
+        Only what is surely spent is taken off, so that nobody is told that an
+        account is empty which is not.
+        """
+        spent = self.fold.sum_spent(account, besides=self.own_host)
+        own = self.find_grant(account).committed_tokens
+        return prepaid_tokens - spent - own
+
+    async def run(self) -> None:
+        """Keeps the grants until cancelled."""
+        await self._take_over()
+        await asyncio.gather(self._follower.run(), self._run_appends())
+
+    async def stop(self, timeout_s: float) -> None:
+        """Returns what is not spent, before a planned end."""
+        self._is_stopping = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not self._own_stamp.is_leaving or self._pending:
+                    turn = self._turn
+                    self._wake.set()
+                    await turn.wait()
+
+    def _is_bound(self) -> bool:
+        """Tells whether ceilings bind now."""
+        return self._clocks.read_boot_ms() < self._bound_until_ms
+
+    def _take_record(self, record: shared_log.KeyedRecord) -> None:
+        """Takes a record of the topic."""
+        decoded = grant_fold.decode_record(record.value or b"")
+        if decoded is None:
+            return
+        self.fold.take(decoded)
+        if isinstance(decoded, prepaid.HostStamp):
+            self._note_host(decoded)
+
+    def _make_stamp(self) -> prepaid.HostStamp:
+        """Returns the host's stamp as of now."""
+        return attrs.evolve(
+            self._own_stamp,
+            epoch=self._epoch,
+            boot_ms=self._clocks.read_boot_ms(),
+            wall_ms=self._clocks.read_wall_ms(),
+            proof_ms=self._policy.proof_ms,
+        )
+
+    async def _take_over(self) -> None:
+        """Fences off the process before on this host and takes its grants.
+
+        The append is conditional, so that no row of the former process can
+        come between what was read here and the fence.
+        """
+        while not self.is_taken_over:
+            if not await self._follower.read_once():
+                await asyncio.sleep(_RETRY_S)
+                continue
+            before = self.fold.stamps.get(self.own_host)
+            wall_s = self._clocks.read_wall_ms() // 1000
+            self._epoch = max(
+                self._epoch + 1, wall_s, before.epoch + 1 if before else 0
+            )
+            self._inherit(before)
+            await self._append_first()
+        # A stamp tells the others that this host takes part; theirs arrive.
+        await asyncio.sleep(_SETTLE_S)
+
+    def _inherit(self, before: prepaid.HostStamp | None) -> None:
+        """Takes the counts of the process before on this host."""
+        for row in self.fold.list_own_rows(self.own_host):
+            grant = self.find_grant(row.account)
+            grant.granted_tokens = row.granted_tokens
+            grant.spent_tokens = grant_lib.find_inherited_spending(
+                row, before, self._started_boot_ms, self._started_wall_ms
+            )
+            decision_log.log_event(
+                "grant_inherited",
+                account=row.account,
+                granted_tokens=row.granted_tokens,
+                recorded_tokens=row.spent_tokens,
+                counted_tokens=grant.spent_tokens,
+                stamp_age_ms=(
+                    self._started_boot_ms - before.boot_ms if before else None
+                ),
+            )
+
+    async def _append_first(self) -> None:
+        """Appends the first stamp and the inherited rows of this process."""
+        stamp = self._make_stamp()
+        rows = tuple(
+            attrs.evolve(
+                row,
+                spent_tokens=self.find_grant(row.account).spent_tokens,
+                ceiling_tokens=row.granted_tokens,
+            )
+            for row in self.fold.list_own_rows(self.own_host)
+        )
+        append = _Append(stamp, rows, self._follower.next_offset, 0)
+        result = await self._send(append)
+        if isinstance(result, shared_log.Appended):
+            self.is_taken_over = True
+            self._note_appended(append)
+            decision_log.log_event("grants_taken_over", epoch=self._epoch)
+        else:
+            self.is_connected = False
+            await asyncio.sleep(_RETRY_S)
+
+    async def _run_appends(self) -> None:
+        """Appends stamps and rows as they are due."""
+        while True:
+            if not self._wanted and not self._is_stopping:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._wake.wait(), _TICK_MS / 1000)
+            self._wake.clear()
+            await self._run_turn()
+            finished, self._turn = self._turn, asyncio.Event()
+            finished.set()
+            if not self.is_connected:
+                self._wanted.clear()
+                await asyncio.sleep(_RETRY_S)
+            elif self._is_stopping and self._own_stamp.is_leaving:
+                await asyncio.sleep(_TICK_MS / 1000)
+
+    async def _run_turn(self) -> None:
+        """Plans and appends until one append took effect or none can."""
+        wanted, self._wanted = self._wanted, {}
+        for _ in range(_MAX_CONDITION_TRIES):
+            append = self._pending
+            if append is None:
+                append = self._pending = self._plan_append(wanted)
+                self._obey(append)
+            match await self._send(append):
+                case shared_log.Appended():
+                    self._pending = None
+                    self._sequence = append.sequence + 1
+                    self._note_appended(append)
+                    if not wanted or not self._has_wants(wanted):
+                        return
+                    await self._follower.read_once()
+                    if not self._can_raise(wanted):
+                        return
+                case shared_log.ConditionFailed():
+                    self._pending = None
+                    self._note_not_appended(append)
+                    await self._follower.read_once()
+                case shared_log.WrongSequence(expected):
+                    # Whether the append is in the log shows when it is read.
+                    self._pending = None
+                    self._sequence = expected
+                    await self._follower.read_once()
+                    self._adopt_own_rows()
+                case shared_log.Fenced():
+                    self._note_fenced()
+                    return
+                case shared_log.LogUnavailable() as failure:
+                    self._note_lost(failure)
+                    return
+
+    def _has_wants(self, wanted: dict[str, int]) -> bool:
+        """Tells whether requests still lack tokens after an append."""
+        return any(
+            self.find_grant(account).find_available(self._is_bound()) < tokens
+            for account, tokens in wanted.items()
+        )
+
+    def _can_raise(self, wanted: dict[str, int]) -> bool:
+        """Tells whether the log has room for what requests lack."""
+        return any(
+            self._plan_grant(account, prepaid_tokens, wanted)
+            > self.find_grant(account).granted_tokens
+            for account, prepaid_tokens in self._find_prepaid().items()
+            if account in wanted
+        )
+
+    def _make_input(
+        self, account: str, prepaid_tokens: int, wanted: dict[str, int]
+    ) -> grant_planner.PlanInput:
+        """Returns what the plan of an account goes by."""
+        return grant_planner.PlanInput(
+            host=self.own_host,
+            prepaid_tokens=prepaid_tokens,
+            host_count=len(self.fold.list_hosts()),
+            wanted_tokens=wanted.get(account, 0),
+            boot_ms=self._clocks.read_boot_ms(),
+        )
+
+    def _plan_grant(
+        self, account: str, prepaid_tokens: int, wanted: dict[str, int]
+    ) -> int:
+        """Returns the grant that this router should have of an account."""
+        given = self._make_input(account, prepaid_tokens, wanted)
+        grant = self.find_grant(account)
+        return grant_planner.plan_grant(grant, self.fold, given, self._policy)
+
+    def _plan_append(self, wanted: dict[str, int]) -> _Append:
+        """Returns the append that is due now."""
+        if self._is_stopping:
+            return self._plan_last_append()
+        rows = []
+        is_raise = False
+        for account, prepaid_tokens in self._find_prepaid().items():
+            grant = self.find_grant(account)
+            given = self._make_input(account, prepaid_tokens, wanted)
+            planned = grant_planner.plan_grant(
+                grant, self.fold, given, self._policy
+            )
+            row = grant_planner.plan_row(grant, planned, given, self._policy)
+            if account in wanted or grant_planner.needs_writing(
+                row, grant.row, self._policy
+            ):
+                rows.append(row)
+                is_raise |= planned > grant.granted_tokens
+        at_offset = self._follower.next_offset if is_raise else None
+        return _Append(
+            self._make_stamp(), tuple(rows), at_offset, self._sequence
+        )
+
+    def _plan_last_append(self) -> _Append:
+        """Returns the append that gives back what is not committed."""
+        self._own_stamp = attrs.evolve(self._own_stamp, is_leaving=True)
+        rows = []
+        for grant in self._grants.values():
+            if grant.row is None:
+                continue
+            grant.lower(grant.committed_tokens)
+            rows.append(
+                attrs.evolve(
+                    grant.row,
+                    granted_tokens=grant.granted_tokens,
+                    ceiling_tokens=grant.granted_tokens,
+                    spent_tokens=grant.spent_tokens,
+                    demand_tokens_per_s=0.0,
+                )
+            )
+        return _Append(self._make_stamp(), tuple(rows), None, self._sequence)
+
+    def _obey(self, append: _Append) -> None:
+        """Binds this router to what may be in the log soon."""
+        until_ms = append.stamp.boot_ms + append.stamp.proof_ms
+        self._bound_until_ms = max(self._bound_until_ms, until_ms)
+        for row in append.rows:
+            self.find_grant(row.account).note_sending(row)
+
+    async def _send(self, append: _Append) -> shared_log.AppendResult:
+        """Sends an append."""
+        records = [grant_fold.encode_stamp(append.stamp)]
+        records += [grant_fold.encode_row(row) for row in append.rows]
+        return await self._log.append(
+            TOPIC,
+            tuple(records),
+            shared_log.ProducerStamp(
+                self.own_host, self._epoch, append.sequence
+            ),
+            append.at_offset,
+        )
+
+    def _note_appended(self, append: _Append) -> None:
+        """Obeys an append that is in the log."""
+        if not self.is_connected:
+            self.is_connected = True
+            decision_log.log_event("grants_connected", epoch=self._epoch)
+        self._sequence = append.sequence + 1
+        until_ms = append.stamp.boot_ms + append.stamp.proof_ms
+        self._bound_until_ms = max(self._bound_until_ms, until_ms)
+        self.fold.take(append.stamp)
+        for row in append.rows:
+            self.find_grant(row.account).note_appended(row)
+            self.fold.take(row)
+
+    def _note_not_appended(self, append: _Append) -> None:
+        """Forgets an append that is not in the log."""
+        self.is_connected = True
+        for row in append.rows:
+            self.find_grant(row.account).note_not_appended()
+
+    def _adopt_own_rows(self) -> None:
+        """Obeys this host's rows as the log holds them."""
+        for row in self.fold.list_own_rows(self.own_host):
+            grant = self.find_grant(row.account)
+            if row.granted_tokens >= grant.committed_tokens:
+                grant.note_appended(row)
+
+    def _note_lost(self, failure: shared_log.LogUnavailable) -> None:
+        """Notes that the log does not answer."""
+        if self.is_connected:
+            decision_log.log_event("grants_cut_off", reason=failure.message)
+        self.is_connected = False
+
+    def _note_fenced(self) -> None:
+        """Stops spending: a later process of this host is at work."""
+        decision_log.log_failure("grants_fenced", epoch=self._epoch)
+        self.is_connected = False
+        self.is_taken_over = False
+        for grant in self._grants.values():
+            grant.granted_tokens = grant.committed_tokens
--- a/redwingchute/process/telemetry.py
+++ b/redwingchute/process/telemetry.py
@@ -58,6 +58,7 @@
             "peer_handshakes_failed"
         )
         self.first_token_ms = meter.create_histogram("first_token_ms")
+        self.request_ms = meter.create_histogram("request_ms")
         self.open_requests = meter.create_up_down_counter("open_requests")
 
     def render(self) -> bytes:
--- /dev/null
+++ b/redwingchute/request/forward_attempt.py
@@ -0,0 +1,235 @@
+"""Runs one attempt of a forwarded request on one upstream.
+
+The result says what is known of the attempt: whether the upstream may have
+worked on the request, and how much of the answer the caller has. A reply that
+does not echo the request's id belongs to something else; nothing of it is
+used, and its connection is closed.
+"""
+
+import asyncio
+import dataclasses
+from typing import TypeAlias
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import forwarding
+from redwingchute.request import event_stream
+from redwingchute.request import forward_wire
+
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# The least time that is worth sending a request for.
+_MIN_SEND_MS = 5
+
+
+@dataclasses.dataclass(frozen=True)
+class NotConnected:
+    """No byte was sent."""
+
+    message: str
+
+
+@dataclasses.dataclass(frozen=True)
+class TurnedAway:
+    """The upstream answered that it did not run the request."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Broken:
+    """The attempt ended without a whole answer; it may have run.
+
+    Attributes:
+      message: What happened.
+      is_timeout: Whether the request's time was up.
+    """
+
+    message: str
+    is_timeout: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class WholeAnswer:
+    """An answer that came whole and is not sent on yet."""
+
+    head: http_client.ResponseHead
+    answer: forward_wire.AnswerHead
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Streamed:
+    """The stream ended and all of it was sent on."""
+
+
+AttemptResult: TypeAlias = (
+    NotConnected | TurnedAway | Broken | WholeAnswer | Streamed
+)
+
+
+@attrs.define
+class Relay:
+    """How much of a streamed answer the caller has.
+
+    Attributes:
+      responder: Where the answer goes.
+      has_started: Whether the head was sent on.
+      event_count: Events that were sent on.
+      last_event_id: The id of the last one, or None.
+    """
+
+    responder: http_server.HttpResponder
+    has_started: bool = False
+    event_count: int = 0
+    last_event_id: int | None = None
+
+
+@attrs.frozen
+class Outgoing:
+    """What is sent.
+
+    Attributes:
+      request: The caller's request.
+      request_id: Its id, which the answer has to echo.
+      send: What the system adds.
+      is_streaming: Whether a successful answer is a stream of events.
+      deadline_s: When the answer must have ended, on the loop's clock.
+    """
+
+    request: http_server.HttpRequest
+    request_id: str
+    send: forward_wire.UpstreamSend
+    is_streaming: bool
+    deadline_s: float
+
+
+class Attempts:
+    """Runs attempts over kept connections."""
+
+    def __init__(
+        self, pool: http_client.ClientPool, wire: forward_wire.ForwardWire
+    ) -> None:
+        """Binds attempts to connections and header names."""
+        self._pool = pool
+        self._wire = wire
+
+    async def run(
+        self,
+        upstream: forwarding.Upstream,
+        outgoing: Outgoing,
+        relay: Relay,
+    ) -> AttemptResult:
+        """Runs one attempt and sends a stream on as it comes.
+
+        Args:
+          upstream: Where it goes.
+          outgoing: What is sent.
+          relay: Where a stream goes on.
+        """
+        address = http_client.Address.parse(upstream.address)
+        connection = await self._pool.acquire(address)
+        if isinstance(connection, http_client.ConnectFailed):
+            return NotConnected(connection.message)
+        try:
+            async with asyncio.timeout_at(outgoing.deadline_s):
+                return await self._exchange(connection, outgoing, relay)
+        except TimeoutError:
+            return Broken("the request's time was up", is_timeout=True)
+        finally:
+            # Closes the connection unless its exchange ended cleanly, which
+            # cancels the work of a caller that went away.
+            self._pool.release(connection)
+
+    async def _exchange(
+        self,
+        connection: http_client.ClientConnection,
+        outgoing: Outgoing,
+        relay: Relay,
+    ) -> AttemptResult:
+        """Sends the request and takes its answer."""
+        remaining_s = outgoing.deadline_s - asyncio.get_running_loop().time()
+        remaining_ms = int(1000 * remaining_s)
+        if remaining_ms < _MIN_SEND_MS:
+            return NotConnected("no time was left to send the request")
+        send = attrs.evolve(outgoing.send, remaining_ms=remaining_ms)
+        request = outgoing.request
+        broken = await connection.send_request(
+            request.method,
+            request.target,
+            self._wire.build_upstream_headers(request, send),
+            request.body,
+            host=request.headers.get("host"),
+        )
+        head = broken or await connection.read_head()
+        if isinstance(head, http_client.ExchangeBroken):
+            return Broken(head.message)
+        answer = self._wire.read_answer(head)
+        if answer.was_not_run:
+            await connection.read_body(_MAX_ANSWER_BYTES)
+            return TurnedAway(answer.status)
+        if answer.request_id != outgoing.request_id:
+            connection.close()
+            return Broken("the answer belongs to another request")
+        if outgoing.is_streaming and answer.status == 200:
+            return await self._stream(connection, head, relay)
+        body = await connection.read_body(_MAX_ANSWER_BYTES)
+        if isinstance(body, http_client.ExchangeBroken):
+            return Broken(body.message)
+        return WholeAnswer(head, answer, body)
+
+    async def _stream(
+        self,
+        connection: http_client.ClientConnection,
+        head: http_client.ResponseHead,
+        relay: Relay,
+    ) -> AttemptResult:
+        """Sends a stream on, whole events at a time."""
+        splitter = event_stream.EventSplitter()
+        while True:
+            match await connection.read_chunk():
+                case http_client.BodyChunk(chunk):
+                    events = splitter.split(chunk)
+                    if splitter.is_oversized:
+                        return Broken("an event of the stream is too large")
+                    await self._send_events(events, head, relay)
+                case http_client.BodyEnd():
+                    if splitter.has_rest:
+                        return Broken("the stream ended within an event")
+                    await self._start(head, relay)
+                    await relay.responder.finish()
+                    return Streamed()
+                case http_client.ExchangeBroken(message):
+                    return Broken(message)
+
+    async def _send_events(
+        self,
+        events: list[bytes],
+        head: http_client.ResponseHead,
+        relay: Relay,
+    ) -> None:
+        """Sends whole events on."""
+        if not events:
+            return
+        await self._start(head, relay)
+        # Counted first: the caller may have them even if sending fails.
+        relay.event_count += len(events)
+        last_id = event_stream.find_event_id(events[-1])
+        if last_id is not None:
+            relay.last_event_id = last_id
+        await relay.responder.send_chunk(b"".join(events))
+
+    async def _start(
+        self, head: http_client.ResponseHead, relay: Relay
+    ) -> None:
+        """Sends the head of the first upstream's answer on, once."""
+        if relay.has_started:
+            return
+        relay.has_started = True
+        headers = [
+            (name, value)
+            for name, value in self._wire.build_answer_headers(head)
+            if name != "content-length"
+        ]
+        await relay.responder.start(head.status, headers)
--- /dev/null
+++ b/redwingchute/request/forwarding_handler.py
@@ -0,0 +1,578 @@
+"""Forwards requests by route: from a caller to an upstream and back.
+
+Each request gets an answer: the upstream's own, or a refusal that says whether
+the request may have run. "Not run" is claimed only while no upstream may have
+worked on it.
+"""
+
+import asyncio
+from collections.abc import Callable
+import hashlib
+from typing import Protocol
+from typing import TypeAlias
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import forwarding
+from redwingchute.core import outcomes
+from redwingchute.core import requesting
+from redwingchute.process import decision_log
+from redwingchute.process.prepaid import charging
+from redwingchute.request import forward_attempt
+from redwingchute.request import forward_wire
+from redwingchute.request import quarantine
+from redwingchute.request import retry_allowance
+from redwingchute.request import upstream_choice
+from redwingchute.request import upstream_directory
+from redwingchute.version import route_index
+
+# The patience of callers that name none.
+_DEFAULT_PATIENCE_MS = 30_000
+# Upstreams that are tried when connections cannot be opened.
+_MAX_CONNECT_TRIES = 4
+# How soon a refused caller may come back when nothing better is known.
+_RETRY_AFTER_MS = 500
+# Statuses that promise that a request did not run; an upstream's own answer
+# with one of them is passed on only if it says so itself.
+_PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class Charger(Protocol):
+    """What forwarding needs of prepaid tokens."""
+
+    async def admit(
+        self,
+        request_id: str,
+        account: str,
+        prepaid_tokens: int,
+        tokens: int,
+        patience_ms: int,
+        is_fresh: bool,
+    ) -> charging.Charge | outcomes.NotRun:
+        """Reserves the most that a request can consume."""
+
+    def settle(self, charge: charging.Charge, spent_tokens: int) -> None:
+        """Ends a charge with what its request consumed."""
+
+
+@attrs.frozen
+class ForwardingParts:
+    """What the handler needs of its process.
+
+    Attributes:
+      pool: Connections to upstreams.
+      wire: The names of headers.
+      directory: The upstreams.
+      charger: Prepaid tokens.
+      find_index: Returns the configuration in force, or None.
+      is_fresh: Tells whether it is surely the newest.
+      find_allowance: Returns the repeats allowed at a service.
+      quarantine: The requests that crashed upstreams.
+      broadcast: Tells other routers of a crash, best effort.
+      read_clock_ms: Returns the time on a steady clock.
+      note_outcome: Counts an ended request by its outcome and time.
+    """
+
+    pool: http_client.ClientPool
+    wire: forward_wire.ForwardWire
+    directory: upstream_directory.UpstreamDirectory
+    charger: Charger
+    find_index: Callable[[], route_index.RouteIndex | None]
+    is_fresh: Callable[[], bool]
+    find_allowance: Callable[[str], retry_allowance.RetryAllowance]
+    quarantine: quarantine.Quarantine
+    broadcast: Callable[[requesting.CrashNotice], None]
+    read_clock_ms: Callable[[], int]
+    note_outcome: Callable[[str, int], None]
+
+
+@attrs.frozen
+class _Plan:
+    """A request whose way is decided.
+
+    Attributes:
+      request: What decisions see of it.
+      route: Its route.
+      account: Who calls, or None on routes without keys.
+      service: Where it goes.
+      arrived_ms: When it was read.
+      patience_ms: How long its answer may take.
+      deadline_s: When its answer must have ended, on the loop's clock.
+    """
+
+    request: forwarding.ForwardRequest
+    route: forwarding.Route
+    account: forwarding.ClientAccount | None
+    service: forwarding.Service
+    arrived_ms: int
+    patience_ms: int
+    deadline_s: float
+
+
+@attrs.define
+class _Progress:
+    """What happened to a request so far.
+
+    Attributes:
+      relay: How much of a streamed answer the caller has.
+      sends: How many upstreams it was sent to.
+      connect_failures: How many could not be connected to.
+      may_have_run: Whether an upstream may have worked on it.
+      excluded: The upstreams that it is not sent to again.
+      upstream_id: The last upstream.
+    """
+
+    relay: forward_attempt.Relay
+    sends: int = 0
+    connect_failures: int = 0
+    may_have_run: bool = False
+    excluded: frozenset[str] = frozenset()
+    upstream_id: str = ""
+
+
+# None: the answer was sent or its connection has to be cut.
+_Ending: TypeAlias = (
+    forward_attempt.WholeAnswer | outcomes.Refusal | forward_attempt.Streamed
+)
+
+
+class ForwardingHandler:
+    """Answers the requests of callers."""
+
+    def __init__(self, parts: ForwardingParts) -> None:
+        """Binds the handler to the parts of the process."""
+        self._parts = parts
+        self._attempts = forward_attempt.Attempts(parts.pool, parts.wire)
+
+    async def handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers one request."""
+        arrived_ms = self._parts.read_clock_ms()
+        parsed = self._parts.wire.read_request(request)
+        if isinstance(parsed, outcomes.NotRun):
+            await self._refuse(parsed, None, arrived_ms, responder)
+            return
+        plan = self._plan(parsed, arrived_ms)
+        if isinstance(plan, outcomes.NotRun):
+            await self._refuse(plan, parsed.id, arrived_ms, responder)
+            return
+        progress = _Progress(forward_attempt.Relay(responder))
+        try:
+            ending = await self._serve(plan, request, progress)
+        except asyncio.CancelledError:
+            self._log_end(plan, progress, "caller_left")
+            raise
+        except http_server.ClientDisconnectedError:
+            self._log_end(plan, progress, "caller_left")
+            raise
+        await self._finish(ending, plan, progress, responder)
+
+    def _plan(
+        self, request: forwarding.ForwardRequest, arrived_ms: int
+    ) -> _Plan | outcomes.NotRun:
+        """Decides where a request goes, by the configuration in force."""
+        index = self._parts.find_index()
+        if index is None:
+            return outcomes.NotRun(
+                503,
+                "no_configuration",
+                "This router has no configuration yet.",
+                _RETRY_AFTER_MS,
+            )
+        route = index.find_route(request.host, request.path)
+        if route is None:
+            return self._refuse_unless_fresh(
+                outcomes.NotRun(404, "no_route", "No route matches.")
+            )
+        account = None
+        if index.needs_keys and not route.is_public:
+            account = index.find_account(request.key or "")
+            if account is None:
+                return self._refuse_unless_fresh(
+                    outcomes.NotRun(401, "unknown_key", "The key is unknown.")
+                )
+        patience_ms = min(
+            request.patience_ms or _DEFAULT_PATIENCE_MS, route.timeout_ms
+        )
+        return _Plan(
+            request=request,
+            route=route,
+            account=account,
+            service=index.find_service(
+                route_index.choose_service(route, request.id)
+            ),
+            arrived_ms=arrived_ms,
+            patience_ms=patience_ms,
+            deadline_s=asyncio.get_running_loop().time() + patience_ms / 1000,
+        )
+
+    def _refuse_unless_fresh(self, refusal: outcomes.NotRun) -> outcomes.NotRun:
+        """Returns a refusal that stands only if the version is the newest."""
+        if self._parts.is_fresh():
+            return refusal
+        return outcomes.NotRun(
+            503,
+            "configuration_out_of_date",
+            "This router cannot tell whether its configuration is the newest.",
+            _RETRY_AFTER_MS,
+        )
+
+    async def _serve(
+        self,
+        plan: _Plan,
+        request: http_server.HttpRequest,
+        progress: _Progress,
+    ) -> _Ending:
+        """Charges a request, runs it and settles it."""
+        crash_key = _make_crash_key(plan, request)
+        now_ms = self._parts.read_clock_ms()
+        if self._parts.quarantine.find(crash_key, now_ms) is not None:
+            return outcomes.NotRun(
+                503, "quarantined", "The request crashed several upstreams."
+            )
+        self._parts.find_allowance(plan.service.name).note_request(now_ms)
+        if not self._parts.directory.count_ready(plan.service.name):
+            return _refuse_no_upstream()
+        charge = await self._charge(plan)
+        if isinstance(charge, outcomes.NotRun):
+            return charge
+        try:
+            return await self._run(plan, request, progress, crash_key)
+        finally:
+            if charge is not None:
+                self._parts.charger.settle(
+                    charge, _count_spent_tokens(plan, progress)
+                )
+
+    async def _charge(
+        self, plan: _Plan
+    ) -> charging.Charge | outcomes.NotRun | None:
+        """Reserves the tokens of a request; None when it costs none."""
+        account, generation = plan.account, plan.request.generation
+        if account is None or generation is None:
+            return None
+        if account.prepaid_tokens is None:
+            return None
+        return await self._parts.charger.admit(
+            plan.request.id,
+            account.name,
+            account.prepaid_tokens,
+            generation.max_tokens,
+            plan.patience_ms,
+            self._parts.is_fresh(),
+        )
+
+    async def _run(
+        self,
+        plan: _Plan,
+        request: http_server.HttpRequest,
+        progress: _Progress,
+        crash_key: quarantine.RequestKey,
+    ) -> _Ending:
+        """Sends a request until it has an answer or cannot get one."""
+        affinity_key = upstream_choice.find_affinity_key(
+            plan.request.generation
+        )
+        while True:
+            upstream = self._parts.directory.choose(
+                plan.service.name,
+                affinity_key,
+                progress.excluded,
+                plan.request.id,
+                self._parts.read_clock_ms(),
+            )
+            if upstream is None:
+                if progress.may_have_run:
+                    return _fail("no other upstream is ready")
+                return _refuse_no_upstream()
+            progress.upstream_id = upstream.id
+            progress.excluded |= {upstream.id}
+            with self._parts.directory.hold(upstream):
+                result = await self._attempt(plan, request, progress, upstream)
+            ending = self._judge(plan, progress, upstream, result, crash_key)
+            if ending is not None:
+                return ending
+
+    async def _attempt(
+        self,
+        plan: _Plan,
+        request: http_server.HttpRequest,
+        progress: _Progress,
+        upstream: forwarding.Upstream,
+    ) -> forward_attempt.AttemptResult:
+        """Runs one attempt; it counts as run while it is out."""
+        may_have_run = progress.may_have_run
+        progress.may_have_run = True
+        progress.sends += 1
+        outgoing = forward_attempt.Outgoing(
+            request=request,
+            request_id=plan.request.id,
+            send=forward_wire.UpstreamSend(
+                upstream_id=upstream.id,
+                remaining_ms=0,
+                account=plan.account.name if plan.account else None,
+                priority=_find_priority(plan),
+                last_event_id=progress.relay.last_event_id,
+            ),
+            is_streaming=plan.route.kind is forwarding.RequestKind.STREAMING,
+            deadline_s=plan.deadline_s,
+        )
+        result = await self._attempts.run(upstream, outgoing, progress.relay)
+        match result:
+            case forward_attempt.NotConnected():
+                progress.may_have_run = may_have_run
+                progress.sends -= 1
+                progress.connect_failures += 1
+            case forward_attempt.TurnedAway():
+                progress.may_have_run = may_have_run
+        return result
+
+    def _judge(
+        self,
+        plan: _Plan,
+        progress: _Progress,
+        upstream: forwarding.Upstream,
+        result: forward_attempt.AttemptResult,
+        crash_key: quarantine.RequestKey,
+    ) -> _Ending | None:
+        """Returns how a request ends, or None when it is sent again."""
+        now_ms = self._parts.read_clock_ms()
+        directory = self._parts.directory
+        match result:
+            case forward_attempt.Streamed():
+                directory.note_success(upstream)
+                return result
+            case forward_attempt.WholeAnswer():
+                return self._judge_answer(plan, progress, upstream, result)
+            case forward_attempt.NotConnected(message):
+                directory.note_unreachable(upstream, now_ms)
+                self._log_attempt(plan, upstream, "not_connected", message)
+                if progress.connect_failures < _MAX_CONNECT_TRIES:
+                    return None
+                if progress.may_have_run:
+                    return _fail(message)
+                return _refuse_no_upstream()
+            case forward_attempt.TurnedAway(status):
+                self._log_attempt(plan, upstream, "turned_away", str(status))
+                if self._may_send_again(plan, progress):
+                    return None
+                if progress.may_have_run:
+                    return _fail("every upstream turned the request away")
+                return outcomes.NotRun(
+                    503,
+                    "upstreams_busy",
+                    "The upstreams take no more work at the moment.",
+                    _RETRY_AFTER_MS,
+                )
+            case forward_attempt.Broken(message, is_timeout):
+                self._log_attempt(plan, upstream, "broken", message)
+                if is_timeout:
+                    return outcomes.Failed(504, "timed_out", message)
+                directory.note_failure(upstream, now_ms)
+                self._note_crash(plan, upstream, crash_key, now_ms)
+                if plan.route.may_repeat and self._may_send_again(
+                    plan, progress
+                ):
+                    return None
+                return _fail(message)
+
+    def _judge_answer(
+        self,
+        plan: _Plan,
+        progress: _Progress,
+        upstream: forwarding.Upstream,
+        result: forward_attempt.WholeAnswer,
+    ) -> _Ending | None:
+        """Returns how a request ends that has a whole answer."""
+        status = result.answer.status
+        if status < 500 and status not in _PROMISING_STATUSES:
+            self._parts.directory.note_success(upstream)
+            return result
+        self._log_attempt(plan, upstream, "failed", str(status))
+        self._parts.directory.note_failure(
+            upstream, self._parts.read_clock_ms()
+        )
+        if plan.route.may_repeat and self._may_send_again(plan, progress):
+            return None
+        if progress.relay.has_started or status in _PROMISING_STATUSES:
+            return _fail(f"the upstream answered {status}")
+        return result
+
+    def _may_send_again(self, plan: _Plan, progress: _Progress) -> bool:
+        """Takes a repeat from the allowance, if the request may have one."""
+        if progress.sends >= plan.route.max_attempts:
+            return False
+        if asyncio.get_running_loop().time() >= plan.deadline_s:
+            return False
+        allowance = self._parts.find_allowance(plan.service.name)
+        return allowance.take_repeat(self._parts.read_clock_ms())
+
+    def _note_crash(
+        self,
+        plan: _Plan,
+        upstream: forwarding.Upstream,
+        crash_key: quarantine.RequestKey,
+        now_ms: int,
+    ) -> None:
+        """Counts a broken generation against its request, on all routers."""
+        if plan.request.generation is None:
+            return
+        notice = requesting.CrashNotice(
+            crash_key.client_account,
+            crash_key.body_digest,
+            upstream.id,
+            f"{plan.request.id}/{upstream.id}",
+            now_ms,
+        )
+        self._parts.quarantine.take_crash(notice, now_ms)
+        self._parts.broadcast(notice)
+
+    async def _finish(
+        self,
+        ending: _Ending,
+        plan: _Plan,
+        progress: _Progress,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Sends what is left of the answer."""
+        match ending:
+            case forward_attempt.Streamed():
+                self._log_end(plan, progress, "streamed")
+            case forward_attempt.WholeAnswer(head, answer, body):
+                self._log_end(plan, progress, f"answered_{answer.status}")
+                headers = [
+                    (name, value)
+                    for name, value in self._parts.wire.build_answer_headers(
+                        head
+                    )
+                    if name != "content-length"
+                ]
+                headers.append(("content-length", str(len(body))))
+                await responder.start(head.status, headers)
+                await responder.send_chunk(body)
+                await responder.finish()
+            case refusal if progress.relay.has_started:
+                # Ending the connection shows that the answer is not whole.
+                self._log_end(plan, progress, f"cut_{refusal.code}")
+                raise http_server.ClientDisconnectedError
+            case refusal:
+                await self._refuse(
+                    refusal,
+                    plan.request.id,
+                    plan.arrived_ms,
+                    responder,
+                    route=plan.route.name,
+                    upstream=progress.upstream_id,
+                )
+
+    async def _refuse(
+        self,
+        refusal: outcomes.Refusal,
+        request_id: str | None,
+        arrived_ms: int,
+        responder: http_server.HttpResponder,
+        **context: str,
+    ) -> None:
+        """Answers a request with a refusal of the system's own."""
+        elapsed_ms = self._parts.read_clock_ms() - arrived_ms
+        index = self._parts.find_index()
+        decision_log.log_failure(
+            "request_refused",
+            request_id=request_id,
+            status=refusal.status,
+            code=refusal.code,
+            reason=refusal.message,
+            elapsed_ms=elapsed_ms,
+            version=index.table.version if index else None,
+            **context,
+        )
+        self._parts.note_outcome(refusal.code, elapsed_ms)
+        answer = self._parts.wire.build_refusal(refusal, request_id)
+        headers = [
+            *answer.headers,
+            ("content-length", str(len(answer.body))),
+        ]
+        await responder.start(refusal.status, headers)
+        await responder.send_chunk(answer.body)
+        await responder.finish()
+
+    def _log_end(self, plan: _Plan, progress: _Progress, outcome: str) -> None:
+        """Logs and counts the end of a request."""
+        elapsed_ms = self._parts.read_clock_ms() - plan.arrived_ms
+        self._parts.note_outcome(outcome, elapsed_ms)
+        decision_log.log_event(
+            "request_ended",
+            request_id=plan.request.id,
+            route=plan.route.name,
+            account=plan.account.name if plan.account else None,
+            upstream=progress.upstream_id,
+            sends=progress.sends,
+            events=progress.relay.event_count,
+            outcome=outcome,
+            elapsed_ms=elapsed_ms,
+        )
+
+    def _log_attempt(
+        self,
+        plan: _Plan,
+        upstream: forwarding.Upstream,
+        outcome: str,
+        reason: str,
+    ) -> None:
+        """Logs an attempt that did not answer the request."""
+        decision_log.log_failure(
+            "attempt_failed",
+            request_id=plan.request.id,
+            upstream=upstream.id,
+            address=upstream.address,
+            outcome=outcome,
+            reason=reason,
+            elapsed_ms=self._parts.read_clock_ms() - plan.arrived_ms,
+        )
+
+
+def _make_crash_key(
+    plan: _Plan, request: http_server.HttpRequest
+) -> quarantine.RequestKey:
+    """Returns what a request that comes again has in common."""
+    digest = hashlib.sha256(request.target.encode())
+    digest.update(request.body)
+    account = plan.account.name if plan.account else ""
+    return quarantine.RequestKey(account, digest.digest())
+
+
+def _find_priority(plan: _Plan) -> int | None:
+    """Returns the rank of a request at its upstream."""
+    if plan.request.generation is None:
+        return None
+    if plan.account is not None and plan.account.priority is not None:
+        return plan.account.priority
+    return plan.route.priority
+
+
+def _count_spent_tokens(plan: _Plan, progress: _Progress) -> int:
+    """Returns what a request consumed: its input and delivered output."""
+    generation = plan.request.generation
+    if generation is None or not progress.may_have_run:
+        return 0
+    delivered = progress.relay.event_count * plan.service.tokens_per_event
+    return generation.prompt_tokens + min(
+        delivered, generation.max_output_tokens
+    )
+
+
+def _refuse_no_upstream() -> outcomes.NotRun:
+    """Returns the refusal when no upstream is ready."""
+    return outcomes.NotRun(
+        503, "no_upstream", "No upstream is ready.", _RETRY_AFTER_MS
+    )
+
+
+def _fail(message: str) -> outcomes.Failed:
+    """Returns the answer of a request that may have run in vain."""
+    return outcomes.Failed(502, "upstream_failed", message)
--- a/redwingchute/request/sse.py
+++ b/redwingchute/request/sse.py
@@ -7,7 +7,6 @@
 
 _DATA_PREFIX = b"data:"
 _DONE = b"[DONE]"
-_MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
 @attrs.frozen
@@ -37,28 +36,6 @@
     usage: Usage | None = None
 
 
-class EventSplitter:
-    """Collects bytes into whole events."""
-
-    def __init__(self) -> None:
-        """Starts with nothing collected."""
-        self._pending = bytearray()
-
-    @property
-    def is_oversized(self) -> bool:
-        """Whether an event grew beyond what is accepted."""
-        return len(self._pending) > _MAX_EVENT_BYTES
-
-    def split(self, chunk: bytes) -> list[bytes]:
-        """Returns the events that are whole after one more chunk."""
-        self._pending += chunk
-        if b"\r" in chunk:
-            self._pending = self._pending.replace(b"\r\n", b"\n")
-        *whole, rest = self._pending.split(b"\n\n")
-        self._pending = bytearray(rest)
-        return [bytes(event) + b"\n\n" for event in whole]
-
-
 def read_usage(fields: Any) -> Usage | None:
     """Returns the usage of a completion's JSON object, if it is well-formed."""
     usage = fields.get("usage") if isinstance(fields, dict) else None
--- a/redwingchute/request/transcript.py
+++ b/redwingchute/request/transcript.py
@@ -9,6 +9,7 @@
 import json
 from typing import Any
 
+from redwingchute.request import event_stream
 from redwingchute.request import sse
 
 
@@ -31,7 +32,7 @@
         self.output_tokens = 0
         self.is_done = False
         self._max_output_tokens = max_output_tokens
-        self._splitter = sse.EventSplitter()
+        self._splitter = event_stream.EventSplitter()
         self._held = bytearray()
         self._usage: sse.Usage | None = None
         self._earlier_tokens = 0
@@ -66,7 +67,7 @@
 
     def begin_attempt(self) -> None:
         """Starts over with the events that were not delivered."""
-        self._splitter = sse.EventSplitter()
+        self._splitter = event_stream.EventSplitter()
         self._held.clear()
         self._usage = None
         self._earlier_tokens = self.output_tokens
--- /dev/null
+++ b/redwingchute/request/upstream_directory.py
@@ -0,0 +1,148 @@
+"""The upstreams that serve now, and how busy this router keeps them."""
+
+from collections.abc import Iterator
+import contextlib
+
+import attrs
+
+from redwingchute.core import forwarding
+from redwingchute.request import outlier
+from redwingchute.request import upstream_choice
+
+
+@attrs.define
+class _Pool:
+    """The upstreams of one service."""
+
+    upstreams: dict[str, forwarding.Upstream]
+    outliers: outlier.OutlierDetector
+
+
+class UpstreamDirectory:
+    """The upstreams of all services."""
+
+    def __init__(self, zone: str) -> None:
+        """Starts without upstreams.
+
+        Args:
+          zone: The router's availability zone.
+        """
+        self._zone = zone
+        self._pools: dict[str, _Pool] = {}
+        self._services: dict[str, str] = {}
+        self._open: dict[str, int] = {}
+
+    def take(self, upstream: forwarding.Upstream) -> None:
+        """Takes an upstream's newest entry."""
+        if self._services.get(upstream.id, upstream.service) != (
+            upstream.service
+        ):
+            self.drop(upstream.id)
+        self._services[upstream.id] = upstream.service
+        pool = self._find_pool(upstream.service)
+        is_new = upstream.id not in pool.upstreams
+        pool.upstreams[upstream.id] = upstream
+        if is_new:
+            pool.outliers.set_upstreams(tuple(pool.upstreams))
+
+    def drop(self, upstream_id: str) -> None:
+        """Forgets an upstream that is gone."""
+        service = self._services.pop(upstream_id, None)
+        if service is None:
+            return
+        pool = self._find_pool(service)
+        del pool.upstreams[upstream_id]
+        pool.outliers.set_upstreams(tuple(pool.upstreams))
+
+    def keep_only(self, upstream_ids: frozenset[str]) -> None:
+        """Forgets all upstreams but the named ones."""
+        for upstream_id in list(self._services):
+            if upstream_id not in upstream_ids:
+                self.drop(upstream_id)
+
+    def find(self, upstream_id: str) -> forwarding.Upstream | None:
+        """Returns an upstream's newest entry, or None."""
+        service = self._services.get(upstream_id)
+        if service is None:
+            return None
+        return self._find_pool(service).upstreams.get(upstream_id)
+
+    def count_ready(self, service: str) -> int:
+        """Returns how many upstreams of a service take new work."""
+        upstreams = self._find_pool(service).upstreams.values()
+        return sum(upstream.is_ready for upstream in upstreams)
+
+    def choose(
+        self,
+        service: str,
+        affinity_key: str | None,
+        excluded: frozenset[str],
+        tie_breaker: str,
+        now_ms: int,
+    ) -> forwarding.Upstream | None:
+        """Returns the upstream for a request, or None.
+
+        Upstreams that failed lately are used only when no other is left.
+
+        Args:
+          service: The service that runs it.
+          affinity_key: What it shares with other requests, or None.
+          excluded: Upstreams that it was sent to before.
+          tie_breaker: Spreads requests over upstreams that are alike.
+          now_ms: The current time.
+        """
+        pool = self._find_pool(service)
+        ready = [
+            upstream
+            for upstream in pool.upstreams.values()
+            if upstream.is_ready and upstream.id not in excluded
+        ]
+        sound = [
+            upstream
+            for upstream in ready
+            if pool.outliers.find_return_ms(upstream.id) <= now_ms
+        ]
+        candidates = [
+            upstream_choice.Candidate(
+                upstream, float(self._open.get(upstream.id, 0))
+            )
+            for upstream in sound or ready
+        ]
+        return upstream_choice.choose_upstream(
+            candidates, affinity_key, self._zone, tie_breaker
+        )
+
+    @contextlib.contextmanager
+    def hold(self, upstream: forwarding.Upstream) -> Iterator[None]:
+        """Counts a request as open at an upstream."""
+        self._open[upstream.id] = self._open.get(upstream.id, 0) + 1
+        try:
+            yield
+        finally:
+            self._open[upstream.id] -= 1
+            if not self._open[upstream.id]:
+                del self._open[upstream.id]
+
+    def note_success(self, upstream: forwarding.Upstream) -> None:
+        """Notes that an upstream answered a request."""
+        self._find_pool(upstream.service).outliers.note_success(upstream.id)
+
+    def note_unreachable(
+        self, upstream: forwarding.Upstream, now_ms: int
+    ) -> None:
+        """Notes that no connection to an upstream could be opened."""
+        pool = self._find_pool(upstream.service)
+        pool.outliers.note_connect_failure(upstream.id, now_ms)
+
+    def note_failure(self, upstream: forwarding.Upstream, now_ms: int) -> bool:
+        """Notes a failed attempt; True when the upstream is now avoided."""
+        pool = self._find_pool(upstream.service)
+        return pool.outliers.note_failure(upstream.id, now_ms)
+
+    def _find_pool(self, service: str) -> _Pool:
+        """Returns the pool of a service, an empty one when it is new."""
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = _Pool({}, outlier.OutlierDetector(()))
+            self._pools[service] = pool
+        return pool
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -325,8 +325,10 @@
         target: str,
         headers: list[tuple[str, str]],
         body: bytes,
+        host: str | None = None,
     ) -> http_client.ExchangeBroken | None:
         """Sends a whole request."""
+        del host
         parts = urllib.parse.urlsplit(target)
         request = http_server.HttpRequest(
             method=method,
--- /dev/null
+++ b/redwingchute/version/route_index.py
@@ -0,0 +1,60 @@
+"""Finds the route, account and service of a request in one version."""
+
+import xxhash
+
+from redwingchute.core import forwarding
+
+
+class RouteIndex:
+    """A route table, indexed for lookups.
+
+    Attributes:
+      table: The route table.
+    """
+
+    def __init__(self, table: forwarding.RouteTable) -> None:
+        """Indexes a route table."""
+        self.table = table
+        self._by_host: dict[str, list[forwarding.Route]] = {}
+        for route in table.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+        self._by_key = {
+            key: account for account in table.accounts for key in account.keys
+        }
+        self._services = {service.name: service for service in table.services}
+
+    def find_route(self, host: str, path: str) -> forwarding.Route | None:
+        """Returns the route with the longest prefix of a path, or None."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def find_account(self, key: str) -> forwarding.ClientAccount | None:
+        """Returns the account that holds a key, or None."""
+        return self._by_key.get(key)
+
+    def find_service(self, name: str) -> forwarding.Service:
+        """Returns a service; one that is not described has no limits."""
+        return self._services.get(name, forwarding.Service(name))
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests of routes that are not public need a key."""
+        return bool(self.table.accounts)
+
+
+def choose_service(route: forwarding.Route, request_id: str) -> str:
+    """Returns the service of a request by the route's weights.
+
+    The same request always goes to the same service.
+    """
+    total = sum(target.weight for target in route.services)
+    point = xxhash.xxh64_intdigest(request_id.encode()) / 2**64 * total
+    for target in route.services:
+        point -= target.weight
+        if point < 0:
+            return target.service
+    return route.services[-1].service
--- /dev/null
+++ b/redwingchute/wire/prepaid.capnp
@@ -0,0 +1,8 @@
+@0xb5a1c6d92e7f4083;
+# Messages between routers that charge tokens to each other's grants.
+# Field names mirror core/prepaid.py.
+
+struct RemoteCharge { chargeId @0 :Text; account @1 :Text; tokens @2 :Int64; expiresInMs @3 :Int64; }
+struct RemoteChargeReply { reservedTokens @0 :Int64; spentTokens @1 :Int64; }
+struct RemoteSettlement { chargeId @0 :Text; account @1 :Text; spentTokens @2 :Int64; }
+struct RemoteSettlementReply { chargeId @0 :Text; }
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -8,6 +8,7 @@
 from redwingchute.core import data
 from redwingchute.core import distribution
 from redwingchute.core import fleet
+from redwingchute.core import prepaid
 from redwingchute.core import requesting
 from redwingchute.core import spending
 from redwingchute.core import status
@@ -20,9 +21,7 @@
 _STATUS = "status.capnp"
 _REQUEST = "request.capnp"
 _SPEND = "spend.capnp"
-_REQUEST = "request.capnp"
-_SPEND = "spend.capnp"
-_STATUS = "status.capnp"
+_PREPAID = "prepaid.capnp"
 
 REGISTRATIONS: tuple[codec.Registration, ...] = (
     codec.Registration(1, data.Takeover, _LEDGER),
@@ -39,6 +38,10 @@
     codec.Registration(152, spending.ForgetBills, _SPEND),
     codec.Registration(153, spending.TransferRequest, _SPEND),
     codec.Registration(154, spending.TransferReply, _SPEND),
+    codec.Registration(160, prepaid.RemoteCharge, _PREPAID),
+    codec.Registration(161, prepaid.RemoteChargeReply, _PREPAID),
+    codec.Registration(162, prepaid.RemoteSettlement, _PREPAID),
+    codec.Registration(163, prepaid.RemoteSettlementReply, _PREPAID),
     codec.Registration(200, fleet.LinkHello, _FLEET),
     codec.Registration(201, fleet.LinkWelcome, _FLEET),
     codec.Registration(202, fleet.LinkProof, _FLEET),
