--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test format lint types unit demo clean prove scenarios-live mutants slopes bench
+.PHONY: test format lint types unit demo demo-platform clean prove scenarios-live mutants slopes bench
 
 test: lint types unit
 
@@ -30,6 +30,9 @@
 demo: $(STAMP)
 	PATH=$(abspath $(BIN)):$$PATH sh scripts/demo.sh
 
+demo-platform: $(STAMP)
+	PATH=$(abspath $(BIN)):$$PATH sh scripts/demo_platform.sh
+
 prove: $(STAMP)
 	HYPOTHESIS_PROFILE=ci $(BIN)/python scripts/prove.py
 
--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -10,7 +10,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 from types import TracebackType
 from typing import TypeAlias
 import urllib.parse
@@ -317,8 +316,9 @@
             self.open_exchanges -= 1
             handler.cancel()
             watcher.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await watcher
+            # Unlike awaiting the watcher itself, this tells its cancellation
+            # from one of this connection.
+            await asyncio.wait({watcher})
         return bytes(pipelined)
 
     async def _receive(
--- a/redwingchute/main.py
+++ b/redwingchute/main.py
@@ -1,7 +1,9 @@
 """The `redwingchute` command: a thin script over the library.
 
 `router` is the daemon of an entry host, `publish` gives
-a fleet its first configuration, `ask` sends an operator's query or
+a fleet its first configuration, `gateway` is the
+daemon of hosts that forward by route, by the settings file that their platform
+writes, `ask` sends an operator's query or
 command to any router, and `stand-in` runs a small replacement of the platform
 or of an upstream for trials and tests.
 """
@@ -14,12 +16,15 @@
 
 import defopt
 
+from redwingchute.platform import main as platform_main
 from redwingchute.process import ask_client
 from redwingchute.process import publisher
 from redwingchute.process import router
 from redwingchute.process import settings
 from redwingchute.standin import engine
+from redwingchute.standin import metadata_store
 from redwingchute.standin import platform
+from redwingchute.standin import runner
 from redwingchute.standin import service
 
 _EXIT_BAD_SETTINGS = 2
@@ -102,10 +107,13 @@
         "router": _make_router_command(),
         "ask": ask,
         "publish": publish,
+        "gateway": platform_main.main,
         "stand-in": {
             "platform": platform.run_platform,
             "engine": engine.run_engine,
             "service": service.run_service,
+            "metadata-store": metadata_store.run_metadata_store,
+            "runner": runner.run_runner,
         },
     }
     status = defopt.run(commands, no_negated_flags=True)
--- /dev/null
+++ b/redwingchute/platform/documents_test.py
@@ -0,0 +1,91 @@
+"""Tests of decoding the configuration and the entries of upstreams."""
+
+import json
+from typing import Any
+
+import pytest
+
+from redwingchute.core import forwarding
+from redwingchute.platform import configuration_document
+from redwingchute.platform import upstream_entries
+from redwingchute.testing import gateway_rig
+
+_ENTRY = {
+    "service": "llm",
+    "address": "10.128.0.9:8080",
+    "zone": "huon",
+    "slots": 64,
+    "state": "ready",
+    "sequence": 4,
+    "born": 1_790_000_000_000,
+}
+
+
+def _decode(document: dict[str, Any]) -> forwarding.RouteTable:
+    table = configuration_document.decode_configuration(
+        json.dumps(document).encode()
+    )
+    assert isinstance(table, forwarding.RouteTable)
+    return table
+
+
+def test_a_document_becomes_a_route_table() -> None:
+    table = _decode(gateway_rig.make_document(version=7))
+    assert table.version == 7
+    summary = table.routes[-1]
+    assert summary.kind is forwarding.RequestKind.STREAMING
+    assert summary.may_repeat
+    assert not table.routes[3].may_repeat
+    assert table.services[1].tokens_per_event == 5
+    assert table.accounts[0].prepaid_tokens == 10_000
+    assert table.limits.idle_ms == 15_000
+
+
+def test_a_split_has_weights() -> None:
+    document = gateway_rig.make_document()
+    route = document["routes"][0]
+    del route["service"]
+    route["trafficSplit"] = [
+        {"service": "a", "weight": 90},
+        {"service": "b", "weight": 10},
+    ]
+    assert _decode(document).routes[0].services == (
+        forwarding.WeightedService("a", 90.0),
+        forwarding.WeightedService("b", 10.0),
+    )
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"{}", b"[]", b'{"version": 1, "routes": [{}]}']
+)
+def test_an_unreadable_document_is_refused_whole(value: bytes) -> None:
+    assert isinstance(configuration_document.decode_configuration(value), str)
+
+
+def test_an_entry_names_an_upstream() -> None:
+    upstream = upstream_entries.decode_upstream(
+        "i-1", json.dumps(_ENTRY).encode()
+    )
+    assert upstream == forwarding.Upstream(
+        "i-1", "llm", "10.128.0.9:8080", "huon", True, 64, 1_790_000_000_000
+    )
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "odd"},
+        {"state": None},
+        {"address": "nowhere"},
+        {"address": 7},
+        {"service": ["llm"]},
+    ],
+)
+def test_entries_of_other_writers_name_none(changes: dict[str, Any]) -> None:
+    value = json.dumps({**_ENTRY, **changes}).encode()
+    assert upstream_entries.decode_upstream("i-1", value) is None
+
+
+@pytest.mark.parametrize("value", [b"\xff\x00", b"7", b"null", b"{"])
+def test_unreadable_entries_name_none(value: bytes) -> None:
+    assert upstream_entries.decode_upstream("i-1", value) is None
--- /dev/null
+++ b/redwingchute/platform/headers_test.py
@@ -0,0 +1,108 @@
+"""Tests of translating headers."""
+
+import pytest
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.core import forwarding
+from redwingchute.core import outcomes
+from redwingchute.platform import headers
+from redwingchute.request import forward_wire
+
+_TRANSLATOR = headers.HeaderTranslator()
+_USUAL = {
+    "host": "A.example:80",
+    "attempt-id": "9c41",
+    "deadline-ms": "8000",
+    "authorization": "Bearer key-1",
+}
+
+
+def _make_request(**changes: str) -> http_server.HttpRequest:
+    fields = {**_USUAL, **{k.replace("_", "-"): v for k, v in changes.items()}}
+    return http_server.HttpRequest(
+        method="POST",
+        target="/a/b?x=1",
+        path="/a/b",
+        query={"x": "1"},
+        headers=fields,
+        body=b"body",
+        header_list=tuple(fields.items()),
+        raw_path="/a/b",
+    )
+
+
+def test_a_request_is_read() -> None:
+    read = _TRANSLATOR.read_request(
+        _make_request(
+            token_usage="1460,80", prompt_prefix="5c:800,91:410,e4:250"
+        )
+    )
+    assert isinstance(read, forwarding.ForwardRequest)
+    assert (read.id, read.host, read.path) == ("9c41", "a.example", "/a/b")
+    assert (read.patience_ms, read.key) == (8_000, "key-1")
+    assert read.generation is not None
+    assert read.generation.max_tokens == 1_540
+    assert [part.id for part in read.generation.parts] == ["5c", "91", "e4"]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"attempt_id": ""},
+        {"deadline_ms": "soon"},
+        {"token_usage": "many,few"},
+        {"token_usage": "1,2", "prompt_prefix": "a:b"},
+    ],
+)
+def test_unusable_headers_are_refused(changes: dict[str, str]) -> None:
+    read = _TRANSLATOR.read_request(_make_request(**changes))
+    assert isinstance(read, outcomes.NotRun)
+    assert read.status == 400
+
+
+def test_an_upstream_gets_no_key_and_nothing_that_a_caller_forged() -> None:
+    request = _make_request(
+        tenant="forged",
+        target_instance="forged",
+        pin_ms="9",
+        kv_from="1.2.3.4:5/6",
+        cache_retain="7",
+        connection="keep-alive, x-hop",
+        x_hop="1",
+        x_other="2",
+    )
+    send = forward_wire.UpstreamSend("i-1", 700, "yield", 1, 12)
+    built = dict(_TRANSLATOR.build_upstream_headers(request, send))
+    assert built == {
+        "attempt-id": "9c41",
+        "x-other": "2",
+        "target-instance": "i-1",
+        "deadline-ms": "700",
+        "tenant": "yield",
+        "request-priority": "1",
+        "last-event-id": "12",
+    }
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "was_not_run"),
+    [
+        (503, {"not-executed": "1"}, True),
+        (421, {"instance-id": "i-2"}, True),
+        (503, {}, False),
+        (200, {"attempt-id": "9c41", "runner-signature": "s"}, False),
+    ],
+)
+def test_only_the_upstream_says_that_it_did_not_run(
+    status: int, fields: dict[str, str], was_not_run: bool
+) -> None:
+    head = http_client.ResponseHead(status, fields)
+    assert _TRANSLATOR.read_answer(head).was_not_run is was_not_run
+
+
+def test_a_refusal_says_when_to_come_back() -> None:
+    refusal = outcomes.NotRun(503, "busy", "Busy.", 250)
+    answer = _TRANSLATOR.build_refusal(refusal, "9c41")
+    assert ("retry-after", "0.250") in answer.headers
+    assert ("attempt-id", "9c41") in answer.headers
--- /dev/null
+++ b/redwingchute/platform/settings_file_test.py
@@ -0,0 +1,62 @@
+"""Tests of the settings file and of the deploy folder."""
+
+import pathlib
+import tomllib
+
+from redwingchute.platform import settings_file
+
+_LINES = """\
+nodeName=edge-huon-1
+ip=10.1.0.40
+zone=huon
+listen.frontend=10.1.0.40:8227
+listen.ready=10.1.0.40:8220
+internalPorts=7340,7355
+bounds.graceS=8
+bounds.retryBudgetRatio=0.2
+bounds.retrySlack=56
+platform.address=10.200.1.7:8223
+newField=whatever
+"""
+
+
+def test_fields_become_settings() -> None:
+    settings, findings = settings_file.decode_settings(_LINES, "file")
+    assert not findings
+    assert settings is not None
+    assert settings.host_name == "edge-huon-1"
+    assert str(settings.listen) == "10.1.0.40:8227"
+    assert str(settings.peer_listen) == "10.1.0.40:7340"
+    assert str(settings.log_address) == "10.200.1.7:8223"
+    assert settings.stop_ms == 8_000
+    assert settings.retry_slack == 56
+
+
+def test_every_bad_field_is_named() -> None:
+    text = _LINES.replace("zone=huon\n", "").replace(":8227", "")
+    settings, findings = settings_file.decode_settings(text, "file")
+    assert settings is None
+    assert [finding.place for finding in findings] == [
+        "file: zone",
+        "file: listen.frontend",
+    ]
+
+
+def test_a_missing_file_is_a_finding() -> None:
+    variable = {settings_file.PATH_VARIABLE: "no/such/file"}
+    settings, findings = settings_file.load_settings(variable)
+    assert settings is None
+    assert findings
+
+
+def test_the_deployed_packages_are_those_of_the_project() -> None:
+    project = tomllib.loads(pathlib.Path("pyproject.toml").read_text())
+    deployed = pathlib.Path("deploy/requirements.txt").read_text().split()
+    assert deployed == project["project"]["dependencies"]
+
+
+def test_the_deploy_file_starts_this_program() -> None:
+    deploy = tomllib.loads(pathlib.Path("deploy/system.toml").read_text())
+    assert deploy["roles"]["router"]["run"].endswith(
+        "redwingchute.platform.main"
+    )
--- /dev/null
+++ b/redwingchute/platform/store_client_test.py
@@ -0,0 +1,144 @@
+"""Tests of the store's client against the stand-in, on loopback."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from redwingchute.connection import http_client
+from redwingchute.platform import store_client
+from redwingchute.process import shared_log
+from redwingchute.standin import metadata_store
+
+_TOPIC = "keyed.grants"
+
+
+def _run(
+    scenario: Callable[
+        [store_client.StoreClient, metadata_store.MetadataStore],
+        Awaitable[None],
+    ],
+) -> None:
+    """Runs a scenario against a store."""
+
+    async def main() -> None:
+        async with (
+            metadata_store.MetadataStore() as store,
+            http_client.ClientPool() as pool,
+        ):
+            address = http_client.Address("127.0.0.1", store.port)
+            await scenario(store_client.StoreClient(pool, address), store)
+
+    asyncio.run(main())
+
+
+def _make_record(key: str, value: bytes | None) -> shared_log.KeyedRecord:
+    return shared_log.KeyedRecord(key, value)
+
+
+def _make_stamp(sequence: int, epoch: int = 1) -> shared_log.ProducerStamp:
+    return shared_log.ProducerStamp("huon-1", epoch, sequence)
+
+
+def test_records_come_back_with_their_offsets() -> None:
+    async def scenario(
+        client: store_client.StoreClient, store: metadata_store.MetadataStore
+    ) -> None:
+        del store
+        records = (_make_record("a", b"1"), _make_record("a", None))
+        appended = await client.append(_TOPIC, records, _make_stamp(0))
+        assert appended == shared_log.Appended(2)
+        assert await client.read(_TOPIC, 0, 0) == shared_log.ReadRecords(
+            (
+                shared_log.KeyedRecord("a", b"1", 0),
+                shared_log.KeyedRecord("a", None, 1),
+            ),
+            2,
+        )
+        assert await client.read_newest(_TOPIC) == shared_log.Newest((), 2)
+
+    _run(scenario)
+
+
+def test_a_condition_that_fails_appends_nothing() -> None:
+    async def scenario(
+        client: store_client.StoreClient, store: metadata_store.MetadataStore
+    ) -> None:
+        del store
+        records = (_make_record("a", b"1"),)
+        await client.append(_TOPIC, records, _make_stamp(0))
+        failed = await client.append(_TOPIC, records, _make_stamp(1), 0)
+        assert failed == shared_log.ConditionFailed(1)
+
+    _run(scenario)
+
+
+def test_a_repeat_after_a_lost_answer_appends_once() -> None:
+    async def scenario(
+        client: store_client.StoreClient, store: metadata_store.MetadataStore
+    ) -> None:
+        store.faults = metadata_store.StoreFaults(lose_next_answers=1)
+        records = (_make_record("a", b"1"),)
+        lost = await client.append(_TOPIC, records, _make_stamp(0))
+        assert isinstance(lost, shared_log.LogUnavailable)
+        assert lost.may_have_run
+        again = await client.append(_TOPIC, records, _make_stamp(0))
+        assert again == shared_log.Appended(1)
+
+    _run(scenario)
+
+
+def test_a_later_epoch_fences_and_numbers_follow() -> None:
+    async def scenario(
+        client: store_client.StoreClient, store: metadata_store.MetadataStore
+    ) -> None:
+        del store
+        records = (_make_record("a", b"1"),)
+        await client.append(_TOPIC, records, _make_stamp(4, epoch=2))
+        fenced = await client.append(_TOPIC, records, _make_stamp(5))
+        assert fenced == shared_log.Fenced()
+        skipped = await client.append(_TOPIC, records, _make_stamp(7, epoch=2))
+        assert skipped == shared_log.WrongSequence(5)
+
+    _run(scenario)
+
+
+def test_a_read_waits_for_the_next_record() -> None:
+    async def scenario(
+        client: store_client.StoreClient, store: metadata_store.MetadataStore
+    ) -> None:
+        reading = asyncio.ensure_future(client.read("keyed.op", 0, 5_000))
+        await asyncio.sleep(0.05)
+        store.put("keyed.op", "config", b"1")
+        read = await reading
+        assert isinstance(read, shared_log.ReadRecords)
+        assert [record.value for record in read.records] == [b"1"]
+
+    _run(scenario)
+
+
+def test_forgotten_history_is_told_apart() -> None:
+    async def scenario(
+        client: store_client.StoreClient, store: metadata_store.MetadataStore
+    ) -> None:
+        for number in range(1_201):
+            store.put("keyed.op", f"k{number:04}", b"v")
+        store.log.open("keyed.op").forget_history()
+        assert await client.read("keyed.op", 0, 0) == shared_log.HistoryGone()
+        newest = await client.read_newest("keyed.op")
+        assert isinstance(newest, shared_log.Newest)
+        assert len(newest.records) == 1_201
+
+    _run(scenario)
+
+
+def test_a_store_that_refuses_did_nothing() -> None:
+    async def scenario(
+        client: store_client.StoreClient, store: metadata_store.MetadataStore
+    ) -> None:
+        store.faults = metadata_store.StoreFaults(is_busy=True)
+        refused = await client.append(
+            _TOPIC, (_make_record("a", b"1"),), _make_stamp(0)
+        )
+        assert refused == shared_log.LogUnavailable("the store answered 503")
+
+    _run(scenario)
--- /dev/null
+++ b/redwingchute/process/decision_log_test.py
@@ -0,0 +1,45 @@
+"""Tests of the bounded, non-blocking log of decisions."""
+
+import json
+import os
+
+from redwingchute.process import decision_log
+
+
+def _read_lines(descriptor: int) -> list[dict[str, object]]:
+    return [json.loads(line) for line in os.read(descriptor, 1 << 20).split()]
+
+
+def test_lines_carry_the_context() -> None:
+    read_end, write_end = os.pipe()
+    log = decision_log.DecisionLog(write_end)
+    log.open(host="huon-1")
+    log.write("started", False, {"incarnation": 7})
+    (line,) = _read_lines(read_end)
+    assert line["host"] == "huon-1"
+    assert line["event"] == "started"
+    assert line["incarnation"] == 7
+
+
+def test_failures_pass_when_the_rate_is_used_up() -> None:
+    read_end, write_end = os.pipe()
+    log = decision_log.DecisionLog(write_end)
+    log.open()
+    for number in range(2_000):
+        log.write("request_ended", False, {"number": number})
+    log.write("request_refused", True, {})
+    lines = _read_lines(read_end)
+    assert len(lines) < 1_000
+    assert lines[-1]["event"] == "request_refused"
+    assert lines[-1]["lines_dropped_before"]
+
+
+def test_a_reader_that_is_slow_or_gone_blocks_nothing() -> None:
+    read_end, write_end = os.pipe()
+    log = decision_log.DecisionLog(write_end)
+    log.open()
+    for _ in range(300):
+        log.write("request_refused", True, {"reason": "x" * 2_000})
+    os.close(read_end)
+    log.write("request_refused", True, {})
+    assert not log.is_enabled
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -45,6 +45,8 @@
 _UPSTREAM_PACE = keyed_follower.FollowPace(wait_ms=0, interval_ms=500)
 # The balancer takes a host out after two misses, a second apart.
 _BALANCER_LAG_S = 2.2
+# How long a new process waits for its grants before it lets callers in.
+_MAX_GRANT_WAIT_MS = 3_000
 # What is left of the time for a planned stop to return the grants.
 _RETURN_S = 1.0
 _STOP_POLL_S = 0.05
@@ -111,6 +113,7 @@
         self._quarantine = quarantine.Quarantine(settings.host_name)
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
         self._is_stopping = False
+        self._started_ms = read_boot_ms()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._stack = contextlib.AsyncExitStack()
         self._network = self._make_network()
@@ -282,6 +285,11 @@
             return "no configuration"
         if self._upstreams.next_offset < 0:
             return "no upstreams"
+        if self._find_prepaid() and not self._keeper.has_planned:
+            # Requests that cost no tokens can be served without the log.
+            waited_ms = read_boot_ms() - self._started_ms
+            if waited_ms < _MAX_GRANT_WAIT_MS:
+                return "no grants"
         return None
 
     def _take_configuration(self, record: shared_log.KeyedRecord) -> None:
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -24,6 +24,8 @@
 # How long a request waits for its router's grant to be raised. An append takes
 # some ten milliseconds, and a few are needed when routers raise at once.
 _RAISE_WAIT_S = 0.12
+# The same at a router that lends; below what the borrower waits for a reply.
+_LEND_WAIT_S = 0.08
 # How long another router may take to answer, connecting included.
 _PEER_TIMEOUT_MS = 200
 # A router that did not answer is not asked again for this long.
@@ -175,12 +177,11 @@
     ) -> prepaid.RemoteChargeReply:
         """Reserves tokens for another router's request."""
         grant = self._keeper.find_grant(request.account)
-        reserved = 0
-        is_known = request.charge_id in self._held
-        if not is_known and request.charge_id not in self._ended:
-            reserved = self._keeper.reserve_part(
-                request.account, request.tokens
-            )
+        reserved = await self._lend(request)
+        if reserved and request.charge_id in self._ended:
+            # It was given up while this router's ceiling was raised.
+            grant.settle(reserved, 0)
+            reserved = 0
         if reserved:
             self._hold(request, reserved)
             decision_log.log_event(
@@ -200,6 +201,20 @@
         self._end_held(settlement.charge_id, settlement.spent_tokens)
         return prepaid.RemoteSettlementReply(settlement.charge_id)
 
+    async def _lend(self, request: prepaid.RemoteCharge) -> int:
+        """Reserves what can be spared, raising the ceiling if need be."""
+        if request.charge_id in self._held or request.charge_id in self._ended:
+            return 0
+        account, tokens = request.account, request.tokens
+        if self._keeper.reserve(account, tokens):
+            return tokens
+        lendable = min(tokens, self._keeper.find_grant(account).free_tokens)
+        if lendable > 0 and await self._keeper.wait_for_tokens(
+            account, lendable, _LEND_WAIT_S
+        ):
+            return lendable
+        return self._keeper.reserve_part(account, tokens)
+
     def _refuse(
         self, request_id: str, account: str, tokens: int, is_spent: bool
     ) -> outcomes.NotRun:
@@ -273,6 +288,7 @@
             self._pause(host)
             self._settle_later(account, asked, 0)
             return None
+        self._keeper.note_spent(account, host, reply.spent_tokens)
         if reply.reserved_tokens <= 0:
             return None
         return attrs.evolve(asked, tokens=reply.reserved_tokens)
--- a/redwingchute/process/prepaid/grant_keeper.py
+++ b/redwingchute/process/prepaid/grant_keeper.py
@@ -30,6 +30,8 @@
 # Others start at the same time; their stamps say among how many to divide.
 _SETTLE_S = 0.5
 _MAX_CONDITION_TRIES = 6
+# Appends that a request waits for: the one in progress, its own, one more.
+_TURNS_WAITED = 3
 
 
 @attrs.frozen
@@ -62,6 +64,7 @@
       fold: The rows and stamps of all hosts, as last read.
       is_taken_over: Whether the grants of the process before are this one's.
       is_connected: Whether the last append was answered.
+      has_planned: Whether rows were appended for the accounts once.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self.fold = grant_fold.GrantFold()
         self.is_taken_over = False
         self.is_connected = False
+        self.has_planned = False
         self._log = log
         self._own_stamp = own_stamp
         self._clocks = clocks
@@ -96,6 +100,7 @@
             log, TOPIC, _READ_PACE, clocks.read_boot_ms, self._take_record
         )
         self._grants: dict[str, grant_lib.Grant] = {}
+        self._told_spent: dict[tuple[str, str], int] = {}
         self._wanted: dict[str, int] = {}
         self._wake = asyncio.Event()
         self._turn = asyncio.Event()
@@ -147,16 +152,20 @@
         """
         if not self.is_connected or not self.is_taken_over:
             return False
-        self._wanted[account] = max(tokens, self._wanted.get(account, 0))
-        with contextlib.suppress(TimeoutError):
+        self._wanted[account] = self._wanted.get(account, 0) + tokens
+        try:
             async with asyncio.timeout(timeout_s):
                 # The first turn may have been planned before the request.
-                for _ in range(2):
+                for _ in range(_TURNS_WAITED):
                     turn = self._turn
                     self._wake.set()
                     await turn.wait()
                     if self.reserve(account, tokens):
                         return True
+        except TimeoutError:
+            pass
+        finally:
+            self._wanted[account] -= tokens
         return False
 
     def find_remaining(self, account: str, prepaid_tokens: int) -> int:
@@ -165,10 +174,20 @@
         Only what is surely spent is taken off, so that nobody is told that an
         account is empty which is not.
         """
-        spent = self.fold.sum_spent(account, besides=self.own_host)
+        spent = sum(
+            max(row.spent_tokens, self._told_spent.get((account, row.host), 0))
+            for row in self.fold.list_rows(account)
+            if row.host != self.own_host
+        )
         own = self.find_grant(account).committed_tokens
         return prepaid_tokens - spent - own
 
+    def note_spent(self, account: str, host: str, spent_tokens: int) -> None:
+        """Takes what another router said that it has surely spent."""
+        key = (account, host)
+        known = self._told_spent.get(key, 0)
+        self._told_spent[key] = max(known, spent_tokens)
+
     async def run(self) -> None:
         """Keeps the grants until cancelled."""
         await self._take_over()
@@ -210,8 +229,8 @@
     async def _take_over(self) -> None:
         """Fences off the process before on this host and takes its grants.
 
-        The append is conditional, so that no row of the former process can
-        come between what was read here and the fence.
+        What the former process spent, it spent by rows that were in the log
+        before it ended; a row of its that comes later was never used.
         """
         while not self.is_taken_over:
             if not await self._follower.read_once():
@@ -257,7 +276,7 @@
             )
             for row in self.fold.list_own_rows(self.own_host)
         )
-        append = _Append(stamp, rows, self._follower.next_offset, 0)
+        append = _Append(stamp, rows, None, 0)
         result = await self._send(append)
         if isinstance(result, shared_log.Appended):
             self.is_taken_over = True
@@ -270,7 +289,7 @@
     async def _run_appends(self) -> None:
         """Appends stamps and rows as they are due."""
         while True:
-            if not self._wanted and not self._is_stopping:
+            if not self._is_stopping:
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._wake.wait(), _TICK_MS / 1000)
             self._wake.clear()
@@ -278,17 +297,16 @@
             finished, self._turn = self._turn, asyncio.Event()
             finished.set()
             if not self.is_connected:
-                self._wanted.clear()
                 await asyncio.sleep(_RETRY_S)
             elif self._is_stopping and self._own_stamp.is_leaving:
                 await asyncio.sleep(_TICK_MS / 1000)
 
     async def _run_turn(self) -> None:
         """Plans and appends until one append took effect or none can."""
-        wanted, self._wanted = self._wanted, {}
         for _ in range(_MAX_CONDITION_TRIES):
             append = self._pending
             if append is None:
+                wanted = self._list_wanted()
                 append = self._pending = self._plan_append(wanted)
                 self._obey(append)
             match await self._send(append):
@@ -296,10 +314,11 @@
                     self._pending = None
                     self._sequence = append.sequence + 1
                     self._note_appended(append)
-                    if not wanted or not self._has_wants(wanted):
+                    self.has_planned |= bool(self._find_prepaid())
+                    if not self._lacks_tokens():
                         return
                     await self._follower.read_once()
-                    if not self._can_raise(wanted):
+                    if not self._can_raise():
                         return
                 case shared_log.ConditionFailed():
                     self._pending = None
@@ -318,15 +337,20 @@
                     self._note_lost(failure)
                     return
 
-    def _has_wants(self, wanted: dict[str, int]) -> bool:
+    def _list_wanted(self) -> dict[str, int]:
+        """Returns the tokens that waiting requests need of each account."""
+        return {account: n for account, n in self._wanted.items() if n}
+
+    def _lacks_tokens(self) -> bool:
         """Tells whether requests still lack tokens after an append."""
         return any(
             self.find_grant(account).find_available(self._is_bound()) < tokens
-            for account, tokens in wanted.items()
+            for account, tokens in self._list_wanted().items()
         )
 
-    def _can_raise(self, wanted: dict[str, int]) -> bool:
+    def _can_raise(self) -> bool:
         """Tells whether the log has room for what requests lack."""
+        wanted = self._list_wanted()
         return any(
             self._plan_grant(account, prepaid_tokens, wanted)
             > self.find_grant(account).granted_tokens
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -27,6 +27,8 @@
       proof_ms: How long a ceiling binds; covers a crash and the restart.
       ceiling_horizon_ms: The demand that a ceiling leaves room for: the time
         between rows, plus the proof.
+      idle_share: The part of the free grant that a ceiling leaves room for
+        at least, for requests that come after a pause.
       renewal_share: A row is written anew when its ceiling or its spending is
         off by this part of the room that the ceiling leaves.
     """
@@ -36,6 +38,7 @@
     hysteresis_share: float = 0.04
     proof_ms: int = 4_000
     ceiling_horizon_ms: int = 4_500
+    idle_share: float = 0.1
     renewal_share: float = 0.25
 
 
@@ -101,7 +104,13 @@
     """Returns the row for a planned grant."""
     demand = grant.find_demand(given.boot_ms)
     horizon = int(demand * policy.ceiling_horizon_ms / 1000)
-    headroom = max(horizon, int(grant.largest_tokens), given.wanted_tokens)
+    free = max(0, granted_tokens - grant.committed_tokens)
+    headroom = max(
+        horizon,
+        int(grant.largest_tokens),
+        given.wanted_tokens,
+        int(free * policy.idle_share),
+    )
     ceiling = granted_tokens
     if given.is_connected:
         ceiling = min(ceiling, grant.committed_tokens + headroom)
--- /dev/null
+++ b/redwingchute/process/prepaid/grant_planner_test.py
@@ -0,0 +1,93 @@
+"""Tests of the plans for grants."""
+
+from redwingchute.core import prepaid
+from redwingchute.process.prepaid import grant as grant_lib
+from redwingchute.process.prepaid import grant_fold
+from redwingchute.process.prepaid import grant_planner
+
+_POLICY = grant_planner.GrantPolicy()
+
+
+def _make_input(
+    prepaid_tokens: int = 10_000, wanted_tokens: int = 0
+) -> grant_planner.PlanInput:
+    return grant_planner.PlanInput(
+        host="huon-1",
+        prepaid_tokens=prepaid_tokens,
+        host_count=2,
+        wanted_tokens=wanted_tokens,
+        boot_ms=1_000,
+    )
+
+
+def _make_fold(granted_tokens: int, demand: float) -> grant_fold.GrantFold:
+    fold = grant_fold.GrantFold()
+    fold.take(
+        prepaid.GrantRow(
+            "yield", "bruny-1", granted_tokens, granted_tokens, 0, demand
+        )
+    )
+    return fold
+
+
+def test_idle_tokens_are_placed_evenly() -> None:
+    grant = grant_lib.Grant("yield")
+    planned = grant_planner.plan_grant(
+        grant, _make_fold(0, 0.0), _make_input(), _POLICY
+    )
+    assert planned == int(10_000 * 0.5 * _POLICY.placed_share)
+
+
+def test_demand_draws_the_larger_part() -> None:
+    grant = grant_lib.Grant("yield")
+    grant.note_demand(3_000, 1_000)
+    planned = grant_planner.plan_grant(
+        grant, _make_fold(0, 100.0), _make_input(), _POLICY
+    )
+    assert planned > 10_000 * 0.6
+
+
+def test_a_plan_never_exceeds_what_others_leave() -> None:
+    grant = grant_lib.Grant("yield")
+    planned = grant_planner.plan_grant(
+        grant,
+        _make_fold(9_000, 0.0),
+        _make_input(wanted_tokens=5_000),
+        _POLICY,
+    )
+    assert planned == 1_000
+
+
+def test_a_reduction_of_the_account_lowers_the_grant() -> None:
+    grant = grant_lib.Grant("yield")
+    grant.granted_tokens = 4_000
+    grant.reserve(500, is_bound=False)
+    planned = grant_planner.plan_grant(
+        grant, _make_fold(0, 0.0), _make_input(prepaid_tokens=1_000), _POLICY
+    )
+    assert 500 <= planned <= 1_000
+
+
+def test_a_small_difference_changes_nothing() -> None:
+    grant = grant_lib.Grant("yield")
+    grant.granted_tokens = 4_300
+    planned = grant_planner.plan_grant(
+        grant, _make_fold(4_250, 0.0), _make_input(), _POLICY
+    )
+    assert planned == 4_300
+
+
+def test_a_ceiling_covers_demand_and_the_largest_request() -> None:
+    grant = grant_lib.Grant("yield")
+    grant.granted_tokens = 8_000
+    grant.note_demand(3_000, 1_000)
+    row = grant_planner.plan_row(grant, 8_000, _make_input(), _POLICY)
+    assert 3_000 <= row.ceiling_tokens <= 8_000
+
+
+def test_a_row_is_written_when_its_ceiling_is_off() -> None:
+    written = prepaid.GrantRow("yield", "huon-1", 1_000, 400, 0, 0.0)
+    same = prepaid.GrantRow("yield", "huon-1", 1_000, 420, 10, 0.0)
+    spent = prepaid.GrantRow("yield", "huon-1", 1_000, 700, 300, 0.0)
+    assert not grant_planner.needs_writing(same, written, _POLICY)
+    assert grant_planner.needs_writing(spent, written, _POLICY)
--- /dev/null
+++ b/redwingchute/process/prepaid/grant_recovery_test.py
@@ -0,0 +1,166 @@
+"""Kills, cuts and lost answers around grants: what the successor may spend."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from redwingchute.process import shared_log
+from redwingchute.testing import prepaid_world
+
+_HOSTS = ("huon-1", "bruny-1")
+
+
+@pytest.fixture(name="world")
+def make_world() -> Iterator[prepaid_world.PrepaidWorld]:
+    world = prepaid_world.PrepaidWorld(_HOSTS, 10_000)
+    world.run_for(3)
+    yield world
+    world.close()
+
+
+def _spend_all(world: prepaid_world.PrepaidWorld) -> None:
+    """Spends in small steps whatever the routers still believe is left."""
+    for _ in range(120):
+        for host in _HOSTS:
+            world.request(host, 100, 100, seconds=0.05)
+        world.run_for(0.1)
+
+
+def _serve_one(
+    world: prepaid_world.PrepaidWorld, host: str, tokens: int
+) -> bool:
+    """Sends one request and waits for its end."""
+    number = world.request(host, tokens, tokens, seconds=0.05)
+    world.run_for(0.5)
+    return world.is_charged(number)
+
+
+def test_everything_that_is_prepaid_can_be_spent(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    _spend_all(world)
+    assert 9_900 <= world.used_tokens <= 10_000
+
+
+def test_a_large_request_is_charged_to_several_routers(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    world.cut_from_log = set(_HOSTS)
+    world.run_for(6)
+    assert _serve_one(world, "huon-1", 8_000)
+
+
+def test_spending_up_to_the_grant_in_a_cut_outlives_a_kill(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    world.cut_from_log = set(_HOSTS)
+    world.run_for(6)
+    assert _serve_one(world, "huon-1", 4_000)
+    world.kill("huon-1")
+    world.cut_from_log.clear()
+    world.start("huon-1")
+    world.run_for(3)
+    _spend_all(world)
+    assert world.used_tokens <= 10_000
+
+
+def test_ceilings_bind_until_the_stamp_is_old(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    world.cut_links = {frozenset(_HOSTS)}
+    world.cut_from_log = {"huon-1"}
+    world.run_for(0.05)
+    for _ in range(8):
+        world.request("huon-1", 500, 500, seconds=0.05)
+    world.run_for(0.5)
+    world.kill("huon-1")
+    world.cut_from_log.clear()
+    world.cut_links.clear()
+    world.start("huon-1")
+    world.run_for(3)
+    _spend_all(world)
+    assert world.used_tokens <= 10_000
+
+
+def test_a_quick_restart_loses_little(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    assert _serve_one(world, "huon-1", 500)
+    world.kill("huon-1")
+    world.start("huon-1")
+    world.run_for(3)
+    _spend_all(world)
+    assert 7_000 <= world.used_tokens <= 10_000
+
+
+def test_a_late_append_of_the_dead_changes_nothing(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    world.fate = prepaid_world.AppendFate.LATE
+    world.lose_answers = 1
+    world.request("huon-1", 6_000, 6_000, seconds=0.05)
+    world.run_for(0.1)
+    world.kill("huon-1")
+    world.start("huon-1")
+    world.run_for(1)
+    before = world.routers["huon-1"].keeper.find_grant(prepaid_world.ACCOUNT)
+    granted_tokens = before.granted_tokens
+    world.run_for(4)
+    _spend_all(world)
+    assert granted_tokens <= 10_000
+    assert world.used_tokens <= 10_000
+
+
+def test_routers_that_raise_at_once_do_not_share_tokens(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    world.cut_links = {frozenset(_HOSTS)}
+    numbers = [world.request(host, 5_200, 5_200) for host in _HOSTS]
+    world.run_for(0.4)
+    assert sum(map(world.is_charged, numbers)) <= 1
+    assert world.used_tokens <= 10_000
+
+
+def test_a_former_process_is_fenced(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    world.cut_links = {frozenset(_HOSTS)}
+    keeper = world.routers["huon-1"].keeper
+    stamp = shared_log.ProducerStamp("huon-1", 2_000_000, 0)
+    world.topic.append((), stamp)
+    world.run_for(2)
+    assert not keeper.is_taken_over
+    assert not _serve_one(world, "huon-1", 100)
+
+
+def test_a_borrower_that_dies_leaves_its_charge_spent(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    world.cut_from_log = set(_HOSTS)
+    world.run_for(6)
+    world.request("huon-1", 8_000, 8_000, seconds=60)
+    world.run_for(0.5)
+    world.kill("huon-1")
+    world.run_for(20)
+    world.cut_from_log.clear()
+    world.start("huon-1")
+    world.run_for(3)
+    _spend_all(world)
+    assert world.used_tokens <= 10_000
+
+
+def test_a_lost_settlement_reply_settles_once(
+    world: prepaid_world.PrepaidWorld,
+) -> None:
+    world.cut_from_log = set(_HOSTS)
+    world.run_for(6)
+    number = world.request("huon-1", 8_000, 1_000, seconds=1)
+    world.run_for(0.8)
+    world.cut_links = {frozenset(_HOSTS)}
+    world.run_for(1.5)
+    world.cut_links.clear()
+    world.cut_from_log.clear()
+    world.run_for(5)
+    assert world.is_charged(number)
+    _spend_all(world)
+    assert 9_800 <= world.used_tokens <= 10_000
--- /dev/null
+++ b/redwingchute/process/prepaid/grant_test.py
@@ -0,0 +1,82 @@
+"""Tests of the counts of one account's grant."""
+
+import attrs
+import pytest
+
+from redwingchute.core import prepaid
+from redwingchute.process.prepaid import grant as grant_lib
+
+_ROW = prepaid.GrantRow("yield", "huon-1", 1_000, 400, 0, 0.0)
+_STAMP = prepaid.HostStamp("huon-1", "huon", "h:1", 7, 50_000, 90_000, 4_000)
+
+
+def _make_grant() -> grant_lib.Grant:
+    grant = grant_lib.Grant("yield")
+    grant.note_appended(_ROW)
+    return grant
+
+
+def test_the_ceiling_binds_while_the_stamp_is_young() -> None:
+    grant = _make_grant()
+    assert not grant.reserve(500, is_bound=True)
+    assert grant.reserve(400, is_bound=True)
+    assert not grant.reserve(1, is_bound=True)
+
+
+def test_the_whole_grant_is_free_once_the_stamp_is_old() -> None:
+    grant = _make_grant()
+    assert grant.reserve(1_000, is_bound=False)
+    assert not grant.reserve(1, is_bound=False)
+
+
+def test_a_row_on_its_way_binds_already() -> None:
+    grant = _make_grant()
+    grant.note_sending(attrs.evolve(_ROW, ceiling_tokens=100))
+    assert grant.find_available(is_bound=True) == 100
+    grant.note_not_appended()
+    assert grant.find_available(is_bound=True) == 400
+
+
+def test_a_raise_counts_only_once_it_is_appended() -> None:
+    grant = _make_grant()
+    raised = attrs.evolve(_ROW, granted_tokens=2_000, ceiling_tokens=2_000)
+    grant.note_sending(raised)
+    assert grant.find_available(is_bound=False) == 1_000
+    grant.note_appended(raised)
+    assert grant.find_available(is_bound=False) == 2_000
+
+
+def test_a_grant_is_not_lowered_below_what_is_committed() -> None:
+    grant = _make_grant()
+    grant.reserve(300, is_bound=True)
+    grant.lower(100)
+    assert grant.granted_tokens == 300
+
+
+def test_settling_returns_what_was_not_used() -> None:
+    grant = _make_grant()
+    grant.reserve(300, is_bound=True)
+    grant.settle(300, 120)
+    assert (grant.spent_tokens, grant.reserved_tokens) == (120, 0)
+
+
+@pytest.mark.parametrize(
+    ("boot_ms", "wall_ms", "expected"),
+    [
+        (53_000, 93_000, 400),
+        (54_000, 94_000, 1_000),
+        (53_000, 99_000, 1_000),
+        (1_000, 93_000, 1_000),
+        (53_000, 80_000, 1_000),
+    ],
+    ids=["young", "old", "time of day jumped", "rebooted", "set back"],
+)
+def test_inherited_spending(boot_ms: int, wall_ms: int, expected: int) -> None:
+    inherited = grant_lib.find_inherited_spending(
+        _ROW, _STAMP, boot_ms, wall_ms
+    )
+    assert inherited == expected
+
+
+def test_spending_without_a_stamp_counts_whole() -> None:
+    assert grant_lib.find_inherited_spending(_ROW, None, 0, 0) == 1_000
--- /dev/null
+++ b/redwingchute/process/prepaid/prepaid_machine_test.py
@@ -0,0 +1,110 @@
+"""Prepaid tokens are never overspent, as a state machine.
+
+Hypothesis kills and restarts routers, cuts them from the log and from each
+other, loses answers of appends and lets them take effect late. What requests
+consume is counted outside the routers and compared after every step.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from redwingchute.testing import prepaid_world
+
+_HOSTS = ("huon-1", "huon-2", "bruny-1")
+_HOST = strategies.sampled_from(_HOSTS)
+
+# Enough small requests to spend what may be left at the end of an example.
+_LAST_ROUNDS = 30
+_LAST_TOKENS = 120
+
+_SETTINGS = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    # Shrinking takes minutes here; a failing example is short as it is.
+    phases=(hypothesis.Phase.generate,),
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class PrepaidMachine(stateful.RuleBasedStateMachine):
+    """Hypothesis chooses the steps of a `PrepaidWorld`."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = prepaid_world.PrepaidWorld(_HOSTS, 3_000)
+        self.world.run_for(3)
+
+    @stateful.rule(
+        host=_HOST,
+        tokens=strategies.integers(50, 1_500),
+        used_percent=strategies.integers(0, 100),
+        count=strategies.integers(1, 8),
+    )
+    def send(
+        self, host: str, tokens: int, used_percent: int, count: int
+    ) -> None:
+        for _ in range(count):
+            self.world.request(host, tokens, tokens * used_percent // 100)
+
+    @stateful.rule(seconds=strategies.sampled_from((0.01, 0.2, 1, 5)))
+    def wait(self, seconds: float) -> None:
+        self.world.run_for(seconds)
+
+    @stateful.rule(host=_HOST, seconds=strategies.sampled_from((0, 1, 6)))
+    def restart(self, host: str, seconds: float) -> None:
+        self.world.kill(host)
+        self.world.run_for(seconds)
+        self.world.start(host)
+
+    @stateful.rule(host=_HOST)
+    def kill_for_good(self, host: str) -> None:
+        self.world.kill(host)
+
+    @stateful.rule(host=_HOST)
+    def toggle_log(self, host: str) -> None:
+        self.world.cut_from_log ^= {host}
+
+    @stateful.rule(pair=strategies.sets(_HOST, min_size=2, max_size=2))
+    def toggle_link(self, pair: set[str]) -> None:
+        self.world.cut_links ^= {frozenset(pair)}
+
+    @stateful.rule(
+        fate=strategies.sampled_from(prepaid_world.AppendFate),
+        count=strategies.integers(1, 3),
+    )
+    def lose_answers(self, fate: prepaid_world.AppendFate, count: int) -> None:
+        self.world.fate = fate
+        self.world.lose_answers = count
+
+    @stateful.rule(tokens=strategies.integers(0, 1_000))
+    def top_up(self, tokens: int) -> None:
+        self.world.prepaid_tokens += tokens
+
+    @stateful.invariant()
+    def nothing_is_overspent(self) -> None:
+        assert self.world.used_tokens <= self.world.prepaid_tokens
+
+    def teardown(self) -> None:
+        """Spends all that the routers believe is left, then checks again."""
+        world = self.world
+        world.cut_from_log.clear()
+        world.cut_links.clear()
+        world.lose_answers = 0
+        for host in _HOSTS:
+            if host not in world.routers:
+                world.start(host)
+        world.run_for(12)
+        for _ in range(_LAST_ROUNDS):
+            for host in _HOSTS:
+                world.request(host, _LAST_TOKENS, _LAST_TOKENS)
+            world.run_for(0.6)
+        assert world.used_tokens <= world.prepaid_tokens
+        world.close()
+
+
+PrepaidMachine.TestCase.settings = _SETTINGS
+TestPrepaidMachine = PrepaidMachine.TestCase
--- /dev/null
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -0,0 +1,260 @@
+"""Requests through a gateway on loopback, with stand-ins of all else."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+
+import pytest
+
+from redwingchute.standin import runner
+from redwingchute.testing import gateway_rig
+
+
+def _run(
+    scenario: Callable[[gateway_rig.GatewayRig], Awaitable[None]],
+    gateway_count: int = 1,
+) -> None:
+    """Runs a scenario against gateways."""
+
+    async def main() -> None:
+        async with gateway_rig.GatewayRig(gateway_count) as rig:
+            await scenario(rig)
+
+    asyncio.run(main())
+
+
+def _read_code(answer: gateway_rig.Answer) -> str:
+    """Returns the code of a refusal."""
+    code: str = json.loads(answer.body)["error"]["code"]
+    return code
+
+
+def test_a_plain_request_is_passed_on_unchanged() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        answer = await rig.ask(
+            "/post/lot?x=1", b"body", tenant="forged", x_trace="7"
+        )
+        assert answer.status == 200
+        assert answer.body == b"ran /post/lot?x=1"
+        (run,) = rig.list_runs()
+        assert run.account == gateway_rig.ACCOUNT
+        assert run.headers["x-trace"] == "7"
+        assert run.headers["host"] == "a.example"
+        assert "authorization" not in run.headers
+        assert answer.headers["attempt-id"] == run.request_id
+        (runner_id,) = [
+            name for name, found in rig.runners.items() if found.runs
+        ]
+        expected = runner.make_signature(runner_id, b"body")
+        assert answer.headers["runner-signature"] == expected
+        assert run.headers["target-instance"] == runner_id
+        assert 0 < int(run.headers["deadline-ms"]) <= 2_000
+
+    _run(scenario)
+
+
+def test_a_stream_arrives_event_by_event() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        answer = await rig.generate("/draft/x", 100, 6)
+        assert answer.is_whole
+        events = b"".join(runner.make_event(number) for number in range(6))
+        assert answer.body == events
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status", "code"),
+    [
+        ("/none/x", gateway_rig.KEY, 404, "no_route"),
+        ("/lookup/x", "other", 401, "unknown_key"),
+        ("/open/x", "other", 200, ""),
+    ],
+)
+def test_routes_and_keys(path: str, key: str, status: int, code: str) -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        answer = await rig.ask(path, authorization=f"Bearer {key}")
+        assert answer.status == status
+        if code:
+            assert _read_code(answer) == code
+
+    _run(scenario)
+
+
+def test_an_idempotent_request_is_sent_again_after_an_error() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("l-1", fail_runs=True)
+        answers = [await rig.ask(f"/lookup/{n}") for n in range(8)]
+        assert [answer.status for answer in answers] == [200] * 8
+
+    _run(scenario)
+
+
+def test_a_request_that_may_not_repeat_is_run_once() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("l-", lose_answers=True)
+        answer = await rig.ask("/post/x", b"body")
+        assert answer.status == 502
+        assert len(rig.list_runs()) == 1
+
+    _run(scenario)
+
+
+def test_a_request_that_was_turned_away_has_not_run() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("l-", is_full=True)
+        answer = await rig.ask("/post/x", b"body")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert not rig.list_runs()
+
+    _run(scenario)
+
+
+def test_an_error_of_the_upstream_is_passed_on_with_its_signature() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("l-", fail_runs=True)
+        answer = await rig.ask("/post/x", b"body")
+        assert answer.status == 500
+        assert answer.body == b"failed"
+        assert "runner-signature" in answer.headers
+
+    _run(scenario)
+
+
+def test_an_answer_to_another_request_is_not_used() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("l-", wrong_id=True)
+        answer = await rig.ask("/post/x", b"body")
+        assert answer.status == 502
+        assert "runner-signature" not in answer.headers
+
+    _run(scenario)
+
+
+def test_a_broken_stream_goes_on_at_another_upstream() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("m-", break_after_events=3)
+        first = asyncio.ensure_future(rig.generate("/summary/x", 100, 5))
+        while not rig.list_runs():
+            await asyncio.sleep(0.001)
+        (other,) = [
+            name
+            for name, found in rig.runners.items()
+            if name.startswith("m-") and not found.runs
+        ]
+        rig.set_faults(other, break_after_events=-1)
+        answer = await first
+        assert answer.is_whole
+        events = b"".join(runner.make_event(number) for number in range(5))
+        assert answer.body == events
+
+    _run(scenario)
+
+
+def test_a_stream_that_may_not_resume_is_cut_and_looks_cut() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("m-", break_after_events=3)
+        answer = await rig.generate("/draft/x", 100, 5)
+        assert not answer.is_whole
+        assert len(rig.list_runs()) == 1
+
+    _run(scenario)
+
+
+def test_the_upstream_stops_when_the_caller_leaves() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("m-", event_ms=50)
+        asking = asyncio.ensure_future(rig.generate("/draft/x", 100, 30))
+        while not rig.list_runs():
+            await asyncio.sleep(0.001)
+        asking.cancel()
+        await asyncio.wait({asking})
+        await rig.close_callers()
+        while not sum(found.cancelled for found in rig.runners.values()):
+            await asyncio.sleep(0.001)
+
+    _run(scenario)
+
+
+def test_tokens_are_charged_for_input_and_delivered_output() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        answer = await rig.generate("/draft/x", 9_000, 100)
+        assert answer.status == 200
+        refused = await rig.generate("/draft/x", 950, 100)
+        assert refused.status == 402
+        assert _read_code(refused) == "budget_spent"
+        served = await rig.generate("/draft/x", 400, 100)
+        assert served.status == 200
+
+    _run(scenario)
+
+
+def test_a_large_request_uses_the_grants_of_two_routers() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        await asyncio.sleep(1.6)
+        answer = await rig.generate("/draft/x", 9_000, 100)
+        assert answer.status == 200
+
+    _run(scenario, gateway_count=2)
+
+
+def test_a_new_version_is_in_force_soon() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        document = gateway_rig.make_document(version=5)
+        document["routes"][0]["pathPrefix"] = "/found/"
+        rig.publish(document)
+        for _ in range(200):
+            if (await rig.ask("/found/x")).status == 200:
+                break
+            await asyncio.sleep(0.01)
+        assert (await rig.ask("/found/x")).status == 200
+        assert (await rig.ask("/lookup/x")).status == 404
+
+    _run(scenario)
+
+
+def test_an_older_version_is_never_taken() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.publish(gateway_rig.make_document(version=0, routes=[]))
+        await asyncio.sleep(0.5)
+        assert (await rig.ask("/lookup/x")).status == 200
+
+    _run(scenario)
+
+
+def test_unknown_routes_are_not_denied_while_the_log_is_away() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        await rig.store.crash()
+        await asyncio.sleep(0.5)
+        answer = await rig.ask("/none/x")
+        assert answer.status == 503
+        assert (await rig.ask("/lookup/x")).status == 200
+
+    _run(scenario)
+
+
+def test_a_leaving_upstream_gets_no_new_work() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.list_runner("l-1", "draining")
+        await asyncio.sleep(1.2)
+        for number in range(6):
+            assert (await rig.ask(f"/lookup/{number}")).status == 200
+        assert not rig.list_runs("l-1")
+
+    _run(scenario)
+
+
+def test_a_planned_stop_cuts_off_no_stream() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("m-", event_ms=40)
+        asking = asyncio.ensure_future(rig.generate("/draft/x", 100, 20))
+        while not rig.list_runs():
+            await asyncio.sleep(0.001)
+        await rig.gateways[0].stop()
+        answer = await asking
+        assert answer.is_whole
+        assert not await rig.is_ready(rig.gateways[0])
+
+    _run(scenario)
--- /dev/null
+++ b/redwingchute/request/retry_allowance_test.py
@@ -0,0 +1,24 @@
+"""Tests of the limit on repeats."""
+
+from redwingchute.request import retry_allowance
+
+
+def test_repeats_stay_below_the_share_of_requests() -> None:
+    allowance = retry_allowance.RetryAllowance(0.2, 0.0, 10_000)
+    for _ in range(100):
+        allowance.note_request(1_000)
+    granted = sum(allowance.take_repeat(1_000) for _ in range(100))
+    assert granted == 16
+
+
+def test_the_window_slides() -> None:
+    allowance = retry_allowance.RetryAllowance(0.0, 10.0, 10_000)
+    assert sum(allowance.take_repeat(0) for _ in range(20)) == 8
+    assert not allowance.take_repeat(9_999)
+    assert allowance.take_repeat(10_001)
+
+
+def test_slack_shrinks_as_routers_come() -> None:
+    allowance = retry_allowance.RetryAllowance(0.0, 10.0, 10_000)
+    allowance.set_slack(2.5)
+    assert sum(allowance.take_repeat(0) for _ in range(20)) == 2
--- /dev/null
+++ b/redwingchute/standin/metadata_store.py
@@ -0,0 +1,244 @@
+"""A stand-in of the users' metadata store, spoken over HTTP.
+
+It serves keyed topics with one partition. The operator's and the upstreams'
+topics refuse appends, as the users' store does; `POST /control/put` writes to
+them in their name.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+from typing import Any
+
+import attrs
+
+from redwingchute.connection import http_server
+from redwingchute.process import shared_log
+from redwingchute.standin import base
+from redwingchute.standin import faults as faults_lib
+from redwingchute.standin import keyed_log
+
+_LENGTH = struct.Struct(">I")
+_ENDS = struct.Struct(">QQ")
+_MAX_WAIT_MS = 30_000
+_PAGE_ENTRIES = 500
+_FOREIGN_TOPICS = frozenset({"keyed.op", "keyed.servers"})
+
+
+@attrs.frozen
+class StoreFaults:
+    """The faults of the store.
+
+    Attributes:
+      is_down: Connections are closed without an answer.
+      is_busy: Calls are refused with 503 and do nothing.
+      slow_ms: Every answer waits this long.
+      lose_next_answers: So many appends take effect without an answer.
+    """
+
+    is_down: bool = False
+    is_busy: bool = False
+    slow_ms: int = 0
+    lose_next_answers: int = 0
+
+
+class MetadataStore(base.StandIn[StoreFaults]):
+    """The stand-in of the store; a context manager.
+
+    Attributes:
+      log: The topics.
+      calls: How many calls came.
+    """
+
+    def __init__(
+        self,
+        address: str = "127.0.0.1",
+        port: int = 0,
+        faults: StoreFaults | None = None,
+    ) -> None:
+        """Prepares an empty store on an address."""
+        super().__init__(faults or StoreFaults(), address, port)
+        self.log = keyed_log.KeyedLog()
+        self.calls = 0
+        self._appended: dict[str, asyncio.Event] = {}
+
+    async def handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers a call."""
+        self.calls += 1
+        if self.faults.slow_ms:
+            await asyncio.sleep(self.faults.slow_ms / 1000)
+        if self.faults.is_down:
+            raise http_server.ClientDisconnectedError
+        if self.faults.is_busy:
+            await responder.send(503, b"")
+            return
+        match (request.method, request.path):
+            case ("POST", "/v1/log-append"):
+                await self._append(request, responder)
+            case ("GET", "/v1/log-read"):
+                await self._read(request.query, responder)
+            case ("GET", "/v1/log-newest"):
+                await self._read_newest(request.query, responder)
+            case _:
+                await responder.send(404, b"")
+
+    async def handle_action(
+        self, name: str, body: dict[str, Any]
+    ) -> faults_lib.Findings | None:
+        """Writes a record in another's name, or forgets the history."""
+        match name:
+            case "put":
+                value = body.get("value")
+                encoded = None if value is None else json.dumps(value).encode()
+                self.put(str(body["topic"]), str(body["key"]), encoded)
+                return ()
+            case "forget":
+                self.log.open(str(body["topic"])).forget_history()
+                return ()
+            case _:
+                return None
+
+    def put(self, topic: str, key: str, value: bytes | None) -> None:
+        """Writes a record as the operator or an upstream would."""
+        self.log.open(topic).append((shared_log.KeyedRecord(key, value),))
+        self._find_event(topic).set()
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the ends of all topics."""
+        ends = {name: topic.end for name, topic in self.log.topics.items()}
+        return {"calls": self.calls, "ends": ends}
+
+    async def _append(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers an append."""
+        query = request.query
+        topic = query["topic"]
+        if topic in _FOREIGN_TOPICS:
+            await responder.send(403, b"")
+            return
+        stamp = None
+        if "producer" in query:
+            stamp = shared_log.ProducerStamp(
+                query["producer"], int(query["epoch"]), int(query["sequence"])
+            )
+        at_offset = int(query["at"]) if "at" in query else None
+        records = tuple(_decode_records(request.body))
+        result = self.log.open(topic).append(records, stamp, at_offset)
+        self._find_event(topic).set()
+        if self.faults.lose_next_answers > 0:
+            left = self.faults.lose_next_answers - 1
+            self.faults = attrs.evolve(self.faults, lose_next_answers=left)
+            raise http_server.ClientDisconnectedError
+        status, fields = _describe_append(result)
+        await responder.send(status, json.dumps(fields).encode())
+
+    async def _read(
+        self, query: dict[str, str], responder: http_server.HttpResponder
+    ) -> None:
+        """Answers a read, waiting for a record if asked to."""
+        topic = self.log.open(query["topic"])
+        offset = int(query["source"])
+        wait_ms = min(int(query.get("waitMs", 0)), _MAX_WAIT_MS)
+        if wait_ms and offset >= topic.end:
+            event = self._find_event(query["topic"])
+            event.clear()
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await event.wait()
+            except TimeoutError:
+                pass
+        result = topic.read(offset)
+        if isinstance(result, shared_log.HistoryGone):
+            body = json.dumps({"startOffset": topic.first}).encode()
+            await responder.send(410, body)
+            return
+        assert isinstance(result, shared_log.ReadRecords)
+        payload = _ENDS.pack(topic.end, topic.first)
+        payload += b"".join(map(_encode_record, result.records))
+        await responder.send(200, payload, "application/octet-stream")
+
+    async def _read_newest(
+        self, query: dict[str, str], responder: http_server.HttpResponder
+    ) -> None:
+        """Answers with one page of the newest records."""
+        newest = self.log.open(query["topic"]).read_newest()
+        after = query.get("after", "")
+        records = sorted(
+            (record for record in newest.records if record.key > after),
+            key=lambda record: record.key,
+        )
+        page = records[:_PAGE_ENTRIES]
+        fields = {
+            "entries": [
+                {
+                    "key": record.key,
+                    "value": base64.b64encode(record.value or b"").decode(),
+                    "offset": record.offset,
+                }
+                for record in page
+            ],
+            "hasMore": len(records) > len(page),
+            "endOffset": newest.next_offset,
+        }
+        await responder.send(200, json.dumps(fields).encode())
+
+    def _find_event(self, topic: str) -> asyncio.Event:
+        """Returns the event that an append to a topic sets."""
+        return self._appended.setdefault(topic, asyncio.Event())
+
+
+def _describe_append(
+    result: shared_log.AppendResult,
+) -> tuple[int, dict[str, Any]]:
+    """Returns the status and fields that tell the outcome of an append."""
+    match result:
+        case shared_log.Appended(end_offset):
+            return 200, {"endOffset": end_offset}
+        case shared_log.ConditionFailed(end_offset):
+            return 412, {"endOffset": end_offset}
+        case shared_log.Fenced():
+            return 409, {"reason": "fenced"}
+        case shared_log.WrongSequence(expected):
+            return 409, {"reason": "seq", "sequence": expected}
+        case shared_log.LogUnavailable():
+            return 503, {}
+
+
+def _decode_records(body: bytes) -> list[shared_log.KeyedRecord]:
+    """Reads the records of an append."""
+    records = []
+    position = 0
+    while position < len(body):
+        (size,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        content = body[position : position + size]
+        position += size
+        key_end = 1 + content[0]
+        key = content[1:key_end].decode()
+        records.append(shared_log.KeyedRecord(key, content[key_end:] or None))
+    return records
+
+
+def _encode_record(record: shared_log.KeyedRecord) -> bytes:
+    """Returns a record as it is read."""
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + (record.value or b"")
+    return _LENGTH.pack(len(content)) + content
+
+
+def run_metadata_store(*, listen: str = "127.0.0.1:9100") -> None:
+    """Run a stand-in of the users' metadata store.
+
+    Args:
+      listen: The ip:port to listen on; port 0 takes a free one.
+    """
+    address = base.parse_listen(listen)
+    base.run_until_signal(MetadataStore(address.ip, address.port))
--- /dev/null
+++ b/redwingchute/standin/runner.py
@@ -0,0 +1,263 @@
+"""A stand-in of the users' runners: model runners and plain ones.
+
+A request with a token usage is answered with a stream of events, any other
+one with a body. Each run is recorded, so that a test can count the runs of one
+request. The runner keeps an entry in the stand-in of the store.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+from typing import Any
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
+from redwingchute.standin import base
+
+_HEARTBEAT_S = 1.2
+_PUT_TIMEOUT_MS = 1_000
+
+
+@attrs.frozen
+class RunnerFaults:
+    """The faults of a runner.
+
+    Attributes:
+      is_full: Requests are turned away without being run.
+      fail_runs: Runs end with status 500.
+      break_after_events: Streams are cut after so many events; -1 for never.
+      lose_answers: Requests are run and get no answer.
+      wrong_id: Answers carry the id of another request.
+      event_ms: The time between two events.
+      work_ms: The time of a plain request.
+    """
+
+    is_full: bool = False
+    fail_runs: bool = False
+    break_after_events: int = attrs.field(default=-1, metadata={"minimum": -1})
+    lose_answers: bool = False
+    wrong_id: bool = False
+    event_ms: int = 5
+    work_ms: int = 5
+
+
+@attrs.frozen
+class RunnerRun:
+    """One request that the runner began to work on.
+
+    Attributes:
+      request_id: The request's id.
+      account: The client account that it was told of.
+      target: Path and query.
+      resumed_after: The event after which a stream went on, or None.
+      headers: All headers that came.
+    """
+
+    request_id: str
+    account: str
+    target: str
+    resumed_after: int | None
+    headers: dict[str, str]
+
+
+class Runner(base.StandIn[RunnerFaults]):
+    """The stand-in of one runner; a context manager.
+
+    Attributes:
+      runner_id: Names this start of the runner.
+      service: The service that it serves.
+      runs: The requests that it began to work on.
+      arrivals: How many requests came.
+      cancelled: Runs whose caller went away.
+    """
+
+    def __init__(
+        self,
+        runner_id: str,
+        service: str,
+        address: str = "127.0.0.1",
+        port: int = 0,
+        faults: RunnerFaults | None = None,
+    ) -> None:
+        """Prepares a runner without runs."""
+        super().__init__(faults or RunnerFaults(), address, port)
+        self.runner_id = runner_id
+        self.service = service
+        self.runs: list[RunnerRun] = []
+        self.arrivals = 0
+        self.cancelled = 0
+
+    def make_entry(self, state: str = "ready") -> dict[str, Any]:
+        """Returns the runner's entry in the store."""
+        return {
+            "service": self.service,
+            "address": f"{self.address}:{self.port}",
+            "zone": "",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        }
+
+    async def handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers a request."""
+        if request.path == "/healthz":
+            await responder.send(
+                200, b"", headers=[("instance-id", self.runner_id)]
+            )
+            return
+        self.arrivals += 1
+        expected = request.headers.get("target-instance", self.runner_id)
+        if expected != self.runner_id:
+            await responder.send(
+                421, b"", headers=[("instance-id", self.runner_id)]
+            )
+            return
+        if self.faults.is_full:
+            await responder.send(503, b"", headers=[("not-executed", "1")])
+            return
+        resumed_after = request.headers.get("last-event-id")
+        run = RunnerRun(
+            request.headers.get("attempt-id", ""),
+            request.headers.get("tenant", ""),
+            request.target,
+            None if resumed_after is None else int(resumed_after),
+            request.headers,
+        )
+        self.runs.append(run)
+        try:
+            await self._answer(request, run, responder)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    def describe(self) -> dict[str, Any]:
+        """Returns what was run."""
+        runs = [
+            {"request_id": run.request_id, "account": run.account}
+            for run in self.runs
+        ]
+        return {"arrivals": self.arrivals, "runs": runs}
+
+    async def _answer(
+        self,
+        request: http_server.HttpRequest,
+        run: RunnerRun,
+        responder: http_server.HttpResponder,
+    ) -> None:
+        """Runs a request and answers it."""
+        if self.faults.lose_answers:
+            raise http_server.ClientDisconnectedError
+        echoed = "another" if self.faults.wrong_id else run.request_id
+        headers = [
+            ("attempt-id", echoed),
+            ("runner-signature", make_signature(self.runner_id, request.body)),
+        ]
+        if self.faults.fail_runs:
+            await responder.send(500, b"failed", headers=headers)
+            return
+        tokens = request.headers.get("token-usage")
+        if tokens is None:
+            await asyncio.sleep(self.faults.work_ms / 1000)
+            body = b"ran " + request.target.encode()
+            await responder.send(200, body, "text/plain", headers)
+            return
+        headers.append(("content-type", "text/event-stream"))
+        await responder.start(200, headers)
+        first = 0 if run.resumed_after is None else run.resumed_after + 1
+        for number in range(first, int(tokens.partition(",")[2])):
+            if number - first == self.faults.break_after_events:
+                raise http_server.ClientDisconnectedError
+            await responder.send_chunk(make_event(number))
+            await asyncio.sleep(self.faults.event_ms / 1000)
+        await responder.finish()
+
+
+def make_event(number: int) -> bytes:
+    """Returns one event of a stream."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+
+def make_signature(runner_id: str, body: bytes) -> str:
+    """Returns what an answer is signed with."""
+    return hashlib.sha256(runner_id.encode() + body).hexdigest()[:16]
+
+
+async def serve_runner(runner: Runner, store: http_client.Address) -> None:
+    """Serves until SIGTERM and keeps the runner's entry in the store.
+
+    Args:
+      runner: The runner.
+      store: Where the stand-in of the store is.
+    """
+    async with http_client.ClientPool() as pool, runner:
+        print(f"listening on {runner.address}:{runner.port}", flush=True)
+        beating = asyncio.ensure_future(_keep_entry(runner, pool, store))
+        await base.wait_for_signal()
+        beating.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await beating
+        await _put_entry(runner, pool, store, None)
+
+
+async def _keep_entry(
+    runner: Runner, pool: http_client.ClientPool, store: http_client.Address
+) -> None:
+    """Writes the runner's entry again and again."""
+    while True:
+        await _put_entry(runner, pool, store, runner.make_entry())
+        await asyncio.sleep(_HEARTBEAT_S)
+
+
+async def _put_entry(
+    runner: Runner,
+    pool: http_client.ClientPool,
+    store: http_client.Address,
+    value: dict[str, Any] | None,
+) -> None:
+    """Writes or removes the runner's entry."""
+    body = {"topic": "keyed.servers", "key": runner.runner_id, "value": value}
+    await pool.fetch(
+        store,
+        "POST",
+        "/control/put",
+        [("content-type", "application/json")],
+        json.dumps(body).encode(),
+        _PUT_TIMEOUT_MS,
+    )
+
+
+def run_runner(
+    *,
+    store: str,
+    service: str,
+    name: str = "runner-1",
+    listen: str = "127.0.0.1:0",
+    event_ms: int = 20,
+) -> None:
+    """Run a stand-in of one of the users' runners.
+
+    Args:
+      store: The ip:port of the stand-in of the metadata store.
+      service: The service that the runner serves.
+      name: Names this start of the runner.
+      listen: The ip:port to listen on; port 0 takes a free one.
+      event_ms: The time between two events of a stream.
+    """
+    address = base.parse_listen(listen)
+    runner = Runner(
+        name,
+        service,
+        address.ip,
+        address.port,
+        RunnerFaults(event_ms=event_ms),
+    )
+    asyncio.run(serve_runner(runner, http_client.Address.parse(store)))
--- /dev/null
+++ b/redwingchute/testing/gateway_rig.py
@@ -0,0 +1,293 @@
+"""Gateways with stand-ins of the store and of runners, on loopback."""
+
+import asyncio
+import contextlib
+import json
+import socket
+from types import TracebackType
+from typing import Any
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.platform import main as platform_main
+from redwingchute.process import gateway
+from redwingchute.process import gateway_settings
+from redwingchute.standin import metadata_store
+from redwingchute.standin import runner
+
+KEY = "key-1"
+ACCOUNT = "yield"
+_ADDRESS = "127.0.0.1"
+_READY_TRIES = 200
+_READY_PAUSE_S = 0.02
+
+
+def make_document(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Returns a configuration document with one route of each kind."""
+
+    def make_route(name: str, kind: str, service: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": "a.example",
+            "pathPrefix": f"/{name}/",
+            "type": kind,
+            "timeoutMs": 2_000,
+            "targetLatencyMs": 300,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 2 if name in ("lookup", "summary") else 1,
+            "public": name == "open",
+            "resumable": name == "summary",
+        }
+
+    document = {
+        "version": version,
+        "routes": [
+            make_route("lookup", "idempotent", "ledger"),
+            make_route("open", "idempotent", "ledger"),
+            make_route("post", "non_idempotent", "ledger"),
+            make_route("draft", "streaming", "llm"),
+            make_route("summary", "streaming", "llm"),
+        ],
+        "services": [
+            {"name": "ledger", "maxConnections": 10},
+            {
+                "name": "llm",
+                "maxConnections": 10,
+                "inferenceEngine": {"stride": 5, "slots": 8},
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 4_194_304,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [{"name": ACCOUNT, "apiKeys": [KEY], "reserved": 10_000}],
+    }
+    return {**document, **changes}
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got.
+
+    Attributes:
+      status: The HTTP status; 0 when the answer was cut or none came.
+      headers: The headers by name.
+      body: What came of the body.
+      is_whole: Whether the answer ended as it should.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+class GatewayRig:
+    """A store, runners and gateways; a context manager that owns them.
+
+    Attributes:
+      store: The stand-in of the store.
+      runners: The stand-ins of runners by their ids.
+      gateways: The gateways.
+    """
+
+    def __init__(
+        self, gateway_count: int = 1, document: dict[str, Any] | None = None
+    ) -> None:
+        """Prepares the parts.
+
+        Args:
+          gateway_count: How many gateways to start.
+          document: The configuration; one route of each kind by default.
+        """
+        self.store = metadata_store.MetadataStore()
+        self.runners: dict[str, runner.Runner] = {}
+        self.gateways: list[gateway.Gateway] = []
+        self._gateway_count = gateway_count
+        self._document = document or make_document()
+        self._stack = contextlib.AsyncExitStack()
+        self._pool = http_client.ClientPool()
+        self._request_count = 0
+        self._callers: list[http_client.ClientConnection] = []
+
+    async def __aenter__(self) -> "GatewayRig":
+        """Starts all parts; two runners for each service."""
+        await self._stack.enter_async_context(self._pool)
+        await self._stack.enter_async_context(self.store)
+        for runner_id, service in (
+            ("l-1", "ledger"),
+            ("l-2", "ledger"),
+            ("m-1", "llm"),
+            ("m-2", "llm"),
+        ):
+            await self.start_runner(runner_id, service)
+        self.publish(self._document)
+        for number in range(1, self._gateway_count + 1):
+            await self._start_gateway(f"huon-{number}")
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops all parts."""
+        await self._stack.aclose()
+
+    def publish(self, document: dict[str, Any]) -> None:
+        """Publishes a configuration as the operator does."""
+        encoded = json.dumps(document).encode()
+        self.store.put("keyed.op", "config", encoded)
+
+    async def start_runner(self, runner_id: str, service: str) -> runner.Runner:
+        """Starts a runner and lists it."""
+        started = runner.Runner(runner_id, service)
+        await self._stack.enter_async_context(started)
+        self.runners[runner_id] = started
+        self.list_runner(runner_id)
+        return started
+
+    def list_runner(self, runner_id: str, state: str = "ready") -> None:
+        """Writes a runner's entry."""
+        entry = self.runners[runner_id].make_entry(state)
+        encoded = json.dumps(entry).encode()
+        self.store.put("keyed.servers", runner_id, encoded)
+
+    def set_faults(self, runner_ids: str, **faults: Any) -> None:
+        """Sets faults of all runners whose ids begin so."""
+        for runner_id, found in self.runners.items():
+            if runner_id.startswith(runner_ids):
+                found.faults = attrs.evolve(found.faults, **faults)
+
+    def list_runs(self, runner_ids: str = "") -> list[runner.RunnerRun]:
+        """Returns what the runners ran whose ids begin so."""
+        return [
+            run
+            for runner_id, found in self.runners.items()
+            if runner_id.startswith(runner_ids)
+            for run in found.runs
+        ]
+
+    async def ask(
+        self,
+        path: str,
+        body: bytes = b"",
+        gateway_number: int = 0,
+        **headers: str,
+    ) -> Answer:
+        """Sends a caller's request and takes what comes.
+
+        Args:
+          path: Path and query.
+          body: The body; without one the method is GET.
+          gateway_number: Which gateway gets it.
+          **headers: More headers; underscores stand for hyphens.
+        """
+        self._request_count += 1
+        all_headers = {
+            "attempt-id": f"{self._request_count:016x}",
+            "authorization": f"Bearer {KEY}",
+            "deadline-ms": "2000",
+        }
+        for name, value in headers.items():
+            all_headers[name.replace("_", "-")] = value
+        listen = self.gateways[gateway_number].settings.listen
+        connection = await self._pool.acquire(listen)
+        assert isinstance(connection, http_client.ClientConnection)
+        self._callers.append(connection)
+        await connection.send_request(
+            "POST" if body else "GET",
+            path,
+            list(all_headers.items()),
+            body,
+            host="a.example",
+        )
+        answer = await _read_answer(connection)
+        self._pool.release(connection)
+        return answer
+
+    async def generate(
+        self, path: str, prompt_tokens: int, output_tokens: int
+    ) -> Answer:
+        """Sends a request for a model."""
+        return await self.ask(
+            path,
+            b"prompt",
+            token_usage=f"{prompt_tokens},{output_tokens}",
+            prompt_prefix=f"aa:{prompt_tokens}",
+            model="m",
+        )
+
+    async def close_callers(self) -> None:
+        """Closes the connections of all callers."""
+        for connection in self._callers:
+            connection.close()
+        self._callers.clear()
+
+    async def _start_gateway(self, host_name: str) -> None:
+        """Starts a gateway and waits until it is ready."""
+        ports = _find_free_ports(4)
+        addresses = [http_client.Address(_ADDRESS, port) for port in ports]
+        settings = gateway_settings.GatewaySettings(
+            host_name=host_name,
+            zone="huon",
+            listen=addresses[0],
+            ready_listen=addresses[1],
+            peer_listen=addresses[2],
+            metrics_listen=addresses[3],
+            log_address=http_client.Address(_ADDRESS, self.store.port),
+            fleet_key=b"fleet-key",
+            retry_slack=50.0,
+        )
+        pool = await self._stack.enter_async_context(http_client.ClientPool())
+        started = gateway.Gateway(
+            settings,
+            platform_main.make_ports(pool, settings.log_address),
+            pool,
+        )
+        await self._stack.enter_async_context(started)
+        self.gateways.append(started)
+        for _ in range(_READY_TRIES):
+            if await self.is_ready(started):
+                return
+            await asyncio.sleep(_READY_PAUSE_S)
+        raise TimeoutError(f"{host_name} did not get ready")
+
+    async def is_ready(self, asked: gateway.Gateway) -> bool:
+        """Asks a gateway as the balancer does."""
+        fetched = await self._pool.fetch(
+            asked.settings.ready_listen, "GET", "/v1/readyz", [], b"", 1_000
+        )
+        return isinstance(fetched, http_client.Fetched) and (
+            fetched.status == 200
+        )
+
+
+async def _read_answer(connection: http_client.ClientConnection) -> Answer:
+    """Reads an answer as far as it comes."""
+    head = await connection.read_head()
+    if isinstance(head, http_client.ExchangeBroken):
+        return Answer(0, {}, b"", False)
+    body = b""
+    while True:
+        match await connection.read_chunk():
+            case http_client.BodyChunk(chunk):
+                body += chunk
+            case http_client.BodyEnd():
+                return Answer(head.status, head.headers, body, True)
+            case http_client.ExchangeBroken():
+                return Answer(head.status, head.headers, body, False)
+
+
+def _find_free_ports(count: int) -> list[int]:
+    """Returns ports that are free on loopback."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for found in sockets:
+            found.bind((_ADDRESS, 0))
+        return [found.getsockname()[1] for found in sockets]
--- /dev/null
+++ b/scripts/demo_platform.sh
@@ -0,0 +1,132 @@
+#!/bin/sh
+# Shows the routers of the users' hosts on loopback: stand-ins of the metadata
+# store and of runners, and two gateways. Exits with 0, or with the failing
+# step's status. Leaves nothing running.
+set -eu
+
+WORK=$(mktemp -d)
+PIDS=""
+STEP="start"
+
+stop_all() {
+  status=$?
+  for pid in $PIDS; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in $PIDS; do wait "$pid" 2>/dev/null || true; done
+  if [ "$status" -ne 0 ]; then
+    echo "FAILED in step: $STEP (status $status)" >&2
+    tail -n 20 "$WORK"/*.err "$WORK"/*.out >&2 || true
+  fi
+  rm -rf "$WORK"
+  exit "$status"
+}
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+say() { STEP="$1"; printf '\n== %s\n' "$1"; }
+
+# Starts a stand-in and waits for its `listening on` line.
+start() {
+  name=$1
+  shift
+  "$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
+  PIDS="$PIDS $!"
+  retry grep -q 'listening on' "$WORK/$name.out"
+}
+address_of() { sed -n 's/^listening on \([0-9.:]*\).*$/\1/p' "$WORK/$1.out" | head -1; }
+
+# Runs a command until it succeeds, for at most 30 seconds.
+retry() {
+  tries=0
+  until "$@" >"$WORK/retry.log" 2>&1; do
+    tries=$((tries + 1))
+    if [ "$tries" -ge 150 ]; then cat "$WORK/retry.log" >&2; return 1; fi
+    sleep 0.2
+  done
+}
+expect() { grep -q -- "$1" "$2" || { echo "expected '$1' in:"; cat "$2"; return 1; }; }
+
+# Starts a gateway on its own loopback address, as the platform would.
+start_gateway() {
+  name=$1
+  ip=$2
+  cat >"$WORK/$name.conf" <<SETTINGS
+nodeName=$name
+ip=$ip
+zone=$3
+listen.frontend=$ip:8227
+listen.ready=$ip:8220
+internalPorts=7340,7355
+bounds.graceS=8
+bounds.retrySlack=50
+platform.address=$STORE
+SETTINGS
+  REDWINGCHUTE_CONFIG="$WORK/$name.conf" redwingchute gateway \
+    >"$WORK/$name.out" 2>"$WORK/$name.err" &
+  PIDS="$PIDS $!"
+  eval "PID_$3=$!"
+}
+
+# Sends a request for 400 tokens of input and 8 of output.
+generate() {
+  curl -sS --max-time 5 -o "$2" -w '%{http_code}\n' -X POST -d prompt \
+    -H 'Host: demo.example' -H "Attempt-Id: $3" -H 'Deadline-Ms: 4000' \
+    -H 'Authorization: Bearer demo-key' -H 'Model: m' \
+    -H 'Token-Usage: 400,8' -H 'Prompt-Prefix: aa:300,bb:100' \
+    "http://$1:8227/draft/sheet"
+}
+
+say "start the stand-ins: metadata store, two model runners"
+start store redwingchute stand-in metadata-store --listen 127.0.0.1:0
+STORE=$(address_of store)
+for number in 1 2; do
+  start "runner$number" redwingchute stand-in runner --store "$STORE" \
+    --service llm --name "runner-$number"
+done
+
+say "publish a configuration: one account with 1,300 prepaid tokens"
+curl -sS --max-time 5 -o /dev/null -X POST "http://$STORE/control/put" -d '{
+  "topic": "keyed.op", "key": "config", "value": {
+    "version": 1,
+    "routes": [{"name": "draft", "host": "demo.example",
+      "pathPrefix": "/draft/", "type": "streaming", "timeoutMs": 4000,
+      "targetLatencyMs": 800, "service": "llm", "maxAttempts": 1}],
+    "services": [{"name": "llm", "inferenceEngine": {"stride": 1}}],
+    "tenants": [{"name": "drafts", "apiKeys": ["demo-key"],
+      "reserved": 1300}]}}'
+
+say "start a gateway in each of two availability zones"
+start_gateway huon-1 127.0.0.11 huon
+start_gateway bruny-1 127.0.0.12 bruny
+for ip in 127.0.0.11 127.0.0.12; do
+  retry curl -fsS --max-time 2 "http://$ip:8220/v1/readyz"
+done
+
+say "a stream through each gateway"
+generate 127.0.0.11 "$WORK/first" 1 >"$WORK/status"
+expect '^200$' "$WORK/status"
+expect 'data: token 7' "$WORK/first"
+generate 127.0.0.12 "$WORK/second" 2 >"$WORK/status"
+expect '^200$' "$WORK/status"
+cat "$WORK/second"
+
+say "a third needs the tokens of both gateways"
+generate 127.0.0.11 "$WORK/third" 3 >"$WORK/status"
+expect '^200$' "$WORK/status"
+
+say "the account is spent: 1,224 of 1,300 tokens"
+generate 127.0.0.12 "$WORK/fourth" 4 >"$WORK/status"
+expect '^402$' "$WORK/status"
+cat "$WORK/fourth"
+echo
+
+say "a gateway is killed; the other still knows what was spent"
+kill -KILL "$PID_huon"
+generate 127.0.0.12 "$WORK/fifth" 5 >"$WORK/status"
+expect '^\(402\|503\)$' "$WORK/status"
+
+say "metrics and decisions of the gateway that is left"
+curl -fsS --max-time 2 http://127.0.0.12:9464/metrics | grep '^requests_total'
+expect '"event":"charge_refused"' "$WORK/bruny-1.out"
+grep '"event":"request_ended"' "$WORK/bruny-1.out" | head -1
+
+say "done"
