Lose fewer prepaid tokens with a killed router; stop without late requests

At SIGTERM open connections end between requests at once, streams have until shortly before the kill, and none is taken with less than 5 s left.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -324,6 +324,12 @@
             return ConnectFailed(str(error) or "connecting timed out")
         return ClientConnection(address, reader, writer)
 
+    def count_idle(self, address: Address) -> int:
+        """Returns how many connections to an address wait to be reused."""
+        return sum(
+            connection.is_quiet() for connection in self._idle.get(address, ())
+        )
+
     def release(self, connection: ClientConnection) -> None:
         """Takes a connection back; closes it unless it ended cleanly."""
         idle = self._idle.setdefault(connection.address, [])
--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -191,7 +191,8 @@
         self._limits = limits or ServerLimits()
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
-        self._idle: set[asyncio.StreamWriter] = set()
+        # Connections without a request, and since when on the loop's clock.
+        self._idle: dict[asyncio.StreamWriter, float] = {}
         self._is_draining = False
         self.port = port
         self.open_exchanges = 0
@@ -231,10 +232,16 @@
         """
         self._is_draining = True
 
-    def close_idle(self) -> None:
-        """Closes connections on which no request is being received."""
-        for writer in list(self._idle):
-            writer.close()
+    def close_idle(self, idle_s: float = 0.0) -> None:
+        """Closes connections on which no request is being received.
+
+        Args:
+          idle_s: Spares those that are idle for a shorter time.
+        """
+        latest_s = asyncio.get_running_loop().time() - idle_s
+        for writer, since_s in list(self._idle.items()):
+            if since_s <= latest_s:
+                writer.close()
 
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -252,7 +259,7 @@
             pass
         finally:
             self._connections.discard(task)
-            self._idle.discard(writer)
+            self._idle.pop(writer, None)
             writer.close()
 
     async def _serve_requests(
@@ -374,7 +381,7 @@
     ) -> bytes | None:
         """Reads bytes; None when an idle connection should simply close."""
         if is_idle:
-            self._idle.add(writer)
+            self._idle[writer] = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(wait_ms / 1000):
                 return await reader.read(_READ_BYTES)
@@ -384,7 +391,7 @@
                     408, "the request did not arrive"
                 ) from None
         finally:
-            self._idle.discard(writer)
+            self._idle.pop(writer, None)
         # The limit may have been raised while the connection was idle.
         longer_ms = self._limits.idle_ms - wait_ms
         if longer_ms <= 0:
--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -23,7 +23,9 @@
       granted_tokens: The most that the host ever spends, until another row.
       ceiling_tokens: The most that it spends while its latest stamp is young;
         at most the grant.
-      spent_tokens: What it has surely spent.
+      spent_tokens: What it has spent.
+      unsure_tokens: The part of `spent_tokens` that only may be spent: a
+        former process ended without telling.
       demand_tokens_per_s: The rate at which it is asked for tokens.
     """
 
@@ -33,6 +35,7 @@
     ceiling_tokens: int
     spent_tokens: int
     demand_tokens_per_s: float
+    unsure_tokens: int = 0
 
 
 @attrs.frozen
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -48,7 +48,11 @@
 # How long a new process waits for its grants before it lets callers in.
 _MAX_GRANT_WAIT_MS = 3_000
 # What is left of the time for a planned stop to return the grants.
-_RETURN_S = 1.0
+_RETURN_S = 0.8
+# The process ends this long before it would be killed.
+_STOP_MARGIN_MS = 250
+# An open connection that is idle for so long has no request on its way.
+_STOP_IDLE_S = 0.3
 _STOP_POLL_S = 0.05
 
 
@@ -113,6 +117,7 @@
         self._quarantine = quarantine.Quarantine(settings.host_name)
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
         self._is_stopping = False
+        self._end_ms = 0
         self._started_ms = read_boot_ms()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._stack = contextlib.AsyncExitStack()
@@ -185,6 +190,7 @@
                 find_allowance=self._find_allowance,
                 quarantine=self._quarantine,
                 broadcast=self._broadcast,
+                find_time_left_ms=self._find_time_left_ms,
                 read_clock_ms=read_boot_ms,
                 note_outcome=self._note_outcome,
             )
@@ -238,14 +244,27 @@
             "stop_begins", open_requests=self._callers.open_exchanges
         )
         self._is_stopping = True
-        deadline_ms = read_boot_ms() + self.settings.stop_ms
-        deadline_ms -= int(1000 * _RETURN_S) + 500
-        await asyncio.sleep(_BALANCER_LAG_S)
+        started_ms = read_boot_ms()
+        self._end_ms = started_ms + self.settings.stop_ms - _STOP_MARGIN_MS
+        # Open connections end between requests; new ones may come until the
+        # balancer has noticed.
         self._callers.begin_drain()
-        while self._callers.open_exchanges and read_boot_ms() < deadline_ms:
+        while read_boot_ms() < self._end_ms - int(1000 * _RETURN_S):
+            self._callers.close_idle(_STOP_IDLE_S)
+            is_unseen = read_boot_ms() > started_ms + 1000 * _BALANCER_LAG_S
+            if is_unseen and not self._callers.open_exchanges:
+                break
             await asyncio.sleep(_STOP_POLL_S)
         self._callers.close_idle()
         await self._keeper.stop(_RETURN_S)
+        while self._callers.open_exchanges and read_boot_ms() < self._end_ms:
+            await asyncio.sleep(_STOP_POLL_S)
+
+    def _find_time_left_ms(self) -> int | None:
+        """Returns how long a request may still take; None without a stop."""
+        if not self._is_stopping:
+            return None
+        return max(0, self._end_ms - read_boot_ms())
 
     def _make_side_server(
         self, address: http_client.Address, handler: http_server.Handler
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -24,6 +24,8 @@
 # How long a request waits for its router's grant to be raised. An append takes
 # some ten milliseconds, and a few are needed when routers raise at once.
 _RAISE_WAIT_S = 0.12
+# How long a request waits while this process takes over its grants.
+_START_WAIT_S = 0.4
 # The same at a router that lends; below what the borrower waits for a reply.
 _LEND_WAIT_S = 0.08
 # How long another router may take to answer, connecting included.
@@ -37,6 +39,8 @@
 _EXPIRY_SLACK_MS = 10_000
 # How soon a refused caller may come back: grants move within a few ticks.
 _RETRY_AFTER_MS = 700
+# A repeat comes this much after the tokens are free.
+_RELEASE_SLACK_MS = 30
 # Ended charges are remembered so that late messages do not revive them.
 _MAX_ENDED = 4_096
 
@@ -137,18 +141,17 @@
         keeper = self._keeper
         grant = keeper.find_grant(account)
         grant.note_demand(tokens, self._read_clock_ms())
-        is_local = keeper.reserve(account, tokens)
-        if not is_local:
-            remaining = keeper.find_remaining(account, prepaid_tokens)
-            if tokens > remaining:
-                return self._refuse(request_id, account, tokens, is_fresh)
-            is_local = await keeper.wait_for_tokens(
-                account, tokens, _RAISE_WAIT_S
-            )
-        if is_local:
-            part = ChargePart(keeper.own_host, "", tokens)
-            return Charge(account, (part,))
-        charge = await self._gather(account, tokens, patience_ms)
+        if not keeper.has_planned:
+            await keeper.wait_until_started(_START_WAIT_S)
+        if keeper.reserve(account, tokens):
+            return self._make_local_charge(account, tokens)
+        remaining = keeper.find_remaining(account, prepaid_tokens)
+        if tokens > remaining:
+            return self._refuse(request_id, account, tokens, is_fresh)
+        own = await keeper.reserve_with_raise(account, tokens, _RAISE_WAIT_S)
+        if own == tokens:
+            return self._make_local_charge(account, tokens)
+        charge = await self._gather(account, tokens, own, patience_ms)
         if charge is not None:
             return charge
         remaining = keeper.find_remaining(account, prepaid_tokens)
@@ -201,19 +204,21 @@
         self._end_held(settlement.charge_id, settlement.spent_tokens)
         return prepaid.RemoteSettlementReply(settlement.charge_id)
 
+    def _make_local_charge(self, account: str, tokens: int) -> Charge:
+        """Returns a charge to this router's own grant."""
+        part = ChargePart(self._keeper.own_host, "", tokens)
+        return Charge(account, (part,))
+
     async def _lend(self, request: prepaid.RemoteCharge) -> int:
-        """Reserves what can be spared, raising the ceiling if need be."""
+        """Reserves what can be spared; raises the grant if the log answers."""
         if request.charge_id in self._held or request.charge_id in self._ended:
             return 0
         account, tokens = request.account, request.tokens
         if self._keeper.reserve(account, tokens):
             return tokens
-        lendable = min(tokens, self._keeper.find_grant(account).free_tokens)
-        if lendable > 0 and await self._keeper.wait_for_tokens(
-            account, lendable, _LEND_WAIT_S
-        ):
-            return lendable
-        return self._keeper.reserve_part(account, tokens)
+        return await self._keeper.reserve_with_raise(
+            account, tokens, _LEND_WAIT_S
+        )
 
     def _refuse(
         self, request_id: str, account: str, tokens: int, is_spent: bool
@@ -240,18 +245,30 @@
             503,
             "budget_out_of_reach",
             "The account's tokens are not within reach at the moment.",
-            _RETRY_AFTER_MS,
+            self._find_retry_after_ms(account, tokens),
         )
 
+    def _find_retry_after_ms(self, account: str, tokens: int) -> int:
+        """Returns when a refused caller may find its tokens here."""
+        release_ms = self._keeper.find_release_ms(account, tokens)
+        if release_ms is None:
+            return _RETRY_AFTER_MS
+        return release_ms + _RELEASE_SLACK_MS
+
     async def _gather(
-        self, account: str, tokens: int, patience_ms: int
+        self, account: str, tokens: int, own: int, patience_ms: int
     ) -> Charge | None:
-        """Reserves tokens here and at other routers until they suffice."""
-        own_host = self._keeper.own_host
+        """Reserves tokens at other routers until they suffice.
+
+        Args:
+          account: The client account that pays.
+          tokens: What the request needs.
+          own: What is reserved here already.
+          patience_ms: How long the caller waits for the answer.
+        """
         parts = []
-        own = self._keeper.reserve_part(account, tokens)
         if own:
-            parts.append(ChargePart(own_host, "", own))
+            parts.append(ChargePart(self._keeper.own_host, "", own))
         lacking = tokens - own
         is_complete = False
         try:
@@ -294,7 +311,10 @@
         return attrs.evolve(asked, tokens=reply.reserved_tokens)
 
     def _list_lenders(self, account: str) -> list[str]:
-        """Returns other routers, those with the most free tokens first."""
+        """Returns other routers, those with the most free tokens first.
+
+        One without free tokens may still reach the log and raise its grant.
+        """
         now_ms = self._read_clock_ms()
         free_tokens = {
             row.host: row.granted_tokens - row.spent_tokens
@@ -304,10 +324,9 @@
             stamp.host
             for stamp in self._keeper.fold.list_hosts()
             if stamp.host != self._keeper.own_host
-            and free_tokens.get(stamp.host, 0) > 0
             and self._paused_until_ms.get(stamp.host, 0) <= now_ms
         ]
-        return sorted(names, key=lambda name: -free_tokens[name])
+        return sorted(names, key=lambda name: -free_tokens.get(name, 0))
 
     def _pause(self, host: str) -> None:
         """Leaves a router alone that did not answer."""
--- a/redwingchute/process/prepaid/grant.py
+++ b/redwingchute/process/prepaid/grant.py
@@ -21,7 +21,8 @@
     Attributes:
       account: The client account.
       granted_tokens: The most that may ever be spent.
-      spent_tokens: What is spent for sure.
+      spent_tokens: What is counted as spent.
+      unsure_tokens: The part of it that a former process may not have spent.
       reserved_tokens: What open requests may still spend.
       largest_tokens: The largest request seen, fading slowly.
       row: The newest row that the log holds for sure, or None.
@@ -32,6 +33,7 @@
         self.account = account
         self.granted_tokens = 0
         self.spent_tokens = 0
+        self.unsure_tokens = 0
         self.reserved_tokens = 0
         self.largest_tokens = 0.0
         self.row: prepaid.GrantRow | None = None
@@ -90,6 +92,31 @@
             self.granted_tokens, max(granted_tokens, self.committed_tokens)
         )
 
+    def inherit(self, row: prepaid.GrantRow) -> None:
+        """Takes the tokens of the process before on this host.
+
+        All that it was granted counts as spent; what it spent for sure is in
+        its row.
+        """
+        self.granted_tokens = row.granted_tokens
+        self.spent_tokens = row.granted_tokens
+        sure_tokens = row.spent_tokens - row.unsure_tokens
+        self.unsure_tokens = row.granted_tokens - sure_tokens
+
+    def release_above_ceiling(self, row: prepaid.GrantRow) -> int:
+        """Takes back what a former process did not spend above its ceiling.
+
+        Args:
+          row: Its last row.
+
+        Returns:
+          The tokens that are free again.
+        """
+        released = row.granted_tokens - row.ceiling_tokens
+        self.spent_tokens -= released
+        self.unsure_tokens -= released
+        return released
+
     def note_sending(self, row: prepaid.GrantRow) -> None:
         """Obeys a row that is about to be appended and may get lost."""
         self.lower(row.granted_tokens)
@@ -111,30 +138,3 @@
         self._demand_ms = now_ms
         self._demand_tokens *= max(0.0, 1 - elapsed_ms / _DEMAND_WINDOW_MS)
         self.largest_tokens *= max(0.0, 1 - elapsed_ms / _LARGEST_MEMORY_MS)
-
-
-def is_young(stamp: prepaid.HostStamp, boot_ms: int, wall_ms: int) -> bool:
-    """Tells whether the ceilings of a host's rows still bound its process.
-
-    Both clocks have to agree: the boot clock does not count a loss of power,
-    and the time of day may jump.
-
-    Args:
-      stamp: The newest stamp of the host.
-      boot_ms: The time on the boot clock.
-      wall_ms: The time of day.
-    """
-    ages_ms = (boot_ms - stamp.boot_ms, wall_ms - stamp.wall_ms)
-    return all(0 <= age_ms < stamp.proof_ms for age_ms in ages_ms)
-
-
-def find_inherited_spending(
-    row: prepaid.GrantRow,
-    stamp: prepaid.HostStamp | None,
-    boot_ms: int,
-    wall_ms: int,
-) -> int:
-    """Returns what the process before on this host may have spent."""
-    if stamp is not None and is_young(stamp, boot_ms, wall_ms):
-        return row.ceiling_tokens
-    return row.granted_tokens
--- a/redwingchute/process/prepaid/grant_fold.py
+++ b/redwingchute/process/prepaid/grant_fold.py
@@ -53,7 +53,7 @@
 def _pick(record_type: type[Any], fields: dict[str, Any]) -> dict[str, Any]:
     """Returns the fields that a class knows; a newer release may add some."""
     names = [field.name for field in attrs.fields(record_type)]
-    return {name: fields[name] for name in names}
+    return {name: fields[name] for name in names if name in fields}
 
 
 class GrantFold:
--- a/redwingchute/process/prepaid/grant_keeper.py
+++ b/redwingchute/process/prepaid/grant_keeper.py
@@ -19,17 +19,20 @@
 from redwingchute.process.prepaid import grant as grant_lib
 from redwingchute.process.prepaid import grant_fold
 from redwingchute.process.prepaid import grant_planner
+from redwingchute.process.prepaid import succession
 
 TOPIC = "keyed.grants"
 
 # Stamps are written this often, and rows with them; well below the proof.
-_TICK_MS = 700
+_TICK_MS = 500
 # Others' rows are read this often when nothing is raised.
 _READ_PACE = keyed_follower.FollowPace(wait_ms=0, interval_ms=2_000)
 _RETRY_S = 0.15
 # Others start at the same time; their stamps say among how many to divide.
 _SETTLE_S = 0.5
 _MAX_CONDITION_TRIES = 6
+# Stamps that come later than this say nothing about the start any more.
+_MAX_PROOF_WAIT_MS = 4_000
 # Appends that a request waits for: the one in progress, its own, one more.
 _TURNS_WAITED = 3
 
@@ -107,6 +110,10 @@
         # The process before on this host ended before this one started.
         self._started_boot_ms = clocks.read_boot_ms()
         self._started_wall_ms = clocks.read_wall_ms()
+        self._stamp_before: prepaid.HostStamp | None = None
+        self._inherited: tuple[prepaid.GrantRow, ...] = ()
+        self._walls_before_ms: tuple[int, ...] = ()
+        self._stamped_hosts: set[str] = set()
         self._epoch = 0
         self._sequence = 0
         self._bound_until_ms = 0
@@ -137,22 +144,24 @@
             return available
         return 0
 
-    async def wait_for_tokens(
+    async def reserve_with_raise(
         self, account: str, tokens: int, timeout_s: float
-    ) -> bool:
-        """Raises the grant or its ceiling for a request that waits.
+    ) -> int:
+        """Reserves tokens, raising the grant or its ceiling if need be.
 
         Args:
           account: The client account.
-          tokens: What the request needs.
+          tokens: What a request needs.
           timeout_s: How long it may wait.
 
         Returns:
-          Whether the tokens are reserved now.
+          The tokens that are reserved; fewer than asked when this router
+          cannot get more.
         """
-        if not self.is_connected or not self.is_taken_over:
-            return False
-        self._wanted[account] = self._wanted.get(account, 0) + tokens
+        goal = min(tokens, self._find_reachable(account))
+        if goal <= 0 or not self.is_connected or not self.is_taken_over:
+            return self.reserve_part(account, tokens)
+        self._wanted[account] = self._wanted.get(account, 0) + goal
         try:
             async with asyncio.timeout(timeout_s):
                 # The first turn may have been planned before the request.
@@ -160,13 +169,24 @@
                     turn = self._turn
                     self._wake.set()
                     await turn.wait()
-                    if self.reserve(account, tokens):
-                        return True
+                    if self.reserve(account, goal):
+                        return goal
         except TimeoutError:
             pass
         finally:
-            self._wanted[account] -= tokens
-        return False
+            self._wanted[account] -= goal
+        return self.reserve_part(account, tokens)
+
+    def _find_reachable(self, account: str) -> int:
+        """Returns the most tokens that this router may get by an append.
+
+        What others granted since the last read can make it less.
+        """
+        grant = self.find_grant(account)
+        others = self.fold.sum_granted(account, besides=self.own_host)
+        prepaid_tokens = self._find_prepaid().get(account, 0)
+        room = prepaid_tokens - others - grant.committed_tokens
+        return max(grant.free_tokens, room)
 
     def find_remaining(self, account: str, prepaid_tokens: int) -> int:
         """Returns the most that can be left of an account.
@@ -175,11 +195,15 @@
         account is empty which is not.
         """
         spent = sum(
-            max(row.spent_tokens, self._told_spent.get((account, row.host), 0))
+            max(
+                row.spent_tokens - row.unsure_tokens,
+                self._told_spent.get((account, row.host), 0),
+            )
             for row in self.fold.list_rows(account)
             if row.host != self.own_host
         )
-        own = self.find_grant(account).committed_tokens
+        grant = self.find_grant(account)
+        own = grant.committed_tokens - grant.unsure_tokens
         return prepaid_tokens - spent - own
 
     def note_spent(self, account: str, host: str, spent_tokens: int) -> None:
@@ -203,6 +227,19 @@
                     self._wake.set()
                     await turn.wait()
 
+    def find_release_ms(self, account: str, tokens: int) -> int | None:
+        """Returns in how many ms the grant alone covers a request, or None."""
+        if tokens > self.find_grant(account).free_tokens:
+            return None
+        return max(0, self._bound_until_ms - self._clocks.read_boot_ms())
+
+    async def wait_until_started(self, timeout_s: float) -> None:
+        """Waits until this process has its grants, or for the time given."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not self.has_planned:
+                    await self._turn.wait()
+
     def _is_bound(self) -> bool:
         """Tells whether ceilings bind now."""
         return self._clocks.read_boot_ms() < self._bound_until_ms
@@ -214,6 +251,8 @@
             return
         self.fold.take(decoded)
         if isinstance(decoded, prepaid.HostStamp):
+            if self.is_taken_over:
+                self._stamped_hosts.add(decoded.host)
             self._note_host(decoded)
 
     def _make_stamp(self) -> prepaid.HostStamp:
@@ -244,26 +283,66 @@
             self._inherit(before)
             await self._append_first()
         # A stamp tells the others that this host takes part; theirs arrive.
-        await asyncio.sleep(_SETTLE_S)
+        if not self._inherited:
+            await asyncio.sleep(_SETTLE_S)
 
     def _inherit(self, before: prepaid.HostStamp | None) -> None:
         """Takes the counts of the process before on this host."""
-        for row in self.fold.list_own_rows(self.own_host):
-            grant = self.find_grant(row.account)
-            grant.granted_tokens = row.granted_tokens
-            grant.spent_tokens = grant_lib.find_inherited_spending(
-                row, before, self._started_boot_ms, self._started_wall_ms
-            )
+        self._inherited = self.fold.list_own_rows(self.own_host)
+        self._walls_before_ms = tuple(
+            stamp.wall_ms for stamp in self.fold.stamps.values()
+        )
+        for row in self._inherited:
+            self.find_grant(row.account).inherit(row)
+        self._stamp_before = before
+        if before is not None and succession.is_young_by_boot_clock(
+            before, self._started_boot_ms, self._started_wall_ms
+        ):
+            self._release_inherited("boot_clock")
+
+    def _release_inherited(self, proof: str) -> None:
+        """Counts as spent only what the former process can have spent."""
+        for row in self._inherited:
+            released = self.find_grant(row.account).release_above_ceiling(row)
             decision_log.log_event(
                 "grant_inherited",
                 account=row.account,
                 granted_tokens=row.granted_tokens,
                 recorded_tokens=row.spent_tokens,
-                counted_tokens=grant.spent_tokens,
-                stamp_age_ms=(
-                    self._started_boot_ms - before.boot_ms if before else None
-                ),
+                released_tokens=released,
+                proof=proof,
             )
+        self._inherited = ()
+
+    def _check_inherited(self) -> None:
+        """Looks for a proof in the stamps of other hosts, for a while."""
+        if not self._inherited or self._stamp_before is None:
+            return
+        walls_ms = [self._started_wall_ms]
+        walls_ms += [
+            stamp.wall_ms
+            for host, stamp in self.fold.stamps.items()
+            if host != self.own_host and host in self._stamped_hosts
+        ]
+        if succession.is_young_by_wall_clocks(
+            self._stamp_before, self._walls_before_ms, walls_ms
+        ):
+            self._release_inherited("wall_clocks")
+        elif self._age_ms() > _MAX_PROOF_WAIT_MS:
+            for row in self._inherited:
+                decision_log.log_event(
+                    "grant_inherited",
+                    account=row.account,
+                    granted_tokens=row.granted_tokens,
+                    recorded_tokens=row.spent_tokens,
+                    released_tokens=0,
+                    proof=None,
+                )
+            self._inherited = ()
+
+    def _age_ms(self) -> int:
+        """Returns how long this process runs."""
+        return self._clocks.read_boot_ms() - self._started_boot_ms
 
     async def _append_first(self) -> None:
         """Appends the first stamp and the inherited rows of this process."""
@@ -272,6 +351,7 @@
             attrs.evolve(
                 row,
                 spent_tokens=self.find_grant(row.account).spent_tokens,
+                unsure_tokens=self.find_grant(row.account).unsure_tokens,
                 ceiling_tokens=row.granted_tokens,
             )
             for row in self.fold.list_own_rows(self.own_host)
@@ -293,6 +373,7 @@
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._wake.wait(), _TICK_MS / 1000)
             self._wake.clear()
+            self._check_inherited()
             await self._run_turn()
             finished, self._turn = self._turn, asyncio.Event()
             finished.set()
@@ -415,6 +496,7 @@
                     granted_tokens=grant.granted_tokens,
                     ceiling_tokens=grant.granted_tokens,
                     spent_tokens=grant.spent_tokens,
+                    unsure_tokens=grant.unsure_tokens,
                     demand_tokens_per_s=0.0,
                 )
             )
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -20,6 +20,10 @@
 
     Attributes:
       placed_share: The part of what is left of an account that is placed.
+      horizon_ms: The demand that a grant covers at most while the log can be
+        reached; what is beyond it stays unplaced, since a host that dies out
+        of reach of the log takes its whole grant along.
+      horizon_least_share: The part of its share that a host gets at least.
       idle_weight: The demand that a host without requests counts with, as a
         part of the mean demand of all hosts.
       hysteresis_share: A grant is changed only when it is off by this part
@@ -34,9 +38,11 @@
     """
 
     placed_share: float = 0.85
+    horizon_ms: int = 15_000
+    horizon_least_share: float = 0.6
     idle_weight: float = 0.25
     hysteresis_share: float = 0.04
-    proof_ms: int = 4_000
+    proof_ms: int = 3_000
     ceiling_horizon_ms: int = 4_500
     idle_share: float = 0.1
     renewal_share: float = 0.25
@@ -82,7 +88,14 @@
     spent = fold.sum_spent(grant.account, besides=given.host)
     left = max(0, given.prepaid_tokens - spent - grant.spent_tokens)
     share = _find_demand_share(grant, fold, given, policy)
-    target = grant.committed_tokens + int(left * share * policy.placed_share)
+    placed = left * share * policy.placed_share
+    demand = grant.find_demand(given.boot_ms)
+    needed = max(
+        demand * policy.horizon_ms / 1000,
+        2 * grant.largest_tokens,
+        placed * policy.horizon_least_share,
+    )
+    target = grant.committed_tokens + int(min(placed, needed))
     target = max(target, grant.committed_tokens + given.wanted_tokens)
     target = max(grant.committed_tokens, min(target, room))
     slack = left * policy.hysteresis_share
@@ -121,6 +134,7 @@
         ceiling_tokens=ceiling,
         spent_tokens=grant.spent_tokens,
         demand_tokens_per_s=round(demand, 1),
+        unsure_tokens=grant.unsure_tokens,
     )
 
 
--- a/redwingchute/process/prepaid/prepaid_machine_test.py
+++ b/redwingchute/process/prepaid/prepaid_machine_test.py
@@ -60,6 +60,20 @@
         self.world.run_for(seconds)
         self.world.start(host)
 
+    @stateful.rule(seconds=strategies.sampled_from((0, 1, 6)))
+    def lose_all_power(self, seconds: float) -> None:
+        for host in _HOSTS:
+            self.world.lose_power(host)
+        self.world.run_for(seconds)
+        for host in _HOSTS:
+            self.world.start(host)
+
+    @stateful.rule(
+        host=_HOST, shift_ms=strategies.sampled_from((-2_000, 0, 2_000))
+    )
+    def step_one_clock(self, host: str, shift_ms: int) -> None:
+        self.world.wall_shifts_ms = {host: shift_ms}
+
     @stateful.rule(host=_HOST)
     def kill_for_good(self, host: str) -> None:
         self.world.kill(host)
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -32,6 +32,9 @@
 _DEFAULT_PATIENCE_MS = 30_000
 # Upstreams that are tried when connections cannot be opened.
 _MAX_CONNECT_TRIES = 4
+# A process that stops takes no more streams when it has less time than this:
+# most have ended by then.
+_MIN_STREAM_MS = 5_000
 # How soon a refused caller may come back when nothing better is known.
 _RETRY_AFTER_MS = 500
 # Statuses that promise that a request did not run; an upstream's own answer
@@ -71,6 +74,8 @@
       find_allowance: Returns the repeats allowed at a service.
       quarantine: The requests that crashed upstreams.
       broadcast: Tells other routers of a crash, best effort.
+      find_time_left_ms: Returns how long the process still runs; None while
+        it is not told to stop.
       read_clock_ms: Returns the time on a steady clock.
       note_outcome: Counts an ended request by its outcome and time.
     """
@@ -84,6 +89,7 @@
     find_allowance: Callable[[str], retry_allowance.RetryAllowance]
     quarantine: quarantine.Quarantine
     broadcast: Callable[[requesting.CrashNotice], None]
+    find_time_left_ms: Callable[[], int | None]
     read_clock_ms: Callable[[], int]
     note_outcome: Callable[[str, int], None]
 
@@ -196,6 +202,10 @@
                 return self._refuse_unless_fresh(
                     outcomes.NotRun(401, "unknown_key", "The key is unknown.")
                 )
+        if self._would_outlive_process(route):
+            return outcomes.NotRun(
+                503, "stopping", "This router is about to stop.", 0
+            )
         patience_ms = min(
             request.patience_ms or _DEFAULT_PATIENCE_MS, route.timeout_ms
         )
@@ -211,6 +221,15 @@
             deadline_s=asyncio.get_running_loop().time() + patience_ms / 1000,
         )
 
+    def _would_outlive_process(self, route: forwarding.Route) -> bool:
+        """Tells whether a request may still run when the process ends."""
+        left_ms = self._parts.find_time_left_ms()
+        if left_ms is None:
+            return False
+        if route.kind is forwarding.RequestKind.STREAMING:
+            return left_ms < _MIN_STREAM_MS
+        return left_ms < route.timeout_ms
+
     def _refuse_unless_fresh(self, refusal: outcomes.NotRun) -> outcomes.NotRun:
         """Returns a refusal that stands only if the version is the newest."""
         if self._parts.is_fresh():
@@ -468,6 +487,8 @@
                     responder,
                     route=plan.route.name,
                     upstream=progress.upstream_id,
+                    account=plan.account.name if plan.account else None,
+                    spent_tokens=_count_spent_tokens(plan, progress),
                 )
 
     async def _refuse(
@@ -476,7 +497,7 @@
         request_id: str | None,
         arrived_ms: int,
         responder: http_server.HttpResponder,
-        **context: str,
+        **context: object,
     ) -> None:
         """Answers a request with a refusal of the system's own."""
         elapsed_ms = self._parts.read_clock_ms() - arrived_ms
@@ -513,6 +534,7 @@
             upstream=progress.upstream_id,
             sends=progress.sends,
             events=progress.relay.event_count,
+            spent_tokens=_count_spent_tokens(plan, progress),
             outcome=outcome,
             elapsed_ms=elapsed_ms,
         )
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -246,6 +246,25 @@
     _run(scenario)
 
 
+def test_no_request_is_taken_long_after_a_stop_began() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        assert (await rig.generate("/draft/x", 100, 2)).status == 200
+        rig.set_faults("m-", event_ms=300)
+        open_stream = asyncio.ensure_future(rig.generate("/draft/x", 100, 20))
+        while len(rig.list_runs()) < 2:
+            await asyncio.sleep(0.001)
+        stopping = asyncio.ensure_future(rig.gateways[0].stop())
+        await asyncio.sleep(3.2)
+        late = await rig.generate("/draft/x", 100, 2)
+        assert late.status == 503
+        assert _read_code(late) == "stopping"
+        assert not rig.count_kept_callers()
+        open_stream.cancel()
+        stopping.cancel()
+
+    _run(scenario)
+
+
 def test_a_planned_stop_cuts_off_no_stream() -> None:
     async def scenario(rig: gateway_rig.GatewayRig) -> None:
         rig.set_faults("m-", event_ms=40)
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -229,6 +229,10 @@
             connection.close()
         self._callers.clear()
 
+    def count_kept_callers(self) -> int:
+        """Returns how many callers' connections are open and idle."""
+        return self._pool.count_idle(self.gateways[0].settings.listen)
+
     async def _start_gateway(self, host_name: str) -> None:
         """Starts a gateway and waits until it is ready."""
         ports = _find_free_ports(4)
--- a/redwingchute/testing/prepaid_world.py
+++ b/redwingchute/testing/prepaid_world.py
@@ -71,6 +71,7 @@
       cut_from_log: Hosts whose calls to the log get no answer.
       cut_links: Pairs of hosts that cannot reach each other.
       fate: What becomes of appends whose answers are lost.
+      wall_shifts_ms: By how much the time of day of a host is off.
       lose_answers: How many appends lose their answers from now on.
     """
 
@@ -93,6 +94,8 @@
         self.lose_answers = 0
         self.routers: dict[str, Router] = {}
         self.incarnations = 0
+        self.wall_shifts_ms: dict[str, int] = {}
+        self._boot_shifts_ms: dict[str, int] = {}
         self._requests = 0
         for host in hosts:
             self.start(host)
@@ -123,6 +126,11 @@
         """Lets time pass."""
         self.loop.run_until_complete(asyncio.sleep(seconds))
 
+    def lose_power(self, host: str) -> None:
+        """Kills a router; the boot clock of its host starts anew."""
+        self.kill(host)
+        self._boot_shifts_ms[host] = -self.now_ms + 7_000
+
     def start(self, host: str) -> None:
         """Starts a router, or starts it again."""
         self.incarnations += 1
@@ -130,7 +138,10 @@
         keeper = grant_keeper.GrantKeeper(
             WorldLog(self, host),
             prepaid.HostStamp(host, "zone", host, 0, 0, 0, 0),
-            grant_keeper.Clocks(lambda: self.now_ms, lambda: self.now_ms),
+            grant_keeper.Clocks(
+                lambda: self.now_ms + self._boot_shifts_ms.get(host, 0),
+                lambda: self.now_ms + self.wall_shifts_ms.get(host, 0),
+            ),
             lambda: {ACCOUNT: self.prepaid_tokens},
         )
         charger = charging.Charging(
