--- a/redwingchute/request/upstream_choice.py
+++ b/redwingchute/request/upstream_choice.py
@@ -16,7 +16,7 @@
 # An upstream may have this many times the mean load before requests that
 # prefer it go elsewhere, plus the allowance for small numbers.
 _LOAD_FACTOR = 1.3
-_LOAD_ALLOWANCE = 1.0
+_LOAD_ALLOWANCE = 3.0
 
 
 @attrs.frozen
