Explain a request from logs; drop upstreams whose address has another

Cause: on call there are logs only, and no page said how to read them.

An upstream that answers as another instance is dropped until the store lists it again; the test failed before.

--- a/redwingchute/main.py
+++ b/redwingchute/main.py
@@ -18,6 +18,7 @@
 
 from redwingchute.platform import main as platform_main
 from redwingchute.process import ask_client
+from redwingchute.process import explanation
 from redwingchute.process import publisher
 from redwingchute.process import router
 from redwingchute.process import settings
@@ -101,6 +102,16 @@
     return publisher.run_publish(path, platform, author, reason)
 
 
+def explain(request_id: str, *paths: str) -> int:
+    """Tell the story of a request from the logs of routers.
+
+    Args:
+      request_id: The id that the caller gave the request.
+      paths: Files with the logs of one or more processes.
+    """
+    return explanation.run_explain(request_id, list(paths))
+
+
 def main() -> None:
     """Runs the command line and exits with the command's status."""
     commands = {
@@ -108,6 +119,7 @@
         "ask": ask,
         "publish": publish,
         "gateway": platform_main.main,
+        "explain": explain,
         "stand-in": {
             "platform": platform.run_platform,
             "engine": engine.run_engine,
--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -30,7 +30,8 @@
 _RETRY_AFTER = "retry-after"
 
 _KEY_SCHEME = "bearer "
-_NOT_RUN_STATUSES = frozenset({421})
+# An upstream that is not the one meant answers so, and runs nothing.
+_MISDIRECTED = 421
 
 _CONNECTION_HEADERS = frozenset(
     {
@@ -121,8 +122,8 @@
         return forward_wire.AnswerHead(
             status=head.status,
             request_id=head.headers.get(_REQUEST_ID),
-            was_not_run=_NOT_RUN in head.headers
-            or head.status in _NOT_RUN_STATUSES,
+            was_not_run=_NOT_RUN in head.headers or head.status == _MISDIRECTED,
+            is_other_instance=head.status == _MISDIRECTED,
             is_signed=_SIGNATURE in head.headers,
         )
 
--- /dev/null
+++ b/redwingchute/process/explanation_test.py
@@ -0,0 +1,56 @@
+"""Tests of telling a request's story, and of the page on the events."""
+
+import json
+import pathlib
+import re
+
+from redwingchute.process import explanation
+
+
+def _make_line(at_ms: int, host: str, event: str, **fields: object) -> str:
+    line = {"at_ms": at_ms, "host": host, "event": event, **fields}
+    return "  7.8 edge " + json.dumps(line)
+
+
+_TEXTS = [
+    _make_line(9_000, "a", "request_refused", request_id="r", status=503),
+    _make_line(8_900, "a", "charge_refused", request_id="r", tokens=7),
+    _make_line(8_000, "a", "grants_cut_off", reason="timed out"),
+    _make_line(8_100, "b", "grants_cut_off", reason="timed out"),
+    _make_line(8_200, "a", "request_ended", request_id="other"),
+    _make_line(1_000, "a", "log_lost", topic="keyed.op"),
+    "not a log line {",
+]
+
+
+def test_the_story_is_in_order_with_its_context() -> None:
+    lines = explanation.read_lines(_TEXTS)
+    story = explanation.explain_request(lines, "r")
+    assert [line.event for line in story] == [
+        "grants_cut_off",
+        "charge_refused",
+        "request_refused",
+    ]
+    assert explanation.format_line(story[-1], "r") == (
+        "* 9000 a request_refused status=503"
+    )
+
+
+def test_an_unknown_request_has_no_story() -> None:
+    assert not explanation.explain_request(
+        explanation.read_lines(_TEXTS), "unknown"
+    )
+
+
+def test_every_event_is_on_the_operators_page() -> None:
+    emitted = set()
+    for path in pathlib.Path("redwingchute").rglob("*.py"):
+        if not path.name.endswith("_test.py"):
+            emitted |= set(
+                re.findall(
+                    r'\blog_(?:event|failure)\(\s*"(\w+)"', path.read_text()
+                )
+            )
+    page = pathlib.Path("docs/OPERATIONS.md").read_text()
+    listed = set(re.findall(r"^\| `(\w+)` \|", page, re.MULTILINE))
+    assert emitted == listed
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -32,9 +32,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class TurnedAway:
-    """The upstream answered that it did not run the request."""
+    """The upstream answered that it did not run the request.
+
+    Attributes:
+      status: The HTTP status.
+      is_other_instance: Whether another instance has its address now.
+    """
 
     status: int
+    is_other_instance: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -168,7 +174,7 @@
         answer = self._wire.read_answer(head)
         if answer.was_not_run:
             await connection.read_body(_MAX_ANSWER_BYTES)
-            return TurnedAway(answer.status)
+            return TurnedAway(answer.status, answer.is_other_instance)
         if answer.request_id != outgoing.request_id:
             connection.close()
             return Broken("the answer belongs to another request")
--- a/redwingchute/request/forward_wire.py
+++ b/redwingchute/request/forward_wire.py
@@ -37,12 +37,14 @@
       status: The HTTP status.
       request_id: The id of the request that it answers, or None.
       was_not_run: Whether the upstream says that it did not run the request.
+      is_other_instance: Whether another instance than the one meant answered.
       is_signed: Whether it bears the upstream's signature.
     """
 
     status: int
     request_id: str | None
     was_not_run: bool
+    is_other_instance: bool
     is_signed: bool
 
 
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -376,7 +376,10 @@
                 if progress.may_have_run:
                     return _fail(message)
                 return _refuse_no_upstream()
-            case forward_attempt.TurnedAway(status):
+            case forward_attempt.TurnedAway(status, is_other_instance):
+                if is_other_instance:
+                    # It is listed again if it is alive elsewhere.
+                    directory.drop(upstream.id)
                 self._log_attempt(plan, upstream, "turned_away", str(status))
                 if self._may_send_again(plan, progress):
                     return None
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -112,6 +112,17 @@
     _run(scenario)
 
 
+def test_an_upstream_whose_address_has_another_is_not_used_again() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        for number in (1, 2):
+            rig.runners[f"l-{number}"].runner_id = f"l-{number}-reborn"
+        statuses = [(await rig.ask("/post/x", b"body")).status for _ in "123"]
+        assert statuses == [503, 503, 503]
+        assert sum(found.arrivals for found in rig.runners.values()) == 2
+
+    _run(scenario)
+
+
 def test_an_error_of_the_upstream_is_passed_on_with_its_signature() -> None:
     async def scenario(rig: gateway_rig.GatewayRig) -> None:
         rig.set_faults("l-", fail_runs=True)
