Use no success without its signature; share the demos' functions

Cause: the answer's signature was decoded and never looked at, so a success of a runner that garbles could have been passed on without one. The test (an upstream that does not sign) failed before.

--- a/redwingchute/platform/store_client.py
+++ b/redwingchute/platform/store_client.py
@@ -23,11 +23,7 @@
 
 
 class StoreClient:
-    """Calls the platform's store.
-
-    Attributes:
-      calls: How many calls were made.
-    """
+    """Calls the platform's store; implements `shared_log.SharedLog`."""
 
     def __init__(
         self, pool: http_client.ClientPool, address: http_client.Address
@@ -35,7 +31,6 @@
         """Binds the client to the store's address."""
         self._pool = pool
         self._address = address
-        self.calls = 0
 
     async def append(
         self,
@@ -116,7 +111,6 @@
         wait_ms: int,
     ) -> http_client.Fetched | shared_log.LogUnavailable:
         """Runs one call on a kept connection."""
-        self.calls += 1
         headers = [("content-type", "application/octet-stream")] if body else []
         fetched = await self._pool.fetch(
             self._address,
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 
 import attrs
 
@@ -73,11 +72,6 @@
         self._forget_missing = forget_missing
         self._offsets: dict[str, int] = {}
         self._lock = asyncio.Lock()
-        self._wake = asyncio.Event()
-
-    def read_soon(self) -> None:
-        """Ends the pause before the next read."""
-        self._wake.set()
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
@@ -91,9 +85,7 @@
             else:
                 pause_s = retry_s
                 retry_s = min(_MAX_RETRY_S, 2 * retry_s)
-            self._wake.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), max(0.0, pause_s))
+            await asyncio.sleep(max(0.0, pause_s))
 
     async def read_once(self, wait_ms: int = 0) -> bool:
         """Reads once; True when the state is known to be the newest."""
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -178,6 +178,9 @@
         if answer.request_id != outgoing.request_id:
             connection.close()
             return Broken("the answer belongs to another request")
+        if 200 <= answer.status < 300 and not answer.is_signed:
+            connection.close()
+            return Broken("the answer is not signed")
         if outgoing.is_streaming and answer.status == 200:
             return await self._stream(connection, head, relay)
         body = await connection.read_body(_MAX_ANSWER_BYTES)
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections.abc import Callable
 import hashlib
-from typing import Protocol
 from typing import TypeAlias
 
 import attrs
@@ -42,24 +41,6 @@
 _PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 
 
-class Charger(Protocol):
-    """What forwarding needs of prepaid tokens."""
-
-    async def admit(
-        self,
-        request_id: str,
-        account: str,
-        prepaid_tokens: int,
-        tokens: int,
-        patience_ms: int,
-        is_fresh: bool,
-    ) -> charging.Charge | outcomes.NotRun:
-        """Reserves the most that a request can consume."""
-
-    def settle(self, charge: charging.Charge, spent_tokens: int) -> None:
-        """Ends a charge with what its request consumed."""
-
-
 @attrs.frozen
 class ForwardingParts:
     """What the handler needs of its process.
@@ -83,7 +64,7 @@
     pool: http_client.ClientPool
     wire: forward_wire.ForwardWire
     directory: upstream_directory.UpstreamDirectory
-    charger: Charger
+    charger: charging.Charging
     find_index: Callable[[], route_index.RouteIndex | None]
     is_fresh: Callable[[], bool]
     find_allowance: Callable[[str], retry_allowance.RetryAllowance]
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -134,9 +134,10 @@
     _run(scenario)
 
 
-def test_an_answer_to_another_request_is_not_used() -> None:
+@pytest.mark.parametrize("fault", ["wrong_id", "unsigned"])
+def test_an_answer_that_is_not_the_requests_is_not_used(fault: str) -> None:
     async def scenario(rig: gateway_rig.GatewayRig) -> None:
-        rig.set_faults("l-", wrong_id=True)
+        rig.set_faults("l-", **{fault: True})
         answer = await rig.ask("/post/x", b"body")
         assert answer.status == 502
         assert "runner-signature" not in answer.headers
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -30,6 +30,7 @@
       fail_runs: Runs end with status 500.
       break_after_events: Streams are cut after so many events; -1 for never.
       lose_answers: Requests are run and get no answer.
+      unsigned: Answers bear no signature.
       wrong_id: Answers carry the id of another request.
       event_ms: The time between two events.
       work_ms: The time of a plain request.
@@ -39,6 +40,7 @@
     fail_runs: bool = False
     break_after_events: int = attrs.field(default=-1, metadata={"minimum": -1})
     lose_answers: bool = False
+    unsigned: bool = False
     wrong_id: bool = False
     event_ms: int = 5
     work_ms: int = 5
@@ -157,10 +159,10 @@
         if self.faults.lose_answers:
             raise http_server.ClientDisconnectedError
         echoed = "another" if self.faults.wrong_id else run.request_id
-        headers = [
-            ("attempt-id", echoed),
-            ("runner-signature", make_signature(self.runner_id, request.body)),
-        ]
+        headers = [("attempt-id", echoed)]
+        if not self.faults.unsigned:
+            signature = make_signature(self.runner_id, request.body)
+            headers.append(("runner-signature", signature))
         if self.faults.fail_runs:
             await responder.send(500, b"failed", headers=headers)
             return
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,22 +8,10 @@
 PIDS=""
 STEP="start"
 
-stop_all() {
-  status=$?
-  for pid in $PIDS; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in $PIDS; do wait "$pid" 2>/dev/null || true; done
-  if [ "$status" -ne 0 ]; then
-    echo "FAILED in step: $STEP (status $status)" >&2
-    tail -n 20 "$WORK"/*.err >&2 || true
-  fi
-  rm -rf "$WORK"
-  exit "$status"
-}
+. "$(dirname "$0")/demo_functions.sh"
 trap stop_all EXIT
 trap 'exit 130' INT TERM
 
-say() { STEP="$1"; printf '\n== %s\n' "$1"; }
-
 # Starts a program in the background and waits for its `listening on` line.
 start() {
   name=$1
@@ -42,17 +30,6 @@
 address_of() { sed -n 's/^.*listening on \([0-9.:]*\).*$/\1/p' "$WORK/$1.out" | head -1; }
 field_of() { sed -n "s/^.*$2=\([0-9.:]*\).*\$/\1/p" "$WORK/$1.out" | head -1; }
 
-# Runs a command until it succeeds, for at most 30 seconds.
-retry() {
-  tries=0
-  until "$@" >"$WORK/retry.out" 2>&1; do
-    tries=$((tries + 1))
-    if [ "$tries" -ge 150 ]; then cat "$WORK/retry.out" >&2; return 1; fi
-    sleep 0.2
-  done
-}
-expect() { grep -q -- "$1" "$2" || { echo "expected '$1' in:"; cat "$2"; return 1; }; }
-
 say "start the stand-ins: platform, engine, service"
 start platform redwingchute stand-in platform --listen 127.0.0.1:0
 start engine redwingchute stand-in engine --listen 127.0.0.1:0 \
@@ -93,7 +70,7 @@
 say "an operator tops the budget up"
 retry redwingchute ask --admin "$BRUNY_ADMIN" \
   'top up budget "yield-books" by 100000 reference "invoice-1" because "demo"'
-cat "$WORK/retry.out"
+cat "$WORK/retry.log"
 
 chat() {
   curl -sS -N "http://$1/v1/chat/completions" \
