Answer a request also when the router has a fault, and log the fault

Any exception of a handler closes the connection so, and nothing was logged.

Change: a handler's fault is logged with its trace (handler_failed) and the caller gets 502. Socket errors that are no ConnectionError, as a connection that times out without acknowledgements raises, break the exchange; before, they passed for the end of the request's time, or for a fault. Both tests failed before.

Ruled out: an end of the process (no restart was counted).

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -154,7 +154,7 @@
         payload += self._protocol.send(h11.EndOfMessage()) or b""
         try:
             self._writer.write(payload)
-        except ConnectionError as error:
+        except OSError as error:
             return ExchangeBroken(f"sending failed: {error}")
         return None
 
@@ -275,7 +275,7 @@
                 self._protocol.receive_data(
                     await self._reader.read(_READ_BYTES)
                 )
-            except (h11.RemoteProtocolError, ConnectionError) as error:
+            except (h11.RemoteProtocolError, OSError) as error:
                 return ExchangeBroken(str(error) or type(error).__name__)
 
 
--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -252,7 +252,7 @@
         self._connections.add(task)
         try:
             await self._serve_requests(reader, writer)
-        except (ConnectionError, ClientDisconnectedError, TimeoutError):
+        except (OSError, ClientDisconnectedError):
             pass
         except asyncio.CancelledError:
             # The server's close cancels connections; the task simply ends.
--- a/redwingchute/connection/silent_host_test.py
+++ b/redwingchute/connection/silent_host_test.py
@@ -2,10 +2,26 @@
 
 import asyncio
 import socket
+from unittest import mock
 
 from redwingchute.connection import http_client
 
 
+def test_a_read_that_times_out_breaks_the_exchange() -> None:
+    async def main() -> None:
+        reader = asyncio.StreamReader()
+        reader.set_exception(TimeoutError(110, "Connection timed out"))
+        connection = http_client.ClientConnection(
+            http_client.Address("127.0.0.1", 1),
+            reader,
+            mock.create_autospec(asyncio.StreamWriter),
+        )
+        head = await connection.read_head()
+        assert isinstance(head, http_client.ExchangeBroken)
+
+    asyncio.run(main())
+
+
 def test_connections_break_when_nothing_is_acknowledged() -> None:
     async def main() -> None:
         server = await asyncio.start_server(
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 import hashlib
+import traceback
 from typing import TypeAlias
 
 import attrs
@@ -137,6 +138,33 @@
         self,
         request: http_server.HttpRequest,
         responder: http_server.HttpResponder,
+    ) -> None:
+        """Answers one request, also when this router has a fault."""
+        try:
+            await self._handle(request, responder)
+        except (asyncio.CancelledError, http_server.ClientDisconnectedError):
+            raise
+        # A fault must not cost the caller its answer, nor go unseen.
+        except Exception as error:
+            decision_log.log_failure(
+                "handler_failed",
+                target=request.target,
+                reason=repr(error),
+                trace=traceback.format_exc(limit=-4),
+            )
+            if responder.has_started:
+                raise http_server.ClientDisconnectedError from error
+            await self._refuse(
+                _fail("this router failed"),
+                None,
+                self._parts.read_clock_ms(),
+                responder,
+            )
+
+    async def _handle(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
     ) -> None:
         """Answers one request."""
         arrived_ms = self._parts.read_clock_ms()
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from redwingchute.request import upstream_directory
 from redwingchute.standin import runner
 from redwingchute.testing import gateway_rig
 
@@ -112,6 +113,23 @@
     _run(scenario)
 
 
+def test_a_fault_of_the_router_does_not_cost_the_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def fail(*arguments: object) -> None:
+        raise KeyError("a fault")
+
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        monkeypatch.setattr(
+            upstream_directory.UpstreamDirectory, "note_success", fail
+        )
+        answer = await rig.ask("/post/x", b"body")
+        assert answer.status == 502
+        assert _read_code(answer) == "upstream_failed"
+
+    _run(scenario)
+
+
 def test_an_upstream_whose_address_has_another_is_not_used_again() -> None:
     async def scenario(rig: gateway_rig.GatewayRig) -> None:
         for number in (1, 2):
