Keep a lowered grant when the log's rows could not be read again

Cause, found by reading the change: after an append whose sequence number the log refused, the keeper took its own rows back from the last read even when the new read had failed. A lowering that is in the log could so be undone here while others grant the tokens anew.

Change: rows are adopted only if they were read. Nothing else moves, and a grant can only be smaller than before.

--- a/redwingchute/process/prepaid/grant_keeper.py
+++ b/redwingchute/process/prepaid/grant_keeper.py
@@ -409,8 +409,8 @@
                     # Whether the append is in the log shows when it is read.
                     self._pending = None
                     self._sequence = expected
-                    await self._follower.read_once()
-                    self._adopt_own_rows()
+                    if await self._follower.read_once():
+                        self._adopt_own_rows()
                 case shared_log.Fenced():
                     self._note_fenced()
                     return
--- a/redwingchute/process/prepaid/grant_recovery_test.py
+++ b/redwingchute/process/prepaid/grant_recovery_test.py
@@ -1,5 +1,6 @@
 """Kills, cuts and lost answers around grants: what the successor may spend."""
 
+import asyncio
 from collections.abc import Iterator
 
 import pytest
@@ -185,3 +186,18 @@
     assert world.is_charged(number)
     _spend_all(world)
     assert 9_800 <= world.used_tokens <= 10_000
+
+
+def test_a_lowered_grant_is_not_restored_by_rows_that_were_not_read(
+    world: prepaid_world.PrepaidWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def refuse(*arguments: object) -> shared_log.AppendResult:
+        await asyncio.sleep(0.01)
+        return shared_log.WrongSequence(99)
+
+    grant = world.routers["huon-1"].keeper.find_grant(prepaid_world.ACCOUNT)
+    monkeypatch.setattr(prepaid_world.WorldLog, "append", refuse)
+    world.cut_from_log = {"huon-1"}
+    grant.lower(1_000)
+    world.run_for(4)
+    assert grant.granted_tokens == 1_000
