Let ceilings of grants rise with the age of the stamp

Cause: a ceiling held 3 s of demand at once.

Now a ceiling starts 0.4 s of demand above what is committed, rises at 1.2 times the demand, and eight times as fast from 3 s on. A successor counts the ceiling of the age that the last stamp had at most. A request waits up to 0.4 s for a ceiling that is about to allow it. Appends that take over 60 ms are not waited for. Demand is unbiased in the first seconds and goes on over a restart.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -21,8 +21,10 @@
       account: The client account.
       host: The host that spends.
       granted_tokens: The most that the host ever spends, until another row.
-      ceiling_tokens: The most that it spends while its latest stamp is young;
-        at most the grant.
+      ceiling_tokens: The most that it has spent or reserved when its latest
+        stamp was made; at most the grant.
+      rise_tokens_per_s: How fast that ceiling rises with the age of the stamp;
+        `process/prepaid/ceiling.py` says by which law.
       spent_tokens: What it has spent.
       unsure_tokens: The part of `spent_tokens` that only may be spent: a
         former process ended without telling.
@@ -33,6 +35,7 @@
     host: str
     granted_tokens: int
     ceiling_tokens: int
+    rise_tokens_per_s: float
     spent_tokens: int
     demand_tokens_per_s: float
     unsure_tokens: int = 0
@@ -49,7 +52,6 @@
       epoch: Counts the process starts on the host.
       boot_ms: The time of the stamp on the host's boot clock.
       wall_ms: The same by the time of day.
-      proof_ms: How long after the stamp the ceilings of its rows bind.
       is_leaving: Whether the process is about to stop and has returned its
         grants.
     """
@@ -60,7 +62,6 @@
     epoch: int
     boot_ms: int
     wall_ms: int
-    proof_ms: int
     is_leaving: bool = False
 
 
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -167,7 +167,6 @@
             epoch=0,
             boot_ms=0,
             wall_ms=0,
-            proof_ms=0,
         )
         return grant_keeper.GrantKeeper(
             self._ports.log,
--- /dev/null
+++ b/redwingchute/process/prepaid/ceiling_test.py
@@ -0,0 +1,52 @@
+"""Tests of the ceilings that rise with the age of a stamp."""
+
+import attrs
+import pytest
+
+from redwingchute.core import prepaid
+from redwingchute.process.prepaid import ceiling
+
+_ROW = prepaid.GrantRow(
+    account="yield",
+    host="huon-1",
+    granted_tokens=10_000,
+    ceiling_tokens=1_000,
+    rise_tokens_per_s=500.0,
+    spent_tokens=800,
+    demand_tokens_per_s=400.0,
+)
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "expected"),
+    [
+        (0, 1_000),
+        (1_000, 1_500),
+        (3_000, 2_500),
+        (4_000, 6_500),
+        (60_000, 10_000),
+    ],
+    ids=["new", "young", "at the bend", "alone", "the whole grant"],
+)
+def test_a_ceiling_rises_with_the_age_of_the_stamp(
+    age_ms: int, expected: int
+) -> None:
+    assert ceiling.find_ceiling(_ROW, age_ms) == expected
+
+
+@pytest.mark.parametrize("tokens", [900, 1_001, 2_400, 2_600, 9_999, 10_000])
+def test_the_age_at_which_tokens_are_allowed(tokens: int) -> None:
+    age_ms = ceiling.find_age_ms(_ROW, tokens)
+    assert age_ms is not None
+    assert ceiling.find_ceiling(_ROW, age_ms) >= tokens
+    assert age_ms == 0 or ceiling.find_ceiling(_ROW, age_ms - 20) < tokens
+
+
+def test_no_age_allows_more_than_the_grant() -> None:
+    assert ceiling.find_age_ms(_ROW, 10_001) is None
+
+
+def test_a_ceiling_that_does_not_rise_allows_no_more() -> None:
+    row = attrs.evolve(_ROW, rise_tokens_per_s=0.0)
+    assert ceiling.find_ceiling(row, 60_000) == 1_000
+    assert ceiling.find_age_ms(row, 1_001) is None
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -43,6 +43,10 @@
 _RETRY_AFTER_MS = 700
 # A repeat comes this much after the tokens are free.
 _RELEASE_SLACK_MS = 30
+# A request waits this long, and this part of its patience, for a ceiling that
+# rises: less than most callers allow to the first event.
+_MAX_CEILING_WAIT_MS = 400
+_WAIT_SHARE = 0.1
 # Ended charges are remembered so that late messages do not revive them.
 _MAX_ENDED = 4_096
 
@@ -156,10 +160,23 @@
         charge = await self._gather(account, tokens, own, patience_ms)
         if charge is not None:
             return charge
+        if await self._wait_for_ceiling(account, tokens, patience_ms):
+            return self._make_local_charge(account, tokens)
         remaining = keeper.find_remaining(account, prepaid_tokens)
         is_spent = tokens > remaining and is_fresh
         return self._refuse(request_id, account, tokens, is_spent)
 
+    async def _wait_for_ceiling(
+        self, account: str, tokens: int, patience_ms: int
+    ) -> bool:
+        """Waits for tokens that this router may spend shortly."""
+        limit_ms = min(_MAX_CEILING_WAIT_MS, patience_ms * _WAIT_SHARE)
+        release_ms = self._keeper.find_release_ms(account, tokens)
+        if release_ms is None or release_ms > limit_ms:
+            return False
+        await asyncio.sleep((release_ms + _RELEASE_SLACK_MS) / 1000)
+        return self._keeper.reserve(account, tokens)
+
     def settle(self, charge: Charge, spent_tokens: int) -> None:
         """Ends a charge with what its request consumed.
 
@@ -235,6 +252,7 @@
             is_spent=is_spent,
             granted_tokens=grant.granted_tokens,
             committed_tokens=grant.committed_tokens,
+            available_tokens=grant.find_available(self._read_clock_ms()),
             is_connected=self._keeper.is_connected,
         )
         if is_spent:
--- a/redwingchute/process/prepaid/grant.py
+++ b/redwingchute/process/prepaid/grant.py
@@ -1,20 +1,39 @@
 """Counts what this router spends of one account's grant.
 
-The grant bounds what the router ever spends. A lower ceiling bounds it while
-the latest stamp of its host is young, so that a successor on the same host,
-which finds the stamp while it is that young, knows that no more than the
-ceiling is gone. A router that cannot renew its stamp may spend up to the
-whole grant once the stamp is old.
+The grant bounds what the router ever spends. A lower ceiling, which rises with
+the age of the host's latest stamp, bounds it at each moment, so that a
+successor on the same host knows how much may be gone by the time since that
+stamp.
 """
 
+import math
+
+import attrs
+
 from redwingchute.core import prepaid
+from redwingchute.process.prepaid import ceiling
 
 # The window over which the demand for tokens is averaged.
 _DEMAND_WINDOW_MS = 6_000
-# The largest request is remembered for a time, for the room of ceilings.
+# Demand is taken to have been the same before the first request for as long.
+_DEMAND_START_MS = 3_000
+# The largest request is remembered for a time, for the size of grants.
 _LARGEST_MEMORY_MS = 48_000
 
 
+@attrs.frozen
+class _Bound:
+    """A row and stamp that the log may hold, which the router obeys.
+
+    Attributes:
+      row: The account's row.
+      stamp_boot_ms: When the stamp was made, on the boot clock.
+    """
+
+    row: prepaid.GrantRow
+    stamp_boot_ms: int
+
+
 class Grant:
     """One account's tokens at this router.
 
@@ -37,9 +56,10 @@
         self.reserved_tokens = 0
         self.largest_tokens = 0.0
         self.row: prepaid.GrantRow | None = None
-        self._unsure_ceilings: list[int] = []
+        self._bounds: tuple[_Bound, ...] = ()
         self._demand_tokens = 0.0
         self._demand_ms = 0
+        self._first_demand_ms: int | None = None
 
     @property
     def committed_tokens(self) -> int:
@@ -51,21 +71,49 @@
         """What the grant allows once its ceiling does not bind."""
         return max(0, self.granted_tokens - self.committed_tokens)
 
-    def find_available(self, is_bound: bool) -> int:
+    @property
+    def is_above_ceiling(self) -> bool:
+        """Whether a new stamp alone would claim that less is spent."""
+        return any(
+            self.committed_tokens > bound.row.ceiling_tokens
+            for bound in self._bounds
+        )
+
+    def find_available(self, boot_ms: int) -> int:
         """Returns what may be reserved now.
 
         Args:
-          is_bound: Whether ceilings bind.
+          boot_ms: The time on the boot clock.
         """
+        if not self._bounds:
+            return 0
         limit = self.granted_tokens
-        if is_bound:
-            sure = self.row.ceiling_tokens if self.row is not None else 0
-            limit = min(limit, sure, *self._unsure_ceilings)
+        for bound in self._bounds:
+            age_ms = max(0, boot_ms - bound.stamp_boot_ms)
+            limit = min(limit, ceiling.find_ceiling(bound.row, age_ms))
         return max(0, limit - self.committed_tokens)
 
-    def reserve(self, tokens: int, is_bound: bool) -> bool:
+    def find_release_ms(self, tokens: int, boot_ms: int) -> int | None:
+        """Returns in how many ms the ceiling allows tokens, or None.
+
+        Args:
+          tokens: What a request needs.
+          boot_ms: The time on the boot clock.
+        """
+        goal = self.committed_tokens + tokens
+        if not self._bounds or goal > self.granted_tokens:
+            return None
+        release_ms = 0
+        for bound in self._bounds:
+            age_ms = ceiling.find_age_ms(bound.row, goal)
+            if age_ms is None:
+                return None
+            release_ms = max(release_ms, bound.stamp_boot_ms + age_ms - boot_ms)
+        return release_ms
+
+    def reserve(self, tokens: int, boot_ms: int) -> bool:
         """Reserves tokens for a request, if they are available."""
-        if tokens > self.find_available(is_bound):
+        if tokens > self.find_available(boot_ms):
             return False
         self.reserved_tokens += tokens
         return True
@@ -77,14 +125,20 @@
 
     def note_demand(self, tokens: int, now_ms: int) -> None:
         """Counts a request that asked for tokens, whether it got them."""
+        if self._first_demand_ms is None:
+            self._first_demand_ms = now_ms - _DEMAND_START_MS
         self._fade(now_ms)
         self._demand_tokens += tokens
         self.largest_tokens = max(self.largest_tokens, tokens)
 
     def find_demand(self, now_ms: int) -> float:
         """Returns the tokens asked for in a second, lately."""
+        if self._first_demand_ms is None:
+            return 0.0
         self._fade(now_ms)
-        return self._demand_tokens * 1000 / _DEMAND_WINDOW_MS
+        seen_ms = now_ms - self._first_demand_ms
+        seen_share = 1 - math.exp(-seen_ms / _DEMAND_WINDOW_MS)
+        return self._demand_tokens * 1000 / _DEMAND_WINDOW_MS / seen_share
 
     def lower(self, granted_tokens: int) -> None:
         """Gives up a part of the grant, from now on."""
@@ -92,45 +146,69 @@
             self.granted_tokens, max(granted_tokens, self.committed_tokens)
         )
 
-    def inherit(self, row: prepaid.GrantRow) -> None:
+    def inherit(self, row: prepaid.GrantRow, boot_ms: int) -> None:
         """Takes the tokens of the process before on this host.
 
         All that it was granted counts as spent; what it spent for sure is in
-        its row.
+        its row. Its demand goes on.
+
+        Args:
+          row: Its last row.
+          boot_ms: The time on the boot clock.
         """
         self.granted_tokens = row.granted_tokens
         self.spent_tokens = row.granted_tokens
         sure_tokens = row.spent_tokens - row.unsure_tokens
         self.unsure_tokens = row.granted_tokens - sure_tokens
+        self._demand_tokens = row.demand_tokens_per_s * _DEMAND_WINDOW_MS / 1000
+        self._demand_ms = boot_ms
+        if row.demand_tokens_per_s > 0:
+            self._first_demand_ms = boot_ms - _DEMAND_WINDOW_MS
 
-    def release_above_ceiling(self, row: prepaid.GrantRow) -> int:
-        """Takes back what a former process did not spend above its ceiling.
+    def release_unspent(self, row: prepaid.GrantRow, most_tokens: int) -> int:
+        """Takes back what a former process cannot have spent.
 
         Args:
           row: Its last row.
+          most_tokens: The most that it spent.
 
         Returns:
           The tokens that are free again.
         """
-        released = row.granted_tokens - row.ceiling_tokens
+        released = row.granted_tokens - most_tokens
         self.spent_tokens -= released
         self.unsure_tokens -= released
         return released
 
-    def note_sending(self, row: prepaid.GrantRow) -> None:
-        """Obeys a row that is about to be appended and may get lost."""
+    def note_sending(
+        self, row: prepaid.GrantRow | None, stamp_boot_ms: int
+    ) -> None:
+        """Obeys an append that is about to be sent and may get lost.
+
+        Args:
+          row: The account's row in it, or None.
+          stamp_boot_ms: When its stamp was made.
+        """
+        if row is None:
+            # The same rows with a newer stamp allow less.
+            self._bounds = tuple(
+                _Bound(bound.row, stamp_boot_ms) for bound in self._bounds
+            )
+            return
         self.lower(row.granted_tokens)
-        self._unsure_ceilings.append(row.ceiling_tokens)
+        self._bounds += (_Bound(row, stamp_boot_ms),)
 
-    def note_not_appended(self) -> None:
-        """Forgets rows that are known not to be in the log."""
-        self._unsure_ceilings.clear()
+    def note_not_appended(self, row: prepaid.GrantRow) -> None:
+        """Forgets a row that is known not to be in the log."""
+        self._bounds = tuple(
+            bound for bound in self._bounds if bound.row is not row
+        )
 
-    def note_appended(self, row: prepaid.GrantRow) -> None:
+    def note_appended(self, row: prepaid.GrantRow, stamp_boot_ms: int) -> None:
         """Obeys a row that the log holds for sure, and no older one."""
         self.row = row
         self.granted_tokens = row.granted_tokens
-        self._unsure_ceilings.clear()
+        self._bounds = (_Bound(row, stamp_boot_ms),)
 
     def _fade(self, now_ms: int) -> None:
         """Lets past demand fade."""
--- a/redwingchute/process/prepaid/grant_keeper.py
+++ b/redwingchute/process/prepaid/grant_keeper.py
@@ -19,20 +19,21 @@
 from redwingchute.process.prepaid import grant as grant_lib
 from redwingchute.process.prepaid import grant_fold
 from redwingchute.process.prepaid import grant_planner
-from redwingchute.process.prepaid import succession
+from redwingchute.process.prepaid import inheritance
 
 TOPIC = "keyed.grants"
 
-# Stamps are written this often, and rows with them; well below the proof.
+# Stamps are written this often, and rows with them: what a successor counts
+# as spent grows with their age.
 _TICK_MS = 500
+# Appends that took longer are of no use to a request that waits.
+_PROMPT_APPEND_MS = 60
 # Others' rows are read this often when nothing is raised.
 _READ_PACE = keyed_follower.FollowPace(wait_ms=0, interval_ms=2_000)
 _RETRY_S = 0.15
 # Others start at the same time; their stamps say among how many to divide.
 _SETTLE_S = 0.5
 _MAX_CONDITION_TRIES = 6
-# Stamps that come later than this say nothing about the start any more.
-_MAX_PROOF_WAIT_MS = 4_000
 # Appends that a request waits for: the one in progress, its own, one more.
 _TURNS_WAITED = 3
 
@@ -108,15 +109,13 @@
         self._wake = asyncio.Event()
         self._turn = asyncio.Event()
         # The process before on this host ended before this one started.
-        self._started_boot_ms = clocks.read_boot_ms()
-        self._started_wall_ms = clocks.read_wall_ms()
-        self._stamp_before: prepaid.HostStamp | None = None
-        self._inherited: tuple[prepaid.GrantRow, ...] = ()
-        self._walls_before_ms: tuple[int, ...] = ()
-        self._stamped_hosts: set[str] = set()
+        self._inheritance = inheritance.Inheritance(
+            clocks.read_boot_ms(), clocks.read_wall_ms()
+        )
         self._epoch = 0
         self._sequence = 0
-        self._bound_until_ms = 0
+        self._append_ms = 0
+        self._sent_stamp_boot_ms = 0
         self._pending: _Append | None = None
         self._is_stopping = False
 
@@ -134,13 +133,17 @@
 
     def reserve(self, account: str, tokens: int) -> bool:
         """Reserves tokens of this router's grant, if they are available."""
-        return self.find_grant(account).reserve(tokens, self._is_bound())
+        return self.find_grant(account).reserve(
+            tokens, self._clocks.read_boot_ms()
+        )
 
     def reserve_part(self, account: str, tokens: int) -> int:
         """Reserves as many of the tokens as are available."""
         grant = self.find_grant(account)
-        available = min(tokens, grant.find_available(self._is_bound()))
-        if available and grant.reserve(available, self._is_bound()):
+        available = min(
+            tokens, grant.find_available(self._clocks.read_boot_ms())
+        )
+        if available and grant.reserve(available, self._clocks.read_boot_ms()):
             return available
         return 0
 
@@ -159,7 +162,7 @@
           cannot get more.
         """
         goal = min(tokens, self._find_reachable(account))
-        if goal <= 0 or not self.is_connected or not self.is_taken_over:
+        if goal <= 0 or not self._is_prompt():
             return self.reserve_part(account, tokens)
         self._wanted[account] = self._wanted.get(account, 0) + goal
         try:
@@ -177,6 +180,16 @@
             self._wanted[account] -= goal
         return self.reserve_part(account, tokens)
 
+    def _is_prompt(self) -> bool:
+        """Tells whether an append is likely done while a request waits."""
+        if not self.is_connected or not self.is_taken_over:
+            return False
+        append_ms = self._append_ms
+        if self._pending is not None:
+            sent_ms = self._pending.stamp.boot_ms
+            append_ms = max(append_ms, self._clocks.read_boot_ms() - sent_ms)
+        return append_ms <= _PROMPT_APPEND_MS
+
     def _find_reachable(self, account: str) -> int:
         """Returns the most tokens that this router may get by an append.
 
@@ -229,9 +242,8 @@
 
     def find_release_ms(self, account: str, tokens: int) -> int | None:
         """Returns in how many ms the grant alone covers a request, or None."""
-        if tokens > self.find_grant(account).free_tokens:
-            return None
-        return max(0, self._bound_until_ms - self._clocks.read_boot_ms())
+        boot_ms = self._clocks.read_boot_ms()
+        return self.find_grant(account).find_release_ms(tokens, boot_ms)
 
     async def wait_until_started(self, timeout_s: float) -> None:
         """Waits until this process has its grants, or for the time given."""
@@ -240,19 +252,20 @@
                 while not self.has_planned:
                     await self._turn.wait()
 
-    def _is_bound(self) -> bool:
-        """Tells whether ceilings bind now."""
-        return self._clocks.read_boot_ms() < self._bound_until_ms
-
     def _take_record(self, record: shared_log.KeyedRecord) -> None:
         """Takes a record of the topic."""
-        decoded = grant_fold.decode_record(record.value or b"")
+        if not record.value:
+            return
+        decoded = grant_fold.decode_record(record.value)
         if decoded is None:
+            decision_log.log_failure(
+                "grant_record_unreadable", key=record.key, offset=record.offset
+            )
             return
         self.fold.take(decoded)
         if isinstance(decoded, prepaid.HostStamp):
-            if self.is_taken_over:
-                self._stamped_hosts.add(decoded.host)
+            if self.is_taken_over and decoded.host != self.own_host:
+                self._inheritance.note_stamp(decoded)
             self._note_host(decoded)
 
     def _make_stamp(self) -> prepaid.HostStamp:
@@ -262,7 +275,6 @@
             epoch=self._epoch,
             boot_ms=self._clocks.read_boot_ms(),
             wall_ms=self._clocks.read_wall_ms(),
-            proof_ms=self._policy.proof_ms,
         )
 
     async def _take_over(self) -> None:
@@ -280,69 +292,41 @@
             self._epoch = max(
                 self._epoch + 1, wall_s, before.epoch + 1 if before else 0
             )
-            self._inherit(before)
+            self._inherit()
             await self._append_first()
         # A stamp tells the others that this host takes part; theirs arrive.
-        if not self._inherited:
+        if not self.fold.list_own_rows(self.own_host):
             await asyncio.sleep(_SETTLE_S)
 
-    def _inherit(self, before: prepaid.HostStamp | None) -> None:
+    def _inherit(self) -> None:
         """Takes the counts of the process before on this host."""
-        self._inherited = self.fold.list_own_rows(self.own_host)
-        self._walls_before_ms = tuple(
-            stamp.wall_ms for stamp in self.fold.stamps.values()
-        )
-        for row in self._inherited:
-            self.find_grant(row.account).inherit(row)
-        self._stamp_before = before
-        if before is not None and succession.is_young_by_boot_clock(
-            before, self._started_boot_ms, self._started_wall_ms
-        ):
-            self._release_inherited("boot_clock")
-
-    def _release_inherited(self, proof: str) -> None:
-        """Counts as spent only what the former process can have spent."""
-        for row in self._inherited:
-            released = self.find_grant(row.account).release_above_ceiling(row)
+        boot_ms = self._clocks.read_boot_ms()
+        self._inheritance.take(self.own_host, self.fold)
+        for row in self._inheritance.rows:
+            self.find_grant(row.account).inherit(row, boot_ms)
+        self._settle_inherited()
+
+    def _settle_inherited(self) -> None:
+        """Counts as spent what the former process can have spent, if known."""
+        if not self._inheritance.rows:
+            return
+        proof = self._inheritance.find_proof(self._clocks.read_boot_ms())
+        if proof is None:
+            return
+        for row in self._inheritance.rows:
+            released = self.find_grant(row.account).release_unspent(
+                row, inheritance.find_most_spent(row, proof)
+            )
             decision_log.log_event(
                 "grant_inherited",
                 account=row.account,
                 granted_tokens=row.granted_tokens,
                 recorded_tokens=row.spent_tokens,
                 released_tokens=released,
-                proof=proof,
+                stamp_age_ms=proof.age_ms,
+                proof=proof.source,
             )
-        self._inherited = ()
-
-    def _check_inherited(self) -> None:
-        """Looks for a proof in the stamps of other hosts, for a while."""
-        if not self._inherited or self._stamp_before is None:
-            return
-        walls_ms = [self._started_wall_ms]
-        walls_ms += [
-            stamp.wall_ms
-            for host, stamp in self.fold.stamps.items()
-            if host != self.own_host and host in self._stamped_hosts
-        ]
-        if succession.is_young_by_wall_clocks(
-            self._stamp_before, self._walls_before_ms, walls_ms
-        ):
-            self._release_inherited("wall_clocks")
-        elif self._age_ms() > _MAX_PROOF_WAIT_MS:
-            for row in self._inherited:
-                decision_log.log_event(
-                    "grant_inherited",
-                    account=row.account,
-                    granted_tokens=row.granted_tokens,
-                    recorded_tokens=row.spent_tokens,
-                    released_tokens=0,
-                    proof=None,
-                )
-            self._inherited = ()
-
-    def _age_ms(self) -> int:
-        """Returns how long this process runs."""
-        return self._clocks.read_boot_ms() - self._started_boot_ms
+        self._inheritance.rows = ()
 
     async def _append_first(self) -> None:
         """Appends the first stamp and the inherited rows of this process."""
@@ -352,7 +336,7 @@
                 row,
                 spent_tokens=self.find_grant(row.account).spent_tokens,
                 unsure_tokens=self.find_grant(row.account).unsure_tokens,
-                ceiling_tokens=row.granted_tokens,
+                ceiling_tokens=self.find_grant(row.account).spent_tokens,
             )
             for row in self.fold.list_own_rows(self.own_host)
         )
@@ -373,7 +357,9 @@
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._wake.wait(), _TICK_MS / 1000)
             self._wake.clear()
-            self._check_inherited()
+            if self._inheritance.rows:
+                await self._follower.read_once()
+                self._settle_inherited()
             await self._run_turn()
             finished, self._turn = self._turn, asyncio.Event()
             finished.set()
@@ -425,7 +411,8 @@
     def _lacks_tokens(self) -> bool:
         """Tells whether requests still lack tokens after an append."""
         return any(
-            self.find_grant(account).find_available(self._is_bound()) < tokens
+            self.find_grant(account).find_available(self._clocks.read_boot_ms())
+            < tokens
             for account, tokens in self._list_wanted().items()
         )
 
@@ -473,7 +460,7 @@
             )
             row = grant_planner.plan_row(grant, planned, given, self._policy)
             if account in wanted or grant_planner.needs_writing(
-                row, grant.row, self._policy
+                row, grant.row, grant.is_above_ceiling, self._policy
             ):
                 rows.append(row)
                 is_raise |= planned > grant.granted_tokens
@@ -504,10 +491,10 @@
 
     def _obey(self, append: _Append) -> None:
         """Binds this router to what may be in the log soon."""
-        until_ms = append.stamp.boot_ms + append.stamp.proof_ms
-        self._bound_until_ms = max(self._bound_until_ms, until_ms)
-        for row in append.rows:
-            self.find_grant(row.account).note_sending(row)
+        self._sent_stamp_boot_ms = append.stamp.boot_ms
+        rows = {row.account: row for row in append.rows}
+        for account, grant in self._grants.items():
+            grant.note_sending(rows.get(account), append.stamp.boot_ms)
 
     async def _send(self, append: _Append) -> shared_log.AppendResult:
         """Sends an append."""
@@ -528,25 +515,25 @@
             self.is_connected = True
             decision_log.log_event("grants_connected", epoch=self._epoch)
         self._sequence = append.sequence + 1
-        until_ms = append.stamp.boot_ms + append.stamp.proof_ms
-        self._bound_until_ms = max(self._bound_until_ms, until_ms)
+        self._append_ms = self._clocks.read_boot_ms() - append.stamp.boot_ms
         self.fold.take(append.stamp)
         for row in append.rows:
-            self.find_grant(row.account).note_appended(row)
+            grant = self.find_grant(row.account)
+            grant.note_appended(row, append.stamp.boot_ms)
             self.fold.take(row)
 
     def _note_not_appended(self, append: _Append) -> None:
         """Forgets an append that is not in the log."""
         self.is_connected = True
         for row in append.rows:
-            self.find_grant(row.account).note_not_appended()
+            self.find_grant(row.account).note_not_appended(row)
 
     def _adopt_own_rows(self) -> None:
         """Obeys this host's rows as the log holds them."""
         for row in self.fold.list_own_rows(self.own_host):
             grant = self.find_grant(row.account)
             if row.granted_tokens >= grant.committed_tokens:
-                grant.note_appended(row)
+                grant.note_appended(row, self._sent_stamp_boot_ms)
 
     def _note_lost(self, failure: shared_log.LogUnavailable) -> None:
         """Notes that the log does not answer."""
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -28,13 +28,15 @@
         part of the mean demand of all hosts.
       hysteresis_share: A grant is changed only when it is off by this part
         of what is left, or short.
-      proof_ms: How long a ceiling binds; covers a crash and the restart.
-      ceiling_horizon_ms: The demand that a ceiling leaves room for: the time
-        between rows, plus the proof.
-      idle_share: The part of the free grant that a ceiling leaves room for
-        at least, for requests that come after a pause.
+      burst_ms: The demand that a ceiling leaves room for at once.
+      burst_share: The part of the free grant that it leaves room for at
+        least, for requests that come after a pause.
+      rise_factor: How much faster than the demand a ceiling rises: routers
+        that are cut off share what demand there is unevenly.
+      rise_share: The part of the free grant by which it rises in a second at
+        least.
       renewal_share: A row is written anew when its ceiling or its spending is
-        off by this part of the room that the ceiling leaves.
+        off by this part of the room that the ceiling left.
     """
 
     placed_share: float = 0.85
@@ -42,9 +44,10 @@
     horizon_least_share: float = 0.6
     idle_weight: float = 0.25
     hysteresis_share: float = 0.04
-    proof_ms: int = 3_000
-    ceiling_horizon_ms: int = 3_000
-    idle_share: float = 0.05
+    burst_ms: int = 400
+    burst_share: float = 0.02
+    rise_factor: float = 1.2
+    rise_share: float = 0.04
     renewal_share: float = 0.25
 
 
@@ -58,7 +61,6 @@
       host_count: The hosts that spend, this one included.
       wanted_tokens: What a waiting request lacks; 0 when none waits.
       boot_ms: The time on the boot clock.
-      is_connected: Whether appends are answered.
     """
 
     host: str
@@ -66,7 +68,6 @@
     host_count: int
     wanted_tokens: int
     boot_ms: int
-    is_connected: bool = True
 
 
 def plan_grant(
@@ -116,21 +117,19 @@
 ) -> prepaid.GrantRow:
     """Returns the row for a planned grant."""
     demand = grant.find_demand(given.boot_ms)
-    horizon = int(demand * policy.ceiling_horizon_ms / 1000)
     free = max(0, granted_tokens - grant.committed_tokens)
     headroom = max(
-        horizon,
+        int(demand * policy.burst_ms / 1000),
         given.wanted_tokens,
-        int(free * policy.idle_share),
+        int(free * policy.burst_share),
     )
-    ceiling = granted_tokens
-    if given.is_connected:
-        ceiling = min(ceiling, grant.committed_tokens + headroom)
+    rise = max(demand * policy.rise_factor, free * policy.rise_share)
     return prepaid.GrantRow(
         account=grant.account,
         host=given.host,
         granted_tokens=granted_tokens,
-        ceiling_tokens=ceiling,
+        ceiling_tokens=min(granted_tokens, grant.committed_tokens + headroom),
+        rise_tokens_per_s=round(rise, 1),
         spent_tokens=grant.spent_tokens,
         demand_tokens_per_s=round(demand, 1),
         unsure_tokens=grant.unsure_tokens,
@@ -140,14 +139,23 @@
 def needs_writing(
     row: prepaid.GrantRow,
     written: prepaid.GrantRow | None,
+    is_above_ceiling: bool,
     policy: GrantPolicy,
 ) -> bool:
-    """Tells whether a row says enough that the written one does not."""
+    """Tells whether a row has to be written, or says enough that is new.
+
+    Args:
+      row: The row as it would be now.
+      written: The row in the log, or None.
+      is_above_ceiling: Whether more is spent than a new stamp without the
+        row would say.
+      policy: How rows are sized.
+    """
     if written is None:
         return row.granted_tokens > 0 or row.spent_tokens > 0
-    if row.granted_tokens != written.granted_tokens:
+    if is_above_ceiling or row.granted_tokens != written.granted_tokens:
         return True
-    room = max(row.ceiling_tokens - row.spent_tokens, 1)
+    room = max(written.ceiling_tokens - written.spent_tokens, 1)
     drift = max(
         abs(row.ceiling_tokens - written.ceiling_tokens),
         abs(row.spent_tokens - written.spent_tokens),
--- /dev/null
+++ b/redwingchute/process/prepaid/slow_log_test.py
@@ -0,0 +1,30 @@
+"""Steady spending while the log answers slowly, and is then out of reach."""
+
+from redwingchute.testing import prepaid_world
+
+_HOSTS = ("huon-1", "huon-2", "bruny-1")
+_TOKENS = 800
+
+
+def _spend_steadily(world: prepaid_world.PrepaidWorld, seconds: float) -> float:
+    """Sends ten requests a second and returns the share that is charged."""
+    numbers = []
+    for index in range(int(10 * seconds)):
+        host = _HOSTS[index % len(_HOSTS)]
+        numbers.append(world.request(host, _TOKENS, _TOKENS, seconds=0.2))
+        world.run_for(0.1)
+    world.run_for(1)
+    return sum(map(world.is_charged, numbers)) / len(numbers)
+
+
+def test_requests_are_charged_while_the_log_is_slow_and_then_cut_off() -> None:
+    world = prepaid_world.PrepaidWorld(_HOSTS, 1_000_000)
+    world.run_for(2)
+    assert _spend_steadily(world, 2) == 1.0
+    world.log_latency_s = 1.2
+    slow_share = _spend_steadily(world, 5)
+    world.cut_from_log = set(_HOSTS)
+    cut_share = _spend_steadily(world, 6)
+    world.close()
+    assert slow_share >= 0.95
+    assert cut_share >= 0.95
--- a/redwingchute/process/prepaid/succession.py
+++ b/redwingchute/process/prepaid/succession.py
@@ -1,10 +1,9 @@
-"""What a new process may conclude about the one before it on its host.
+"""How old the last stamp of a process was when it ended.
 
-The former process kept below its ceilings while its last stamp was young. So
-its successor has to know how old that stamp was when the former process ended,
-which was before the successor started. The boot clock tells, unless the host
-lost power. Then the times of day of several hosts do: some may have jumped, so
-the median counts.
+Its successor counts what the former process may have spent by then. The former
+process ended before the successor started. The boot clock tells how long that
+was after the stamp, unless the host lost power. Then the times of day of
+several hosts do: some may have jumped, so the median counts.
 """
 
 from collections.abc import Sequence
@@ -17,31 +16,36 @@
 _MAX_CLOCK_JUMP_MS = 10_000
 # The median of fewer clocks may be that of one that jumped.
 MIN_CLOCKS = 3
+# Times of day that are kept in step differ by less between hosts.
+_CLOCK_SKEW_MS = 100
 
 
-def is_young_by_boot_clock(
+def find_age_by_boot_clock(
     stamp: prepaid.HostStamp, started_boot_ms: int, started_wall_ms: int
-) -> bool:
-    """Tells whether the boot clock shows that a stamp was young.
+) -> int | None:
+    """Returns the most that a stamp was old, by the host's own clocks.
 
     Args:
       stamp: The last stamp of the former process.
       started_boot_ms: When the successor started, on the boot clock.
       started_wall_ms: The same by the time of day.
+
+    Returns:
+      The age in milliseconds, or None when the boot clock started anew.
     """
     age_ms = started_boot_ms - stamp.boot_ms
     wall_age_ms = started_wall_ms - stamp.wall_ms
-    if abs(wall_age_ms - age_ms) > _MAX_CLOCK_JUMP_MS:
-        return False
-    return 0 <= age_ms < stamp.proof_ms
+    if age_ms < 0 or abs(wall_age_ms - age_ms) > _MAX_CLOCK_JUMP_MS:
+        return None
+    return max(age_ms, wall_age_ms)
 
 
-def is_young_by_wall_clocks(
+def find_age_by_wall_clocks(
     stamp: prepaid.HostStamp,
     walls_before_ms: Sequence[int],
     walls_after_ms: Sequence[int],
-) -> bool:
-    """Tells whether the times of day show that a stamp was young.
+) -> int | None:
+    """Returns the most that a stamp was old, by the times of day.
 
     Args:
       stamp: The last stamp of the former process.
@@ -49,9 +53,14 @@
         log first; they bound the stamp's own time, which may have jumped.
       walls_after_ms: The times of day of several hosts at or after the start
         of the successor.
+
+    Returns:
+      The age in milliseconds, or None when too few clocks tell.
     """
     if len(walls_after_ms) < MIN_CLOCKS or len(walls_before_ms) < MIN_CLOCKS:
-        return False
+        return None
     before_ms = min(stamp.wall_ms, statistics.median(walls_before_ms))
-    age_ms = statistics.median(walls_after_ms) - before_ms
-    return 0 <= age_ms < stamp.proof_ms
+    age_ms = int(statistics.median(walls_after_ms) - before_ms)
+    if age_ms < 0:
+        return None
+    return age_ms + _CLOCK_SKEW_MS
