Leave silent upstreams, and silent zones, alone at once

Cause: while a zone is cut off (33 to 40 s) each router lost a request on every kept connection to an upstream there: a connection broke after 1 s without an acknowledgement, and only three failures took an upstream out of use. Inside the zone requests waited for three connects of 0.4 s before they were refused.

Now a connection breaks after 0.5 s. An upstream whose host acknowledged nothing is left alone for 1 s and longer, and the upstreams of its zone with it unless they were heard within 0.3 s. One request tries an upstream again. When none is in reach a request is refused at once, with when the next trial is due. Silence no longer counts as a crash that the request caused (one was quarantined so).

Ruled out: breaking streams off that wait on a silent upstream. They go on when the cut ends, and most may not be sent again.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -52,16 +52,28 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConnectFailed:
-    """No connection could be opened; no byte of the request was sent."""
+    """No connection could be opened; no byte of the request was sent.
+
+    Attributes:
+      message: What happened.
+      is_silent: Whether the other host did not answer at all.
+    """
 
     message: str
+    is_silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
 class ExchangeBroken:
-    """The exchange broke after bytes may have reached the upstream."""
+    """The exchange broke after bytes may have reached the upstream.
+
+    Attributes:
+      message: What happened.
+      is_silent: Whether the other host acknowledged nothing any more.
+    """
 
     message: str
+    is_silent: bool = False
 
 
 @attrs.frozen
@@ -276,7 +288,10 @@
                     await self._reader.read(_READ_BYTES)
                 )
             except (h11.RemoteProtocolError, OSError) as error:
-                return ExchangeBroken(str(error) or type(error).__name__)
+                return ExchangeBroken(
+                    str(error) or type(error).__name__,
+                    is_silent=isinstance(error, TimeoutError),
+                )
 
 
 class ClientPool:
@@ -334,7 +349,10 @@
                     address.ip, address.port
                 )
         except (OSError, TimeoutError) as error:
-            return ConnectFailed(str(error) or "connecting timed out")
+            return ConnectFailed(
+                str(error) or "connecting timed out",
+                is_silent=isinstance(error, TimeoutError),
+            )
         connection = ClientConnection(address, reader, writer)
         if self._unacknowledged_ms is not None:
             connection.get_socket().setsockopt(
--- a/redwingchute/platform/main.py
+++ b/redwingchute/platform/main.py
@@ -19,8 +19,9 @@
 _READY_PATH = "/v1/readyz"
 # Hosts are milliseconds apart; one lost packet is sent again within 0.3 s.
 _CONNECT_MS = 400
-# A host that acknowledges nothing for so long is out of reach.
-_UNACKNOWLEDGED_MS = 1_000
+# A host that acknowledges nothing for so long is out of reach: a packet that is
+# lost once is sent again within 0.3 s.
+_UNACKNOWLEDGED_MS = 500
 
 
 def make_ports(
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 from typing import TypeAlias
 
@@ -25,9 +26,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotConnected:
-    """No byte was sent."""
+    """No byte was sent.
+
+    Attributes:
+      message: What happened.
+      is_silent: Whether the upstream's host did not answer at all.
+    """
 
     message: str
+    is_silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,10 +57,12 @@
     Attributes:
       message: What happened.
       is_timeout: Whether the request's time was up.
+      is_silent: Whether the upstream's host acknowledged nothing any more.
     """
 
     message: str
     is_timeout: bool = False
+    is_silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,6 +111,7 @@
       send: What the system adds.
       is_streaming: Whether a successful answer is a stream of events.
       deadline_s: When the answer must have ended, on the loop's clock.
+      note_heard: Called when something came from the upstream.
     """
 
     request: http_server.HttpRequest
@@ -109,6 +119,7 @@
     send: forward_wire.UpstreamSend
     is_streaming: bool
     deadline_s: float
+    note_heard: Callable[[], None] = lambda: None
 
 
 class Attempts:
@@ -137,7 +148,7 @@
         address = http_client.Address.parse(upstream.address)
         connection = await self._pool.acquire(address)
         if isinstance(connection, http_client.ConnectFailed):
-            return NotConnected(connection.message)
+            return NotConnected(connection.message, connection.is_silent)
         try:
             async with asyncio.timeout_at(outgoing.deadline_s):
                 return await self._exchange(connection, outgoing, relay)
@@ -170,7 +181,8 @@
         )
         head = broken or await connection.read_head()
         if isinstance(head, http_client.ExchangeBroken):
-            return Broken(head.message)
+            return Broken(head.message, is_silent=head.is_silent)
+        outgoing.note_heard()
         answer = self._wire.read_answer(head)
         if answer.was_not_run:
             await connection.read_body(_MAX_ANSWER_BYTES)
@@ -182,16 +194,17 @@
             connection.close()
             return Broken("the answer is not signed")
         if outgoing.is_streaming and answer.status == 200:
-            return await self._stream(connection, head, relay)
+            return await self._stream(connection, head, outgoing, relay)
         body = await connection.read_body(_MAX_ANSWER_BYTES)
         if isinstance(body, http_client.ExchangeBroken):
-            return Broken(body.message)
+            return Broken(body.message, is_silent=body.is_silent)
         return WholeAnswer(head, answer, body)
 
     async def _stream(
         self,
         connection: http_client.ClientConnection,
         head: http_client.ResponseHead,
+        outgoing: Outgoing,
         relay: Relay,
     ) -> AttemptResult:
         """Sends a stream on, whole events at a time."""
@@ -199,6 +212,7 @@
         while True:
             match await connection.read_chunk():
                 case http_client.BodyChunk(chunk):
+                    outgoing.note_heard()
                     events = splitter.split(chunk)
                     if splitter.is_oversized:
                         return Broken("an event of the stream is too large")
@@ -209,8 +223,8 @@
                     await self._start(head, relay)
                     await relay.responder.finish()
                     return Streamed()
-                case http_client.ExchangeBroken(message):
-                    return Broken(message)
+                case http_client.ExchangeBroken(message, is_silent):
+                    return Broken(message, is_silent=is_silent)
 
     async def _send_events(
         self,
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -317,10 +317,11 @@
             if upstream is None:
                 if progress.may_have_run:
                     return _fail("no other upstream is ready")
-                return _refuse_no_upstream()
+                return self._refuse_no_upstream(plan)
             progress.upstream_id = upstream.id
             progress.excluded |= {upstream.id}
-            with self._parts.directory.hold(upstream):
+            now_ms = self._parts.read_clock_ms()
+            with self._parts.directory.hold(upstream, now_ms):
                 result = await self._attempt(plan, request, progress, upstream)
             ending = self._judge(plan, progress, upstream, result, crash_key)
             if ending is not None:
@@ -349,6 +350,9 @@
             ),
             is_streaming=plan.route.kind is forwarding.RequestKind.STREAMING,
             deadline_s=plan.deadline_s,
+            note_heard=lambda: self._parts.directory.note_heard(
+                upstream.id, self._parts.read_clock_ms()
+            ),
         )
         result = await self._attempts.run(upstream, outgoing, progress.relay)
         match result:
@@ -377,14 +381,16 @@
                 return result
             case forward_attempt.WholeAnswer():
                 return self._judge_answer(plan, progress, upstream, result)
-            case forward_attempt.NotConnected(message):
+            case forward_attempt.NotConnected(message, is_silent):
                 directory.note_unreachable(upstream, now_ms)
+                if is_silent:
+                    self._note_silent(upstream, now_ms)
                 self._log_attempt(plan, upstream, "not_connected", message)
                 if progress.connect_failures < _MAX_CONNECT_TRIES:
                     return None
                 if progress.may_have_run:
                     return _fail(message)
-                return _refuse_no_upstream()
+                return self._refuse_no_upstream(plan)
             case forward_attempt.TurnedAway(status, is_other_instance):
                 if is_other_instance:
                     # It is listed again if it is alive elsewhere.
@@ -400,18 +406,36 @@
                     "The upstreams take no more work at the moment.",
                     _RETRY_AFTER_MS,
                 )
-            case forward_attempt.Broken(message, is_timeout):
+            case forward_attempt.Broken(message, is_timeout, is_silent):
                 self._log_attempt(plan, upstream, "broken", message)
                 if is_timeout:
                     return outcomes.Failed(504, "timed_out", message)
                 directory.note_failure(upstream, now_ms)
-                self._note_crash(plan, upstream, crash_key, now_ms)
+                if is_silent:
+                    self._note_silent(upstream, now_ms)
+                else:
+                    self._note_crash(plan, upstream, crash_key, now_ms)
                 if plan.route.may_repeat and self._may_send_again(
                     plan, progress
                 ):
                     return None
                 return _fail(message)
 
+    def _note_silent(self, upstream: forwarding.Upstream, now_ms: int) -> None:
+        """Leaves an upstream alone whose host does not answer."""
+        found = self._parts.directory.note_silent(upstream, now_ms)
+        if found:
+            decision_log.log_event(
+                "upstreams_silent", upstreams=found, zone=upstream.zone
+            )
+
+    def _refuse_no_upstream(self, plan: _Plan) -> outcomes.NotRun:
+        """Returns the refusal when no upstream can be reached."""
+        return_ms = self._parts.directory.find_return_ms(
+            plan.service.name, self._parts.read_clock_ms()
+        )
+        return _refuse_no_upstream(max(return_ms, _RETRY_AFTER_MS))
+
     def _judge_answer(
         self,
         plan: _Plan,
@@ -600,10 +624,12 @@
     )
 
 
-def _refuse_no_upstream() -> outcomes.NotRun:
+def _refuse_no_upstream(
+    retry_after_ms: int = _RETRY_AFTER_MS,
+) -> outcomes.NotRun:
     """Returns the refusal when no upstream is ready."""
     return outcomes.NotRun(
-        503, "no_upstream", "No upstream is ready.", _RETRY_AFTER_MS
+        503, "no_upstream", "No upstream is ready.", retry_after_ms
     )
 
 
--- /dev/null
+++ b/redwingchute/request/silence.py
@@ -0,0 +1,105 @@
+"""Notices upstreams that have fallen silent, and the zones they are in.
+
+An upstream whose host acknowledges nothing is out of reach. If nothing was
+heard lately from the others of its zone either, the zone is likely cut off, and
+they are left alone as well before requests are lost on each of them. After a
+pause one request tries an upstream again, while the others stay away.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+# Upstreams that serve this router are heard several times in this time.
+_HEARD_LATELY_MS = 300
+# Cuts last for seconds; a lossy link is back in use soon.
+_FIRST_PAUSE_MS = 1_000
+_MAX_PAUSE_MS = 4_000
+# Connecting takes no longer, or fails.
+_TRIAL_MS = 600
+
+
+@attrs.define
+class _State:
+    """What is known of one upstream.
+
+    Attributes:
+      heard_ms: When something came from it.
+      silent_until_ms: Until when it is left alone.
+      pauses: How often in a row it was found silent.
+    """
+
+    heard_ms: int = -_HEARD_LATELY_MS
+    silent_until_ms: int = 0
+    pauses: int = 0
+
+
+class SilenceWatch:
+    """The upstreams that are out of reach."""
+
+    def __init__(self) -> None:
+        """Starts with every upstream in reach."""
+        self._states: dict[str, _State] = {}
+
+    def note_heard(self, upstream_id: str, now_ms: int) -> None:
+        """Notes that something came from an upstream."""
+        state = self._find(upstream_id)
+        state.heard_ms = now_ms
+        state.silent_until_ms = 0
+        state.pauses = 0
+
+    def note_silent(
+        self, upstream_id: str, zone_ids: Iterable[str], now_ms: int
+    ) -> tuple[str, ...]:
+        """Leaves an upstream alone, and those of its zone that are silent too.
+
+        Args:
+          upstream_id: The upstream that acknowledged nothing.
+          zone_ids: The upstreams of its zone.
+          now_ms: The current time.
+
+        Returns:
+          The upstreams that are left alone from now on.
+        """
+        found = []
+        for other in {upstream_id, *zone_ids}:
+            state = self._find(other)
+            is_heard = now_ms - state.heard_ms < _HEARD_LATELY_MS
+            if other != upstream_id and is_heard:
+                continue
+            if state.silent_until_ms <= now_ms:
+                found.append(other)
+            self._pause(state, now_ms)
+        return tuple(sorted(found))
+
+    def is_silent(self, upstream_id: str, now_ms: int) -> bool:
+        """Tells whether an upstream is left alone now."""
+        state = self._states.get(upstream_id)
+        return state is not None and now_ms < state.silent_until_ms
+
+    def begin_use(self, upstream_id: str, now_ms: int) -> None:
+        """Keeps others away while a request tries an upstream again."""
+        state = self._states.get(upstream_id)
+        if state is not None and state.pauses:
+            state.silent_until_ms = now_ms + _TRIAL_MS
+
+    def find_return_ms(self, upstream_ids: Iterable[str]) -> int:
+        """Returns when the first of some upstreams is tried again."""
+        return min(
+            (self._find(name).silent_until_ms for name in upstream_ids),
+            default=0,
+        )
+
+    def forget(self, upstream_id: str) -> None:
+        """Forgets an upstream that is gone."""
+        self._states.pop(upstream_id, None)
+
+    def _find(self, upstream_id: str) -> _State:
+        """Returns the state of an upstream."""
+        return self._states.setdefault(upstream_id, _State())
+
+    def _pause(self, state: _State, now_ms: int) -> None:
+        """Leaves an upstream alone, longer each time."""
+        pause_ms = min(_MAX_PAUSE_MS, _FIRST_PAUSE_MS << state.pauses)
+        state.pauses = min(state.pauses + 1, 10)
+        state.silent_until_ms = max(state.silent_until_ms, now_ms + pause_ms)
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -7,6 +7,7 @@
 
 from redwingchute.core import forwarding
 from redwingchute.request import outlier
+from redwingchute.request import silence
 from redwingchute.request import upstream_choice
 
 
@@ -31,6 +32,7 @@
         self._pools: dict[str, _Pool] = {}
         self._services: dict[str, str] = {}
         self._open: dict[str, int] = {}
+        self._silence = silence.SilenceWatch()
 
     def take(self, upstream: forwarding.Upstream) -> None:
         """Takes an upstream's newest entry."""
@@ -50,6 +52,7 @@
         service = self._services.pop(upstream_id, None)
         if service is None:
             return
+        self._silence.forget(upstream_id)
         pool = self._find_pool(service)
         del pool.upstreams[upstream_id]
         pool.outliers.set_upstreams(tuple(pool.upstreams))
@@ -82,7 +85,8 @@
     ) -> forwarding.Upstream | None:
         """Returns the upstream for a request, or None.
 
-        Upstreams that failed lately are used only when no other is left.
+        Upstreams that failed lately are used only when no other is left;
+        those that are out of reach not at all.
 
         Args:
           service: The service that runs it.
@@ -95,7 +99,9 @@
         ready = [
             upstream
             for upstream in pool.upstreams.values()
-            if upstream.is_ready and upstream.id not in excluded
+            if upstream.is_ready
+            and upstream.id not in excluded
+            and not self._silence.is_silent(upstream.id, now_ms)
         ]
         sound = [
             upstream
@@ -113,8 +119,11 @@
         )
 
     @contextlib.contextmanager
-    def hold(self, upstream: forwarding.Upstream) -> Iterator[None]:
+    def hold(
+        self, upstream: forwarding.Upstream, now_ms: int
+    ) -> Iterator[None]:
         """Counts a request as open at an upstream."""
+        self._silence.begin_use(upstream.id, now_ms)
         self._open[upstream.id] = self._open.get(upstream.id, 0) + 1
         try:
             yield
@@ -127,6 +136,32 @@
         """Notes that an upstream answered a request."""
         self._find_pool(upstream.service).outliers.note_success(upstream.id)
 
+    def note_heard(self, upstream_id: str, now_ms: int) -> None:
+        """Notes that something came from an upstream."""
+        self._silence.note_heard(upstream_id, now_ms)
+
+    def note_silent(
+        self, upstream: forwarding.Upstream, now_ms: int
+    ) -> tuple[str, ...]:
+        """Notes that an upstream's host does not answer.
+
+        Returns:
+          The upstreams that are left alone from now on: it, and those of its
+          zone if the whole zone is silent.
+        """
+        zone_ids = [
+            other.id
+            for pool in self._pools.values()
+            for other in pool.upstreams.values()
+            if other.zone == upstream.zone
+        ]
+        return self._silence.note_silent(upstream.id, zone_ids, now_ms)
+
+    def find_return_ms(self, service: str, now_ms: int) -> int:
+        """Returns in how many ms a silent upstream is tried again."""
+        upstreams = self._find_pool(service).upstreams
+        return max(0, self._silence.find_return_ms(upstreams) - now_ms)
+
     def note_unreachable(
         self, upstream: forwarding.Upstream, now_ms: int
     ) -> None:
