Send generations where the first event is likely soonest; shed load

Cause: 10 to 14 in 100 requests were late in the first 14 s, while prompts are read for the first time. Each router balanced by its own open requests, an eighth of what is open, so several long prompts met at one upstream while others idled.

Now routers tell each other what they have open and which prompt parts are being read. A model of reading times picks the upstream with the earliest first event; a generation that would wait for 1.2 to 2 target latencies is refused at once.

Ruled out: polling reports (priced, stale).

--- a/redwingchute/core/requesting.py
+++ b/redwingchute/core/requesting.py
@@ -28,6 +28,43 @@
     crashed_at_ms: int
 
 
+@attrs.frozen
+class UpstreamLoad:
+    """What one router has open at an upstream.
+
+    Attributes:
+      upstream: The upstream.
+      open_requests: The requests that are open there.
+      waiting_tokens: What it has yet to read of their prompts.
+    """
+
+    upstream: str
+    open_requests: int
+    waiting_tokens: int
+
+
+@attrs.frozen
+class ReadPart:
+    """A prompt part that an upstream reads now, and keeps for a while."""
+
+    upstream: str
+    part: str
+
+
+@attrs.frozen
+class LoadNotice:
+    """Tells other routers what a router has open.
+
+    Attributes:
+      loads: Its requests, of all upstreams where it has some.
+      parts: The prompt parts that upstreams read for it since the notice
+        before.
+    """
+
+    loads: tuple[UpstreamLoad, ...]
+    parts: tuple[ReadPart, ...]
+
+
 @attrs.frozen
 class QuarantineNotice:
     """Tells other routers that a request is refused, or no longer.
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -54,6 +54,8 @@
 # An open connection that is idle for so long has no request on its way.
 _STOP_IDLE_S = 0.3
 _STOP_POLL_S = 0.05
+# How often a notice of the load may be due.
+_LOAD_CHECK_S = 0.05
 
 
 @attrs.frozen
@@ -206,9 +208,11 @@
             prepaid.RemoteSettlement, self._charging.handle_settlement
         )
         self._network.handle(requesting.CrashNotice, self._handle_crash)
+        self._network.handle(requesting.LoadNotice, self._handle_load)
         self._spawn(self._configuration.run())
         self._spawn(self._upstreams.run())
         self._spawn(self._keeper.run())
+        self._spawn(self._tell_load())
         await enter(
             self._make_side_server(
                 self.settings.ready_listen, self._answer_ready
@@ -220,7 +224,11 @@
             )
         )
         await enter(self._callers)
-        decision_log.log_event("started", incarnation=self._incarnation)
+        decision_log.log_event(
+            "started",
+            incarnation=self._incarnation,
+            boot_ms=read_boot_ms(),
+        )
         return self
 
     async def __aexit__(
@@ -403,7 +411,25 @@
             )
         return allowance
 
-    def _broadcast(self, notice: requesting.CrashNotice) -> None:
+    async def _tell_load(self) -> None:
+        """Tells the other routers what this one has open."""
+        while True:
+            await asyncio.sleep(_LOAD_CHECK_S)
+            notice = self._directory.find_due_notice(
+                len(self._keeper.fold.list_hosts()) - 1, read_boot_ms()
+            )
+            if notice is not None:
+                self._broadcast(notice)
+
+    async def _handle_load(
+        self, peer: data.Host, notice: requesting.LoadNotice
+    ) -> None:
+        """Takes what another router has open."""
+        self._directory.take_notice(peer.name, notice, read_boot_ms())
+
+    def _broadcast(
+        self, notice: requesting.CrashNotice | requesting.LoadNotice
+    ) -> None:
         """Sends a notice to all other routers, best effort."""
         for stamp in self._keeper.fold.list_hosts():
             if stamp.host != self.settings.host_name:
--- a/redwingchute/process/prepaid/grant_keeper.py
+++ b/redwingchute/process/prepaid/grant_keeper.py
@@ -322,6 +322,8 @@
                 account=row.account,
                 granted_tokens=row.granted_tokens,
                 recorded_tokens=row.spent_tokens,
+                ceiling_tokens=row.ceiling_tokens,
+                rise_tokens_per_s=row.rise_tokens_per_s,
                 released_tokens=released,
                 stamp_age_ms=proof.age_ms,
                 proof=proof.source,
--- /dev/null
+++ b/redwingchute/request/cold_prompts_test.py
@@ -0,0 +1,90 @@
+"""Many prompts are read for the first time, by requests to all routers.
+
+At a start, and after upstreams were lost, no prompt has been read anywhere.
+Routers that spread requests by their own counts alone then send several long
+prompts to one upstream while others idle.
+"""
+
+from redwingchute.request import fleet_load
+from redwingchute.request import upstream_directory
+from redwingchute.testing import generations
+
+_UPSTREAMS = tuple(f"runner-{number}" for number in range(6))
+_ROUTERS = 8
+_MS_PER_TOKEN = 0.02
+
+
+class _Fleet:
+    """Routers that tell each other of their load after every request."""
+
+    def __init__(self, is_telling: bool) -> None:
+        """Starts all routers with the same upstreams."""
+        self.now_ms = 100_000
+        self.free_ms = dict.fromkeys(_UPSTREAMS, self.now_ms)
+        self._is_telling = is_telling
+        self._held: list[tuple[int, fleet_load.OpenRequest]] = []
+        self._directories = []
+        for _ in range(_ROUTERS):
+            directory = upstream_directory.UpstreamDirectory("huon")
+            for name in _UPSTREAMS:
+                directory.take(generations.make_upstream(name))
+            self._directories.append(directory)
+
+    def send(self, number: int) -> int:
+        """Sends a request with a new prompt; returns its wait in ms."""
+        self._begin_due()
+        directory = self._directories[number % _ROUTERS]
+        generation = generations.make_generation(f"prompt-{number}")
+        chosen = directory.choose(
+            "llm",
+            generations.make_request(number, generation),
+            frozenset(),
+            self.now_ms,
+        )
+        assert chosen is not None
+        hold = directory.hold(chosen.upstream, generation, self.now_ms)
+        request = hold.__enter__()
+        begins_ms = max(self.free_ms[chosen.upstream.id], self.now_ms)
+        ends_ms = begins_ms + int(generation.prompt_tokens * _MS_PER_TOKEN)
+        self.free_ms[chosen.upstream.id] = ends_ms
+        self._held.append((ends_ms, request))
+        self._tell()
+        return begins_ms - self.now_ms
+
+    def _begin_due(self) -> None:
+        """Lets upstreams send the first events that are due."""
+        for ends_ms, request in self._held:
+            if ends_ms <= self.now_ms:
+                for directory in self._directories:
+                    directory.note_first_event(request, self.now_ms)
+        self._held = [held for held in self._held if held[0] > self.now_ms]
+
+    def _tell(self) -> None:
+        """Carries the notices that are due."""
+        if not self._is_telling:
+            return
+        for number, directory in enumerate(self._directories):
+            notice = directory.find_due_notice(_ROUTERS - 1, self.now_ms)
+            if notice is None:
+                continue
+            for other in self._directories:
+                if other is not directory:
+                    other.take_notice(str(number), notice, self.now_ms)
+
+
+def _find_late_share(is_telling: bool) -> float:
+    """Returns the share of requests that wait over 0.4 s for the reading."""
+    fleet = _Fleet(is_telling)
+    waits = []
+    for number in range(400):
+        waits.append(fleet.send(number))
+        fleet.now_ms += 50
+    return sum(wait > 400 for wait in waits) / len(waits)
+
+
+def test_routers_that_know_the_load_spread_cold_prompts() -> None:
+    assert _find_late_share(is_telling=True) < 0.02
+
+
+def test_the_load_of_the_pattern_is_heavy_without_knowing_it() -> None:
+    assert _find_late_share(is_telling=False) > 0.05
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -112,6 +112,7 @@
       is_streaming: Whether a successful answer is a stream of events.
       deadline_s: When the answer must have ended, on the loop's clock.
       note_heard: Called when something came from the upstream.
+      note_event: Called when a part of a stream came.
     """
 
     request: http_server.HttpRequest
@@ -120,6 +121,7 @@
     is_streaming: bool
     deadline_s: float
     note_heard: Callable[[], None] = lambda: None
+    note_event: Callable[[], None] = lambda: None
 
 
 class Attempts:
@@ -213,6 +215,7 @@
             match await connection.read_chunk():
                 case http_client.BodyChunk(chunk):
                     outgoing.note_heard()
+                    outgoing.note_event()
                     events = splitter.split(chunk)
                     if splitter.is_oversized:
                         return Broken("an event of the stream is too large")
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -20,11 +20,12 @@
 from redwingchute.core import requesting
 from redwingchute.process import decision_log
 from redwingchute.process.prepaid import charging
+from redwingchute.request import fleet_load
 from redwingchute.request import forward_attempt
 from redwingchute.request import forward_wire
+from redwingchute.request import load_shedding
 from redwingchute.request import quarantine
 from redwingchute.request import retry_allowance
-from redwingchute.request import upstream_choice
 from redwingchute.request import upstream_directory
 from redwingchute.version import route_index
 
@@ -266,6 +267,9 @@
         self._parts.find_allowance(plan.service.name).note_request(now_ms)
         if not self._parts.directory.count_ready(plan.service.name):
             return _refuse_no_upstream()
+        busy = self._refuse_if_busy(plan, now_ms)
+        if busy is not None:
+            return busy
         charge = await self._charge(plan)
         if isinstance(charge, outcomes.NotRun):
             return charge
@@ -277,6 +281,23 @@
                     charge, _count_spent_tokens(plan, progress)
                 )
 
+    def _refuse_if_busy(
+        self, plan: _Plan, now_ms: int
+    ) -> outcomes.NotRun | None:
+        """Refuses a generation that would wait too long for its first event."""
+        if plan.request.generation is None:
+            return None
+        chosen = self._parts.directory.choose(
+            plan.service.name, plan.request, frozenset(), now_ms
+        )
+        if chosen is None:
+            return None
+        return load_shedding.refuse_if_late(
+            chosen.delay_ms,
+            plan.route.target_latency_ms,
+            _find_priority(plan) or 0,
+        )
+
     async def _charge(
         self, plan: _Plan
     ) -> charging.Charge | outcomes.NotRun | None:
@@ -303,26 +324,29 @@
         crash_key: quarantine.RequestKey,
     ) -> _Ending:
         """Sends a request until it has an answer or cannot get one."""
-        affinity_key = upstream_choice.find_affinity_key(
-            plan.request.generation
-        )
+        directory = self._parts.directory
         while True:
-            upstream = self._parts.directory.choose(
+            chosen = directory.choose(
                 plan.service.name,
-                affinity_key,
+                plan.request,
                 progress.excluded,
-                plan.request.id,
                 self._parts.read_clock_ms(),
             )
-            if upstream is None:
+            if chosen is None:
                 if progress.may_have_run:
                     return _fail("no other upstream is ready")
                 return self._refuse_no_upstream(plan)
+            upstream = chosen.upstream
             progress.upstream_id = upstream.id
             progress.excluded |= {upstream.id}
-            now_ms = self._parts.read_clock_ms()
-            with self._parts.directory.hold(upstream, now_ms):
-                result = await self._attempt(plan, request, progress, upstream)
+            with directory.hold(
+                upstream,
+                plan.request.generation,
+                self._parts.read_clock_ms(),
+            ) as held:
+                result = await self._attempt(
+                    plan, request, progress, upstream, held
+                )
             ending = self._judge(plan, progress, upstream, result, crash_key)
             if ending is not None:
                 return ending
@@ -333,6 +357,7 @@
         request: http_server.HttpRequest,
         progress: _Progress,
         upstream: forwarding.Upstream,
+        held: fleet_load.OpenRequest,
     ) -> forward_attempt.AttemptResult:
         """Runs one attempt; it counts as run while it is out."""
         may_have_run = progress.may_have_run
@@ -353,6 +378,9 @@
             note_heard=lambda: self._parts.directory.note_heard(
                 upstream.id, self._parts.read_clock_ms()
             ),
+            note_event=lambda: self._parts.directory.note_first_event(
+                held, self._parts.read_clock_ms()
+            ),
         )
         result = await self._attempts.run(upstream, outgoing, progress.relay)
         match result:
--- /dev/null
+++ b/redwingchute/request/overload_of_one_zone_test.py
@@ -0,0 +1,51 @@
+"""The upstreams that are left to a cut-off zone cannot serve all its requests.
+
+Without a limit each request that is let in makes all later ones late, until
+none is in time.
+"""
+
+from redwingchute.core import outcomes
+from redwingchute.request import load_shedding
+
+_TARGET_MS = 800
+_READ_MS = 300
+_BETWEEN_MS = 150
+
+
+def _play(is_shedding: bool) -> tuple[int, int]:
+    """Lets twice the possible load in; returns those in time and refused."""
+    free_ms = 0
+    in_time = refused = 0
+    for now_ms in range(0, 9_000, _BETWEEN_MS):
+        delay_ms = max(0, free_ms - now_ms)
+        refusal = load_shedding.refuse_if_late(delay_ms, _TARGET_MS, 2)
+        if is_shedding and refusal is not None:
+            refused += 1
+            continue
+        free_ms = now_ms + delay_ms + _READ_MS
+        in_time += free_ms - now_ms <= 2 * _TARGET_MS
+    return in_time, refused
+
+
+def test_what_is_let_in_is_served() -> None:
+    in_time, refused = _play(is_shedding=True)
+    assert in_time + refused == 60
+    assert in_time > 2 * _play(is_shedding=False)[0]
+
+
+def test_a_request_is_refused_with_when_to_come_back() -> None:
+    refusal = load_shedding.refuse_if_late(3_000, _TARGET_MS, 1)
+    assert isinstance(refusal, outcomes.NotRun)
+    assert refusal.status == 503
+    assert refusal.retry_after_ms is not None
+    assert 1_000 < refusal.retry_after_ms < 3_000
+
+
+def test_requests_of_lower_rank_are_refused_first() -> None:
+    delay_ms = 1.8 * _TARGET_MS
+    assert load_shedding.refuse_if_late(delay_ms, _TARGET_MS, 0) is None
+    assert load_shedding.refuse_if_late(delay_ms, _TARGET_MS, 1) is not None
+
+
+def test_without_a_target_nothing_is_refused() -> None:
+    assert load_shedding.refuse_if_late(60_000, 0, 2) is None
--- /dev/null
+++ b/redwingchute/request/prefill_model_test.py
@@ -0,0 +1,42 @@
+"""Tests of what upstreams have read and how fast they read."""
+
+from redwingchute.request import prefill_model
+from redwingchute.testing import generations
+
+_NOW_MS = 50_000
+
+
+def test_a_part_that_was_read_lately_is_warm() -> None:
+    model = prefill_model.PrefillModel()
+    generation = generations.make_generation("a", 8_000, 500)
+    assert model.find_cold_tokens("r", generation, _NOW_MS) == 8_500
+    model.note_read("r", ("a",), _NOW_MS)
+    assert model.find_cold_tokens("r", generation, _NOW_MS + 5_000) == 500
+    assert model.find_cold_tokens("other", generation, _NOW_MS) == 8_500
+
+
+def test_a_part_is_not_kept_for_ever() -> None:
+    model = prefill_model.PrefillModel()
+    generation = generations.make_generation("a", 8_000, 500)
+    model.note_read("r", ("a",), _NOW_MS)
+    assert model.find_cold_tokens("r", generation, _NOW_MS + 60_000) == 8_500
+
+
+def test_reading_a_shared_part_once_more_costs_more_than_its_time() -> None:
+    model = prefill_model.PrefillModel()
+    generation = generations.make_generation("a", 8_000, 500)
+    cold_ms = model.find_cost_ms("r", generation, _NOW_MS)
+    assert cold_ms > 8_500 * model.find_ms_per_token("r")
+    model.note_read("r", ("a",), _NOW_MS)
+    warm_ms = model.find_cost_ms("r", generation, _NOW_MS)
+    assert warm_ms == 500 * model.find_ms_per_token("r")
+
+
+def test_the_speed_is_learned_from_large_prompts() -> None:
+    model = prefill_model.PrefillModel()
+    for _ in range(40):
+        model.note_first_event("slow", 10_000, 1_000)
+        model.note_first_event("slow", 200, 1_000)
+    assert 0.09 < model.find_ms_per_token("slow") < 0.11
+    model.forget("slow")
+    assert model.find_ms_per_token("slow") < 0.11
--- a/redwingchute/request/upstream_choice.py
+++ b/redwingchute/request/upstream_choice.py
@@ -1,9 +1,9 @@
 """Chooses the upstream that a request is sent to.
 
-Requests with the same shared prompt prefer the same upstream, on every router
-alike, since it has read that prompt already. They leave it only when it has
-clearly more work than the others. Requests without a prompt go to the least
-loaded upstream, the nearest first.
+A generation goes where its first event is likely soonest, by what is to be read
+there before it and of its own prompt. Among upstreams that are alike, requests
+with the same shared prompt prefer the same one, on every router alike. Requests
+without a prompt go to the least loaded upstream, the nearest first.
 """
 
 from collections.abc import Sequence
@@ -13,10 +13,12 @@
 
 from redwingchute.core import forwarding
 
+# A difference that the estimates cannot tell.
+_INDIFFERENT_MS = 100.0
 # An upstream may have this many times the mean load before requests that
 # prefer it go elsewhere, plus the allowance for small numbers.
-_LOAD_FACTOR = 1.3
-_LOAD_ALLOWANCE = 3.0
+_LOAD_FACTOR = 1.5
+_LOAD_ALLOWANCE = 6.0
 
 
 @attrs.frozen
@@ -26,10 +28,14 @@
     Attributes:
       upstream: The upstream.
       load: Requests that are open there.
+      delay_ms: How long until it would begin with the request.
+      cost_ms: How long it would read the prompt.
     """
 
     upstream: forwarding.Upstream
     load: float
+    delay_ms: float = 0.0
+    cost_ms: float = 0.0
 
 
 def find_affinity_key(generation: forwarding.Generation | None) -> str | None:
@@ -49,7 +55,7 @@
     affinity_key: str | None,
     zone: str,
     tie_breaker: str,
-) -> forwarding.Upstream | None:
+) -> Candidate | None:
     """Returns the upstream for a request, or None without candidates.
 
     Args:
@@ -61,7 +67,7 @@
     if not candidates:
         return None
     if affinity_key is None:
-        least = min(
+        return min(
             candidates,
             key=lambda candidate: (
                 candidate.load / candidate.upstream.slots,
@@ -69,17 +75,24 @@
                 _rank(tie_breaker, candidate.upstream),
             ),
         )
-        return least.upstream
     mean = sum(candidate.load for candidate in candidates) / len(candidates)
     bound = _LOAD_FACTOR * mean + _LOAD_ALLOWANCE
-    preferred = sorted(
-        candidates,
-        key=lambda candidate: _rank(affinity_key, candidate.upstream),
+    # The least loaded one is always below the bound.
+    fitting = [candidate for candidate in candidates if candidate.load <= bound]
+    least_ms = min(map(_find_total_ms, fitting))
+    alike = [
+        candidate
+        for candidate in fitting
+        if _find_total_ms(candidate) <= least_ms + _INDIFFERENT_MS
+    ]
+    return min(
+        alike, key=lambda candidate: _rank(affinity_key, candidate.upstream)
     )
-    for candidate in preferred:
-        if candidate.load <= bound:
-            return candidate.upstream
-    return preferred[0].upstream
+
+
+def _find_total_ms(candidate: Candidate) -> float:
+    """Returns how long a request would wait for its first event."""
+    return candidate.delay_ms + candidate.cost_ms
 
 
 def _rank(key: str, upstream: forwarding.Upstream) -> int:
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -1,4 +1,4 @@
-"""The upstreams that serve now, and how busy this router keeps them."""
+"""The upstreams that serve now, and how busy all routers keep them."""
 
 from collections.abc import Iterator
 import contextlib
@@ -6,7 +6,11 @@
 import attrs
 
 from redwingchute.core import forwarding
+from redwingchute.core import requesting
+from redwingchute.request import fleet_load
+from redwingchute.request import load_notices
 from redwingchute.request import outlier
+from redwingchute.request import prefill_model
 from redwingchute.request import silence
 from redwingchute.request import upstream_choice
 
@@ -31,7 +35,9 @@
         self._zone = zone
         self._pools: dict[str, _Pool] = {}
         self._services: dict[str, str] = {}
-        self._open: dict[str, int] = {}
+        self._prefill = prefill_model.PrefillModel()
+        self._load = fleet_load.FleetLoad(self._prefill.find_ms_per_token)
+        self._notices = load_notices.LoadNotices()
         self._silence = silence.SilenceWatch()
 
     def take(self, upstream: forwarding.Upstream) -> None:
@@ -53,6 +59,7 @@
         if service is None:
             return
         self._silence.forget(upstream_id)
+        self._prefill.forget(upstream_id)
         pool = self._find_pool(service)
         del pool.upstreams[upstream_id]
         pool.outliers.set_upstreams(tuple(pool.upstreams))
@@ -78,11 +85,10 @@
     def choose(
         self,
         service: str,
-        affinity_key: str | None,
+        request: forwarding.ForwardRequest,
         excluded: frozenset[str],
-        tie_breaker: str,
         now_ms: int,
-    ) -> forwarding.Upstream | None:
+    ) -> upstream_choice.Candidate | None:
         """Returns the upstream for a request, or None.
 
         Upstreams that failed lately are used only when no other is left;
@@ -90,9 +96,8 @@
 
         Args:
           service: The service that runs it.
-          affinity_key: What it shares with other requests, or None.
+          request: The request.
           excluded: Upstreams that it was sent to before.
-          tie_breaker: Spreads requests over upstreams that are alike.
           now_ms: The current time.
         """
         pool = self._find_pool(service)
@@ -108,29 +113,95 @@
             for upstream in ready
             if pool.outliers.find_return_ms(upstream.id) <= now_ms
         ]
-        candidates = [
-            upstream_choice.Candidate(
-                upstream, float(self._open.get(upstream.id, 0))
-            )
-            for upstream in sound or ready
-        ]
         return upstream_choice.choose_upstream(
-            candidates, affinity_key, self._zone, tie_breaker
+            [
+                self._make_candidate(upstream, request.generation, now_ms)
+                for upstream in sound or ready
+            ],
+            upstream_choice.find_affinity_key(request.generation),
+            self._zone,
+            request.id,
+        )
+
+    def _make_candidate(
+        self,
+        upstream: forwarding.Upstream,
+        generation: forwarding.Generation | None,
+        now_ms: int,
+    ) -> upstream_choice.Candidate:
+        """Returns an upstream with what is known of its load."""
+        load = float(self._load.count_open(upstream.id, now_ms))
+        if generation is None:
+            return upstream_choice.Candidate(upstream, load)
+        waiting = self._load.count_waiting_tokens(upstream.id, now_ms)
+        ms_per_token = self._prefill.find_ms_per_token(upstream.id)
+        return upstream_choice.Candidate(
+            upstream,
+            load,
+            delay_ms=waiting * ms_per_token,
+            cost_ms=self._prefill.find_cost_ms(upstream.id, generation, now_ms),
         )
 
     @contextlib.contextmanager
     def hold(
-        self, upstream: forwarding.Upstream, now_ms: int
-    ) -> Iterator[None]:
+        self,
+        upstream: forwarding.Upstream,
+        generation: forwarding.Generation | None,
+        now_ms: int,
+    ) -> Iterator[fleet_load.OpenRequest]:
         """Counts a request as open at an upstream."""
         self._silence.begin_use(upstream.id, now_ms)
-        self._open[upstream.id] = self._open.get(upstream.id, 0) + 1
+        request = fleet_load.OpenRequest(upstream.id, now_ms)
+        if generation is not None:
+            self._begin_reading(request, generation, now_ms)
+        self._load.add(request)
         try:
-            yield
+            yield request
         finally:
-            self._open[upstream.id] -= 1
-            if not self._open[upstream.id]:
-                del self._open[upstream.id]
+            self._load.remove(request)
+
+    def _begin_reading(
+        self,
+        request: fleet_load.OpenRequest,
+        generation: forwarding.Generation,
+        now_ms: int,
+    ) -> None:
+        """Counts a prompt as being read by the upstream of a request."""
+        upstream_id = request.upstream_id
+        ahead = self._load.count_waiting_tokens(upstream_id, now_ms)
+        request.waiting_tokens = self._prefill.find_cold_tokens(
+            upstream_id, generation, now_ms
+        )
+        request.ahead_tokens = ahead + request.waiting_tokens
+        parts = tuple(part.id for part in prefill_model.list_shared(generation))
+        self._prefill.note_read(upstream_id, parts, now_ms)
+        self._notices.add_parts(upstream_id, parts)
+
+    def note_first_event(
+        self, request: fleet_load.OpenRequest, now_ms: int
+    ) -> None:
+        """Notes that an upstream has read a request's prompt."""
+        if not request.waiting_tokens:
+            return
+        request.waiting_tokens = 0
+        self._prefill.note_first_event(
+            request.upstream_id, request.ahead_tokens, now_ms - request.sent_ms
+        )
+
+    def find_due_notice(
+        self, host_count: int, now_ms: int
+    ) -> requesting.LoadNotice | None:
+        """Returns what the other routers should be told now, or None."""
+        return self._notices.find_due(self._load.list_own(), host_count, now_ms)
+
+    def take_notice(
+        self, host: str, notice: requesting.LoadNotice, now_ms: int
+    ) -> None:
+        """Takes what another router has open."""
+        self._load.take_notice(host, notice.loads, now_ms)
+        for part in notice.parts:
+            if part.upstream in self._services:
+                self._prefill.note_read(part.upstream, (part.part,), now_ms)
 
     def note_success(self, upstream: forwarding.Upstream) -> None:
         """Notes that an upstream answered a request."""
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -58,6 +58,7 @@
     codec.Registration(400, requesting.CrashNotice, _REQUEST),
     codec.Registration(401, requesting.QuarantineNotice, _REQUEST),
     codec.Registration(402, requesting.LeavingNotice, _REQUEST),
+    codec.Registration(403, requesting.LoadNotice, _REQUEST),
 )
 
 
