--- a/redwingchute/process/decision_log.py
+++ b/redwingchute/process/decision_log.py
@@ -5,6 +5,8 @@
 is written as soon as there is room again.
 """
 
+import collections
+from collections.abc import Mapping
 import json
 import os
 import time
@@ -17,7 +19,14 @@
 
 
 class DecisionLog:
-    """A bounded, non-blocking writer of JSON lines."""
+    """A bounded, non-blocking writer of JSON lines.
+
+    Attributes:
+      context: Fields that every line carries.
+      is_enabled: Whether lines are written.
+      counts: How often each event came, lines that were dropped included.
+      dropped_lines: How many lines were dropped in all.
+    """
 
     def __init__(self, file_descriptor: int = 1) -> None:
         """Writes to a file descriptor, by default standard output."""
@@ -28,6 +37,8 @@
         self._rest = b""
         self.context: dict[str, Any] = {}
         self.is_enabled = False
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.dropped_lines = 0
 
     def open(self, **context: Any) -> None:
         """Starts to write.
@@ -43,10 +54,11 @@
         self, event: str, is_failure: bool, fields: dict[str, Any]
     ) -> None:
         """Writes one line, or counts it as dropped."""
+        self.counts[event] += 1
         if not self.is_enabled:
             return
         if not self._take_line(is_failure):
-            self._dropped += 1
+            self._note_dropped()
             return
         line = {"at_ms": time.time_ns() // 1_000_000, "event": event}
         line |= self.context
@@ -56,6 +68,11 @@
             self._dropped = 0
         self._send(json.dumps(line, separators=(",", ":")).encode() + b"\n")
 
+    def _note_dropped(self) -> None:
+        """Counts a line that is not written."""
+        self._dropped += 1
+        self.dropped_lines += 1
+
     def _take_line(self, is_failure: bool) -> bool:
         """Takes one line from the rate; False when there is none."""
         now_s = time.monotonic()
@@ -74,7 +91,7 @@
         try:
             written = os.write(self._file_descriptor, payload)
         except BlockingIOError:
-            self._dropped += 1
+            self._note_dropped()
             return
         except OSError:
             # The reader is gone; the process goes on without its log.
@@ -91,6 +108,11 @@
     LOG.write(event, False, fields)
 
 
+def read_counts() -> Mapping[str, int]:
+    """Returns how often each event came, and how many lines were dropped."""
+    return {**LOG.counts, "line_dropped": LOG.dropped_lines}
+
+
 def log_failure(event: str, **fields: Any) -> None:
     """Writes a decision that refuses or fails a request."""
     LOG.write(event, True, fields)
--- a/redwingchute/process/explanation_test.py
+++ b/redwingchute/process/explanation_test.py
@@ -52,5 +52,6 @@
                 )
             )
     page = pathlib.Path("docs/OPERATIONS.md").read_text()
+    page = page[: page.index("## Metrics")]
     listed = set(re.findall(r"^\| `(\w+)` \|", page, re.MULTILINE))
     assert emitted == listed
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -25,15 +25,18 @@
 from redwingchute.core import requesting
 from redwingchute.process import decision_log
 from redwingchute.process import gateway_settings
+from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import peer_network
 from redwingchute.process import shared_log
 from redwingchute.process import telemetry
+from redwingchute.process import timed_log
 from redwingchute.process.prepaid import charging
 from redwingchute.process.prepaid import grant_keeper
 from redwingchute.request import forward_wire
 from redwingchute.request import forwarding_handler
 from redwingchute.request import quarantine
+from redwingchute.request import request_measures
 from redwingchute.request import retry_allowance
 from redwingchute.request import upstream_directory
 from redwingchute.version import route_index
@@ -114,6 +117,10 @@
         self._pool = pool
         self._incarnation = secrets.randbits(47) or 1
         self._metrics = telemetry.Metrics(settings.host_name, settings.zone)
+        self._metrics.observe_events(decision_log.read_counts)
+        self._log = timed_log.TimedLog(
+            ports.log, read_boot_ms, self._note_log_call
+        )
         self._index: route_index.RouteIndex | None = None
         self._directory = upstream_directory.UpstreamDirectory(settings.zone)
         self._quarantine = quarantine.Quarantine(settings.host_name)
@@ -129,14 +136,14 @@
             self._keeper, self._network, read_boot_ms, self._incarnation
         )
         self._configuration = keyed_follower.KeyedFollower(
-            ports.log,
+            self._log,
             ports.configuration_topic,
             _CONFIGURATION_PACE,
             read_boot_ms,
             self._take_configuration,
         )
         self._upstreams = keyed_follower.KeyedFollower(
-            ports.log,
+            self._log,
             ports.upstream_topic,
             _UPSTREAM_PACE,
             read_boot_ms,
@@ -171,7 +178,7 @@
             wall_ms=0,
         )
         return grant_keeper.GrantKeeper(
-            self._ports.log,
+            self._log,
             stamp,
             grant_keeper.Clocks(read_boot_ms, read_wall_ms),
             self._find_prepaid,
@@ -193,7 +200,7 @@
                 broadcast=self._broadcast,
                 find_time_left_ms=self._find_time_left_ms,
                 read_clock_ms=read_boot_ms,
-                note_outcome=self._note_outcome,
+                measures=self._make_measures(),
             )
         )
         listen = self.settings.listen
@@ -330,6 +337,13 @@
             return
         before = self._index.table.version if self._index else None
         if before is not None and table.version <= before:
+            invariants.check(
+                table.version == before,
+                "configuration_regressed",
+                version=table.version,
+                version_before=before,
+                offset=record.offset,
+            )
             return
         self._index = route_index.RouteIndex(table)
         limits = table.limits
@@ -442,10 +456,28 @@
         del peer
         self._quarantine.take_crash(notice, read_boot_ms())
 
-    def _note_outcome(self, outcome: str, elapsed_ms: int) -> None:
-        """Counts an ended request."""
-        self._metrics.requests.add(1, {"outcome": outcome})
-        self._metrics.request_ms.record(elapsed_ms, {"outcome": outcome})
+    def _make_measures(self) -> request_measures.RequestMeasures:
+        """Returns where requests are measured."""
+        metrics = self._metrics
+
+        def note_outcome(outcome: str, elapsed_ms: int) -> None:
+            metrics.requests.add(1, {"outcome": outcome})
+            metrics.request_ms.record(elapsed_ms, {"outcome": outcome})
+
+        return request_measures.RequestMeasures(
+            note_outcome=note_outcome,
+            note_grant_wait=lambda is_reserved, ms: (
+                metrics.grant_wait_ms.record(ms, {"reserved": is_reserved})
+            ),
+            note_first_event=metrics.first_token_ms.record,
+            note_event_gap=metrics.event_gap_ms.record,
+        )
+
+    def _note_log_call(self, call: str, result: str, elapsed_ms: int) -> None:
+        """Measures a call of the shared log."""
+        self._metrics.log_call_ms.record(
+            elapsed_ms, {"call": call, "result": result}
+        )
 
     def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         """Runs a coroutine that this gateway owns."""
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -153,7 +153,9 @@
             return self._make_local_charge(account, tokens)
         remaining = keeper.find_remaining(account, prepaid_tokens)
         if tokens > remaining:
-            return self._refuse(request_id, account, tokens, is_fresh)
+            return self._refuse(
+                request_id, account, tokens, remaining, is_fresh
+            )
         own = await keeper.reserve_with_raise(account, tokens, _RAISE_WAIT_S)
         if own == tokens:
             return self._make_local_charge(account, tokens)
@@ -164,7 +166,7 @@
             return self._make_local_charge(account, tokens)
         remaining = keeper.find_remaining(account, prepaid_tokens)
         is_spent = tokens > remaining and is_fresh
-        return self._refuse(request_id, account, tokens, is_spent)
+        return self._refuse(request_id, account, tokens, remaining, is_spent)
 
     async def _wait_for_ceiling(
         self, account: str, tokens: int, patience_ms: int
@@ -240,9 +242,22 @@
         )
 
     def _refuse(
-        self, request_id: str, account: str, tokens: int, is_spent: bool
+        self,
+        request_id: str,
+        account: str,
+        tokens: int,
+        remaining: int,
+        is_spent: bool,
     ) -> outcomes.NotRun:
-        """Returns the refusal of a request that cannot be charged."""
+        """Returns the refusal of a request that cannot be charged.
+
+        Args:
+          request_id: Names the request.
+          account: The client account.
+          tokens: What the request needs.
+          remaining: The most that can be left of the account.
+          is_spent: Whether what is left surely does not cover the request.
+        """
         grant = self._keeper.find_grant(account)
         decision_log.log_failure(
             "charge_refused",
@@ -253,6 +268,7 @@
             granted_tokens=grant.granted_tokens,
             committed_tokens=grant.committed_tokens,
             available_tokens=grant.find_available(self._read_clock_ms()),
+            remaining_tokens=remaining,
             is_connected=self._keeper.is_connected,
         )
         if is_spent:
--- a/redwingchute/process/prepaid/grant_keeper.py
+++ b/redwingchute/process/prepaid/grant_keeper.py
@@ -14,6 +14,7 @@
 
 from redwingchute.core import prepaid
 from redwingchute.process import decision_log
+from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
 from redwingchute.process.prepaid import grant as grant_lib
@@ -363,6 +364,7 @@
                 await self._follower.read_once()
                 self._settle_inherited()
             await self._run_turn()
+            self._check_spending()
             finished, self._turn = self._turn, asyncio.Event()
             finished.set()
             if not self.is_connected:
@@ -370,6 +372,17 @@
             elif self._is_stopping and self._own_stamp.is_leaving:
                 await asyncio.sleep(_TICK_MS / 1000)
 
+    def _check_spending(self) -> None:
+        """Reports a grant of which more is committed than it holds."""
+        for grant in self._grants.values():
+            invariants.check(
+                grant.committed_tokens <= grant.granted_tokens,
+                "spending_above_grant",
+                account=grant.account,
+                granted_tokens=grant.granted_tokens,
+                committed_tokens=grant.committed_tokens,
+            )
+
     async def _run_turn(self) -> None:
         """Plans and appends until one append took effect or none can."""
         for _ in range(_MAX_CONDITION_TRIES):
--- a/redwingchute/process/telemetry.py
+++ b/redwingchute/process/telemetry.py
@@ -5,15 +5,23 @@
 are read as Prometheus text on the admin address.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 import logging
 import sys
 
+from opentelemetry import metrics as api_metrics
 from opentelemetry.exporter import prometheus as prometheus_exporter
 from opentelemetry.sdk import metrics as sdk_metrics
 from opentelemetry.sdk import resources
 import prometheus_client
 from pythonjsonlogger import json as json_logger
 
+# Tell a call of the log, a gap between events, a first event and a whole
+# request apart, which last from some ms to some seconds.
+_BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1_600, 3_200, 8_000)
+
 
 class Metrics:
     """The instruments of one router and the registry that exposes them."""
@@ -35,6 +43,7 @@
             shutdown_on_exit=False,
         )
         meter = self._provider.get_meter("redwingchute")
+        self._meter = meter
         self.requests = meter.create_counter("requests")
         self.refusals = meter.create_counter("refusals")
         self.attempts = meter.create_counter("attempts")
@@ -57,10 +66,33 @@
         self.peer_handshakes_failed = meter.create_counter(
             "peer_handshakes_failed"
         )
-        self.first_token_ms = meter.create_histogram("first_token_ms")
-        self.request_ms = meter.create_histogram("request_ms")
+        self.first_token_ms = self._create_histogram("first_token_ms")
+        self.event_gap_ms = self._create_histogram("event_gap_ms")
+        self.request_ms = self._create_histogram("request_ms")
+        self.log_call_ms = self._create_histogram("log_call_ms")
+        self.grant_wait_ms = self._create_histogram("grant_wait_ms")
         self.open_requests = meter.create_up_down_counter("open_requests")
 
+    def observe_events(self, read: Callable[[], Mapping[str, int]]) -> None:
+        """Exposes how often each event of the decision log came."""
+
+        def observe(
+            options: api_metrics.CallbackOptions,
+        ) -> Iterable[api_metrics.Observation]:
+            del options
+            return [
+                api_metrics.Observation(count, {"event": event})
+                for event, count in read().items()
+            ]
+
+        self._meter.create_observable_counter("events", [observe])
+
+    def _create_histogram(self, name: str) -> api_metrics.Histogram:
+        """Returns a histogram of times."""
+        return self._meter.create_histogram(
+            name, explicit_bucket_boundaries_advisory=_BUCKETS_MS
+        )
+
     def render(self) -> bytes:
         """Returns all metrics as Prometheus text."""
         return prometheus_client.generate_latest(self._registry)
--- a/redwingchute/process/telemetry_test.py
+++ b/redwingchute/process/telemetry_test.py
@@ -8,3 +8,13 @@
     metrics.refusals.add(2, {"code": "no_key"})
     assert b'refusals_total{code="no_key"} 2.0' in metrics.render()
     metrics.close()
+
+
+def test_times_fall_into_buckets_and_events_are_counted() -> None:
+    metrics = telemetry.Metrics("huon-1", "huon")
+    metrics.grant_wait_ms.record(7, {"outcome": "reserved"})
+    metrics.observe_events(lambda: {"grants_cut_off": 3})
+    text = metrics.render().decode()
+    assert 'grant_wait_ms_bucket{le="10",outcome="reserved"} 1.0' in text
+    assert 'events_total{event="grants_cut_off"} 3.0' in text
+    metrics.close()
--- /dev/null
+++ b/redwingchute/process/timed_log.py
@@ -0,0 +1,68 @@
+"""Measures how long the calls of a shared log take."""
+
+from collections.abc import Callable
+
+from redwingchute.process import shared_log
+
+
+class TimedLog:
+    """A shared log that tells the time of each call.
+
+    Reads that wait for a record are not measured: their time says when the
+    record came.
+    """
+
+    def __init__(
+        self,
+        log: shared_log.SharedLog,
+        read_clock_ms: Callable[[], int],
+        note_call: Callable[[str, str, int], None],
+    ) -> None:
+        """Wraps a log.
+
+        Args:
+          log: The log.
+          read_clock_ms: Returns the time on a steady clock.
+          note_call: Takes a call's name, the kind of its result, and its time
+            in milliseconds.
+        """
+        self._log = log
+        self._read_clock_ms = read_clock_ms
+        self._note_call = note_call
+
+    async def append(
+        self,
+        topic: str,
+        records: tuple[shared_log.KeyedRecord, ...],
+        stamp: shared_log.ProducerStamp,
+        at_offset: int | None = None,
+    ) -> shared_log.AppendResult:
+        """Appends records."""
+        started_ms = self._read_clock_ms()
+        result = await self._log.append(topic, records, stamp, at_offset)
+        self._note("append", result, started_ms)
+        return result
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> shared_log.ReadResult:
+        """Reads records."""
+        started_ms = self._read_clock_ms()
+        result = await self._log.read(topic, offset, wait_ms)
+        if not wait_ms:
+            self._note("read", result, started_ms)
+        return result
+
+    async def read_newest(
+        self, topic: str
+    ) -> shared_log.Newest | shared_log.LogUnavailable:
+        """Reads the newest record of each key."""
+        started_ms = self._read_clock_ms()
+        result = await self._log.read_newest(topic)
+        self._note("read_newest", result, started_ms)
+        return result
+
+    def _note(self, call: str, result: object, started_ms: int) -> None:
+        """Tells the time of a call that ended."""
+        elapsed_ms = self._read_clock_ms() - started_ms
+        self._note_call(call, type(result).__name__, elapsed_ms)
--- /dev/null
+++ b/redwingchute/process/timed_log_test.py
@@ -0,0 +1,61 @@
+"""Tests of measuring the calls of a shared log."""
+
+import asyncio
+
+from redwingchute.process import shared_log
+from redwingchute.process import timed_log
+
+
+class _SlowLog:
+    """A log that takes 7 ms a call and does not answer appends."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0
+
+    async def append(
+        self,
+        topic: str,
+        records: tuple[shared_log.KeyedRecord, ...],
+        stamp: shared_log.ProducerStamp,
+        at_offset: int | None = None,
+    ) -> shared_log.AppendResult:
+        del topic, records, stamp, at_offset
+        self.now_ms += 7
+        return shared_log.LogUnavailable("no answer")
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> shared_log.ReadResult:
+        del topic, wait_ms
+        self.now_ms += 7
+        return shared_log.ReadRecords((), offset)
+
+    async def read_newest(
+        self, topic: str
+    ) -> shared_log.Newest | shared_log.LogUnavailable:
+        del topic
+        self.now_ms += 7
+        return shared_log.Newest((), 0)
+
+
+def test_each_call_is_measured_but_reads_that_wait() -> None:
+    slow = _SlowLog()
+    calls = []
+    log = timed_log.TimedLog(
+        slow,
+        lambda: slow.now_ms,
+        lambda call, result, ms: calls.append((call, result, ms)),
+    )
+
+    async def call_all() -> None:
+        await log.append("t", (), shared_log.ProducerStamp("p", 1, 0))
+        await log.read("t", 0, 0)
+        await log.read("t", 0, 5_000)
+        await log.read_newest("t")
+
+    asyncio.run(call_all())
+    assert calls == [
+        ("append", "LogUnavailable", 7),
+        ("read", "ReadRecords", 7),
+        ("read_newest", "Newest", 7),
+    ]
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -19,12 +19,14 @@
 from redwingchute.core import outcomes
 from redwingchute.core import requesting
 from redwingchute.process import decision_log
+from redwingchute.process import invariants
 from redwingchute.process.prepaid import charging
 from redwingchute.request import fleet_load
 from redwingchute.request import forward_attempt
 from redwingchute.request import forward_wire
 from redwingchute.request import load_shedding
 from redwingchute.request import quarantine
+from redwingchute.request import request_measures
 from redwingchute.request import retry_allowance
 from redwingchute.request import upstream_directory
 from redwingchute.version import route_index
@@ -60,7 +62,7 @@
       find_time_left_ms: Returns how long the process still runs; None while
         it is not told to stop.
       read_clock_ms: Returns the time on a steady clock.
-      note_outcome: Counts an ended request by its outcome and time.
+      measures: Takes the times and outcomes of requests.
     """
 
     pool: http_client.ClientPool
@@ -74,7 +76,7 @@
     broadcast: Callable[[requesting.CrashNotice], None]
     find_time_left_ms: Callable[[], int | None]
     read_clock_ms: Callable[[], int]
-    note_outcome: Callable[[str, int], None]
+    measures: request_measures.RequestMeasures
 
 
 @attrs.frozen
@@ -111,6 +113,7 @@
       may_have_run: Whether an upstream may have worked on it.
       excluded: The upstreams that it is not sent to again.
       upstream_id: The last upstream.
+      event_ms: When the last part of a stream came.
     """
 
     relay: forward_attempt.Relay
@@ -119,6 +122,7 @@
     may_have_run: bool = False
     excluded: frozenset[str] = frozenset()
     upstream_id: str = ""
+    event_ms: int | None = None
 
 
 # None: the answer was sent or its connection has to be cut.
@@ -307,7 +311,8 @@
             return None
         if account.prepaid_tokens is None:
             return None
-        return await self._parts.charger.admit(
+        started_ms = self._parts.read_clock_ms()
+        charge = await self._parts.charger.admit(
             plan.request.id,
             account.name,
             account.prepaid_tokens,
@@ -315,6 +320,11 @@
             plan.patience_ms,
             self._parts.is_fresh(),
         )
+        self._parts.measures.note_grant_wait(
+            isinstance(charge, charging.Charge),
+            self._parts.read_clock_ms() - started_ms,
+        )
+        return charge
 
     async def _run(
         self,
@@ -378,9 +388,7 @@
             note_heard=lambda: self._parts.directory.note_heard(
                 upstream.id, self._parts.read_clock_ms()
             ),
-            note_event=lambda: self._parts.directory.note_first_event(
-                held, self._parts.read_clock_ms()
-            ),
+            note_event=lambda: self._note_event(plan, progress, held),
         )
         result = await self._attempts.run(upstream, outgoing, progress.relay)
         match result:
@@ -392,6 +400,22 @@
                 progress.may_have_run = may_have_run
         return result
 
+    def _note_event(
+        self,
+        plan: _Plan,
+        progress: _Progress,
+        held: fleet_load.OpenRequest,
+    ) -> None:
+        """Measures a part of a stream that came."""
+        now_ms = self._parts.read_clock_ms()
+        self._parts.directory.note_first_event(held, now_ms)
+        if progress.event_ms is None:
+            elapsed_ms = now_ms - plan.arrived_ms
+            self._parts.measures.note_first_event(elapsed_ms)
+        else:
+            self._parts.measures.note_event_gap(now_ms - progress.event_ms)
+        progress.event_ms = now_ms
+
     def _judge(
         self,
         plan: _Plan,
@@ -539,6 +563,16 @@
                 await responder.start(head.status, headers)
                 await responder.send_chunk(body)
                 await responder.finish()
+            case outcomes.NotRun(status, code) if progress.may_have_run:
+                # The caller must not be told that the request did not run.
+                invariants.check(
+                    False,
+                    "refusal_after_run",
+                    request_id=plan.request.id,
+                    status=status,
+                    code=code,
+                )
+                await self._finish(_fail(code), plan, progress, responder)
             case refusal if progress.relay.has_started:
                 # Ending the connection shows that the answer is not whole.
                 self._log_end(plan, progress, f"cut_{refusal.code}")
@@ -576,7 +610,7 @@
             version=index.table.version if index else None,
             **context,
         )
-        self._parts.note_outcome(refusal.code, elapsed_ms)
+        self._parts.measures.note_outcome(refusal.code, elapsed_ms)
         answer = self._parts.wire.build_refusal(refusal, request_id)
         headers = [
             *answer.headers,
@@ -589,7 +623,7 @@
     def _log_end(self, plan: _Plan, progress: _Progress, outcome: str) -> None:
         """Logs and counts the end of a request."""
         elapsed_ms = self._parts.read_clock_ms() - plan.arrived_ms
-        self._parts.note_outcome(outcome, elapsed_ms)
+        self._parts.measures.note_outcome(outcome, elapsed_ms)
         decision_log.log_event(
             "request_ended",
             request_id=plan.request.id,
