Split planning out of the forwarding handler and the grant keeper

What a request may do by the configuration is decided in request/forward_plan, what an append says in process/prepaid/append_planner. Whole answers go through HttpResponder.send_whole, and a router's share of the repeats is computed in one place. No behaviour changes.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -123,12 +123,21 @@
         headers: list[tuple[str, str]] | None = None,
     ) -> None:
         """Sends a whole response."""
-        all_headers = [
-            ("content-type", content_type),
-            ("content-length", str(len(body))),
-            *(headers or []),
-        ]
-        await self.start(status, all_headers)
+        all_headers = [("content-type", content_type), *(headers or [])]
+        await self.send_whole(status, all_headers, body)
+
+    async def send_whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Sends a whole response.
+
+        Args:
+          status: The HTTP status.
+          headers: All headers; content-length is filled in.
+          body: The whole body.
+        """
+        kept = [pair for pair in headers if pair[0] != "content-length"]
+        await self.start(status, [*kept, ("content-length", str(len(body)))])
         await self.send_chunk(body)
         await self.finish()
 
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -407,19 +407,22 @@
         if stamp.host == self.settings.host_name:
             return
         self._network.set_address(stamp.host, stamp.peer_address)
-        hosts = max(1, len(self._keeper.fold.list_hosts()))
         for allowance in self._allowances.values():
-            allowance.set_slack(self.settings.retry_slack / hosts)
+            allowance.set_slack(self._find_retry_slack())
+
+    def _find_retry_slack(self) -> float:
+        """Returns this router's share of the repeats that all may make."""
+        hosts = max(1, len(self._keeper.fold.list_hosts()))
+        return self.settings.retry_slack / hosts
 
     def _find_allowance(self, service: str) -> retry_allowance.RetryAllowance:
         """Returns the repeats that this router may make at a service."""
         allowance = self._allowances.get(service)
         if allowance is None:
-            hosts = max(1, len(self._keeper.fold.list_hosts()))
             allowance = self._allowances[service] = (
                 retry_allowance.RetryAllowance(
                     self.settings.retry_ratio,
-                    self.settings.retry_slack / hosts,
+                    self._find_retry_slack(),
                     self.settings.retry_window_ms,
                 )
             )
--- /dev/null
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -0,0 +1,125 @@
+"""Plans what a router's next append says about its grants."""
+
+from collections.abc import Callable
+
+import attrs
+
+from redwingchute.core import prepaid
+from redwingchute.process.prepaid import grant as grant_lib
+from redwingchute.process.prepaid import grant_fold
+from redwingchute.process.prepaid import grant_planner
+
+
+@attrs.frozen
+class PlannedRows:
+    """The rows of an append.
+
+    Attributes:
+      rows: The rows.
+      has_raise: Whether one raises a grant, so that no row of another host may
+        come in between.
+    """
+
+    rows: tuple[prepaid.GrantRow, ...]
+    has_raise: bool
+
+
+class AppendPlanner:
+    """Plans the rows of one router."""
+
+    def __init__(
+        self,
+        host: str,
+        fold: grant_fold.GrantFold,
+        grants: dict[str, grant_lib.Grant],
+        find_prepaid: Callable[[], dict[str, int]],
+        read_boot_ms: Callable[[], int],
+        policy: grant_planner.GrantPolicy,
+    ) -> None:
+        """Binds the planner to the router's state.
+
+        Args:
+          host: The router's host.
+          fold: The rows of all hosts.
+          grants: The router's own counts by account.
+          find_prepaid: Returns the prepaid tokens of each account.
+          read_boot_ms: Returns the time on the boot clock.
+          policy: How grants are sized.
+        """
+        self._host = host
+        self._fold = fold
+        self._grants = grants
+        self._find_prepaid = find_prepaid
+        self._read_boot_ms = read_boot_ms
+        self._policy = policy
+
+    def plan_rows(self, wanted: dict[str, int]) -> PlannedRows:
+        """Returns the rows that are due now.
+
+        Args:
+          wanted: The tokens that waiting requests need of each account.
+        """
+        rows = []
+        has_raise = False
+        for account, prepaid_tokens in self._find_prepaid().items():
+            grant = grant_lib.find_grant(self._grants, account)
+            given = self._make_input(account, prepaid_tokens, wanted)
+            granted = grant_planner.plan_grant(
+                grant, self._fold, given, self._policy
+            )
+            row = grant_planner.plan_row(grant, granted, given, self._policy)
+            if account in wanted or grant_planner.needs_writing(
+                row, grant.row, grant.is_above_ceiling, self._policy
+            ):
+                rows.append(row)
+                has_raise |= granted > grant.granted_tokens
+        return PlannedRows(tuple(rows), has_raise)
+
+    def plan_last_rows(self) -> tuple[prepaid.GrantRow, ...]:
+        """Returns the rows that give back what is not committed."""
+        rows = []
+        for grant in self._grants.values():
+            if grant.row is None:
+                continue
+            grant.lower(grant.committed_tokens)
+            rows.append(
+                attrs.evolve(
+                    grant.row,
+                    granted_tokens=grant.granted_tokens,
+                    ceiling_tokens=grant.granted_tokens,
+                    spent_tokens=grant.spent_tokens,
+                    unsure_tokens=grant.unsure_tokens,
+                    demand_tokens_per_s=0.0,
+                )
+            )
+        return tuple(rows)
+
+    def can_raise(self, wanted: dict[str, int]) -> bool:
+        """Tells whether the log has room for what requests lack.
+
+        Args:
+          wanted: The tokens that waiting requests need of each account.
+        """
+        for account, prepaid_tokens in self._find_prepaid().items():
+            if account not in wanted:
+                continue
+            grant = grant_lib.find_grant(self._grants, account)
+            given = self._make_input(account, prepaid_tokens, wanted)
+            granted = grant_planner.plan_grant(
+                grant, self._fold, given, self._policy
+            )
+            if granted > grant.granted_tokens:
+                return True
+        return False
+
+    def _make_input(
+        self, account: str, prepaid_tokens: int, wanted: dict[str, int]
+    ) -> grant_planner.PlanInput:
+        """Returns what the plan of an account goes by."""
+        return grant_planner.PlanInput(
+            host=self._host,
+            prepaid_tokens=prepaid_tokens,
+            host_count=len(self._fold.list_hosts()),
+            wanted_tokens=wanted.get(account, 0),
+            boot_ms=self._read_boot_ms(),
+        )
--- a/redwingchute/process/prepaid/grant.py
+++ b/redwingchute/process/prepaid/grant.py
@@ -216,3 +216,11 @@
         self._demand_ms = now_ms
         self._demand_tokens *= max(0.0, 1 - elapsed_ms / _DEMAND_WINDOW_MS)
         self.largest_tokens *= max(0.0, 1 - elapsed_ms / _LARGEST_MEMORY_MS)
+
+
+def find_grant(grants: dict[str, Grant], account: str) -> Grant:
+    """Returns the grant of an account, an empty one when it is new."""
+    grant = grants.get(account)
+    if grant is None:
+        grant = grants[account] = Grant(account)
+    return grant
--- a/redwingchute/process/prepaid/grant_keeper.py
+++ b/redwingchute/process/prepaid/grant_keeper.py
@@ -17,6 +17,7 @@
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
+from redwingchute.process.prepaid import append_planner
 from redwingchute.process.prepaid import grant as grant_lib
 from redwingchute.process.prepaid import grant_fold
 from redwingchute.process.prepaid import grant_planner
@@ -105,6 +106,14 @@
             log, TOPIC, _READ_PACE, clocks.read_boot_ms, self._take_record
         )
         self._grants: dict[str, grant_lib.Grant] = {}
+        self._planner = append_planner.AppendPlanner(
+            own_stamp.host,
+            self.fold,
+            self._grants,
+            find_prepaid,
+            clocks.read_boot_ms,
+            self._policy,
+        )
         self._told_spent: dict[tuple[str, str], int] = {}
         self._wanted: dict[str, int] = {}
         self._wake = asyncio.Event()
@@ -127,10 +136,7 @@
 
     def find_grant(self, account: str) -> grant_lib.Grant:
         """Returns the counts of an account, empty ones when it is new."""
-        grant = self._grants.get(account)
-        if grant is None:
-            grant = self._grants[account] = grant_lib.Grant(account)
-        return grant
+        return grant_lib.find_grant(self._grants, account)
 
     def reserve(self, account: str, tokens: int) -> bool:
         """Reserves tokens of this router's grant, if they are available."""
@@ -400,7 +406,7 @@
                     if not self._lacks_tokens():
                         return
                     await self._follower.read_once()
-                    if not self._can_raise():
+                    if not self._planner.can_raise(self._list_wanted()):
                         return
                 case shared_log.ConditionFailed():
                     self._pending = None
@@ -431,79 +437,18 @@
             for account, tokens in self._list_wanted().items()
         )
 
-    def _can_raise(self) -> bool:
-        """Tells whether the log has room for what requests lack."""
-        wanted = self._list_wanted()
-        return any(
-            self._plan_grant(account, prepaid_tokens, wanted)
-            > self.find_grant(account).granted_tokens
-            for account, prepaid_tokens in self._find_prepaid().items()
-            if account in wanted
-        )
-
-    def _make_input(
-        self, account: str, prepaid_tokens: int, wanted: dict[str, int]
-    ) -> grant_planner.PlanInput:
-        """Returns what the plan of an account goes by."""
-        return grant_planner.PlanInput(
-            host=self.own_host,
-            prepaid_tokens=prepaid_tokens,
-            host_count=len(self.fold.list_hosts()),
-            wanted_tokens=wanted.get(account, 0),
-            boot_ms=self._clocks.read_boot_ms(),
-        )
-
-    def _plan_grant(
-        self, account: str, prepaid_tokens: int, wanted: dict[str, int]
-    ) -> int:
-        """Returns the grant that this router should have of an account."""
-        given = self._make_input(account, prepaid_tokens, wanted)
-        grant = self.find_grant(account)
-        return grant_planner.plan_grant(grant, self.fold, given, self._policy)
-
     def _plan_append(self, wanted: dict[str, int]) -> _Append:
         """Returns the append that is due now."""
         if self._is_stopping:
-            return self._plan_last_append()
-        rows = []
-        is_raise = False
-        for account, prepaid_tokens in self._find_prepaid().items():
-            grant = self.find_grant(account)
-            given = self._make_input(account, prepaid_tokens, wanted)
-            planned = grant_planner.plan_grant(
-                grant, self.fold, given, self._policy
-            )
-            row = grant_planner.plan_row(grant, planned, given, self._policy)
-            if account in wanted or grant_planner.needs_writing(
-                row, grant.row, grant.is_above_ceiling, self._policy
-            ):
-                rows.append(row)
-                is_raise |= planned > grant.granted_tokens
-        at_offset = self._follower.next_offset if is_raise else None
+            self._own_stamp = attrs.evolve(self._own_stamp, is_leaving=True)
+            rows = self._planner.plan_last_rows()
+            return _Append(self._make_stamp(), rows, None, self._sequence)
+        planned = self._planner.plan_rows(wanted)
+        at_offset = self._follower.next_offset if planned.has_raise else None
         return _Append(
-            self._make_stamp(), tuple(rows), at_offset, self._sequence
+            self._make_stamp(), planned.rows, at_offset, self._sequence
         )
 
-    def _plan_last_append(self) -> _Append:
-        """Returns the append that gives back what is not committed."""
-        self._own_stamp = attrs.evolve(self._own_stamp, is_leaving=True)
-        rows = []
-        for grant in self._grants.values():
-            if grant.row is None:
-                continue
-            grant.lower(grant.committed_tokens)
-            rows.append(
-                attrs.evolve(
-                    grant.row,
-                    granted_tokens=grant.granted_tokens,
-                    ceiling_tokens=grant.granted_tokens,
-                    spent_tokens=grant.spent_tokens,
-                    unsure_tokens=grant.unsure_tokens,
-                    demand_tokens_per_s=0.0,
-                )
-            )
-        return _Append(self._make_stamp(), tuple(rows), None, self._sequence)
-
     def _obey(self, append: _Append) -> None:
         """Binds this router to what may be in the log soon."""
         self._sent_stamp_boot_ms = append.stamp.boot_ms
--- /dev/null
+++ b/redwingchute/request/forward_plan.py
@@ -0,0 +1,148 @@
+"""Decides by the configuration where a request goes, or why it may not."""
+
+import asyncio
+from collections.abc import Callable
+import hashlib
+
+import attrs
+
+from redwingchute.connection import http_server
+from redwingchute.core import forwarding
+from redwingchute.core import outcomes
+from redwingchute.request import quarantine
+from redwingchute.version import route_index
+
+# The patience of callers that name none.
+_DEFAULT_PATIENCE_MS = 30_000
+# A process that stops takes no more streams when it has less time than this:
+# most have ended by then.
+_MIN_STREAM_MS = 5_000
+# How soon a caller may come back while the configuration is not known.
+_RETRY_AFTER_MS = 500
+
+
+@attrs.frozen
+class Plan:
+    """A request whose way is decided.
+
+    Attributes:
+      request: What decisions see of it.
+      route: Its route.
+      account: Who calls, or None on routes without keys.
+      service: Where it goes.
+      arrived_ms: When it was read.
+      patience_ms: How long its answer may take.
+      deadline_s: When its answer must have ended, on the loop's clock.
+    """
+
+    request: forwarding.ForwardRequest
+    route: forwarding.Route
+    account: forwarding.ClientAccount | None
+    service: forwarding.Service
+    arrived_ms: int
+    patience_ms: int
+    deadline_s: float
+
+
+class Planner:
+    """Plans requests by the configuration in force."""
+
+    def __init__(
+        self,
+        find_index: Callable[[], route_index.RouteIndex | None],
+        is_fresh: Callable[[], bool],
+        find_time_left_ms: Callable[[], int | None],
+    ) -> None:
+        """Binds the planner to its process.
+
+        Args:
+          find_index: Returns the configuration in force, or None.
+          is_fresh: Tells whether it is surely the newest.
+          find_time_left_ms: Returns how long the process still runs; None
+            while it is not told to stop.
+        """
+        self._find_index = find_index
+        self._is_fresh = is_fresh
+        self._find_time_left_ms = find_time_left_ms
+
+    def plan(
+        self, request: forwarding.ForwardRequest, arrived_ms: int
+    ) -> Plan | outcomes.NotRun:
+        """Decides where a request goes, by the configuration in force."""
+        index = self._find_index()
+        if index is None:
+            return outcomes.NotRun(
+                503,
+                "no_configuration",
+                "This router has no configuration yet.",
+                _RETRY_AFTER_MS,
+            )
+        route = index.find_route(request.host, request.path)
+        if route is None:
+            return self._refuse_unless_fresh(
+                outcomes.NotRun(404, "no_route", "No route matches.")
+            )
+        account = None
+        if index.needs_keys and not route.is_public:
+            account = index.find_account(request.key or "")
+            if account is None:
+                return self._refuse_unless_fresh(
+                    outcomes.NotRun(401, "unknown_key", "The key is unknown.")
+                )
+        if self._would_outlive_process(route):
+            return outcomes.NotRun(
+                503, "stopping", "This router is about to stop.", 0
+            )
+        patience_ms = min(
+            request.patience_ms or _DEFAULT_PATIENCE_MS, route.timeout_ms
+        )
+        return Plan(
+            request=request,
+            route=route,
+            account=account,
+            service=index.find_service(
+                route_index.choose_service(route, request.id)
+            ),
+            arrived_ms=arrived_ms,
+            patience_ms=patience_ms,
+            deadline_s=asyncio.get_running_loop().time() + patience_ms / 1000,
+        )
+
+    def _would_outlive_process(self, route: forwarding.Route) -> bool:
+        """Tells whether a request may still run when the process ends."""
+        left_ms = self._find_time_left_ms()
+        if left_ms is None:
+            return False
+        if route.kind is forwarding.RequestKind.STREAMING:
+            return left_ms < _MIN_STREAM_MS
+        return left_ms < route.timeout_ms
+
+    def _refuse_unless_fresh(self, refusal: outcomes.NotRun) -> outcomes.NotRun:
+        """Returns a refusal that stands only if the version is the newest."""
+        if self._is_fresh():
+            return refusal
+        return outcomes.NotRun(
+            503,
+            "configuration_out_of_date",
+            "This router cannot tell whether its configuration is the newest.",
+            _RETRY_AFTER_MS,
+        )
+
+
+def make_crash_key(
+    plan: Plan, request: http_server.HttpRequest
+) -> quarantine.RequestKey:
+    """Returns what a request that comes again has in common."""
+    digest = hashlib.sha256(request.target.encode())
+    digest.update(request.body)
+    account = plan.account.name if plan.account else ""
+    return quarantine.RequestKey(account, digest.digest())
+
+
+def find_priority(plan: Plan) -> int | None:
+    """Returns the rank of a request at its upstream."""
+    if plan.request.generation is None:
+        return None
+    if plan.account is not None and plan.account.priority is not None:
+        return plan.account.priority
+    return plan.route.priority
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-import hashlib
 import traceback
 from typing import TypeAlias
 
@@ -23,6 +22,7 @@
 from redwingchute.process.prepaid import charging
 from redwingchute.request import fleet_load
 from redwingchute.request import forward_attempt
+from redwingchute.request import forward_plan
 from redwingchute.request import forward_wire
 from redwingchute.request import load_shedding
 from redwingchute.request import quarantine
@@ -31,13 +31,8 @@
 from redwingchute.request import upstream_directory
 from redwingchute.version import route_index
 
-# The patience of callers that name none.
-_DEFAULT_PATIENCE_MS = 30_000
 # Upstreams that are tried when connections cannot be opened.
 _MAX_CONNECT_TRIES = 4
-# A process that stops takes no more streams when it has less time than this:
-# most have ended by then.
-_MIN_STREAM_MS = 5_000
 # How soon a refused caller may come back when nothing better is known.
 _RETRY_AFTER_MS = 500
 # Statuses that promise that a request did not run; an upstream's own answer
@@ -79,29 +74,6 @@
     measures: request_measures.RequestMeasures
 
 
-@attrs.frozen
-class _Plan:
-    """A request whose way is decided.
-
-    Attributes:
-      request: What decisions see of it.
-      route: Its route.
-      account: Who calls, or None on routes without keys.
-      service: Where it goes.
-      arrived_ms: When it was read.
-      patience_ms: How long its answer may take.
-      deadline_s: When its answer must have ended, on the loop's clock.
-    """
-
-    request: forwarding.ForwardRequest
-    route: forwarding.Route
-    account: forwarding.ClientAccount | None
-    service: forwarding.Service
-    arrived_ms: int
-    patience_ms: int
-    deadline_s: float
-
-
 @attrs.define
 class _Progress:
     """What happened to a request so far.
@@ -138,6 +110,9 @@
         """Binds the handler to the parts of the process."""
         self._parts = parts
         self._attempts = forward_attempt.Attempts(parts.pool, parts.wire)
+        self._planner = forward_plan.Planner(
+            parts.find_index, parts.is_fresh, parts.find_time_left_ms
+        )
 
     async def handle(
         self,
@@ -177,7 +152,7 @@
         if isinstance(parsed, outcomes.NotRun):
             await self._refuse(parsed, None, arrived_ms, responder)
             return
-        plan = self._plan(parsed, arrived_ms)
+        plan = self._planner.plan(parsed, arrived_ms)
         if isinstance(plan, outcomes.NotRun):
             await self._refuse(plan, parsed.id, arrived_ms, responder)
             return
@@ -192,77 +167,14 @@
             raise
         await self._finish(ending, plan, progress, responder)
 
-    def _plan(
-        self, request: forwarding.ForwardRequest, arrived_ms: int
-    ) -> _Plan | outcomes.NotRun:
-        """Decides where a request goes, by the configuration in force."""
-        index = self._parts.find_index()
-        if index is None:
-            return outcomes.NotRun(
-                503,
-                "no_configuration",
-                "This router has no configuration yet.",
-                _RETRY_AFTER_MS,
-            )
-        route = index.find_route(request.host, request.path)
-        if route is None:
-            return self._refuse_unless_fresh(
-                outcomes.NotRun(404, "no_route", "No route matches.")
-            )
-        account = None
-        if index.needs_keys and not route.is_public:
-            account = index.find_account(request.key or "")
-            if account is None:
-                return self._refuse_unless_fresh(
-                    outcomes.NotRun(401, "unknown_key", "The key is unknown.")
-                )
-        if self._would_outlive_process(route):
-            return outcomes.NotRun(
-                503, "stopping", "This router is about to stop.", 0
-            )
-        patience_ms = min(
-            request.patience_ms or _DEFAULT_PATIENCE_MS, route.timeout_ms
-        )
-        return _Plan(
-            request=request,
-            route=route,
-            account=account,
-            service=index.find_service(
-                route_index.choose_service(route, request.id)
-            ),
-            arrived_ms=arrived_ms,
-            patience_ms=patience_ms,
-            deadline_s=asyncio.get_running_loop().time() + patience_ms / 1000,
-        )
-
-    def _would_outlive_process(self, route: forwarding.Route) -> bool:
-        """Tells whether a request may still run when the process ends."""
-        left_ms = self._parts.find_time_left_ms()
-        if left_ms is None:
-            return False
-        if route.kind is forwarding.RequestKind.STREAMING:
-            return left_ms < _MIN_STREAM_MS
-        return left_ms < route.timeout_ms
-
-    def _refuse_unless_fresh(self, refusal: outcomes.NotRun) -> outcomes.NotRun:
-        """Returns a refusal that stands only if the version is the newest."""
-        if self._parts.is_fresh():
-            return refusal
-        return outcomes.NotRun(
-            503,
-            "configuration_out_of_date",
-            "This router cannot tell whether its configuration is the newest.",
-            _RETRY_AFTER_MS,
-        )
-
     async def _serve(
         self,
-        plan: _Plan,
+        plan: forward_plan.Plan,
         request: http_server.HttpRequest,
         progress: _Progress,
     ) -> _Ending:
         """Charges a request, runs it and settles it."""
-        crash_key = _make_crash_key(plan, request)
+        crash_key = forward_plan.make_crash_key(plan, request)
         now_ms = self._parts.read_clock_ms()
         if self._parts.quarantine.find(crash_key, now_ms) is not None:
             return outcomes.NotRun(
@@ -286,7 +198,7 @@
                 )
 
     def _refuse_if_busy(
-        self, plan: _Plan, now_ms: int
+        self, plan: forward_plan.Plan, now_ms: int
     ) -> outcomes.NotRun | None:
         """Refuses a generation that would wait too long for its first event."""
         if plan.request.generation is None:
@@ -299,11 +211,11 @@
         return load_shedding.refuse_if_late(
             chosen.delay_ms,
             plan.route.target_latency_ms,
-            _find_priority(plan) or 0,
+            forward_plan.find_priority(plan) or 0,
         )
 
     async def _charge(
-        self, plan: _Plan
+        self, plan: forward_plan.Plan
     ) -> charging.Charge | outcomes.NotRun | None:
         """Reserves the tokens of a request; None when it costs none."""
         account, generation = plan.account, plan.request.generation
@@ -328,7 +240,7 @@
 
     async def _run(
         self,
-        plan: _Plan,
+        plan: forward_plan.Plan,
         request: http_server.HttpRequest,
         progress: _Progress,
         crash_key: quarantine.RequestKey,
@@ -363,7 +275,7 @@
 
     async def _attempt(
         self,
-        plan: _Plan,
+        plan: forward_plan.Plan,
         request: http_server.HttpRequest,
         progress: _Progress,
         upstream: forwarding.Upstream,
@@ -380,7 +292,7 @@
                 upstream_id=upstream.id,
                 remaining_ms=0,
                 account=plan.account.name if plan.account else None,
-                priority=_find_priority(plan),
+                priority=forward_plan.find_priority(plan),
                 last_event_id=progress.relay.last_event_id,
             ),
             is_streaming=plan.route.kind is forwarding.RequestKind.STREAMING,
@@ -402,7 +314,7 @@
 
     def _note_event(
         self,
-        plan: _Plan,
+        plan: forward_plan.Plan,
         progress: _Progress,
         held: fleet_load.OpenRequest,
     ) -> None:
@@ -418,7 +330,7 @@
 
     def _judge(
         self,
-        plan: _Plan,
+        plan: forward_plan.Plan,
         progress: _Progress,
         upstream: forwarding.Upstream,
         result: forward_attempt.AttemptResult,
@@ -481,7 +393,7 @@
                 "upstreams_silent", upstreams=found, zone=upstream.zone
             )
 
-    def _refuse_no_upstream(self, plan: _Plan) -> outcomes.NotRun:
+    def _refuse_no_upstream(self, plan: forward_plan.Plan) -> outcomes.NotRun:
         """Returns the refusal when no upstream can be reached."""
         return_ms = self._parts.directory.find_return_ms(
             plan.service.name, self._parts.read_clock_ms()
@@ -490,7 +402,7 @@
 
     def _judge_answer(
         self,
-        plan: _Plan,
+        plan: forward_plan.Plan,
         progress: _Progress,
         upstream: forwarding.Upstream,
         result: forward_attempt.WholeAnswer,
@@ -510,7 +422,9 @@
             return _fail(f"the upstream answered {status}")
         return result
 
-    def _may_send_again(self, plan: _Plan, progress: _Progress) -> bool:
+    def _may_send_again(
+        self, plan: forward_plan.Plan, progress: _Progress
+    ) -> bool:
         """Takes a repeat from the allowance, if the request may have one."""
         if progress.sends >= plan.route.max_attempts:
             return False
@@ -521,7 +435,7 @@
 
     def _note_crash(
         self,
-        plan: _Plan,
+        plan: forward_plan.Plan,
         upstream: forwarding.Upstream,
         crash_key: quarantine.RequestKey,
         now_ms: int,
@@ -542,7 +456,7 @@
     async def _finish(
         self,
         ending: _Ending,
-        plan: _Plan,
+        plan: forward_plan.Plan,
         progress: _Progress,
         responder: http_server.HttpResponder,
     ) -> None:
@@ -552,17 +466,8 @@
                 self._log_end(plan, progress, "streamed")
             case forward_attempt.WholeAnswer(head, answer, body):
                 self._log_end(plan, progress, f"answered_{answer.status}")
-                headers = [
-                    (name, value)
-                    for name, value in self._parts.wire.build_answer_headers(
-                        head
-                    )
-                    if name != "content-length"
-                ]
-                headers.append(("content-length", str(len(body))))
-                await responder.start(head.status, headers)
-                await responder.send_chunk(body)
-                await responder.finish()
+                headers = self._parts.wire.build_answer_headers(head)
+                await responder.send_whole(head.status, headers, body)
             case outcomes.NotRun(status, code) if progress.may_have_run:
                 # The caller must not be told that the request did not run.
                 invariants.check(
@@ -612,15 +517,13 @@
         )
         self._parts.measures.note_outcome(refusal.code, elapsed_ms)
         answer = self._parts.wire.build_refusal(refusal, request_id)
-        headers = [
-            *answer.headers,
-            ("content-length", str(len(answer.body))),
-        ]
-        await responder.start(refusal.status, headers)
-        await responder.send_chunk(answer.body)
-        await responder.finish()
-
-    def _log_end(self, plan: _Plan, progress: _Progress, outcome: str) -> None:
+        await responder.send_whole(
+            refusal.status, list(answer.headers), answer.body
+        )
+
+    def _log_end(
+        self, plan: forward_plan.Plan, progress: _Progress, outcome: str
+    ) -> None:
         """Logs and counts the end of a request."""
         elapsed_ms = self._parts.read_clock_ms() - plan.arrived_ms
         self._parts.measures.note_outcome(outcome, elapsed_ms)
@@ -639,7 +542,7 @@
 
     def _log_attempt(
         self,
-        plan: _Plan,
+        plan: forward_plan.Plan,
         upstream: forwarding.Upstream,
         outcome: str,
         reason: str,
@@ -656,26 +559,7 @@
         )
 
 
-def _make_crash_key(
-    plan: _Plan, request: http_server.HttpRequest
-) -> quarantine.RequestKey:
-    """Returns what a request that comes again has in common."""
-    digest = hashlib.sha256(request.target.encode())
-    digest.update(request.body)
-    account = plan.account.name if plan.account else ""
-    return quarantine.RequestKey(account, digest.digest())
-
-
-def _find_priority(plan: _Plan) -> int | None:
-    """Returns the rank of a request at its upstream."""
-    if plan.request.generation is None:
-        return None
-    if plan.account is not None and plan.account.priority is not None:
-        return plan.account.priority
-    return plan.route.priority
-
-
-def _count_spent_tokens(plan: _Plan, progress: _Progress) -> int:
+def _count_spent_tokens(plan: forward_plan.Plan, progress: _Progress) -> int:
     """Returns what a request consumed: its input and delivered output."""
     generation = plan.request.generation
     if generation is None or not progress.may_have_run:
