--- a/redwingchute/connection/peer_link.py
+++ b/redwingchute/connection/peer_link.py
@@ -62,11 +62,13 @@
 
     def send(self, record: Any, correlation: int = 0) -> int:
         """Queues one message and returns its bytes; 0 when the link closed."""
+        return self.send_encoded(self._codec.encode(record, correlation))
+
+    def send_encoded(self, message: bytes) -> int:
+        """Queues an encoded message; returns its bytes, 0 when closed."""
         if not self.is_open:
             return 0
-        size = _write_frame(
-            self._writer, self._codec.encode(record, correlation)
-        )
+        size = _write_frame(self._writer, message)
         if self._writer.transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
             self.close()
         return size
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -448,9 +448,12 @@
         self, notice: requesting.CrashNotice | requesting.LoadNotice
     ) -> None:
         """Sends a notice to all other routers, best effort."""
-        for stamp in self._keeper.fold.list_hosts():
-            if stamp.host != self.settings.host_name:
-                self._network.send(stamp.host, notice)
+        hosts = [
+            stamp.host
+            for stamp in self._keeper.fold.list_hosts()
+            if stamp.host != self.settings.host_name
+        ]
+        self._network.send_to_all(hosts, notice)
 
     async def _handle_crash(
         self, peer: data.Host, notice: requesting.CrashNotice
--- a/redwingchute/process/peer_network.py
+++ b/redwingchute/process/peer_network.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import itertools
 from types import TracebackType
@@ -141,6 +142,19 @@
         self._count_sent(link, link.send(record))
         return True
 
+    def send_to_all(self, host_names: Iterable[str], record: Any) -> None:
+        """Sends a one-way message to several hosts, encoded once.
+
+        A missing link is dialled in the background.
+        """
+        message = self._codec.encode(record)
+        for host_name in host_names:
+            link = self._links.get(host_name)
+            if link is None or not link.is_open:
+                self._spawn(self._send_later(host_name, record))
+            else:
+                self._count_sent(link, link.send_encoded(message))
+
     async def call(
         self, host_name: str, record: Any, timeout_ms: int
     ) -> Any | PeerUnreachable:
--- a/redwingchute/process/peer_network_test.py
+++ b/redwingchute/process/peer_network_test.py
@@ -89,3 +89,34 @@
             assert isinstance(reply, peer_network.PeerUnreachable)
 
     asyncio.run(main())
+
+
+def test_a_message_to_all_reaches_each_host() -> None:
+    async def main() -> None:
+        async with (
+            _start("a") as (a, _),
+            _start("b") as (b, _),
+            _start("c") as (c, _),
+        ):
+            received: list[str] = []
+            is_done = asyncio.Event()
+
+            async def take(peer: data.Host, recall: data.Recall) -> None:
+                received.append(f"{peer.name}{recall.tokens}")
+                if len(received) == 4:
+                    is_done.set()
+
+            for network in (b, c):
+                network.handle(data.Recall, take)
+                a.set_address(
+                    network.own_host.name, network.own_host.peer_address
+                )
+            # The first message dials, the second uses the open link.
+            a.send_to_all(("b", "c"), data.Recall("x", data.GrantKind.LEASE, 1))
+            while len(received) < 2:
+                await asyncio.sleep(0.01)
+            a.send_to_all(("b", "c"), data.Recall("x", data.GrantKind.LEASE, 2))
+            await asyncio.wait_for(is_done.wait(), 5)
+            assert sorted(received) == ["a1", "a1", "a2", "a2"]
+
+    asyncio.run(main())
