Count open requests by identity

Cause, found by reading the change: open requests were compared by value, so of two that looked alike the wrong one could be removed, and its prompt counted as waiting for ever. The new test fails before (900 tokens were left waiting). Not seen in a run: two prompts of one size sent in one millisecond differ in what is ahead of them unless nothing is.

--- a/redwingchute/request/fleet_load.py
+++ b/redwingchute/request/fleet_load.py
@@ -15,9 +15,9 @@
 _NOTICE_LIFE_MS = 1_500
 
 
-@attrs.define
+@attrs.define(eq=False)
 class OpenRequest:
-    """A request of this router at an upstream.
+    """A request of this router at an upstream; each is itself only.
 
     Attributes:
       upstream_id: The upstream.
--- a/redwingchute/request/fleet_load_test.py
+++ b/redwingchute/request/fleet_load_test.py
@@ -24,6 +24,21 @@
     assert load.list_own() == ()
 
 
+def test_requests_that_look_alike_end_on_their_own() -> None:
+    load = _make_load()
+    first, second = (
+        fleet_load.OpenRequest("r", _NOW_MS, waiting_tokens=900)
+        for _ in range(2)
+    )
+    load.add(first)
+    load.add(second)
+    load.remove(second)
+    first.waiting_tokens = 0
+    assert load.count_waiting_tokens("r", _NOW_MS) == 0
+    load.remove(first)
+    assert load.count_open("r", _NOW_MS) == 0
+
+
 def test_the_newest_notice_of_a_router_counts_and_is_read_on() -> None:
     load = _make_load()
     load.take_notice(
