--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -43,7 +43,8 @@
 from redwingchute.wire import registry
 
 # A version has to be in force within two seconds of its acknowledgement, and
-# within seven while the log is unstable: a read whose answer is lost ends before.
+# within seven while the log is unstable: a read that gets no answer ends
+# before.
 CONFIGURATION_PACE = keyed_follower.FollowPace(wait_ms=3_000, interval_ms=200)
 # An upstream that leaves takes work for two seconds more.
 _UPSTREAM_PACE = keyed_follower.FollowPace(wait_ms=0, interval_ms=500)
