--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -16,6 +16,8 @@
 import attrs
 import h11
 
+from redwingchute.connection import http_headers
+
 _READ_BYTES = 64 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
 
@@ -176,13 +178,7 @@
             event = await self._next_event()
             match event:
                 case h11.Response():
-                    header_list = tuple(
-                        (
-                            name.decode("latin-1").lower(),
-                            value.decode("latin-1"),
-                        )
-                        for name, value in event.headers
-                    )
+                    header_list = http_headers.decode_headers(event.headers)
                     headers = dict(header_list)
                     self._keep_alive_s = _read_keep_alive_s(headers)
                     return ResponseHead(event.status_code, headers, header_list)
--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -17,6 +17,8 @@
 import attrs
 import h11
 
+from redwingchute.connection import http_headers
+
 _READ_BYTES = 64 * 1024
 _MAX_PIPELINED_BYTES = 256 * 1024
 
@@ -133,11 +135,11 @@
 
         Args:
           status: The HTTP status.
-          headers: All headers; content-length is filled in.
+          headers: All headers but content-length.
           body: The whole body.
         """
-        kept = [pair for pair in headers if pair[0] != "content-length"]
-        await self.start(status, [*kept, ("content-length", str(len(body)))])
+        framing = ("content-length", str(len(body)))
+        await self.start(status, [*headers, framing])
         await self.send_chunk(body)
         await self.finish()
 
@@ -287,7 +289,7 @@
             if request is None:
                 return
             responder = HttpResponder(
-                connection, writer, self._limits, self._must_close
+                connection, writer, self._limits, lambda: self._is_draining
             )
             pipelined = await self._answer(request, responder, reader)
             if connection.our_state is not h11.DONE:
@@ -298,10 +300,6 @@
             if pipelined:
                 connection.receive_data(pipelined)
 
-    def _must_close(self) -> bool:
-        """Tells whether connections close after their next answer."""
-        return self._is_draining
-
     async def _answer(
         self,
         request: HttpRequest,
@@ -436,10 +434,7 @@
     """Builds the request that handlers see."""
     target = head.target.decode("latin-1")
     parts = urllib.parse.urlsplit(target)
-    header_list = tuple(
-        (name.decode("latin-1").lower(), value.decode("latin-1"))
-        for name, value in head.headers
-    )
+    header_list = http_headers.decode_headers(head.headers)
     return HttpRequest(
         method=head.method.decode("latin-1").upper(),
         target=urllib.parse.urlunsplit(("", "", parts.path, parts.query, "")),
--- a/redwingchute/core/forwarding.py
+++ b/redwingchute/core/forwarding.py
@@ -186,6 +186,11 @@
     max_output_tokens: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests have too."""
+        return self.parts[:-1]
+
     @property
     def max_tokens(self) -> int:
         """The most that the request can be charged."""
--- a/redwingchute/core/requesting.py
+++ b/redwingchute/core/requesting.py
@@ -29,7 +29,7 @@
 
 
 @attrs.frozen
-class UpstreamLoad:
+class OpenLoad:
     """What one router has open at an upstream.
 
     Attributes:
@@ -61,7 +61,7 @@
         before.
     """
 
-    loads: tuple[UpstreamLoad, ...]
+    loads: tuple[OpenLoad, ...]
     parts: tuple[ReadPart, ...]
 
 
--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -64,6 +64,11 @@
 _REPLACED_HEADERS = frozenset(
     {"authorization", "content-length", "expect", "host", _DEADLINE}
 )
+_DROPPED_FROM_CALLERS = (
+    _CONNECTION_HEADERS | _SYSTEM_HEADERS | _REPLACED_HEADERS
+)
+# Answers are framed anew.
+_DROPPED_FROM_UPSTREAMS = _CONNECTION_HEADERS | {"content-length"}
 
 
 class HeaderTranslator:
@@ -96,8 +101,7 @@
         send: forward_wire.UpstreamSend,
     ) -> list[tuple[str, str]]:
         """Returns the headers that an upstream gets, without framing."""
-        dropped = _CONNECTION_HEADERS | _SYSTEM_HEADERS | _REPLACED_HEADERS
-        dropped |= _list_nominated(request.headers)
+        dropped = _DROPPED_FROM_CALLERS | _list_nominated(request.headers)
         if send.last_event_id is not None:
             dropped |= {_LAST_EVENT_ID}
         headers = [
@@ -131,7 +135,7 @@
         self, head: http_client.ResponseHead
     ) -> list[tuple[str, str]]:
         """Returns the headers of an upstream's answer that a caller gets."""
-        dropped = _CONNECTION_HEADERS | _list_nominated(head.headers)
+        dropped = _DROPPED_FROM_UPSTREAMS | _list_nominated(head.headers)
         return [
             (name, value)
             for name, value in head.header_list
--- a/redwingchute/process/explanation.py
+++ b/redwingchute/process/explanation.py
@@ -77,7 +77,7 @@
     return [
         line
         for line in lines
-        if line in own
+        if line.fields.get("request_id") == request_id
         or (
             line.host in hosts
             and first_ms <= line.at_ms <= last_ms
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -8,12 +8,10 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 import contextlib
 import secrets
 import time
 from types import TracebackType
-from typing import Any
 
 import attrs
 
@@ -27,6 +25,7 @@
 from redwingchute.process import gateway_settings
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
+from redwingchute.process import owned_tasks
 from redwingchute.process import peer_network
 from redwingchute.process import shared_log
 from redwingchute.process import telemetry
@@ -130,7 +129,7 @@
         self._is_stopping = False
         self._end_ms = 0
         self._started_ms = read_boot_ms()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = owned_tasks.OwnedTasks(_note_failed_part)
         self._stack = contextlib.AsyncExitStack()
         self._network = self._make_network()
         self._keeper = self._make_keeper()
@@ -218,10 +217,10 @@
         )
         self._network.handle(requesting.CrashNotice, self._handle_crash)
         self._network.handle(requesting.LoadNotice, self._handle_load)
-        self._spawn(self._configuration.run())
-        self._spawn(self._upstreams.run())
-        self._spawn(self._keeper.run())
-        self._spawn(self._tell_load())
+        self._tasks.spawn(self._configuration.run())
+        self._tasks.spawn(self._upstreams.run())
+        self._tasks.spawn(self._keeper.run())
+        self._tasks.spawn(self._tell_load())
         await enter(
             self._make_side_server(
                 self.settings.ready_listen, self._answer_ready
@@ -248,9 +247,7 @@
     ) -> None:
         """Closes all parts in the reverse order of their start."""
         await self._stack.aclose()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.end()
         self._metrics.close()
         decision_log.log_event("stopped")
 
@@ -487,19 +484,10 @@
             elapsed_ms, {"call": call, "result": result}
         )
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
-        """Runs a coroutine that this gateway owns."""
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._note_ended)
 
-    def _note_ended(self, task: asyncio.Task[Any]) -> None:
-        """Logs a part that ended by itself, which none should."""
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            decision_log.log_failure(
-                "part_failed", reason=repr(task.exception())
-            )
+def _note_failed_part(error: BaseException) -> None:
+    """Logs a part that ended by itself, which none should."""
+    decision_log.log_failure("part_failed", reason=repr(error))
 
 
 def _is_notable(
--- /dev/null
+++ b/redwingchute/process/owned_tasks_test.py
@@ -0,0 +1,32 @@
+"""Tests of the tasks of one owner."""
+
+import asyncio
+
+from redwingchute.process import owned_tasks
+
+
+async def _fail() -> None:
+    raise ValueError("fault")
+
+
+def test_tasks_that_are_left_end_with_their_owner() -> None:
+    async def main() -> bool:
+        tasks = owned_tasks.OwnedTasks()
+        task = tasks.spawn(asyncio.sleep(60))
+        await tasks.end()
+        return task.cancelled()
+
+    assert asyncio.run(main())
+
+
+def test_a_failure_is_told_once_and_a_cancelled_task_is_none() -> None:
+    async def main() -> list[str]:
+        errors: list[str] = []
+        tasks = owned_tasks.OwnedTasks(lambda error: errors.append(str(error)))
+        tasks.spawn(_fail())
+        tasks.spawn(asyncio.sleep(60))
+        await asyncio.sleep(0)
+        await tasks.end()
+        return errors
+
+    assert asyncio.run(main()) == ["fault"]
--- a/redwingchute/process/peer_network.py
+++ b/redwingchute/process/peer_network.py
@@ -21,6 +21,7 @@
 from redwingchute.connection import http_client
 from redwingchute.connection import peer_link
 from redwingchute.core import data
+from redwingchute.process import owned_tasks
 from redwingchute.process import telemetry
 from redwingchute.wire import codec
 
@@ -78,7 +79,7 @@
         self._handlers: dict[type[Any], MessageHandler] = {}
         self._replies: dict[int, asyncio.Future[Any]] = {}
         self._numbers = itertools.count(1)
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = owned_tasks.OwnedTasks()
         self._server: asyncio.Server | None = None
 
     async def __aenter__(self) -> "PeerNetwork":
@@ -92,7 +93,7 @@
         self.own_host = attrs.evolve(
             self.own_host, peer_address=str(self._advertised or bound)
         )
-        self._spawn(self._close_idle_links())
+        self._tasks.spawn(self._close_idle_links())
         return self
 
     async def __aexit__(
@@ -106,10 +107,7 @@
             self._server.close()
         for link in list(self._open_links):
             link.close()
-        for task in list(self._tasks):
-            task.cancel()
-        if self._tasks:
-            await asyncio.wait(self._tasks)
+        await self._tasks.end()
 
     def set_address(self, host_name: str, peer_address: str) -> None:
         """Tells where a host listens; a malformed address is ignored."""
@@ -135,25 +133,26 @@
         A missing link is dialled in the background, so that a later message
         can go.
         """
-        link = self._links.get(host_name)
-        if link is None or not link.is_open:
-            self._spawn(self._send_later(host_name, record))
-            return False
-        self._count_sent(link, link.send(record))
-        return True
+        return self.send_to_all((host_name,), record) == 1
 
-    def send_to_all(self, host_names: Iterable[str], record: Any) -> None:
+    def send_to_all(self, host_names: Iterable[str], record: Any) -> int:
         """Sends a one-way message to several hosts, encoded once.
 
         A missing link is dialled in the background.
+
+        Returns:
+          The number of hosts whose link was open.
         """
         message = self._codec.encode(record)
+        sent = 0
         for host_name in host_names:
             link = self._links.get(host_name)
             if link is None or not link.is_open:
-                self._spawn(self._send_later(host_name, record))
-            else:
-                self._count_sent(link, link.send_encoded(message))
+                self._tasks.spawn(self._send_later(host_name, record))
+                continue
+            self._count_sent(link, link.send_encoded(message))
+            sent += 1
+        return sent
 
     async def call(
         self, host_name: str, record: Any, timeout_ms: int
@@ -186,13 +185,6 @@
         finally:
             del self._replies[number]
 
-    def _spawn(self, coroutine: Any) -> asyncio.Task[Any]:
-        """Runs a coroutine that this network owns."""
-        task: asyncio.Task[Any] = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     def _count_sent(self, link: peer_link.PeerLink, size: int) -> None:
         """Counts a sent message and marks the link as used."""
         link.last_used_ms = self._read_clock_ms()
@@ -212,7 +204,7 @@
             return link
         dial = self._dials.get(host_name)
         if dial is None:
-            dial = self._spawn(self._dial(host_name))
+            dial = self._tasks.spawn(self._dial(host_name))
             self._dials[host_name] = dial
             dial.add_done_callback(lambda _: self._dials.pop(host_name, None))
         return await asyncio.shield(dial)
@@ -272,7 +264,7 @@
         link.last_used_ms = self._read_clock_ms()
         self._links[link.peer.name] = link
         self._open_links.add(link)
-        self._spawn(self._receive(link))
+        self._tasks.spawn(self._receive(link))
 
     async def _receive(self, link: peer_link.PeerLink) -> None:
         """Handles the messages of a link until it ends."""
@@ -302,7 +294,7 @@
             if future is not None and not future.done():
                 future.set_result(message.record)
             return
-        self._spawn(self._answer(link, message))
+        self._tasks.spawn(self._answer(link, message))
 
     async def _answer(
         self, link: peer_link.PeerLink, message: codec.Decoded
--- a/redwingchute/process/prepaid/append_planner.py
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -62,10 +62,8 @@
         rows = []
         has_raise = False
         for account, prepaid_tokens in self._find_prepaid().items():
-            grant = grant_lib.find_grant(self._grants, account)
-            given = self._make_input(account, prepaid_tokens, wanted)
-            granted = grant_planner.plan_grant(
-                grant, self._fold, given, self._policy
+            grant, given, granted = self._plan_grant(
+                account, prepaid_tokens, wanted
             )
             row = grant_planner.plan_row(grant, granted, given, self._policy)
             if account in wanted or grant_planner.needs_writing(
@@ -103,23 +101,26 @@
         for account, prepaid_tokens in self._find_prepaid().items():
             if account not in wanted:
                 continue
-            grant = grant_lib.find_grant(self._grants, account)
-            given = self._make_input(account, prepaid_tokens, wanted)
-            granted = grant_planner.plan_grant(
-                grant, self._fold, given, self._policy
+            grant, _, granted = self._plan_grant(
+                account, prepaid_tokens, wanted
             )
             if granted > grant.granted_tokens:
                 return True
         return False
 
-    def _make_input(
+    def _plan_grant(
         self, account: str, prepaid_tokens: int, wanted: dict[str, int]
-    ) -> grant_planner.PlanInput:
-        """Returns what the plan of an account goes by."""
-        return grant_planner.PlanInput(
+    ) -> tuple[grant_lib.Grant, grant_planner.PlanInput, int]:
+        """Returns a grant, what its plan goes by, and what it should be."""
+        grant = grant_lib.find_grant(self._grants, account)
+        given = grant_planner.PlanInput(
             host=self._host,
             prepaid_tokens=prepaid_tokens,
             host_count=len(self._fold.list_hosts()),
             wanted_tokens=wanted.get(account, 0),
             boot_ms=self._read_boot_ms(),
         )
+        granted = grant_planner.plan_grant(
+            grant, self._fold, given, self._policy
+        )
+        return grant, given, granted
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -18,6 +18,7 @@
 from redwingchute.core import outcomes
 from redwingchute.core import prepaid
 from redwingchute.process import decision_log
+from redwingchute.process import owned_tasks
 from redwingchute.process import peer_network
 from redwingchute.process.prepaid import grant_keeper
 
@@ -123,7 +124,7 @@
         self._held: dict[str, _Held] = {}
         self._ended: dict[str, None] = {}
         self._paused_until_ms: dict[str, int] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = owned_tasks.OwnedTasks()
 
     async def admit(
         self,
@@ -386,11 +387,7 @@
         self, account: str, part: ChargePart, spent_tokens: int
     ) -> None:
         """Settles a part at another router, trying a few times."""
-        task = asyncio.ensure_future(
-            self._settle_remotely(account, part, spent_tokens)
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._settle_remotely(account, part, spent_tokens))
 
     async def _settle_remotely(
         self, account: str, part: ChargePart, spent_tokens: int
--- a/redwingchute/process/prepaid/grant_keeper.py
+++ b/redwingchute/process/prepaid/grant_keeper.py
@@ -147,12 +147,10 @@
     def reserve_part(self, account: str, tokens: int) -> int:
         """Reserves as many of the tokens as are available."""
         grant = self.find_grant(account)
-        available = min(
-            tokens, grant.find_available(self._clocks.read_boot_ms())
-        )
-        if available and grant.reserve(available, self._clocks.read_boot_ms()):
-            return available
-        return 0
+        boot_ms = self._clocks.read_boot_ms()
+        available = min(tokens, grant.find_available(boot_ms))
+        grant.reserve(available, boot_ms)
+        return available
 
     async def reserve_with_raise(
         self, account: str, tokens: int, timeout_s: float
--- a/redwingchute/process/prepaid/succession.py
+++ b/redwingchute/process/prepaid/succession.py
@@ -15,7 +15,7 @@
 # stamp by chance is told by the time of day, which is rarely off by more.
 _MAX_CLOCK_JUMP_MS = 10_000
 # The median of fewer clocks may be that of one that jumped.
-MIN_CLOCKS = 3
+_MIN_CLOCKS = 3
 # Times of day that are kept in step differ by less between hosts.
 _CLOCK_SKEW_MS = 100
 
@@ -57,7 +57,7 @@
     Returns:
       The age in milliseconds, or None when too few clocks tell.
     """
-    if len(walls_after_ms) < MIN_CLOCKS or len(walls_before_ms) < MIN_CLOCKS:
+    if len(walls_after_ms) < _MIN_CLOCKS or len(walls_before_ms) < _MIN_CLOCKS:
         return None
     before_ms = min(stamp.wall_ms, statistics.median(walls_before_ms))
     age_ms = int(statistics.median(walls_after_ms) - before_ms)
--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -6,14 +6,12 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
 import contextlib
 import logging
 import random
 import secrets
 import signal
 from types import TracebackType
-from typing import Any
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
@@ -30,6 +28,7 @@
 from redwingchute.process import incarnations
 from redwingchute.process import membership_service
 from redwingchute.process import operator_adapters
+from redwingchute.process import owned_tasks
 from redwingchute.process import owner_directory
 from redwingchute.process import peer_network
 from redwingchute.process import reserve_keepers
@@ -88,7 +87,7 @@
         )
         self._is_stopping = False
         self._budgets: dict[str, configuration.Budget] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = owned_tasks.OwnedTasks()
         self._stack = contextlib.AsyncExitStack()
         self.network = self._make_network()
         self.dispatcher = self._make_dispatcher()
@@ -193,9 +192,9 @@
         for peer in self.settings.peers:
             self.members.introduce(peer)
         self._note_members()
-        self._spawn(self.members.run())
-        self._spawn(self.follower.run())
-        self._spawn(self._declare_dead())
+        self._tasks.spawn(self.members.run())
+        self._tasks.spawn(self.follower.run())
+        self._tasks.spawn(self._declare_dead())
         self._spawn_upstream_watchers()
         self.callers = await enter(self._make_caller_server())
         self.admin = await enter(self._make_admin_server())
@@ -209,9 +208,7 @@
     ) -> None:
         """Closes all parts in the reverse order of their start."""
         await self._stack.aclose()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.end()
         self._metrics.close()
 
     async def stop(self) -> None:
@@ -322,9 +319,9 @@
         hosts = host_list_reader.HostListReader(
             self._pool, self.settings.platform, self.dispatcher.note_host_state
         )
-        self._spawn(self.dispatcher.run())
-        self._spawn(poller.run())
-        self._spawn(hosts.run())
+        self._tasks.spawn(self.dispatcher.run())
+        self._tasks.spawn(poller.run())
+        self._tasks.spawn(hosts.run())
 
     async def _handle_recall(
         self, peer: data.Host, recall: data.Recall
@@ -459,12 +456,6 @@
                     self.owners.declare_dead(dead)
             await asyncio.sleep(_DEAD_CHECK_S)
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Runs a part that lives as long as the router."""
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def run_router(settings: settings_lib.RouterSettings) -> int:
     """Runs a router until SIGTERM or SIGINT and returns the exit status."""
--- a/redwingchute/request/fleet_load.py
+++ b/redwingchute/request/fleet_load.py
@@ -38,7 +38,7 @@
     """The newest notice of another router."""
 
     received_ms: int
-    loads: dict[str, requesting.UpstreamLoad]
+    loads: dict[str, requesting.OpenLoad]
 
 
 class FleetLoad:
@@ -69,7 +69,7 @@
     def take_notice(
         self,
         host: str,
-        loads: Iterable[requesting.UpstreamLoad],
+        loads: Iterable[requesting.OpenLoad],
         now_ms: int,
     ) -> None:
         """Takes what another router has open."""
@@ -77,10 +77,10 @@
             now_ms, {load.upstream: load for load in loads}
         )
 
-    def list_own(self) -> tuple[requesting.UpstreamLoad, ...]:
+    def list_own(self) -> tuple[requesting.OpenLoad, ...]:
         """Returns what this router has open at each upstream."""
         return tuple(
-            requesting.UpstreamLoad(
+            requesting.OpenLoad(
                 upstream_id,
                 len(requests),
                 sum(request.waiting_tokens for request in requests),
@@ -111,7 +111,7 @@
 
     def _list_others(
         self, upstream_id: str, now_ms: int
-    ) -> list[tuple[int, requesting.UpstreamLoad]]:
+    ) -> list[tuple[int, requesting.OpenLoad]]:
         """Returns the age and load of each other router's notice."""
         found = []
         for notice in self._notices.values():
--- a/redwingchute/request/fleet_load_test.py
+++ b/redwingchute/request/fleet_load_test.py
@@ -41,10 +41,8 @@
 
 def test_the_newest_notice_of_a_router_counts_and_is_read_on() -> None:
     load = _make_load()
-    load.take_notice(
-        "h", (requesting.UpstreamLoad("r", 3, 10_000),), _NOW_MS - 100
-    )
-    load.take_notice("h", (requesting.UpstreamLoad("r", 2, 8_000),), _NOW_MS)
+    load.take_notice("h", (requesting.OpenLoad("r", 3, 10_000),), _NOW_MS - 100)
+    load.take_notice("h", (requesting.OpenLoad("r", 2, 8_000),), _NOW_MS)
     assert load.count_open("r", _NOW_MS) == 2
     assert load.count_waiting_tokens("r", _NOW_MS) == 8_000
     assert load.count_waiting_tokens("r", _NOW_MS + 100) == 3_000
@@ -53,30 +51,30 @@
 
 def test_a_router_that_says_nothing_more_is_forgotten() -> None:
     load = _make_load()
-    load.take_notice("h", (requesting.UpstreamLoad("r", 3, 0),), _NOW_MS)
+    load.take_notice("h", (requesting.OpenLoad("r", 3, 0),), _NOW_MS)
     assert load.count_open("r", _NOW_MS + 2_000) == 0
 
 
 def test_notices_are_paced_by_the_number_of_hosts() -> None:
-    loads = (requesting.UpstreamLoad("r", 1, 500),)
+    loads = (requesting.OpenLoad("r", 1, 500),)
     notices = load_notices.LoadNotices()
     notices.add_parts("r", ("a",))
-    notice = notices.find_due(loads, 80, _NOW_MS)
+    notice = notices.find_due(lambda: loads, 80, _NOW_MS)
     assert notice is not None
     assert notice.parts == (requesting.ReadPart("r", "a"),)
     notices.add_parts("r", ("b",))
-    assert notices.find_due(loads, 80, _NOW_MS + 900) is None
-    assert notices.find_due(loads, 80, _NOW_MS + 1_000) is not None
+    assert notices.find_due(lambda: loads, 80, _NOW_MS + 900) is None
+    assert notices.find_due(lambda: loads, 80, _NOW_MS + 1_000) is not None
 
 
 def test_the_last_notice_says_that_nothing_is_open() -> None:
-    loads = (requesting.UpstreamLoad("r", 1, 500),)
+    loads = (requesting.OpenLoad("r", 1, 500),)
     notices = load_notices.LoadNotices()
-    assert notices.find_due((), 7, _NOW_MS) is None
-    assert notices.find_due(loads, 7, _NOW_MS) is not None
-    assert notices.find_due(loads, 7, _NOW_MS + 200) is None
-    assert notices.find_due(loads, 7, _NOW_MS + 500) is not None
-    last = notices.find_due((), 7, _NOW_MS + 700)
+    assert notices.find_due(tuple, 7, _NOW_MS) is None
+    assert notices.find_due(lambda: loads, 7, _NOW_MS) is not None
+    assert notices.find_due(lambda: loads, 7, _NOW_MS + 200) is None
+    assert notices.find_due(lambda: loads, 7, _NOW_MS + 500) is not None
+    last = notices.find_due(tuple, 7, _NOW_MS + 700)
     assert last is not None
     assert last.loads == ()
-    assert notices.find_due((), 7, _NOW_MS + 5_000) is None
+    assert notices.find_due(tuple, 7, _NOW_MS + 5_000) is None
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -253,9 +253,5 @@
         if relay.has_started:
             return
         relay.has_started = True
-        headers = [
-            (name, value)
-            for name, value in self._wire.build_answer_headers(head)
-            if name != "content-length"
-        ]
+        headers = self._wire.build_answer_headers(head)
         await relay.responder.start(head.status, headers)
--- a/redwingchute/request/forward_wire.py
+++ b/redwingchute/request/forward_wire.py
@@ -75,7 +75,7 @@
     def build_answer_headers(
         self, head: http_client.ResponseHead
     ) -> list[tuple[str, str]]:
-        """Returns the headers of an answer that a caller gets."""
+        """Returns the headers of an answer that a caller gets, unframed."""
 
     def build_refusal(
         self, refusal: outcomes.Refusal, request_id: str | None
--- a/redwingchute/request/load_notices.py
+++ b/redwingchute/request/load_notices.py
@@ -5,6 +5,8 @@
 notice may get lost.
 """
 
+from collections.abc import Callable
+
 from redwingchute.core import requesting
 
 _MIN_INTERVAL_MS = 100
@@ -22,7 +24,7 @@
     def __init__(self) -> None:
         """Starts with nothing to tell."""
         self._parts: list[requesting.ReadPart] = []
-        self._told: tuple[requesting.UpstreamLoad, ...] = ()
+        self._told: tuple[requesting.OpenLoad, ...] = ()
         self._sent_ms = 0
 
     def add_parts(self, upstream_id: str, part_ids: tuple[str, ...]) -> None:
@@ -33,22 +35,25 @@
 
     def find_due(
         self,
-        loads: tuple[requesting.UpstreamLoad, ...],
+        list_loads: Callable[[], tuple[requesting.OpenLoad, ...]],
         host_count: int,
         now_ms: int,
     ) -> requesting.LoadNotice | None:
         """Returns the notice that is due now, or None.
 
         Args:
-          loads: What this router has open.
+          list_loads: Returns what this router has open.
           host_count: How many hosts are told.
           now_ms: The current time.
         """
         since_ms = now_ms - self._sent_ms
         interval_ms = max(_MIN_INTERVAL_MS, host_count * _INTERVAL_PER_HOST_MS)
+        if since_ms < interval_ms:
+            return None
+        loads = list_loads()
         is_new = bool(self._parts) or loads != self._told
         is_repeat = bool(loads) and since_ms >= _REPEAT_MS
-        if since_ms < interval_ms or not (is_new or is_repeat):
+        if not (is_new or is_repeat):
             return None
         notice = requesting.LoadNotice(loads, tuple(self._parts))
         self._parts.clear()
--- a/redwingchute/request/prefill_model.py
+++ b/redwingchute/request/prefill_model.py
@@ -68,7 +68,7 @@
     ) -> float:
         """Returns the reading time of a prompt, with what it drives out."""
         warm = self._count_warm(upstream_id, generation, now_ms)
-        shared = sum(part.tokens for part in list_shared(generation))
+        shared = sum(part.tokens for part in generation.shared_parts)
         own = max(0, generation.prompt_tokens - shared)
         weighed = own + _REREAD_WEIGHT * max(0, shared - warm)
         return weighed * self.find_ms_per_token(upstream_id)
@@ -110,7 +110,7 @@
         """Returns the tokens of the shared parts that an upstream keeps."""
         read_ms = self._find(upstream_id).read_ms
         warm = 0
-        for part in list_shared(generation):
+        for part in generation.shared_parts:
             if now_ms - read_ms.get(part.id, -_KEPT_MS) >= _KEPT_MS:
                 break
             warm += part.tokens
@@ -119,10 +119,3 @@
     def _find(self, upstream_id: str) -> _Upstream:
         """Returns the state of an upstream."""
         return self._upstreams.setdefault(upstream_id, _Upstream())
-
-
-def list_shared(
-    generation: forwarding.Generation,
-) -> tuple[forwarding.PromptPart, ...]:
-    """Returns the parts of a prompt that other requests have too."""
-    return generation.parts[:-1]
--- a/redwingchute/request/upstream_choice.py
+++ b/redwingchute/request/upstream_choice.py
@@ -46,7 +46,7 @@
     """
     if generation is None or not generation.parts:
         return None
-    shared = generation.parts[:-1] or generation.parts
+    shared = generation.shared_parts or generation.parts
     return shared[-1].id
 
 
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -173,7 +173,7 @@
             upstream_id, generation, now_ms
         )
         request.ahead_tokens = ahead + request.waiting_tokens
-        parts = tuple(part.id for part in prefill_model.list_shared(generation))
+        parts = tuple(part.id for part in generation.shared_parts)
         self._prefill.note_read(upstream_id, parts, now_ms)
         self._notices.add_parts(upstream_id, parts)
 
@@ -192,7 +192,7 @@
         self, host_count: int, now_ms: int
     ) -> requesting.LoadNotice | None:
         """Returns what the other routers should be told now, or None."""
-        return self._notices.find_due(self._load.list_own(), host_count, now_ms)
+        return self._notices.find_due(self._load.list_own, host_count, now_ms)
 
     def take_notice(
         self, host: str, notice: requesting.LoadNotice, now_ms: int
--- a/redwingchute/request/zone_cut_test.py
+++ b/redwingchute/request/zone_cut_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from redwingchute.core import forwarding
 from redwingchute.request import upstream_directory
 from redwingchute.testing import generations
 
@@ -30,12 +31,18 @@
     return chosen
 
 
+def _find(
+    directory: upstream_directory.UpstreamDirectory, name: str
+) -> forwarding.Upstream:
+    upstream = directory.find(name)
+    assert upstream is not None
+    return upstream
+
+
 def _note_silent(
     directory: upstream_directory.UpstreamDirectory, name: str, now_ms: int
 ) -> tuple[str, ...]:
-    silent = directory.find(name)
-    assert silent is not None
-    return directory.note_silent(silent, now_ms)
+    return directory.note_silent(_find(directory, name), now_ms)
 
 
 def test_two_silent_upstreams_stand_for_a_silent_zone(
@@ -72,8 +79,7 @@
     directory: upstream_directory.UpstreamDirectory,
 ) -> None:
     _note_silent(directory, "bruny-1", _NOW_MS)
-    silent = directory.find("bruny-1")
-    assert silent is not None
+    silent = _find(directory, "bruny-1")
     later_ms = _NOW_MS + 1_100
     with directory.hold(silent, None, later_ms):
         assert "bruny-1" not in _choose_many(directory, later_ms + 300)
@@ -95,8 +101,7 @@
     directory: upstream_directory.UpstreamDirectory,
 ) -> None:
     _note_silent(directory, "bruny-1", _NOW_MS)
-    silent = directory.find("bruny-1")
-    assert silent is not None
+    silent = _find(directory, "bruny-1")
     later_ms = _NOW_MS + 1_100
     with directory.hold(silent, None, later_ms):
         _note_silent(directory, "bruny-1", later_ms + 400)
--- a/redwingchute/testing/memory_network.py
+++ b/redwingchute/testing/memory_network.py
@@ -85,8 +85,7 @@
         """Stops listening."""
         if self._switchboard.networks.get(self._own_port) is self:
             del self._switchboard.networks[self._own_port]
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
 
     def send(self, host_name: str, record: Any) -> bool:
         """Sends a one-way message; False when the host is not known."""
@@ -127,7 +126,7 @@
     ) -> None:
         """Runs the handler of a message, in this network's process."""
         record = self._decode(encoded)
-        self._spawn(self._answer_memory(sender, record, number))
+        self._tasks.spawn(self._answer_memory(sender, record, number))
 
     def resolve(self, number: int, encoded: bytes) -> None:
         """Takes the reply to a call, in this network's process."""
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -17,6 +17,7 @@
 import h11
 
 from redwingchute.connection import http_client
+from redwingchute.connection import http_headers
 from redwingchute.connection import http_server
 from redwingchute.testing import manual_loop
 
@@ -292,10 +293,7 @@
         """Sends one event; raises ClientDisconnectedError when it cannot."""
         match event:
             case h11.Response():
-                headers = {
-                    name.decode("latin-1").lower(): value.decode("latin-1")
-                    for name, value in event.headers
-                }
+                headers = dict(http_headers.decode_headers(event.headers))
                 self._exchange.send_event(
                     http_client.ResponseHead(event.status_code, headers)
                 )
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,30 +4,8 @@
 # or with the failing step's status. Leaves nothing running.
 set -eu
 
-WORK=$(mktemp -d)
-PIDS=""
-STEP="start"
-
 . "$(dirname "$0")/demo_functions.sh"
-trap stop_all EXIT
-trap 'exit 130' INT TERM
 
-# Starts a program in the background and waits for its `listening on` line.
-start() {
-  name=$1
-  shift
-  "$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
-  eval "PID_$name=$!"
-  PIDS="$PIDS $!"
-  tries=0
-  until grep -q 'listening on' "$WORK/$name.out"; do
-    kill -0 "$!" 2>/dev/null || { cat "$WORK/$name.err" >&2; return 1; }
-    tries=$((tries + 1))
-    [ "$tries" -lt 200 ] || return 1
-    sleep 0.1
-  done
-}
-address_of() { sed -n 's/^.*listening on \([0-9.:]*\).*$/\1/p' "$WORK/$1.out" | head -1; }
 field_of() { sed -n "s/^.*$2=\([0-9.:]*\).*\$/\1/p" "$WORK/$1.out" | head -1; }
 
 say "start the stand-ins: platform, engine, service"
--- a/scripts/demo_functions.sh
+++ b/scripts/demo_functions.sh
@@ -1,4 +1,8 @@
-# Functions of the demos; sourced, with WORK, PIDS and STEP set.
+# Functions of the demos; sourced by each, with set -eu.
+
+WORK=$(mktemp -d)
+PIDS=""
+STEP="start"
 
 stop_all() {
   status=$?
@@ -24,3 +28,23 @@
   done
 }
 expect() { grep -q -- "$1" "$2" || { echo "expected '$1' in:"; cat "$2"; return 1; }; }
+
+# Starts a program in the background and waits for its `listening on` line.
+start() {
+  name=$1
+  shift
+  "$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
+  eval "PID_$name=$!"
+  PIDS="$PIDS $!"
+  tries=0
+  until grep -q 'listening on' "$WORK/$name.out"; do
+    kill -0 "$!" 2>/dev/null || { cat "$WORK/$name.err" >&2; return 1; }
+    tries=$((tries + 1))
+    [ "$tries" -lt 200 ] || return 1
+    sleep 0.1
+  done
+}
+address_of() { sed -n 's/^.*listening on \([0-9.:]*\).*$/\1/p' "$WORK/$1.out" | head -1; }
+
+trap stop_all EXIT
+trap 'exit 130' INT TERM
--- a/scripts/demo_platform.sh
+++ b/scripts/demo_platform.sh
@@ -4,23 +4,7 @@
 # step's status. Leaves nothing running.
 set -eu
 
-WORK=$(mktemp -d)
-PIDS=""
-STEP="start"
-
 . "$(dirname "$0")/demo_functions.sh"
-trap stop_all EXIT
-trap 'exit 130' INT TERM
-
-# Starts a stand-in and waits for its `listening on` line.
-start() {
-  name=$1
-  shift
-  "$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
-  PIDS="$PIDS $!"
-  retry grep -q 'listening on' "$WORK/$name.out"
-}
-address_of() { sed -n 's/^listening on \([0-9.:]*\).*$/\1/p' "$WORK/$1.out" | head -1; }
 
 # Starts a gateway on its own loopback address, as the platform would.
 start_gateway() {
