Refuse as unreachable when a lookup gets no reply in time

Cause: end_expired_waits refused a request whose lookup had no reply as exhausted (402), with 9,000 free lease tokens. Nothing is known of the budget then. Now 503 ledger_unreachable.

--- a/redwingchute/process/ledger/coverage.py
+++ b/redwingchute/process/ledger/coverage.py
@@ -85,7 +85,7 @@
                 refuse_waiting(state, position, reservation)
             case _Phase.LOOKING_UP:
                 if now_ms >= reservation.charge.deadline_ms:
-                    refuse_waiting(state, position, reservation)
+                    _refuse_lookup(state, reservation)
             case _Phase.SETTLING:
                 if now_ms >= reservation.wait_until_ms:
                     _end_late_settlement(state, reservation)
@@ -110,6 +110,22 @@
     holder_state.end_admission(state, reservation.charge, refusal)
 
 
+def _refuse_lookup(
+    state: holder_state.HolderState, reservation: budget_position.Reservation
+) -> None:
+    """Refuses a request whose key the owner did not report on in time.
+
+    Nothing is known of the budget, so the refusal must not say that it is
+    exhausted.
+    """
+    holder_state.remove_reservation(state, reservation)
+    holder_state.end_admission(
+        state,
+        reservation.charge,
+        holder_events.refuse_lookup_timeout(state.settings.owner_timeout_ms),
+    )
+
+
 def submit_bill(
     state: holder_state.HolderState, reservation: budget_position.Reservation
 ) -> None:
--- a/redwingchute/process/ledger/holder_events.py
+++ b/redwingchute/process/ledger/holder_events.py
@@ -102,6 +102,16 @@
     )
 
 
+def refuse_lookup_timeout(retry_after_ms: int) -> outcomes.NotRun:
+    """Returns the refusal while the ledger does not report on a key."""
+    return outcomes.NotRun(
+        503,
+        "ledger_unreachable",
+        "The ledger did not report in time whether the request is a repeat.",
+        retry_after_ms,
+    )
+
+
 def refuse_exhausted(
     available_tokens: int, retry_after_ms: int | None = None
 ) -> outcomes.NotRun:
