Recognize the own takeover after its reply was lost; report no unsure tokens

Cause 1: after a takeover append without a reply, the retry read its own stamp as its predecessor's, so all tokens of the grant counted as spent. The manager now compares the stamp in the log with the takeover that it sent: if it is the same, the takeover is complete; if not, it sends the next one without loading a predecessor twice. Cause 2: a lender reported unsure tokens as spent, so a borrower computed too small a bound of what is left. The reply leaves them out.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -90,7 +90,7 @@
     Attributes:
       reserved_tokens: The reserved tokens; may be fewer than requested.
       spent_tokens: All tokens of the account that the replying router counts
-        as spent, including unsure ones.
+        as spent, except for unsure ones.
     """
 
     reserved_tokens: int
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -185,6 +185,10 @@
             return self._refuse(
                 request_id, account, tokens, remaining_tokens, is_fresh
             )
+        if tokens > manager.find_max_obtainable(account, prepaid_tokens):
+            return self._refuse(
+                request_id, account, tokens, remaining_tokens, False
+            )
         own_tokens = await manager.reserve_with_raise(
             account, tokens, _GRANT_RAISE_TIMEOUT_S
         )
@@ -258,7 +262,9 @@
                 tokens=reserved_tokens,
                 asked_tokens=request.tokens,
             )
-        return prepaid.RemoteChargeReply(reserved_tokens, grant.spent_tokens)
+        return prepaid.RemoteChargeReply(
+            reserved_tokens, grant.spent_tokens - grant.unsure_tokens
+        )
 
     async def handle_settlement(
         self, peer: data.Host, settlement: prepaid.RemoteSettlement
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -157,6 +157,8 @@
         self._last_append_duration_ms = 0
         self._last_stamp_boot_ms = 0
         self._pending_append: _Append | None = None
+        # The last takeover that was sent; its outcome may not be known.
+        self._sent_takeover: _Append | None = None
         self._is_stopping = False
 
     @property
@@ -268,7 +270,7 @@
         it subtracts the spent tokens of its row, or what its router reported as
         spent if that is more. Unsure tokens of rows and of this router's grant,
         which a crashed process may not have spent, are not subtracted: the
-        account may have them left. A report includes such tokens.
+        account may have them left.
 
         Args:
           account: The client account.
@@ -286,6 +288,27 @@
         own_spent_tokens = grant.committed_tokens - grant.unsure_tokens
         return prepaid_tokens - others_spent_tokens - own_spent_tokens
 
+    def find_max_obtainable(self, account: str, prepaid_tokens: int) -> int:
+        """Returns an upper bound of what requests can reserve at present.
+
+        It is at most `find_max_remaining`: unsure tokens are subtracted, since
+        no router can reserve them until they are released.
+
+        Args:
+          account: The client account.
+          prepaid_tokens: All tokens that the account has prepaid.
+        """
+        others_spent_tokens = sum(
+            max(
+                row.spent_tokens,
+                self._peer_spent_tokens.get((account, row.host), 0),
+            )
+            for row in self.fold.list_rows(account)
+            if row.host != self.own_host
+        )
+        committed_tokens = self.find_grant(account).committed_tokens
+        return prepaid_tokens - others_spent_tokens - committed_tokens
+
     def record_peer_spent(
         self, account: str, host: str, spent_tokens: int
     ) -> None:
@@ -383,13 +406,19 @@
                 await asyncio.sleep(_LOG_RETRY_S)
                 continue
             previous_stamp = self.fold.stamps.get(self.own_host)
+            takeover = self._sent_takeover
+            if takeover is not None and takeover.stamp == previous_stamp:
+                # Only the response to the takeover was lost.
+                self._finish_takeover(takeover)
+                break
             wall_s = self._clocks.read_wall_ms() // 1000
             self._epoch = max(
                 self._epoch + 1,
                 wall_s,
                 previous_stamp.epoch + 1 if previous_stamp else 0,
             )
-            self._load_predecessor_grants()
+            if takeover is None:
+                self._load_predecessor_grants()
             await self._append_takeover()
         # The takeover stamp makes the other hosts count this one; wait for the
         # stamps of hosts that start at the same time.
@@ -445,16 +474,20 @@
             )
             for row in self.fold.list_host_rows(self.own_host)
         )
-        append = _Append(stamp, rows, None, 0)
+        append = self._sent_takeover = _Append(stamp, rows, None, 0)
         result = await self._send(append)
         if isinstance(result, shared_log.Appended):
-            self.has_taken_over = True
-            self._handle_appended(append)
-            decision_log.log_event("grants_taken_over", epoch=self._epoch)
+            self._finish_takeover(append)
         else:
             self.is_connected = False
             await asyncio.sleep(_LOG_RETRY_S)
 
+    def _finish_takeover(self, takeover: _Append) -> None:
+        """Applies the takeover, which is known to be in the log."""
+        self.has_taken_over = True
+        self._handle_appended(takeover)
+        decision_log.log_event("grants_taken_over", epoch=self._epoch)
+
     async def _run_appends(self) -> None:
         """Appends stamps and rows at each interval and on request."""
         while True:
--- a/redwingchute/process/prepaid/grant_recovery_test.py
+++ b/redwingchute/process/prepaid/grant_recovery_test.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from redwingchute.core import data
+from redwingchute.core import prepaid
 from redwingchute.process import shared_log
 from redwingchute.testing import prepaid_simulation
 
@@ -206,3 +208,33 @@
     grant.lower(1_000)
     simulation.run_for(4)
     assert grant.granted_tokens == 1_000
+
+
+def test_a_takeover_without_a_reply_leaves_most_tokens_spendable(
+    simulation: prepaid_simulation.PrepaidSimulation,
+) -> None:
+    simulation.kill("huon-1")
+    simulation.responses_to_lose = 1
+    simulation.start("huon-1")
+    simulation.run_for(6)
+    _spend_all(simulation)
+    assert 9_000 <= simulation.max_used_tokens <= 10_000
+
+
+def test_a_lender_reports_no_unsure_tokens_as_spent(
+    simulation: prepaid_simulation.PrepaidSimulation,
+) -> None:
+    simulation.lose_power("huon-1")
+    simulation.start("huon-1")
+    simulation.run_for(3)
+    lender = simulation.routers["huon-1"]
+    grant = lender.grants.find_grant(prepaid_simulation.ACCOUNT)
+    assert grant.unsure_tokens > 0
+    peer = data.Host("bruny-1", "zone", "bruny-1", 1)
+    reply = simulation.loop.run_until_complete(
+        lender.charger.handle_charge(
+            peer,
+            prepaid.RemoteCharge("c1", prepaid_simulation.ACCOUNT, 1, 1_000),
+        )
+    )
+    assert reply.spent_tokens == grant.spent_tokens - grant.unsure_tokens
