Return recalled lease and reserve independently of each other

Cause: the owner sent a holder one recall for each budget in 100 ms and a holder had one give-back under way, so of recalls for lease and reserve only the first took effect. Both limits are now for each kind of grant. The test failed before.

--- a/redwingchute/process/ledger/batch_builder.py
+++ b/redwingchute/process/ledger/batch_builder.py
@@ -14,7 +14,8 @@
 _MAX_BATCH_ANSWER_BYTES = 1024 * 1024
 # How long the demand that a holder stated is used.
 _DEMAND_RETENTION_MS = 60_000
-# The least interval between two recalls of one budget from one holder.
+# The least interval between two recalls of one budget and kind of grant from
+# one holder.
 _RECALL_INTERVAL_MS = 100
 
 _NOT_ALLOWED = data.Verdict(data.VerdictCode.NOT_ALLOWED)
@@ -71,13 +72,14 @@
       ask: The ask.
       host: The holder's host.
       stated_at_ms: When the ask was received.
-      recalled_at_ms: When the holder was last sent a recall, or None.
+      recalled_at_ms: When the holder was last sent a recall of each kind of
+        grant.
     """
 
     ask: data.Ask
     host: str
     stated_at_ms: int
-    recalled_at_ms: int | None = None
+    recalled_at_ms: dict[data.GrantKind, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -271,18 +273,18 @@
         ask: data.Ask,
         now_ms: int,
     ) -> None:
-        """Queues the recalls for an ask, at a limited rate for each holder.
+        """Queues the recalls for an ask.
 
-        Of several recalls for one holder, only the first is queued.
+        The rate is limited for each holder and kind of grant.
         """
         for chosen in self._choose_recalls(state, ask, self._policy):
             demand = self._demand[ask.budget].get(chosen.holder)
             if demand is None:
                 continue
-            last_ms = demand.recalled_at_ms
+            last_ms = demand.recalled_at_ms.get(chosen.recall.kind)
             if last_ms is not None and now_ms - last_ms < _RECALL_INTERVAL_MS:
                 continue
-            demand.recalled_at_ms = now_ms
+            demand.recalled_at_ms[chosen.recall.kind] = now_ms
             self._recalls.append(OutgoingRecall(demand.host, chosen.recall))
 
     def _make_budget_state(
--- a/redwingchute/process/ledger/grant_requests.py
+++ b/redwingchute/process/ledger/grant_requests.py
@@ -59,10 +59,13 @@
     kind: data.GrantKind,
     tokens: int,
 ) -> None:
-    """Queues the return of free tokens, unless another return is under way."""
+    """Queues the return of free tokens.
+
+    Does nothing while another return of the same kind is under way.
+    """
     times = state.times[position.budget]
     tokens = min(tokens, position.count_free(kind))
-    if tokens <= 0 or times.give_back is not None:
+    if tokens <= 0 or kind in times.give_backs:
         return
     position.add_held(kind, -tokens)
     enqueue_give_back(state, position, kind, tokens)
@@ -77,10 +80,11 @@
     """Queues a give-back of tokens that were removed from the position."""
     times = state.times[position.budget]
     times.sequence += 1
-    times.give_back = data.GiveBack(
+    give_back = data.GiveBack(
         position.budget, state.incarnation, kind, tokens, times.sequence
     )
-    state.outbox.enqueue_entry(outbox.PendingEntry(times.give_back))
+    times.give_backs[kind] = give_back
+    state.outbox.enqueue_entry(outbox.PendingEntry(give_back))
 
 
 def return_idle_tokens(
@@ -169,9 +173,9 @@
     state: holder_state.HolderState, position: budget_position.BudgetPosition
 ) -> None:
     """Refuses at once the requests that the whole budget cannot cover."""
-    pending_give_back = state.times[position.budget].give_back
-    returning_tokens = (
-        0 if pending_give_back is None else pending_give_back.tokens
+    returning_tokens = sum(
+        give_back.tokens
+        for give_back in state.times[position.budget].give_backs.values()
     )
     coverable_tokens = (
         position.available_tokens
--- a/redwingchute/process/ledger/holder.py
+++ b/redwingchute/process/ledger/holder.py
@@ -258,7 +258,7 @@
     def handle_recall(self, recall: data.Recall) -> None:
         """Returns the free part of recalled tokens.
 
-        While another return of the budget is under way, nothing is returned.
+        While another return of the same kind is under way, nothing is returned.
         """
         position = self._state.positions.get(recall.budget)
         if position is not None and self._state.is_owner_reachable:
@@ -418,7 +418,8 @@
     def _queue_probe(self) -> None:
         """Queues a give-back of 0 tokens to probe the owner and its log."""
         for position in self._state.positions.values():
-            if self._state.times[position.budget].give_back is None:
+            give_backs = self._state.times[position.budget].give_backs
+            if data.GrantKind.LEASE not in give_backs:
                 grant_requests.enqueue_give_back(
                     self._state, position, data.GrantKind.LEASE, 0
                 )
--- a/redwingchute/process/ledger/holder_state.py
+++ b/redwingchute/process/ledger/holder_state.py
@@ -55,7 +55,7 @@
 
 @attrs.define
 class BudgetTimes:
-    """The times of one budget's messages, and its give-back under way.
+    """The times of one budget's messages, and its give-backs under way.
 
     Attributes:
       used_at_ms: When a request last used the budget.
@@ -67,7 +67,7 @@
       empty_grant_count: How many consecutive grants left the holder without
         reserve.
       sequence: The number of the last give-back.
-      give_back: The give-back without a verdict, or None.
+      give_backs: The give-back without a verdict of each kind of grant.
     """
 
     used_at_ms: int
@@ -77,7 +77,7 @@
     is_request_pending: bool = False
     empty_grant_count: int = 0
     sequence: int = 0
-    give_back: data.GiveBack | None = None
+    give_backs: dict[data.GrantKind, data.GiveBack] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
--- a/redwingchute/process/ledger/holder_test.py
+++ b/redwingchute/process/ledger/holder_test.py
@@ -365,3 +365,30 @@
     grant = build.make_grant(reserve_total_tokens=40, available_tokens=46)
     subject.handle_reply(call.call_id, build.make_reply(grants=(grant,)), 101)
     assert build.pop_results(subject) == []
+
+
+def test_lookup_without_a_reply_is_not_refused_as_exhausted() -> None:
+    subject = build.make_funded_holder(lease_tokens=9_000)
+    charge = build.make_charge(1, deadline_ms=500, has_caller_key=True)
+    assert build.admit(subject, charge) == []
+    build.expect_call(subject, 0)
+    subject.advance(500)
+    (result,) = build.pop_results(subject)
+    assert isinstance(result, outcomes.NotRun)
+    assert (result.status, result.code) == (503, "ledger_unreachable")
+
+
+def test_recalls_of_lease_and_reserve_are_returned_together() -> None:
+    subject = build.make_funded_holder(lease_tokens=500, reserve_tokens=500)
+    for kind in (data.GrantKind.RESERVE, data.GrantKind.LEASE):
+        subject.handle_recall(data.Recall(build.BUDGET, kind, 500))
+    entries = build.expect_call(subject, 1).message.entries
+    returned = {
+        entry.kind: entry.tokens
+        for entry in entries
+        if isinstance(entry, data.GiveBack)
+    }
+    assert returned == {
+        data.GrantKind.LEASE: 500,
+        data.GrantKind.RESERVE: 500,
+    }
--- a/redwingchute/process/ledger/settlement.py
+++ b/redwingchute/process/ledger/settlement.py
@@ -75,7 +75,7 @@
         case data.Claim():
             _handle_claim_verdict(state, entry, pending.charge_id, verdict)
         case data.GiveBack():
-            state.times[entry.budget].give_back = None
+            state.times[entry.budget].give_backs.pop(entry.kind, None)
         case data.Transfer():
             state.events.append(holder_events.BillLogged(entry.transfer_id))
         case _:
