--- a/redwingchute/process/ledger/dead_holders.py
+++ b/redwingchute/process/ledger/dead_holders.py
@@ -44,12 +44,12 @@
             self._marked[holder] = None
 
     def check_record(self, record: fold.Record) -> None:
-        """Marks the dead holders to which a record grants tokens."""
+        """Marks the dead holders that a record grants or transfers tokens to."""
         if not isinstance(record, data.Batch):
             return
         for entry in record.entries:
             match entry:
-                case data.Grant(holder=holder):
+                case data.Grant(holder=holder) | data.Transfer(target=holder):
                     self.check_holder(holder)
                 case _:
                     pass
--- a/redwingchute/process/ledger/reserve_transfer_test.py
+++ b/redwingchute/process/ledger/reserve_transfer_test.py
@@ -3,6 +3,7 @@
 from redwingchute.core import data
 from redwingchute.core import spending
 from redwingchute.process.ledger import bill_store
+from redwingchute.process.ledger import dead_holders
 from redwingchute.process.ledger import fold
 from redwingchute.process.ledger import holder
 from redwingchute.process.ledger import holder_events
@@ -102,3 +103,19 @@
     assert store.collect_due(0, 60_001) == ()
     store.remove((b"key",))
     assert len(store) == 0
+
+
+def test_transfer_to_a_dead_holder_retires_it() -> None:
+    dead = 99 << 16
+    driver = ledger_builders.FoldDriver()
+    driver.apply(ledger_builders.make_credit(1_000))
+    driver.apply(ledger_builders.make_grant(100, _RESERVE))
+    holders = dead_holders.DeadHolders()
+    holders.add(dead, driver.shard_fold)
+    transfer = data.Transfer(
+        ledger_builders.BUDGET, ledger_builders.HOLDER, dead, b"t", 50
+    )
+    record = driver.make_batch(transfer)
+    driver.apply_record(record)
+    holders.check_record(record)
+    assert holders.pop_unretired(driver.shard_fold) == [dead]
