Name the host of unaccounted tokens

Cause: the table looked up a holder's incarnation among those of processes. The fixture of admin_api_test gave a holder the incarnation of its process, which no process does; it now has one that HolderIncarnations would make.

--- a/redwingchute/process/admin_api_test.py
+++ b/redwingchute/process/admin_api_test.py
@@ -100,7 +100,7 @@
     ),
     (
         "show unaccounted",
-        [builders.BUDGET, "9", "bruny-1", 50],
+        [builders.BUDGET, str((9 << 16) | 1), "bruny-1", 50],
         ["Budgets of these ledger shards are missing: 3."],
     ),
     (
--- a/redwingchute/process/query_tables.py
+++ b/redwingchute/process/query_tables.py
@@ -10,6 +10,7 @@
 from redwingchute.core import configuration
 from redwingchute.core import data
 from redwingchute.core import status
+from redwingchute.process import incarnations
 from redwingchute.process import operator_ports
 from redwingchute.version import change_apply
 from redwingchute.version import changes
@@ -65,7 +66,7 @@
         (
             balance.budget,
             str(holder.holder),
-            names.get(holder.holder, ""),
+            names.get(incarnations.find_process_incarnation(holder.holder), ""),
             holder.unaccounted_tokens,
         )
         for balance in sorted(view.balances, key=lambda item: item.budget)
--- a/redwingchute/testing/operator_fakes.py
+++ b/redwingchute/testing/operator_fakes.py
@@ -99,7 +99,7 @@
                     200,
                     100,
                     50,
-                    (data.HolderBalance(9, 200, 100, 50),),
+                    (data.HolderBalance((9 << 16) | 1, 200, 100, 50),),
                 ),
             ),
             missing_shards=(3,),
@@ -140,7 +140,7 @@
         return (
             data.Host("huon-1", "huon", "127.0.0.1:1", 7),
             data.Host("huon-2", "huon", "127.0.0.1:2", 8, is_leaving=True),
-            data.Host("bruny-1", "bruny", "127.0.0.1:3", 9),
+            data.Host("bruny-1", "bruny", "127.0.0.1:3", 9 << 16),
         )
 
     def list_unreachable(self) -> tuple[tuple[data.Host, int], ...]:
