Cancel the charge of a claimed call whose caller leaves

Cause: a cancelled call left its reservation open until the end of the process. Its claim still stays without an outcome, since the call may have run.

--- a/redwingchute/request/caller_endpoint_test.py
+++ b/redwingchute/request/caller_endpoint_test.py
@@ -369,3 +369,31 @@
             assert statuses == [200] * 8 + [503] * 4
 
     asyncio.run(run())
+
+
+def test_claimed_call_whose_caller_leaves_keeps_no_reservation() -> None:
+    async def run() -> None:
+        faults = service.ServiceFaults(slow_ms=2_000)
+        async with (
+            service.Service("records", faults=faults) as records,
+            _start_rig([_FAST]) as (rig, engines),
+        ):
+            rig.current = request_rig.make_configuration(
+                list(engines), (records,)
+            )
+            rig.dispatchers[0].configure(rig.current, 1)
+            call = asyncio.create_task(
+                rig.send(
+                    f"/services/{request_rig.SERVICE}/post",
+                    b"lot 42",
+                    headers=(("idempotency-key", "certificate-1"),),
+                )
+            )
+            await asyncio.sleep(0.5)
+            call.cancel()
+            await asyncio.gather(call, return_exceptions=True)
+            async with asyncio.timeout(5):
+                await _wait_until(lambda: rig.ledger.cancelled == 1)
+            assert rig.ledger.outcomes == {}
+
+    asyncio.run(run())
--- a/redwingchute/request/service_handler.py
+++ b/redwingchute/request/service_handler.py
@@ -335,7 +335,13 @@
         responder: http_server.HttpResponder,
     ) -> outcomes.Refusal | None:
         """Runs a claimed call at most once and records its outcome."""
-        match await self._run_attempts(call, run):
+        try:
+            result = await self._run_attempts(call, run)
+        except asyncio.CancelledError:
+            # The call may have run, so its claim stays without an outcome.
+            self._context.ledger.cancel(charge)
+            raise
+        match result:
             case outcomes.NotRun() as refusal:
                 await self._context.ledger.record_outcome(
                     charge, data.OutcomeStatus.NOT_RUN, 0, b""
