--- a/redwingchute/process/decision_log.py
+++ b/redwingchute/process/decision_log.py
@@ -2,8 +2,7 @@
 
 Writing never blocks. When the reader is slow, or when lines exceed the rate
 limit, lines are dropped and counted, and the next line holds the number of
-lines dropped since the previous such count. If that line is dropped too, this
-number is lost; `dropped_lines` still includes it.
+lines dropped since the previous such count.
 """
 
 import collections
@@ -73,10 +72,10 @@
         line |= fields
         if self._unreported_drops:
             line["lines_dropped_before"] = self._unreported_drops
-            self._unreported_drops = 0
-        self._write_bytes(
+        if self._write_bytes(
             json.dumps(line, separators=(",", ":")).encode() + b"\n"
-        )
+        ):
+            self._unreported_drops = 0
 
     def _count_dropped(self) -> None:
         """Counts a dropped line."""
@@ -97,19 +96,24 @@
         self._available_lines -= 1
         return True
 
-    def _write_bytes(self, line: bytes) -> None:
-        """Writes a line, preceded by the rest of a partially written one."""
+    def _write_bytes(self, line: bytes) -> bool:
+        """Writes a line, preceded by the rest of a partially written one.
+
+        Returns:
+          Whether the line was written, at least in part.
+        """
         payload = self._unwritten + line
         try:
             written = os.write(self._file_descriptor, payload)
         except BlockingIOError:
             self._count_dropped()
-            return
+            return False
         except OSError:
             # The reader has closed the pipe; the process runs without a log.
             self.is_enabled = False
-            return
+            return False
         self._unwritten = payload[written:]
+        return True
 
 
 # The decision log of this process.
--- a/redwingchute/process/decision_log_test.py
+++ b/redwingchute/process/decision_log_test.py
@@ -43,3 +43,18 @@
     os.close(read_end)
     log.write("request_refused", True, {})
     assert not log.is_enabled
+
+
+def test_a_line_reports_the_drops_of_a_full_pipe() -> None:
+    read_end, write_end = os.pipe()
+    log = decision_log.DecisionLog(write_end)
+    log.open()
+    while not log.dropped_lines:
+        log.write("request_refused", True, {"reason": "x" * 2_000})
+    for _ in range(3):
+        log.write("request_refused", True, {"reason": "x" * 2_000})
+    os.read(read_end, 1 << 20)
+    log.write("request_refused", True, {})
+    lines = os.read(read_end, 1 << 20).splitlines()
+    assert log.dropped_lines == 4
+    assert json.loads(lines[-1])["lines_dropped_before"] == 4
--- a/redwingchute/process/ledger/dead_holders.py
+++ b/redwingchute/process/ledger/dead_holders.py
@@ -44,7 +44,7 @@
             self._marked[holder] = None
 
     def check_record(self, record: fold.Record) -> None:
-        """Marks the dead holders that a record grants or transfers tokens to."""
+        """Marks the dead holders that get tokens from a record."""
         if not isinstance(record, data.Batch):
             return
         for entry in record.entries:
