Send load notices through a few hubs of each zone

Cause: every router sent its load to every other: links and messages grew with the square of the hosts, the interval grew to 2.4 s at 195 hosts, above the 1.5 s for which a notice counts, and each choice summed the notices of all hosts for each upstream. So the load of upstreams was unknown at that size. Change: hosts register in keyed.hosts. In fleets of more than 24 hosts three hubs of each zone exchange the load of their surroundings; the other routers report to one hub and get the load of the fleet from it. Crash notices take the same way. A prompt part is sent once in 2 s. Small fleets work as before.

--- a/redwingchute/core/requesting.py
+++ b/redwingchute/core/requesting.py
@@ -30,11 +30,11 @@
 
 @attrs.frozen
 class OpenLoad:
-    """The load that one router has put on an upstream.
+    """The load that one or more routers have put on an upstream.
 
     Attributes:
       upstream: The upstream.
-      open_requests: The number of the router's open requests there.
+      open_requests: The number of their open requests there.
       waiting_tokens: The prompt tokens of these requests that the upstream has
         not processed yet.
     """
@@ -59,12 +59,13 @@
 
 @attrs.frozen
 class LoadNotice:
-    """Notifies other routers of the load that a router has put on upstreams.
+    """Notifies other routers of the load that routers have put on upstreams.
 
     Attributes:
-      loads: Its load at each upstream where it has open requests.
-      parts: The prompt parts that upstreams began to process for it since the
-        last notice.
+      loads: The load of each upstream that has open requests of the sender or
+        of the routers that it reports for.
+      parts: The prompt parts that upstreams began to process for them since
+        the last notice; one that was sent recently may be left out.
     """
 
     loads: tuple[OpenLoad, ...]
--- a/redwingchute/platform/settings_file.py
+++ b/redwingchute/platform/settings_file.py
@@ -79,6 +79,9 @@
         configuration_fresh_ms=int(
             reader.read_number("bounds.configApplyMs", 2000.0)
         ),
+        # cpuShare is a share of a core, cpuCores the speed of that core.
+        processor_share=reader.read_number("limits.cpuShare", 1.0)
+        * reader.read_number("limits.cpuCores", 1.0),
     )
     return (None if reader.findings else decoded), reader.findings
 
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -24,6 +24,8 @@
 from redwingchute.process import background_tasks
 from redwingchute.process import decision_log
 from redwingchute.process import gateway_settings
+from redwingchute.process import host_registry
+from redwingchute.process import hub_choice
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import peer_network
@@ -34,6 +36,7 @@
 from redwingchute.process.prepaid import grant_manager
 from redwingchute.request import forwarding_handler
 from redwingchute.request import header_translator
+from redwingchute.request import load_exchange
 from redwingchute.request import quarantine
 from redwingchute.request import request_metrics
 from redwingchute.request import retry_allowance
@@ -61,8 +64,14 @@
 # A connection idle for this long is assumed to have no request in transit.
 _STOP_IDLE_S = 0.3
 _STOP_POLL_S = 0.05
-# How often to check whether a load notice is due.
-_LOAD_CHECK_S = 0.05
+# How often to check whether a load notice is due: at hubs, and at the other
+# routers, which send fewer.
+_HUB_LOAD_CHECK_S = 0.05
+_LOAD_CHECK_S = 0.2
+# How long a router that shuts down waits for its entry in the list of hosts.
+_LEAVE_TIMEOUT_S = 0.3
+# The ids of this many crashes that were passed on are kept.
+_MAX_RELAYED_CRASHES = 1_024
 
 
 @attrs.frozen
@@ -139,6 +148,10 @@
         self._tasks = background_tasks.BackgroundTasks(_log_failed_task)
         self._exit_stack = contextlib.AsyncExitStack()
         self._network = self._make_network()
+        self._registry = self._make_registry()
+        self._hub_view = hub_choice.choose_hubs(self._registry.own_host, ())
+        # A set in order of insertion, so that the oldest ids can be removed.
+        self._relayed_crashes: dict[str, None] = {}
         self._grant_manager = self._make_grant_manager()
         self._charger = charging.Charger(
             self._grant_manager, self._network, read_boot_ms, self._incarnation
@@ -175,6 +188,21 @@
             read_boot_ms,
         )
 
+    def _make_registry(self) -> host_registry.HostRegistry:
+        """Returns the registry of the fleet's hosts."""
+        return host_registry.HostRegistry(
+            self._log,
+            host_registry.RegisteredHost(
+                self.settings.host_name,
+                self.settings.zone,
+                str(self.settings.peer_listen),
+                self.settings.processor_share,
+            ),
+            self._incarnation,
+            read_boot_ms,
+            self._handle_hosts_changed,
+        )
+
     def _make_grant_manager(self) -> grant_manager.GrantManager:
         """Returns the manager of this router's grants."""
         stamp = prepaid.HostStamp(
@@ -190,7 +218,6 @@
             stamp,
             grant_manager.Clocks(read_boot_ms, read_wall_ms),
             self._list_prepaid_tokens,
-            handle_host_stamp=self._handle_host_stamp,
         )
 
     def _make_caller_server(self) -> http_server.HttpServer:
@@ -205,7 +232,7 @@
                 is_fresh=self._is_fresh,
                 find_allowance=self._find_allowance,
                 quarantine=self._quarantine,
-                broadcast=self._broadcast,
+                broadcast=self._broadcast_crash,
                 find_time_left_ms=self._find_time_left_ms,
                 read_clock_ms=read_boot_ms,
                 metrics=self._make_request_metrics(),
@@ -230,6 +257,7 @@
         self._network.register_handler(requesting.LoadNotice, self._handle_load)
         self._tasks.spawn(self._configuration_follower.run())
         self._tasks.spawn(self._upstream_follower.run())
+        self._tasks.spawn(self._registry.run())
         self._tasks.spawn(self._grant_manager.run())
         self._tasks.spawn(self._send_load_notices())
         await enter(
@@ -290,7 +318,10 @@
                 break
             await asyncio.sleep(_STOP_POLL_S)
         self._caller_server.close_idle_connections()
-        await self._grant_manager.stop(_RETURN_GRANTS_S)
+        await asyncio.gather(
+            self._grant_manager.stop(_RETURN_GRANTS_S),
+            self._registry.leave(_LEAVE_TIMEOUT_S),
+        )
         while (
             self._caller_server.open_exchanges
             and read_boot_ms() < self._stop_deadline_ms
@@ -431,18 +462,31 @@
             if account.prepaid_tokens is not None
         }
 
-    def _handle_host_stamp(self, stamp: prepaid.HostStamp) -> None:
-        """Records another router's address and updates the retry slack."""
-        if stamp.host == self.settings.host_name:
-            return
-        self._network.set_address(stamp.host, stamp.peer_address)
+    def _handle_hosts_changed(self) -> None:
+        """Applies a change of the fleet's hosts."""
+        self._hub_view = view = hub_choice.choose_hubs(
+            self._registry.own_host, self._registry.list_hosts()
+        )
+        for host in self._registry.list_hosts():
+            if host.name != self.settings.host_name:
+                self._network.set_address(host.name, host.peer_address)
+        self._upstream_directory.set_hub_role(
+            load_exchange.HubRole(
+                view.is_hub, view.order_hubs(self.settings.host_name)
+            )
+        )
         for allowance in self._allowances.values():
             allowance.set_slack(self._find_retry_slack())
+        decision_log.log_event(
+            "hosts_changed",
+            hosts=view.host_count,
+            hubs=len(view.zones),
+            is_hub=view.is_hub,
+        )
 
     def _find_retry_slack(self) -> float:
         """Returns this router's share of the fleet-wide retry slack."""
-        hosts = max(1, len(self._grant_manager.fold.list_active_stamps()))
-        return self.settings.retry_slack / hosts
+        return self.settings.retry_slack / self._hub_view.host_count
 
     def _find_allowance(self, service: str) -> retry_allowance.RetryAllowance:
         """Returns this router's retry allowance for a service."""
@@ -458,41 +502,60 @@
         return allowance
 
     async def _send_load_notices(self) -> None:
-        """Sends the other routers the load that this one puts on upstreams."""
+        """Sends load notices when they are due."""
         while True:
-            await asyncio.sleep(_LOAD_CHECK_S)
-            notice = self._upstream_directory.pop_due_notice(
-                len(self._grant_manager.fold.list_active_stamps()) - 1,
-                read_boot_ms(),
-            )
-            if notice is not None:
-                self._broadcast(notice)
+            is_hub = self._hub_view.is_hub
+            await asyncio.sleep(_HUB_LOAD_CHECK_S if is_hub else _LOAD_CHECK_S)
+            directory = self._upstream_directory
+            for outgoing in directory.pop_due_notices(read_boot_ms()):
+                self._network.send_to_all(outgoing.hosts, outgoing.notice)
 
     async def _handle_load(
         self, peer: data.Host, notice: requesting.LoadNotice
     ) -> None:
-        """Records the load that another router reported."""
+        """Handles the load notice of another router."""
         self._upstream_directory.handle_notice(
             peer.name, notice, read_boot_ms()
         )
 
-    def _broadcast(
-        self, notice: requesting.CrashNotice | requesting.LoadNotice
+    def _broadcast_crash(self, notice: requesting.CrashNotice) -> None:
+        """Sends a notice to all other routers through the hubs, best effort.
+
+        A router that is no hub sends it to two hubs, in case one is down.
+        """
+        self._relayed_crashes[notice.attempt_id] = None
+        hubs = self._hub_view.order_hubs(self.settings.host_name)
+        if self._hub_view.is_hub:
+            self._relay_crash(notice, hubs)
+        else:
+            self._network.send_to_all(hubs[:2], notice)
+
+    def _relay_crash(
+        self, notice: requesting.CrashNotice, hubs: tuple[str, ...]
     ) -> None:
-        """Sends a notice to all other routers, best effort."""
-        hosts = [
-            stamp.host
-            for stamp in self._grant_manager.fold.list_active_stamps()
-            if stamp.host != self.settings.host_name
-        ]
-        self._network.send_to_all(hosts, notice)
+        """Passes a notice on to hubs and to the routers that report here."""
+        receivers = (*hubs, *self._upstream_directory.reporters)
+        self._network.send_to_all(receivers, notice)
 
     async def _handle_crash(
         self, peer: data.Host, notice: requesting.CrashNotice
     ) -> None:
-        """Records a crash that another router observed."""
-        del peer
+        """Records a crash that another router observed.
+
+        A hub passes it on, once.
+        """
         self._quarantine.record_crash(notice, read_boot_ms())
+        if notice.attempt_id in self._relayed_crashes:
+            return
+        self._relayed_crashes[notice.attempt_id] = None
+        while len(self._relayed_crashes) > _MAX_RELAYED_CRASHES:
+            del self._relayed_crashes[next(iter(self._relayed_crashes))]
+        view = self._hub_view
+        if view.is_hub:
+            is_from_hub = peer.name in view.zones
+            self._relay_crash(
+                notice, () if is_from_hub else view.list_other_hubs()
+            )
 
     def _make_request_metrics(self) -> request_metrics.RequestMetrics:
         """Returns the callbacks that record request measurements."""
--- /dev/null
+++ b/redwingchute/process/host_registry.py
@@ -0,0 +1,206 @@
+"""Registers the hosts of the fleet in the shared log.
+
+A router registers its host when it starts, renews the entry from time to time,
+and marks it as leaving when it shuts down. A host whose entry was not renewed
+for a while, although others were, is taken as gone.
+"""
+
+import asyncio
+from collections.abc import Callable
+import json
+
+import attrs
+
+from redwingchute.process import decision_log
+from redwingchute.process import keyed_follower
+from redwingchute.process import shared_log
+
+# The topic of the shared log that holds one entry for each host.
+TOPIC = "keyed.hosts"
+
+_RENEWAL_INTERVAL_S = 10.0
+# An entry is out of date if it is older than the newest one by three missed
+# renewals.
+_MAX_AGE_MS = 35_000
+_READ_POLL_TIMING = keyed_follower.PollTiming(wait_ms=0, interval_ms=2_500)
+# Hosts of a new fleet register within the first seconds.
+_FIRST_READ_INTERVAL_S = 0.7
+_FIRST_READS = 4
+_RETRY_S = 0.5
+
+
+@attrs.frozen
+class RegisteredHost:
+    """A host of the fleet.
+
+    Attributes:
+      name: The host's name.
+      zone: Its availability zone.
+      peer_address: Its `ip:port` for links between routers.
+      processor_share: The processor time that it may use, in cores.
+      is_leaving: Whether its router is shutting down.
+    """
+
+    name: str
+    zone: str
+    peer_address: str
+    processor_share: float
+    is_leaving: bool = False
+
+
+@attrs.frozen
+class _Entry:
+    """The newest entry of a host and when it was read, in milliseconds."""
+
+    host: RegisteredHost
+    read_ms: int
+
+
+class HostRegistry:
+    """Registers the own host and lists the others.
+
+    Attributes:
+      has_read: Whether the entries were read at least once.
+      own_host: The entry of the router's host.
+    """
+
+    def __init__(
+        self,
+        log: shared_log.SharedLog,
+        own_host: RegisteredHost,
+        incarnation: int,
+        read_clock_ms: Callable[[], int],
+        handle_change: Callable[[], None],
+    ) -> None:
+        """Creates the registry; `run` starts its work.
+
+        Args:
+          log: The shared log.
+          own_host: The entry of the router's host.
+          incarnation: Identifies this start of the process.
+          read_clock_ms: Returns the current time.
+          handle_change: Called after `list_hosts` has changed.
+        """
+        self.has_read = False
+        self._log = log
+        self.own_host = own_host
+        self._read_clock_ms = read_clock_ms
+        self._handle_change = handle_change
+        self._entries: dict[str, _Entry] = {}
+        self._listed: tuple[RegisteredHost, ...] = ()
+        # Appends of an earlier process cannot be confused with those of this
+        # one, since each process is a producer of its own.
+        self._producer = f"{own_host.name}/{incarnation:x}"
+        self._sequence = 0
+        self._follower = keyed_follower.KeyedFollower(
+            log, TOPIC, _READ_POLL_TIMING, read_clock_ms, self._handle_record
+        )
+
+    def list_hosts(self) -> tuple[RegisteredHost, ...]:
+        """Returns the hosts that are neither leaving nor gone, by name."""
+        return self._listed
+
+    def find_address(self, host: str) -> str | None:
+        """Returns the address of a host for links between routers, or None."""
+        entry = self._entries.get(host)
+        return None if entry is None else entry.host.peer_address
+
+    async def run(self) -> None:
+        """Registers the own host and follows the entries until cancelled."""
+        await asyncio.gather(self._renew(), self._follow())
+
+    async def leave(self, timeout_s: float) -> None:
+        """Marks the own host as leaving, best effort.
+
+        Args:
+          timeout_s: How long to wait for the log.
+        """
+        self.own_host = attrs.evolve(self.own_host, is_leaving=True)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._append()
+        except TimeoutError:
+            decision_log.log_event("host_leaving_not_registered")
+
+    async def _renew(self) -> None:
+        """Appends the own entry at each interval."""
+        while True:
+            is_appended = await self._append()
+            await asyncio.sleep(
+                _RENEWAL_INTERVAL_S if is_appended else _RETRY_S
+            )
+
+    async def _append(self) -> bool:
+        """Appends the own entry; returns whether the log has it."""
+        record = shared_log.KeyedRecord(
+            self.own_host.name,
+            json.dumps(
+                attrs.asdict(self.own_host), separators=(",", ":")
+            ).encode(),
+        )
+        stamp = shared_log.ProducerStamp(self._producer, 0, self._sequence)
+        match await self._log.append(TOPIC, (record,), stamp):
+            case shared_log.Appended():
+                self._sequence += 1
+                return True
+            case shared_log.WrongSequence(expected):
+                self._sequence = expected
+        return False
+
+    async def _follow(self) -> None:
+        """Reads the entries, more often after the start."""
+        for _ in range(_FIRST_READS):
+            await self._follower.read_once()
+            self._update_listed()
+            await asyncio.sleep(_FIRST_READ_INTERVAL_S)
+        await asyncio.gather(self._follower.run(), self._check_ages())
+
+    async def _check_ages(self) -> None:
+        """Removes hosts that are gone from the list."""
+        while True:
+            await asyncio.sleep(_READ_POLL_TIMING.interval_ms / 1000)
+            self._update_listed()
+
+    def _handle_record(self, record: shared_log.KeyedRecord) -> None:
+        """Applies an entry."""
+        host = _decode_host(record.value) if record.value else None
+        if host is None:
+            decision_log.log_failure(
+                "host_entry_unreadable", key=record.key, offset=record.offset
+            )
+            return
+        self._entries[host.name] = _Entry(host, self._read_clock_ms())
+
+    def _update_listed(self) -> None:
+        """Recomputes the listed hosts and reports a change."""
+        self.has_read = self._follower.next_offset >= 0
+        newest_ms = max(
+            (entry.read_ms for entry in self._entries.values()), default=0
+        )
+        listed = tuple(
+            entry.host
+            for _, entry in sorted(self._entries.items())
+            if not entry.host.is_leaving
+            and newest_ms - entry.read_ms <= _MAX_AGE_MS
+        )
+        if listed != self._listed:
+            self._listed = listed
+            self._handle_change()
+
+
+def _decode_host(value: bytes) -> RegisteredHost | None:
+    """Decodes an entry; returns None if it is malformed.
+
+    Fields that a newer release may add are ignored.
+    """
+    try:
+        fields = json.loads(value)
+        return RegisteredHost(
+            str(fields["name"]),
+            str(fields["zone"]),
+            str(fields["peer_address"]),
+            float(fields["processor_share"]),
+            bool(fields["is_leaving"]),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -99,9 +99,6 @@
         own_stamp: prepaid.HostStamp,
         clocks: Clocks,
         list_prepaid_tokens: Callable[[], dict[str, int]],
-        handle_host_stamp: Callable[[prepaid.HostStamp], None] = lambda stamp: (
-            None
-        ),
         policy: grant_planner.GrantPolicy | None = None,
     ) -> None:
         """Creates the manager; `run` starts its work.
@@ -112,7 +109,6 @@
             times are set for each append.
           clocks: The host's clocks.
           list_prepaid_tokens: Returns the prepaid tokens of each account.
-          handle_host_stamp: Called with each new stamp of a host.
           policy: How grants are sized.
         """
         self.fold = grant_fold.GrantFold()
@@ -123,7 +119,6 @@
         self._own_stamp = own_stamp
         self._clocks = clocks
         self._list_prepaid_tokens = list_prepaid_tokens
-        self._handle_host_stamp = handle_host_stamp
         self._policy = policy or grant_planner.GrantPolicy()
         self._follower = keyed_follower.KeyedFollower(
             log,
@@ -380,10 +375,12 @@
             )
             return
         self.fold.apply_record(decoded)
-        if isinstance(decoded, prepaid.HostStamp):
-            if self.has_taken_over and decoded.host != self.own_host:
-                self._predecessor.record_stamp(decoded)
-            self._handle_host_stamp(decoded)
+        if (
+            isinstance(decoded, prepaid.HostStamp)
+            and self.has_taken_over
+            and decoded.host != self.own_host
+        ):
+            self._predecessor.record_stamp(decoded)
 
     def _make_stamp(self) -> prepaid.HostStamp:
         """Returns a stamp of this host with the current times."""
--- a/redwingchute/request/fleet_load.py
+++ b/redwingchute/request/fleet_load.py
@@ -1,11 +1,13 @@
 """Estimates the load of each upstream over all routers.
 
-Every router counts its own open requests and sends load notices to the other
-routers. Between two notices the prefill of their requests is assumed to
-progress at the upstream's speed, separately for each router.
+Every router counts its own open requests, and gets load notices of other
+routers, see `load_exchange`. Between two notices of a sender the prefill of its
+requests is assumed to progress at the upstream's speed, separately for each
+sender.
 """
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 
 import attrs
@@ -37,11 +39,11 @@
 
 @attrs.frozen
 class _Notice:
-    """The newest notice of another router.
+    """The newest notice of a sender.
 
     Attributes:
       received_ms: When it arrived.
-      loads: The load that the router has put on upstreams, by upstream id.
+      loads: The load at upstreams that it reports, by upstream id.
     """
 
     received_ms: int
@@ -75,12 +77,21 @@
 
     def handle_notice(
         self,
-        host: str,
+        sender: str,
         loads: Iterable[requesting.OpenLoad],
         now_ms: int,
     ) -> None:
-        """Replaces the loads that the router on another host reported."""
-        self._notices[host] = _Notice(
+        """Replaces the loads that a sender reported before.
+
+        Args:
+          sender: Identifies the sender, for example by its host.
+          loads: The loads that it reports.
+          now_ms: The current time.
+        """
+        for other, notice in list(self._notices.items()):
+            if now_ms - notice.received_ms >= _NOTICE_TTL_MS:
+                del self._notices[other]
+        self._notices[sender] = _Notice(
             now_ms, {load.upstream: load for load in loads}
         )
 
@@ -95,15 +106,52 @@
             for upstream_id, requests in sorted(self._open_requests.items())
         )
 
-    def count_open(self, upstream_id: str, now_ms: int) -> int:
+    def list_loads(
+        self, now_ms: int, excluded_senders: Container[str] = ()
+    ) -> tuple[requesting.OpenLoad, ...]:
+        """Returns the load of each upstream: this router's and the reported.
+
+        Args:
+          now_ms: The current time.
+          excluded_senders: Senders whose reports are left out.
+        """
+        upstream_ids = set(self._open_requests)
+        for sender, notice in self._notices.items():
+            if sender not in excluded_senders:
+                upstream_ids.update(notice.loads)
+        loads = (
+            requesting.OpenLoad(
+                upstream_id,
+                self.count_open(upstream_id, now_ms, excluded_senders),
+                self.count_waiting_tokens(
+                    upstream_id, now_ms, excluded_senders
+                ),
+            )
+            for upstream_id in sorted(upstream_ids)
+        )
+        return tuple(load for load in loads if load.open_requests)
+
+    def count_open(
+        self,
+        upstream_id: str,
+        now_ms: int,
+        excluded_senders: Container[str] = (),
+    ) -> int:
         """Returns how many requests of all routers are open at an upstream."""
         others = sum(
             load.open_requests
-            for _, load in self._list_valid_loads(upstream_id, now_ms)
+            for _, load in self._list_valid_loads(
+                upstream_id, now_ms, excluded_senders
+            )
         )
         return len(self._open_requests.get(upstream_id, ())) + others
 
-    def count_waiting_tokens(self, upstream_id: str, now_ms: int) -> int:
+    def count_waiting_tokens(
+        self,
+        upstream_id: str,
+        now_ms: int,
+        excluded_senders: Container[str] = (),
+    ) -> int:
         """Returns how many tokens of all routers wait for prefill there.
 
         From the tokens in a notice, those that the upstream can have processed
@@ -115,17 +163,24 @@
         )
         ms_per_token = self._estimate_ms_per_token(upstream_id)
         others = 0
-        for age_ms, load in self._list_valid_loads(upstream_id, now_ms):
+        for age_ms, load in self._list_valid_loads(
+            upstream_id, now_ms, excluded_senders
+        ):
             processed_tokens = int(age_ms / ms_per_token)
             others += max(0, load.waiting_tokens - processed_tokens)
         return own + others
 
     def _list_valid_loads(
-        self, upstream_id: str, now_ms: int
+        self,
+        upstream_id: str,
+        now_ms: int,
+        excluded_senders: Container[str],
     ) -> list[tuple[int, requesting.OpenLoad]]:
         """Returns the age in ms and the load of each valid notice."""
         found = []
-        for notice in self._notices.values():
+        for sender, notice in self._notices.items():
+            if sender in excluded_senders:
+                continue
             age_ms = now_ms - notice.received_ms
             load = notice.loads.get(upstream_id)
             if load is not None and age_ms < _NOTICE_TTL_MS:
--- a/redwingchute/request/fleet_load_test.py
+++ b/redwingchute/request/fleet_load_test.py
@@ -60,11 +60,11 @@
 def test_the_notice_interval_grows_with_the_number_of_hosts() -> None:
     loads = (requesting.OpenLoad("r", 1, 500),)
     notices = load_notice_builder.LoadNoticeBuilder()
-    notices.add_parts("r", ("a",))
+    notices.add_parts((requesting.ReadPart("r", "a"),), _NOW_MS)
     notice = notices.pop_due(lambda: loads, 80, _NOW_MS)
     assert notice is not None
     assert notice.parts == (requesting.ReadPart("r", "a"),)
-    notices.add_parts("r", ("b",))
+    notices.add_parts((requesting.ReadPart("r", "b"),), _NOW_MS)
     assert notices.pop_due(lambda: loads, 80, _NOW_MS + 900) is None
     assert notices.pop_due(lambda: loads, 80, _NOW_MS + 1_000) is not None
 
@@ -80,3 +80,15 @@
     assert last is not None
     assert last.loads == ()
     assert notices.pop_due(tuple, 7, _NOW_MS + 5_000) is None
+
+
+def test_a_repeated_prompt_part_is_sent_once_in_a_while() -> None:
+    part = requesting.ReadPart("r", "a")
+    notices = load_notice_builder.LoadNoticeBuilder()
+    sent = []
+    for elapsed_ms in range(0, 4_000, 200):
+        notices.add_parts((part,), _NOW_MS + elapsed_ms)
+        notice = notices.pop_due(tuple, 1, _NOW_MS + elapsed_ms)
+        if notice is not None:
+            sent += notice.parts
+    assert sent == [part, part]
--- a/redwingchute/request/uncached_prompts_test.py
+++ b/redwingchute/request/uncached_prompts_test.py
@@ -6,12 +6,16 @@
 """
 
 from redwingchute.request import fleet_load
+from redwingchute.request import load_exchange
 from redwingchute.request import upstream_directory
 from redwingchute.testing import forwarding_builders
 
 _UPSTREAMS = tuple(f"runner-{number}" for number in range(6))
 _ROUTER_COUNT = 8
 _MS_PER_TOKEN = 0.02
+_HUB_ROLE = load_exchange.HubRole(
+    True, tuple(str(number) for number in range(_ROUTER_COUNT))
+)
 
 
 class _Fleet:
@@ -26,6 +30,7 @@
         self._directories = []
         for _ in range(_ROUTER_COUNT):
             directory = upstream_directory.UpstreamDirectory("huon")
+            directory.set_hub_role(_HUB_ROLE)
             for name in _UPSTREAMS:
                 directory.set_upstream(forwarding_builders.make_upstream(name))
             self._directories.append(directory)
@@ -68,12 +73,12 @@
         if not self._has_notices:
             return
         for number, directory in enumerate(self._directories):
-            notice = directory.pop_due_notice(_ROUTER_COUNT - 1, self.now_ms)
-            if notice is None:
-                continue
-            for other in self._directories:
-                if other is not directory:
-                    other.handle_notice(str(number), notice, self.now_ms)
+            for outgoing in directory.pop_due_notices(self.now_ms):
+                for other in self._directories:
+                    if other is not directory:
+                        other.handle_notice(
+                            str(number), outgoing.notice, self.now_ms
+                        )
 
 
 def _measure_late_share(has_notices: bool) -> float:
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -12,7 +12,7 @@
 from redwingchute.core import forwarding
 from redwingchute.core import requesting
 from redwingchute.request import fleet_load
-from redwingchute.request import load_notice_builder
+from redwingchute.request import load_exchange
 from redwingchute.request import outlier_detector
 from redwingchute.request import prefill_model
 from redwingchute.request import unresponsive_upstreams
@@ -46,7 +46,7 @@
         self._service_names: dict[str, str] = {}
         self._prefill = prefill_model.PrefillModel()
         self._load = fleet_load.FleetLoad(self._prefill.estimate_ms_per_token)
-        self._notices = load_notice_builder.LoadNoticeBuilder()
+        self._exchange = load_exchange.LoadExchange(self._load)
         self._unresponsive = unresponsive_upstreams.UnresponsiveUpstreams()
 
     def set_upstream(self, upstream: forwarding.Upstream) -> None:
@@ -187,7 +187,9 @@
         request.backlog_tokens = earlier_tokens + request.waiting_tokens
         parts = tuple(part.id for part in generation.shared_parts)
         self._prefill.record_prefill(upstream_id, parts, now_ms)
-        self._notices.add_parts(upstream_id, parts)
+        self._exchange.add_parts(
+            [requesting.ReadPart(upstream_id, part) for part in parts], now_ms
+        )
 
     def record_first_event(
         self, request: fleet_load.OpenRequest, now_ms: int
@@ -205,13 +207,20 @@
             now_ms - request.sent_ms,
         )
 
-    def pop_due_notice(
-        self, host_count: int, now_ms: int
-    ) -> requesting.LoadNotice | None:
-        """Returns the load notice to send to other routers now, or None."""
-        return self._notices.pop_due(
-            self._load.list_own_loads, host_count, now_ms
-        )
+    @property
+    def reporters(self) -> tuple[str, ...]:
+        """The hosts that report their load to this router."""
+        return self._exchange.reporters
+
+    def set_hub_role(self, role: load_exchange.HubRole) -> None:
+        """Sets what this router does in the exchange of load notices."""
+        self._exchange.set_role(role)
+
+    def pop_due_notices(
+        self, now_ms: int
+    ) -> list[load_exchange.OutgoingNotice]:
+        """Returns the load notices to send to other routers now."""
+        return self._exchange.pop_due(now_ms)
 
     def handle_notice(
         self, host: str, notice: requesting.LoadNotice, now_ms: int
@@ -220,11 +229,11 @@
 
         Args:
           host: The host of the other router.
-          notice: Its open requests and the prompt parts that upstreams
-            process for it.
+          notice: The open requests that it reports and the prompt parts that
+            upstreams process.
           now_ms: The current time.
         """
-        self._load.handle_notice(host, notice.loads, now_ms)
+        self._exchange.handle_notice(host, notice, now_ms)
         for part in notice.parts:
             if part.upstream in self._service_names:
                 self._prefill.record_prefill(
