--- a/redwingchute/request/fleet_load_test.py
+++ b/redwingchute/request/fleet_load_test.py
@@ -85,7 +85,7 @@
 def test_a_repeated_prompt_part_is_sent_once_in_a_while() -> None:
     part = requesting.ReadPart("r", "a")
     notices = load_notice_builder.LoadNoticeBuilder()
-    sent = []
+    sent: list[requesting.ReadPart] = []
     for elapsed_ms in range(0, 4_000, 200):
         notices.add_parts((part,), _NOW_MS + elapsed_ms)
         notice = notices.pop_due(tuple, 1, _NOW_MS + elapsed_ms)
