Hold grants at hubs only; other routers delegate charges to them

Cause: each router held a slice of each account, appended a stamp twice a second to one partition and read those of all others; a request that its slice did not cover asked up to 21 routers one after the other (6,652 calls for 299 requests in a profile of one of 61 routers). Change: only hubs hold grants, append and read rows. Another router delegates a charge to a hub of its zone, which reserves it whole or not at all, borrows from other hubs itself, and says what is known to be spent, so that a refusal is 402 only if it is true. Hubs that reach the log ask only lenders with unspent tokens. A router that is no hub any more returns its tokens.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -70,17 +70,22 @@
 class RemoteCharge:
     """Asks a router to lend tokens of its grant for a request at the sender.
 
+    A router without grants delegates the whole charge: the receiver then lends
+    all tokens or none, and borrows from other routers itself if necessary.
+
     Attributes:
       charge_id: Identifies the charge across the fleet.
       account: The client account.
       tokens: The number of tokens that the request still needs.
       expires_in_ms: The time after which an unsettled charge counts as spent.
+      is_delegated: Whether the sender delegates the charge.
     """
 
     charge_id: str
     account: str
     tokens: int
     expires_in_ms: int
+    is_delegated: bool = False
 
 
 @attrs.frozen
@@ -91,10 +96,16 @@
       reserved_tokens: The reserved tokens; may be fewer than requested.
       spent_tokens: All tokens of the account that the replying router counts
         as spent, except for unsure ones.
+      fleet_spent_tokens: All tokens of the account that are known to be spent
+        at any router; set for a delegated charge.
+      retry_after_ms: After how long a refused delegated charge may be tried
+        again; 0 if tokens are reserved.
     """
 
     reserved_tokens: int
     spent_tokens: int
+    fleet_spent_tokens: int = 0
+    retry_after_ms: int = 0
 
 
 @attrs.frozen
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -154,7 +154,12 @@
         self._relayed_crashes: dict[str, None] = {}
         self._grant_manager = self._make_grant_manager()
         self._charger = charging.Charger(
-            self._grant_manager, self._network, read_boot_ms, self._incarnation
+            self._grant_manager,
+            self._network,
+            lambda: self._hub_view,
+            self._list_prepaid_tokens,
+            read_boot_ms,
+            self._incarnation,
         )
         self._configuration_follower = keyed_follower.KeyedFollower(
             self._log,
@@ -218,8 +223,13 @@
             stamp,
             grant_manager.Clocks(read_boot_ms, read_wall_ms),
             self._list_prepaid_tokens,
+            self._is_hub,
         )
 
+    def _is_hub(self) -> bool:
+        """Returns whether this router is known to be a hub."""
+        return self._registry.has_settled and self._hub_view.is_hub
+
     def _make_caller_server(self) -> http_server.HttpServer:
         """Returns the server that callers connect to."""
         handler = forwarding_handler.ForwardingHandler(
@@ -372,15 +382,17 @@
             return "no configuration"
         if self._upstream_follower.next_offset < 0:
             return "no upstreams"
-        if (
-            self._list_prepaid_tokens()
-            and not self._grant_manager.has_appended_rows
-        ):
-            # Readiness waits for the first grants, but no longer than
-            # _GRANT_WAIT_MS: requests that cost no tokens can be served even
-            # while the log is unavailable.
-            waited_ms = read_boot_ms() - self._started_ms
-            if waited_ms < _GRANT_WAIT_MS:
+        # Readiness waits for the hosts and the first grants, but no longer than
+        # _GRANT_WAIT_MS: requests that cost no tokens can be served even while
+        # the log is unavailable.
+        if read_boot_ms() - self._started_ms < _GRANT_WAIT_MS:
+            if not self._registry.has_settled:
+                return "no hosts"
+            if (
+                self._is_hub()
+                and self._list_prepaid_tokens()
+                and not self._grant_manager.has_appended_rows
+            ):
                 return "no grants"
         return None
 
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -24,8 +24,8 @@
 _MAX_AGE_MS = 35_000
 _READ_POLL_TIMING = keyed_follower.PollTiming(wait_ms=0, interval_ms=2_500)
 # Hosts of a new fleet register within the first seconds.
-_FIRST_READ_INTERVAL_S = 0.7
-_FIRST_READS = 4
+_FIRST_READ_INTERVAL_S = 0.5
+_FIRST_READS = 3
 _RETRY_S = 0.5
 
 
@@ -60,7 +60,9 @@
     """Registers the own host and lists the others.
 
     Attributes:
-      has_read: Whether the entries were read at least once.
+      has_settled: Whether the list is complete enough to choose hubs by. In a
+        fleet that ran before, it is so once it was read; hosts of a new fleet
+        take some seconds to register.
       own_host: The entry of the router's host.
     """
 
@@ -81,7 +83,7 @@
           read_clock_ms: Returns the current time.
           handle_change: Called after `list_hosts` has changed.
         """
-        self.has_read = False
+        self.has_settled = False
         self._log = log
         self.own_host = own_host
         self._read_clock_ms = read_clock_ms
@@ -107,6 +109,7 @@
 
     async def run(self) -> None:
         """Registers the own host and follows the entries until cancelled."""
+        await self._read_first()
         await asyncio.gather(self._renew(), self._follow())
 
     async def leave(self, timeout_s: float) -> None:
@@ -147,12 +150,21 @@
                 self._sequence = expected
         return False
 
+    async def _read_first(self) -> None:
+        """Reads the entries before the own one is appended."""
+        while not await self._follower.read_once():
+            await asyncio.sleep(_RETRY_S)
+        # An entry of an earlier process shows that the fleet ran before.
+        self.has_settled = self.own_host.name in self._entries
+        self._update_listed()
+
     async def _follow(self) -> None:
         """Reads the entries, more often after the start."""
         for _ in range(_FIRST_READS):
+            await asyncio.sleep(_FIRST_READ_INTERVAL_S)
             await self._follower.read_once()
             self._update_listed()
-            await asyncio.sleep(_FIRST_READ_INTERVAL_S)
+        self.has_settled = True
         await asyncio.gather(self._follower.run(), self._check_ages())
 
     async def _check_ages(self) -> None:
@@ -173,7 +185,6 @@
 
     def _update_listed(self) -> None:
         """Recomputes the listed hosts and reports a change."""
-        self.has_read = self._follower.next_offset >= 0
         newest_ms = max(
             (entry.read_ms for entry in self._entries.values()), default=0
         )
--- a/redwingchute/process/prepaid/append_planner.py
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -77,8 +77,8 @@
                 has_raise |= granted_tokens > grant.granted_tokens
         return PlannedRows(tuple(rows), has_raise)
 
-    def plan_shutdown_rows(self) -> tuple[prepaid.GrantRow, ...]:
-        """Lowers each grant to its committed tokens and returns the new rows.
+    def plan_return_rows(self) -> tuple[prepaid.GrantRow, ...]:
+        """Lowers each grant to its committed tokens; returns changed rows.
 
         Committed tokens are spent or reserved; all others are returned.
         """
@@ -87,16 +87,16 @@
             if grant.row is None:
                 continue
             grant.lower(grant.committed_tokens)
-            rows.append(
-                attrs.evolve(
-                    grant.row,
-                    granted_tokens=grant.granted_tokens,
-                    ceiling_tokens=grant.granted_tokens,
-                    spent_tokens=grant.spent_tokens,
-                    unsure_tokens=grant.unsure_tokens,
-                    demand_tokens_per_s=0.0,
-                )
+            row = attrs.evolve(
+                grant.row,
+                granted_tokens=grant.granted_tokens,
+                ceiling_tokens=grant.granted_tokens,
+                spent_tokens=grant.spent_tokens,
+                unsure_tokens=grant.unsure_tokens,
+                demand_tokens_per_s=0.0,
             )
+            if row != grant.row:
+                rows.append(row)
         return tuple(rows)
 
     def can_raise(self, requested_tokens: dict[str, int]) -> bool:
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -9,6 +9,9 @@
 What a grant has available is also limited by its ceiling, which rises with the
 age of the router's latest stamp in the log, see `ceiling`. A request that the
 grant covers, but its ceiling does not yet, may wait for the ceiling to rise.
+
+A router that is no hub has no grants. It delegates each charge to a hub, one of
+its availability zone if it can, which lends it all tokens.
 """
 
 import asyncio
@@ -24,6 +27,7 @@
 from redwingchute.core import prepaid
 from redwingchute.process import background_tasks
 from redwingchute.process import decision_log
+from redwingchute.process import hub_choice
 from redwingchute.process import peer_network
 from redwingchute.process.prepaid import grant_manager
 
@@ -38,6 +42,13 @@
 _LENDER_RAISE_TIMEOUT_S = 0.08
 # How long a lender's reply may take, including the time to connect.
 _BORROW_TIMEOUT_MS = 200
+# How long a hub may try to reserve the tokens of a delegated charge; shorter
+# than `_DELEGATION_TIMEOUT_MS`, so that its reply reaches the other router.
+_DELEGATED_ADMISSION_S = 0.25
+# How long a hub's reply may take, including the time to connect.
+_DELEGATION_TIMEOUT_MS = 350
+# How many hubs are asked until one replies.
+_MAX_DELEGATIONS = 3
 # How long no further request is sent to a lender that did not reply.
 _LENDER_BACKOFF_MS = 1_500
 # The same for the other routers of its availability zone.
@@ -108,10 +119,14 @@
 
 @attrs.define
 class _LentCharge:
-    """Tokens of this router's grant, reserved for another router's request."""
+    """Tokens that are reserved here for another router's request.
 
-    account: str
-    tokens: int
+    Attributes:
+      charge: The reservations.
+      timer: Ends the charge when it expires.
+    """
+
+    charge: Charge
     timer: asyncio.TimerHandle
 
 
@@ -122,6 +137,8 @@
         self,
         manager: grant_manager.GrantManager,
         network: Network,
+        find_hubs: Callable[[], hub_choice.HubView],
+        list_prepaid_tokens: Callable[[], dict[str, int]],
         read_clock_ms: Callable[[], int],
         incarnation: int,
     ) -> None:
@@ -130,12 +147,16 @@
         Args:
           manager: The router's grants.
           network: The links to other routers.
+          find_hubs: Returns the hubs of the fleet.
+          list_prepaid_tokens: Returns the prepaid tokens of each account.
           read_clock_ms: Returns the time on the boot clock.
           incarnation: Identifies this start of the process; makes the ids of
             charges unique.
         """
         self._manager = manager
         self._network = network
+        self._find_hubs = find_hubs
+        self._list_prepaid_tokens = list_prepaid_tokens
         self._read_clock_ms = read_clock_ms
         self._charge_id_prefix = f"{manager.own_host}.{incarnation:x}"
         self._charge_numbers = itertools.count(1)
@@ -143,6 +164,8 @@
         # A set in order of insertion, so that the oldest ids can be removed.
         self._ended_charge_ids: dict[str, None] = {}
         self._backoff_until_ms: dict[str, int] = {}
+        # What hubs reported as spent at all routers, by account.
+        self._fleet_spent_tokens: dict[str, int] = {}
         self._tasks = background_tasks.BackgroundTasks()
 
     async def admit(
@@ -156,8 +179,7 @@
     ) -> Charge | outcomes.NotRun:
         """Reserves the maximum cost of a request.
 
-        Tries this router's grant first, then a raise of the grant, then the
-        other routers, and last waits briefly for the ceiling to rise.
+        A router that is no hub delegates this to one.
 
         Args:
           request_id: Identifies the request in the log.
@@ -171,6 +193,33 @@
           The charge, or a refusal: status 402 if the account is known to have
           too few tokens left, otherwise 503 with a time to retry.
         """
+        if not self._find_hubs().is_hub:
+            return await self._delegate(
+                request_id,
+                account,
+                prepaid_tokens,
+                tokens,
+                patience_ms,
+                is_fresh,
+            )
+        return await self._admit_at_hub(
+            request_id, account, prepaid_tokens, tokens, patience_ms, is_fresh
+        )
+
+    async def _admit_at_hub(
+        self,
+        request_id: str,
+        account: str,
+        prepaid_tokens: int,
+        tokens: int,
+        patience_ms: int,
+        is_fresh: bool,
+    ) -> Charge | outcomes.NotRun:
+        """Reserves tokens at a hub; see `admit`.
+
+        Tries this router's grant first, then a raise of the grant, then the
+        other routers, and last waits briefly for the ceiling to rise.
+        """
         manager = self._manager
         grant = manager.find_grant(account)
         grant.record_demand(tokens, self._read_clock_ms())
@@ -207,6 +256,62 @@
             request_id, account, tokens, remaining_tokens, is_spent
         )
 
+    async def _delegate(
+        self,
+        request_id: str,
+        account: str,
+        prepaid_tokens: int,
+        tokens: int,
+        patience_ms: int,
+        is_fresh: bool,
+    ) -> Charge | outcomes.NotRun:
+        """Has a hub reserve the tokens of a request; see `admit`."""
+        retry_after_ms = _DEFAULT_RETRY_AFTER_MS
+        for host in self._list_hubs_to_ask(account):
+            remaining_tokens = prepaid_tokens - self._fleet_spent_tokens.get(
+                account, 0
+            )
+            if tokens > remaining_tokens:
+                break
+            part, reply = await self._borrow(
+                host, account, tokens, patience_ms, is_delegated=True
+            )
+            if part is not None:
+                return Charge(account, (part,))
+            if reply is not None:
+                retry_after_ms = reply.retry_after_ms
+                break
+        remaining_tokens = prepaid_tokens - self._fleet_spent_tokens.get(
+            account, 0
+        )
+        is_spent = tokens > remaining_tokens and is_fresh
+        return self._refuse(
+            request_id,
+            account,
+            tokens,
+            remaining_tokens,
+            is_spent,
+            retry_after_ms,
+        )
+
+    def _list_hubs_to_ask(self, account: str) -> list[str]:
+        """Returns the hubs to delegate a charge to, the preferred one first.
+
+        The routers of a zone prefer the same hub for an account, so that its
+        demand there is steady. The last one is of another zone, in case the
+        hubs of this zone are down.
+        """
+        now_ms = self._read_clock_ms()
+        view = self._find_hubs()
+        hubs = [
+            host
+            for host in view.order_hubs(account)
+            if self._backoff_until_ms.get(host, 0) <= now_ms
+        ]
+        local = [host for host in hubs if view.zones[host] == view.own_zone]
+        remote = [host for host in hubs if view.zones[host] != view.own_zone]
+        return [*local[: _MAX_DELEGATIONS - 1], *remote][:_MAX_DELEGATIONS]
+
     async def _wait_for_ceiling(
         self, account: str, tokens: int, patience_ms: int
     ) -> bool:
@@ -247,14 +352,15 @@
     ) -> prepaid.RemoteChargeReply:
         """Lends tokens to another router for one of its requests."""
         grant = self._manager.find_grant(request.account)
-        reserved_tokens = await self._lend(request)
-        if reserved_tokens and request.charge_id in self._ended_charge_ids:
-            # The borrower settled the charge while this router's grant was
-            # being raised.
-            grant.settle(reserved_tokens, 0)
-            reserved_tokens = 0
-        if reserved_tokens:
-            self._add_lent_charge(request, reserved_tokens)
+        charge, retry_after_ms = await self._lend(request)
+        if charge is not None and request.charge_id in self._ended_charge_ids:
+            # The borrower settled the charge while the tokens were being
+            # reserved.
+            self.settle(charge, 0)
+            charge = None
+        reserved_tokens = _count_tokens(charge)
+        if charge is not None:
+            self._add_lent_charge(request, charge)
             decision_log.log_event(
                 "tokens_lent",
                 account=request.account,
@@ -263,8 +369,26 @@
                 asked_tokens=request.tokens,
             )
         return prepaid.RemoteChargeReply(
-            reserved_tokens, grant.spent_tokens - grant.unsure_tokens
+            reserved_tokens,
+            grant.spent_tokens - grant.unsure_tokens,
+            self._find_fleet_spent(request.account)
+            if request.is_delegated
+            else 0,
+            0 if reserved_tokens else retry_after_ms,
+        )
+
+    def _find_fleet_spent(self, account: str) -> int:
+        """Returns the tokens known to be spent at any router.
+
+        Reserved tokens are left out, since they may become free again. So the
+        result never falls.
+        """
+        prepaid_tokens = self._list_prepaid_tokens().get(account, 0)
+        remaining_tokens = self._manager.find_max_remaining(
+            account, prepaid_tokens
         )
+        reserved_tokens = self._manager.find_grant(account).reserved_tokens
+        return prepaid_tokens - remaining_tokens - reserved_tokens
 
     async def handle_settlement(
         self, peer: data.Host, settlement: prepaid.RemoteSettlement
@@ -279,24 +403,57 @@
         part = ChargePart(self._manager.own_host, "", tokens)
         return Charge(account, (part,))
 
-    async def _lend(self, request: prepaid.RemoteCharge) -> int:
-        """Reserves up to the requested tokens; raises the grant if possible.
+    async def _lend(
+        self, request: prepaid.RemoteCharge
+    ) -> tuple[Charge | None, int]:
+        """Reserves the requested tokens, or a part of them.
+
+        A delegated charge is reserved as a whole or not at all.
 
         Returns:
-          The number of reserved tokens, which may be fewer than requested; 0
-          for a repeated request.
+          The reservations, None without any and for a repeated request; and
+          after how many ms a refused request may be tried again.
         """
         if (
             request.charge_id in self._lent_charges
             or request.charge_id in self._ended_charge_ids
         ):
-            return 0
+            return None, _DEFAULT_RETRY_AFTER_MS
         account, tokens = request.account, request.tokens
+        if request.is_delegated:
+            return await self._admit_delegated(request)
         if self._manager.reserve(account, tokens):
-            return tokens
-        return await self._manager.reserve_with_raise(
+            return self._make_local_charge(account, tokens), 0
+        reserved_tokens = await self._manager.reserve_with_raise(
             account, tokens, _LENDER_RAISE_TIMEOUT_S
         )
+        if not reserved_tokens:
+            return None, _DEFAULT_RETRY_AFTER_MS
+        return self._make_local_charge(account, reserved_tokens), 0
+
+    async def _admit_delegated(
+        self, request: prepaid.RemoteCharge
+    ) -> tuple[Charge | None, int]:
+        """Reserves a delegated charge; see `_lend`."""
+        prepaid_tokens = self._list_prepaid_tokens().get(request.account, 0)
+        try:
+            async with asyncio.timeout(_DELEGATED_ADMISSION_S):
+                admitted = await self._admit_at_hub(
+                    request.charge_id,
+                    request.account,
+                    prepaid_tokens,
+                    request.tokens,
+                    max(0, request.expires_in_ms - _CHARGE_EXPIRY_MARGIN_MS),
+                    # The sender knows whether its own configuration is fresh.
+                    is_fresh=False,
+                )
+        except TimeoutError:
+            return None, _DEFAULT_RETRY_AFTER_MS
+        match admitted:
+            case Charge():
+                return admitted, 0
+            case outcomes.NotRun(retry_after_ms=retry_after_ms):
+                return None, retry_after_ms or _DEFAULT_RETRY_AFTER_MS
 
     def _refuse(
         self,
@@ -305,6 +462,7 @@
         tokens: int,
         remaining_tokens: int,
         is_spent: bool,
+        retry_after_ms: int | None = None,
     ) -> outcomes.NotRun:
         """Returns the refusal of a request that cannot be charged.
 
@@ -315,6 +473,8 @@
           remaining_tokens: An upper bound of the tokens that the account has
             left.
           is_spent: Whether the account is known to have too few tokens left.
+          retry_after_ms: After how long the caller may retry; None to compute
+            it from this router's grant.
         """
         grant = self._manager.find_grant(account)
         decision_log.log_failure(
@@ -339,7 +499,9 @@
             503,
             "budget_out_of_reach",
             "The tokens of the account cannot be reserved at the moment.",
-            self._find_retry_after_ms(account, tokens),
+            self._find_retry_after_ms(account, tokens)
+            if retry_after_ms is None
+            else retry_after_ms,
         )
 
     def _find_retry_after_ms(self, account: str, tokens: int) -> int:
@@ -373,7 +535,7 @@
             for host in self._list_lenders(account):
                 if lacking_tokens <= 0:
                     break
-                part = await self._borrow(
+                part, _ = await self._borrow(
                     host, account, lacking_tokens, patience_ms
                 )
                 if part is not None:
@@ -387,16 +549,33 @@
         return charge if is_complete else None
 
     async def _borrow(
-        self, host: str, account: str, tokens: int, patience_ms: int
-    ) -> ChargePart | None:
-        """Borrows tokens from another router; returns None if it lends none."""
+        self,
+        host: str,
+        account: str,
+        tokens: int,
+        patience_ms: int,
+        is_delegated: bool = False,
+    ) -> tuple[ChargePart | None, prepaid.RemoteChargeReply | None]:
+        """Borrows tokens from another router.
+
+        Returns:
+          The reservation, None if the router lends none; and its reply, None
+          if there was none.
+        """
         charge_id = f"{self._charge_id_prefix}.{next(self._charge_numbers)}"
         request = prepaid.RemoteCharge(
-            charge_id, account, tokens, patience_ms + _CHARGE_EXPIRY_MARGIN_MS
+            charge_id,
+            account,
+            tokens,
+            patience_ms + _CHARGE_EXPIRY_MARGIN_MS,
+            is_delegated,
         )
         requested_part = ChargePart(host, charge_id, tokens)
+        timeout_ms = (
+            _DELEGATION_TIMEOUT_MS if is_delegated else _BORROW_TIMEOUT_MS
+        )
         try:
-            reply = await self._network.call(host, request, _BORROW_TIMEOUT_MS)
+            reply = await self._network.call(host, request, timeout_ms)
         except asyncio.CancelledError:
             self._spawn_settlement(account, requested_part, 0)
             raise
@@ -404,18 +583,24 @@
             # The lender may have reserved the tokens and its reply got lost.
             self._start_backoff(host)
             self._spawn_settlement(account, requested_part, 0)
-            return None
+            return None, None
         self._manager.record_peer_spent(account, host, reply.spent_tokens)
+        if is_delegated:
+            self._fleet_spent_tokens[account] = max(
+                self._fleet_spent_tokens.get(account, 0),
+                reply.fleet_spent_tokens,
+            )
         if reply.reserved_tokens <= 0:
-            return None
-        return attrs.evolve(requested_part, tokens=reply.reserved_tokens)
+            return None, reply
+        part = attrs.evolve(requested_part, tokens=reply.reserved_tokens)
+        return part, reply
 
     def _list_lenders(self, account: str) -> list[str]:
         """Returns the hosts to borrow from, most unspent tokens first.
 
-        Routers without unspent tokens are included, since they may be able to
-        raise their grants through the log. Routers that recently did not reply
-        are left out.
+        Routers without unspent tokens are left out while the log is reachable:
+        what they could add to their grants, this router can add to its own.
+        Routers that recently did not reply are left out as well.
         """
         now_ms = self._read_clock_ms()
         unspent_tokens = {
@@ -427,22 +612,26 @@
             for stamp in self._manager.fold.list_active_stamps()
             if stamp.host != self._manager.own_host
             and self._backoff_until_ms.get(stamp.host, 0) <= now_ms
+            and (
+                unspent_tokens.get(stamp.host, 0) > 0
+                or not self._manager.is_connected
+            )
         ]
         return sorted(hosts, key=lambda host: -unspent_tokens.get(host, 0))
 
     def _start_backoff(self, host: str) -> None:
         """Stops borrowing from a lender that did not reply, for some time.
 
-        The other routers of its availability zone are left out as well, for a
-        shorter time: if the whole zone is cut off, requests then wait for one
-        timeout instead of one for each router of the zone.
+        The other hubs of its availability zone are left out as well, for a
+        shorter time, unless it is this router's zone: if the whole zone is cut
+        off, requests then wait for one timeout instead of one for each hub.
         """
         now_ms = self._read_clock_ms()
         decision_log.log_event("lender_unreachable", lender=host)
-        stamps = self._manager.fold.stamps
-        zone = stamps[host].zone if host in stamps else None
-        for other_host, stamp in stamps.items():
-            if stamp.zone == zone:
+        view = self._find_hubs()
+        zone = view.zones.get(host)
+        for other_host, other_zone in view.zones.items():
+            if other_zone == zone and zone != view.own_zone:
                 backoff_ms = self._backoff_until_ms.get(other_host, 0)
                 self._backoff_until_ms[other_host] = max(
                     backoff_ms, now_ms + _ZONE_BACKOFF_MS
@@ -477,18 +666,16 @@
         )
 
     def _add_lent_charge(
-        self, request: prepaid.RemoteCharge, tokens: int
+        self, request: prepaid.RemoteCharge, charge: Charge
     ) -> None:
         """Adds a lent charge, which counts as spent when it expires."""
         timer = asyncio.get_running_loop().call_later(
             request.expires_in_ms / 1000,
             self._end_lent_charge,
             request.charge_id,
-            tokens,
-        )
-        self._lent_charges[request.charge_id] = _LentCharge(
-            request.account, tokens, timer
+            _count_tokens(charge),
         )
+        self._lent_charges[request.charge_id] = _LentCharge(charge, timer)
 
     def _end_lent_charge(self, charge_id: str, spent_tokens: int) -> None:
         """Settles a lent charge; a repeated settlement has no effect."""
@@ -499,5 +686,11 @@
         if lent_charge is None:
             return
         lent_charge.timer.cancel()
-        grant = self._manager.find_grant(lent_charge.account)
-        grant.settle(lent_charge.tokens, spent_tokens)
+        self.settle(lent_charge.charge, spent_tokens)
+
+
+def _count_tokens(charge: Charge | None) -> int:
+    """Returns the tokens of all reservations of a charge, 0 for None."""
+    if charge is None:
+        return 0
+    return sum(part.tokens for part in charge.parts)
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -5,6 +5,10 @@
 unchanged until its outcome is known, so that the log never holds a row whose
 limits the host does not obey. An append that raises a grant is conditional: it
 takes effect only if no other record was appended since the rows were read.
+
+Only hubs hold grants, see `hub_choice`. The manager of another router appends
+and reads nothing, unless it still has to return the tokens of a time when its
+host was a hub.
 """
 
 import asyncio
@@ -43,6 +47,8 @@
 # Conditional appends fail while other routers raise grants at the same time; a
 # round plans and sends at most this many appends.
 _MAX_APPENDS_PER_ROUND = 6
+# How often a router that is no hub checks whether it has become one.
+_HUB_CHECK_S = 0.5
 # The append rounds that a request waits for: the one in progress, the one that
 # includes the request, and one more.
 _MAX_ROUNDS_AWAITED = 3
@@ -91,6 +97,7 @@
         reply that this process is fenced.
       has_appended_rows: Whether an append has succeeded since accounts with
         prepaid tokens became known.
+      is_active: Whether the manager appends and reads rows.
     """
 
     def __init__(
@@ -99,6 +106,7 @@
         own_stamp: prepaid.HostStamp,
         clocks: Clocks,
         list_prepaid_tokens: Callable[[], dict[str, int]],
+        is_hub: Callable[[], bool] = lambda: True,
         policy: grant_planner.GrantPolicy | None = None,
     ) -> None:
         """Creates the manager; `run` starts its work.
@@ -109,16 +117,19 @@
             times are set for each append.
           clocks: The host's clocks.
           list_prepaid_tokens: Returns the prepaid tokens of each account.
+          is_hub: Returns whether this router should hold grants.
           policy: How grants are sized.
         """
         self.fold = grant_fold.GrantFold()
         self.has_taken_over = False
         self.is_connected = False
         self.has_appended_rows = False
+        self.is_active = False
         self._log = log
         self._own_stamp = own_stamp
         self._clocks = clocks
         self._list_prepaid_tokens = list_prepaid_tokens
+        self._is_hub = is_hub
         self._policy = policy or grant_planner.GrantPolicy()
         self._follower = keyed_follower.KeyedFollower(
             log,
@@ -155,6 +166,10 @@
         # The last takeover that was sent; its outcome may not be known.
         self._sent_takeover: _Append | None = None
         self._is_stopping = False
+        self._is_fenced = False
+        # Whether the last append of a router that is no hub any more returned
+        # all tokens.
+        self._has_withdrawn = False
 
     @property
     def own_host(self) -> str:
@@ -321,10 +336,49 @@
     async def run(self) -> None:
         """Takes over the grants of the previous process and maintains them.
 
-        Runs until it is cancelled.
+        Runs until it is cancelled, or until a later process has taken over.
         """
-        await self._take_over()
-        await asyncio.gather(self._follower.run(), self._run_appends())
+        while not self._is_fenced:
+            await self._wait_until_needed()
+            if not self.has_taken_over:
+                await self._take_over()
+            self.is_active = True
+            tasks = {
+                asyncio.create_task(self._follower.run()),
+                asyncio.create_task(self._run_appends()),
+            }
+            try:
+                done, _ = await asyncio.wait(
+                    tasks, return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                self.is_active = False
+                for task in tasks:
+                    task.cancel()
+            for task in done:
+                # Raises the error of a task that failed.
+                task.result()
+
+    async def _wait_until_needed(self) -> None:
+        """Waits until this router is a hub or has tokens to return."""
+        has_read_rows = False
+        while not self._is_hub():
+            if not has_read_rows and not self.has_taken_over:
+                has_read_rows = await self._follower.read_once()
+                rows = self.fold.list_host_rows(self.own_host)
+                if any(
+                    row.granted_tokens > row.spent_tokens or row.unsure_tokens
+                    for row in rows
+                ):
+                    return
+            await asyncio.sleep(_HUB_CHECK_S)
+
+    def _holds_tokens(self) -> bool:
+        """Returns whether this router has tokens that it could return."""
+        return bool(self._predecessor.rows) or any(
+            grant.granted_tokens > grant.spent_tokens
+            for grant in self._grants.values()
+        )
 
     async def stop(self, timeout_s: float) -> None:
         """Returns unspent tokens to the accounts before a graceful shutdown.
@@ -333,6 +387,8 @@
           timeout_s: How long to wait until the log confirms the return.
         """
         self._is_stopping = True
+        if not self.is_active:
+            return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 while not self._own_stamp.is_leaving or self._pending_append:
@@ -389,6 +445,7 @@
             epoch=self._epoch,
             boot_ms=self._clocks.read_boot_ms(),
             wall_ms=self._clocks.read_wall_ms(),
+            is_leaving=self._own_stamp.is_leaving or not self._is_hub(),
         )
 
     async def _take_over(self) -> None:
@@ -486,8 +543,15 @@
         decision_log.log_event("grants_taken_over", epoch=self._epoch)
 
     async def _run_appends(self) -> None:
-        """Appends stamps and rows at each interval and on request."""
-        while True:
+        """Appends stamps and rows at each interval and on request.
+
+        Ends when this router is no hub any more and has returned its tokens,
+        or when a later process has taken over.
+        """
+        self._has_withdrawn = False
+        while not self._is_fenced and (
+            self._is_hub() or not self._has_withdrawn or self._is_stopping
+        ):
             if not self._is_stopping:
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(
@@ -586,7 +650,10 @@
         """Returns the next append, the last one if the process is stopping."""
         if self._is_stopping:
             self._own_stamp = attrs.evolve(self._own_stamp, is_leaving=True)
-            rows = self._planner.plan_shutdown_rows()
+            rows = self._planner.plan_return_rows()
+            return _Append(self._make_stamp(), rows, None, self._sequence)
+        if not self._is_hub():
+            rows = self._planner.plan_return_rows()
             return _Append(self._make_stamp(), rows, None, self._sequence)
         planned = self._planner.plan_rows(requested_tokens)
         at_offset = self._follower.next_offset if planned.has_raise else None
@@ -620,6 +687,9 @@
             self.is_connected = True
             decision_log.log_event("grants_connected", epoch=self._epoch)
         self._sequence = append.sequence + 1
+        self._has_withdrawn = (
+            append.stamp.is_leaving and not self._holds_tokens()
+        )
         self._last_append_duration_ms = (
             self._clocks.read_boot_ms() - append.stamp.boot_ms
         )
@@ -657,6 +727,7 @@
     def _handle_fenced(self) -> None:
         """Stops spending, since a later process of this host has taken over."""
         decision_log.log_failure("grants_fenced", epoch=self._epoch)
+        self._is_fenced = True
         self.is_connected = False
         self.has_taken_over = False
         for grant in self._grants.values():
--- a/redwingchute/testing/prepaid_simulation.py
+++ b/redwingchute/testing/prepaid_simulation.py
@@ -15,6 +15,7 @@
 from redwingchute.core import data
 from redwingchute.core import outcomes
 from redwingchute.core import prepaid
+from redwingchute.process import hub_choice
 from redwingchute.process import peer_network
 from redwingchute.process import shared_log
 from redwingchute.process.prepaid import charging
@@ -91,15 +92,24 @@
         time.
       responses_to_lose: The number of next appends whose responses are lost.
       log_latency_s: The latency of the log each way.
+      hubs: The hosts whose routers are hubs.
     """
 
-    def __init__(self, hosts: tuple[str, ...], prepaid_tokens: int) -> None:
+    def __init__(
+        self,
+        hosts: tuple[str, ...],
+        prepaid_tokens: int,
+        hubs: tuple[str, ...] = (),
+    ) -> None:
         """Starts all routers.
 
         Args:
-          hosts: The names of the hosts.
+          hosts: The names of the hosts. The part before the first hyphen names
+            the zone.
           prepaid_tokens: The tokens that the account has prepaid.
+          hubs: The hosts whose routers are hubs; empty for all.
         """
+        self.hubs = hubs or hosts
         self.loop = manual_loop.ManualLoop()
         self.topic = keyed_log.KeyedTopic()
         self.prepaid_tokens = prepaid_tokens
@@ -160,18 +170,32 @@
         def read_boot_ms() -> int:
             return self.now_ms + self._boot_clock_offsets_ms.get(host, 0)
 
+        def find_hubs() -> hub_choice.HubView:
+            return hub_choice.HubView(
+                host,
+                _find_zone(host),
+                len(self.routers),
+                {hub: _find_zone(hub) for hub in self.hubs},
+            )
+
+        def list_prepaid_tokens() -> dict[str, int]:
+            return {ACCOUNT: self.prepaid_tokens}
+
         grants = grant_manager.GrantManager(
             SimulatedLog(self, host),
-            prepaid.HostStamp(host, "zone", host, 0, 0, 0),
+            prepaid.HostStamp(host, _find_zone(host), host, 0, 0, 0),
             grant_manager.Clocks(
                 read_boot_ms,
                 lambda: self.now_ms + self.wall_clock_offsets_ms.get(host, 0),
             ),
-            lambda: {ACCOUNT: self.prepaid_tokens},
+            list_prepaid_tokens,
+            lambda: find_hubs().is_hub,
         )
         charger = charging.Charger(
             grants,
             SimulatedLinks(self, host),
+            find_hubs,
+            list_prepaid_tokens,
             read_boot_ms,
             self.incarnations,
         )
@@ -249,6 +273,11 @@
         charger.settle(result, spent_tokens)
 
 
+def _find_zone(host: str) -> str:
+    """Returns the zone of a host."""
+    return host.partition("-")[0]
+
+
 class SimulatedLog:
     """The shared log as one host reaches it."""
 
