--- a/redwingchute/process/prepaid/prepaid_machine_test.py
+++ b/redwingchute/process/prepaid/prepaid_machine_test.py
@@ -12,7 +12,8 @@
 
 from redwingchute.testing import prepaid_simulation
 
-_HOSTS = ("huon-1", "huon-2", "bruny-1")
+_HUBS = ("huon-1", "huon-2", "bruny-1")
+_HOSTS = (*_HUBS, "bruny-2")
 _HOST = strategies.sampled_from(_HOSTS)
 
 # Rounds and size of the requests that spend the tokens left at the end of an
@@ -37,7 +38,9 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.simulation = prepaid_simulation.PrepaidSimulation(_HOSTS, 3_000)
+        self.simulation = prepaid_simulation.PrepaidSimulation(
+            _HOSTS, 3_000, _HUBS
+        )
         self.simulation.run_for(3)
 
     @stateful.rule(
