Notice a lost response to the waiting read of the configuration in time

Cause: a waiting read lasted 3 s and counted as lost 1.5 s later. If its response was lost, a version came into force up to 4.5 s after it was acknowledged, where 2 to 4 s are allowed. Change: the wait is half of what the settings allow, a read counts as lost 0.7 s after it, and the next read does not wait.

--- a/redwingchute/platform/store_client.py
+++ b/redwingchute/platform/store_client.py
@@ -66,13 +66,24 @@
         return _decode_append_response(fetched)
 
     async def read(
-        self, topic: str, offset: int, wait_ms: int
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int,
+        response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         """Reads records; see `shared_log.SharedLog`."""
         query = {"topic": topic, "part": _PARTITION, "source": offset}
         if wait_ms:
             query["waitMs"] = wait_ms
-        fetched = await self._call("GET", "/v1/log-read", query, b"", wait_ms)
+        fetched = await self._call(
+            "GET",
+            "/v1/log-read",
+            query,
+            b"",
+            wait_ms,
+            response_timeout_ms or CALL_TIMEOUT_MS,
+        )
         if isinstance(fetched, shared_log.LogUnavailable):
             return fetched
         if fetched.status == 410:
@@ -120,6 +131,7 @@
         query: dict[str, Any],
         body: bytes,
         wait_ms: int,
+        response_timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> http_client.Fetched | shared_log.LogUnavailable:
         """Sends one request on a pooled connection.
 
@@ -133,7 +145,7 @@
             f"{path}?{urllib.parse.urlencode(query)}",
             headers,
             body,
-            CALL_TIMEOUT_MS + wait_ms,
+            wait_ms + response_timeout_ms,
             _MAX_RESPONSE_BYTES,
         )
         match fetched:
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -44,12 +44,11 @@
 from redwingchute.version import route_index
 from redwingchute.wire import registry
 
-# A configuration version must be in force within 2 s of its acknowledgement,
-# and within 7 s while the log is unstable. A waiting read ends early enough
-# that one lost reply does not exceed this limit.
-CONFIGURATION_POLL_TIMING = keyed_follower.PollTiming(
-    wait_ms=3_000, interval_ms=200
-)
+# The minimum time between two reads of the configuration, and how long after
+# its wait a read counts as lost. The log responds within some hundred
+# milliseconds even when it is slow.
+_CONFIGURATION_INTERVAL_MS = 200
+_CONFIGURATION_RESPONSE_TIMEOUT_MS = 700
 # An upstream that leaves still accepts requests for 2 s; its entry must be read
 # before that.
 _UPSTREAM_POLL_TIMING = keyed_follower.PollTiming(wait_ms=0, interval_ms=500)
@@ -164,7 +163,7 @@
         self._configuration_follower = keyed_follower.KeyedFollower(
             self._log,
             ports.configuration_topic,
-            CONFIGURATION_POLL_TIMING,
+            make_configuration_timing(settings),
             read_boot_ms,
             self._handle_configuration,
         )
@@ -461,7 +460,7 @@
         age_ms = read_boot_ms() - follower.confirmed_ms
         # A read that waits at the log returns as soon as a newer version is
         # appended, so its waiting time does not make the version stale.
-        allowed_ms = CONFIGURATION_POLL_TIMING.wait_ms
+        allowed_ms = make_configuration_timing(self.settings).wait_ms
         return age_ms <= allowed_ms + self.settings.configuration_fresh_ms
 
     def _list_prepaid_tokens(self) -> dict[str, int]:
@@ -593,6 +592,21 @@
         )
 
 
+def make_configuration_timing(
+    settings: gateway_settings.GatewaySettings,
+) -> keyed_follower.PollTiming:
+    """Returns how often the configuration is read.
+
+    A version must be in force within `configuration_fresh_ms` of its
+    acknowledgement, also if the response to the waiting read is lost.
+    """
+    return keyed_follower.PollTiming(
+        settings.configuration_fresh_ms // 2,
+        _CONFIGURATION_INTERVAL_MS,
+        _CONFIGURATION_RESPONSE_TIMEOUT_MS,
+    )
+
+
 def _log_failed_task(error: BaseException) -> None:
     """Logs the failure of a background task, none of which should end."""
     decision_log.log_failure("part_failed", reason=repr(error))
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -26,10 +26,13 @@
     Attributes:
       wait_ms: How long a read waits for a record.
       interval_ms: The minimum time between the starts of two reads.
+      response_timeout_ms: How long after its wait a read counts as lost; None
+        for the limit of all calls to the log. The next read then does not wait.
     """
 
     wait_ms: int
     interval_ms: int
+    response_timeout_ms: int | None = None
 
 
 class KeyedFollower:
@@ -79,13 +82,17 @@
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         retry_s = _MIN_RETRY_S
+        wait_ms = self._timing.wait_ms
         while True:
             started_ms = self._read_clock_ms()
-            if await self.read_once(self._timing.wait_ms):
+            if await self.read_once(wait_ms):
                 retry_s = _MIN_RETRY_S
+                wait_ms = self._timing.wait_ms
                 elapsed_ms = self._read_clock_ms() - started_ms
                 pause_s = (self._timing.interval_ms - elapsed_ms) / 1000
             else:
+                # What was appended meanwhile must not wait any longer.
+                wait_ms = 0
                 pause_s = retry_s
                 retry_s = min(_MAX_RETRY_S, 2 * retry_s)
             await asyncio.sleep(max(0.0, pause_s))
@@ -104,7 +111,10 @@
             if self.next_offset < 0:
                 return self._record_result(await self._start())
             started_ms = self._read_clock_ms()
-            match await self._log.read(self._topic, self.next_offset, wait_ms):
+            timeout_ms = self._timing.response_timeout_ms if wait_ms else None
+            match await self._log.read(
+                self._topic, self.next_offset, wait_ms, timeout_ms
+            ):
                 case shared_log.ReadRecords(records, next_offset):
                     for record in records:
                         self._deliver_if_newer(record)
--- a/redwingchute/process/keyed_follower_test.py
+++ b/redwingchute/process/keyed_follower_test.py
@@ -26,7 +26,11 @@
         return self.topic.append(records, stamp, at_offset)
 
     async def read(
-        self, topic: str, offset: int, wait_ms: int
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int,
+        response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         if self.is_unavailable:
             return shared_log.LogUnavailable("no answer")
--- a/redwingchute/process/shared_log.py
+++ b/redwingchute/process/shared_log.py
@@ -139,13 +139,21 @@
           at_offset: The required end offset of the topic; None for any.
         """
 
-    async def read(self, topic: str, offset: int, wait_ms: int) -> ReadResult:
+    async def read(
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int,
+        response_timeout_ms: int | None = None,
+    ) -> ReadResult:
         """Reads records from an offset on.
 
         Args:
           topic: The keyed topic.
           offset: The offset of the first record.
           wait_ms: How long to wait if there is no record yet.
+          response_timeout_ms: How long after the wait the read counts as
+            lost; None for the limit of all calls.
         """
 
     async def read_newest(self, topic: str) -> Newest | LogUnavailable:
--- a/redwingchute/process/timed_log.py
+++ b/redwingchute/process/timed_log.py
@@ -44,11 +44,17 @@
         return result
 
     async def read(
-        self, topic: str, offset: int, wait_ms: int
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int,
+        response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         """Reads records."""
         started_ms = self._read_clock_ms()
-        result = await self._log.read(topic, offset, wait_ms)
+        result = await self._log.read(
+            topic, offset, wait_ms, response_timeout_ms
+        )
         if not wait_ms:
             self._record("read", result, started_ms)
         return result
--- a/redwingchute/process/timed_log_test.py
+++ b/redwingchute/process/timed_log_test.py
@@ -24,7 +24,11 @@
         return shared_log.LogUnavailable("no answer")
 
     async def read(
-        self, topic: str, offset: int, wait_ms: int
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int,
+        response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         del topic, wait_ms
         self.now_ms += 7
--- a/redwingchute/testing/prepaid_simulation.py
+++ b/redwingchute/testing/prepaid_simulation.py
@@ -316,10 +316,14 @@
         return result
 
     async def read(
-        self, topic: str, offset: int, wait_ms: int
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int,
+        response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         """Reads records."""
-        del topic, wait_ms
+        del topic, wait_ms, response_timeout_ms
         if await self._is_response_lost():
             return shared_log.LogUnavailable("no response")
         return self._simulation.topic.read(offset)
