Send a charge on from a hub that starts, shuts down or is none

Cause: a hub that had no grants yet waited longer for them than a delegated charge may take, and refused; the router took that as final. Now it refuses without a time, and the next hub is asked. The list of hosts is updated right after each read.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -99,7 +99,7 @@
       fleet_spent_tokens: All tokens of the account that are known to be spent
         at any router; set for a delegated charge.
       retry_after_ms: After how long a refused delegated charge may be tried
-        again; 0 if tokens are reserved.
+        again; 0 if tokens are reserved, or if another hub should be asked.
     """
 
     reserved_tokens: int
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -22,7 +22,7 @@
 # An entry is out of date if it is older than the newest one by three missed
 # renewals.
 _MAX_AGE_MS = 35_000
-_READ_POLL_TIMING = keyed_follower.PollTiming(wait_ms=0, interval_ms=2_500)
+_READ_INTERVAL_S = 2.5
 # Hosts of a new fleet register within the first seconds.
 _FIRST_READ_INTERVAL_S = 0.5
 _FIRST_READS = 3
@@ -95,7 +95,11 @@
         self._producer = f"{own_host.name}/{incarnation:x}"
         self._sequence = 0
         self._follower = keyed_follower.KeyedFollower(
-            log, TOPIC, _READ_POLL_TIMING, read_clock_ms, self._handle_record
+            log,
+            TOPIC,
+            keyed_follower.PollTiming(0, int(1000 * _READ_INTERVAL_S)),
+            read_clock_ms,
+            self._handle_record,
         )
 
     def list_hosts(self) -> tuple[RegisteredHost, ...]:
@@ -165,12 +169,9 @@
             await self._follower.read_once()
             self._update_listed()
         self.has_settled = True
-        await asyncio.gather(self._follower.run(), self._check_ages())
-
-    async def _check_ages(self) -> None:
-        """Removes hosts that are gone from the list."""
         while True:
-            await asyncio.sleep(_READ_POLL_TIMING.interval_ms / 1000)
+            await asyncio.sleep(_READ_INTERVAL_S)
+            await self._follower.read_once()
             self._update_listed()
 
     def _handle_record(self, record: shared_log.KeyedRecord) -> None:
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -278,7 +278,7 @@
             )
             if part is not None:
                 return Charge(account, (part,))
-            if reply is not None:
+            if reply is not None and reply.retry_after_ms:
                 retry_after_ms = reply.retry_after_ms
                 break
         remaining_tokens = prepaid_tokens - self._fleet_spent_tokens.get(
@@ -434,7 +434,13 @@
     async def _admit_delegated(
         self, request: prepaid.RemoteCharge
     ) -> tuple[Charge | None, int]:
-        """Reserves a delegated charge; see `_lend`."""
+        """Reserves a delegated charge; see `_lend`.
+
+        A router that starts, shuts down or is no hub refuses without a time, so
+        that another hub is asked.
+        """
+        if not self._manager.is_lending:
+            return None, 0
         prepaid_tokens = self._list_prepaid_tokens().get(request.account, 0)
         try:
             async with asyncio.timeout(_DELEGATED_ADMISSION_S):
--- a/redwingchute/process/prepaid/delegated_charges_test.py
+++ b/redwingchute/process/prepaid/delegated_charges_test.py
@@ -136,3 +136,30 @@
     _send_requests(simulation, 60, 300)
     simulation.close()
     assert simulation.max_used_tokens <= 10_000
+
+
+@pytest.mark.parametrize("hub", ["huon-1", "huon-2"])
+def test_a_hub_that_shuts_down_or_starts_refuses_nobody(hub: str) -> None:
+    simulation = _make_simulation()
+    _send_requests(simulation, 40, 300)
+    stopping = simulation.routers[hub].grants
+    simulation.loop.run_until_complete(stopping.stop(0.8))
+    numbers = _send_requests(simulation, 20, 300)
+    simulation.kill(hub)
+    simulation.cut_from_log = {hub}
+    simulation.start(hub)
+    numbers += _send_requests(simulation, 20, 300)
+    simulation.close()
+    assert all(map(simulation.is_charged, numbers))
+
+
+@pytest.mark.parametrize("hub", ["huon-1", "huon-2"])
+def test_a_router_that_is_no_hub_for_itself_sends_others_on(hub: str) -> None:
+    simulation = _make_simulation()
+    _send_requests(simulation, 40, 300)
+    # The router knows that it is no hub any more, the others do not yet.
+    simulation.former_hubs = {hub}
+    simulation.run_for(4)
+    numbers = _send_requests(simulation, 20, 300)
+    simulation.close()
+    assert all(map(simulation.is_charged, numbers))
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -176,6 +176,13 @@
         """The name of this router's host."""
         return self._own_stamp.host
 
+    @property
+    def is_lending(self) -> bool:
+        """Whether this router is a hub that can charge for other routers."""
+        return (
+            self._is_hub() and self.has_appended_rows and not self._is_stopping
+        )
+
     def find_grant(self, account: str) -> grant_lib.Grant:
         """Returns the grant of an account, an empty one for a new account."""
         return grant_lib.get_or_create_grant(self._grants, account)
--- a/redwingchute/testing/prepaid_simulation.py
+++ b/redwingchute/testing/prepaid_simulation.py
@@ -93,6 +93,7 @@
       responses_to_lose: The number of next appends whose responses are lost.
       log_latency_s: The latency of the log each way.
       hubs: The hosts whose routers are hubs.
+      former_hubs: Hosts among `hubs` that know already that they are none.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
           hubs: The hosts whose routers are hubs; empty for all.
         """
         self.hubs = hubs or hosts
+        self.former_hubs: set[str] = set()
         self.loop = manual_loop.ManualLoop()
         self.topic = keyed_log.KeyedTopic()
         self.prepaid_tokens = prepaid_tokens
@@ -175,7 +177,11 @@
                 host,
                 _find_zone(host),
                 len(self.routers),
-                {hub: _find_zone(hub) for hub in self.hubs},
+                {
+                    hub: _find_zone(hub)
+                    for hub in self.hubs
+                    if hub != host or hub not in self.former_hubs
+                },
             )
 
         def list_prepaid_tokens() -> dict[str, int]:
