Read entries of upstreams as often as their drain time asks for

Cause: each router read them twice a second, which suits a drain time of 2 s; on the large deployment it is 4 s, and these reads were most calls of a router that is no hub. Now four times in a drain time; a drain time, a share of a processor or an apply time that is not positive is a finding.

--- a/redwingchute/platform/settings_file.py
+++ b/redwingchute/platform/settings_file.py
@@ -77,11 +77,12 @@
         ),
         retry_slack=reader.read_number("bounds.retrySlack", 0.0),
         configuration_fresh_ms=int(
-            reader.read_number("bounds.configApplyMs", 2000.0)
+            reader.read_positive("bounds.configApplyMs", 2000.0)
         ),
+        drain_ms=int(reader.read_positive("bounds.drainMs", 2000.0)),
         # cpuShare is a share of a core, cpuCores the speed of that core.
-        processor_share=reader.read_number("limits.cpuShare", 1.0)
-        * reader.read_number("limits.cpuCores", 1.0),
+        processor_share=reader.read_positive("limits.cpuShare", 1.0)
+        * reader.read_positive("limits.cpuCores", 1.0),
     )
     return (None if reader.findings else decoded), reader.findings
 
@@ -136,6 +137,14 @@
             self._add_finding(name, "is not a number")
             return default
 
+    def read_positive(self, name: str, default: float) -> float:
+        """Returns an optional number that must be greater than 0."""
+        number = self.read_number(name, default)
+        if number > 0:
+            return number
+        self._add_finding(name, "is not greater than 0")
+        return default
+
     def _add_finding(self, name: str, message: str) -> None:
         """Adds a finding about a field."""
         self.findings.append(data.Finding(f"{self._place}: {name}", message))
--- a/redwingchute/platform/settings_file_test.py
+++ b/redwingchute/platform/settings_file_test.py
@@ -32,6 +32,29 @@
     assert settings.retry_slack == 56
 
 
+def test_bounds_and_processor_time_become_settings() -> None:
+    text = (
+        _LINES
+        + "bounds.drainMs=4000\nbounds.configApplyMs=3000\n"
+        + "limits.cpuShare=0.537\nlimits.cpuCores=2\n"
+    )
+    settings, findings = settings_file.decode_settings(text, "file")
+    assert not findings
+    assert settings is not None
+    assert settings.drain_ms == 4_000
+    assert settings.configuration_fresh_ms == 3_000
+    assert settings.processor_share == 0.537 * 2
+
+
+def test_an_interval_that_is_not_positive_is_reported() -> None:
+    text = _LINES + "bounds.drainMs=0\nlimits.cpuShare=-1\n"
+    _, findings = settings_file.decode_settings(text, "file")
+    assert [finding.place for finding in findings] == [
+        "file: bounds.drainMs",
+        "file: limits.cpuShare",
+    ]
+
+
 def test_every_invalid_field_is_reported() -> None:
     text = _LINES.replace("zone=huon\n", "").replace(":8227", "")
     settings, findings = settings_file.decode_settings(text, "file")
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -49,9 +49,10 @@
 # milliseconds even when it is slow.
 _CONFIGURATION_INTERVAL_MS = 200
 _CONFIGURATION_RESPONSE_TIMEOUT_MS = 700
-# An upstream that leaves still accepts requests for 2 s; its entry must be read
-# before that.
-_UPSTREAM_POLL_TIMING = keyed_follower.PollTiming(wait_ms=0, interval_ms=500)
+# The entry of an upstream that leaves must be read while the upstream still
+# accepts requests, also if one read gets no response: entries are read this
+# many times as often.
+_UPSTREAM_READS_PER_DRAIN = 4
 # The balancer removes a host after two failed readiness checks 1 s apart.
 _BALANCER_LAG_S = 2.2
 # How long a new process waits for its grants before it reports ready.
@@ -170,7 +171,9 @@
         self._upstream_follower = keyed_follower.KeyedFollower(
             self._log,
             ports.upstream_topic,
-            _UPSTREAM_POLL_TIMING,
+            keyed_follower.PollTiming(
+                0, settings.drain_ms // _UPSTREAM_READS_PER_DRAIN
+            ),
             read_boot_ms,
             self._handle_upstream,
             self._upstream_directory.keep_only,
--- a/redwingchute/process/gateway_settings.py
+++ b/redwingchute/process/gateway_settings.py
@@ -25,6 +25,7 @@
       retry_slack: The retries that are always allowed, over all routers.
       configuration_fresh_ms: How long a configuration counts as the newest
         after it was confirmed.
+      drain_ms: How long an upstream that leaves still accepts requests.
       processor_share: The processor time that the host may use, in cores.
     """
 
@@ -41,4 +42,5 @@
     retry_window_ms: int = 10_000
     retry_slack: float = 0.0
     configuration_fresh_ms: int = 2_000
+    drain_ms: int = 2_000
     processor_share: float = 1.0
