--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -22,6 +22,7 @@
 from redwingchute.core import prepaid
 from redwingchute.core import requesting
 from redwingchute.process import background_tasks
+from redwingchute.process import crash_relay
 from redwingchute.process import decision_log
 from redwingchute.process import gateway_settings
 from redwingchute.process import host_registry
@@ -70,8 +71,6 @@
 _LOAD_CHECK_S = 0.2
 # How long a router that shuts down waits for its entry in the list of hosts.
 _LEAVE_TIMEOUT_S = 0.3
-# The ids of this many crashes that were passed on are kept.
-_MAX_RELAYED_CRASHES = 1_024
 
 
 @attrs.frozen
@@ -150,8 +149,11 @@
         self._network = self._make_network()
         self._registry = self._make_registry()
         self._hub_view = hub_choice.choose_hubs(self._registry.own_host, ())
-        # A set in order of insertion, so that the oldest ids can be removed.
-        self._relayed_crashes: dict[str, None] = {}
+        self._crash_relay = crash_relay.CrashRelay(
+            lambda: self._hub_view,
+            lambda: self._upstream_directory.reporters,
+            self._network.send_to_all,
+        )
         self._grant_manager = self._make_grant_manager()
         self._charger = charging.Charger(
             self._grant_manager,
@@ -244,7 +246,7 @@
                 is_fresh=self._is_fresh,
                 find_allowance=self._find_allowance,
                 quarantine=self._quarantine,
-                broadcast=self._broadcast_crash,
+                broadcast=self._crash_relay.broadcast,
                 find_time_left_ms=self._find_time_left_ms,
                 read_clock_ms=read_boot_ms,
                 metrics=self._make_request_metrics(),
@@ -532,44 +534,12 @@
             peer.name, notice, read_boot_ms()
         )
 
-    def _broadcast_crash(self, notice: requesting.CrashNotice) -> None:
-        """Sends a notice to all other routers through the hubs, best effort.
-
-        A router that is no hub sends it to two hubs, in case one is down.
-        """
-        self._relayed_crashes[notice.attempt_id] = None
-        hubs = self._hub_view.order_hubs(self.settings.host_name)
-        if self._hub_view.is_hub:
-            self._relay_crash(notice, hubs)
-        else:
-            self._network.send_to_all(hubs[:2], notice)
-
-    def _relay_crash(
-        self, notice: requesting.CrashNotice, hubs: tuple[str, ...]
-    ) -> None:
-        """Passes a notice on to hubs and to the routers that report here."""
-        receivers = (*hubs, *self._upstream_directory.reporters)
-        self._network.send_to_all(receivers, notice)
-
     async def _handle_crash(
         self, peer: data.Host, notice: requesting.CrashNotice
     ) -> None:
-        """Records a crash that another router observed.
-
-        A hub passes it on, once.
-        """
+        """Records a crash that another router observed and passes it on."""
         self._quarantine.record_crash(notice, read_boot_ms())
-        if notice.attempt_id in self._relayed_crashes:
-            return
-        self._relayed_crashes[notice.attempt_id] = None
-        while len(self._relayed_crashes) > _MAX_RELAYED_CRASHES:
-            del self._relayed_crashes[next(iter(self._relayed_crashes))]
-        view = self._hub_view
-        if view.is_hub:
-            is_from_hub = peer.name in view.zones
-            self._relay_crash(
-                notice, () if is_from_hub else view.list_other_hubs()
-            )
+        self._crash_relay.handle_notice(peer.name, notice)
 
     def _make_request_metrics(self) -> request_metrics.RequestMetrics:
         """Returns the callbacks that record request measurements."""
--- a/redwingchute/request/large_fleet_load_test.py
+++ b/redwingchute/request/large_fleet_load_test.py
@@ -24,6 +24,7 @@
       now_ms: The current time.
       sent: The messages that each router sent, by number.
       received: The messages that each router received, by number.
+      received_parts: The prompt parts that each router received, by number.
       silent: Routers whose messages get lost.
     """
 
@@ -32,6 +33,9 @@
         self.now_ms = _START_MS
         self.sent = [0] * count
         self.received = [0] * count
+        self.received_parts: list[set[requesting.ReadPart]] = [
+            set() for _ in range(count)
+        ]
         self.silent: set[int] = set()
         self.loads = []
         self.exchanges = []
@@ -60,6 +64,7 @@
             if sender in self.silent or int(host) in self.silent:
                 continue
             self.received[int(host)] += 1
+            self.received_parts[int(host)].update(outgoing.notice.list_parts())
             self.exchanges[int(host)].handle_notice(
                 str(sender), outgoing.notice, self.now_ms
             )
@@ -117,22 +122,9 @@
     fleet = _Fleet(61)
     fleet.run_for(3_000)
     part = requesting.ReadPart("runner-1", "shared")
-    seen: set[int] = set()
-    for number, exchange in enumerate(fleet.exchanges):
-        handle = exchange.handle_notice
-
-        def record(
-            host: str,
-            notice: requesting.LoadNotice,
-            now_ms: int,
-            number: int = number,
-            handle: object = handle,
-        ) -> None:
-            if part in notice.list_parts():
-                seen.add(number)
-            handle(host, notice, now_ms)  # type: ignore[operator]
-
-        exchange.handle_notice = record  # type: ignore[method-assign]
     fleet.exchanges[40].add_parts((part,), fleet.now_ms)
     fleet.run_for(2_000)
-    assert seen | {40} == set(range(61))
+    reached = {
+        number for number in range(61) if part in fleet.received_parts[number]
+    }
+    assert reached | {40} == set(range(61))
--- a/redwingchute/request/load_exchange.py
+++ b/redwingchute/request/load_exchange.py
@@ -15,13 +15,15 @@
 from redwingchute.request import fleet_load
 from redwingchute.request import load_notice_builder
 
-# How often a router reports to its hub without any change. The hub serves it
-# for as long as reports arrive.
+# How often a router reports to its hub without any change, and a hub sends its
+# reporters a notice.
 _KEEP_ALIVE_MS = 1_000
+# How long after its last report a hub sends a router notices.
 _REPORTER_TTL_MS = 2_500
-# A router turns to the next hub after this time without a notice from its own,
+# A router reports to the next hub after this time without a notice from its
+# own hub.
 _HUB_SILENCE_MS = 2_500
-# and avoids the silent one for this long.
+# How long a router does not report to a hub that was silent.
 _HUB_AVOIDANCE_MS = 10_000
 # The sender of the fleet's load at a router that is no hub: whichever hub sends
 # it, the newest notice replaces the last.
