--- a/redwingchute/platform/lost_response_test.py
+++ b/redwingchute/platform/lost_response_test.py
@@ -14,6 +14,7 @@
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
 from redwingchute.testing import manual_loop
+from redwingchute.testing import memory_log
 
 # The store's usual response takes 4 ms; it may take hundreds when it is slow.
 _RESPONSE_S = 0.1
@@ -34,21 +35,13 @@
     )
 
 
-class _SilentLog:
+class _SilentLog(memory_log.MemoryLog):
     """A log that never responds to its first waiting read."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.has_lost_read = False
 
-    async def append(
-        self,
-        topic: str,
-        records: tuple[shared_log.KeyedRecord, ...],
-        stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
-    ) -> shared_log.AppendResult:
-        raise NotImplementedError
-
     async def read(
         self,
         topic: str,
@@ -58,17 +51,12 @@
     ) -> shared_log.ReadResult:
         if wait_ms and not self.has_lost_read:
             self.has_lost_read = True
+            self.topic.append((shared_log.KeyedRecord("config", b"2"),))
             assert response_timeout_ms is not None
             await asyncio.sleep((wait_ms + response_timeout_ms) / 1000)
             return shared_log.LogUnavailable("no response")
         await asyncio.sleep(_RESPONSE_S)
-        record = shared_log.KeyedRecord("config", b"2", offset)
-        return shared_log.ReadRecords((record,), offset + 1)
-
-    async def read_newest(
-        self, topic: str
-    ) -> shared_log.Newest | shared_log.LogUnavailable:
-        return shared_log.Newest((), 1)
+        return await super().read(topic, offset, wait_ms, response_timeout_ms)
 
 
 @pytest.mark.parametrize("fresh_ms", [2_000, 3_000, 4_000])
--- a/redwingchute/process/host_registry_test.py
+++ b/redwingchute/process/host_registry_test.py
@@ -4,45 +4,8 @@
 
 from redwingchute.process import host_registry
 from redwingchute.process import shared_log
-from redwingchute.standin import keyed_log
 from redwingchute.testing import manual_loop
-
-
-class _Log:
-    """The shared log of all simulated hosts."""
-
-    def __init__(self) -> None:
-        self.topic = keyed_log.KeyedTopic()
-        self.is_down = False
-
-    async def append(
-        self,
-        topic: str,
-        records: tuple[shared_log.KeyedRecord, ...],
-        stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
-    ) -> shared_log.AppendResult:
-        if self.is_down:
-            return shared_log.LogUnavailable("down")
-        return self.topic.append(records, stamp, at_offset)
-
-    async def read(
-        self,
-        topic: str,
-        offset: int,
-        wait_ms: int,
-        response_timeout_ms: int | None = None,
-    ) -> shared_log.ReadResult:
-        if self.is_down:
-            return shared_log.LogUnavailable("down")
-        return self.topic.read(offset)
-
-    async def read_newest(
-        self, topic: str
-    ) -> shared_log.Newest | shared_log.LogUnavailable:
-        if self.is_down:
-            return shared_log.LogUnavailable("down")
-        return self.topic.read_newest()
+from redwingchute.testing import memory_log
 
 
 class _Fleet:
@@ -50,7 +13,7 @@
 
     def __init__(self) -> None:
         self.loop = manual_loop.ManualLoop()
-        self.log = _Log()
+        self.log = memory_log.MemoryLog()
         self.registries: dict[str, host_registry.HostRegistry] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._incarnations = 0
@@ -149,10 +112,10 @@
     for name in ("a", "b"):
         fleet.start(name)
     fleet.run_for(5)
-    fleet.log.is_down = True
+    fleet.log.is_unavailable = True
     fleet.run_for(60)
     during = fleet.list_names("a")
-    fleet.log.is_down = False
+    fleet.log.is_unavailable = False
     fleet.run_for(5)
     after = fleet.list_names("a")
     fleet.close()
--- a/redwingchute/process/keyed_follower_test.py
+++ b/redwingchute/process/keyed_follower_test.py
@@ -4,51 +4,16 @@
 
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
-from redwingchute.standin import keyed_log
+from redwingchute.testing import memory_log
 
 _POLL_TIMING = keyed_follower.PollTiming(wait_ms=0, interval_ms=100)
 
 
-class _Log:
-    """A log with one topic in memory; reads fail while it is unavailable."""
-
-    def __init__(self) -> None:
-        self.topic = keyed_log.KeyedTopic()
-        self.is_unavailable = False
-
-    async def append(
-        self,
-        topic: str,
-        records: tuple[shared_log.KeyedRecord, ...],
-        stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
-    ) -> shared_log.AppendResult:
-        return self.topic.append(records, stamp, at_offset)
-
-    async def read(
-        self,
-        topic: str,
-        offset: int,
-        wait_ms: int,
-        response_timeout_ms: int | None = None,
-    ) -> shared_log.ReadResult:
-        if self.is_unavailable:
-            return shared_log.LogUnavailable("no answer")
-        return self.topic.read(offset)
-
-    async def read_newest(
-        self, topic: str
-    ) -> shared_log.Newest | shared_log.LogUnavailable:
-        if self.is_unavailable:
-            return shared_log.LogUnavailable("no answer")
-        return self.topic.read_newest()
-
-
 class _Reader:
     """A follower and the records and keys that it delivered."""
 
     def __init__(self) -> None:
-        self.log = _Log()
+        self.log = memory_log.MemoryLog()
         self.delivered: list[tuple[str, bytes | None]] = []
         self.retained_keys: list[frozenset[str]] = []
         self.follower = keyed_follower.KeyedFollower(
