--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -117,6 +117,27 @@
     parts: tuple[ChargePart, ...]
 
 
+@attrs.frozen
+class _ChargeRequest:
+    """A request whose maximum cost is to be reserved.
+
+    Attributes:
+      request_id: Identifies the request in the log.
+      account: The client account that pays.
+      prepaid_tokens: All tokens that the account has prepaid.
+      tokens: The maximum cost of the request.
+      patience_ms: How long the caller waits for the response.
+      is_fresh: Whether `prepaid_tokens` is known to be the newest value.
+    """
+
+    request_id: str
+    account: str
+    prepaid_tokens: int
+    tokens: int
+    patience_ms: int
+    is_fresh: bool
+
+
 @attrs.define
 class _LentCharge:
     """Tokens that are reserved here for another router's request.
@@ -193,27 +214,15 @@
           The charge, or a refusal: status 402 if the account is known to have
           too few tokens left, otherwise 503 with a time to retry.
         """
-        if not self._find_hubs().is_hub:
-            return await self._delegate(
-                request_id,
-                account,
-                prepaid_tokens,
-                tokens,
-                patience_ms,
-                is_fresh,
-            )
-        return await self._admit_at_hub(
+        request = _ChargeRequest(
             request_id, account, prepaid_tokens, tokens, patience_ms, is_fresh
         )
+        if self._find_hubs().is_hub:
+            return await self._admit_at_hub(request)
+        return await self._delegate(request)
 
     async def _admit_at_hub(
-        self,
-        request_id: str,
-        account: str,
-        prepaid_tokens: int,
-        tokens: int,
-        patience_ms: int,
-        is_fresh: bool,
+        self, request: _ChargeRequest
     ) -> Charge | outcomes.NotRun:
         """Reserves tokens at a hub; see `admit`.
 
@@ -221,79 +230,68 @@
         other routers, and last waits briefly for the ceiling to rise.
         """
         manager = self._manager
+        account, tokens = request.account, request.tokens
         grant = manager.find_grant(account)
         grant.record_demand(tokens, self._read_clock_ms())
         if not manager.has_appended_rows:
             await manager.wait_until_started(_TAKEOVER_TIMEOUT_S)
         if manager.reserve(account, tokens):
             return self._make_local_charge(account, tokens)
-        remaining_tokens = manager.find_max_remaining(account, prepaid_tokens)
+        remaining_tokens = manager.find_max_remaining(
+            account, request.prepaid_tokens
+        )
         if tokens > remaining_tokens:
             # Too few tokens are left of `prepaid_tokens`. If that value is not
             # the newest, the account may have prepaid more since.
-            return self._refuse(
-                request_id, account, tokens, remaining_tokens, is_fresh
-            )
-        if tokens > manager.find_max_obtainable(account, prepaid_tokens):
-            return self._refuse(
-                request_id, account, tokens, remaining_tokens, False
-            )
+            return self._refuse(request, remaining_tokens)
+        if tokens > manager.find_max_obtainable(
+            account, request.prepaid_tokens
+        ):
+            return self._refuse(request, remaining_tokens)
         own_tokens = await manager.reserve_with_raise(
             account, tokens, _GRANT_RAISE_TIMEOUT_S
         )
         if own_tokens == tokens:
             return self._make_local_charge(account, tokens)
-        charge = await self._reserve_across_routers(
-            account, tokens, own_tokens, patience_ms
-        )
+        charge = await self._reserve_across_routers(request, own_tokens)
         if charge is not None:
             return charge
-        if await self._wait_for_ceiling(account, tokens, patience_ms):
+        if await self._wait_for_ceiling(request):
             return self._make_local_charge(account, tokens)
-        remaining_tokens = manager.find_max_remaining(account, prepaid_tokens)
-        is_spent = tokens > remaining_tokens and is_fresh
         return self._refuse(
-            request_id, account, tokens, remaining_tokens, is_spent
+            request,
+            manager.find_max_remaining(account, request.prepaid_tokens),
         )
 
     async def _delegate(
-        self,
-        request_id: str,
-        account: str,
-        prepaid_tokens: int,
-        tokens: int,
-        patience_ms: int,
-        is_fresh: bool,
+        self, request: _ChargeRequest
     ) -> Charge | outcomes.NotRun:
         """Has a hub reserve the tokens of a request; see `admit`."""
         retry_after_ms = _DEFAULT_RETRY_AFTER_MS
-        for host in self._list_hubs_to_ask(account):
-            remaining_tokens = prepaid_tokens - self._fleet_spent_tokens.get(
-                account, 0
-            )
-            if tokens > remaining_tokens:
+        for host in self._list_hubs_to_ask(request.account):
+            if request.tokens > self._find_fleet_remaining(request):
                 break
             part, reply = await self._borrow(
-                host, account, tokens, patience_ms, is_delegated=True
+                host,
+                request.account,
+                request.tokens,
+                request.patience_ms,
+                is_delegated=True,
             )
             if part is not None:
-                return Charge(account, (part,))
+                return Charge(request.account, (part,))
             if reply is not None and reply.retry_after_ms:
                 retry_after_ms = reply.retry_after_ms
                 break
-        remaining_tokens = prepaid_tokens - self._fleet_spent_tokens.get(
-            account, 0
-        )
-        is_spent = tokens > remaining_tokens and is_fresh
         return self._refuse(
-            request_id,
-            account,
-            tokens,
-            remaining_tokens,
-            is_spent,
-            retry_after_ms,
+            request, self._find_fleet_remaining(request), retry_after_ms
         )
 
+    def _find_fleet_remaining(self, request: _ChargeRequest) -> int:
+        """Returns an upper bound of the account's tokens, by hubs' replies."""
+        spent_tokens = self._fleet_spent_tokens.get(request.account, 0)
+        return request.prepaid_tokens - spent_tokens
+
     def _list_hubs_to_ask(self, account: str) -> list[str]:
         """Returns the hubs to delegate a charge to, the preferred one first.
 
@@ -312,22 +310,21 @@
         remote = [host for host in hubs if view.zones[host] != view.own_zone]
         return [*local[: _MAX_DELEGATIONS - 1], *remote][:_MAX_DELEGATIONS]
 
-    async def _wait_for_ceiling(
-        self, account: str, tokens: int, patience_ms: int
-    ) -> bool:
+    async def _wait_for_ceiling(self, request: _ChargeRequest) -> bool:
         """Waits until the ceiling admits a request, if the wait is short.
 
         Returns:
           Whether the tokens are reserved.
         """
         limit_ms = min(
-            _MAX_CEILING_WAIT_MS, patience_ms * _MAX_CEILING_WAIT_SHARE
+            _MAX_CEILING_WAIT_MS,
+            request.patience_ms * _MAX_CEILING_WAIT_SHARE,
         )
-        wait_ms = self._manager.find_wait_ms(account, tokens)
+        wait_ms = self._manager.find_wait_ms(request.account, request.tokens)
         if wait_ms is None or wait_ms > limit_ms:
             return False
         await asyncio.sleep((wait_ms + _CEILING_WAIT_MARGIN_MS) / 1000)
-        return self._manager.reserve(account, tokens)
+        return self._manager.reserve(request.account, request.tokens)
 
     def settle(self, charge: Charge, spent_tokens: int) -> None:
         """Settles a charge with what its request consumed.
@@ -445,13 +442,17 @@
         try:
             async with asyncio.timeout(_DELEGATED_ADMISSION_S):
                 admitted = await self._admit_at_hub(
-                    request.charge_id,
-                    request.account,
-                    prepaid_tokens,
-                    request.tokens,
-                    max(0, request.expires_in_ms - _CHARGE_EXPIRY_MARGIN_MS),
-                    # The sender knows whether its own configuration is fresh.
-                    is_fresh=False,
+                    _ChargeRequest(
+                        request.charge_id,
+                        request.account,
+                        prepaid_tokens,
+                        request.tokens,
+                        max(
+                            0, request.expires_in_ms - _CHARGE_EXPIRY_MARGIN_MS
+                        ),
+                        # The sender knows if its own configuration is fresh.
+                        is_fresh=False,
+                    )
                 )
         except TimeoutError:
             return None, _DEFAULT_RETRY_AFTER_MS
@@ -463,29 +464,25 @@
 
     def _refuse(
         self,
-        request_id: str,
-        account: str,
-        tokens: int,
+        request: _ChargeRequest,
         remaining_tokens: int,
-        is_spent: bool,
         retry_after_ms: int | None = None,
     ) -> outcomes.NotRun:
         """Returns the refusal of a request that cannot be charged.
 
         Args:
-          request_id: Identifies the request in the log.
-          account: The client account.
-          tokens: The maximum cost of the request.
+          request: The request.
           remaining_tokens: An upper bound of the tokens that the account has
             left.
-          is_spent: Whether the account is known to have too few tokens left.
           retry_after_ms: After how long the caller may retry; None to compute
             it from this router's grant.
         """
+        account, tokens = request.account, request.tokens
+        is_spent = tokens > remaining_tokens and request.is_fresh
         grant = self._manager.find_grant(account)
         decision_log.log_failure(
             "charge_refused",
-            request_id=request_id,
+            request_id=request.request_id,
             account=account,
             tokens=tokens,
             is_spent=is_spent,
@@ -518,15 +515,13 @@
         return wait_ms + _CEILING_WAIT_MARGIN_MS
 
     async def _reserve_across_routers(
-        self, account: str, tokens: int, own_tokens: int, patience_ms: int
+        self, request: _ChargeRequest, own_tokens: int
     ) -> Charge | None:
         """Borrows the tokens that this router lacks from other routers.
 
         Args:
-          account: The client account that pays.
-          tokens: The maximum cost of the request.
+          request: The request.
           own_tokens: The tokens that are already reserved at this router.
-          patience_ms: How long the caller waits for the response.
 
         Returns:
           The charge, or None if the other routers did not lend enough; all
@@ -535,21 +530,21 @@
         parts = []
         if own_tokens:
             parts.append(ChargePart(self._manager.own_host, "", own_tokens))
-        lacking_tokens = tokens - own_tokens
+        lacking_tokens = request.tokens - own_tokens
         is_complete = False
         try:
-            for host in self._list_lenders(account):
+            for host in self._list_lenders(request.account):
                 if lacking_tokens <= 0:
                     break
                 part, _ = await self._borrow(
-                    host, account, lacking_tokens, patience_ms
+                    host, request.account, lacking_tokens, request.patience_ms
                 )
                 if part is not None:
                     parts.append(part)
                     lacking_tokens -= part.tokens
             is_complete = lacking_tokens <= 0
         finally:
-            charge = Charge(account, tuple(parts))
+            charge = Charge(request.account, tuple(parts))
             if not is_complete:
                 self.settle(charge, 0)
         return charge if is_complete else None
