Let ceilings rise fast only after 6 s without a stamp

Change: a row states the age from which its ceiling rises fast, 6 s for new ones; so the successor computes with the rule that its predecessor spent by. Four tests that spend a whole grant while cut off from the log now wait 9 s instead of 6 s for the ceiling to reach the grant; what they check is unchanged.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -27,9 +27,10 @@
       rise_tokens_per_s: The rate at which the ceiling rises with the age of
         the stamp, see `process/prepaid/ceiling.py`.
       spent_tokens: The tokens that count as spent.
+      demand_tokens_per_s: The host's recent demand.
       unsure_tokens: The part of `spent_tokens` that may not have been spent: a
         previous process on the host ended without reporting it.
-      demand_tokens_per_s: The host's recent demand.
+      restart_ms: The age of the stamp from which on the ceiling rises faster.
     """
 
     account: str
@@ -40,6 +41,7 @@
     spent_tokens: int
     demand_tokens_per_s: float
     unsure_tokens: int = 0
+    restart_ms: int = 3_000
 
 
 @attrs.frozen
--- a/redwingchute/process/prepaid/ceiling.py
+++ b/redwingchute/process/prepaid/ceiling.py
@@ -11,11 +11,8 @@
 
 from redwingchute.core import prepaid
 
-# Most crashes and restarts take less time than this. A host whose stamp is
-# older is probably cut off from the log instead, and its ceiling rises faster,
-# so that it can spend its grant.
-_RESTART_MS = 3_000
-# The factor by which the ceiling rises faster from then on.
+# The factor by which the ceiling rises faster once the stamp is as old as its
+# row states.
 _ISOLATED_RISE_FACTOR = 8
 
 
@@ -26,7 +23,7 @@
       row: The host's grant row.
       age_ms: The age of the host's latest stamp.
     """
-    isolated_ms = max(0, age_ms - _RESTART_MS)
+    isolated_ms = max(0, age_ms - row.restart_ms)
     weighted_age_ms = age_ms + (_ISOLATED_RISE_FACTOR - 1) * isolated_ms
     rise_tokens = int(row.rise_tokens_per_s * weighted_age_ms / 1000)
     return min(row.granted_tokens, row.ceiling_tokens + rise_tokens)
@@ -54,8 +51,8 @@
     weighted_age_ms = math.ceil(
         (lacking_tokens + 1) * 1000 / row.rise_tokens_per_s
     )
-    if weighted_age_ms <= _RESTART_MS:
+    if weighted_age_ms <= row.restart_ms:
         return weighted_age_ms
-    return _RESTART_MS + math.ceil(
-        (weighted_age_ms - _RESTART_MS) / _ISOLATED_RISE_FACTOR
+    return row.restart_ms + math.ceil(
+        (weighted_age_ms - row.restart_ms) / _ISOLATED_RISE_FACTOR
     )
--- a/redwingchute/process/prepaid/delegated_charges_test.py
+++ b/redwingchute/process/prepaid/delegated_charges_test.py
@@ -86,7 +86,7 @@
     simulation = _make_simulation()
     _send_requests(simulation, 60, 300)
     simulation.cut_from_log = set(_HUBS)
-    simulation.run_for(6)
+    simulation.run_for(9)
     largest = max(
         simulation.routers[hub]
         .grants.find_grant(prepaid_simulation.ACCOUNT)
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -45,6 +45,9 @@
         that are cut off.
       rise_share: The minimum rate at which a ceiling rises, as a share of the
         free tokens of the grant per second.
+      restart_ms: Most crashes and restarts take less time than this. A host
+        whose stamp is older is probably cut off from the log instead, and its
+        ceiling rises faster, so that it can spend its grant.
       rewrite_share: A row is rewritten when its ceiling or its spent tokens
         changed by more than this share of the written row's headroom, which is
         its ceiling less its spent tokens.
@@ -59,6 +62,7 @@
     burst_share: float = 0.02
     rise_factor: float = 1.2
     rise_share: float = 0.04
+    restart_ms: int = 6_000
     rewrite_share: float = 0.25
 
 
@@ -173,6 +177,7 @@
         spent_tokens=grant.spent_tokens,
         demand_tokens_per_s=round(demand_tokens_per_s, 1),
         unsure_tokens=grant.unsure_tokens,
+        restart_ms=policy.restart_ms,
     )
 
 
--- a/redwingchute/process/prepaid/grant_recovery_test.py
+++ b/redwingchute/process/prepaid/grant_recovery_test.py
@@ -49,7 +49,7 @@
     simulation: prepaid_simulation.PrepaidSimulation,
 ) -> None:
     simulation.cut_from_log = set(_HOSTS)
-    simulation.run_for(6)
+    simulation.run_for(9)
     granted_tokens = sum(
         router.grants.find_grant(prepaid_simulation.ACCOUNT).granted_tokens
         for router in simulation.routers.values()
@@ -61,7 +61,7 @@
     simulation: prepaid_simulation.PrepaidSimulation,
 ) -> None:
     simulation.cut_from_log = set(_HOSTS)
-    simulation.run_for(6)
+    simulation.run_for(9)
     assert _send_request(simulation, "huon-1", 4_500)
     simulation.kill("huon-1")
     simulation.cut_from_log.clear()
@@ -163,7 +163,7 @@
     simulation: prepaid_simulation.PrepaidSimulation,
 ) -> None:
     simulation.cut_from_log = set(_HOSTS)
-    simulation.run_for(6)
+    simulation.run_for(9)
     simulation.send_request("huon-1", 4_500, 4_500, seconds=60)
     simulation.run_for(0.5)
     simulation.kill("huon-1")
@@ -179,7 +179,7 @@
     simulation: prepaid_simulation.PrepaidSimulation,
 ) -> None:
     simulation.cut_from_log = set(_HOSTS)
-    simulation.run_for(6)
+    simulation.run_for(9)
     number = simulation.send_request("huon-1", 4_500, 1_000, seconds=1)
     simulation.run_for(0.8)
     simulation.cut_links = {frozenset(_HOSTS)}
@@ -238,3 +238,28 @@
         )
     )
     assert reply.spent_tokens == grant.spent_tokens - grant.unsure_tokens
+
+
+def test_hosts_that_are_without_power_for_seconds_lose_part_of_the_grants() -> (
+    None
+):
+    hosts = ("huon-1", "huon-2", "bruny-1")
+    simulation = prepaid_simulation.PrepaidSimulation(hosts, 60_000)
+    simulation.run_for(3)
+    for _ in range(80):
+        for host in hosts:
+            simulation.send_request(host, 100, 100, seconds=0.05)
+        simulation.run_for(0.1)
+    for host in hosts:
+        simulation.lose_power(host)
+    simulation.run_for(4.5)
+    for host in hosts:
+        simulation.start(host)
+    simulation.run_for(6)
+    unsure_tokens = sum(
+        router.grants.find_grant(prepaid_simulation.ACCOUNT).unsure_tokens
+        for router in simulation.routers.values()
+    )
+    simulation.close()
+    # They served 3,000 tokens a second and were away for 4.5 s.
+    assert unsure_tokens < 2 * 4.5 * 3_000
