--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -241,6 +241,8 @@
                 case http_client.BodyEnd():
                     if splitter.has_partial_event:
                         return Broken("the stream ended within an event")
+                    if not relay.event_count:
+                        return Broken("the stream ended before its first event")
                     await self._send_head(head, relay)
                     await relay.responder.finish()
                     return Streamed()
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -169,6 +169,15 @@
     _run(scenario)
 
 
+def test_a_stream_that_ends_before_its_first_event_has_failed() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("m-", end_after_events=0)
+        response = await rig.generate("/draft/x", 100, 6)
+        assert response.status == 502
+
+    _run(scenario)
+
+
 def test_a_broken_stream_resumes_at_another_upstream() -> None:
     async def scenario(rig: gateway_rig.GatewayRig) -> None:
         rig.set_faults("m-", break_after_events=3)
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -30,6 +30,8 @@
       is_full: Requests are refused with 503 and not run.
       fail_runs: Runs end with status 500.
       break_after_events: Streams are cut after this many events; -1 for never.
+      end_after_events: Streams end as if complete after this many events; -1
+        for never.
       lose_answers: Requests are run, but the connection is closed without a
         response.
       unsigned: Responses have no signature.
@@ -41,6 +43,7 @@
     is_full: bool = False
     fail_runs: bool = False
     break_after_events: int = attrs.field(default=-1, metadata={"minimum": -1})
+    end_after_events: int = attrs.field(default=-1, metadata={"minimum": -1})
     lose_answers: bool = False
     unsigned: bool = False
     wrong_id: bool = False
@@ -188,6 +191,8 @@
         for number in range(first, int(token_usage.partition(",")[2])):
             if number - first == self.faults.break_after_events:
                 raise http_server.ClientDisconnectedError
+            if number - first == self.faults.end_after_events:
+                break
             await responder.send_chunk(make_event(number))
             await asyncio.sleep(self.faults.event_ms / 1000)
         await responder.finish()
