Give each append of a host's entry an epoch of its own

Cause: after a renewal without a response the next append had its sequence number, so the log took it for a repetition: a host that left then stayed in the list.

--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -90,10 +90,11 @@
         self._handle_change = handle_change
         self._entries: dict[str, _Entry] = {}
         self._listed: tuple[RegisteredHost, ...] = ()
-        # Appends of an earlier process cannot be confused with those of this
-        # one, since each process is a producer of its own.
+        # Each process is a producer of its own, and each append has an epoch
+        # of its own: the log rejects an append that arrives after a later one,
+        # and takes none for the repetition of another.
         self._producer = f"{own_host.name}/{incarnation:x}"
-        self._sequence = 0
+        self._append_count = 0
         self._follower = keyed_follower.KeyedFollower(
             log,
             TOPIC,
@@ -106,11 +107,6 @@
         """Returns the hosts that are neither leaving nor gone, by name."""
         return self._listed
 
-    def find_address(self, host: str) -> str | None:
-        """Returns the address of a host for links between routers, or None."""
-        entry = self._entries.get(host)
-        return None if entry is None else entry.host.peer_address
-
     async def run(self) -> None:
         """Registers the own host and follows the entries until cancelled."""
         await self._read_first()
@@ -145,14 +141,10 @@
                 attrs.asdict(self.own_host), separators=(",", ":")
             ).encode(),
         )
-        stamp = shared_log.ProducerStamp(self._producer, 0, self._sequence)
-        match await self._log.append(TOPIC, (record,), stamp):
-            case shared_log.Appended():
-                self._sequence += 1
-                return True
-            case shared_log.WrongSequence(expected):
-                self._sequence = expected
-        return False
+        self._append_count += 1
+        stamp = shared_log.ProducerStamp(self._producer, self._append_count, 0)
+        result = await self._log.append(TOPIC, (record,), stamp)
+        return isinstance(result, shared_log.Appended)
 
     async def _read_first(self) -> None:
         """Reads the entries before the own one is appended."""
--- a/redwingchute/process/host_registry_test.py
+++ b/redwingchute/process/host_registry_test.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from redwingchute.process import host_registry
 from redwingchute.process import shared_log
 from redwingchute.testing import manual_loop
@@ -92,6 +94,35 @@
     assert listed == ["a"]
 
 
+def test_a_host_leaves_although_a_renewal_had_no_response(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = _Fleet()
+    for name in ("a", "b"):
+        fleet.start(name)
+    fleet.run_for(5)
+    append = fleet.log.append
+
+    async def lose_response(
+        topic: str,
+        records: tuple[shared_log.KeyedRecord, ...],
+        stamp: shared_log.ProducerStamp,
+        at_offset: int | None = None,
+    ) -> shared_log.AppendResult:
+        await append(topic, records, stamp, at_offset)
+        return shared_log.LogUnavailable("no response", may_have_run=True)
+
+    monkeypatch.setattr(fleet.log, "append", lose_response)
+    fleet.run_for(10)
+    monkeypatch.undo()
+    fleet.stop("b")
+    fleet.loop.run_until_complete(fleet.registries["b"].leave(0.3))
+    fleet.run_for(3)
+    listed = fleet.list_names("a")
+    fleet.close()
+    assert listed == ["a"]
+
+
 def test_a_host_that_stopped_renewing_is_gone() -> None:
     fleet = _Fleet()
     for name in ("a", "b"):
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -363,7 +363,7 @@
                 for task in tasks:
                     task.cancel()
             for task in done:
-                # Raises the error of a task that failed.
+                # Raises the exception of a failed task.
                 task.result()
 
     async def _wait_until_needed(self) -> None:
