Log the exchange of an attempt: its connection, what was sent, the response's id

The logs of the incident could not tell on which connection an attempt was made, how many exchanges it had served, whether bytes had been sent, and which request a response belonged to; so a rejection that belongs to another request looked like one of the request itself. attempt_failed and request_ended now carry the connection and its earlier exchanges; attempt_failed also is_sent, response_status and response_id. The test failed before: the fields were missing.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import socket
 from types import TracebackType
 from typing import TypeAlias
@@ -26,6 +27,7 @@
 # The next request must arrive before the upstream closes the connection.
 _KEEP_ALIVE_MARGIN_S = 0.5
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+_CONNECTION_NUMBERS = itertools.count(1)
 
 
 @attrs.frozen
@@ -109,7 +111,13 @@
 
 
 class ClientConnection:
-    """One connection to an upstream, used by one exchange at a time."""
+    """One connection to an upstream, used by one exchange at a time.
+
+    Attributes:
+      address: The address of the upstream.
+      number: Identifies the connection within this process.
+      exchange_count: The number of exchanges that were completed on it.
+    """
 
     def __init__(
         self,
@@ -119,6 +127,8 @@
     ) -> None:
         """Creates a connection on open streams."""
         self.address = address
+        self.number = next(_CONNECTION_NUMBERS)
+        self.exchange_count = 0
         self._idle_since_s = 0.0
         self._keep_alive_s = _DEFAULT_KEEP_ALIVE_S
         self._reader = reader
@@ -255,6 +265,7 @@
         if not self.is_usable():
             return False
         self._protocol.start_next_cycle()
+        self.exchange_count += 1
         self._idle_since_s = asyncio.get_running_loop().time()
         return True
 
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -113,6 +113,25 @@
     last_event_id: int | None = None
 
 
+@attrs.define
+class ExchangeTrace:
+    """What is known about the exchange of one attempt, for the decision log.
+
+    Attributes:
+      connection: The number of the connection; 0 if there is none.
+      earlier_exchanges: The exchanges that the connection had completed before.
+      is_sent: Whether a byte of the request may have been sent.
+      response_status: The status of the response; 0 if none arrived.
+      response_id: The id of the request that the response belongs to, or None.
+    """
+
+    connection: int = 0
+    earlier_exchanges: int = 0
+    is_sent: bool = False
+    response_status: int = 0
+    response_id: str | None = None
+
+
 @attrs.frozen
 class UpstreamRequest:
     """A request that the gateway forwards to an upstream by its route.
@@ -126,6 +145,7 @@
       is_streaming: Whether a successful response is a stream of events.
       deadline_s: When the response must be complete, on the event loop's
         clock.
+      trace: Records the exchange.
       mark_responsive: Called when data arrives from the upstream.
       record_event: Called when a chunk of a stream arrives.
     """
@@ -135,6 +155,7 @@
     metadata: header_translator.RequestMetadata
     is_streaming: bool
     deadline_s: float
+    trace: ExchangeTrace
     mark_responsive: Callable[[], None] = lambda: None
     record_event: Callable[[], None] = lambda: None
 
@@ -168,6 +189,8 @@
         connection = await self._pool.acquire(address)
         if isinstance(connection, http_client.ConnectFailed):
             return NotConnected(connection.message, connection.is_unresponsive)
+        outgoing.trace.connection = connection.number
+        outgoing.trace.earlier_exchanges = connection.exchange_count
         try:
             async with asyncio.timeout_at(outgoing.deadline_s):
                 return await self._exchange(connection, outgoing, relay)
@@ -191,6 +214,7 @@
             return NotConnected("the deadline is too close to send the request")
         metadata = attrs.evolve(outgoing.metadata, remaining_ms=remaining_ms)
         request = outgoing.request
+        outgoing.trace.is_sent = True
         failure = await connection.send_request(
             request.method,
             request.target,
@@ -203,6 +227,8 @@
             return Broken(head.message, is_unresponsive=head.is_unresponsive)
         outgoing.mark_responsive()
         response = self._translator.parse_response(head)
+        outgoing.trace.response_status = response.status
+        outgoing.trace.response_id = response.request_id
         if response.was_not_run:
             # The connection is reusable once the body is read.
             await connection.read_body(_MAX_RESPONSE_BYTES)
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -89,6 +89,7 @@
       upstream_id: The upstream of the last attempt.
       last_event_ms: When the last chunk of a stream arrived; None before the
         first.
+      trace: The exchange of the last attempt.
     """
 
     relay: forward_attempt.Relay
@@ -98,6 +99,9 @@
     excluded: frozenset[str] = frozenset()
     upstream_id: str = ""
     last_event_ms: int | None = None
+    trace: forward_attempt.ExchangeTrace = attrs.field(
+        factory=forward_attempt.ExchangeTrace
+    )
 
 
 # How a request ends. A stream has already been sent to the caller.
@@ -308,6 +312,7 @@
         may_have_run = progress.may_have_run
         progress.may_have_run = True
         progress.sends += 1
+        progress.trace = forward_attempt.ExchangeTrace()
         outgoing = forward_attempt.UpstreamRequest(
             request=request,
             request_id=plan.request.id,
@@ -320,6 +325,7 @@
             ),
             is_streaming=plan.route.kind is forwarding.RequestKind.STREAMING,
             deadline_s=plan.deadline_s,
+            trace=progress.trace,
             mark_responsive=lambda: (
                 self._dependencies.directory.mark_responsive(
                     upstream.id, self._dependencies.read_clock_ms()
@@ -378,7 +384,9 @@
                 directory.mark_unreachable(upstream, now_ms)
                 if is_unresponsive:
                     self._mark_unresponsive(upstream, now_ms)
-                self._log_attempt(plan, upstream, "not_connected", message)
+                self._log_attempt(
+                    plan, progress, upstream, "not_connected", message
+                )
                 if progress.connect_failures < _MAX_CONNECT_ATTEMPTS:
                     return None
                 if progress.may_have_run:
@@ -389,7 +397,9 @@
                     # An instance that still runs elsewhere is listed again
                     # with its new address.
                     directory.remove(upstream.id)
-                self._log_attempt(plan, upstream, "turned_away", str(status))
+                self._log_attempt(
+                    plan, progress, upstream, "turned_away", str(status)
+                )
                 if self._try_acquire_retry(plan, progress):
                     return None
                 if progress.may_have_run:
@@ -403,7 +413,7 @@
                     _RETRY_AFTER_MS,
                 )
             case forward_attempt.Broken(message, is_timeout, is_unresponsive):
-                self._log_attempt(plan, upstream, "broken", message)
+                self._log_attempt(plan, progress, upstream, "broken", message)
                 if is_timeout:
                     return outcomes.Failed(504, "timed_out", message)
                 directory.record_failure(upstream, now_ms)
@@ -452,7 +462,7 @@
         if status < 500 and status not in _NOT_RUN_STATUSES:
             self._dependencies.directory.record_success(upstream)
             return result
-        self._log_attempt(plan, upstream, "failed", str(status))
+        self._log_attempt(plan, progress, upstream, "failed", str(status))
         self._dependencies.directory.record_failure(
             upstream, self._dependencies.read_clock_ms()
         )
@@ -585,12 +595,15 @@
             events=progress.relay.event_count,
             spent_tokens=_count_spent_tokens(plan, progress),
             outcome=outcome,
+            connection=progress.trace.connection,
+            earlier_exchanges=progress.trace.earlier_exchanges,
             elapsed_ms=elapsed_ms,
         )
 
     def _log_attempt(
         self,
         plan: forward_plan.Plan,
+        progress: _Progress,
         upstream: forwarding.Upstream,
         outcome: str,
         reason: str,
@@ -603,6 +616,7 @@
             address=upstream.address,
             outcome=outcome,
             reason=reason,
+            **attrs.asdict(progress.trace),
             elapsed_ms=self._dependencies.read_clock_ms() - plan.arrived_ms,
         )
 
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from redwingchute.process import decision_log
 from redwingchute.request import upstream_directory
 from redwingchute.standin import runner
 from redwingchute.testing import gateway_rig
@@ -330,3 +331,30 @@
         assert not await rig.is_ready(rig.gateways[0])
 
     _run(scenario)
+
+
+def test_a_failed_attempt_is_logged_with_its_exchange(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[dict[str, object]] = []
+    monkeypatch.setattr(
+        decision_log,
+        "log_failure",
+        lambda event, **fields: lines.append({"event": event, **fields}),
+    )
+
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        del rig.runners["l-2"]
+        rig.store.write_record("keyed.servers", "l-2", b"")
+        await asyncio.sleep(1.2)
+        assert (await rig.send_request("/post/x", b"body")).status == 200
+        rig.set_faults("l-1", wrong_id=True)
+        assert (await rig.send_request("/post/x", b"body")).status == 502
+
+    _run(scenario)
+    (failed,) = (line for line in lines if line["event"] == "attempt_failed")
+    assert failed["connection"]
+    assert failed["earlier_exchanges"] == 1
+    assert failed["is_sent"]
+    assert failed["response_status"] == 200
+    assert failed["response_id"] == "another"
