--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -130,18 +130,28 @@
             )
             return
         self.arrivals += 1
+        request_id = request.headers.get("attempt-id", "")
         expected = request.headers.get("target-instance", self.runner_id)
         if expected != self.runner_id:
             await responder.send(
-                421, b"", headers=[("instance-id", self.runner_id)]
+                421,
+                b"",
+                headers=[
+                    ("instance-id", self.runner_id),
+                    ("attempt-id", request_id),
+                ],
             )
             return
         if self.faults.is_full:
-            await responder.send(503, b"", headers=[("not-executed", "1")])
+            await responder.send(
+                503,
+                b"",
+                headers=[("not-executed", "1"), ("attempt-id", request_id)],
+            )
             return
         resumed_after = request.headers.get("last-event-id")
         run = RunnerRun(
-            request.headers.get("attempt-id", ""),
+            request_id,
             request.headers.get("tenant", ""),
             request.target,
             None if resumed_after is None else int(resumed_after),
