Believe a rejection only if it has the id of the request

Callers got a 503 that promises that nothing ran, and the request ran. Cause: an attempt looked whether a response says 'not run' before it compared the response's id. An upstream may send an extra response late, where the next one is expected; if that is a rejection, a request that runs became Rejected, and with status 421 a sound upstream was taken off the list. The connection was kept, so the response to that request met the next one on the connection: 502 with the id of another request, as the users' record shows it beside the 503s. Change: the id is compared first; a response without the id of the request decides nothing, its connection is closed, and the attempt has failed in a way that may have run. Why it works: the id is the only thing that ties a response to a request when the upstream sends more responses than it got requests; now nothing is read from a response before it.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -3,8 +3,8 @@
 Acquiring a connection is separate from sending on it, so that a failure tells
 whether a byte of the request may have reached the upstream. A connection goes
 back to the pool only when its exchange is complete and nothing unread is left
-on it. A late byte can thus never become part of the response to the next
-request.
+on it. Bytes that arrive later can still precede the next response, so whoever
+reads a response must check to which request it belongs.
 """
 
 import asyncio
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -2,8 +2,8 @@
 
 The result states whether the upstream may have processed the request and how
 much of the response the caller has. A response that does not echo the id of
-the request belongs to another request: it is discarded and its connection is
-closed.
+the request belongs to another request: nothing that it states is believed, also
+not that a request was not run. It is discarded and its connection is closed.
 """
 
 import asyncio
@@ -229,13 +229,13 @@
         response = self._translator.parse_response(head)
         outgoing.trace.response_status = response.status
         outgoing.trace.response_id = response.request_id
+        if response.request_id != outgoing.request_id:
+            connection.close()
+            return Broken("the response has the id of another request")
         if response.was_not_run:
             # The connection is reusable once the body is read.
             await connection.read_body(_MAX_RESPONSE_BYTES)
             return Rejected(response.status, response.is_wrong_instance)
-        if response.request_id != outgoing.request_id:
-            connection.close()
-            return Broken("the response has the id of another request")
         if 200 <= response.status < 300 and not response.is_signed:
             connection.close()
             return Broken("the response is not signed")
