Skip extra responses to earlier requests instead of failing the next one

Change: if the id is that of an earlier request on the same connection, the extra response is read to its end and the next one is expected; the connection is not used again. A response of unknown origin, or an extra one whose end does not come within 0.25 s, still breaks the exchange at once. A rejection among the extra ones is skipped like any other. Why it works: the response to the request still comes on that connection, in order, and only its own id is accepted.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import socket
@@ -28,6 +29,8 @@
 _KEEP_ALIVE_MARGIN_S = 0.5
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 _CONNECTION_NUMBERS = itertools.count(1)
+# An extra response belongs to one of the latest requests on a connection.
+_REMEMBERED_REQUESTS = 4
 
 
 @attrs.frozen
@@ -117,6 +120,7 @@
       address: The address of the upstream.
       number: Identifies the connection within this process.
       exchange_count: The number of exchanges that were completed on it.
+      request_ids: The ids of its latest requests, the newest one last.
     """
 
     def __init__(
@@ -129,13 +133,16 @@
         self.address = address
         self.number = next(_CONNECTION_NUMBERS)
         self.exchange_count = 0
+        self.request_ids: collections.deque[str] = collections.deque(
+            maxlen=_REMEMBERED_REQUESTS
+        )
+        self._method = ""
+        self._has_extra_responses = False
         self._idle_since_s = 0.0
         self._keep_alive_s = _DEFAULT_KEEP_ALIVE_S
         self._reader = reader
         self._writer = writer
-        self._protocol = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
-        )
+        self._protocol = _make_protocol()
         # An event that was read ahead for the next call of `read_chunk`.
         self._pending_event: (
             h11.Event
@@ -152,6 +159,7 @@
         headers: list[tuple[str, str]],
         body: bytes,
         host: str | None = None,
+        request_id: str | None = None,
     ) -> ExchangeBroken | None:
         """Sends a complete request; it may arrive in part even on failure.
 
@@ -164,10 +172,14 @@
           headers: Headers besides host and content-length.
           body: The whole body.
           host: The value of the Host header; the address by default.
+          request_id: The id that responses to this request have, or None.
 
         Returns:
           None, or why sending failed.
         """
+        self._method = method
+        if request_id is not None:
+            self.request_ids.append(request_id)
         framing = []
         if body or method not in _METHODS_WITHOUT_BODY:
             framing.append(("content-length", str(len(body))))
@@ -250,12 +262,46 @@
                 case ExchangeBroken() as broken:
                     return broken
 
+    async def skip_response(self, max_bytes: int) -> bool:
+        """Skips an extra response whose head was read.
+
+        The response to the request that was sent can be read afterwards. The
+        connection can't be reused then, since more extra responses may come.
+
+        Args:
+          max_bytes: The largest body that is skipped.
+
+        Returns:
+          Whether the response was skipped; if not, the exchange is broken.
+        """
+        if isinstance(await self.read_body(max_bytes), ExchangeBroken):
+            return False
+        if self._protocol.their_state is not h11.DONE:
+            return False
+        received = self._protocol.trailing_data[0]
+        # A parser that has sent the same kind of request expects its response.
+        self._protocol = _make_protocol()
+        self._protocol.send(
+            h11.Request(
+                method=self._method,
+                target="/",
+                headers=[("host", str(self.address))],
+            )
+        )
+        self._protocol.send(h11.EndOfMessage())
+        if received:
+            self._protocol.receive_data(received)
+        self._has_extra_responses = True
+        return True
+
     def make_reusable(self) -> bool:
         """Prepares for the next exchange.
 
         Returns:
           Whether the connection can be reused; if not, it must be closed.
         """
+        if self._has_extra_responses:
+            return False
         is_done = (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
@@ -470,6 +516,13 @@
     return Fetched(head.status, head.headers, content)
 
 
+def _make_protocol() -> h11.Connection:
+    """Returns the state of a connection without an exchange."""
+    return h11.Connection(
+        h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
+    )
+
+
 def _read_keep_alive_s(headers: dict[str, str]) -> float:
     """Returns how long the upstream keeps an idle connection open."""
     for field in headers.get("keep-alive", "").split(","):
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -3,7 +3,9 @@
 The result states whether the upstream may have processed the request and how
 much of the response the caller has. A response that does not echo the id of
 the request belongs to another request: nothing that it states is believed, also
-not that a request was not run. It is discarded and its connection is closed.
+not that a request was not run. If it belongs to an earlier request on the same
+connection, it is skipped and the next response is read; otherwise the
+connection is closed.
 """
 
 import asyncio
@@ -20,6 +22,11 @@
 from redwingchute.request import header_translator
 
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Extra responses that are skipped in one exchange, and their largest body.
+_MAX_SKIPPED_RESPONSES = 3
+_MAX_SKIPPED_BYTES = 1024 * 1024
+# An upstream sends an extra response as a whole.
+_SKIP_TIMEOUT_S = 0.25
 # A request with less time than this before its deadline is not sent.
 _MIN_REMAINING_MS = 5
 
@@ -123,6 +130,8 @@
       is_sent: Whether a byte of the request may have been sent.
       response_status: The status of the response; 0 if none arrived.
       response_id: The id of the request that the response belongs to, or None.
+      skipped_responses: The extra responses to earlier requests that were
+        skipped before it.
     """
 
     connection: int = 0
@@ -130,6 +139,7 @@
     is_sent: bool = False
     response_status: int = 0
     response_id: str | None = None
+    skipped_responses: int = 0
 
 
 @attrs.frozen
@@ -221,17 +231,12 @@
             self._translator.build_upstream_headers(request, metadata),
             request.body,
             host=request.headers.get("host"),
+            request_id=outgoing.request_id,
         )
-        head = failure or await connection.read_head()
+        head = failure or await self._read_own_head(connection, outgoing)
         if isinstance(head, http_client.ExchangeBroken):
             return Broken(head.message, is_unresponsive=head.is_unresponsive)
-        outgoing.mark_responsive()
         response = self._translator.parse_response(head)
-        outgoing.trace.response_status = response.status
-        outgoing.trace.response_id = response.request_id
-        if response.request_id != outgoing.request_id:
-            connection.close()
-            return Broken("the response has the id of another request")
         if response.was_not_run:
             # The connection is reusable once the body is read.
             await connection.read_body(_MAX_RESPONSE_BYTES)
@@ -246,6 +251,36 @@
             return Broken(body.message, is_unresponsive=body.is_unresponsive)
         return CompleteResponse(head, response, body)
 
+    async def _read_own_head(
+        self,
+        connection: http_client.ClientConnection,
+        outgoing: UpstreamRequest,
+    ) -> http_client.ResponseHead | http_client.ExchangeBroken:
+        """Reads the head of the response to this request.
+
+        Skips extra responses to earlier requests on the connection.
+        """
+        while True:
+            head = await connection.read_head()
+            if isinstance(head, http_client.ExchangeBroken):
+                return head
+            outgoing.mark_responsive()
+            response = self._translator.parse_response(head)
+            outgoing.trace.response_status = response.status
+            outgoing.trace.response_id = response.request_id
+            if response.request_id == outgoing.request_id:
+                return head
+            if (
+                response.request_id not in connection.request_ids
+                or outgoing.trace.skipped_responses >= _MAX_SKIPPED_RESPONSES
+                or not await _skip_response(connection)
+            ):
+                connection.close()
+                return http_client.ExchangeBroken(
+                    "the response has the id of another request"
+                )
+            outgoing.trace.skipped_responses += 1
+
     async def _relay_stream(
         self,
         connection: http_client.ClientConnection,
@@ -302,3 +337,12 @@
         relay.has_started = True
         headers = self._translator.build_response_headers(head)
         await relay.responder.start(head.status, headers)
+
+
+async def _skip_response(connection: http_client.ClientConnection) -> bool:
+    """Skips an extra response; returns False if its end does not arrive."""
+    try:
+        async with asyncio.timeout(_SKIP_TIMEOUT_S):
+            return await connection.skip_response(_MAX_SKIPPED_BYTES)
+    except TimeoutError:
+        return False
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -597,6 +597,7 @@
             outcome=outcome,
             connection=progress.trace.connection,
             earlier_exchanges=progress.trace.earlier_exchanges,
+            skipped_responses=progress.trace.skipped_responses,
             elapsed_ms=elapsed_ms,
         )
 
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -351,9 +351,10 @@
         headers: list[tuple[str, str]],
         body: bytes,
         host: str | None = None,
+        request_id: str | None = None,
     ) -> http_client.ExchangeBroken | None:
         """Sends a whole request."""
-        del host
+        del host, request_id
         parts = urllib.parse.urlsplit(target)
         request = http_server.HttpRequest(
             method=method,
