Do not reuse a connection whose body was not read to its end

Cause: `read_chunk` joins all received parts and may so read the end of the message ahead, into `_pending_event`. If the caller left while the last part was being sent to it, or a body was too large, nobody took this event. The protocol state said that the exchange was complete, so the connection went back to the pool and the next exchange on it took the event for the end of its own body.

Why the change works: an exchange is complete only when its reader has taken the end of the body. A connection with an event that nobody took is closed.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -252,6 +252,9 @@
         )
         if not is_done or self._protocol.trailing_data[0]:
             return False
+        # The next exchange would read this event as its own.
+        if self._pending_event is not None:
+            return False
         if not self.is_usable():
             return False
         self._protocol.start_next_cycle()
--- a/redwingchute/connection/http_client_test.py
+++ b/redwingchute/connection/http_client_test.py
@@ -1,10 +1,11 @@
-"""Tests of detecting an unresponsive host by missing acknowledgements."""
+"""Tests of client connections: reuse and unresponsive hosts."""
 
 import asyncio
 import socket
 from unittest import mock
 
 from redwingchute.connection import http_client
+from redwingchute.testing import scripted_upstream
 
 
 def test_a_read_that_times_out_breaks_the_exchange() -> None:
@@ -43,3 +44,57 @@
             connection.close()
 
     asyncio.run(main())
+
+
+async def _echo_targets(
+    connection: scripted_upstream.UpstreamConnection,
+) -> None:
+    """Answers each request with its target, in one segment."""
+    while True:
+        request = await connection.read_request()
+        body = request.target.encode()
+        await connection.send(scripted_upstream.make_response(200, body))
+
+
+# The end of an abandoned body, read ahead with its last part, became the body
+# of the next response on the connection.
+def test_a_body_abandoned_before_its_end_does_not_empty_the_next_one() -> None:
+    async def main() -> None:
+        async with (
+            scripted_upstream.ScriptedUpstream(_echo_targets) as upstream,
+            http_client.ClientPool() as pool,
+        ):
+            connection = await pool.acquire(upstream.address)
+            assert isinstance(connection, http_client.ClientConnection)
+            await connection.send_request("GET", "/first", [], b"")
+            await connection.read_head()
+            chunk = await connection.read_chunk()
+            assert chunk == http_client.BodyChunk(b"/first")
+            pool.release(connection)
+            fetched = await pool.fetch(
+                upstream.address, "GET", "/second", [], b"", 1_000
+            )
+            assert isinstance(fetched, http_client.Fetched)
+            assert fetched.body == b"/second"
+
+    asyncio.run(main())
+
+
+# The same, where the body was abandoned because it was too large.
+def test_an_oversized_body_does_not_empty_the_next_one() -> None:
+    async def main() -> None:
+        async with (
+            scripted_upstream.ScriptedUpstream(_echo_targets) as upstream,
+            http_client.ClientPool() as pool,
+        ):
+            oversized = await pool.fetch(
+                upstream.address, "GET", "/oversized", [], b"", 1_000, 4
+            )
+            assert isinstance(oversized, http_client.ExchangeBroken)
+            fetched = await pool.fetch(
+                upstream.address, "GET", "/second", [], b"", 1_000
+            )
+            assert isinstance(fetched, http_client.Fetched)
+            assert fetched.body == b"/second"
+
+    asyncio.run(main())
--- a/redwingchute/testing/forwarding_builders.py
+++ b/redwingchute/testing/forwarding_builders.py
@@ -1,6 +1,16 @@
 """Builds generations, requests and upstreams for tests of forwarding."""
 
+import asyncio
+from unittest import mock
+
+import h11
+
+from redwingchute.connection import http_server
 from redwingchute.core import forwarding
+from redwingchute.request import forward_attempt
+from redwingchute.request import header_translator
+
+_PATIENCE_S = 2.0
 
 
 def make_generation(
@@ -29,6 +39,48 @@
     )
 
 
-def make_upstream(name: str, zone: str = "huon") -> forwarding.Upstream:
+def make_upstream(
+    name: str, zone: str = "huon", address: str = "10.0.0.1:1"
+) -> forwarding.Upstream:
     """Returns a ready upstream."""
-    return forwarding.Upstream(name, "llm", "10.0.0.1:1", zone, True, 64)
+    return forwarding.Upstream(name, "llm", address, zone, True, 64)
+
+
+def make_outgoing(
+    request_id: str, body: bytes = b"", is_streaming: bool = False
+) -> forward_attempt.UpstreamRequest:
+    """Returns a request as the gateway forwards it, to be answered soon."""
+    header_list = (("attempt-id", request_id), ("host", "a.example"))
+    request = http_server.HttpRequest(
+        method="POST",
+        target="/x",
+        path="/x",
+        query={},
+        headers=dict(header_list),
+        body=body,
+        header_list=header_list,
+    )
+    return forward_attempt.UpstreamRequest(
+        request=request,
+        request_id=request_id,
+        metadata=header_translator.RequestMetadata("m-1", 0),
+        is_streaming=is_streaming,
+        deadline_s=asyncio.get_running_loop().time() + _PATIENCE_S,
+    )
+
+
+def make_responder(is_closed: bool = False) -> http_server.HttpResponder:
+    """Returns the responder of one request, with a mock of its socket.
+
+    Args:
+      is_closed: Whether the caller has disconnected.
+    """
+    protocol = h11.Connection(h11.SERVER)
+    protocol.receive_data(b"GET / HTTP/1.1\r\nhost: a.example\r\n\r\n")
+    protocol.next_event()
+    writer = mock.create_autospec(asyncio.StreamWriter)
+    writer.is_closing.return_value = is_closed
+    writer.transport.get_write_buffer_size.return_value = 0
+    return http_server.HttpResponder(
+        protocol, writer, http_server.ServerLimits(), lambda: False
+    )
