--- a/redwingchute/request/forward_attempt_test.py
+++ b/redwingchute/request/forward_attempt_test.py
@@ -2,131 +2,114 @@
 
 import asyncio
 
-import h11
 import pytest
 
 from redwingchute.connection import http_client
 from redwingchute.platform import headers
 from redwingchute.request import forward_attempt
-from redwingchute.testing import attempt_builders
+from redwingchute.testing import forwarding_builders
 from redwingchute.testing import scripted_upstream
 
+_PAUSE_S = 0.01
+
+
+def _make_success(request_id: str, body: bytes = b"ran") -> bytes:
+    """Returns a signed response."""
+    return scripted_upstream.make_response(
+        200, body, request_id, runner_signature="s"
+    )
+
 
 def _run_attempts(
-    script: scripted_upstream.Script, request_ids: tuple[str, ...]
-) -> list[forward_attempt.AttemptResult]:
-    """Returns the results of attempts that follow each other.
+    late: bytes, request_ids: tuple[str, ...] = ("first", "second")
+) -> tuple[list[forward_attempt.AttemptResult], int]:
+    """Returns the results of attempts in turn, and the connections made.
 
     Args:
-      script: The script of the upstream.
+      late: What the upstream sends in front of the second response on a
+        connection.
       request_ids: The ids of the requests, in order.
     """
 
+    async def serve(connection: scripted_upstream.UpstreamConnection) -> None:
+        for number in range(len(request_ids)):
+            request_id = (await connection.read_request()).request_id
+            if number == 1:
+                await connection.send(late, pause_s=_PAUSE_S)
+            await connection.send(
+                _make_success(request_id, request_id.encode())
+            )
+
     async def main() -> list[forward_attempt.AttemptResult]:
-        upstream = scripted_upstream.ScriptedUpstream(script)
         async with upstream, http_client.ClientPool() as pool:
             runner = forward_attempt.AttemptRunner(
                 pool, headers.PlatformHeaderTranslator()
             )
             return [
                 await runner.run(
-                    attempt_builders.make_upstream(upstream.address),
-                    attempt_builders.make_request(request_id),
-                    attempt_builders.make_relay(),
+                    forwarding_builders.make_upstream(
+                        "m-1", address=str(upstream.address)
+                    ),
+                    forwarding_builders.make_outgoing(request_id, b"body"),
+                    forward_attempt.Relay(forwarding_builders.make_responder()),
                 )
                 for request_id in request_ids
             ]
 
-    return asyncio.run(main())
+    upstream = scripted_upstream.ScriptedUpstream(serve)
+    return asyncio.run(main()), upstream.connection_count
 
 
 # Guards against refusals as "not run" of requests that ran: the rejection of
 # an earlier request arrives late, in front of the response.
 @pytest.mark.parametrize("status", [503, 429, 421])
-@pytest.mark.parametrize("late_id", ["first", None])
+@pytest.mark.parametrize("late_id", ["first", ""])
 def test_a_late_rejection_of_another_request_is_no_rejection(
-    status: int, late_id: str | None
+    status: int, late_id: str
 ) -> None:
-    def script(
-        number: int, request: h11.Request
-    ) -> list[scripted_upstream.Step]:
-        request_id = attempt_builders.read_request_id(request)
-        steps: list[scripted_upstream.Step] = [
-            scripted_upstream.Send(scripted_upstream.make_success(request_id))
-        ]
-        if number > 1:
-            late = scripted_upstream.make_rejection(late_id, status)
-            steps.insert(0, scripted_upstream.Send(late))
-        return steps
-
-    first, second = _run_attempts(script, ("first", "second"))
+    late = scripted_upstream.make_rejection(status, late_id)
+    (first, second), _ = _run_attempts(late)
     assert isinstance(first, forward_attempt.CompleteResponse)
     assert not isinstance(second, forward_attempt.Rejected)
 
 
-def _script_with_late_response(
-    late: bytes,
-) -> scripted_upstream.Script:
-    """Returns a script that sends bytes in front of the second response."""
-
-    def script(
-        number: int, request: h11.Request
-    ) -> list[scripted_upstream.Step]:
-        request_id = attempt_builders.read_request_id(request)
-        success = scripted_upstream.make_success(
-            request_id, request_id.encode()
-        )
-        if number == 1:
-            return [scripted_upstream.Send(success)]
-        return [
-            scripted_upstream.Send(late),
-            scripted_upstream.Pause(10),
-            scripted_upstream.Send(success),
-        ]
-
-    return script
-
-
 # Guards against failing a request whose response follows an extra one.
 @pytest.mark.parametrize(
     "late",
     [
-        scripted_upstream.make_success("first", b"late"),
-        scripted_upstream.make_rejection("first"),
-        scripted_upstream.make_success("first") * 3,
+        _make_success("first", b"late"),
+        scripted_upstream.make_rejection(503, "first"),
+        _make_success("first") * 3,
     ],
 )
 def test_extra_responses_to_earlier_requests_are_skipped(late: bytes) -> None:
-    script = _script_with_late_response(late)
-    _, second = _run_attempts(script, ("first", "second"))
+    (_, second), _ = _run_attempts(late)
     assert isinstance(second, forward_attempt.CompleteResponse)
     assert second.body == b"second"
 
 
 # Guards against reading a response where an extra one is still to come.
 def test_a_connection_with_an_extra_response_is_not_reused() -> None:
-    late = scripted_upstream.make_success("first")
-    script = _script_with_late_response(late)
-    _, _, third = _run_attempts(script, ("first", "second", "third"))
-    # The third request is the first one on a new connection.
+    (_, _, third), connection_count = _run_attempts(
+        _make_success("first"), ("first", "second", "third")
+    )
     assert isinstance(third, forward_attempt.CompleteResponse)
-    assert third.body == b"third"
+    assert connection_count == 2
 
 
 # Guards against taking a response of unknown origin for an extra one.
-@pytest.mark.parametrize("late_id", ["unknown", None])
+@pytest.mark.parametrize("late_id", ["unknown", ""])
 def test_a_response_to_an_unknown_request_breaks_the_exchange(
-    late_id: str | None,
+    late_id: str,
 ) -> None:
-    late = scripted_upstream.make_response(200, late_id)
-    script = _script_with_late_response(late)
-    _, second = _run_attempts(script, ("first", "second"))
+    late = scripted_upstream.make_response(200, b"", late_id)
+    (_, second), _ = _run_attempts(late)
     assert isinstance(second, forward_attempt.Broken)
 
 
-# Guards against reading on after an extra response without a whole body.
+# Guards against waiting for the end of an extra response that was cut off.
 def test_an_extra_response_that_is_cut_off_breaks_the_exchange() -> None:
-    late = scripted_upstream.make_success("first", b"x" * 10_000)[:-9_000]
-    script = _script_with_late_response(late)
-    _, second = _run_attempts(script, ("first", "second"))
+    late = _make_success("first", b"x" * 10_000)[:-9_000]
+    (_, second), _ = _run_attempts(late)
     assert isinstance(second, forward_attempt.Broken)
+    assert not second.is_timeout
--- a/redwingchute/testing/scripted_upstream.py
+++ b/redwingchute/testing/scripted_upstream.py
@@ -1,66 +1,121 @@
-"""An upstream for tests that sends scripted bytes on each connection.
-
-It can send what the stand-ins never send, for example a response to another
-request in front of the expected one.
-"""
+"""An upstream on loopback whose every byte a test decides."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from types import TracebackType
 from typing import TypeAlias
 
 import attrs
-import h11
 
 from redwingchute.connection import http_client
 
 _ADDRESS = "127.0.0.1"
-_READ_BYTES = 64 * 1024
 
 
 @attrs.frozen
-class Send:
-    """Sends bytes."""
-
-    data: bytes
+class ReceivedRequest:
+    """A request that the upstream has read completely.
 
+    Attributes:
+      target: The path and query.
+      headers: The headers by lower-case name.
+      body: The whole body.
+    """
 
-@attrs.frozen
-class Pause:
-    """Waits before the next step."""
+    target: str
+    headers: dict[str, str]
+    body: bytes
 
-    duration_ms: int
+    @property
+    def request_id(self) -> str:
+        """The id that the response must echo; empty if there is none."""
+        return self.headers.get("attempt-id", "")
 
 
-@attrs.frozen
-class Close:
-    """Closes the connection."""
+class UpstreamConnection:
+    """One accepted connection.
 
+    Attributes:
+      number: How many connections the upstream had accepted before.
+    """
 
-Step: TypeAlias = Send | Pause | Close
-# Returns the steps for a request, by its number on its connection.
-Script: TypeAlias = Callable[[int, h11.Request], list[Step]]
+    def __init__(
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Creates a connection on accepted streams."""
+        self.number = number
+        self._reader = reader
+        self._writer = writer
+
+    async def read_head(self) -> ReceivedRequest:
+        """Reads the head of a request and leaves its body unread.
+
+        Raises:
+          asyncio.IncompleteReadError: The router has closed the connection.
+        """
+        head = await self._reader.readuntil(b"\r\n\r\n")
+        request_line, *lines = head.decode("latin-1").split("\r\n")
+        fields = [line.partition(":") for line in lines if line]
+        return ReceivedRequest(
+            target=request_line.split(" ")[1],
+            headers={
+                name.strip().lower(): value.strip() for name, _, value in fields
+            },
+            body=b"",
+        )
+
+    async def read_body(self, request: ReceivedRequest) -> ReceivedRequest:
+        """Reads the body of a request whose head was read."""
+        length = int(request.headers.get("content-length", "0"))
+        body = await self._reader.readexactly(length)
+        return attrs.evolve(request, body=body)
+
+    async def read_request(self) -> ReceivedRequest:
+        """Reads a request; raises like `read_head`."""
+        return await self.read_body(await self.read_head())
+
+    async def send(self, *segments: bytes, pause_s: float = 0.0) -> None:
+        """Sends each segment in a write of its own, with a pause after it."""
+        for segment in segments:
+            self._writer.write(segment)
+            await self._writer.drain()
+            await asyncio.sleep(pause_s)
+
+    def reset(self) -> None:
+        """Closes the connection and discards what was not sent yet."""
+        self._writer.transport.abort()
+
+
+Script: TypeAlias = Callable[[UpstreamConnection], Awaitable[None]]
 
 
 class ScriptedUpstream:
-    """An upstream that follows a script; a context manager.
+    """Runs a script on each connection; a context manager.
+
+    A connection is closed when its script returns.
 
     Attributes:
-      requests: The requests that it received, in order.
-      connection_count: The number of connections that it accepted.
+      address: The address, once the context is entered.
+      connection_count: The number of connections accepted.
     """
 
     def __init__(self, script: Script) -> None:
-        """Prepares an upstream; entering its context starts it."""
-        self.requests: list[h11.Request] = []
-        self.connection_count = 0
+        """Prepares an upstream; it listens once its context is entered."""
         self._script = script
         self._server: asyncio.Server | None = None
-        self._connections: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address = http_client.Address(_ADDRESS, 0)
+        self.connection_count = 0
 
     async def __aenter__(self) -> "ScriptedUpstream":
         """Starts listening."""
         self._server = await asyncio.start_server(self._serve, _ADDRESS, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = http_client.Address(_ADDRESS, port)
         return self
 
     async def __aexit__(
@@ -69,110 +124,82 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Closes all connections."""
-        assert self._server is not None
-        self._server.close()
-        for task in self._connections:
+        """Stops listening and ends all scripts."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
             task.cancel()
-        if self._connections:
-            await asyncio.wait(self._connections)
-
-    @property
-    def address(self) -> http_client.Address:
-        """The address that it listens on."""
-        assert self._server is not None
-        port = self._server.sockets[0].getsockname()[1]
-        return http_client.Address(_ADDRESS, port)
+        if self._tasks:
+            await asyncio.wait(self._tasks)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serves one connection until it is closed."""
+        """Runs the script on one connection."""
         task = asyncio.current_task()
         assert task is not None
-        self._connections.add(task)
+        self._tasks.add(task)
+        connection = UpstreamConnection(self.connection_count, reader, writer)
         self.connection_count += 1
         try:
-            await self._follow_script(reader, writer)
-        except (asyncio.CancelledError, OSError):
+            await self._script(connection)
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ConnectionError,
+        ):
             pass
         finally:
+            self._tasks.discard(task)
             writer.close()
 
-    async def _follow_script(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Follows the script for each request of a connection."""
-        number = 0
-        # Responses are not parsed here, so each request gets a new parser.
-        unparsed = b""
-        while True:
-            request, unparsed = await _read_request(reader, unparsed)
-            if request is None:
-                return
-            number += 1
-            self.requests.append(request)
-            for step in self._script(number, request):
-                match step:
-                    case Send(data):
-                        writer.write(data)
-                    case Pause(duration_ms):
-                        await asyncio.sleep(duration_ms / 1000)
-                    case Close():
-                        return
-
 
 def make_response(
-    status: int,
-    request_id: str | None,
+    status: int = 200,
     body: bytes = b"",
-    *headers: tuple[str, str],
+    request_id: str = "",
+    **headers: str,
 ) -> bytes:
     """Returns the bytes of a response with a length.
 
     Args:
       status: The HTTP status.
-      request_id: The id of the request that it responds to; None for none.
       body: The body.
-      *headers: Additional headers.
+      request_id: The id that the response echoes; without one it has no id.
+      **headers: Additional headers; underscores stand for hyphens.
     """
-    lines = [f"HTTP/1.1 {status} X", f"content-length: {len(body)}"]
-    if request_id is not None:
+    return (
+        _make_head(status, request_id, headers)
+        + f"content-length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
+
+
+def make_rejection(status: int = 503, request_id: str = "") -> bytes:
+    """Returns a response that states that the request was not run."""
+    return make_response(status, b"", request_id, not_executed="1")
+
+
+def make_stream(request_id: str, *events: bytes) -> list[bytes]:
+    """Returns a signed stream: its head, one chunk per event, and its end."""
+    headers = {
+        "runner-signature": "s",
+        "content-type": "text/event-stream",
+        "transfer-encoding": "chunked",
+    }
+    head = _make_head(200, request_id, headers) + b"\r\n"
+    chunks = [
+        f"{len(event):x}\r\n".encode() + event + b"\r\n" for event in events
+    ]
+    return [head, *chunks, b"0\r\n\r\n"]
+
+
+def _make_head(status: int, request_id: str, headers: dict[str, str]) -> bytes:
+    """Returns the status line and headers without the line that ends them."""
+    lines = [f"HTTP/1.1 {status} x"]
+    if request_id:
         lines.append(f"attempt-id: {request_id}")
-    lines += [f"{name}: {value}" for name, value in headers]
-    return "\r\n".join([*lines, "", ""]).encode() + body
-
-
-def make_success(request_id: str, body: bytes = b"ran") -> bytes:
-    """Returns the bytes of a signed response with status 200."""
-    return make_response(200, request_id, body, ("runner-signature", "s"))
-
-
-def make_rejection(request_id: str | None, status: int = 503) -> bytes:
-    """Returns the bytes of a response that states that nothing ran."""
-    return make_response(status, request_id, b"", ("not-executed", "1"))
-
-
-async def _read_request(
-    reader: asyncio.StreamReader, unparsed: bytes
-) -> tuple[h11.Request | None, bytes]:
-    """Reads one request to its end.
-
-    Returns:
-      The request, or None at the end of the connection, and the bytes that
-      were received after it.
-    """
-    connection = h11.Connection(h11.SERVER)
-    request: h11.Request | None = None
-    if unparsed:
-        connection.receive_data(unparsed)
-    while True:
-        event = connection.next_event()
-        if isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.EndOfMessage):
-            return request, connection.trailing_data[0]
-        elif event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(_READ_BYTES))
-        elif isinstance(event, h11.ConnectionClosed):
-            return None, b""
+    lines += [
+        f"{name.replace('_', '-')}: {value}" for name, value in headers.items()
+    ]
+    return "".join(f"{line}\r\n" for line in lines).encode()
