Move the division of retries out of the gateway

The gateway computed each router's share of the retry slack in two private methods, which no test could run without sockets. The new module process/retry_budget holds the same code; nothing it does changes.

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -30,6 +30,7 @@
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import peer_network
+from redwingchute.process import retry_budget
 from redwingchute.process import shared_log
 from redwingchute.process import telemetry
 from redwingchute.process import timed_log
@@ -40,7 +41,6 @@
 from redwingchute.request import load_exchange
 from redwingchute.request import quarantine
 from redwingchute.request import request_metrics
-from redwingchute.request import retry_allowance
 from redwingchute.request import upstream_directory
 from redwingchute.version import route_index
 from redwingchute.wire import registry
@@ -140,7 +140,11 @@
             settings.zone
         )
         self._quarantine = quarantine.Quarantine(settings.host_name)
-        self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
+        self._retry_budget = retry_budget.RetryBudget(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_ms,
+        )
         self._is_stopping = False
         self._stop_deadline_ms = 0
         self._started_ms = read_boot_ms()
@@ -244,7 +248,7 @@
                 charger=self._charger,
                 find_index=lambda: self._route_index,
                 is_fresh=self._is_fresh,
-                find_allowance=self._find_allowance,
+                find_allowance=self._retry_budget.find_allowance,
                 quarantine=self._quarantine,
                 broadcast=self._crash_relay.broadcast,
                 find_time_left_ms=self._find_time_left_ms,
@@ -491,8 +495,7 @@
                 view.is_hub, view.order_hubs(self.settings.host_name)
             )
         )
-        for allowance in self._allowances.values():
-            allowance.set_slack(self._find_retry_slack())
+        self._retry_budget.record_host_count(view.host_count)
         decision_log.log_event(
             "hosts_changed",
             hosts=view.host_count,
@@ -500,23 +503,6 @@
             is_hub=view.is_hub,
         )
 
-    def _find_retry_slack(self) -> float:
-        """Returns this router's share of the fleet-wide retry slack."""
-        return self.settings.retry_slack / self._hub_view.host_count
-
-    def _find_allowance(self, service: str) -> retry_allowance.RetryAllowance:
-        """Returns this router's retry allowance for a service."""
-        allowance = self._allowances.get(service)
-        if allowance is None:
-            allowance = self._allowances[service] = (
-                retry_allowance.RetryAllowance(
-                    self.settings.retry_ratio,
-                    self._find_retry_slack(),
-                    self.settings.retry_window_ms,
-                )
-            )
-        return allowance
-
     async def _send_load_notices(self) -> None:
         """Sends load notices when they are due."""
         while True:
