--- a/redwingchute/request/retry_allowance.py
+++ b/redwingchute/request/retry_allowance.py
@@ -8,9 +8,27 @@
 
 import collections
 
-# The share of the limit that is used. The rest is a margin because the windows
-# of routers are not aligned.
-_USED_SHARE = 0.8
+import attrs
+
+# The share of the ratio that is used. When the load moves from one router to
+# another, both have its requests in windows that overlap, so that each request
+# may count at twice its weight.
+_USED_RATIO_SHARE = 0.5
+# The share of the slack that is used. The rest is a margin.
+_USED_SLACK_SHARE = 0.8
+
+
+@attrs.frozen
+class RetryState:
+    """How far an allowance is used.
+
+    Attributes:
+      used: The retries in the window.
+      limit: The retries that the window may have.
+    """
+
+    used: int
+    limit: float
 
 
 class RetryAllowance:
@@ -42,13 +60,21 @@
 
     def acquire_retry(self, now_ms: int) -> bool:
         """Acquires one retry; returns False if the limit is reached."""
-        self._remove_expired(now_ms)
-        limit = self._ratio * len(self._requests) + self._slack
-        if len(self._retries) + 1 > limit * _USED_SHARE:
+        state = self.find_state(now_ms)
+        if state.used + 1 > state.limit:
             return False
         self._retries.append(now_ms)
         return True
 
+    def find_state(self, now_ms: int) -> RetryState:
+        """Returns how far the allowance is used."""
+        self._remove_expired(now_ms)
+        return RetryState(
+            used=len(self._retries),
+            limit=_USED_RATIO_SHARE * self._ratio * len(self._requests)
+            + _USED_SLACK_SHARE * self._slack,
+        )
+
     def _remove_expired(self, now_ms: int) -> None:
         """Removes the entries that are older than the window."""
         for times in (self._requests, self._retries):
