--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -22,13 +22,13 @@
 from redwingchute.core import prepaid
 from redwingchute.core import requesting
 from redwingchute.process import background_tasks
-from redwingchute.process import crash_relay
 from redwingchute.process import decision_log
 from redwingchute.process import gateway_settings
 from redwingchute.process import host_registry
 from redwingchute.process import hub_choice
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
+from redwingchute.process import notice_relay
 from redwingchute.process import peer_network
 from redwingchute.process import retry_budget
 from redwingchute.process import shared_log
@@ -153,10 +153,11 @@
         self._network = self._make_network()
         self._registry = self._make_registry()
         self._hub_view = hub_choice.choose_hubs(self._registry.own_host, ())
-        self._crash_relay = crash_relay.CrashRelay(
+        self._crash_relay = notice_relay.NoticeRelay[requesting.CrashNotice](
             lambda: self._hub_view,
             lambda: self._upstream_directory.reporters,
             self._network.send_to_all,
+            lambda notice: notice.attempt_id,
         )
         self._grant_manager = self._make_grant_manager()
         self._charger = charging.Charger(
--- a/redwingchute/process/crash_relay_test.py
+++ b/redwingchute/process/notice_relay_test.py
@@ -1,4 +1,4 @@
-"""Tests that crash notices reach every router of a large fleet, and end."""
+"""Tests that notices reach every router of a large fleet, and end."""
 
 from collections.abc import Iterable
 import functools
@@ -6,8 +6,8 @@
 import pytest
 
 from redwingchute.core import requesting
-from redwingchute.process import crash_relay
 from redwingchute.process import hub_choice
+from redwingchute.process import notice_relay
 
 _HUBS = {"a-0": "a", "a-1": "a", "b-0": "b", "b-1": "b"}
 _ROUTERS = tuple(f"{zone}-{number}" for zone in "ab" for number in range(8))
@@ -15,7 +15,7 @@
 
 
 class _Fleet:
-    """Routers that pass crash notices on.
+    """Routers that pass notices on.
 
     Attributes:
       received: How often each router received the notice.
@@ -27,7 +27,7 @@
         self.received = dict.fromkeys(_ROUTERS, 0)
         self.down: set[str] = set()
         self.relays = {
-            name: crash_relay.CrashRelay(
+            name: notice_relay.NoticeRelay(
                 functools.partial(
                     hub_choice.HubView,
                     name,
@@ -37,6 +37,7 @@
                 ),
                 functools.partial(_list_reporters, name),
                 functools.partial(self._send, name),
+                _read_id,
             )
             for name in _ROUTERS
         }
@@ -53,6 +54,10 @@
                 self.relays[receiver].handle_notice(sender, notice)
 
 
+def _read_id(notice: requesting.CrashNotice) -> str:
+    return notice.attempt_id
+
+
 def _list_reporters(name: str) -> tuple[str, ...]:
     """Returns the routers that report to a hub: those of its parity."""
     if name not in _HUBS:
