Heed what upstreams state about themselves: that they leave, or want a pause

Before, a router learned only from the entry in the store that an upstream leaves, and sent requests to upstreams that had just asked for a pause. A start is identified by id and start time, so what is known of one does not apply to the next; before, a new start under the same id kept the state of the old one.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -137,7 +137,7 @@
             maxlen=_REMEMBERED_REQUESTS
         )
         self._method = ""
-        self._has_extra_responses = False
+        self._is_retired = False
         self._idle_since_s = 0.0
         self._keep_alive_s = _DEFAULT_KEEP_ALIVE_S
         self._reader = reader
@@ -291,16 +291,20 @@
         self._protocol.send(h11.EndOfMessage())
         if received:
             self._protocol.receive_data(received)
-        self._has_extra_responses = True
+        self.retire()
         return True
 
+    def retire(self) -> None:
+        """Prevents that the connection is used for another exchange."""
+        self._is_retired = True
+
     def make_reusable(self) -> bool:
         """Prepares for the next exchange.
 
         Returns:
           Whether the connection can be reused; if not, it must be closed.
         """
-        if self._has_extra_responses:
+        if self._is_retired:
             return False
         is_done = (
             self._protocol.our_state is h11.DONE
@@ -433,6 +437,11 @@
             connection.is_usable() for connection in self._idle.get(address, ())
         )
 
+    def close_idle(self, address: Address) -> None:
+        """Closes the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
     def release(self, connection: ClientConnection) -> None:
         """Returns a connection to the pool, or closes it if not reusable."""
         idle = self._idle.setdefault(connection.address, [])
--- a/redwingchute/core/forwarding.py
+++ b/redwingchute/core/forwarding.py
@@ -149,6 +149,20 @@
     limits: ConnectionLimits = ConnectionLimits()
 
 
+@attrs.frozen
+class UpstreamStart:
+    """Identifies one start of an instance of a service.
+
+    Attributes:
+      id: The id of the instance.
+      born_ms: Its start time, in milliseconds since the Unix epoch; 0 if it is
+        not known.
+    """
+
+    id: str
+    born_ms: int
+
+
 @attrs.frozen
 class Upstream:
     """One running instance of a service.
@@ -176,6 +190,11 @@
     slots: int = 1
     born_ms: int = 0
 
+    @property
+    def start(self) -> UpstreamStart:
+        """The start of the instance; another one is another upstream."""
+        return UpstreamStart(self.id, self.born_ms)
+
 
 @attrs.frozen
 class PromptPart:
--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -28,11 +28,16 @@
 _NOT_RUN = "not-executed"
 _PRIORITY = "request-priority"
 _RETRY_AFTER = "retry-after"
+# In all responses of an upstream that is about to stop.
+_LEAVING = "server-leaving"
 
 _KEY_SCHEME = "bearer "
 # The status with which an upstream refuses a request for another instance. It
 # does not run the request.
 _MISDIRECTED_REQUEST_STATUS = 421
+_UNAVAILABLE_STATUS = 503
+# A year; a larger value is no time.
+_MAX_RETRY_AFTER_S = 31_536_000.0
 
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -133,6 +138,8 @@
             or head.status == _MISDIRECTED_REQUEST_STATUS,
             is_wrong_instance=head.status == _MISDIRECTED_REQUEST_STATUS,
             is_signed=_SIGNATURE in head.headers,
+            is_leaving=head.headers.get(_LEAVING, "").strip() == "1",
+            retry_after_ms=_read_retry_after_ms(head),
         )
 
     def build_response_headers(
@@ -193,6 +200,22 @@
     return None if value is None else int(value)
 
 
+def _read_retry_after_ms(head: http_client.ResponseHead) -> int | None:
+    """Returns the pause that a response asks for, or None.
+
+    Only a 503 asks for one. A value that is no number of seconds is ignored.
+    """
+    if head.status != _UNAVAILABLE_STATUS:
+        return None
+    try:
+        seconds = float(head.headers[_RETRY_AFTER])
+    except (KeyError, ValueError):
+        return None
+    if not 0 <= seconds < _MAX_RETRY_AFTER_S:
+        return None
+    return int(1000 * seconds)
+
+
 def _read_generation(
     headers: dict[str, str],
 ) -> forwarding.Generation | None:
--- a/redwingchute/platform/headers_test.py
+++ b/redwingchute/platform/headers_test.py
@@ -35,6 +35,41 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("status", "value", "expected_ms"),
+    [
+        (503, "2", 2_000),
+        (503, "0.25", 250),
+        (503, "0", 0),
+        (503, "-1", None),
+        (503, "soon", None),
+        (503, "Wed, 21 Oct 2026 07:28:00 GMT", None),
+        (503, "nan", None),
+        (503, "inf", None),
+        (503, "1e300", None),
+        (503, "3600", 3_600_000),
+        (429, "2", None),
+    ],
+)
+def test_the_pause_that_a_rejection_asks_for_is_read(
+    status: int, value: str, expected_ms: int | None
+) -> None:
+    head = http_client.ResponseHead(status, {"retry-after": value})
+    response = headers.PlatformHeaderTranslator().parse_response(head)
+    assert response.retry_after_ms == expected_ms
+
+
+@pytest.mark.parametrize(
+    ("value", "is_leaving"), [("1", True), ("0", False), ("", False)]
+)
+def test_a_response_states_that_its_upstream_leaves(
+    value: str, is_leaving: bool
+) -> None:
+    head = http_client.ResponseHead(200, {"server-leaving": value})
+    response = headers.PlatformHeaderTranslator().parse_response(head)
+    assert response.is_leaving == is_leaving
+
+
 def test_request_headers_are_decoded() -> None:
     read = _TRANSLATOR.parse_request(
         _make_request(
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -137,7 +137,7 @@
         )
         self._route_index: route_index.RouteIndex | None = None
         self._upstream_directory = upstream_directory.UpstreamDirectory(
-            settings.zone
+            settings.zone, settings.host_name, settings.drain_ms
         )
         self._quarantine = quarantine.Quarantine(settings.host_name)
         self._retry_budget = retry_budget.RetryBudget(
@@ -153,11 +153,13 @@
         self._network = self._make_network()
         self._registry = self._make_registry()
         self._hub_view = hub_choice.choose_hubs(self._registry.own_host, ())
-        self._crash_relay = notice_relay.NoticeRelay[requesting.CrashNotice](
+        self._relay = notice_relay.NoticeRelay[
+            requesting.CrashNotice | requesting.LeavingNotice
+        ](
             lambda: self._hub_view,
             lambda: self._upstream_directory.reporters,
             self._network.send_to_all,
-            lambda notice: notice.attempt_id,
+            _make_notice_id,
         )
         self._grant_manager = self._make_grant_manager()
         self._charger = charging.Charger(
@@ -251,7 +253,7 @@
                 is_fresh=self._is_fresh,
                 find_allowance=self._retry_budget.find_allowance,
                 quarantine=self._quarantine,
-                broadcast=self._crash_relay.broadcast,
+                broadcast=self._relay.broadcast,
                 find_time_left_ms=self._find_time_left_ms,
                 read_clock_ms=read_boot_ms,
                 metrics=self._make_request_metrics(),
@@ -273,6 +275,9 @@
         self._network.register_handler(
             requesting.CrashNotice, self._handle_crash
         )
+        self._network.register_handler(
+            requesting.LeavingNotice, self._handle_leaving
+        )
         self._network.register_handler(requesting.LoadNotice, self._handle_load)
         self._tasks.spawn(self._configuration_follower.run())
         self._tasks.spawn(self._upstream_follower.run())
@@ -526,7 +531,19 @@
     ) -> None:
         """Records a crash that another router observed and passes it on."""
         self._quarantine.record_crash(notice, read_boot_ms())
-        self._crash_relay.handle_notice(peer.name, notice)
+        self._relay.handle_notice(peer.name, notice)
+
+    async def _handle_leaving(
+        self, peer: data.Host, notice: requesting.LeavingNotice
+    ) -> None:
+        """Marks an upstream as leaving that another router heard from."""
+        if self._upstream_directory.mark_leaving(
+            notice.upstream, read_boot_ms()
+        ):
+            decision_log.log_event(
+                "upstream_leaving", upstream=notice.upstream, source=peer.name
+            )
+        self._relay.handle_notice(peer.name, notice)
 
     def _make_request_metrics(self) -> request_metrics.RequestMetrics:
         """Returns the callbacks that record request measurements."""
@@ -567,6 +584,17 @@
     )
 
 
+def _make_notice_id(
+    notice: requesting.CrashNotice | requesting.LeavingNotice,
+) -> str:
+    """Returns what identifies a notice that routers pass on."""
+    match notice:
+        case requesting.CrashNotice():
+            return notice.attempt_id
+        case requesting.LeavingNotice():
+            return f"{notice.upstream}/{notice.seen_at_ms}"
+
+
 def _log_failed_task(error: BaseException) -> None:
     """Logs the failure of a background task, none of which should end."""
     decision_log.log_failure("part_failed", reason=repr(error))
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -157,6 +157,7 @@
         clock.
       trace: Records the exchange.
       mark_responsive: Called when data arrives from the upstream.
+      record_head: Called with the head of the response, before its body.
       record_event: Called when a chunk of a stream arrives.
     """
 
@@ -167,6 +168,9 @@
     deadline_s: float
     trace: ExchangeTrace
     mark_responsive: Callable[[], None] = lambda: None
+    record_head: Callable[[header_translator.ResponseMetadata], None] = (
+        lambda response: None
+    )
     record_event: Callable[[], None] = lambda: None
 
 
@@ -237,6 +241,9 @@
         if isinstance(head, http_client.ExchangeBroken):
             return Broken(head.message, is_unresponsive=head.is_unresponsive)
         response = self._translator.parse_response(head)
+        if response.is_leaving:
+            connection.retire()
+        outgoing.record_head(response)
         if response.was_not_run:
             # The connection is reusable once the body is read.
             await connection.read_body(_MAX_RESPONSE_BYTES)
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -28,6 +28,7 @@
 from redwingchute.request import quarantine
 from redwingchute.request import request_metrics
 from redwingchute.request import retry_allowance
+from redwingchute.request import spread
 from redwingchute.request import upstream_directory
 from redwingchute.version import route_index
 
@@ -55,7 +56,7 @@
         newest version.
       find_allowance: Returns the retry allowance of a service.
       quarantine: The requests that crashed upstreams.
-      broadcast: Sends a crash notice to all other routers, best effort.
+      broadcast: Sends a notice to all other routers, best effort.
       find_time_left_ms: Returns the time until the process stops; None unless
         a shutdown has begun.
       read_clock_ms: Returns the time on a steady clock.
@@ -70,7 +71,9 @@
     is_fresh: Callable[[], bool]
     find_allowance: Callable[[str], retry_allowance.RetryAllowance]
     quarantine: quarantine.Quarantine
-    broadcast: Callable[[requesting.CrashNotice], None]
+    broadcast: Callable[
+        [requesting.CrashNotice | requesting.LeavingNotice], None
+    ]
     find_time_left_ms: Callable[[], int | None]
     read_clock_ms: Callable[[], int]
     metrics: request_metrics.RequestMetrics
@@ -202,8 +205,11 @@
         self._dependencies.find_allowance(plan.service.name).record_request(
             now_ms
         )
-        if not self._dependencies.directory.count_ready(plan.service.name):
+        directory = self._dependencies.directory
+        if not directory.count_ready(plan.service.name, now_ms):
             return _make_no_upstream_refusal()
+        if directory.find_retry_delay_ms(plan.service.name, now_ms):
+            return self._refuse_no_upstream(plan)
         busy = self._refuse_if_busy(plan, now_ms)
         if busy is not None:
             return busy
@@ -331,6 +337,7 @@
                     upstream.id, self._dependencies.read_clock_ms()
                 )
             ),
+            record_head=lambda response: self._record_head(upstream, response),
             record_event=lambda: self._record_event(
                 plan, progress, open_request
             ),
@@ -345,6 +352,38 @@
                 progress.may_have_run = may_have_run
         return result
 
+    def _record_head(
+        self,
+        upstream: forwarding.Upstream,
+        response: header_translator.ResponseMetadata,
+    ) -> None:
+        """Records what an upstream states about itself in a response."""
+        if response.is_wrong_instance:
+            return
+        directory = self._dependencies.directory
+        now_ms = self._dependencies.read_clock_ms()
+        if response.is_leaving:
+            self._dependencies.pool.close_idle(
+                http_client.Address.parse(upstream.address)
+            )
+            if directory.mark_leaving(upstream.id, now_ms):
+                decision_log.log_event(
+                    "upstream_leaving", upstream=upstream.id, source="response"
+                )
+                self._dependencies.broadcast(
+                    requesting.LeavingNotice(upstream.id, now_ms)
+                )
+        if response.retry_after_ms:
+            pause_ms = directory.pause(
+                upstream, response.retry_after_ms, now_ms
+            )
+            decision_log.log_event(
+                "upstream_paused",
+                upstream=upstream.id,
+                retry_after_ms=response.retry_after_ms,
+                pause_ms=pause_ms,
+            )
+
     def _record_event(
         self,
         plan: forward_plan.Plan,
@@ -410,7 +449,7 @@
                     503,
                     "upstreams_busy",
                     "The upstreams accept no more work at the moment.",
-                    _RETRY_AFTER_MS,
+                    self._find_retry_after_ms(plan),
                 )
             case forward_attempt.Broken(message, is_timeout, is_unresponsive):
                 self._log_attempt(plan, progress, upstream, "broken", message)
@@ -440,15 +479,24 @@
             )
 
     def _refuse_no_upstream(self, plan: forward_plan.Plan) -> outcomes.NotRun:
-        """Returns the refusal of a request that no upstream can serve.
+        """Returns the refusal of a request that no upstream can serve."""
+        return _make_no_upstream_refusal(self._find_retry_after_ms(plan))
+
+    def _find_retry_after_ms(self, plan: forward_plan.Plan) -> int:
+        """Returns when a caller may return whose request can't be served now.
 
-        If all upstreams are paused, its retry-after covers the first pause to
-        end.
+        If all upstreams are paused, that is after the first pause has ended;
+        callers then return at different times.
         """
         retry_delay_ms = self._dependencies.directory.find_retry_delay_ms(
             plan.service.name, self._dependencies.read_clock_ms()
         )
-        return _make_no_upstream_refusal(max(retry_delay_ms, _RETRY_AFTER_MS))
+        if not retry_delay_ms:
+            return _RETRY_AFTER_MS
+        return max(
+            _RETRY_AFTER_MS,
+            spread.spread_delay_ms(retry_delay_ms, plan.request.id),
+        )
 
     def _evaluate_response(
         self,
@@ -478,16 +526,22 @@
         """Acquires a retry from the allowance, if the request can be retried.
 
         Returns False without a use of the allowance if no other upstream is
-        left.
+        left. While upstreams pause because they are full, the retries do not
+        fill the ones that are left.
         """
         if progress.sends >= plan.route.max_attempts:
             return False
         if asyncio.get_running_loop().time() >= plan.deadline_s:
             return False
         now_ms = self._dependencies.read_clock_ms()
-        if not self._dependencies.directory.choose(
+        directory = self._dependencies.directory
+        chosen = directory.choose(
             plan.service.name, plan.request, progress.excluded, now_ms
-        ):
+        )
+        if chosen is None:
+            return False
+        is_full = chosen.load >= chosen.upstream.slots
+        if is_full and directory.has_requested_pause(plan.service.name, now_ms):
             return False
         allowance = self._dependencies.find_allowance(plan.service.name)
         is_acquired = allowance.acquire_retry(now_ms)
--- a/redwingchute/request/header_translator.py
+++ b/redwingchute/request/header_translator.py
@@ -42,6 +42,9 @@
       is_wrong_instance: Whether the response is of another instance than the
         one that the request was for.
       is_signed: Whether it carries a signature, which is not verified here.
+      is_leaving: Whether the upstream states that it is about to stop.
+      retry_after_ms: How long the upstream asks for no further request; None
+        if it does not ask, or not in a readable way.
     """
 
     status: int
@@ -49,6 +52,8 @@
     was_not_run: bool
     is_wrong_instance: bool
     is_signed: bool
+    is_leaving: bool = False
+    retry_after_ms: int | None = None
 
 
 @attrs.frozen
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -11,10 +11,12 @@
 
 from redwingchute.core import forwarding
 from redwingchute.core import requesting
+from redwingchute.request import departures
 from redwingchute.request import fleet_load
 from redwingchute.request import load_exchange
 from redwingchute.request import outlier_detector
 from redwingchute.request import prefill_model
+from redwingchute.request import requested_pauses
 from redwingchute.request import unresponsive_upstreams
 from redwingchute.request import upstream_choice
 
@@ -35,11 +37,15 @@
 class UpstreamDirectory:
     """The upstreams of all services and what is known of each."""
 
-    def __init__(self, zone: str) -> None:
+    def __init__(
+        self, zone: str, host: str = "", drain_ms: int = 2_000
+    ) -> None:
         """Creates a directory without upstreams.
 
         Args:
           zone: The router's availability zone.
+          host: The router's host.
+          drain_ms: How long an upstream that leaves still accepts requests.
         """
         self._zone = zone
         self._pools: dict[str, _Pool] = {}
@@ -48,11 +54,18 @@
         self._load = fleet_load.FleetLoad(self._prefill.estimate_ms_per_token)
         self._exchange = load_exchange.LoadExchange(self._load)
         self._unresponsive = unresponsive_upstreams.UnresponsiveUpstreams()
+        self._departures = departures.Departures(drain_ms)
+        self._pauses = requested_pauses.RequestedPauses(host)
 
     def set_upstream(self, upstream: forwarding.Upstream) -> None:
-        """Adds an upstream or replaces its entry; its service may change."""
-        if self._service_names.get(upstream.id, upstream.service) != (
-            upstream.service
+        """Adds an upstream or replaces its entry; its service may change.
+
+        Nothing that is known of an earlier start applies to a later one.
+        """
+        known = self.find(upstream.id)
+        if known is not None and (known.service, known.start) != (
+            upstream.service,
+            upstream.start,
         ):
             self.remove(upstream.id)
         self._service_names[upstream.id] = upstream.service
@@ -86,10 +99,9 @@
             return None
         return self._get_pool(service).upstreams.get(upstream_id)
 
-    def count_ready(self, service: str) -> int:
+    def count_ready(self, service: str, now_ms: int) -> int:
         """Returns how many upstreams of a service accept new work."""
-        upstreams = self._get_pool(service).upstreams.values()
-        return sum(upstream.is_ready for upstream in upstreams)
+        return len(self._list_in_use(service, now_ms))
 
     def choose(
         self,
@@ -101,8 +113,9 @@
         """Returns the upstream for a request, or None.
 
         Upstreams that failed recently are chosen only if no other is
-        available. Paused upstreams, whose hosts do not respond, are never
-        chosen.
+        available, those that are leaving only if no other can serve. Paused
+        upstreams, whose hosts do not respond or that asked for the pause, are
+        never chosen, nor are those that have left.
 
         Args:
           service: The service that runs the request.
@@ -113,26 +126,48 @@
         pool = self._get_pool(service)
         ready = [
             upstream
-            for upstream in pool.upstreams.values()
-            if upstream.is_ready
-            and upstream.id not in excluded
-            and not self._unresponsive.is_paused(upstream.id, now_ms)
+            for upstream in self._list_in_use(service, now_ms)
+            if upstream.id not in excluded
+            and self._find_pause_end_ms(upstream) <= now_ms
         ]
         healthy = [
             upstream
             for upstream in ready
             if pool.outliers.find_available_ms(upstream.id) <= now_ms
         ]
+        staying = [
+            upstream
+            for upstream in healthy
+            if not self._departures.is_leaving(upstream)
+        ]
         return upstream_choice.choose_upstream(
             [
                 self._make_candidate(upstream, request.generation, now_ms)
-                for upstream in healthy or ready
+                for upstream in staying or healthy or ready
             ],
             upstream_choice.find_affinity_key(request.generation),
             self._zone,
             request.id,
         )
 
+    def _list_in_use(
+        self, service: str, now_ms: int
+    ) -> list[forwarding.Upstream]:
+        """Returns the upstreams that accept new work now or after a pause."""
+        return [
+            upstream
+            for upstream in self._get_pool(service).upstreams.values()
+            if upstream.is_ready
+            and not self._departures.has_drained(upstream, now_ms)
+        ]
+
+    def _find_pause_end_ms(self, upstream: forwarding.Upstream) -> int:
+        """Returns when an upstream may be used; a past time means now."""
+        return max(
+            self._unresponsive.find_earliest_retry_ms((upstream.id,)),
+            self._pauses.find_end_ms(upstream),
+        )
+
     def _make_candidate(
         self,
         upstream: forwarding.Upstream,
@@ -272,9 +307,37 @@
 
         It is 0 unless all of them are paused.
         """
-        upstreams = self._get_pool(service).upstreams
-        return max(
-            0, self._unresponsive.find_earliest_retry_ms(upstreams) - now_ms
+        ends_ms = map(
+            self._find_pause_end_ms, self._list_in_use(service, now_ms)
+        )
+        return max(0, min(ends_ms, default=0) - now_ms)
+
+    def mark_leaving(self, upstream_id: str, now_ms: int) -> bool:
+        """Marks an upstream as leaving, as it stated in a response.
+
+        Returns:
+          Whether that is new; False also for unknown upstreams.
+        """
+        upstream = self.find(upstream_id)
+        return upstream is not None and self._departures.record(
+            upstream, now_ms
+        )
+
+    def pause(
+        self, upstream: forwarding.Upstream, retry_after_ms: int, now_ms: int
+    ) -> int:
+        """Pauses the use of an upstream that asked for it.
+
+        Returns:
+          The time in ms until it is used again.
+        """
+        return self._pauses.record(upstream, retry_after_ms, now_ms)
+
+    def has_requested_pause(self, service: str, now_ms: int) -> bool:
+        """Returns whether an upstream of a service asked for a pause."""
+        return any(
+            self._pauses.is_paused(upstream, now_ms)
+            for upstream in self._list_in_use(service, now_ms)
         )
 
     def mark_unreachable(
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -36,6 +36,8 @@
         response.
       unsigned: Responses have no signature.
       wrong_id: Responses have the id of another request.
+      is_leaving: All responses state that the runner is leaving.
+      retry_after_s: The pause that refusals with 503 ask for; 0 for none.
       event_ms: The time between two events of a stream.
       work_ms: The time to run a plain request.
     """
@@ -47,6 +49,8 @@
     lose_answers: bool = False
     unsigned: bool = False
     wrong_id: bool = False
+    is_leaving: bool = False
+    retry_after_s: float = 0.0
     event_ms: int = 5
     work_ms: int = 5
 
@@ -125,9 +129,9 @@
         A request for another start of the runner is refused with 421.
         """
         if request.path == "/healthz":
-            await responder.send(
-                200, b"", headers=[("instance-id", self.runner_id)]
-            )
+            headers = [("instance-id", self.runner_id)]
+            headers += self._list_status_headers()
+            await responder.send(200, b"", headers=headers)
             return
         self.arrivals += 1
         request_id = request.headers.get("attempt-id", "")
@@ -139,15 +143,17 @@
                 headers=[
                     ("instance-id", self.runner_id),
                     ("attempt-id", request_id),
+                    *self._list_status_headers(),
                 ],
             )
             return
         if self.faults.is_full:
-            await responder.send(
-                503,
-                b"",
-                headers=[("not-executed", "1"), ("attempt-id", request_id)],
-            )
+            headers = [("not-executed", "1"), ("attempt-id", request_id)]
+            headers += self._list_status_headers()
+            if self.faults.retry_after_s:
+                retry_after = ("retry-after", str(self.faults.retry_after_s))
+                headers.append(retry_after)
+            await responder.send(503, b"", headers=headers)
             return
         resumed_after = request.headers.get("last-event-id")
         run = RunnerRun(
@@ -164,6 +170,10 @@
             self.cancelled += 1
             raise
 
+    def _list_status_headers(self) -> list[tuple[str, str]]:
+        """Returns what every response states about the runner itself."""
+        return [("server-leaving", "1")] if self.faults.is_leaving else []
+
     def describe(self) -> dict[str, Any]:
         """Returns the number of requests and the runs."""
         runs = [
@@ -182,7 +192,7 @@
         if self.faults.lose_answers:
             raise http_server.ClientDisconnectedError
         response_id = "another" if self.faults.wrong_id else run.request_id
-        headers = [("attempt-id", response_id)]
+        headers = [("attempt-id", response_id), *self._list_status_headers()]
         if not self.faults.unsigned:
             signature = make_signature(self.runner_id, request.body)
             headers.append(("runner-signature", signature))
