Echo the id in the rejections of the runner's stand-in

The users' runners send the id of the request in all their responses; the stand-in's 421 and 503 had none, so that no test could tell a rejection of this request from one of another. runner_test fails on the code before.

--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -131,13 +131,14 @@
             return
         self.arrivals += 1
         expected = request.headers.get("target-instance", self.runner_id)
+        echo = ("attempt-id", request.headers.get("attempt-id", ""))
         if expected != self.runner_id:
-            await responder.send(
-                421, b"", headers=[("instance-id", self.runner_id)]
-            )
+            headers = [echo, ("instance-id", self.runner_id)]
+            await responder.send(421, b"", headers=headers)
             return
         if self.faults.is_full:
-            await responder.send(503, b"", headers=[("not-executed", "1")])
+            headers = [echo, ("not-executed", "1")]
+            await responder.send(503, b"", headers=headers)
             return
         resumed_after = request.headers.get("last-event-id")
         run = RunnerRun(
