Add a soak of real processes that checks refused requests

`redwingchute soak` runs gateways, upstreams and a store as processes, sends a seeded load and injects seeded faults: upstreams that reject part of their requests and repeat responses late, and full ones. It checks from outside that no request ran that was refused with a promise.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -150,6 +150,24 @@
         await self.send_chunk(body)
         await self.finish()
 
+    def has_next_request(self) -> bool:
+        """Returns whether the next request awaits its response."""
+        return self._connection.our_state is h11.SEND_RESPONSE
+
+    def write_stray(self, payload: bytes) -> bool:
+        """Writes bytes that belong to no response; for faulty stand-ins.
+
+        Returns:
+          False if a response has begun or the connection is closing; nothing
+          is then written.
+        """
+        if self._connection.our_state is h11.SEND_BODY:
+            return False
+        if self._writer.is_closing():
+            return False
+        self._writer.write(payload)
+        return True
+
     async def _send(
         self, event: h11.Response | h11.Data | h11.EndOfMessage
     ) -> None:
--- a/redwingchute/main.py
+++ b/redwingchute/main.py
@@ -7,6 +7,7 @@
   publish: Publishes the first configuration of a fleet.
   ask: Sends an operator's query or command to a router.
   explain: Prints the timeline of a request from the logs of routers.
+  soak: Runs real processes under faults and checks what callers see.
   stand-in: Runs a stand-in for the platform or for an upstream, for trials and
     tests.
 """
@@ -25,6 +26,7 @@
 from redwingchute.process import publisher
 from redwingchute.process import router
 from redwingchute.process import settings
+from redwingchute.soak import soak_command
 from redwingchute.standin import engine
 from redwingchute.standin import metadata_store
 from redwingchute.standin import platform
@@ -125,6 +127,7 @@
         "publish": publish,
         "gateway": platform_main.main,
         "explain": explain,
+        "soak": soak_command.run_soak,
         "stand-in": {
             "platform": platform.run_platform,
             "engine": engine.run_engine,
--- /dev/null
+++ b/redwingchute/soak/fleet.py
@@ -0,0 +1,323 @@
+"""Runs the processes of a soak: store, upstreams and the gateways of hosts.
+
+Each host has a loopback address of its own, because its ports are the same on
+all hosts. Only processes that were started here are signalled, by their ids.
+"""
+
+import asyncio
+import ctypes
+import json
+import os
+import pathlib
+import re
+import signal
+import sys
+import time
+from types import TracebackType
+from typing import Any
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.soak import observations
+from redwingchute.soak import plan
+
+KEY = "soak-key"
+FRONTEND_PORT = 8227
+RETRY_LIMIT = observations.RetryLimit(ratio=0.2, slack=10.0, window_ms=10_000)
+STORE = "store"
+
+_READY_PORT = 8220
+_GRACE_S = 8
+# Beyond the grace period, before a process gets SIGKILL.
+_GRACE_MARGIN_S = 1.0
+_START_TIMEOUT_S = 20.0
+_POLL_S = 0.05
+_CALL_TIMEOUT_MS = 1_000
+_ROUTE_TIMEOUT_MS = 4_000
+# The store removes the entry of an upstream after three silent heartbeats.
+_ENTRY_EXPIRY_S = 3.6
+_UPSTREAM_WORK_MS = 30
+_PR_SET_PDEATHSIG = 1
+
+
+@attrs.define
+class _Program:
+    """A program and its current process.
+
+    Attributes:
+      name: The name of the host or upstream.
+      starts: How many times it was started.
+      process: The process of the last start.
+      address: The address that an upstream or the store listens on.
+    """
+
+    name: str
+    starts: int = 0
+    process: asyncio.subprocess.Process | None = None
+    address: http_client.Address | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended; it may be stopped."""
+        return self.process is not None and self.process.returncode is None
+
+
+class Fleet:
+    """The processes of a soak; a context manager that starts and ends them."""
+
+    def __init__(self, size: plan.Size, directory: pathlib.Path) -> None:
+        """Prepares a fleet.
+
+        Args:
+          size: The numbers of processes.
+          directory: The directory for settings, logs and records; it exists.
+        """
+        self._size = size
+        self._directory = directory
+        # Several soaks on one machine use different loopback addresses.
+        self._network = (
+            f"127.{16 + os.getpid() // 250 % 200}.{os.getpid() % 250}"
+        )
+        self._services = dict(size.list_upstreams())
+        self._programs: dict[str, _Program] = {}
+        self._pool = http_client.ClientPool()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> "Fleet":
+        """Starts all processes and waits until the hosts are ready."""
+        try:
+            await self.start(STORE)
+            await asyncio.gather(*map(self.start, self._services))
+            await self.put("keyed.op", "config", _make_configuration())
+            hosts = self._size.list_hosts()
+            await asyncio.gather(*map(self.start, hosts))
+            async with asyncio.timeout(_START_TIMEOUT_S):
+                while not all([await self._is_ready(host) for host in hosts]):
+                    await asyncio.sleep(_POLL_S)
+        except BaseException:
+            await self.__aexit__(None, None, None)
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Kills all processes and waits for their end."""
+        for task in self._tasks:
+            task.cancel()
+        for program in self._programs.values():
+            if program.process is not None and program.is_running:
+                program.process.kill()
+                await program.process.wait()
+        await self._pool.__aexit__(error_type, error, traceback)
+
+    def find_address(self, name: str) -> http_client.Address:
+        """Returns the address of a host, an upstream or the store."""
+        if name in self._services or name == STORE:
+            address = self._programs[name].address
+            assert address is not None
+            return address
+        return http_client.Address(self._find_ip(name), FRONTEND_PORT)
+
+    def is_running(self, name: str) -> bool:
+        """Returns whether a program's process has not ended."""
+        return self._programs[name].is_running
+
+    def count_starts(self, name: str) -> int:
+        """Returns how many times a program was started."""
+        return self._programs[name].starts
+
+    def list_record_paths(self) -> list[pathlib.Path]:
+        """Returns the files with the records of upstreams."""
+        return sorted(self._directory.glob("*.records"))
+
+    async def start(self, name: str) -> None:
+        """Starts a program; returns once a stand-in listens."""
+        program = self._programs.setdefault(name, _Program(name))
+        program.starts += 1
+        label = f"{name}-{program.starts}"
+        environment = dict(os.environ)
+        if name == STORE:
+            arguments = [*_STAND_IN, "metadata-store", "--listen=127.0.0.1:0"]
+        elif name in self._services:
+            record = self._directory / f"{label}.records"
+            record.touch()
+            arguments = [
+                *(*_STAND_IN, "runner", f"--name={label}"),
+                f"--store={self.find_address(STORE)}",
+                f"--service={self._services[name]}",
+                f"--work-ms={_UPSTREAM_WORK_MS}",
+                f"--record={record}",
+            ]
+        else:
+            path = self._directory / f"{name}.conf"
+            path.write_text(self._make_settings(name))
+            environment["REDWINGCHUTE_CONFIG"] = str(path)
+            arguments = ["redwingchute.platform.main"]
+        output_path = self._directory / f"{label}.out"
+        with (
+            output_path.open("wb") as output,
+            (self._directory / f"{label}.err").open("wb") as errors,
+        ):
+            program.process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", *arguments),
+                stdout=output,
+                stderr=errors,
+                env=environment,
+                preexec_fn=_end_with_parent,
+            )
+        if name == STORE or name in self._services:
+            program.address = await _wait_for_address(output_path)
+
+    def send_signal(self, name: str, number: signal.Signals) -> bool:
+        """Sends a signal to a process; returns False if it has ended."""
+        program = self._programs[name]
+        if program.process is None or not program.is_running:
+            return False
+        program.process.send_signal(number)
+        return True
+
+    async def end(self, name: str, number: signal.Signals) -> None:
+        """Ends a process with a signal, and with SIGKILL after the grace."""
+        process = self._programs[name].process
+        assert process is not None
+        self.send_signal(name, number)
+        try:
+            async with asyncio.timeout(_GRACE_S + _GRACE_MARGIN_S):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+        if name in self._services:
+            label = f"{name}-{self.count_starts(name)}"
+            task = asyncio.ensure_future(self._expire_entry(label))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def patch(self, name: str, faults: dict[str, Any]) -> bool:
+        """Sets faults of a stand-in; returns whether it confirmed them."""
+        return await self._post(name, "/control", faults)
+
+    async def put(self, topic: str, key: str, value: Any) -> bool:
+        """Writes a record to the store as the operator or an upstream does."""
+        body = {"topic": topic, "key": key, "value": value}
+        return await self._post(STORE, "/control/put", body)
+
+    async def _post(self, name: str, path: str, body: Any) -> bool:
+        """Sends a control request to a stand-in."""
+        fetched = await self._pool.fetch(
+            self.find_address(name),
+            "POST",
+            path,
+            [],
+            json.dumps(body).encode(),
+            _CALL_TIMEOUT_MS,
+        )
+        return isinstance(fetched, http_client.Fetched) and (
+            fetched.status == 200
+        )
+
+    async def _expire_entry(self, upstream_id: str) -> None:
+        """Removes the entry of an ended upstream, as the store does."""
+        await asyncio.sleep(_ENTRY_EXPIRY_S)
+        while not await self.put("keyed.servers", upstream_id, None):
+            await asyncio.sleep(_POLL_S)
+
+    async def _is_ready(self, host: str) -> bool:
+        """Returns whether a host reports that it is ready."""
+        if not self.is_running(host):
+            raise RuntimeError(f"{host} ended; see {self._directory}")
+        fetched = await self._pool.fetch(
+            http_client.Address(self._find_ip(host), _READY_PORT),
+            "GET",
+            "/v1/readyz",
+            [],
+            b"",
+            _CALL_TIMEOUT_MS,
+        )
+        return isinstance(fetched, http_client.Fetched) and (
+            fetched.status == 200
+        )
+
+    def _find_ip(self, host: str) -> str:
+        """Returns the loopback address of a host."""
+        return f"{self._network}.{1 + self._size.list_hosts().index(host)}"
+
+    def _make_settings(self, host: str) -> str:
+        """Returns a host's settings file in the format of the platform."""
+        ip = self._find_ip(host)
+        fields = {
+            "nodeName": host,
+            "ip": ip,
+            "zone": "huon",
+            "listen.frontend": f"{ip}:{FRONTEND_PORT}",
+            "listen.ready": f"{ip}:{_READY_PORT}",
+            "internalPorts": "7340,7355",
+            "bounds.graceS": _GRACE_S,
+            "bounds.retryBudgetRatio": RETRY_LIMIT.ratio,
+            "bounds.retryWindowS": RETRY_LIMIT.window_ms / 1000,
+            "bounds.retrySlack": RETRY_LIMIT.slack,
+            "platform.address": self.find_address(STORE),
+        }
+        return "".join(f"{name}={value}\n" for name, value in fields.items())
+
+
+_STAND_IN = ("redwingchute.main", "stand-in")
+
+
+def _make_configuration() -> dict[str, Any]:
+    """Returns a configuration with one route for each kind of request."""
+    return {
+        "version": 1,
+        "routes": [
+            {
+                "name": str(kind),
+                "host": "soak.example",
+                "pathPrefix": f"/{kind}/",
+                "type": "streaming"
+                if kind.is_stream
+                else "idempotent"
+                if kind.is_repeatable
+                else "non_idempotent",
+                "timeoutMs": _ROUTE_TIMEOUT_MS,
+                "targetLatencyMs": 600,
+                "service": kind.service,
+                "maxAttempts": 3 if kind.is_repeatable else 1,
+                "resumable": kind is observations.Kind.RESUMABLE_STREAM,
+            }
+            for kind in observations.Kind
+        ],
+        "services": [
+            {"name": "ledger", "maxConnections": 64},
+            {
+                "name": "llm",
+                "maxConnections": 64,
+                "inferenceEngine": {"stride": 1, "slots": 8},
+            },
+        ],
+        "tenants": [{"name": "soak", "apiKeys": [KEY]}],
+    }
+
+
+async def _wait_for_address(output_path: pathlib.Path) -> http_client.Address:
+    """Returns the address in the first line that a stand-in prints.
+
+    Raises:
+      TimeoutError: The stand-in did not start.
+    """
+    until_s = time.monotonic() + _START_TIMEOUT_S
+    while time.monotonic() < until_s:
+        found = re.search(r"listening on (\S+)\n", output_path.read_text())
+        if found:
+            return http_client.Address.parse(found[1])
+        await asyncio.sleep(_POLL_S)
+    raise TimeoutError(f"no address in {output_path}")
+
+
+def _end_with_parent() -> None:
+    """Makes the kernel kill this process when the soak's process ends."""
+    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
--- /dev/null
+++ b/redwingchute/soak/injector.py
@@ -0,0 +1,93 @@
+"""Injects the faults of a plan into the processes of a soak.
+
+Faults overlap freely: one that meets a process which has ended is left out.
+"""
+
+import asyncio
+import pathlib
+import signal
+
+from redwingchute.soak import fleet as fleet_lib
+from redwingchute.soak import observations
+from redwingchute.soak import plan
+from redwingchute.standin import base
+
+# A stand-in that is paused gets the end of its faults after it.
+_PATCH_ATTEMPTS = 15
+_PATCH_RETRY_S = 0.2
+
+
+class Injector:
+    """Injects faults and records each with the time that it was in force.
+
+    Attributes:
+      applied: The faults that have ended.
+    """
+
+    def __init__(self, fleet: fleet_lib.Fleet, path: pathlib.Path) -> None:
+        """Prepares an injector.
+
+        Args:
+          fleet: The processes.
+          path: The file to which each fault is appended when it ends.
+        """
+        self.applied: list[observations.AppliedFault] = []
+        self._fleet = fleet
+        self._path = path
+        # How many patches set a field of a stand-in to a fault.
+        self._patches: dict[tuple[str, str], int] = {}
+
+    async def run(self, faults: list[plan.Fault]) -> None:
+        """Injects faults at their times and waits until all have ended."""
+        started_s = asyncio.get_running_loop().time()
+        async with asyncio.TaskGroup() as group:
+            for fault in faults:
+                due_s = started_s + fault.at_ms / 1000
+                await asyncio.sleep(due_s - asyncio.get_running_loop().time())
+                group.create_task(self._inject(fault))
+
+    async def _inject(self, fault: plan.Fault) -> None:
+        """Injects a fault, ends it after its time and records it."""
+        from_ms = base.now_ms()
+        starts = self._fleet.count_starts(fault.target)
+        match fault:
+            case plan.Patch(_, target, duration_ms, patch):
+                if not await self._fleet.patch(target, dict(patch)):
+                    return
+                await asyncio.sleep(duration_ms / 1000)
+                await self._end_patch(fault, starts)
+            case plan.Pause(_, target, duration_ms):
+                if not self._fleet.send_signal(target, signal.SIGSTOP):
+                    return
+                await asyncio.sleep(duration_ms / 1000)
+                if self._fleet.count_starts(target) == starts:
+                    self._fleet.send_signal(target, signal.SIGCONT)
+            case plan.Restart(_, target, number, down_ms):
+                if not self._fleet.is_running(target):
+                    return
+                await self._fleet.end(target, number)
+                await asyncio.sleep(down_ms / 1000)
+                if not self._fleet.is_running(target):
+                    await self._fleet.start(target)
+        applied = observations.AppliedFault(
+            from_ms,
+            base.now_ms(),
+            fault.target,
+            type(fault).__name__,
+            str(fault),
+        )
+        self.applied.append(applied)
+        observations.append_record(self._path, applied)
+
+    async def _end_patch(self, fault: plan.Patch, starts: int) -> None:
+        """Sets the fields of a patch back, unless the process has ended."""
+        healed = {
+            name: False if isinstance(value, bool) else 0
+            for name, value in fault.faults
+        }
+        for _ in range(_PATCH_ATTEMPTS):
+            if self._fleet.count_starts(fault.target) != starts:
+                return
+            if await self._fleet.patch(fault.target, healed):
+                return
+            await asyncio.sleep(_PATCH_RETRY_S)
--- /dev/null
+++ b/redwingchute/soak/observations.py
@@ -0,0 +1,168 @@
+"""What callers and upstreams saw during a soak, and the faults it injected.
+
+These records are all that the checks use: no log of a router is evidence.
+"""
+
+from collections.abc import Iterable
+import enum
+import json
+import pathlib
+from typing import Any
+
+import attrs
+
+
+class Kind(enum.StrEnum):
+    """The kinds of requests; the values are the names of their routes."""
+
+    IDEMPOTENT = "lookup"
+    NON_IDEMPOTENT = "post"
+    STREAM = "draft"
+    RESUMABLE_STREAM = "summary"
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self in (Kind.IDEMPOTENT, Kind.RESUMABLE_STREAM)
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the response is a stream of events."""
+        return self in (Kind.STREAM, Kind.RESUMABLE_STREAM)
+
+    @property
+    def service(self) -> str:
+        """The name of the service that runs the requests."""
+        return "llm" if self.is_stream else "ledger"
+
+
+class Outcome(enum.StrEnum):
+    """How an attempt of a caller ended."""
+
+    ANSWERED = "answered"
+    CLOSED = "closed"
+    GAVE_UP = "gave_up"
+    NOT_CONNECTED = "not_connected"
+    UNANSWERED = "unanswered"
+
+
+@attrs.frozen
+class CallerAttempt:
+    """One attempt of a caller, with an id of its own.
+
+    Attributes:
+      request_id: The id of the attempt.
+      kind: The kind of request.
+      host: The host that it was sent to.
+      sent_ms: When it was sent, in Unix milliseconds.
+      ended_ms: When it ended.
+      deadline_ms: How long the caller waits for the response.
+      outcome: How it ended.
+      output_tokens: The number of events that a complete stream has.
+      status: The HTTP status; 0 if no response began.
+      response_id: The id in the response, if any.
+      is_signed: Whether the response has the signature of an upstream.
+      body: The part of the body that arrived.
+    """
+
+    request_id: str
+    kind: Kind = attrs.field(converter=Kind)
+    host: str
+    sent_ms: int
+    ended_ms: int
+    deadline_ms: int
+    outcome: Outcome = attrs.field(converter=Outcome)
+    output_tokens: int = 0
+    status: int = 0
+    response_id: str | None = None
+    is_signed: bool = False
+    body: str = ""
+
+
+@attrs.frozen
+class UpstreamEvent:
+    """An arrival, run or extra response that an upstream recorded.
+
+    Attributes:
+      at_ms: The time in Unix milliseconds.
+      event: `arrived`, `ran` or `sent_extra`.
+      upstream: The id of the upstream's start.
+      service: The name of its service.
+      request_id: The id of the request.
+      status: The status of an extra response.
+    """
+
+    at_ms: int
+    event: str
+    upstream: str
+    service: str
+    request_id: str
+    status: int = 0
+
+
+@attrs.frozen
+class AppliedFault:
+    """A fault that was in force for some time.
+
+    Attributes:
+      from_ms: When it began, in Unix milliseconds.
+      until_ms: When it ended.
+      target: The process.
+      name: The kind of fault.
+      details: Its parameters.
+    """
+
+    from_ms: int
+    until_ms: int
+    target: str
+    name: str
+    details: str = ""
+
+
+@attrs.frozen
+class RetryLimit:
+    """The limit of the retries at a service, over all routers.
+
+    Attributes:
+      ratio: The retries allowed for each request.
+      slack: The additional retries allowed in a window.
+      window_ms: The length of a window.
+    """
+
+    ratio: float
+    slack: float
+    window_ms: int
+
+
+@attrs.frozen
+class Observations:
+    """All that was observed in a run."""
+
+    attempts: tuple[CallerAttempt, ...]
+    events: tuple[UpstreamEvent, ...]
+    faults: tuple[AppliedFault, ...]
+    retry_limit: RetryLimit
+
+
+def append_record(path: pathlib.Path, record: attrs.AttrsInstance) -> None:
+    """Appends a record to a file as a line of JSON."""
+    with path.open("a") as file:
+        file.write(json.dumps(attrs.asdict(record)) + "\n")
+
+
+def read_upstream_events(
+    paths: Iterable[pathlib.Path],
+) -> tuple[UpstreamEvent, ...]:
+    """Returns the events in the files of all upstreams, ordered by time."""
+    events = [
+        UpstreamEvent(**fields)
+        for path in paths
+        for fields in _read_lines(path)
+    ]
+    return tuple(sorted(events, key=lambda event: event.at_ms))
+
+
+def _read_lines(path: pathlib.Path) -> list[dict[str, Any]]:
+    """Returns the JSON objects of a file, without an unfinished last line."""
+    lines = path.read_text().splitlines(keepends=True)
+    return [json.loads(line) for line in lines if line.endswith("\n")]
--- /dev/null
+++ b/redwingchute/soak/plan.py
@@ -0,0 +1,202 @@
+"""Makes the plan of a soak: which requests are sent and which faults occur.
+
+A plan depends only on its seed and size. Each group of faults has a random
+source of its own, so that leaving out a group does not change the others.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import random
+import signal
+from typing import TypeAlias
+
+import attrs
+
+from redwingchute.soak import observations
+
+_DEADLINES_MS = (1_500, 4_000)
+_OUTPUT_TOKENS = (4, 40)
+_BODY_BYTES = (16, 64, 4_096, 200_000)
+_GIVE_UP_SHARE = 0.04
+_GIVE_UP_MS = (20, 600)
+_NEW_CONNECTION_SHARE = 0.15
+_KIND_WEIGHTS = {
+    observations.Kind.IDEMPOTENT: 3,
+    observations.Kind.NON_IDEMPOTENT: 4,
+    observations.Kind.STREAM: 4,
+    observations.Kind.RESUMABLE_STREAM: 2,
+}
+
+
+@attrs.frozen
+class PlannedRequest:
+    """A request of a caller, which may send it in several attempts.
+
+    Attributes:
+      number: The number of the request.
+      at_ms: When it is sent, from the start of the load.
+      kind: The kind of request.
+      host_index: The host that gets the first attempt.
+      deadline_ms: How long the caller waits over all attempts.
+      give_up_ms: When the caller closes its connection; None for never.
+      output_tokens: The number of events of a stream.
+      body_bytes: The size of the body, unless the method is GET.
+      is_new_connection: Whether the connection is used only once.
+    """
+
+    number: int
+    at_ms: int
+    kind: observations.Kind
+    host_index: int
+    deadline_ms: int
+    give_up_ms: int | None
+    output_tokens: int
+    body_bytes: int
+    is_new_connection: bool
+
+
+@attrs.frozen
+class Patch:
+    """Faults that a stand-in simulates for some time."""
+
+    at_ms: int
+    target: str
+    duration_ms: int
+    faults: tuple[tuple[str, bool | int], ...]
+
+
+@attrs.frozen
+class Pause:
+    """A process is stopped with SIGSTOP for some time."""
+
+    at_ms: int
+    target: str
+    duration_ms: int
+
+
+@attrs.frozen
+class Restart:
+    """A process is ended by a signal and started again."""
+
+    at_ms: int
+    target: str
+    signal: signal.Signals
+    down_ms: int
+
+
+Fault: TypeAlias = Patch | Pause | Restart
+
+
+@attrs.frozen
+class Size:
+    """The size of a soak.
+
+    Attributes:
+      hosts: The number of hosts.
+      upstreams: The number of upstreams of each service.
+      rate_per_s: The mean rate of requests of all callers.
+      duration_ms: How long requests are sent and faults injected.
+    """
+
+    hosts: int
+    upstreams: int
+    rate_per_s: float
+    duration_ms: int
+
+    def list_hosts(self) -> list[str]:
+        """Returns the names of the hosts."""
+        return [f"host-{number}" for number in range(1, self.hosts + 1)]
+
+    def list_upstreams(self) -> list[tuple[str, str]]:
+        """Returns the name and service of each upstream."""
+        return [
+            (f"{service}-{number}", service)
+            for service in ("ledger", "llm")
+            for number in range(1, self.upstreams + 1)
+        ]
+
+
+def plan_requests(seed: int, size: Size) -> list[PlannedRequest]:
+    """Returns the requests of a soak, which arrive independently."""
+    source = random.Random(f"{seed}-requests")
+    requests: list[PlannedRequest] = []
+    for at_ms in _draw_times(source, 1000 / size.rate_per_s, size):
+        gives_up = source.random() < _GIVE_UP_SHARE
+        requests.append(
+            PlannedRequest(
+                number=len(requests),
+                at_ms=at_ms,
+                kind=source.choices(
+                    list(_KIND_WEIGHTS), list(_KIND_WEIGHTS.values())
+                )[0],
+                host_index=source.randrange(size.hosts),
+                deadline_ms=source.randint(*_DEADLINES_MS),
+                give_up_ms=source.randint(*_GIVE_UP_MS) if gives_up else None,
+                output_tokens=source.randint(*_OUTPUT_TOKENS),
+                body_bytes=source.choice(_BODY_BYTES),
+                is_new_connection=source.random() < _NEW_CONNECTION_SHARE,
+            )
+        )
+    return requests
+
+
+def plan_faults(seed: int, size: Size, groups: list[str]) -> list[Fault]:
+    """Returns the faults of a soak, ordered by time.
+
+    Args:
+      seed: The seed of the plan.
+      size: The size of the soak.
+      groups: The groups of faults to include; see `FAULT_GROUPS`.
+    """
+    faults = [
+        fault
+        for group in groups
+        for fault in FAULT_GROUPS[group](random.Random(f"{seed}-{group}"), size)
+    ]
+    return sorted(faults, key=lambda fault: fault.at_ms)
+
+
+def _plan_extra_responses(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields upstreams that reject some requests and repeat some responses."""
+    for at_ms in _draw_times(source, 1_500, size):
+        yield Patch(
+            at_ms,
+            _draw_upstream(source, size),
+            source.randint(2_000, 6_000),
+            (
+                ("reject_every", source.randint(2, 5)),
+                ("extra_every", source.randint(1, 4)),
+                ("extra_delay_ms", source.choice((0, 2, 5, 20, 60))),
+                ("extra_awaits_request", source.random() < 0.5),
+                ("extra_has_no_id", source.random() < 0.2),
+            ),
+        )
+
+
+def _plan_full_upstreams(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields upstreams that refuse all requests."""
+    for at_ms in _draw_times(source, 2_000, size):
+        duration_ms = source.randint(500, 4_000)
+        target = _draw_upstream(source, size)
+        yield Patch(at_ms, target, duration_ms, (("is_full", True),))
+
+
+FAULT_GROUPS: dict[str, Callable[[random.Random, Size], Iterator[Fault]]] = {
+    "extra": _plan_extra_responses,
+    "full": _plan_full_upstreams,
+}
+
+
+def _draw_times(
+    source: random.Random, mean_gap_ms: float, size: Size
+) -> Iterator[int]:
+    """Yields the times of events that occur independently of each other."""
+    at_ms = source.expovariate(1 / mean_gap_ms)
+    while at_ms < size.duration_ms:
+        yield int(at_ms)
+        at_ms += source.expovariate(1 / mean_gap_ms)
+
+
+def _draw_upstream(source: random.Random, size: Size) -> str:
+    """Returns the name of a random upstream."""
+    return source.choice(size.list_upstreams())[0]
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -3,13 +3,15 @@
 A request with a `token-usage: PROMPT,OUTPUT` header gets a stream of OUTPUT
 events, one per token; any other request gets a plain body. The stand-in records
 each run, so that a test can count the runs of one request. As a process, it
-maintains its entry in the metadata store's stand-in.
+maintains its entry in the metadata store's stand-in, and can write each arrival
+and run to a file, which remains when the process is killed.
 """
 
 import asyncio
 import contextlib
 import hashlib
 import json
+import pathlib
 from typing import Any
 
 import attrs
@@ -20,6 +22,11 @@
 
 _HEARTBEAT_PERIOD_S = 1.2
 _WRITE_TIMEOUT_MS = 1_000
+# An extra response is dropped if its connection gets no request for this long.
+_EXTRA_RESPONSE_WAIT_S = 2.0
+_EXTRA_RESPONSE_POLL_S = 0.001
+# The share of a truncated response's body that is sent.
+_TRUNCATED_SHARE = 0.5
 
 
 @attrs.frozen
@@ -28,6 +35,15 @@
 
     Attributes:
       is_full: Requests are refused with 503 and not run.
+      reject_every: One in this many requests is refused with 503 and not run;
+        0 for none.
+      extra_every: One in this many responses is sent once more; 0 for none.
+        Streams are not sent again.
+      extra_delay_ms: The time from a response to its copy.
+      extra_awaits_request: The copy is held until the connection's next
+        request has arrived, so that it precedes that request's response.
+      extra_has_no_id: The copy lacks the id of its request.
+      truncate_answers: Plain responses are cut within their bodies.
       fail_runs: Runs end with status 500.
       break_after_events: Streams are cut after this many events; -1 for never.
       end_after_events: Streams end as if complete after this many events; -1
@@ -41,6 +57,12 @@
     """
 
     is_full: bool = False
+    reject_every: int = 0
+    extra_every: int = 0
+    extra_delay_ms: int = 0
+    extra_awaits_request: bool = False
+    extra_has_no_id: bool = False
+    truncate_answers: bool = False
     fail_runs: bool = False
     break_after_events: int = attrs.field(default=-1, metadata={"minimum": -1})
     end_after_events: int = attrs.field(default=-1, metadata={"minimum": -1})
@@ -89,9 +111,22 @@
         address: str = "127.0.0.1",
         port: int = 0,
         faults: RunnerFaults | None = None,
+        record_path: pathlib.Path | None = None,
     ) -> None:
-        """Prepares a runner without runs."""
+        """Prepares a runner without runs.
+
+        Args:
+          runner_id: The id of this start of the runner.
+          service: The name of the service.
+          address: The IP address to listen on.
+          port: The main port; 0 selects a free one.
+          faults: The initial faults.
+          record_path: The file to which each arrival, run and extra response
+            is appended as a line of JSON.
+        """
         super().__init__(faults or RunnerFaults(), address, port)
+        self._record_path = record_path
+        self._responses = 0
         self.runner_id = runner_id
         self.service = service
         self.runs: list[RunnerRun] = []
@@ -130,15 +165,19 @@
             )
             return
         self.arrivals += 1
+        self._record("arrived", request)
         expected = request.headers.get("target-instance", self.runner_id)
         echo = ("attempt-id", request.headers.get("attempt-id", ""))
         if expected != self.runner_id:
             headers = [echo, ("instance-id", self.runner_id)]
-            await responder.send(421, b"", headers=headers)
+            await self._respond(request, responder, 421, b"", headers)
             return
-        if self.faults.is_full:
+        reject_every = self.faults.reject_every
+        if self.faults.is_full or (
+            reject_every and self.arrivals % reject_every == 0
+        ):
             headers = [echo, ("not-executed", "1")]
-            await responder.send(503, b"", headers=headers)
+            await self._respond(request, responder, 503, b"", headers)
             return
         resumed_after = request.headers.get("last-event-id")
         run = RunnerRun(
@@ -149,6 +188,7 @@
             request.headers,
         )
         self.runs.append(run)
+        self._record("ran", request)
         try:
             await self._run(request, run, responder)
         except asyncio.CancelledError:
@@ -178,30 +218,122 @@
             signature = make_signature(self.runner_id, request.body)
             headers.append(("runner-signature", signature))
         if self.faults.fail_runs:
-            await responder.send(500, b"failed", headers=headers)
+            await self._respond(request, responder, 500, b"failed", headers)
             return
         token_usage = request.headers.get("token-usage")
         if token_usage is None:
             await asyncio.sleep(self.faults.work_ms / 1000)
             body = b"ran " + request.target.encode()
-            await responder.send(200, body, "text/plain", headers)
+            headers.append(("content-type", "text/plain"))
+            if self.faults.truncate_answers:
+                await _send_truncated(responder, body, headers)
+            await self._respond(request, responder, 200, body, headers)
             return
         headers.append(("content-type", "text/event-stream"))
         await responder.start(200, headers)
+        label = request.headers.get("event-label", "")
         first = 0 if run.resumed_after is None else run.resumed_after + 1
         for number in range(first, int(token_usage.partition(",")[2])):
             if number - first == self.faults.break_after_events:
                 raise http_server.ClientDisconnectedError
             if number - first == self.faults.end_after_events:
                 break
-            await responder.send_chunk(make_event(number))
+            await responder.send_chunk(make_event(number, label))
             await asyncio.sleep(self.faults.event_ms / 1000)
         await responder.finish()
 
+    async def _respond(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+        status: int,
+        body: bytes,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        """Sends a response, and a copy of it later if one is due."""
+        self._responses += 1
+        await responder.send_response(status, headers, body)
+        faults = self.faults
+        if not faults.extra_every or self._responses % faults.extra_every:
+            return
+        if faults.extra_has_no_id:
+            headers = [pair for pair in headers if pair[0] != "attempt-id"]
+        copy = _encode_response(status, headers, body)
+        task = asyncio.ensure_future(
+            self._send_extra(request, responder, status, copy, faults)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send_extra(
+        self,
+        request: http_server.HttpRequest,
+        responder: http_server.HttpResponder,
+        status: int,
+        payload: bytes,
+        faults: RunnerFaults,
+    ) -> None:
+        """Sends a copy of a response that is already complete."""
+        await asyncio.sleep(faults.extra_delay_ms / 1000)
+        if faults.extra_awaits_request:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_EXTRA_RESPONSE_WAIT_S):
+                    while not responder.has_next_request():
+                        await asyncio.sleep(_EXTRA_RESPONSE_POLL_S)
+            if not responder.has_next_request():
+                return
+        if responder.write_stray(payload):
+            self._record("sent_extra", request, status=status)
+
+    def _record(
+        self, event: str, request: http_server.HttpRequest, **fields: Any
+    ) -> None:
+        """Appends an event to the record file, if there is one."""
+        if self._record_path is None:
+            return
+        line = {
+            "at_ms": base.now_ms(),
+            "event": event,
+            "upstream": self.runner_id,
+            "service": self.service,
+            "request_id": request.headers.get("attempt-id", ""),
+            **fields,
+        }
+        with self._record_path.open("a") as file:
+            file.write(json.dumps(line) + "\n")
+
+
+def make_event(number: int, label: str = "") -> bytes:
+    """Returns one event of a stream.
+
+    Args:
+      number: The id of the event.
+      label: The value of the request's `event-label` header, which shows to
+        which request an event belongs.
+    """
+    suffix = f" of {label}" if label else ""
+    return f"id: {number}\ndata: token {number}{suffix}\n\n".encode()
 
-def make_event(number: int) -> bytes:
-    """Returns one event of a stream."""
-    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+async def _send_truncated(
+    responder: http_server.HttpResponder,
+    body: bytes,
+    headers: list[tuple[str, str]],
+) -> None:
+    """Sends a part of a response and closes the connection."""
+    framing = ("content-length", str(len(body)))
+    await responder.start(200, [*headers, framing])
+    await responder.send_chunk(body[: int(len(body) * _TRUNCATED_SHARE)])
+    raise http_server.ClientDisconnectedError
+
+
+def _encode_response(
+    status: int, headers: list[tuple[str, str]], body: bytes
+) -> bytes:
+    """Returns the bytes of a complete response."""
+    framing = ("content-length", str(len(body)))
+    lines = [f"{name}: {value}\r\n" for name, value in [*headers, framing]]
+    return f"HTTP/1.1 {status} \r\n{''.join(lines)}\r\n".encode() + body
 
 
 def make_signature(runner_id: str, body: bytes) -> str:
@@ -262,6 +394,8 @@
     name: str = "runner-1",
     listen: str = "127.0.0.1:0",
     event_ms: int = 20,
+    work_ms: int = 5,
+    record: str = "",
 ) -> None:
     """Run a stand-in of one of the users' runners.
 
@@ -271,6 +405,9 @@
       name: The id of this start of the runner.
       listen: The ip:port to listen on; port 0 selects a free one.
       event_ms: The time between two events of a stream.
+      work_ms: The time to run a plain request.
+      record: The file to which each arrival, run and extra response is
+        appended as a line of JSON; empty for none.
     """
     address = base.parse_listen(listen)
     runner = Runner(
@@ -278,6 +415,7 @@
         service,
         address.ip,
         address.port,
-        RunnerFaults(event_ms=event_ms),
+        RunnerFaults(event_ms=event_ms, work_ms=work_ms),
+        pathlib.Path(record) if record else None,
     )
     asyncio.run(serve_runner(runner, http_client.Address.parse(store)))
