--- a/redwingchute/soak/checks.py
+++ b/redwingchute/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks the observations of a soak against the promises to callers."""
 
+import bisect
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -9,9 +10,12 @@
 import attrs
 
 from redwingchute.soak import observations as observations_lib
+from redwingchute.standin import runner
 
 # Responses with these statuses promise that the request never runs.
 _PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
+_ALLOWED_EXCESSIVE_RUNS = 3
+_SHOWN_BODY_LENGTH = 60
 
 
 @attrs.frozen
@@ -38,7 +42,17 @@
     observations: observations_lib.Observations,
 ) -> list[Violation]:
     """Returns the violations that all checks find."""
-    checks: Sequence[_Check] = (check_refused,)
+    checks: Sequence[_Check] = (
+        check_refused,
+        check_run_once,
+        check_asked,
+        check_retry_limit,
+        check_max_attempts,
+        check_content,
+        check_streams,
+        check_answered,
+        check_processes,
+    )
     return [found for check in checks for found in check(observations)]
 
 
@@ -62,6 +76,156 @@
             )
 
 
+def check_run_once(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds requests that ran more than once although they may not."""
+    runs = _group_runs(observations)
+    for attempt in observations.attempts:
+        found = runs[attempt.request_id]
+        if not attempt.kind.is_repeatable and len(found) > 1:
+            message = f"{attempt.kind} by {attempt.host} {_describe(found)}"
+            yield Violation("TWICE", attempt.request_id, message)
+
+
+def check_asked(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds runs of requests that no caller sent."""
+    sent = {attempt.request_id for attempt in observations.attempts}
+    for request_id, runs in _group_runs(observations).items():
+        if request_id not in sent:
+            yield Violation("UNASKED", request_id, _describe(runs))
+
+
+def check_retry_limit(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds the window of each service with the most retries over the limit.
+
+    Each arrival at an upstream after the first of a request is a retry, on
+    whichever host it was decided.
+    """
+    limit = observations.retry_limit
+    requests: dict[str, list[int]] = collections.defaultdict(list)
+    for attempt in observations.attempts:
+        requests[attempt.kind.service].append(attempt.sent_ms)
+    retries: dict[str, list[int]] = collections.defaultdict(list)
+    arrived = set()
+    for event in observations.events:
+        if event.event != "arrived":
+            continue
+        if event.request_id in arrived:
+            retries[event.service].append(event.at_ms)
+        arrived.add(event.request_id)
+    for service, times in retries.items():
+        requests[service].sort()
+        windows = [
+            (
+                _count(times, from_ms, limit.window_ms)
+                - _find_allowed(requests[service], from_ms, limit),
+                from_ms,
+            )
+            # In a window with the most retries, one is the first or the last.
+            for at_ms in times
+            for from_ms in (at_ms, at_ms - limit.window_ms + 1)
+        ]
+        excess, from_ms = max(windows)
+        if excess > 0:
+            found = _count(times, from_ms, limit.window_ms)
+            message = (
+                f"{found} retries in the window from {from_ms}, "
+                f"{found - excess:.1f} are allowed"
+            )
+            yield Violation("BUDGET", service, message)
+
+
+def check_max_attempts(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds requests that ran on more upstreams than their route allows.
+
+    A few are allowed; upstreams that end meanwhile are not exempted.
+    """
+    runs = _group_runs(observations)
+    found = [
+        Violation(
+            "BUDGET",
+            attempt.request_id,
+            f"{attempt.kind} by {attempt.host} {_describe(events)}",
+        )
+        for attempt in observations.attempts
+        if (events := runs[attempt.request_id])
+        and len({run.upstream for run in events}) > attempt.kind.max_attempts
+    ]
+    return found if len(found) > _ALLOWED_EXCESSIVE_RUNS else ()
+
+
+def check_content(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds responses that belong to another request or to no upstream."""
+    for attempt in observations.attempts:
+        message = _find_foreign_content(attempt)
+        if message:
+            message = f"{attempt.kind} by {attempt.host}: {message}"
+            yield Violation("MIXED", attempt.request_id, message)
+
+
+def check_streams(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds streams with missing, repeated, foreign or joined events."""
+    for attempt in observations.attempts:
+        if not attempt.kind.is_stream or attempt.status != 200:
+            continue
+        whole = b"".join(
+            runner.make_event(number, attempt.request_id)
+            for number in range(attempt.output_tokens)
+        ).decode()
+        is_ended = attempt.outcome is observations_lib.Outcome.ANSWERED
+        if (
+            attempt.body == whole
+            if is_ended
+            else whole.startswith(attempt.body)
+        ):
+            continue
+        message = (
+            f"{attempt.kind} by {attempt.host}, {attempt.outcome}: "
+            f"{attempt.body[-_SHOWN_BODY_LENGTH:]!r}"
+        )
+        yield Violation("ORDER", attempt.request_id, message)
+
+
+def check_answered(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds callers that were left waiting by a host that was not paused."""
+    for attempt in observations.attempts:
+        if attempt.outcome is not observations_lib.Outcome.UNANSWERED:
+            continue
+        is_excused = any(
+            fault.target == attempt.host
+            and fault.from_ms <= attempt.ended_ms
+            and fault.until_ms >= attempt.sent_ms
+            for fault in observations.faults
+        )
+        if not is_excused:
+            message = (
+                f"{attempt.kind} sent to {attempt.host} at {attempt.sent_ms} "
+                f"with {attempt.deadline_ms} ms, left at {attempt.ended_ms}"
+            )
+            yield Violation("UNANSWERED", attempt.request_id, message)
+
+
+def check_processes(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds processes that ended by themselves."""
+    for name in observations.unexpected_ends:
+        yield Violation("ENDED", name, "the process ended by itself")
+
+
 def _group_runs(
     observations: observations_lib.Observations,
 ) -> dict[str, list[observations_lib.UpstreamEvent]]:
@@ -77,3 +241,44 @@
     """Returns a text on the runs of a request."""
     places = [f"{run.upstream} at {run.at_ms}" for run in runs]
     return "ran on " + ", ".join(places)
+
+
+def _find_foreign_content(attempt: observations_lib.CallerAttempt) -> str:
+    """Returns why a response isn't that of the request; empty if it is."""
+    if attempt.response_id not in (None, attempt.request_id):
+        return f"status {attempt.status} has the id {attempt.response_id}"
+    if not 200 <= attempt.status < 300:
+        return ""
+    if attempt.response_id is None or not attempt.is_signed:
+        return f"status {attempt.status} without id or signature"
+    if attempt.kind.is_stream:
+        return ""
+    whole = f"ran /{attempt.kind}/{attempt.request_id}"
+    is_ended = attempt.outcome is observations_lib.Outcome.ANSWERED
+    if attempt.body == whole if is_ended else whole.startswith(attempt.body):
+        return ""
+    return f"the body is {attempt.body[:_SHOWN_BODY_LENGTH]!r}"
+
+
+def _count(times_ms: Sequence[int], from_ms: int, length_ms: int) -> int:
+    """Returns how many of the ordered times are in a window."""
+    return bisect.bisect_left(
+        times_ms, from_ms + length_ms
+    ) - bisect.bisect_left(times_ms, from_ms)
+
+
+def _find_allowed(
+    requests_ms: Sequence[int],
+    from_ms: int,
+    limit: observations_lib.RetryLimit,
+) -> float:
+    """Returns how many retries are allowed in a window.
+
+    A retry may follow its request later, so that the window before and the one
+    half a window before count as well.
+    """
+    most = max(
+        _count(requests_ms, from_ms - shift_ms, limit.window_ms)
+        for shift_ms in (0, limit.window_ms // 2, limit.window_ms)
+    )
+    return limit.ratio * most + limit.slack
--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -12,7 +12,6 @@
 import re
 import signal
 import sys
-import time
 from types import TracebackType
 from typing import Any
 
@@ -24,8 +23,7 @@
 
 KEY = "soak-key"
 FRONTEND_PORT = 8227
-RETRY_LIMIT = observations.RetryLimit(ratio=0.2, slack=10.0, window_ms=10_000)
-STORE = "store"
+RETRY_LIMIT = observations.RetryLimit(ratio=0.2, slack=50.0, window_ms=10_000)
 
 _READY_PORT = 8220
 _GRACE_S = 8
@@ -87,7 +85,7 @@
     async def __aenter__(self) -> "Fleet":
         """Starts all processes and waits until the hosts are ready."""
         try:
-            await self.start(STORE)
+            await self.start(plan.STORE)
             await asyncio.gather(*map(self.start, self._services))
             await self.put("keyed.op", "config", _make_configuration())
             hosts = self._size.list_hosts()
@@ -117,7 +115,7 @@
 
     def find_address(self, name: str) -> http_client.Address:
         """Returns the address of a host, an upstream or the store."""
-        if name in self._services or name == STORE:
+        if name in self._services or name == plan.STORE:
             address = self._programs[name].address
             assert address is not None
             return address
@@ -127,6 +125,14 @@
         """Returns whether a program's process has not ended."""
         return self._programs[name].is_running
 
+    def list_unexpected_ends(self) -> tuple[str, ...]:
+        """Returns the programs whose processes ended by themselves."""
+        return tuple(
+            program.name
+            for program in self._programs.values()
+            if not program.is_running
+        )
+
     def count_starts(self, name: str) -> int:
         """Returns how many times a program was started."""
         return self._programs[name].starts
@@ -141,14 +147,14 @@
         program.starts += 1
         label = f"{name}-{program.starts}"
         environment = dict(os.environ)
-        if name == STORE:
+        if name == plan.STORE:
             arguments = [*_STAND_IN, "metadata-store", "--listen=127.0.0.1:0"]
         elif name in self._services:
             record = self._directory / f"{label}.records"
             record.touch()
             arguments = [
                 *(*_STAND_IN, "runner", f"--name={label}"),
-                f"--store={self.find_address(STORE)}",
+                f"--store={self.find_address(plan.STORE)}",
                 f"--service={self._services[name]}",
                 f"--work-ms={_UPSTREAM_WORK_MS}",
                 f"--record={record}",
@@ -170,8 +176,11 @@
                 env=environment,
                 preexec_fn=_end_with_parent,
             )
-        if name == STORE or name in self._services:
-            program.address = await _wait_for_address(output_path)
+        if name == plan.STORE or name in self._services:
+            program.address = (
+                await _wait_for_address(program.process, output_path)
+                or program.address
+            )
 
     def send_signal(self, name: str, number: signal.Signals) -> bool:
         """Sends a signal to a process; returns False if it has ended."""
@@ -205,7 +214,7 @@
     async def put(self, topic: str, key: str, value: Any) -> bool:
         """Writes a record to the store as the operator or an upstream does."""
         body = {"topic": topic, "key": key, "value": value}
-        return await self._post(STORE, "/control/put", body)
+        return await self._post(plan.STORE, "/control/put", body)
 
     async def _post(self, name: str, path: str, body: Any) -> bool:
         """Sends a control request to a stand-in."""
@@ -261,7 +270,7 @@
             "bounds.retryBudgetRatio": RETRY_LIMIT.ratio,
             "bounds.retryWindowS": RETRY_LIMIT.window_ms / 1000,
             "bounds.retrySlack": RETRY_LIMIT.slack,
-            "platform.address": self.find_address(STORE),
+            "platform.address": self.find_address(plan.STORE),
         }
         return "".join(f"{name}={value}\n" for name, value in fields.items())
 
@@ -286,7 +295,7 @@
                 "timeoutMs": _ROUTE_TIMEOUT_MS,
                 "targetLatencyMs": 600,
                 "service": kind.service,
-                "maxAttempts": 3 if kind.is_repeatable else 1,
+                "maxAttempts": kind.max_attempts,
                 "resumable": kind is observations.Kind.RESUMABLE_STREAM,
             }
             for kind in observations.Kind
@@ -303,19 +312,23 @@
     }
 
 
-async def _wait_for_address(output_path: pathlib.Path) -> http_client.Address:
+async def _wait_for_address(
+    process: asyncio.subprocess.Process, output_path: pathlib.Path
+) -> http_client.Address | None:
     """Returns the address in the first line that a stand-in prints.
 
+    Returns None if the process ends before.
+
     Raises:
-      TimeoutError: The stand-in did not start.
+      TimeoutError: The stand-in runs but prints no address.
     """
-    until_s = time.monotonic() + _START_TIMEOUT_S
-    while time.monotonic() < until_s:
-        found = re.search(r"listening on (\S+)\n", output_path.read_text())
-        if found:
-            return http_client.Address.parse(found[1])
-        await asyncio.sleep(_POLL_S)
-    raise TimeoutError(f"no address in {output_path}")
+    async with asyncio.timeout(_START_TIMEOUT_S):
+        while process.returncode is None:
+            found = re.search(r"listening on (\S+)\n", output_path.read_text())
+            if found:
+                return http_client.Address.parse(found[1])
+            await asyncio.sleep(_POLL_S)
+    return None
 
 
 def _end_with_parent() -> None:
--- a/redwingchute/soak/injector.py
+++ b/redwingchute/soak/injector.py
@@ -11,6 +11,8 @@
 from redwingchute.soak import observations
 from redwingchute.soak import plan
 from redwingchute.standin import base
+from redwingchute.standin import metadata_store
+from redwingchute.standin import runner
 
 # A stand-in that is paused gets the end of its faults after it.
 _PATCH_ATTEMPTS = 15
@@ -34,8 +36,6 @@
         self.applied: list[observations.AppliedFault] = []
         self._fleet = fleet
         self._path = path
-        # How many patches set a field of a stand-in to a fault.
-        self._patches: dict[tuple[str, str], int] = {}
 
     async def run(self, faults: list[plan.Fault]) -> None:
         """Injects faults at their times and waits until all have ended."""
@@ -67,7 +67,7 @@
                     return
                 await self._fleet.end(target, number)
                 await asyncio.sleep(down_ms / 1000)
-                if not self._fleet.is_running(target):
+                if self._fleet.count_starts(target) == starts:
                     await self._fleet.start(target)
         applied = observations.AppliedFault(
             from_ms,
@@ -81,10 +81,12 @@
 
     async def _end_patch(self, fault: plan.Patch, starts: int) -> None:
         """Sets the fields of a patch back, unless the process has ended."""
-        healed = {
-            name: False if isinstance(value, bool) else 0
-            for name, value in fault.faults
-        }
+        defaults: metadata_store.StoreFaults | runner.RunnerFaults
+        if fault.target == plan.STORE:
+            defaults = metadata_store.StoreFaults()
+        else:
+            defaults = runner.RunnerFaults()
+        healed = {name: getattr(defaults, name) for name, _ in fault.faults}
         for _ in range(_PATCH_ATTEMPTS):
             if self._fleet.count_starts(fault.target) != starts:
                 return
--- a/redwingchute/soak/observations.py
+++ b/redwingchute/soak/observations.py
@@ -30,6 +30,11 @@
         """Whether the response is a stream of events."""
         return self in (Kind.STREAM, Kind.RESUMABLE_STREAM)
 
+    @property
+    def max_attempts(self) -> int:
+        """The largest number of upstreams that may get one request."""
+        return 3 if self.is_repeatable else 2
+
     @property
     def service(self) -> str:
         """The name of the service that runs the requests."""
@@ -136,12 +141,21 @@
 
 @attrs.frozen
 class Observations:
-    """All that was observed in a run."""
+    """All that was observed in a run.
+
+    Attributes:
+      attempts: The attempts of all callers.
+      events: The events of all upstreams, ordered by time.
+      faults: The faults that were injected.
+      retry_limit: The limit of retries that the hosts were given.
+      unexpected_ends: The programs whose processes ended by themselves.
+    """
 
     attempts: tuple[CallerAttempt, ...]
     events: tuple[UpstreamEvent, ...]
     faults: tuple[AppliedFault, ...]
     retry_limit: RetryLimit
+    unexpected_ends: tuple[str, ...] = ()
 
 
 def append_record(path: pathlib.Path, record: attrs.AttrsInstance) -> None:
--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -14,6 +14,8 @@
 
 from redwingchute.soak import observations
 
+STORE = "store"
+
 _DEADLINES_MS = (1_500, 4_000)
 _OUTPUT_TOKENS = (4, 40)
 _BODY_BYTES = (16, 64, 4_096, 200_000)
@@ -181,9 +183,83 @@
         yield Patch(at_ms, target, duration_ms, (("is_full", True),))
 
 
+def _plan_faulty_answers(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields upstreams that break off, lose or garble their responses."""
+    for at_ms in _draw_times(source, 2_500, size):
+        fault = source.choice(
+            (
+                ("truncate_answers", True),
+                ("lose_answers", True),
+                ("break_after_events", source.randint(0, 6)),
+                ("fail_runs", True),
+                ("unsigned", True),
+                ("wrong_id", True),
+            )
+        )
+        duration_ms = source.randint(300, 2_000)
+        yield Patch(at_ms, _draw_upstream(source, size), duration_ms, (fault,))
+
+
+def _plan_upstream_ends(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields upstreams that crash and start again under another id."""
+    for at_ms in _draw_times(source, 5_000, size):
+        yield Restart(
+            at_ms,
+            _draw_upstream(source, size),
+            signal.SIGKILL,
+            source.randint(200, 3_000),
+        )
+
+
+def _plan_upstream_pauses(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields upstreams that are stopped and continued."""
+    for at_ms in _draw_times(source, 4_000, size):
+        yield Pause(
+            at_ms, _draw_upstream(source, size), source.randint(100, 3_000)
+        )
+
+
+def _plan_host_ends(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields series of hosts that end at nearly the same moment."""
+    for at_ms in _draw_times(source, 5_000, size):
+        number = source.choice((signal.SIGTERM, signal.SIGKILL))
+        count = source.choice((1, 1, 2, size.hosts))
+        for host in source.sample(size.list_hosts(), min(count, size.hosts)):
+            yield Restart(
+                at_ms + source.randint(0, 400),
+                host,
+                number,
+                source.randint(100, 1_500),
+            )
+
+
+def _plan_host_pauses(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields hosts that are stopped and continued."""
+    for at_ms in _draw_times(source, 5_000, size):
+        host = source.choice(size.list_hosts())
+        yield Pause(at_ms, host, source.randint(100, 3_000))
+
+
+def _plan_store_faults(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields times at which the store is stopped or refuses requests."""
+    for at_ms in _draw_times(source, 8_000, size):
+        duration_ms = source.randint(300, 4_000)
+        name = source.choice(("", "is_down", "is_busy"))
+        if name:
+            yield Patch(at_ms, STORE, duration_ms, ((name, True),))
+        else:
+            yield Pause(at_ms, STORE, duration_ms)
+
+
 FAULT_GROUPS: dict[str, Callable[[random.Random, Size], Iterator[Fault]]] = {
     "extra": _plan_extra_responses,
     "full": _plan_full_upstreams,
+    "answers": _plan_faulty_answers,
+    "upstream-ends": _plan_upstream_ends,
+    "upstream-pauses": _plan_upstream_pauses,
+    "host-ends": _plan_host_ends,
+    "host-pauses": _plan_host_pauses,
+    "store": _plan_store_faults,
 }
 
 
--- a/redwingchute/soak/soak_command.py
+++ b/redwingchute/soak/soak_command.py
@@ -35,11 +35,13 @@
     injector = injector_lib.Injector(fleet, directory / "faults.jsonl")
     async with fleet, callers:
         await asyncio.gather(callers.run(requests), injector.run(faults))
+        unexpected_ends = fleet.list_unexpected_ends()
     return observations_lib.Observations(
         tuple(callers.attempts),
         observations_lib.read_upstream_events(fleet.list_record_paths()),
         tuple(injector.applied),
         fleet_lib.RETRY_LIMIT,
+        unexpected_ends,
     )
 
 
