--- a/redwingchute/soak/checks.py
+++ b/redwingchute/soak/checks.py
@@ -33,6 +33,30 @@
     message: str
 
 
+@attrs.frozen
+class RetryPeak:
+    """The retries at a service in one window.
+
+    Attributes:
+      service: The service.
+      from_ms: The start of the window, in Unix milliseconds.
+      retries: The number of retries.
+      allowed: The largest number that is allowed.
+    """
+
+    service: str
+    from_ms: int
+    retries: int
+    allowed: float
+
+    def describe(self) -> str:
+        """Returns a text on the retries in the window."""
+        return (
+            f"{self.retries} retries in the window from {self.from_ms}, "
+            f"{self.allowed:.1f} are allowed"
+        )
+
+
 _Check: TypeAlias = Callable[
     [observations_lib.Observations], Iterable[Violation]
 ]
@@ -101,7 +125,16 @@
 def check_retry_limit(
     observations: observations_lib.Observations,
 ) -> Iterable[Violation]:
-    """Finds the window of each service with the most retries over the limit.
+    """Finds services with more retries in a window than are allowed."""
+    for peak in find_retry_peaks(observations):
+        if peak.retries > peak.allowed:
+            yield Violation("BUDGET", peak.service, peak.describe())
+
+
+def find_retry_peaks(
+    observations: observations_lib.Observations,
+) -> list[RetryPeak]:
+    """Returns the window of each service that comes closest to the limit.
 
     Each arrival at an upstream after the first of a request is a retry, on
     whichever host it was decided.
@@ -118,26 +151,22 @@
         if event.request_id in arrived:
             retries[event.service].append(event.at_ms)
         arrived.add(event.request_id)
-    for service, times in retries.items():
+    peaks = []
+    for service, times in sorted(retries.items()):
         requests[service].sort()
         windows = [
-            (
-                _count(times, from_ms, limit.window_ms)
-                - _find_allowed(requests[service], from_ms, limit),
+            RetryPeak(
+                service,
                 from_ms,
+                _count(times, from_ms, limit.window_ms),
+                _find_allowed(requests[service], from_ms, limit),
             )
             # In a window with the most retries, one is the first or the last.
             for at_ms in times
             for from_ms in (at_ms, at_ms - limit.window_ms + 1)
         ]
-        excess, from_ms = max(windows)
-        if excess > 0:
-            found = _count(times, from_ms, limit.window_ms)
-            message = (
-                f"{found} retries in the window from {from_ms}, "
-                f"{found - excess:.1f} are allowed"
-            )
-            yield Violation("BUDGET", service, message)
+        peaks.append(max(windows, key=lambda peak: peak.retries - peak.allowed))
+    return peaks
 
 
 def check_max_attempts(
--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -22,6 +22,7 @@
 _GIVE_UP_SHARE = 0.04
 _GIVE_UP_MS = (20, 600)
 _NEW_CONNECTION_SHARE = 0.15
+_STORE_AWAY_SHARE = 0.4
 _KIND_WEIGHTS = {
     observations.Kind.IDEMPOTENT: 3,
     observations.Kind.NON_IDEMPOTENT: 4,
@@ -233,6 +234,26 @@
             )
 
 
+def _plan_fleet_ends(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields series of ends of all hosts while upstreams reject requests.
+
+    The store may be away meanwhile, so that hosts do not find each other.
+    """
+    for at_ms in _draw_times(source, 12_000, size):
+        length_ms = source.randint(6_000, 10_000)
+        reject_every = source.choice((1, 1, 2, 3))
+        for upstream, _ in size.list_upstreams():
+            share = ("reject_every", reject_every)
+            yield Patch(at_ms, upstream, length_ms, (share,))
+        if source.random() < _STORE_AWAY_SHARE:
+            yield Pause(at_ms + 1_000, STORE, length_ms // 2)
+        number = source.choice((signal.SIGTERM, signal.SIGKILL))
+        for series in range(source.randint(1, 3)):
+            for host in size.list_hosts():
+                offset_ms = 1_500 * series + source.randint(0, 300)
+                yield Restart(at_ms + offset_ms, host, number, 100)
+
+
 def _plan_host_pauses(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields hosts that are stopped and continued."""
     for at_ms in _draw_times(source, 5_000, size):
@@ -258,6 +279,7 @@
     "upstream-ends": _plan_upstream_ends,
     "upstream-pauses": _plan_upstream_pauses,
     "host-ends": _plan_host_ends,
+    "fleet-ends": _plan_fleet_ends,
     "host-pauses": _plan_host_pauses,
     "store": _plan_store_faults,
 }
--- a/redwingchute/soak/soak_command.py
+++ b/redwingchute/soak/soak_command.py
@@ -120,6 +120,8 @@
     yield "faults: " + _format_counts(
         collections.Counter(fault.name for fault in observed.faults)
     )
+    for peak in checks.find_retry_peaks(observed):
+        yield f"{peak.service}: at most {peak.describe()}"
     by_rule: dict[str, list[checks.Violation]] = {}
     for violation in violations:
         by_rule.setdefault(violation.rule, []).append(violation)
