--- /dev/null
+++ b/redwingchute/soak/soak_command_test.py
@@ -0,0 +1,38 @@
+"""Runs short soaks of real processes."""
+
+import asyncio
+import pathlib
+
+from redwingchute.soak import checks
+from redwingchute.soak import observations
+from redwingchute.soak import plan
+from redwingchute.soak import soak_command
+
+_SEED = 1
+_SIZE = plan.Size(hosts=2, upstreams=2, rate_per_s=80.0, duration_ms=2_500)
+
+
+def _run(
+    faults: list[plan.Fault], directory: pathlib.Path
+) -> observations.Observations:
+    """Runs the requests of the seed with the given faults."""
+    requests = plan.plan_requests(_SEED, _SIZE)
+    return asyncio.run(
+        soak_command.run_plan(requests, faults, _SIZE, directory)
+    )
+
+
+def test_a_run_without_faults_serves_all_and_breaks_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    observed = _run([], tmp_path)
+    assert checks.check_all(observed) == []
+    served = [
+        attempt
+        for attempt in observed.attempts
+        if attempt.outcome is not observations.Outcome.GAVE_UP
+    ]
+    assert {attempt.status for attempt in served} == {200}
+    assert {attempt.kind for attempt in served} == set(observations.Kind)
+    ran = {event.request_id for event in observed.events}
+    assert {attempt.request_id for attempt in served} <= ran
