--- a/redwingchute/soak/soak_command_test.py
+++ b/redwingchute/soak/soak_command_test.py
@@ -36,3 +36,29 @@
     assert {attempt.kind for attempt in served} == set(observations.Kind)
     ran = {event.request_id for event in observed.events}
     assert {attempt.request_id for attempt in served} <= ran
+
+
+# Guards against taking a late copy of a rejection for the response to the next
+# request on its connection: that request runs although its caller is promised
+# that it does not.
+def test_a_late_rejection_of_an_earlier_request_refuses_no_other(
+    tmp_path: pathlib.Path,
+) -> None:
+    repeat_rejections = (
+        ("reject_every", 3),
+        ("extra_every", 1),
+        ("extra_awaits_request", True),
+    )
+    faults: list[plan.Fault] = [
+        plan.Patch(0, name, _SIZE.duration_ms, repeat_rejections)
+        for name, _ in _SIZE.list_upstreams()
+    ]
+    observed = _run(faults, tmp_path)
+    extras = [
+        event
+        for event in observed.events
+        if event.event == "sent_extra" and event.status == 503
+    ]
+    assert extras, "no rejection was repeated"
+    violations = checks.check_all(observed)
+    assert not violations, (len(violations), violations[:3])
