--- a/redwingchute/soak/checks.py
+++ b/redwingchute/soak/checks.py
@@ -10,6 +10,7 @@
 import attrs
 
 from redwingchute.soak import observations as observations_lib
+from redwingchute.soak import plan
 from redwingchute.standin import runner
 
 # Responses with these statuses promise that the request never runs.
@@ -234,7 +235,8 @@
         if attempt.outcome is not observations_lib.Outcome.UNANSWERED:
             continue
         is_excused = any(
-            fault.target == attempt.host
+            fault.name == plan.Pause.__name__
+            and fault.target == attempt.host
             and fault.from_ms <= attempt.ended_ms
             and fault.until_ms >= attempt.sent_ms
             for fault in observations.faults
--- a/redwingchute/soak/checks_test.py
+++ b/redwingchute/soak/checks_test.py
@@ -203,15 +203,16 @@
 
 
 @pytest.mark.parametrize(
-    ("target", "from_ms", "expected"),
+    ("name", "target", "from_ms", "expected"),
     [
-        ("host-1", soak_builders.SENT_MS + 1_000, []),
-        ("host-1", soak_builders.SENT_MS + 9_000, ["UNANSWERED"]),
-        ("host-2", soak_builders.SENT_MS + 1_000, ["UNANSWERED"]),
+        ("Pause", "host-1", soak_builders.SENT_MS + 1_000, []),
+        ("Restart", "host-1", soak_builders.SENT_MS + 1_000, ["UNANSWERED"]),
+        ("Pause", "host-1", soak_builders.SENT_MS + 9_000, ["UNANSWERED"]),
+        ("Pause", "host-2", soak_builders.SENT_MS + 1_000, ["UNANSWERED"]),
     ],
 )
-def test_a_caller_left_waiting_is_found_unless_its_host_was_faulty(
-    target: str, from_ms: int, expected: list[str]
+def test_a_caller_left_waiting_is_found_unless_its_host_was_paused(
+    name: str, target: str, from_ms: int, expected: list[str]
 ) -> None:
     found = soak_builders.make_observations(
         soak_builders.make_attempt(
@@ -220,7 +221,7 @@
             status=0,
             response_id=None,
         ),
-        observations.AppliedFault(from_ms, from_ms + 500, target, "Pause"),
+        observations.AppliedFault(from_ms, from_ms + 500, target, name),
     )
     assert _find_rules(found) == expected
 
