Do not reuse a connection while bytes of its last request are unsent

What callers saw: a request answered 504, or late, though an upstream could have served it on a connection of its own.

Cause: an upstream may respond before it has read a long body. The protocol state counts bytes as sent once they are in the write buffer of the connection, so the connection went back to the pool with the rest of the body in it. The next request waited in the same buffer until the upstream read on, or until its deadline passed.

Evidence: the test failed before (an upstream answers 503 and leaves 16 MiB unread; the next request on the connection timed out after 1 s) and passes after.

Why the change works: a connection with unsent bytes is closed instead. Closing still sends what is in the buffer, so that an upstream that reads on gets the rest of the body and nothing else. Bytes that only the sockets of both ends hold are not seen; they need no buffer of ours to arrive.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -267,11 +267,15 @@
         return idle_s < self._keep_alive_s - _KEEP_ALIVE_MARGIN_S
 
     def is_usable(self) -> bool:
-        """Returns whether the connection is open with no unread bytes."""
+        """Returns whether the connection is open with no bytes left on it.
+
+        Neither unread nor unsent bytes may be left.
+        """
         buffered = getattr(self._reader, "_buffer", b"")
-        return not (
-            buffered or self._reader.at_eof() or self._writer.is_closing()
-        )
+        if buffered or self._reader.at_eof() or self._writer.is_closing():
+            return False
+        # An upstream may respond without having read the whole request.
+        return not self._writer.transport.get_write_buffer_size()
 
     def get_socket(self) -> socket.socket:
         """Returns the socket, to get or set its options."""
--- a/redwingchute/connection/http_client_test.py
+++ b/redwingchute/connection/http_client_test.py
@@ -7,6 +7,9 @@
 from redwingchute.connection import http_client
 from redwingchute.testing import scripted_upstream
 
+# More than the sockets of both ends buffer.
+_UNREAD_BODY_BYTES = 16 * 1024 * 1024
+
 
 def test_a_read_that_times_out_breaks_the_exchange() -> None:
     async def main() -> None:
@@ -98,3 +101,36 @@
             assert fetched.body == b"/second"
 
     asyncio.run(main())
+
+
+# A request waited behind the body of the one before, which its upstream had
+# answered without reading.
+def test_a_connection_with_unsent_bytes_is_not_reused() -> None:
+    async def answer_early(
+        connection: scripted_upstream.UpstreamConnection,
+    ) -> None:
+        if connection.number:
+            await _echo_targets(connection)
+        request = await connection.read_head()
+        rejection = scripted_upstream.make_rejection(503, request.request_id)
+        await connection.send(rejection)
+        await asyncio.Event().wait()
+
+    async def main() -> None:
+        async with (
+            scripted_upstream.ScriptedUpstream(answer_early) as upstream,
+            http_client.ClientPool() as pool,
+        ):
+            body = bytes(_UNREAD_BODY_BYTES)
+            first = await pool.fetch(
+                upstream.address, "POST", "/first", [], body, 1_000
+            )
+            assert isinstance(first, http_client.Fetched)
+            assert first.status == 503
+            second = await pool.fetch(
+                upstream.address, "GET", "/second", [], b"", 1_000
+            )
+            assert isinstance(second, http_client.Fetched)
+            assert second.body == b"/second"
+
+    asyncio.run(main())
