Do not reuse a connection with unread bytes or an end in its socket

What callers saw: a response that arrived late, after the end of the one before it, was read as the response to the next request: 502 for a request that ran, or, where no id is compared, another response's content. A request sent on a connection that its upstream had already closed was answered 502, since it could not be repeated.

Cause: before a connection is reused, only the bytes that the event loop had read were looked at. A process that was busy, paused or slowed finds the late bytes, or the end of the connection, in the socket only after it has sent the next request.

Evidence: both tests failed before (b"" in place of b"/second"; the exchange broke on the closed connection) and pass after.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import select
 import socket
 from types import TracebackType
 from typing import TypeAlias
@@ -269,13 +270,18 @@
     def is_usable(self) -> bool:
         """Returns whether the connection is open with no bytes left on it.
 
-        Neither unread nor unsent bytes may be left.
+        Neither unread bytes, also in the socket, nor unsent ones may be left.
         """
         buffered = getattr(self._reader, "_buffer", b"")
         if buffered or self._reader.at_eof() or self._writer.is_closing():
             return False
         # An upstream may respond without having read the whole request.
-        return not self._writer.transport.get_write_buffer_size()
+        if self._writer.transport.get_write_buffer_size():
+            return False
+        # The event loop of a busy process has not read these bytes yet.
+        socket_input = select.poll()
+        socket_input.register(self.get_socket().fileno(), select.POLLIN)
+        return not socket_input.poll(0)
 
     def get_socket(self) -> socket.socket:
         """Returns the socket, to get or set its options."""
--- a/redwingchute/connection/http_client_test.py
+++ b/redwingchute/connection/http_client_test.py
@@ -134,3 +134,63 @@
             assert second.body == b"/second"
 
     asyncio.run(main())
+
+
+# A busy process took a late extra response, which its event loop had not read
+# yet, for the response to the next request.
+def test_a_connection_with_unread_bytes_in_the_socket_is_not_reused() -> None:
+    connections: list[scripted_upstream.UpstreamConnection] = []
+
+    async def echo_and_register(
+        connection: scripted_upstream.UpstreamConnection,
+    ) -> None:
+        connections.append(connection)
+        await _echo_targets(connection)
+
+    async def main() -> None:
+        async with (
+            scripted_upstream.ScriptedUpstream(echo_and_register) as upstream,
+            http_client.ClientPool() as pool,
+        ):
+            first = await pool.fetch(
+                upstream.address, "GET", "/first", [], b"", 1_000
+            )
+            assert isinstance(first, http_client.Fetched)
+            # Reaches the socket before the event loop runs again.
+            connections[0].send_at_once(scripted_upstream.make_response())
+            second = await pool.fetch(
+                upstream.address, "GET", "/second", [], b"", 1_000
+            )
+            assert isinstance(second, http_client.Fetched)
+            assert second.body == b"/second"
+
+    asyncio.run(main())
+
+
+# A request was sent on a connection whose end the event loop had not read yet,
+# and could then not be repeated.
+def test_a_connection_closed_by_the_upstream_is_not_reused() -> None:
+    connections: list[scripted_upstream.UpstreamConnection] = []
+
+    async def echo_and_register(
+        connection: scripted_upstream.UpstreamConnection,
+    ) -> None:
+        connections.append(connection)
+        await _echo_targets(connection)
+
+    async def main() -> None:
+        async with (
+            scripted_upstream.ScriptedUpstream(echo_and_register) as upstream,
+            http_client.ClientPool() as pool,
+        ):
+            first = await pool.fetch(
+                upstream.address, "GET", "/first", [], b"", 1_000
+            )
+            assert isinstance(first, http_client.Fetched)
+            connections[0].shut_down()
+            second = await pool.fetch(
+                upstream.address, "GET", "/second", [], b"", 1_000
+            )
+            assert isinstance(second, http_client.Fetched)
+
+    asyncio.run(main())
--- a/redwingchute/testing/scripted_upstream.py
+++ b/redwingchute/testing/scripted_upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import socket
 from types import TracebackType
 from typing import TypeAlias
 
@@ -85,6 +86,15 @@
             await self._writer.drain()
             await asyncio.sleep(pause_s)
 
+    def send_at_once(self, segment: bytes) -> None:
+        """Sends a segment without a turn of the event loop."""
+        self._writer.write(segment)
+
+    def shut_down(self) -> None:
+        """Ends the connection without a turn of the event loop."""
+        found: socket.socket = self._writer.get_extra_info("socket")
+        found.shutdown(socket.SHUT_RDWR)
+
     def reset(self) -> None:
         """Closes the connection and discards what was not sent yet."""
         self._writer.transport.abort()
