--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -101,18 +101,24 @@
     """
 
     def __init__(
-        self, gateway_count: int = 1, document: dict[str, Any] | None = None
+        self,
+        gateway_count: int = 1,
+        document: dict[str, Any] | None = None,
+        addresses: dict[str, http_client.Address] | None = None,
     ) -> None:
         """Prepares the rig; entering its context starts the parts.
 
         Args:
           gateway_count: The number of gateways to start.
           document: The configuration; one route of each kind by default.
+          addresses: The addresses that the store lists for runners in place of
+            their own, by their ids.
         """
         self.store = metadata_store.MetadataStore()
         self.runners: dict[str, runner.Runner] = {}
         self.gateways: list[gateway.Gateway] = []
         self._gateway_count = gateway_count
+        self._addresses = addresses or {}
         self._document = document or make_document()
         self._stack = contextlib.AsyncExitStack()
         self._pool = http_client.ClientPool()
@@ -160,6 +166,8 @@
     def publish_runner(self, runner_id: str, state: str = "ready") -> None:
         """Writes a runner's entry with a state to the store."""
         entry = self.runners[runner_id].make_entry(state)
+        if runner_id in self._addresses:
+            entry["address"] = str(self._addresses[runner_id])
         encoded = json.dumps(entry).encode()
         self.store.write_record("keyed.servers", runner_id, encoded)
 
