Test the server's own refusals on kept and pipelined connections

Requests that arrive in part, late, too large or malformed get 408, 413, 431 or 400 without a handler having seen them, after the responses to the requests before them; an idle connection closes without a response; a closing server sends none for a request that a handler has.

--- /dev/null
+++ b/redwingchute/connection/http_server_test.py
@@ -0,0 +1,148 @@
+"""Tests of requests that the server refuses before a handler sees them."""
+
+import asyncio
+import re
+
+import pytest
+
+from redwingchute.connection import http_server
+
+_LIMITS = http_server.ServerLimits(
+    header_bytes=1024, body_bytes=64, idle_ms=200, receive_ms=100
+)
+_COMPLETE = b"GET /whole HTTP/1.1\r\nhost: a\r\n\r\n"
+_UNRECEIVED = {
+    "half_a_head": (b"POST /cut HTTP/1.1\r\nho", 408),
+    "half_a_body": (
+        b"POST /cut HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc",
+        408,
+    ),
+    "awaited_body": (
+        b"POST /cut HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n"
+        b"expect: 100-continue\r\n\r\n",
+        408,
+    ),
+    "open_chunk": (
+        b"POST /cut HTTP/1.1\r\nhost: a\r\n"
+        b"transfer-encoding: chunked\r\n\r\n9\r\nabc",
+        408,
+    ),
+    "large_body": (
+        b"POST /cut HTTP/1.1\r\nhost: a\r\ncontent-length: 99\r\n\r\n"
+        + bytes(99),
+        413,
+    ),
+    "large_head": (
+        b"GET /cut HTTP/1.1\r\nhost: a\r\nx-a: " + b"a" * 2048,
+        431,
+    ),
+    "no_http": (b"\x16\x03\x01\r\n\r\n", 400),
+}
+
+
+async def _send(
+    targets: list[str], *segments: bytes, pause_s: float = 0.0
+) -> bytes:
+    """Returns what a server sends on one connection until it closes it.
+
+    Args:
+      targets: Collects the targets of the requests that a handler saw.
+      *segments: What the client sends.
+      pause_s: How long the client waits after each segment.
+    """
+
+    async def handle(
+        request: http_server.HttpRequest, responder: http_server.HttpResponder
+    ) -> None:
+        targets.append(request.path)
+        await asyncio.sleep(0.02)
+        await responder.send(200, b"ran " + request.path.encode())
+
+    async with http_server.HttpServer(
+        handle, "127.0.0.1", 0, _LIMITS
+    ) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        for segment in segments:
+            writer.write(segment)
+            await asyncio.sleep(pause_s)
+        received = await reader.read()
+        writer.close()
+        return received
+
+
+def _list_statuses(received: bytes) -> list[int]:
+    """Returns the statuses of all final responses in received bytes."""
+    found = re.findall(rb"HTTP/1\.1 ([2-5]\d\d) ", received)
+    return [int(status) for status in found]
+
+
+# A request was refused as "not run" although a handler had it.
+@pytest.mark.parametrize("name", sorted(_UNRECEIVED))
+def test_no_handler_sees_a_request_that_was_not_received(name: str) -> None:
+    segment, status = _UNRECEIVED[name]
+    targets: list[str] = []
+    received = asyncio.run(_send(targets, segment))
+    assert _list_statuses(received) == [status]
+    assert not targets
+
+
+# The refusal of one request took the place of the response to another one.
+@pytest.mark.parametrize("is_pipelined", [False, True])
+@pytest.mark.parametrize("name", sorted(_UNRECEIVED))
+def test_a_refusal_follows_the_responses_before_it(
+    name: str, is_pipelined: bool
+) -> None:
+    segment, status = _UNRECEIVED[name]
+    targets: list[str] = []
+    segments = [_COMPLETE, _COMPLETE, segment]
+    if is_pipelined:
+        segments = [b"".join(segments)]
+    received = asyncio.run(_send(targets, *segments, pause_s=0.05))
+    assert _list_statuses(received) == [200, 200, status]
+    assert received.count(b"ran /whole") == 2
+    assert targets == ["/whole", "/whole"]
+
+
+# A refusal was sent on a connection on which no request waited.
+def test_an_idle_connection_is_closed_without_a_response() -> None:
+    targets: list[str] = []
+    received = asyncio.run(_send(targets, _COMPLETE))
+    assert _list_statuses(received) == [200]
+
+
+# Bytes that arrived while a request was handled got lost or were handled twice.
+@pytest.mark.parametrize("split_at", range(1, len(_COMPLETE), 7))
+def test_a_pipelined_request_in_segments_is_handled_once(split_at: int) -> None:
+    targets: list[str] = []
+    whole = _COMPLETE + _COMPLETE.replace(b"whole", b"other")
+    split_at += len(_COMPLETE)
+    received = asyncio.run(
+        _send(targets, whole[:split_at], whole[split_at:], pause_s=0.005)
+    )
+    assert targets == ["/whole", "/other"]
+    assert _list_statuses(received) == [200, 200]
+
+
+# A server that closes promised "not run" for a request that a handler had.
+def test_a_server_that_closes_sends_no_response_for_a_handled_request() -> None:
+    async def main() -> None:
+        has_arrived = asyncio.Event()
+
+        async def stall(
+            request: http_server.HttpRequest,
+            responder: http_server.HttpResponder,
+        ) -> None:
+            del request, responder
+            has_arrived.set()
+            await asyncio.Event().wait()
+
+        async with http_server.HttpServer(stall, "127.0.0.1", 0) as server:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", server.port
+            )
+            writer.write(_COMPLETE)
+            await has_arrived.wait()
+        assert await reader.read() == b""
+        writer.close()
+
+    asyncio.run(main())
