Reject a link to another host at the dialled address

What callers saw: nothing yet; found by search for the class of fault, a reply attributed to something that it doesn't belong to.

Cause: a router dials a host by the last address that it knows. The handshake proves that the peer has the fleet key and tells its name, but the name was not compared: a host that had taken over the address handled calls meant for another one, such as charges and transfers of grants, and its replies counted as that one's.

Evidence: the test failed before (the call returned the other host's reply) and passes after. A second test shows that a reply which arrives after its call has timed out completes no later call; it passed before, as numbers are unique in a process and a call's number is forgotten when it ends.

Why the change works: the link is closed before a call is sent on it, and counted as a failed handshake with the cause another_host.

--- a/redwingchute/process/peer_network.py
+++ b/redwingchute/process/peer_network.py
@@ -238,6 +238,13 @@
             self._count_failed_handshake(result)
             writer.transport.abort()
             return None
+        if result.peer.name != host_name:
+            # Another host has the address now; calls are not meant for it.
+            self._metrics.peer_handshakes_failed.add(
+                1, {"cause": "another_host"}
+            )
+            writer.transport.abort()
+            return None
         self._register_link(result)
         return result
 
--- a/redwingchute/process/peer_network_test.py
+++ b/redwingchute/process/peer_network_test.py
@@ -80,6 +80,53 @@
     asyncio.run(main())
 
 
+# A call was handled by a host that had taken over the address of its receiver,
+# and the reply counted as the receiver's.
+def test_a_call_does_not_reach_another_host_at_the_address() -> None:
+    async def main() -> None:
+        received = []
+
+        async def answer(peer: data.Host, recall: data.Recall) -> data.Recall:
+            received.append(peer.name)
+            return recall
+
+        async with _start("a") as (a, metrics), _start("c") as (c, _):
+            c.register_handler(data.Recall, answer)
+            a.set_address("b", c.own_host.peer_address)
+            recall = data.Recall("x", data.GrantKind.LEASE, 1)
+            reply = await a.call("b", recall, 5_000)
+            assert isinstance(reply, peer_network.PeerUnreachable)
+            assert not received
+            assert b'cause="another_host"' in metrics.render()
+
+    asyncio.run(main())
+
+
+# A reply that arrived after its call had ended was taken for that of another.
+def test_a_late_reply_completes_no_other_call() -> None:
+    async def main() -> None:
+        async def answer_late(
+            peer: data.Host, recall: data.Recall
+        ) -> data.Recall:
+            del peer
+            if recall.tokens == 1:
+                await asyncio.sleep(0.1)
+            return recall
+
+        async with _start("a") as (a, _), _start("b") as (b, _):
+            b.register_handler(data.Recall, answer_late)
+            a.set_address("b", b.own_host.peer_address)
+            late = data.Recall("x", data.GrantKind.LEASE, 1)
+            reply = await a.call("b", late, 50)
+            assert isinstance(reply, peer_network.PeerUnreachable)
+            for tokens in range(2, 40):
+                recall = data.Recall("x", data.GrantKind.LEASE, tokens)
+                assert await a.call("b", recall, 5_000) == recall
+                await asyncio.sleep(0.005)
+
+    asyncio.run(main())
+
+
 def test_unknown_host_is_unreachable_at_once() -> None:
     async def main() -> None:
         async with _start("a") as (a, _):
