Send no body in responses to HEAD requests

What callers saw: a HEAD request that the router refused got its head, and then its kept connection was closed without notice; the log had handler_failed.

Cause: the responder wrote the body of the refusal, which the protocol forbids after a HEAD request and answers with an exception.

Evidence: the test failed before (one response in place of two on a kept connection) and passes after.

Why the change works: the responder knows the method and leaves the body out.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -90,6 +90,7 @@
         writer: asyncio.StreamWriter,
         limits: ServerLimits,
         must_close: Callable[[], bool],
+        is_head: bool = False,
     ) -> None:
         """Creates the responder of one request.
 
@@ -98,11 +99,14 @@
           writer: The stream to send to.
           limits: The limits of the connection.
           must_close: Returns whether to send `Connection: close`.
+          is_head: Whether the request's method is HEAD, so that the response
+            has no body.
         """
         self._connection = connection
         self._writer = writer
         self._limits = limits
         self._must_close = must_close
+        self._is_head = is_head
         self.has_started = False
 
     async def start(
@@ -117,7 +121,7 @@
 
     async def send_chunk(self, chunk: bytes) -> None:
         """Sends a part of the body; waits while too much of it is unread."""
-        if chunk:
+        if chunk and not self._is_head:
             await self._send(h11.Data(data=chunk))
 
     async def finish(self) -> None:
@@ -309,7 +313,11 @@
             if request is None:
                 return
             responder = HttpResponder(
-                connection, writer, self._limits, lambda: self._is_draining
+                connection,
+                writer,
+                self._limits,
+                lambda: self._is_draining,
+                is_head=request.method == "HEAD",
             )
             pipelined = await self._run_handler(request, responder, reader)
             if connection.our_state is not h11.DONE:
--- a/redwingchute/connection/http_server_test.py
+++ b/redwingchute/connection/http_server_test.py
@@ -76,6 +76,15 @@
     return [int(status) for status in found]
 
 
+# A response with a body to a HEAD request closed its kept connection.
+def test_a_response_to_a_head_request_keeps_the_connection() -> None:
+    targets: list[str] = []
+    head = _COMPLETE.replace(b"GET", b"HEAD")
+    received = asyncio.run(_send(targets, head, _COMPLETE, pause_s=0.05))
+    assert _list_statuses(received) == [200, 200]
+    assert received.count(b"ran /whole") == 1
+
+
 # A request was refused as "not run" although a handler had it.
 @pytest.mark.parametrize("name", sorted(_UNRECEIVED))
 def test_no_handler_sees_a_request_that_was_not_received(name: str) -> None:
