--- a/redwingchute/process/explanation.py
+++ b/redwingchute/process/explanation.py
@@ -18,7 +18,14 @@
 _HIDDEN_FIELDS = frozenset({"at_ms", "event", "host", "zone", "request_id"})
 # Events of single requests. Those of other requests are left out of a timeline.
 _REQUEST_EVENTS = frozenset(
-    {"attempt_failed", "charge_refused", "request_ended", "request_refused"}
+    {
+        "attempt_failed",
+        "charge_refused",
+        "request_ended",
+        "request_refused",
+        "retry_acquired",
+        "retry_denied",
+    }
 )
 # State changes that are too frequent to be relevant to one request.
 _IGNORED_EVENTS = frozenset({"tokens_lent"})
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -470,8 +470,21 @@
             return False
         if asyncio.get_running_loop().time() >= plan.deadline_s:
             return False
+        now_ms = self._dependencies.read_clock_ms()
         allowance = self._dependencies.find_allowance(plan.service.name)
-        return allowance.acquire_retry(self._dependencies.read_clock_ms())
+        is_acquired = allowance.acquire_retry(now_ms)
+        state = allowance.find_state(now_ms)
+        fields = {
+            "request_id": plan.request.id,
+            "service": plan.service.name,
+            "used": state.used,
+            "limit": round(state.limit, 1),
+        }
+        if is_acquired:
+            decision_log.log_failure("retry_acquired", **fields)
+        else:
+            decision_log.log_failure("retry_denied", **fields)
+        return is_acquired
 
     def _record_crash(
         self,
--- a/redwingchute/request/retry_allowance.py
+++ b/redwingchute/request/retry_allowance.py
@@ -8,11 +8,26 @@
 
 import collections
 
+import attrs
+
 # The share of the limit that is used. The rest is a margin because the windows
 # of routers are not aligned.
 _USED_SHARE = 0.8
 
 
+@attrs.frozen
+class RetryState:
+    """How far an allowance is used.
+
+    Attributes:
+      used: The retries in the window.
+      limit: The retries that the window may have.
+    """
+
+    used: int
+    limit: float
+
+
 class RetryAllowance:
     """The retries that one router may make at one service."""
 
@@ -42,13 +57,18 @@
 
     def acquire_retry(self, now_ms: int) -> bool:
         """Acquires one retry; returns False if the limit is reached."""
-        self._remove_expired(now_ms)
-        limit = self._ratio * len(self._requests) + self._slack
-        if len(self._retries) + 1 > limit * _USED_SHARE:
+        state = self.find_state(now_ms)
+        if state.used + 1 > state.limit:
             return False
         self._retries.append(now_ms)
         return True
 
+    def find_state(self, now_ms: int) -> RetryState:
+        """Returns how far the allowance is used."""
+        self._remove_expired(now_ms)
+        limit = self._ratio * len(self._requests) + self._slack
+        return RetryState(len(self._retries), limit * _USED_SHARE)
+
     def _remove_expired(self, now_ms: int) -> None:
         """Removes the entries that are older than the window."""
         for times in (self._requests, self._retries):
--- a/redwingchute/request/retry_allowance_test.py
+++ b/redwingchute/request/retry_allowance_test.py
@@ -22,3 +22,11 @@
     allowance = retry_allowance.RetryAllowance(0.0, 10.0, 10_000)
     allowance.set_slack(2.5)
     assert sum(allowance.acquire_retry(0) for _ in range(20)) == 2
+
+
+def test_the_state_shows_how_far_an_allowance_is_used() -> None:
+    allowance = retry_allowance.RetryAllowance(0.0, 10.0, 10_000)
+    for _ in range(20):
+        allowance.acquire_retry(0)
+    assert allowance.find_state(0) == retry_allowance.RetryState(8, 8.0)
+    assert allowance.find_state(10_001).used == 0
