Acquire a retry only if another upstream is left

A request that its only ready upstream rejected used up a retry of its service's allowance, and then ended for lack of another upstream. Under load, when few upstreams are ready, the allowance was thus spent on nothing, and requests that another upstream could have served were refused.

The handler now looks for another upstream before it acquires the retry; both happen without a pause in between, so the answer still holds when the retry is sent. Such a request is refused with the upstream's own reason (upstreams_busy, or the upstream's failure) rather than with no_upstream.

forwarding_handler_test::test_no_retry_is_acquired_without_another_upstream failed before: 4 requests acquired 4 retries that were never sent.

--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -465,12 +465,20 @@
     def _try_acquire_retry(
         self, plan: forward_plan.Plan, progress: _Progress
     ) -> bool:
-        """Acquires a retry from the allowance, if the request may retry."""
+        """Acquires a retry from the allowance, if the request can be retried.
+
+        Returns False without a use of the allowance if no other upstream is
+        left.
+        """
         if progress.sends >= plan.route.max_attempts:
             return False
         if asyncio.get_running_loop().time() >= plan.deadline_s:
             return False
         now_ms = self._dependencies.read_clock_ms()
+        if not self._dependencies.directory.choose(
+            plan.service.name, plan.request, progress.excluded, now_ms
+        ):
+            return False
         allowance = self._dependencies.find_allowance(plan.service.name)
         is_acquired = allowance.acquire_retry(now_ms)
         state = allowance.find_state(now_ms)
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from redwingchute.process import decision_log
 from redwingchute.request import upstream_directory
 from redwingchute.standin import runner
 from redwingchute.testing import gateway_rig
@@ -115,6 +116,24 @@
     _run(scenario)
 
 
+def test_no_retry_is_acquired_without_another_upstream() -> None:
+    # Guards against requests that use up the allowance of their service while
+    # nothing is left that they could be sent to.
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.publish_runner("l-2", "draining")
+        # The gateway polls the upstream entries every 0.5 s.
+        await asyncio.sleep(1.2)
+        rig.set_faults("l-", is_full=True)
+        before = decision_log.read_counts().get("retry_acquired", 0)
+        for number in range(4):
+            response = await rig.send_request(f"/lookup/{number}")
+            assert response.status == 503
+        assert rig.runners["l-1"].arrivals == 4
+        assert decision_log.read_counts().get("retry_acquired", 0) == before
+
+    _run(scenario)
+
+
 def test_an_internal_error_still_gets_a_response(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
