Count a retry until its arrival has left the window

In between the router connects, which takes up to 0.4 s and is repeated at up to four upstreams. Retries that arrived late were thus forgotten early: a second full allowance could follow within one window of the rule.

Retries now count 2 s longer than the window, and requests 2 s less.

--- a/redwingchute/request/retry_allowance.py
+++ b/redwingchute/request/retry_allowance.py
@@ -16,6 +16,9 @@
 _USED_RATIO_SHARE = 0.5
 # The share of the slack that is used. The rest is a margin.
 _USED_SLACK_SHARE = 0.8
+# How long after it was acquired a retry may arrive: connecting takes time, and
+# may fail at some upstreams first.
+_ARRIVAL_DELAY_MS = 2_000
 
 
 @attrs.frozen
@@ -76,7 +79,20 @@
         )
 
     def _remove_expired(self, now_ms: int) -> None:
-        """Removes the entries that are older than the window."""
-        for times in (self._requests, self._retries):
-            while times and times[0] <= now_ms - self._window_ms:
-                times.popleft()
+        """Removes the entries that are no longer in the window.
+
+        A retry may arrive late, so retries stay longer and requests shorter
+        than the window.
+        """
+        _remove_until(
+            self._requests, now_ms - self._window_ms + _ARRIVAL_DELAY_MS
+        )
+        _remove_until(
+            self._retries, now_ms - self._window_ms - _ARRIVAL_DELAY_MS
+        )
+
+
+def _remove_until(times_ms: collections.deque[int], end_ms: int) -> None:
+    """Removes the times up to an end from the front of a queue."""
+    while times_ms and times_ms[0] <= end_ms:
+        times_ms.popleft()
--- a/redwingchute/testing/retry_simulation.py
+++ b/redwingchute/testing/retry_simulation.py
@@ -222,6 +222,11 @@
         for host in hosts:
             self.loads[host].rejected_share = share
 
+    def set_retry_delay_ms(self, delay_ms: int, *hosts: str) -> None:
+        """Sets how late the retries of some hosts arrive."""
+        for host in hosts:
+            self.loads[host].retry_delay_ms = delay_ms
+
     def run_for(self, seconds: float) -> None:
         """Lets the hosts run and serve requests for a duration."""
         for _ in range(round(seconds / _STEP_S)):
