Give a new process no slack while its predecessor's use counts

Kills of all processes at once doubled what the fleet used within a window of the users' rule.

A process now has a share of the slack only once it has run for a window and the time in which retries arrive late. Until then it retries by the ratio of its own requests, which holds over restarts by its half weight. No state is kept: it would have to be written at each retry.

The rig of gateways on loopback, whose gateways are always new, sets a ratio instead of a slack, so that its tests of retries still run.

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -140,14 +140,15 @@
             settings.zone
         )
         self._quarantine = quarantine.Quarantine(settings.host_name)
+        self._is_stopping = False
+        self._stop_deadline_ms = 0
+        self._started_ms = read_boot_ms()
         self._retry_budget = retry_budget.RetryBudget(
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_ms,
+            self._started_ms,
         )
-        self._is_stopping = False
-        self._stop_deadline_ms = 0
-        self._started_ms = read_boot_ms()
         self._tasks = background_tasks.BackgroundTasks(_log_failed_task)
         self._exit_stack = contextlib.AsyncExitStack()
         self._network = self._make_network()
--- a/redwingchute/process/retry_budget.py
+++ b/redwingchute/process/retry_budget.py
@@ -11,7 +11,9 @@
 class RetryBudget:
     """The retry allowances of one router, by service."""
 
-    def __init__(self, ratio: float, slack: float, window_ms: int) -> None:
+    def __init__(
+        self, ratio: float, slack: float, window_ms: int, started_ms: int
+    ) -> None:
         """Creates a budget without allowances.
 
         Args:
@@ -19,29 +21,34 @@
           slack: The additional retries that all routers together may make in
             a window.
           window_ms: The length of the window.
+          started_ms: When the process started.
         """
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
+        self._started_ms = started_ms
         self._host_count = 1
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
 
     def record_host_count(self, count: int) -> None:
         """Records the number of hosts, this one included, that share it."""
         self._host_count = count
-        for allowance in self._allowances.values():
-            allowance.set_slack(self._find_share())
 
     def find_allowance(self, service: str) -> retry_allowance.RetryAllowance:
         """Returns the allowance for a service."""
         allowance = self._allowances.get(service)
         if allowance is None:
             allowance = retry_allowance.RetryAllowance(
-                self._ratio, self._find_share(), self._window_ms
+                self._ratio, self._find_share, self._window_ms
             )
             self._allowances[service] = allowance
         return allowance
 
-    def _find_share(self) -> float:
+    def _find_share(self, now_ms: int) -> float:
         """Returns this router's share of the slack."""
+        # An earlier process of the host may have used the share until this one
+        # started.
+        counted_ms = self._window_ms + retry_allowance.ARRIVAL_DELAY_MS
+        if now_ms - self._started_ms < counted_ms:
+            return 0.0
         return self._slack / self._host_count
--- a/redwingchute/process/retry_budget_test.py
+++ b/redwingchute/process/retry_budget_test.py
@@ -59,3 +59,27 @@
         fleet.run_for(10.1)
         fleet.set_retry_delay_ms(0, *_HOSTS)
         fleet.send_at_once(20, *_HOSTS)
+
+
+def test_restarts_of_all_hosts_add_no_retries() -> None:
+    # Guards against processes that use the slack although their predecessors
+    # have used it in the same window.
+    with _run_fleet(0) as fleet:
+        fleet.send_at_once(10, *_HOSTS)
+        fleet.run_for(3)
+        fleet.start(*_HOSTS)
+        fleet.run_for(3)
+        fleet.send_at_once(10, *_HOSTS)
+        fleet.set_load(_HOSTS, 3)
+        fleet.run_for(30)
+
+
+def test_restarts_of_hosts_in_turn_add_no_retries() -> None:
+    # The same for hosts that fail one after the other.
+    with _run_fleet(0) as fleet:
+        fleet.send_at_once(10, *_HOSTS)
+        for host in _HOSTS:
+            fleet.start(host)
+            fleet.run_for(1)
+            fleet.send_at_once(10, host)
+        fleet.run_for(30)
--- a/redwingchute/request/retry_allowance.py
+++ b/redwingchute/request/retry_allowance.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Callable
 
 import attrs
 
@@ -18,7 +19,7 @@
 _USED_SLACK_SHARE = 0.8
 # How long after it was acquired a retry may arrive: connecting takes time, and
 # may fail at some upstreams first.
-_ARRIVAL_DELAY_MS = 2_000
+ARRIVAL_DELAY_MS = 2_000
 
 
 @attrs.frozen
@@ -37,25 +38,26 @@
 class RetryAllowance:
     """The retries that one router may make at one service."""
 
-    def __init__(self, ratio: float, slack: float, window_ms: int) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        find_slack: Callable[[int], float],
+        window_ms: int,
+    ) -> None:
         """Creates an allowance with an empty window.
 
         Args:
           ratio: The retries allowed for each request in the window.
-          slack: The additional retries allowed in a window: this router's share
-            of the slack of all routers.
+          find_slack: Returns the additional retries allowed in the window up
+            to a time: this router's share of the slack of all routers.
           window_ms: The length of the window.
         """
         self._ratio = ratio
-        self._slack = slack
+        self._find_slack = find_slack
         self._window_ms = window_ms
         self._requests: collections.deque[int] = collections.deque()
         self._retries: collections.deque[int] = collections.deque()
 
-    def set_slack(self, slack: float) -> None:
-        """Sets this router's share of the slack when membership changes."""
-        self._slack = slack
-
     def record_request(self, now_ms: int) -> None:
         """Records a request to the service."""
         self._requests.append(now_ms)
@@ -75,7 +77,7 @@
         return RetryState(
             used=len(self._retries),
             limit=_USED_RATIO_SHARE * self._ratio * len(self._requests)
-            + _USED_SLACK_SHARE * self._slack,
+            + _USED_SLACK_SHARE * self._find_slack(now_ms),
         )
 
     def _remove_expired(self, now_ms: int) -> None:
@@ -85,10 +87,10 @@
         than the window.
         """
         _remove_until(
-            self._requests, now_ms - self._window_ms + _ARRIVAL_DELAY_MS
+            self._requests, now_ms - self._window_ms + ARRIVAL_DELAY_MS
         )
         _remove_until(
-            self._retries, now_ms - self._window_ms - _ARRIVAL_DELAY_MS
+            self._retries, now_ms - self._window_ms - ARRIVAL_DELAY_MS
         )
 
 
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -251,7 +251,8 @@
             metrics_listen=addresses[3],
             log_address=http_client.Address(_ADDRESS, self.store.port),
             fleet_key=b"fleet-key",
-            retry_slack=50.0,
+            # A gateway that has just started has no share of the slack.
+            retry_ratio=10.0,
         )
         pool = await self._stack.enter_async_context(http_client.ClientPool())
         started = gateway.Gateway(
--- a/redwingchute/testing/retry_simulation.py
+++ b/redwingchute/testing/retry_simulation.py
@@ -121,7 +121,9 @@
         """Creates the process; `registry.run` and requests are its work."""
         self._read_clock_ms = read_clock_ms
         self.process = manual_loop.SimulatedProcess(name)
-        self.budget = retry_budget.RetryBudget(RATIO, SLACK, WINDOW_MS)
+        self.budget = retry_budget.RetryBudget(
+            RATIO, SLACK, WINDOW_MS, read_clock_ms()
+        )
         self.registry = host_registry.HostRegistry(
             log,
             host_registry.RegisteredHost(name, "huon", f"{name}:7000", 1.0),
