--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -48,6 +48,17 @@
     is_leaving: bool = False
 
 
+@attrs.frozen
+class Registration:
+    """The own host's place in the list, after both could be reached.
+
+    Attributes:
+      since_ms: When the own entry was known to be in the log.
+    """
+
+    since_ms: int
+
+
 @attrs.frozen
 class _Entry:
     """The newest entry of a host and when it was read, in milliseconds."""
@@ -64,6 +75,8 @@
         fleet that ran before, it is so once it was read; hosts of a new fleet
         take some seconds to register.
       own_host: The entry of the router's host.
+      registration: The own host's place in the list; None until the list was
+        read and the own entry appended.
     """
 
     def __init__(
@@ -86,6 +99,7 @@
         self.has_settled = False
         self._log = log
         self.own_host = own_host
+        self.registration: Registration | None = None
         self._read_clock_ms = read_clock_ms
         self._handle_change = handle_change
         self._entries: dict[str, _Entry] = {}
@@ -144,7 +158,11 @@
         self._append_count += 1
         stamp = shared_log.ProducerStamp(self._producer, self._append_count, 0)
         result = await self._log.append(TOPIC, (record,), stamp)
-        return isinstance(result, shared_log.Appended)
+        if not isinstance(result, shared_log.Appended):
+            return False
+        if self.registration is None:
+            self.registration = Registration(self._read_clock_ms())
+        return True
 
     async def _read_first(self) -> None:
         """Reads the entries before the own one is appended."""
--- a/redwingchute/process/retry_budget_test.py
+++ b/redwingchute/process/retry_budget_test.py
@@ -83,3 +83,14 @@
             fleet.run_for(1)
             fleet.send_at_once(10, host)
         fleet.run_for(30)
+
+
+def test_hosts_that_cannot_read_the_list_have_no_slack() -> None:
+    # Guards against hosts that each take the whole slack because they started
+    # while the log was unavailable and know no other host.
+    with _run_fleet() as fleet:
+        fleet.set_cut(True, *_HOSTS)
+        fleet.start(*_HOSTS)
+        fleet.run_for(30)
+        fleet.set_cut(False, *_HOSTS)
+        fleet.run_for(40)
