Let shares of the slack rise only after a window

The retries that the leaving hosts had made by their shares were still in the window, and such a host went on by its old share until its last request was complete. A shutdown in turn, host by host, thus used more than the whole slack in a window.

A share is now the slack divided by the largest number of hosts known within the last window, so it falls at once and rises late. A host that leaves has no share from the moment at which it says so.

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -496,7 +496,7 @@
                 view.is_hub, view.order_hubs(self.settings.host_name)
             )
         )
-        self._retry_budget.record_host_count(view.host_count)
+        self._retry_budget.record_host_count(view.host_count, read_boot_ms())
         decision_log.log_event(
             "hosts_changed",
             hosts=view.host_count,
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -76,7 +76,7 @@
         take some seconds to register.
       own_host: The entry of the router's host.
       registration: The own host's place in the list; None until the list was
-        read and the own entry appended.
+        read and the own entry appended, and once the host leaves.
     """
 
     def __init__(
@@ -133,6 +133,7 @@
           timeout_s: How long to wait for the log.
         """
         self.own_host = attrs.evolve(self.own_host, is_leaving=True)
+        self.registration = None
         try:
             async with asyncio.timeout(timeout_s):
                 await self._append()
@@ -160,7 +161,7 @@
         result = await self._log.append(TOPIC, (record,), stamp)
         if not isinstance(result, shared_log.Appended):
             return False
-        if self.registration is None:
+        if self.registration is None and not self.own_host.is_leaving:
             self.registration = Registration(self._read_clock_ms())
         return True
 
--- a/redwingchute/process/retry_budget.py
+++ b/redwingchute/process/retry_budget.py
@@ -2,9 +2,11 @@
 
 The limit for a service is a ratio of its requests plus a fixed slack, for all
 routers together. Each router applies the ratio to its own requests and uses an
-equal share of the slack.
+equal share of the slack. Shares fall at once and rise late: retries of hosts
+that are gone still count until their window has passed.
 """
 
+import collections
 from collections.abc import Callable
 
 from redwingchute.process import host_registry
@@ -33,12 +35,19 @@
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
+        # How long after it was acquired a retry may be in a window.
+        self._counted_ms = window_ms + retry_allowance.ARRIVAL_DELAY_MS
         self._find_registration = find_registration
         self._host_count = 1
+        # Earlier counts, and until when each was in force.
+        self._earlier_counts: collections.deque[tuple[int, int]] = (
+            collections.deque()
+        )
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
 
-    def record_host_count(self, count: int) -> None:
+    def record_host_count(self, count: int, now_ms: int) -> None:
         """Records the number of hosts, this one included, that share it."""
+        self._earlier_counts.append((now_ms, self._host_count))
         self._host_count = count
 
     def find_allowance(self, service: str) -> retry_allowance.RetryAllowance:
@@ -58,7 +67,13 @@
             return 0.0
         # An earlier process of the host may have used the share until this one
         # started.
-        counted_ms = self._window_ms + retry_allowance.ARRIVAL_DELAY_MS
-        if now_ms - registration.since_ms < counted_ms:
+        if now_ms - registration.since_ms < self._counted_ms:
             return 0.0
-        return self._slack / self._host_count
+        return self._slack / self._find_largest_count(now_ms)
+
+    def _find_largest_count(self, now_ms: int) -> int:
+        """Returns the largest number of hosts whose retries may still count."""
+        counts = self._earlier_counts
+        while counts and counts[0][0] <= now_ms - self._counted_ms:
+            counts.popleft()
+        return max([self._host_count, *(count for _, count in counts)])
--- a/redwingchute/process/retry_budget_test.py
+++ b/redwingchute/process/retry_budget_test.py
@@ -94,3 +94,23 @@
         fleet.run_for(30)
         fleet.set_cut(False, *_HOSTS)
         fleet.run_for(40)
+
+
+def test_hosts_that_leave_add_no_retries() -> None:
+    # Guards against shares that rise at once when hosts leave, although the
+    # retries of these hosts are still in the window.
+    with _run_fleet(0) as fleet:
+        fleet.send_at_once(10, *_HOSTS)
+        for host in _HOSTS[:6]:
+            fleet.leave(host, 0.5)
+        fleet.run_for(3)
+        fleet.send_at_once(10, *_HOSTS[6:])
+
+
+def test_a_host_that_leaves_has_no_slack() -> None:
+    # Guards against a host that retries by its share while it completes its
+    # last requests, after the others have divided its share.
+    with _run_fleet(0, _HOSTS[:2]) as fleet:
+        fleet.begin_leaving("host-0")
+        fleet.run_for(20)
+        fleet.send_at_once(30, *_HOSTS[:2])
--- a/redwingchute/testing/retry_simulation.py
+++ b/redwingchute/testing/retry_simulation.py
@@ -28,6 +28,7 @@
 _SERVICE = "models"
 _MAX_ATTEMPTS = 3
 _STEP_S = 0.05
+_LEAVE_TIMEOUT_S = 0.3
 # How far a window is moved between two checks.
 _CHECK_STEP_MS = 50
 
@@ -137,7 +138,7 @@
         view = hub_choice.choose_hubs(
             self.registry.own_host, self.registry.list_hosts()
         )
-        self.budget.record_host_count(view.host_count)
+        self.budget.record_host_count(view.host_count, self._read_clock_ms())
 
 
 class RetrySimulation:
@@ -186,16 +187,20 @@
             if router is not None:
                 router.process.kill()
 
-    def leave(self, host: str, remaining_s: float) -> None:
-        """Marks a host as leaving and ends its process after some time."""
-        router = self._routers.get(host)
-        if router is None:
-            return
+    def begin_leaving(self, host: str) -> None:
+        """Marks a host as leaving; its process goes on."""
+        router = self._routers[host]
 
         async def mark_leaving() -> None:
-            router.process.spawn(router.registry.leave(0.3))
+            router.process.spawn(router.registry.leave(_LEAVE_TIMEOUT_S))
 
         self._loop.run_until_complete(mark_leaving())
+
+    def leave(self, host: str, remaining_s: float) -> None:
+        """Marks a host as leaving and ends its process after some time."""
+        if host not in self._routers:
+            return
+        self.begin_leaving(host)
         self.run_for(remaining_s)
         self.kill(host)
 
