End a host's share of the slack before it is taken as gone

But a host that is cut off from the log still serves its callers, and so does one that wakes from a freeze; both went on by their old shares.

The share is now a lease: it ends 30 s after the last renewal of the entry that succeeded was sent, which is before others can take the host as gone. After such a gap the host begins like a new one.

--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -22,6 +22,8 @@
 # An entry is out of date if it is older than the newest one by three missed
 # renewals.
 _MAX_AGE_MS = 35_000
+# How long after its last renewal a host is sure to be listed by the others.
+LEASE_MS = 30_000
 _READ_INTERVAL_S = 2.5
 # Hosts of a new fleet register within the first seconds.
 _FIRST_READ_INTERVAL_S = 0.5
@@ -53,10 +55,13 @@
     """The own host's place in the list, after both could be reached.
 
     Attributes:
-      since_ms: When the own entry was known to be in the log.
+      since_ms: Since when the own entry is known to be in the log, without a
+        gap after which others may have taken the host as gone.
+      renewed_ms: When the newest renewal that succeeded was sent.
     """
 
     since_ms: int
+    renewed_ms: int
 
 
 @attrs.frozen
@@ -156,15 +161,25 @@
                 attrs.asdict(self.own_host), separators=(",", ":")
             ).encode(),
         )
+        sent_ms = self._read_clock_ms()
         self._append_count += 1
         stamp = shared_log.ProducerStamp(self._producer, self._append_count, 0)
         result = await self._log.append(TOPIC, (record,), stamp)
         if not isinstance(result, shared_log.Appended):
             return False
-        if self.registration is None and not self.own_host.is_leaving:
-            self.registration = Registration(self._read_clock_ms())
+        if not self.own_host.is_leaving:
+            self._record_renewal(sent_ms)
         return True
 
+    def _record_renewal(self, sent_ms: int) -> None:
+        """Records that the log has a renewal of the own entry."""
+        now_ms = self._read_clock_ms()
+        known = self.registration
+        if known is None or now_ms - known.renewed_ms > LEASE_MS:
+            self.registration = Registration(now_ms, sent_ms)
+        else:
+            self.registration = Registration(known.since_ms, sent_ms)
+
     async def _read_first(self) -> None:
         """Reads the entries before the own one is appended."""
         while not await self._follower.read_once():
--- a/redwingchute/process/retry_budget.py
+++ b/redwingchute/process/retry_budget.py
@@ -65,6 +65,9 @@
         registration = self._find_registration()
         if registration is None:
             return 0.0
+        # Others may divide the share of a host that does not renew its entry.
+        if now_ms - registration.renewed_ms > host_registry.LEASE_MS:
+            return 0.0
         # An earlier process of the host may have used the share until this one
         # started.
         if now_ms - registration.since_ms < self._counted_ms:
--- a/redwingchute/process/retry_budget_test.py
+++ b/redwingchute/process/retry_budget_test.py
@@ -114,3 +114,29 @@
         fleet.begin_leaving("host-0")
         fleet.run_for(20)
         fleet.send_at_once(30, *_HOSTS[:2])
+
+
+def test_a_host_that_is_taken_as_gone_has_no_slack() -> None:
+    # Guards against hosts that are cut off from the log and serve on by their
+    # old shares after the others have divided these among themselves.
+    with _run_fleet(0) as fleet:
+        fleet.set_cut(True, *_HOSTS[:6])
+        fleet.run_for(55)
+        fleet.send_at_once(10, *_HOSTS)
+        fleet.run_for(15)
+        fleet.set_cut(False, *_HOSTS[:6])
+        fleet.run_for(2)
+        fleet.send_at_once(10, *_HOSTS)
+        fleet.run_for(20)
+
+
+def test_a_host_that_was_frozen_has_no_slack() -> None:
+    # The same for a process that was suspended meanwhile.
+    with _run_fleet(0) as fleet:
+        for host in _HOSTS[:6]:
+            fleet.freeze(host)
+        fleet.run_for(55)
+        for host in _HOSTS[:6]:
+            fleet.resume(host)
+        fleet.send_at_once(10, *_HOSTS)
+        fleet.run_for(20)
