Let a new host wait until the others know it

A host whose last read is older than 4 s now uses half of its share, which is enough as long as the fleet does not double meanwhile. So 4 s after a host has registered no other one uses more than its new share, and the new host's share begins a window after that, when what they used before no longer counts.

Before: retry_budget_test::test_hosts_that_join_add_no_retries and ::test_hosts_that_cannot_read_of_new_ones_use_less_slack failed (69 retries in one window, allowed 65.6).

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -147,7 +147,7 @@
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_ms,
-            lambda: self._registry.registration,
+            lambda: self._registry.find_registration(),
         )
         self._tasks = background_tasks.BackgroundTasks(_log_failed_task)
         self._exit_stack = contextlib.AsyncExitStack()
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -58,10 +58,25 @@
       since_ms: Since when the own entry is known to be in the log, without a
         gap after which others may have taken the host as gone.
       renewed_ms: When the newest renewal that succeeded was sent.
+      read_ms: When the newest read of the list that succeeded was sent.
     """
 
     since_ms: int
     renewed_ms: int
+    read_ms: int
+
+
+@attrs.frozen
+class _Renewals:
+    """The renewals of the own entry, in milliseconds.
+
+    Attributes:
+      since_ms: When the first one without a gap since was confirmed.
+      newest_ms: When the newest one was sent.
+    """
+
+    since_ms: int
+    newest_ms: int
 
 
 @attrs.frozen
@@ -80,8 +95,6 @@
         fleet that ran before, it is so once it was read; hosts of a new fleet
         take some seconds to register.
       own_host: The entry of the router's host.
-      registration: The own host's place in the list; None until the list was
-        read and the own entry appended, and once the host leaves.
     """
 
     def __init__(
@@ -104,7 +117,8 @@
         self.has_settled = False
         self._log = log
         self.own_host = own_host
-        self.registration: Registration | None = None
+        # None until a renewal succeeds, and once the host leaves.
+        self._renewals: _Renewals | None = None
         self._read_clock_ms = read_clock_ms
         self._handle_change = handle_change
         self._entries: dict[str, _Entry] = {}
@@ -126,6 +140,21 @@
         """Returns the hosts that are neither leaving nor gone, by name."""
         return self._listed
 
+    def find_registration(self) -> Registration | None:
+        """Returns the own host's place in the list.
+
+        Returns:
+          None until the list was read and the own entry appended, and once the
+          host leaves.
+        """
+        if self._renewals is None:
+            return None
+        return Registration(
+            self._renewals.since_ms,
+            self._renewals.newest_ms,
+            self._follower.confirmed_ms,
+        )
+
     async def run(self) -> None:
         """Registers the own host and follows the entries until cancelled."""
         await self._read_first()
@@ -138,7 +167,7 @@
           timeout_s: How long to wait for the log.
         """
         self.own_host = attrs.evolve(self.own_host, is_leaving=True)
-        self.registration = None
+        self._renewals = None
         try:
             async with asyncio.timeout(timeout_s):
                 await self._append()
@@ -174,11 +203,11 @@
     def _record_renewal(self, sent_ms: int) -> None:
         """Records that the log has a renewal of the own entry."""
         now_ms = self._read_clock_ms()
-        known = self.registration
-        if known is None or now_ms - known.renewed_ms > LEASE_MS:
-            self.registration = Registration(now_ms, sent_ms)
+        known = self._renewals
+        if known is None or now_ms - known.newest_ms > LEASE_MS:
+            self._renewals = _Renewals(now_ms, sent_ms)
         else:
-            self.registration = Registration(known.since_ms, sent_ms)
+            self._renewals = _Renewals(known.since_ms, sent_ms)
 
     async def _read_first(self) -> None:
         """Reads the entries before the own one is appended."""
--- a/redwingchute/process/retry_budget.py
+++ b/redwingchute/process/retry_budget.py
@@ -12,6 +12,11 @@
 from redwingchute.process import host_registry
 from redwingchute.request import retry_allowance
 
+# A host that has not read the list of hosts for this long may lack new ones.
+_READ_LAG_MS = 4_000
+# By how much a fleet may grow while one of its hosts cannot read the list.
+_MAX_UNREAD_GROWTH = 2
+
 
 class RetryBudget:
     """The retry allowances of one router, by service."""
@@ -69,10 +74,15 @@
         if now_ms - registration.renewed_ms > host_registry.LEASE_MS:
             return 0.0
         # An earlier process of the host may have used the share until this one
-        # started.
-        if now_ms - registration.since_ms < self._counted_ms:
+        # started, and the others may have used larger ones until they read that
+        # this host has joined.
+        begins_ms = registration.since_ms + _READ_LAG_MS + self._counted_ms
+        if now_ms < begins_ms:
             return 0.0
-        return self._slack / self._find_largest_count(now_ms)
+        share = self._slack / self._find_largest_count(now_ms)
+        if now_ms - registration.read_ms > _READ_LAG_MS:
+            return share / _MAX_UNREAD_GROWTH
+        return share
 
     def _find_largest_count(self, now_ms: int) -> int:
         """Returns the largest number of hosts whose retries may still count."""
--- a/redwingchute/process/retry_budget_test.py
+++ b/redwingchute/process/retry_budget_test.py
@@ -140,3 +140,26 @@
             fleet.resume(host)
         fleet.send_at_once(10, *_HOSTS)
         fleet.run_for(20)
+
+
+def test_hosts_that_join_add_no_retries() -> None:
+    # Guards against new hosts that use their shares while the retries that the
+    # others made by larger shares are still in the window.
+    with _run_fleet(0, _HOSTS[:3]) as fleet:
+        fleet.set_cut(True, *_HOSTS[:3])
+        fleet.start(*_SPARE_HOSTS)
+        fleet.run_for(3.5)
+        fleet.send_at_once(8, *_HOSTS[:3])
+        fleet.set_cut(False, *_HOSTS[:3])
+        fleet.run_for(9)
+        fleet.send_at_once(8, *_SPARE_HOSTS)
+
+
+def test_hosts_that_cannot_read_of_new_ones_use_less_slack() -> None:
+    # Guards against hosts that are cut off from the log and use shares of a
+    # fleet without the hosts that joined since.
+    with _run_fleet(0, _HOSTS[:3]) as fleet:
+        fleet.set_cut(True, *_HOSTS[:3])
+        fleet.start(*_SPARE_HOSTS)
+        fleet.run_for(18)
+        fleet.send_at_once(8, *_HOSTS[:3], *_SPARE_HOSTS)
--- a/redwingchute/testing/retry_simulation.py
+++ b/redwingchute/testing/retry_simulation.py
@@ -123,7 +123,7 @@
         self._read_clock_ms = read_clock_ms
         self.process = manual_loop.SimulatedProcess(name)
         self.budget = retry_budget.RetryBudget(
-            RATIO, SLACK, WINDOW_MS, lambda: self.registry.registration
+            RATIO, SLACK, WINDOW_MS, lambda: self.registry.find_registration()
         )
         self.registry = host_registry.HostRegistry(
             log,
