Check the fleet's retries in a state machine

The tests of single causes follow the order of events that we know of. The machine chooses its own: hosts start, leave, are killed, frozen or cut off from the log, at most half of the fleet at a time, and retry as often as they are allowed. Routers reckon with a slack that uses up their margin of a fifth, so the machine checks the division of the slack itself.

With single fixes taken back it fails for the lease, the late rise, the halved share of a host that cannot read, and the wait of a new process; not for the half ratio, the late arrivals, the read lag and the leaving host, which tests of their own cover.

--- a/redwingchute/testing/retry_simulation.py
+++ b/redwingchute/testing/retry_simulation.py
@@ -26,7 +26,6 @@
 WINDOW_MS = 10_000
 
 _SERVICE = "models"
-_MAX_ATTEMPTS = 3
 _STEP_S = 0.05
 _LEAVE_TIMEOUT_S = 0.3
 # How far a window is moved between two checks.
@@ -55,12 +54,14 @@
     Attributes:
       requests_per_s: The rate of requests.
       rejected_share: The share of arrivals that the upstreams reject.
+      max_attempts: How often a request is sent at most.
       retry_delay_ms: The time from the decision to retry until the retry
         arrives.
     """
 
     requests_per_s: float = 0.0
     rejected_share: float = 1.0
+    max_attempts: int = 3
     retry_delay_ms: int = 0
 
 
@@ -117,13 +118,14 @@
         name: str,
         log: shared_log.SharedLog,
         incarnation: int,
+        slack: float,
         read_clock_ms: Callable[[], int],
     ) -> None:
         """Creates the process; `registry.run` and requests are its work."""
         self._read_clock_ms = read_clock_ms
         self.process = manual_loop.SimulatedProcess(name)
         self.budget = retry_budget.RetryBudget(
-            RATIO, SLACK, WINDOW_MS, lambda: self.registry.find_registration()
+            RATIO, slack, WINDOW_MS, lambda: self.registry.find_registration()
         )
         self.registry = host_registry.HostRegistry(
             log,
@@ -133,6 +135,11 @@
             self._handle_hosts_changed,
         )
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process is neither frozen nor dead."""
+        return self.process.state is manual_loop.ProcessState.RUNNING
+
     def _handle_hosts_changed(self) -> None:
         """Applies a change of the fleet's hosts, as the gateway does."""
         view = hub_choice.choose_hubs(
@@ -148,14 +155,18 @@
       loads: The load at each host.
     """
 
-    def __init__(self, hosts: tuple[str, ...], seed: int) -> None:
+    def __init__(
+        self, hosts: tuple[str, ...], seed: int, slack: float = SLACK
+    ) -> None:
         """Creates a fleet in which no process runs yet.
 
         Args:
           hosts: The hosts.
           seed: Determines when requests arrive and which ones are rejected.
+          slack: The slack that the routers reckon with.
         """
         self.loads = {host: Load() for host in hosts}
+        self._slack = slack
         self._random = random.Random(seed)
         self._loop = manual_loop.ManualLoop()
         self._log = memory_log.MemoryLog()
@@ -175,10 +186,16 @@
             self.kill(host)
             self._incarnations += 1
             router = _Router(
-                host, self._host_logs[host], self._incarnations, self._read_ms
+                host,
+                self._host_logs[host],
+                self._incarnations,
+                self._slack,
+                self._read_ms,
             )
             self._routers[host] = router
             self._loop.run_until_complete(spawn(router))
+        # A process whose tasks have not begun cannot be killed cleanly.
+        self.run_for(_STEP_S)
 
     def kill(self, *hosts: str) -> None:
         """Ends the process of each host without notice."""
@@ -189,6 +206,8 @@
 
     def begin_leaving(self, host: str) -> None:
         """Marks a host as leaving; its process goes on."""
+        if not self.is_running(host):
+            return
         router = self._routers[host]
 
         async def mark_leaving() -> None:
@@ -198,8 +217,6 @@
 
     def leave(self, host: str, remaining_s: float) -> None:
         """Marks a host as leaving and ends its process after some time."""
-        if host not in self._routers:
-            return
         self.begin_leaving(host)
         self.run_for(remaining_s)
         self.kill(host)
@@ -214,6 +231,10 @@
         if host in self._routers:
             self._routers[host].process.resume()
 
+    def is_running(self, host: str) -> bool:
+        """Returns whether a host's process is neither frozen nor dead."""
+        return host in self._routers and self._routers[host].is_running
+
     def set_cut(self, is_cut: bool, *hosts: str) -> None:
         """Cuts hosts off from the log, or connects them again."""
         for host in hosts:
@@ -239,21 +260,25 @@
         for _ in range(round(seconds / _STEP_S)):
             self._loop.run_until_complete(asyncio.sleep(_STEP_S))
             for host, router in list(self._routers.items()):
-                if router.process.state is manual_loop.ProcessState.RUNNING:
+                if router.is_running:
                     self._serve(router, self.loads[host])
 
     def send_at_once(self, count: int, *hosts: str) -> None:
-        """Sends a number of requests to each host at once."""
+        """Sends a number of requests at once to each host that runs."""
         for host in hosts:
-            self._send(self._routers[host], self.loads[host], count)
+            if self.is_running(host):
+                self._send(self._routers[host], self.loads[host], count)
 
     def close(self) -> None:
         """Ends all processes."""
         self.kill(*list(self._routers))
         self._loop.is_cleaning_up = True
-        for task in asyncio.all_tasks(self._loop):
+        self._loop.set_exception_handler(lambda _, __: None)
+        tasks = asyncio.all_tasks(self._loop)
+        for task in tasks:
             task.cancel()
-        self._loop.run_until_complete(asyncio.sleep(0.01))
+        if tasks:
+            self._loop.run_until_complete(asyncio.wait(tasks, timeout=60))
         self._loop.close()
 
     def find_excess(self) -> Excess | None:
@@ -297,7 +322,7 @@
             self._request_times_ms.append(now_ms)
             allowance = router.budget.find_allowance(_SERVICE)
             allowance.record_request(now_ms)
-            for _ in range(_MAX_ATTEMPTS - 1):
+            for _ in range(load.max_attempts - 1):
                 if self._random.random() >= load.rejected_share:
                     break
                 if not allowance.acquire_retry(now_ms):
