--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -140,14 +140,15 @@
             settings.zone, settings.host_name, settings.drain_ms
         )
         self._quarantine = quarantine.Quarantine(settings.host_name)
+        self._is_stopping = False
+        self._stop_deadline_ms = 0
+        self._started_ms = read_boot_ms()
         self._retry_budget = retry_budget.RetryBudget(
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_ms,
+            lambda: self._registry.find_registration(),
         )
-        self._is_stopping = False
-        self._stop_deadline_ms = 0
-        self._started_ms = read_boot_ms()
         self._tasks = background_tasks.BackgroundTasks(_log_failed_task)
         self._exit_stack = contextlib.AsyncExitStack()
         self._network = self._make_network()
@@ -501,7 +502,7 @@
                 view.is_hub, view.order_hubs(self.settings.host_name)
             )
         )
-        self._retry_budget.record_host_count(view.host_count)
+        self._retry_budget.record_host_count(view.host_count, read_boot_ms())
         decision_log.log_event(
             "hosts_changed",
             hosts=view.host_count,
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -22,6 +22,8 @@
 # An entry is out of date if it is older than the newest one by three missed
 # renewals.
 _MAX_AGE_MS = 35_000
+# How long after its last renewal a host is sure to be listed by the others.
+LEASE_MS = 30_000
 _READ_INTERVAL_S = 2.5
 # Hosts of a new fleet register within the first seconds.
 _FIRST_READ_INTERVAL_S = 0.5
@@ -48,6 +50,35 @@
     is_leaving: bool = False
 
 
+@attrs.frozen
+class Registration:
+    """The own host's place in the list, after both could be reached.
+
+    Attributes:
+      since_ms: Since when the own entry is known to be in the log, without a
+        gap after which others may have taken the host as gone.
+      renewed_ms: When the newest renewal that succeeded was sent.
+      read_ms: When the newest read of the list that succeeded was sent.
+    """
+
+    since_ms: int
+    renewed_ms: int
+    read_ms: int
+
+
+@attrs.frozen
+class _Renewals:
+    """The renewals of the own entry, in milliseconds.
+
+    Attributes:
+      since_ms: When the first one without a gap since was confirmed.
+      newest_ms: When the newest one was sent.
+    """
+
+    since_ms: int
+    newest_ms: int
+
+
 @attrs.frozen
 class _Entry:
     """The newest entry of a host and when it was read, in milliseconds."""
@@ -86,6 +117,8 @@
         self.has_settled = False
         self._log = log
         self.own_host = own_host
+        # None until a renewal succeeds, and once the host leaves.
+        self._renewals: _Renewals | None = None
         self._read_clock_ms = read_clock_ms
         self._handle_change = handle_change
         self._entries: dict[str, _Entry] = {}
@@ -107,6 +140,21 @@
         """Returns the hosts that are neither leaving nor gone, by name."""
         return self._listed
 
+    def find_registration(self) -> Registration | None:
+        """Returns the own host's place in the list.
+
+        Returns:
+          None until the list was read and the own entry appended, and once the
+          host leaves.
+        """
+        if self._renewals is None:
+            return None
+        return Registration(
+            self._renewals.since_ms,
+            self._renewals.newest_ms,
+            self._follower.confirmed_ms,
+        )
+
     async def run(self) -> None:
         """Registers the own host and follows the entries until cancelled."""
         await self._read_first()
@@ -119,6 +167,7 @@
           timeout_s: How long to wait for the log.
         """
         self.own_host = attrs.evolve(self.own_host, is_leaving=True)
+        self._renewals = None
         try:
             async with asyncio.timeout(timeout_s):
                 await self._append()
@@ -141,10 +190,24 @@
                 attrs.asdict(self.own_host), separators=(",", ":")
             ).encode(),
         )
+        sent_ms = self._read_clock_ms()
         self._append_count += 1
         stamp = shared_log.ProducerStamp(self._producer, self._append_count, 0)
         result = await self._log.append(TOPIC, (record,), stamp)
-        return isinstance(result, shared_log.Appended)
+        if not isinstance(result, shared_log.Appended):
+            return False
+        if not self.own_host.is_leaving:
+            self._record_renewal(sent_ms)
+        return True
+
+    def _record_renewal(self, sent_ms: int) -> None:
+        """Records that the log has a renewal of the own entry."""
+        now_ms = self._read_clock_ms()
+        known = self._renewals
+        if known is None or now_ms - known.newest_ms > LEASE_MS:
+            self._renewals = _Renewals(now_ms, sent_ms)
+        else:
+            self._renewals = _Renewals(known.since_ms, sent_ms)
 
     async def _read_first(self) -> None:
         """Reads the entries before the own one is appended."""
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -546,13 +546,16 @@
         allowance = self._dependencies.find_allowance(plan.service.name)
         is_acquired = allowance.acquire_retry(now_ms)
         state = allowance.find_state(now_ms)
-        decision_log.log_failure(
-            "retry_acquired" if is_acquired else "retry_denied",
-            request_id=plan.request.id,
-            service=plan.service.name,
-            used=state.used,
-            limit=round(state.limit, 1),
-        )
+        fields = {
+            "request_id": plan.request.id,
+            "service": plan.service.name,
+            "used": state.used,
+            "limit": round(state.limit, 1),
+        }
+        if is_acquired:
+            decision_log.log_failure("retry_acquired", **fields)
+        else:
+            decision_log.log_failure("retry_denied", **fields)
         return is_acquired
 
     def _record_crash(
--- a/redwingchute/request/retry_allowance.py
+++ b/redwingchute/request/retry_allowance.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Callable
 
 import attrs
 
@@ -16,6 +17,9 @@
 _USED_RATIO_SHARE = 0.5
 # The share of the slack that is used. The rest is a margin.
 _USED_SLACK_SHARE = 0.8
+# How long after it was acquired a retry may arrive: connecting takes time, and
+# may fail at some upstreams first.
+ARRIVAL_DELAY_MS = 2_000
 
 
 @attrs.frozen
@@ -34,25 +38,26 @@
 class RetryAllowance:
     """The retries that one router may make at one service."""
 
-    def __init__(self, ratio: float, slack: float, window_ms: int) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        find_slack: Callable[[int], float],
+        window_ms: int,
+    ) -> None:
         """Creates an allowance with an empty window.
 
         Args:
           ratio: The retries allowed for each request in the window.
-          slack: The additional retries allowed in a window: this router's share
-            of the slack of all routers.
+          find_slack: Returns the additional retries allowed in the window up
+            to a time: this router's share of the slack of all routers.
           window_ms: The length of the window.
         """
         self._ratio = ratio
-        self._slack = slack
+        self._find_slack = find_slack
         self._window_ms = window_ms
         self._requests: collections.deque[int] = collections.deque()
         self._retries: collections.deque[int] = collections.deque()
 
-    def set_slack(self, slack: float) -> None:
-        """Sets this router's share of the slack when membership changes."""
-        self._slack = slack
-
     def record_request(self, now_ms: int) -> None:
         """Records a request to the service."""
         self._requests.append(now_ms)
@@ -72,11 +77,24 @@
         return RetryState(
             used=len(self._retries),
             limit=_USED_RATIO_SHARE * self._ratio * len(self._requests)
-            + _USED_SLACK_SHARE * self._slack,
+            + _USED_SLACK_SHARE * self._find_slack(now_ms),
         )
 
     def _remove_expired(self, now_ms: int) -> None:
-        """Removes the entries that are older than the window."""
-        for times in (self._requests, self._retries):
-            while times and times[0] <= now_ms - self._window_ms:
-                times.popleft()
+        """Removes the entries that are no longer in the window.
+
+        A retry may arrive late, so retries stay longer and requests shorter
+        than the window.
+        """
+        _remove_until(
+            self._requests, now_ms - self._window_ms + ARRIVAL_DELAY_MS
+        )
+        _remove_until(
+            self._retries, now_ms - self._window_ms - ARRIVAL_DELAY_MS
+        )
+
+
+def _remove_until(times_ms: collections.deque[int], end_ms: int) -> None:
+    """Removes the times up to an end from the front of a queue."""
+    while times_ms and times_ms[0] <= end_ms:
+        times_ms.popleft()
