--- a/redwingchute/soak/soak_command_test.py
+++ b/redwingchute/soak/soak_command_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 
 from redwingchute.soak import checks
 from redwingchute.soak import observations
@@ -10,16 +11,17 @@
 
 _SEED = 1
 _SIZE = plan.Size(hosts=2, upstreams=2, rate_per_s=80.0, duration_ms=2_500)
+_LONG_SIZE = plan.Size(hosts=3, upstreams=4, rate_per_s=20.0, duration_ms=9_500)
 
 
 def _run(
-    faults: list[plan.Fault], directory: pathlib.Path
+    faults: list[plan.Fault],
+    directory: pathlib.Path,
+    size: plan.Size = _SIZE,
 ) -> observations.Observations:
     """Runs the requests of the seed with the given faults."""
-    requests = plan.plan_requests(_SEED, _SIZE)
-    return asyncio.run(
-        soak_command.run_plan(requests, faults, _SIZE, directory)
-    )
+    requests = plan.plan_requests(_SEED, size)
+    return asyncio.run(soak_command.run_plan(requests, faults, size, directory))
 
 
 def test_a_run_without_faults_serves_all_and_breaks_nothing(
@@ -62,3 +64,24 @@
     assert extras, "no rejection was repeated"
     violations = checks.check_all(observed)
     assert not violations, (len(violations), violations[:3])
+
+
+# Guards against hosts that restart together and then retry as if they had made
+# no retries before, or as if they were the only host.
+def test_hosts_that_restart_together_keep_the_retry_limit(
+    tmp_path: pathlib.Path,
+) -> None:
+    faults: list[plan.Fault] = [
+        plan.Patch(0, name, _LONG_SIZE.duration_ms, (("reject_every", 1),))
+        for name, _ in _LONG_SIZE.list_upstreams()
+    ]
+    faults += [
+        plan.Restart(at_ms, host, signal.SIGTERM, down_ms=50)
+        for at_ms in (2_500, 6_000)
+        for host in _LONG_SIZE.list_hosts()
+    ]
+    observed = _run(faults, tmp_path, _LONG_SIZE)
+    peaks = checks.find_retry_peaks(observed)
+    assert {peak.service for peak in peaks} == {"ledger", "llm"}
+    violations = checks.check_all(observed)
+    assert not violations, (len(violations), violations[:3])
