--- a/redwingchute/soak/checks.py
+++ b/redwingchute/soak/checks.py
@@ -5,18 +5,22 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import signal
 from typing import TypeAlias
 
 import attrs
 
 from redwingchute.soak import observations as observations_lib
-from redwingchute.soak import plan
 from redwingchute.standin import runner
 
 # Responses with these statuses promise that the request never runs.
 _PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
 _ALLOWED_EXCESSIVE_RUNS = 3
 _SHOWN_BODY_LENGTH = 60
+# Requests that a host may leave without a response while it isn't stopping.
+_ALLOWED_LOST = 3
+# A host counts as sound this long after a fault.
+_CONTACT_MS = 3_000
 
 
 @attrs.frozen
@@ -76,6 +80,7 @@
         check_content,
         check_streams,
         check_answered,
+        check_lost,
         check_processes,
     )
     return [found for check in checks for found in check(observations)]
@@ -235,10 +240,9 @@
         if attempt.outcome is not observations_lib.Outcome.UNANSWERED:
             continue
         is_excused = any(
-            fault.name == plan.Pause.__name__
+            fault.name == signal.SIGSTOP.name
             and fault.target == attempt.host
-            and fault.from_ms <= attempt.ended_ms
-            and fault.until_ms >= attempt.sent_ms
+            and fault.overlaps(attempt.sent_ms, attempt.ended_ms)
             for fault in observations.faults
         )
         if not is_excused:
@@ -249,6 +253,52 @@
             yield Violation("UNANSWERED", attempt.request_id, message)
 
 
+def check_lost(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds requests that a sound host left without a complete response.
+
+    Only those count that sound upstreams got. A host that is stopped with
+    SIGTERM must complete them all; at other times, a few are allowed.
+    """
+    arrivals = collections.defaultdict(set)
+    for event in observations.events:
+        if event.event == "arrived":
+            arrivals[event.request_id].add(event.upstream.rpartition("-")[0])
+    faults = collections.defaultdict(list)
+    for fault in observations.faults:
+        faults[fault.target].append(fault)
+    stopping: list[Violation] = []
+    serving: list[Violation] = []
+    for attempt in observations.attempts:
+        upstreams = arrivals[attempt.request_id]
+        if attempt.outcome is not observations_lib.Outcome.CLOSED:
+            continue
+        if attempt.ended_ms >= attempt.sent_ms + attempt.deadline_ms:
+            continue
+        from_ms = attempt.sent_ms - _CONTACT_MS
+        host_faults = {
+            fault.name
+            for fault in faults[attempt.host]
+            if fault.overlaps(from_ms, attempt.ended_ms)
+        }
+        if host_faults - {signal.SIGTERM.name} or not upstreams:
+            continue
+        if any(
+            fault.overlaps(from_ms, attempt.ended_ms)
+            for upstream in upstreams
+            for fault in faults[upstream]
+        ):
+            continue
+        message = (
+            f"{attempt.kind} sent to {attempt.host} at {attempt.sent_ms}, "
+            f"closed at {attempt.ended_ms}, status {attempt.status}"
+        )
+        lost = Violation("LOST", attempt.request_id, message)
+        (stopping if host_faults else serving).append(lost)
+    return stopping + (serving if len(serving) > _ALLOWED_LOST else [])
+
+
 def check_processes(
     observations: observations_lib.Observations,
 ) -> Iterable[Violation]:
--- a/redwingchute/soak/checks_test.py
+++ b/redwingchute/soak/checks_test.py
@@ -205,10 +205,10 @@
 @pytest.mark.parametrize(
     ("name", "target", "from_ms", "expected"),
     [
-        ("Pause", "host-1", soak_builders.SENT_MS + 1_000, []),
-        ("Restart", "host-1", soak_builders.SENT_MS + 1_000, ["UNANSWERED"]),
-        ("Pause", "host-1", soak_builders.SENT_MS + 9_000, ["UNANSWERED"]),
-        ("Pause", "host-2", soak_builders.SENT_MS + 1_000, ["UNANSWERED"]),
+        ("SIGSTOP", "host-1", soak_builders.SENT_MS + 1_000, []),
+        ("SIGTERM", "host-1", soak_builders.SENT_MS + 1_000, ["UNANSWERED"]),
+        ("SIGSTOP", "host-1", soak_builders.SENT_MS + 9_000, ["UNANSWERED"]),
+        ("SIGSTOP", "host-2", soak_builders.SENT_MS + 1_000, ["UNANSWERED"]),
     ],
 )
 def test_a_caller_left_waiting_is_found_unless_its_host_was_paused(
@@ -226,6 +226,54 @@
     assert _find_rules(found) == expected
 
 
+def _make_lost(
+    count: int, *faults: tuple[str, str]
+) -> observations.Observations:
+    """Returns requests without responses during faults (target, name)."""
+    ids = [f"{number:06x}-0" for number in range(count)]
+    return soak_builders.make_observations(
+        *(
+            soak_builders.make_attempt(
+                request_id=request_id,
+                outcome=_OUTCOMES.CLOSED,
+                status=0,
+                response_id=None,
+            )
+            for request_id in ids
+        ),
+        *(
+            soak_builders.make_event("arrived", request_id)
+            for request_id in ids
+        ),
+        *(
+            observations.AppliedFault(
+                soak_builders.SENT_MS, soak_builders.SENT_MS + 900, *fault
+            )
+            for fault in faults
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ("count", "faults", "expected"),
+    [
+        (3, (), 0),
+        (4, (), 4),
+        (1, (("host-1", "SIGTERM"),), 1),
+        (4, (("host-1", "SIGTERM"), ("host-1", "SIGSTOP")), 0),
+        (4, (("host-1", "SIGKILL"),), 0),
+        (4, (("host-2", "SIGKILL"), ("store", "SIGSTOP")), 4),
+        (4, (("ledger-1", observations.PATCH),), 0),
+        (4, (("ledger-2", "SIGKILL"),), 4),
+    ],
+)
+def test_lost_requests_are_found_unless_a_fault_excuses_them(
+    count: int, faults: tuple[tuple[str, str], ...], expected: int
+) -> None:
+    found = _make_lost(count, *faults)
+    assert _find_rules(found) == ["LOST"] * expected
+
+
 def test_a_process_that_ended_by_itself_is_found() -> None:
     found = soak_builders.make_observations(unexpected_ends=("host-1",))
     assert _find_rules(found) == ["ENDED"]
--- a/redwingchute/soak/injector.py
+++ b/redwingchute/soak/injector.py
@@ -73,7 +73,7 @@
             from_ms,
             base.now_ms(),
             fault.target,
-            type(fault).__name__,
+            _name_fault(fault),
             str(fault),
         )
         self.applied.append(applied)
@@ -93,3 +93,14 @@
             if await self._fleet.patch(fault.target, healed):
                 return
             await asyncio.sleep(_PATCH_RETRY_S)
+
+
+def _name_fault(fault: plan.Fault) -> str:
+    """Returns the name under which a fault is recorded."""
+    match fault:
+        case plan.Patch():
+            return observations.PATCH
+        case plan.Pause():
+            return signal.SIGSTOP.name
+        case plan.Restart(_, _, number):
+            return number.name
--- a/redwingchute/soak/observations.py
+++ b/redwingchute/soak/observations.py
@@ -11,6 +11,9 @@
 
 import attrs
 
+# The name of a fault that a stand-in simulates.
+PATCH = "patch"
+
 
 class Kind(enum.StrEnum):
     """The kinds of requests; the values are the names of their routes."""
@@ -91,7 +94,7 @@
     Attributes:
       at_ms: The time in Unix milliseconds.
       event: `arrived`, `ran` or `sent_extra`.
-      upstream: The id of the upstream's start.
+      upstream: The id of the upstream's start: its name and a number.
       service: The name of its service.
       request_id: The id of the request.
       status: The status of an extra response.
@@ -113,7 +116,7 @@
       from_ms: When it began, in Unix milliseconds.
       until_ms: When it ended.
       target: The process.
-      name: The kind of fault.
+      name: The signal that the process got, or `PATCH`.
       details: Its parameters.
     """
 
@@ -123,6 +126,10 @@
     name: str
     details: str = ""
 
+    def overlaps(self, from_ms: int, until_ms: int) -> bool:
+        """Returns whether the fault was in force in a span of time."""
+        return self.from_ms <= until_ms and self.until_ms >= from_ms
+
 
 @attrs.frozen
 class RetryLimit:
--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -118,6 +118,10 @@
             for number in range(1, self.upstreams + 1)
         ]
 
+    def count_processes(self) -> int:
+        """Returns the number of processes: hosts, upstreams and the store."""
+        return self.hosts + len(self.list_upstreams()) + 1
+
 
 def plan_requests(seed: int, size: Size) -> list[PlannedRequest]:
     """Returns the requests of a soak, which arrive independently."""
--- a/redwingchute/soak/soak_command.py
+++ b/redwingchute/soak/soak_command.py
@@ -14,6 +14,9 @@
 from redwingchute.soak import plan
 
 _SHOWN_VIOLATIONS = 5
+# What one machine bears besides its other work.
+_MAX_PROCESSES = 300
+_MAX_DURATION_S = 7_200
 
 
 async def run_plan(
@@ -69,6 +72,10 @@
       directory: The directory in which the run gets a directory of its own.
     """
     size = plan.Size(hosts, upstreams, rate_per_s, int(1000 * duration_s))
+    if size.count_processes() > _MAX_PROCESSES or duration_s > _MAX_DURATION_S:
+        raise SystemExit(
+            f"at most {_MAX_PROCESSES} processes and {_MAX_DURATION_S} s"
+        )
     groups = _parse_groups(faults)
     run_directory = pathlib.Path(directory) / (
         time.strftime("%Y%m%dT%H%M%S") + f"-{seed}"
