--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -11,6 +11,7 @@
 import pathlib
 import re
 import signal
+import subprocess
 import sys
 from types import TracebackType
 from typing import Any
@@ -52,13 +53,13 @@
 
     name: str
     starts: int = 0
-    process: asyncio.subprocess.Process | None = None
+    process: subprocess.Popen[bytes] | None = None
     address: http_client.Address | None = None
 
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended; it may be stopped."""
-        return self.process is not None and self.process.returncode is None
+        return self.process is not None and self.process.poll() is None
 
 
 class Fleet:
@@ -110,7 +111,7 @@
         for program in self._programs.values():
             if program.process is not None and program.is_running:
                 program.process.kill()
-                await program.process.wait()
+                program.process.wait()
         await self._pool.__aexit__(error_type, error, traceback)
 
     def find_address(self, name: str) -> http_client.Address:
@@ -169,8 +170,8 @@
             output_path.open("wb") as output,
             (self._directory / f"{label}.err").open("wb") as errors,
         ):
-            program.process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", *arguments),
+            program.process = subprocess.Popen(
+                (sys.executable, "-m", *arguments),
                 stdout=output,
                 stderr=errors,
                 env=environment,
@@ -197,10 +198,11 @@
         self.send_signal(name, number)
         try:
             async with asyncio.timeout(_GRACE_S + _GRACE_MARGIN_S):
-                await process.wait()
+                while process.poll() is None:
+                    await asyncio.sleep(_POLL_S)
         except TimeoutError:
             process.kill()
-            await process.wait()
+            process.wait()
         if name in self._services:
             label = f"{name}-{self.count_starts(name)}"
             task = asyncio.ensure_future(self._expire_entry(label))
@@ -313,7 +315,7 @@
 
 
 async def _wait_for_address(
-    process: asyncio.subprocess.Process, output_path: pathlib.Path
+    process: subprocess.Popen[bytes], output_path: pathlib.Path
 ) -> http_client.Address | None:
     """Returns the address in the first line that a stand-in prints.
 
@@ -323,7 +325,7 @@
       TimeoutError: The stand-in runs but prints no address.
     """
     async with asyncio.timeout(_START_TIMEOUT_S):
-        while process.returncode is None:
+        while process.poll() is None:
             found = re.search(r"listening on (\S+)\n", output_path.read_text())
             if found:
                 return http_client.Address.parse(found[1])
