--- a/redwingchute/soak/checks.py
+++ b/redwingchute/soak/checks.py
@@ -21,6 +21,8 @@
 _ALLOWED_LOST = 3
 # A host counts as sound this long after a fault.
 _CONTACT_MS = 3_000
+_RECOVERY_MS = 12_000
+_MIN_SERVED_SHARE = 0.25
 
 
 @attrs.frozen
@@ -81,6 +83,7 @@
         check_streams,
         check_answered,
         check_lost,
+        check_recovered,
         check_processes,
     )
     return [found for check in checks for found in check(observations)]
@@ -299,6 +302,31 @@
     return stopping + (serving if len(serving) > _ALLOWED_LOST else [])
 
 
+def check_recovered(
+    observations: observations_lib.Observations,
+) -> Iterable[Violation]:
+    """Finds a fleet that serves few requests some time after all faults."""
+    if not observations.faults:
+        return
+    from_ms = _RECOVERY_MS + max(
+        fault.until_ms for fault in observations.faults
+    )
+    late = [
+        attempt
+        for attempt in observations.attempts
+        if attempt.sent_ms >= from_ms
+        and attempt.outcome is not observations_lib.Outcome.GAVE_UP
+    ]
+    served = sum(
+        attempt.status == 200
+        and attempt.outcome is observations_lib.Outcome.ANSWERED
+        for attempt in late
+    )
+    if served < _MIN_SERVED_SHARE * len(late):
+        message = f"{served} of {len(late)} served from {from_ms} on"
+        yield Violation("RECOVER", "fleet", message)
+
+
 def check_processes(
     observations: observations_lib.Observations,
 ) -> Iterable[Violation]:
--- a/redwingchute/soak/checks_test.py
+++ b/redwingchute/soak/checks_test.py
@@ -274,6 +274,28 @@
     assert _find_rules(found) == ["LOST"] * expected
 
 
+@pytest.mark.parametrize(
+    ("sent_ms", "served", "expected"),
+    [(12_000, 4, []), (12_000, 3, ["RECOVER"]), (11_999, 0, [])],
+)
+def test_a_fleet_that_does_not_recover_is_found(
+    sent_ms: int, served: int, expected: list[str]
+) -> None:
+    attempts = [
+        soak_builders.make_attempt(
+            request_id=f"{number:06x}-0",
+            sent_ms=soak_builders.SENT_MS + sent_ms,
+            **({} if number < served else {"status": 503}),
+        )
+        for number in range(16)
+    ]
+    fault = observations.AppliedFault(
+        0, soak_builders.SENT_MS, "store", "SIGSTOP"
+    )
+    found = soak_builders.make_observations(fault, *attempts)
+    assert _find_rules(found) == expected
+
+
 def test_a_process_that_ended_by_itself_is_found() -> None:
     found = soak_builders.make_observations(unexpected_ends=("host-1",))
     assert _find_rules(found) == ["ENDED"]
--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -157,6 +157,9 @@
                 *(*_STAND_IN, "runner", f"--name={label}"),
                 f"--store={self.find_address(plan.STORE)}",
                 f"--service={self._services[name]}",
+                # The next start of an upstream takes over its address, while
+                # its former id may still be listed.
+                f"--listen={program.address or '127.0.0.1:0'}",
                 f"--work-ms={_UPSTREAM_WORK_MS}",
                 f"--record={record}",
             ]
--- a/redwingchute/soak/injector.py
+++ b/redwingchute/soak/injector.py
@@ -52,8 +52,9 @@
         starts = self._fleet.count_starts(fault.target)
         match fault:
             case plan.Patch(_, target, duration_ms, patch):
-                if not await self._fleet.patch(target, dict(patch)):
-                    return
+                # Without a confirmation it may still take effect: a paused
+                # process reads it when it continues.
+                await self._fleet.patch(target, dict(patch))
                 await asyncio.sleep(duration_ms / 1000)
                 await self._end_patch(fault, starts)
             case plan.Pause(_, target, duration_ms):
--- a/redwingchute/soak/observations.py
+++ b/redwingchute/soak/observations.py
@@ -89,15 +89,15 @@
 
 @attrs.frozen
 class UpstreamEvent:
-    """An arrival, run or extra response that an upstream recorded.
+    """An arrival, run or response that an upstream recorded.
 
     Attributes:
       at_ms: The time in Unix milliseconds.
-      event: `arrived`, `ran` or `sent_extra`.
+      event: `arrived`, `ran`, `answered` except for streams, or `sent_extra`.
       upstream: The id of the upstream's start: its name and a number.
       service: The name of its service.
       request_id: The id of the request.
-      status: The status of an extra response.
+      status: The status of a response.
     """
 
     at_ms: int
--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -98,13 +98,15 @@
       hosts: The number of hosts.
       upstreams: The number of upstreams of each service.
       rate_per_s: The mean rate of requests of all callers.
-      duration_ms: How long requests are sent and faults injected.
+      duration_ms: How long faults are injected while requests are sent.
+      calm_ms: How long requests are sent after that.
     """
 
     hosts: int
     upstreams: int
     rate_per_s: float
     duration_ms: int
+    calm_ms: int = 0
 
     def list_hosts(self) -> list[str]:
         """Returns the names of the hosts."""
@@ -127,7 +129,8 @@
     """Returns the requests of a soak, which arrive independently."""
     source = random.Random(f"{seed}-requests")
     requests: list[PlannedRequest] = []
-    for at_ms in _draw_times(source, 1000 / size.rate_per_s, size):
+    end_ms = size.duration_ms + size.calm_ms
+    for at_ms in _draw_times(source, 1000 / size.rate_per_s, end_ms):
         gives_up = source.random() < _GIVE_UP_SHARE
         requests.append(
             PlannedRequest(
@@ -165,7 +168,7 @@
 
 def _plan_extra_responses(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields upstreams that reject some requests and repeat some responses."""
-    for at_ms in _draw_times(source, 1_500, size):
+    for at_ms in _draw_times(source, 1_500, size.duration_ms):
         yield Patch(
             at_ms,
             _draw_upstream(source, size),
@@ -182,7 +185,7 @@
 
 def _plan_full_upstreams(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields upstreams that refuse all requests."""
-    for at_ms in _draw_times(source, 2_000, size):
+    for at_ms in _draw_times(source, 2_000, size.duration_ms):
         duration_ms = source.randint(500, 4_000)
         target = _draw_upstream(source, size)
         yield Patch(at_ms, target, duration_ms, (("is_full", True),))
@@ -190,7 +193,7 @@
 
 def _plan_faulty_answers(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields upstreams that break off, lose or garble their responses."""
-    for at_ms in _draw_times(source, 2_500, size):
+    for at_ms in _draw_times(source, 2_500, size.duration_ms):
         fault = source.choice(
             (
                 ("truncate_answers", True),
@@ -207,7 +210,7 @@
 
 def _plan_upstream_ends(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields upstreams that crash and start again under another id."""
-    for at_ms in _draw_times(source, 5_000, size):
+    for at_ms in _draw_times(source, 5_000, size.duration_ms):
         yield Restart(
             at_ms,
             _draw_upstream(source, size),
@@ -218,7 +221,7 @@
 
 def _plan_upstream_pauses(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields upstreams that are stopped and continued."""
-    for at_ms in _draw_times(source, 4_000, size):
+    for at_ms in _draw_times(source, 4_000, size.duration_ms):
         yield Pause(
             at_ms, _draw_upstream(source, size), source.randint(100, 3_000)
         )
@@ -226,7 +229,7 @@
 
 def _plan_host_ends(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields series of hosts that end at nearly the same moment."""
-    for at_ms in _draw_times(source, 5_000, size):
+    for at_ms in _draw_times(source, 5_000, size.duration_ms):
         number = source.choice((signal.SIGTERM, signal.SIGKILL))
         count = source.choice((1, 1, 2, size.hosts))
         for host in source.sample(size.list_hosts(), min(count, size.hosts)):
@@ -243,7 +246,7 @@
 
     The store may be away meanwhile, so that hosts do not find each other.
     """
-    for at_ms in _draw_times(source, 12_000, size):
+    for at_ms in _draw_times(source, 12_000, size.duration_ms):
         length_ms = source.randint(6_000, 10_000)
         reject_every = source.choice((1, 1, 2, 3))
         for upstream, _ in size.list_upstreams():
@@ -260,14 +263,14 @@
 
 def _plan_host_pauses(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields hosts that are stopped and continued."""
-    for at_ms in _draw_times(source, 5_000, size):
+    for at_ms in _draw_times(source, 5_000, size.duration_ms):
         host = source.choice(size.list_hosts())
         yield Pause(at_ms, host, source.randint(100, 3_000))
 
 
 def _plan_store_faults(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields times at which the store is stopped or refuses requests."""
-    for at_ms in _draw_times(source, 8_000, size):
+    for at_ms in _draw_times(source, 8_000, size.duration_ms):
         duration_ms = source.randint(300, 4_000)
         name = source.choice(("", "is_down", "is_busy"))
         if name:
@@ -290,11 +293,11 @@
 
 
 def _draw_times(
-    source: random.Random, mean_gap_ms: float, size: Size
+    source: random.Random, mean_gap_ms: float, end_ms: int
 ) -> Iterator[int]:
     """Yields the times of events that occur independently of each other."""
     at_ms = source.expovariate(1 / mean_gap_ms)
-    while at_ms < size.duration_ms:
+    while at_ms < end_ms:
         yield int(at_ms)
         at_ms += source.expovariate(1 / mean_gap_ms)
 
--- a/redwingchute/soak/soak_command.py
+++ b/redwingchute/soak/soak_command.py
@@ -52,6 +52,7 @@
     *,
     seed: int,
     duration_s: float = 60.0,
+    calm_s: float = 20.0,
     hosts: int = 3,
     upstreams: int = 2,
     rate_per_s: float = 60.0,
@@ -64,14 +65,21 @@
 
     Args:
       seed: The seed of the load and the faults.
-      duration_s: How long requests are sent and faults injected.
+      duration_s: How long faults are injected while requests are sent.
+      calm_s: How long requests are sent after that, to check the recovery.
       hosts: The number of hosts.
       upstreams: The number of upstreams of each of two services.
       rate_per_s: The mean rate of requests of all callers.
       faults: The groups of faults, separated by commas; `all` or `none`.
       directory: The directory in which the run gets a directory of its own.
     """
-    size = plan.Size(hosts, upstreams, rate_per_s, int(1000 * duration_s))
+    size = plan.Size(
+        hosts,
+        upstreams,
+        rate_per_s,
+        int(1000 * duration_s),
+        int(1000 * calm_s),
+    )
     if size.count_processes() > _MAX_PROCESSES or duration_s > _MAX_DURATION_S:
         raise SystemExit(
             f"at most {_MAX_PROCESSES} processes and {_MAX_DURATION_S} s"
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -121,8 +121,8 @@
           address: The IP address to listen on.
           port: The main port; 0 selects a free one.
           faults: The initial faults.
-          record_path: The file to which each arrival, run and extra response
-            is appended as a line of JSON.
+          record_path: The file to which each arrival, run and response is
+            appended as a line of JSON.
         """
         super().__init__(faults or RunnerFaults(), address, port)
         self._record_path = record_path
@@ -252,6 +252,7 @@
     ) -> None:
         """Sends a response, and a copy of it later if one is due."""
         self._responses += 1
+        self._record("answered", request, status=status)
         await responder.send_response(status, headers, body)
         faults = self.faults
         if not faults.extra_every or self._responses % faults.extra_every:
@@ -406,8 +407,8 @@
       listen: The ip:port to listen on; port 0 selects a free one.
       event_ms: The time between two events of a stream.
       work_ms: The time to run a plain request.
-      record: The file to which each arrival, run and extra response is
-        appended as a line of JSON; empty for none.
+      record: The file to which each arrival, run and response is appended as
+        a line of JSON; empty for none.
     """
     address = base.parse_listen(listen)
     runner = Runner(
