--- a/redwingchute/soak/injector.py
+++ b/redwingchute/soak/injector.py
@@ -52,8 +52,9 @@
         starts = self._fleet.count_starts(fault.target)
         match fault:
             case plan.Patch(_, target, duration_ms, patch):
-                if not await self._fleet.patch(target, dict(patch)):
-                    return
+                # Without a confirmation it may still take effect: a paused
+                # process reads it when it continues.
+                await self._fleet.patch(target, dict(patch))
                 await asyncio.sleep(duration_ms / 1000)
                 await self._end_patch(fault, starts)
             case plan.Pause(_, target, duration_ms):
@@ -73,7 +74,7 @@
             from_ms,
             base.now_ms(),
             fault.target,
-            type(fault).__name__,
+            _name_fault(fault),
             str(fault),
         )
         self.applied.append(applied)
@@ -93,3 +94,14 @@
             if await self._fleet.patch(fault.target, healed):
                 return
             await asyncio.sleep(_PATCH_RETRY_S)
+
+
+def _name_fault(fault: plan.Fault) -> str:
+    """Returns the name under which a fault is recorded."""
+    match fault:
+        case plan.Patch():
+            return observations.PATCH
+        case plan.Pause():
+            return signal.SIGSTOP.name
+        case plan.Restart(_, _, number):
+            return number.name
