Let the stand-in of the store return from an earlier copy

The stand-in takes copies and returns from the last one, by a method, by POST /control/copy, /control/restore and /control/drill (by seed). Offsets, the newest record of each key and the producers' epochs go back; a read beyond the end gets 410; the operator's and the upstreams' lost records are written again after a while. All answers carry Store-Era, also refusals; omits_era imitates a store without the header.

--- a/redwingchute/standin/base.py
+++ b/redwingchute/standin/base.py
@@ -7,6 +7,7 @@
 
 import abc
 import asyncio
+from collections.abc import Coroutine
 import signal
 import time
 from types import TracebackType
@@ -104,7 +105,11 @@
         A task of its own runs it, because the crash cancels the handler.
         """
         self.crashes += 1
-        task = asyncio.ensure_future(self.crash())
+        self._spawn(self.crash())
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine in the background, at most until the exit."""
+        task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/redwingchute/standin/keyed_log.py
+++ b/redwingchute/standin/keyed_log.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import copy
 
 import attrs
 
@@ -78,10 +79,10 @@
 
     def read(self, offset: int) -> shared_log.ReadResult:
         """Returns all records from an offset on."""
-        if offset < self.first_offset:
+        if offset < self.first_offset or offset > self.end_offset:
             return shared_log.HistoryGone()
         records = tuple(self._records[offset - self.first_offset :])
-        return shared_log.ReadRecords(records, max(offset, self.end_offset))
+        return shared_log.ReadRecords(records, self.end_offset)
 
     def read_newest(self) -> shared_log.Newest:
         """Returns the newest record of each key."""
@@ -125,11 +126,30 @@
 
 
 class KeyedLog:
-    """All keyed topics by name."""
+    """All keyed topics by name.
 
-    def __init__(self) -> None:
+    Attributes:
+      topics: The topics.
+      era: Rises by one each time that the log is replaced by a copy.
+    """
+
+    def __init__(self, era: int = 0) -> None:
         """Starts without topics."""
         self.topics: dict[str, KeyedTopic] = {}
+        self.era = era
+
+    def take_copy(self) -> "KeyedLog":
+        """Returns a copy of all topics and of the state of their producers."""
+        return copy.deepcopy(self)
+
+    def restore_copy(self, earlier: "KeyedLog") -> None:
+        """Replaces the content by a copy; later records and epochs are lost.
+
+        Args:
+          earlier: The copy, which remains usable.
+        """
+        self.topics = earlier.take_copy().topics
+        self.era += 1
 
     def get_or_create_topic(self, name: str) -> KeyedTopic:
         """Returns a topic, created empty at its first use."""
--- a/redwingchute/standin/metadata_store.py
+++ b/redwingchute/standin/metadata_store.py
@@ -7,11 +7,15 @@
 In the bodies of appends and reads, a record is a 4-byte big-endian length, a
 byte with the length of the key, the key and the value. An empty value deletes
 the key.
+
+`POST /control/copy` takes a copy of all topics, and `POST /control/restore` has
+the store go away and return with that copy, which begins a new era.
 """
 
 import asyncio
 import base64
 import json
+import random
 import struct
 from typing import Any
 
@@ -29,6 +33,37 @@
 _MAX_PAGE_ENTRIES = 500
 # Topics that only the operator and the upstreams may write.
 _FOREIGN_TOPICS = frozenset({"keyed.op", "keyed.servers"})
+_ERA_HEADER = "store-era"
+
+
+@attrs.frozen
+class Restoration:
+    """A return of the store from an earlier copy.
+
+    Attributes:
+      after_ms: The time from the copy until the store goes away. What is
+        written in this time is lost.
+      away_ms: How long the store is away.
+      rewrite_ms: The time from the return until the operator and the upstreams
+        write their lost records again.
+    """
+
+    after_ms: int = 0
+    away_ms: int = 300
+    rewrite_ms: int = 1_000
+
+
+def draw_restorations(seed: int, count: int) -> tuple[Restoration, ...]:
+    """Returns a series of restorations that is determined by a seed."""
+    generator = random.Random(seed)
+    return tuple(
+        Restoration(
+            after_ms=generator.randint(200, 5_000),
+            away_ms=generator.randint(50, 2_000),
+            rewrite_ms=generator.randint(100, 1_800),
+        )
+        for _ in range(count)
+    )
 
 
 @attrs.frozen
@@ -41,12 +76,14 @@
       slow_ms: The delay of every request.
       lose_next_answers: The number of next appends that take effect but get
         no response.
+      omits_era: Responses lack the header with the era.
     """
 
     is_down: bool = False
     is_busy: bool = False
     slow_ms: int = 0
     lose_next_answers: int = 0
+    omits_era: bool = False
 
 
 class MetadataStore(base.StandIn[StoreFaults]):
@@ -67,6 +104,7 @@
         super().__init__(faults or StoreFaults(), address, port)
         self.log = keyed_log.KeyedLog()
         self.calls = 0
+        self._copy = self.log.take_copy()
         self._append_events: dict[str, asyncio.Event] = {}
 
     async def handle(
@@ -81,7 +119,7 @@
         if self.faults.is_down:
             raise http_server.ClientDisconnectedError
         if self.faults.is_busy:
-            await responder.send(503, b"")
+            await self._send(responder, 503, b"")
             return
         match (request.method, request.path):
             case ("POST", "/v1/log-append"):
@@ -91,18 +129,50 @@
             case ("GET", "/v1/log-newest"):
                 await self._read_newest(request.query, responder)
             case _:
-                await responder.send(404, b"")
+                await self._send(responder, 404, b"")
+
+    async def _send(
+        self,
+        responder: http_server.HttpResponder,
+        status: int,
+        body: bytes,
+        content_type: str = "application/json",
+    ) -> None:
+        """Sends a response with the era of the log."""
+        headers = []
+        if not self.faults.omits_era:
+            headers.append((_ERA_HEADER, str(self.log.era)))
+        await responder.send(status, body, content_type, headers)
 
     async def handle_action(
         self, name: str, body: dict[str, Any]
     ) -> faults_lib.Findings | None:
-        """Runs `put` or `forget`.
+        """Runs `put`, `forget`, `copy`, `restore` or `drill`.
 
         `put` writes a JSON `value` to a `key` of a `topic`; null deletes the
         key. `forget` deletes all records of a `topic` except the newest of each
-        key.
+        key. `copy` takes a copy, and `restore` returns from it after `away_ms`
+        without the store. `drill` runs `count` restorations by `seed`.
         """
         match name:
+            case "copy":
+                self.take_copy()
+                return ()
+            case "restore":
+                await self.restore_copy(
+                    Restoration(
+                        away_ms=int(body.get("away_ms", 300)),
+                        rewrite_ms=int(body.get("rewrite_ms", 1_000)),
+                    )
+                )
+                return ()
+            case "drill":
+                self._spawn(
+                    self.run_drill(
+                        draw_restorations(int(body["seed"]), int(body["count"]))
+                    )
+                )
+                return ()
             case "put":
                 value = body.get("value")
                 encoded = None if value is None else json.dumps(value).encode()
@@ -116,6 +186,57 @@
             case _:
                 return None
 
+    def take_copy(self) -> None:
+        """Takes the copy from which the store returns next."""
+        self._copy = self.log.take_copy()
+
+    async def restore_copy(self, restoration: Restoration) -> None:
+        """Goes away and returns from the last copy, in a new era.
+
+        Args:
+          restoration: How long the store is away, and when the records of the
+            operator and of the upstreams are back.
+        """
+        before = self.log.take_copy()
+        self.faults = attrs.evolve(self.faults, is_down=True)
+        self._wake_readers()
+        await asyncio.sleep(restoration.away_ms / 1000)
+        self.log.restore_copy(self._copy)
+        self.faults = attrs.evolve(self.faults, is_down=False)
+        self._spawn(self._rewrite(before, restoration.rewrite_ms))
+
+    async def run_drill(self, restorations: tuple[Restoration, ...]) -> None:
+        """Takes a copy and returns from it, once for each restoration."""
+        for restoration in restorations:
+            self.take_copy()
+            await asyncio.sleep(restoration.after_ms / 1000)
+            await self.restore_copy(restoration)
+
+    async def _rewrite(
+        self, before: keyed_log.KeyedLog, rewrite_ms: int
+    ) -> None:
+        """Writes lost records of the operator and the upstreams again."""
+        await asyncio.sleep(rewrite_ms / 1000)
+        for topic in sorted(_FOREIGN_TOPICS & before.topics.keys()):
+            newest = {
+                record.key: record.value
+                for record in before.topics[topic].read_newest().records
+            }
+            restored = {
+                record.key: record.value
+                for record in self.log.get_or_create_topic(topic)
+                .read_newest()
+                .records
+            }
+            for key in sorted(newest.keys() | restored.keys()):
+                if newest.get(key) != restored.get(key):
+                    self.write_record(topic, key, newest.get(key))
+
+    def _wake_readers(self) -> None:
+        """Ends the waits of all reads that wait for a record."""
+        for event in self._append_events.values():
+            event.set()
+
     def write_record(self, topic: str, key: str, value: bytes | None) -> None:
         """Writes a record as the operator or an upstream would."""
         self.log.get_or_create_topic(topic).append(
@@ -124,11 +245,11 @@
         self._get_or_create_event(topic).set()
 
     def describe(self) -> dict[str, Any]:
-        """Returns the number of requests and the end offset of each topic."""
+        """Returns the number of requests, the era and the end of each topic."""
         ends = {
             name: topic.end_offset for name, topic in self.log.topics.items()
         }
-        return {"calls": self.calls, "ends": ends}
+        return {"calls": self.calls, "era": self.log.era, "ends": ends}
 
     async def _append(
         self,
@@ -139,7 +260,7 @@
         query = request.query
         topic = query["topic"]
         if topic in _FOREIGN_TOPICS:
-            await responder.send(403, b"")
+            await self._send(responder, 403, b"")
             return
         stamp = None
         if "producer" in query:
@@ -157,7 +278,7 @@
             self.faults = attrs.evolve(self.faults, lose_next_answers=remaining)
             raise http_server.ClientDisconnectedError
         status, fields = _describe_append(result)
-        await responder.send(status, json.dumps(fields).encode())
+        await self._send(responder, status, json.dumps(fields).encode())
 
     async def _read(
         self, query: dict[str, str], responder: http_server.HttpResponder
@@ -174,17 +295,21 @@
                     await event.wait()
             except TimeoutError:
                 pass
+            if self.faults.is_down:
+                raise http_server.ClientDisconnectedError
+            # The store may have returned from a copy during the wait.
+            topic = self.log.get_or_create_topic(query["topic"])
         result = topic.read(offset)
         if isinstance(result, shared_log.HistoryGone):
             body = json.dumps({"startOffset": topic.first_offset}).encode()
-            await responder.send(410, body)
+            await self._send(responder, 410, body)
             return
         assert isinstance(result, shared_log.ReadRecords)
         payload = _END_AND_FIRST_OFFSET.pack(
             topic.end_offset, topic.first_offset
         )
         payload += b"".join(map(_encode_record, result.records))
-        await responder.send(200, payload, "application/octet-stream")
+        await self._send(responder, 200, payload, "application/octet-stream")
 
     async def _read_newest(
         self, query: dict[str, str], responder: http_server.HttpResponder
@@ -209,7 +334,7 @@
             "hasMore": len(records) > len(page),
             "endOffset": newest.next_offset,
         }
-        await responder.send(200, json.dumps(fields).encode())
+        await self._send(responder, 200, json.dumps(fields).encode())
 
     def _get_or_create_event(self, topic: str) -> asyncio.Event:
         """Returns the event that is set by each append to a topic."""
