Detect in every response of the log that it returned from a copy

Offsets go back and are given out again, so a bare offset can mean two things. A position in the log is now (era, offset), LogPosition, in reads, results, followers and conditional appends; the store's client reads Store-Era from every response, refusals too, and a store without it is in era 0. Followers start again from the newest record of each key when the era differs from their position's. HistoryGone covers the 410 beyond the end.

Grants don't make use of the era yet.

--- a/redwingchute/platform/lost_response_test.py
+++ b/redwingchute/platform/lost_response_test.py
@@ -9,6 +9,7 @@
 import pytest
 
 from redwingchute.connection import http_client
+from redwingchute.process import era_log
 from redwingchute.process import gateway
 from redwingchute.process import gateway_settings
 from redwingchute.process import keyed_follower
@@ -45,7 +46,7 @@
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: shared_log.LogPosition,
         wait_ms: int,
         response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
@@ -56,7 +57,7 @@
             await asyncio.sleep((wait_ms + response_timeout_ms) / 1000)
             return shared_log.LogUnavailable("no response")
         await asyncio.sleep(_RESPONSE_S)
-        return await super().read(topic, offset, wait_ms, response_timeout_ms)
+        return await super().read(topic, position, wait_ms, response_timeout_ms)
 
 
 @pytest.mark.parametrize("fresh_ms", [2_000, 3_000, 4_000])
@@ -66,7 +67,7 @@
     loop = manual_loop.ManualLoop()
     delivered_s: list[float] = []
     follower = keyed_follower.KeyedFollower(
-        _SilentLog(),
+        era_log.EraLog(_SilentLog()),
         "keyed.op",
         gateway.make_configuration_timing(_make_settings(fresh_ms)),
         lambda: int(1000 * loop.time()),
--- a/redwingchute/platform/store_client.py
+++ b/redwingchute/platform/store_client.py
@@ -25,6 +25,7 @@
 # The end offset and the first retained offset, which precede the records of a
 # read.
 _OFFSETS = struct.Struct(">QQ")
+_ERA_HEADER = "store-era"
 
 
 class StoreClient:
@@ -47,7 +48,7 @@
         topic: str,
         records: tuple[shared_log.KeyedRecord, ...],
         stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
+        at: shared_log.LogPosition | None = None,
     ) -> shared_log.AppendResult:
         """Appends records; see `shared_log.SharedLog`."""
         query = {
@@ -57,8 +58,8 @@
             "epoch": stamp.epoch,
             "sequence": stamp.sequence,
         }
-        if at_offset is not None:
-            query["at"] = at_offset
+        if at is not None:
+            query["at"] = at.offset
         body = b"".join(map(_encode_record, records))
         fetched = await self._call("POST", "/v1/log-append", query, body, 0)
         if isinstance(fetched, shared_log.LogUnavailable):
@@ -68,12 +69,12 @@
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: shared_log.LogPosition,
         wait_ms: int,
         response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         """Reads records; see `shared_log.SharedLog`."""
-        query = {"topic": topic, "part": _PARTITION, "source": offset}
+        query = {"topic": topic, "part": _PARTITION, "source": position.offset}
         if wait_ms:
             query["waitMs"] = wait_ms
         fetched = await self._call(
@@ -87,13 +88,16 @@
         if isinstance(fetched, shared_log.LogUnavailable):
             return fetched
         if fetched.status == 410:
-            return shared_log.HistoryGone()
+            return shared_log.HistoryGone(_read_era(fetched))
         if fetched.status == 404:
             # The topic is created by its first append.
-            return shared_log.ReadRecords((), offset)
+            return shared_log.ReadRecords(
+                (),
+                shared_log.LogPosition(_read_era(fetched), position.offset),
+            )
         if fetched.status != 200:
             return _make_refusal(fetched)
-        return _decode_records(fetched.body, offset)
+        return _decode_records(fetched, position.offset)
 
     async def read_newest(
         self, topic: str
@@ -101,13 +105,18 @@
         """Reads the newest records; see `shared_log.SharedLog`."""
         query: dict[str, Any] = {"topic": topic, "part": _PARTITION}
         records: list[shared_log.KeyedRecord] = []
-        next_offset: int | None = None
+        next_position: shared_log.LogPosition | None = None
         while True:
             fetched = await self._call("GET", "/v1/log-newest", query, b"", 0)
             if isinstance(fetched, shared_log.LogUnavailable):
                 return fetched
+            era = _read_era(fetched)
+            if next_position is not None and next_position.era != era:
+                return shared_log.LogUnavailable(
+                    "the era changed between two pages", era=era
+                )
             if fetched.status == 404:
-                return shared_log.Newest((), 0)
+                return shared_log.Newest((), shared_log.LogPosition(era, 0))
             if fetched.status != 200:
                 return _make_refusal(fetched)
             try:
@@ -115,13 +124,17 @@
                 records += [_decode_entry(entry) for entry in page["entries"]]
                 # The pages together are no snapshot. A reader continues from
                 # the end offset of the first page, so that it misses nothing.
-                if next_offset is None:
-                    next_offset = int(page["endOffset"])
+                if next_position is None:
+                    next_position = shared_log.LogPosition(
+                        era, int(page["endOffset"])
+                    )
                 has_more = bool(page.get("hasMore"))
             except (ValueError, KeyError, TypeError) as error:
-                return shared_log.LogUnavailable(f"malformed page: {error}")
+                return shared_log.LogUnavailable(
+                    f"malformed page: {error}", era=era
+                )
             if not has_more or not records:
-                return shared_log.Newest(tuple(records), next_offset)
+                return shared_log.Newest(tuple(records), next_position)
             query["after"] = records[-1].key
 
     async def _call(
@@ -172,22 +185,28 @@
     fetched: http_client.Fetched,
 ) -> shared_log.AppendResult:
     """Returns the result of an append from its response."""
+    era = _read_era(fetched)
     try:
         fields = json.loads(fetched.body) if fetched.body else {}
         match fetched.status:
             case 200:
-                return shared_log.Appended(int(fields["endOffset"]))
+                return shared_log.Appended(
+                    shared_log.LogPosition(era, int(fields["endOffset"]))
+                )
             case 412:
-                return shared_log.ConditionFailed(int(fields["endOffset"]))
+                return shared_log.ConditionFailed(
+                    shared_log.LogPosition(era, int(fields["endOffset"]))
+                )
             case 409 if fields.get("reason") == "fenced":
-                return shared_log.Fenced()
+                return shared_log.Fenced(era)
             case 409:
                 expected = fields.get("sequence", fields.get("next"))
-                return shared_log.WrongSequence(int(str(expected)))
+                return shared_log.WrongSequence(int(str(expected)), era)
     except (ValueError, KeyError, TypeError) as error:
         return shared_log.LogUnavailable(
             f"malformed response with status {fetched.status}: {error}",
             may_have_run=True,
+            era=era,
         )
     return _make_refusal(fetched)
 
@@ -195,20 +214,30 @@
 def _make_refusal(fetched: http_client.Fetched) -> shared_log.LogUnavailable:
     """Returns the result of a call that the store refused."""
     return shared_log.LogUnavailable(
-        f"the store refused the call with status {fetched.status}"
+        f"the store refused the call with status {fetched.status}",
+        era=_read_era(fetched),
     )
 
 
-def _decode_records(body: bytes, offset: int) -> shared_log.ReadResult:
+def _read_era(fetched: http_client.Fetched) -> int:
+    """Returns the era of the store; 0 for a store that does not send it."""
+    text = fetched.headers.get(_ERA_HEADER, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def _decode_records(
+    fetched: http_client.Fetched, offset: int
+) -> shared_log.ReadResult:
     """Decodes the response to a read of a topic.
 
     Args:
-      body: The end offset and the first retained offset of the topic, then the
-        records.
+      fetched: The response; its body holds the end offset and the first
+        retained offset of the topic, then the records.
       offset: The offset from which the read started.
     """
+    body, era = fetched.body, _read_era(fetched)
     if len(body) < _OFFSETS.size:
-        return shared_log.LogUnavailable("the response is too short")
+        return shared_log.LogUnavailable("the response is too short", era=era)
     _, first_offset = _OFFSETS.unpack_from(body)
     # A read from before the first retained record returns records from there.
     next_offset = max(offset, first_offset)
@@ -225,7 +254,9 @@
         if record is not None:
             records.append(record)
         next_offset += 1
-    return shared_log.ReadRecords(tuple(records), next_offset)
+    return shared_log.ReadRecords(
+        tuple(records), shared_log.LogPosition(era, next_offset)
+    )
 
 
 def _decode_content(
--- a/redwingchute/platform/store_client_test.py
+++ b/redwingchute/platform/store_client_test.py
@@ -35,6 +35,10 @@
     return shared_log.KeyedRecord(key, value)
 
 
+def _make_position(offset: int, era: int = 0) -> shared_log.LogPosition:
+    return shared_log.LogPosition(era, offset)
+
+
 def _make_stamp(sequence: int, epoch: int = 1) -> shared_log.ProducerStamp:
     return shared_log.ProducerStamp("huon-1", epoch, sequence)
 
@@ -46,15 +50,19 @@
         del store
         records = (_make_record("a", b"1"), _make_record("a", None))
         appended = await client.append(_TOPIC, records, _make_stamp(0))
-        assert appended == shared_log.Appended(2)
-        assert await client.read(_TOPIC, 0, 0) == shared_log.ReadRecords(
+        assert appended == shared_log.Appended(_make_position(2))
+        assert await client.read(
+            _TOPIC, _make_position(0), 0
+        ) == shared_log.ReadRecords(
             (
                 shared_log.KeyedRecord("a", b"1", 0),
                 shared_log.KeyedRecord("a", None, 1),
             ),
-            2,
+            _make_position(2),
+        )
+        assert await client.read_newest(_TOPIC) == shared_log.Newest(
+            (), _make_position(2)
         )
-        assert await client.read_newest(_TOPIC) == shared_log.Newest((), 2)
 
     _run(scenario)
 
@@ -66,8 +74,10 @@
         del store
         records = (_make_record("a", b"1"),)
         await client.append(_TOPIC, records, _make_stamp(0))
-        failed = await client.append(_TOPIC, records, _make_stamp(1), 0)
-        assert failed == shared_log.ConditionFailed(1)
+        failed = await client.append(
+            _TOPIC, records, _make_stamp(1), _make_position(0)
+        )
+        assert failed == shared_log.ConditionFailed(_make_position(1))
 
     _run(scenario)
 
@@ -82,7 +92,7 @@
         assert isinstance(lost, shared_log.LogUnavailable)
         assert lost.may_have_run
         again = await client.append(_TOPIC, records, _make_stamp(0))
-        assert again == shared_log.Appended(1)
+        assert again == shared_log.Appended(_make_position(1))
 
     _run(scenario)
 
@@ -106,7 +116,9 @@
     async def scenario(
         client: store_client.StoreClient, store: metadata_store.MetadataStore
     ) -> None:
-        reading = asyncio.ensure_future(client.read("keyed.op", 0, 5_000))
+        reading = asyncio.ensure_future(
+            client.read("keyed.op", _make_position(0), 5_000)
+        )
         await asyncio.sleep(0.05)
         store.write_record("keyed.op", "config", b"1")
         read = await reading
@@ -123,7 +135,10 @@
         for number in range(1_201):
             store.write_record("keyed.op", f"k{number:04}", b"v")
         store.log.get_or_create_topic("keyed.op").discard_history()
-        assert await client.read("keyed.op", 0, 0) == shared_log.HistoryGone()
+        assert (
+            await client.read("keyed.op", _make_position(0), 0)
+            == shared_log.HistoryGone()
+        )
         newest = await client.read_newest("keyed.op")
         assert isinstance(newest, shared_log.Newest)
         assert len(newest.records) == 1_201
@@ -140,7 +155,49 @@
             _TOPIC, (_make_record("a", b"1"),), _make_stamp(0)
         )
         assert refused == shared_log.LogUnavailable(
-            "the store refused the call with status 503"
+            "the store refused the call with status 503", era=0
+        )
+
+    _run(scenario)
+
+
+def test_results_carry_the_era() -> None:
+    async def scenario(
+        client: store_client.StoreClient, store: metadata_store.MetadataStore
+    ) -> None:
+        records = (_make_record("a", b"1"),)
+        await store.restore_copy(
+            metadata_store.Restoration(away_ms=0, rewrite_ms=0)
+        )
+        appended = await client.append(_TOPIC, records, _make_stamp(0))
+        assert appended == shared_log.Appended(_make_position(1, era=1))
+        failed = await client.append(
+            _TOPIC, records, _make_stamp(1), _make_position(0, era=1)
+        )
+        assert failed == shared_log.ConditionFailed(_make_position(1, era=1))
+        skipped = await client.append(_TOPIC, records, _make_stamp(7))
+        assert skipped == shared_log.WrongSequence(1, 1)
+        fenced = await client.append(_TOPIC, records, _make_stamp(0, epoch=0))
+        assert fenced == shared_log.Fenced(1)
+        gone = await client.read(_TOPIC, _make_position(9), 0)
+        assert gone == shared_log.HistoryGone(1)
+        newest = await client.read_newest(_TOPIC)
+        assert newest.era == 1
+        store.faults = metadata_store.StoreFaults(is_busy=True)
+        refused = await client.read_newest(_TOPIC)
+        assert refused.era == 1
+
+    _run(scenario)
+
+
+def test_a_store_without_an_era_counts_as_era_0() -> None:
+    async def scenario(
+        client: store_client.StoreClient, store: metadata_store.MetadataStore
+    ) -> None:
+        await store.restore_copy(
+            metadata_store.Restoration(away_ms=0, rewrite_ms=0)
         )
+        store.faults = metadata_store.StoreFaults(omits_era=True)
+        assert (await client.read_newest(_TOPIC)).era == 0
 
     _run(scenario)
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -24,6 +24,7 @@
 from redwingchute.process import background_tasks
 from redwingchute.process import crash_relay
 from redwingchute.process import decision_log
+from redwingchute.process import era_log
 from redwingchute.process import gateway_settings
 from redwingchute.process import host_registry
 from redwingchute.process import hub_choice
@@ -132,8 +133,8 @@
         self._incarnation = secrets.randbits(47) or 1
         self._metrics = telemetry.Metrics(settings.host_name, settings.zone)
         self._metrics.observe_events(decision_log.read_counts)
-        self._log = timed_log.TimedLog(
-            ports.log, read_boot_ms, self._record_log_call
+        self._log = era_log.EraLog(
+            timed_log.TimedLog(ports.log, read_boot_ms, self._record_log_call)
         )
         self._route_index: route_index.RouteIndex | None = None
         self._upstream_directory = upstream_directory.UpstreamDirectory(
@@ -384,7 +385,7 @@
             return "stopping"
         if self._route_index is None:
             return "no configuration"
-        if self._upstream_follower.next_offset < 0:
+        if self._upstream_follower.position is None:
             return "no upstreams"
         # Readiness waits for the hosts and the first grants, but no longer than
         # _GRANT_WAIT_MS: requests that cost no tokens can be served even while
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -12,6 +12,7 @@
 import attrs
 
 from redwingchute.process import decision_log
+from redwingchute.process import era_log
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
 
@@ -68,7 +69,7 @@
 
     def __init__(
         self,
-        log: shared_log.SharedLog,
+        log: era_log.EraLog,
         own_host: RegisteredHost,
         incarnation: int,
         read_clock_ms: Callable[[], int],
--- a/redwingchute/process/host_registry_test.py
+++ b/redwingchute/process/host_registry_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from redwingchute.process import era_log
 from redwingchute.process import host_registry
 from redwingchute.process import shared_log
 from redwingchute.testing import manual_loop
@@ -24,7 +25,7 @@
         """Starts the registry of a host, or starts it again."""
         self._incarnations += 1
         registry = host_registry.HostRegistry(
-            self.log,
+            era_log.EraLog(self.log),
             host_registry.RegisteredHost(name, "huon", f"{name}:7000", 0.5),
             self._incarnations,
             lambda: int(1000 * self.loop.time()),
@@ -107,9 +108,9 @@
         topic: str,
         records: tuple[shared_log.KeyedRecord, ...],
         stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
+        at: shared_log.LogPosition | None = None,
     ) -> shared_log.AppendResult:
-        await append(topic, records, stamp, at_offset)
+        await append(topic, records, stamp, at)
         return shared_log.LogUnavailable("no response", may_have_run=True)
 
     monkeypatch.setattr(fleet.log, "append", lose_response)
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -2,8 +2,9 @@
 
 The follower starts with the newest record of each key and then reads all
 later records. It restarts from the newest records when the log has deleted
-the records at its offset. A record is skipped unless it is newer than the last
-one that was delivered for its key, so a key's value never goes back.
+the records at its offset, or has returned from an earlier copy. A record is
+skipped unless it is newer than the last one that was delivered for its key. A
+key's value thus goes back only with the log itself.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 import attrs
 
 from redwingchute.process import decision_log
+from redwingchute.process import era_log
 from redwingchute.process import shared_log
 
 # The first and the longest pause after a failed read; it doubles each time.
@@ -42,14 +44,14 @@
       confirmed_ms: When the delivered records were last confirmed to be the
         newest, on the clock that `read_clock_ms` reads; 0 before the first
         successful read.
-      next_offset: The offset of the next read; -1 before the first one.
+      position: The position of the next read; None before the first one.
       failed_since_ms: When reads began to fail, on the same clock; 0 while
         they succeed.
     """
 
     def __init__(
         self,
-        log: shared_log.SharedLog,
+        log: era_log.EraLog,
         topic: str,
         timing: PollTiming,
         read_clock_ms: Callable[[], int],
@@ -69,14 +71,14 @@
         """
         self.confirmed_ms = 0
         self.failed_since_ms = 0
-        self.next_offset = -1
+        self.position: shared_log.LogPosition | None = None
         self._log = log
         self._topic = topic
         self._timing = timing
         self._read_clock_ms = read_clock_ms
         self._on_record = on_record
         self._retain_only = retain_only
-        self._offsets: dict[str, int] = {}
+        self._delivered: dict[str, shared_log.LogPosition] = {}
         self._lock = asyncio.Lock()
 
     async def run(self) -> None:
@@ -108,17 +110,17 @@
           newest.
         """
         async with self._lock:
-            if self.next_offset < 0:
+            if self.position is None or self.position.era != self._log.era:
                 return self._record_result(await self._start())
             started_ms = self._read_clock_ms()
             timeout_ms = self._timing.response_timeout_ms if wait_ms else None
             match await self._log.read(
-                self._topic, self.next_offset, wait_ms, timeout_ms
+                self._topic, self.position, wait_ms, timeout_ms
             ):
-                case shared_log.ReadRecords(records, next_offset):
+                case shared_log.ReadRecords(records, next_position):
                     for record in records:
-                        self._deliver_if_newer(record)
-                    self.next_offset = next_offset
+                        self._deliver_if_newer(record, next_position.era)
+                    self.position = next_position
                     # A read without a wait returns the records that the log
                     # has at some time after `started_ms`; a waiting read
                     # returns those that it has when the wait ends.
@@ -131,7 +133,8 @@
                     decision_log.log_event(
                         "log_history_gone",
                         topic=self._topic,
-                        offset=self.next_offset,
+                        era=self.position.era,
+                        offset=self.position.offset,
                     )
                     return self._record_result(await self._start())
                 case shared_log.LogUnavailable() as failure:
@@ -144,19 +147,28 @@
         if isinstance(newest, shared_log.LogUnavailable):
             return newest
         for record in newest.records:
-            self._deliver_if_newer(record)
+            self._deliver_if_newer(record, newest.era)
         if self._retain_only is not None:
             keys = frozenset(record.key for record in newest.records)
             self._retain_only(keys)
-        self.next_offset = newest.next_offset
+        self.position = newest.next_position
         self.confirmed_ms = started_ms
         return None
 
-    def _deliver_if_newer(self, record: shared_log.KeyedRecord) -> None:
-        """Delivers a record unless a newer one of its key was delivered."""
-        if record.offset <= self._offsets.get(record.key, -1):
+    def _deliver_if_newer(
+        self, record: shared_log.KeyedRecord, era: int
+    ) -> None:
+        """Delivers a record unless a newer one of its key was delivered.
+
+        Args:
+          record: The record.
+          era: The era of the log in which it was read.
+        """
+        position = shared_log.LogPosition(era, record.offset)
+        delivered = self._delivered.get(record.key)
+        if delivered is not None and position <= delivered:
             return
-        self._offsets[record.key] = record.offset
+        self._delivered[record.key] = position
         self._on_record(record)
 
     def _record_result(self, failure: shared_log.LogUnavailable | None) -> bool:
--- a/redwingchute/process/keyed_follower_test.py
+++ b/redwingchute/process/keyed_follower_test.py
@@ -1,9 +1,12 @@
 """Tests of following a keyed topic."""
 
 import asyncio
+import copy
 
+from redwingchute.process import era_log
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
+from redwingchute.standin import keyed_log
 from redwingchute.testing import memory_log
 
 _POLL_TIMING = keyed_follower.PollTiming(wait_ms=0, interval_ms=100)
@@ -17,7 +20,7 @@
         self.delivered: list[tuple[str, bytes | None]] = []
         self.retained_keys: list[frozenset[str]] = []
         self.follower = keyed_follower.KeyedFollower(
-            self.log,
+            era_log.EraLog(self.log),
             "keyed.op",
             _POLL_TIMING,
             lambda: 1_000,
@@ -28,6 +31,12 @@
     def append(self, key: str, value: bytes | None) -> None:
         self.log.topic.append((shared_log.KeyedRecord(key, value),))
 
+    def return_from(self, copy: keyed_log.KeyedTopic) -> None:
+        """Has the log return from a copy, in a new era."""
+        era = self.log.topic.era + 1
+        self.log.topic = copy
+        self.log.topic.era = era
+
     def read(self) -> bool:
         return asyncio.run(self.follower.read_once())
 
@@ -60,7 +69,7 @@
     reader.append("a", b"1")
     reader.append("a", b"2")
     reader.read()
-    reader.follower.next_offset = 0
+    reader.follower.position = shared_log.LogPosition(0, 0)
     reader.read()
     assert reader.delivered == [("a", b"2")]
 
@@ -73,3 +82,30 @@
     reader.log.is_unavailable = False
     assert reader.read()
     assert not reader.follower.failed_since_ms
+
+
+# Guards against a follower that reads on at an offset of the lost era.
+def test_a_new_era_restarts_from_the_newest_records() -> None:
+    reader = _Reader()
+    reader.append("a", b"1")
+    earlier = copy.deepcopy(reader.log.topic)
+    reader.append("a", b"2")
+    reader.append("b", b"3")
+    reader.read()
+    reader.return_from(earlier)
+    reader.append("c", b"4")
+    reader.append("c", b"5")
+    reader.append("c", b"6")
+    assert reader.read()
+    assert reader.delivered[2:] == [("a", b"1"), ("c", b"6")]
+    assert reader.follower.position == shared_log.LogPosition(1, 4)
+
+
+def test_a_read_beyond_the_end_restarts_from_the_newest_records() -> None:
+    reader = _Reader()
+    earlier = copy.deepcopy(reader.log.topic)
+    reader.append("a", b"1")
+    reader.read()
+    reader.return_from(earlier)
+    assert reader.read()
+    assert reader.follower.position == shared_log.LogPosition(1, 0)
--- a/redwingchute/process/prepaid/delegated_charges_test.py
+++ b/redwingchute/process/prepaid/delegated_charges_test.py
@@ -50,10 +50,10 @@
         topic: str,
         records: tuple[shared_log.KeyedRecord, ...],
         stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
+        at: shared_log.LogPosition | None = None,
     ) -> shared_log.AppendResult:
         producers.append(stamp.producer)
-        return await append(log, topic, records, stamp, at_offset)
+        return await append(log, topic, records, stamp, at)
 
     monkeypatch.setattr(prepaid_simulation.SimulatedLog, "append", record)
     simulation = _make_simulation()
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -19,6 +19,7 @@
 
 from redwingchute.core import prepaid
 from redwingchute.process import decision_log
+from redwingchute.process import era_log
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
@@ -75,14 +76,14 @@
     Attributes:
       stamp: The host's stamp at the time of the append.
       rows: The rows that changed.
-      at_offset: The end of the topic that the append requires; None if it is
+      at: The end of the topic that the append requires; None if it is
         unconditional.
       sequence: The sequence number of the append within the epoch.
     """
 
     stamp: prepaid.HostStamp
     rows: tuple[prepaid.GrantRow, ...]
-    at_offset: int | None
+    at: shared_log.LogPosition | None
     sequence: int
 
 
@@ -102,7 +103,7 @@
 
     def __init__(
         self,
-        log: shared_log.SharedLog,
+        log: era_log.EraLog,
         own_stamp: prepaid.HostStamp,
         clocks: Clocks,
         list_prepaid_tokens: Callable[[], dict[str, int]],
@@ -663,10 +664,8 @@
             rows = self._planner.plan_return_rows()
             return _Append(self._make_stamp(), rows, None, self._sequence)
         planned = self._planner.plan_rows(requested_tokens)
-        at_offset = self._follower.next_offset if planned.has_raise else None
-        return _Append(
-            self._make_stamp(), planned.rows, at_offset, self._sequence
-        )
+        at = self._follower.position if planned.has_raise else None
+        return _Append(self._make_stamp(), planned.rows, at, self._sequence)
 
     def _apply_sent_append(self, append: _Append) -> None:
         """Applies the limits of an append to the grants before it is sent."""
@@ -685,7 +684,7 @@
             shared_log.ProducerStamp(
                 self.own_host, self._epoch, append.sequence
             ),
-            append.at_offset,
+            append.at,
         )
 
     def _handle_appended(self, append: _Append) -> None:
--- a/redwingchute/process/shared_log.py
+++ b/redwingchute/process/shared_log.py
@@ -5,6 +5,10 @@
 effect only if that holds (compare-and-append). It also carries its producer's
 epoch and sequence number, so that repeating it is safe and an earlier process
 of the producer is fenced.
+
+The log may be replaced by an earlier copy of itself. Its era then rises, and
+what was appended since the copy, with its offsets and the state of producers,
+is gone. Each result of a call that got a response names the era.
 """
 
 import dataclasses
@@ -14,6 +18,19 @@
 import attrs
 
 
+@attrs.frozen(order=True)
+class LogPosition:
+    """A position in a topic; a later one is greater.
+
+    Attributes:
+      era: The era of the log; offsets of different eras are unrelated.
+      offset: The offset in the topic.
+    """
+
+    era: int
+    offset: int
+
+
 @attrs.frozen
 class KeyedRecord:
     """A record of a keyed topic.
@@ -46,28 +63,41 @@
 
 @dataclasses.dataclass(frozen=True)
 class Appended:
-    """The records are in the log; their topic ends at `end_offset` then."""
+    """The records are in the log; their topic ends at `end` then."""
+
+    end: LogPosition
 
-    end_offset: int
+    @property
+    def era(self) -> int:
+        """The era of the log."""
+        return self.end.era
 
 
 @dataclasses.dataclass(frozen=True)
 class ConditionFailed:
-    """Nothing was appended: the topic ends at `end_offset` instead."""
+    """Nothing was appended: the topic ends at `end` instead."""
 
-    end_offset: int
+    end: LogPosition
+
+    @property
+    def era(self) -> int:
+        """The era of the log."""
+        return self.end.era
 
 
 @dataclasses.dataclass(frozen=True)
 class Fenced:
     """Nothing was appended: the producer has appended with a later epoch."""
 
+    era: int = 0
+
 
 @dataclasses.dataclass(frozen=True)
 class WrongSequence:
     """Nothing was appended: the log expects another sequence number."""
 
     expected: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,10 +107,12 @@
     Attributes:
       message: The cause.
       may_have_run: Whether the call may have taken effect or may still do so.
+      era: The era of the log; None if there was no response.
     """
 
     message: str
     may_have_run: bool = False
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,16 +121,26 @@
 
     Attributes:
       records: The records in order.
-      next_offset: The offset of the next read.
+      next_position: The position of the next read.
     """
 
     records: tuple[KeyedRecord, ...]
-    next_offset: int
+    next_position: LogPosition
+
+    @property
+    def era(self) -> int:
+        """The era of the log."""
+        return self.next_position.era
 
 
 @dataclasses.dataclass(frozen=True)
 class HistoryGone:
-    """The log deleted records at the offset; the newest of each key remain."""
+    """The log has no records at the offset; the newest of each key remain.
+
+    They were deleted, or the log has returned from an earlier copy.
+    """
+
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,17 +149,23 @@
 
     Attributes:
       records: One record per key.
-      next_offset: The offset from which reading continues without a gap.
+      next_position: The position from which reading continues without a gap.
     """
 
     records: tuple[KeyedRecord, ...]
-    next_offset: int
+    next_position: LogPosition
+
+    @property
+    def era(self) -> int:
+        """The era of the log."""
+        return self.next_position.era
 
 
 AppendResult: TypeAlias = (
     Appended | ConditionFailed | Fenced | WrongSequence | LogUnavailable
 )
 ReadResult: TypeAlias = ReadRecords | HistoryGone | LogUnavailable
+Result: TypeAlias = AppendResult | ReadResult | Newest
 
 
 class SharedLog(Protocol):
@@ -128,7 +176,7 @@
         topic: str,
         records: tuple[KeyedRecord, ...],
         stamp: ProducerStamp,
-        at_offset: int | None = None,
+        at: LogPosition | None = None,
     ) -> AppendResult:
         """Appends records atomically.
 
@@ -136,21 +184,21 @@
           topic: The keyed topic.
           records: The records; empty to set the epoch only.
           stamp: The producer's epoch and sequence number.
-          at_offset: The required end offset of the topic; None for any.
+          at: The required end of the topic; None for any.
         """
 
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: LogPosition,
         wait_ms: int,
         response_timeout_ms: int | None = None,
     ) -> ReadResult:
-        """Reads records from an offset on.
+        """Reads records from a position on.
 
         Args:
           topic: The keyed topic.
-          offset: The offset of the first record.
+          position: The position of the first record.
           wait_ms: How long to wait if there is no record yet.
           response_timeout_ms: How long after the wait the read counts as
             lost; None for the limit of all calls.
--- a/redwingchute/process/timed_log.py
+++ b/redwingchute/process/timed_log.py
@@ -35,25 +35,25 @@
         topic: str,
         records: tuple[shared_log.KeyedRecord, ...],
         stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
+        at: shared_log.LogPosition | None = None,
     ) -> shared_log.AppendResult:
         """Appends records."""
         started_ms = self._read_clock_ms()
-        result = await self._log.append(topic, records, stamp, at_offset)
+        result = await self._log.append(topic, records, stamp, at)
         self._record("append", result, started_ms)
         return result
 
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: shared_log.LogPosition,
         wait_ms: int,
         response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         """Reads records."""
         started_ms = self._read_clock_ms()
         result = await self._log.read(
-            topic, offset, wait_ms, response_timeout_ms
+            topic, position, wait_ms, response_timeout_ms
         )
         if not wait_ms:
             self._record("read", result, started_ms)
--- a/redwingchute/process/timed_log_test.py
+++ b/redwingchute/process/timed_log_test.py
@@ -5,6 +5,8 @@
 from redwingchute.process import shared_log
 from redwingchute.process import timed_log
 
+_START = shared_log.LogPosition(0, 0)
+
 
 class _SlowLog:
     """A log whose calls take 7 ms and that does not answer appends."""
@@ -17,29 +19,29 @@
         topic: str,
         records: tuple[shared_log.KeyedRecord, ...],
         stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
+        at: shared_log.LogPosition | None = None,
     ) -> shared_log.AppendResult:
-        del topic, records, stamp, at_offset
+        del topic, records, stamp, at
         self.now_ms += 7
         return shared_log.LogUnavailable("no answer")
 
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: shared_log.LogPosition,
         wait_ms: int,
         response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         del topic, wait_ms
         self.now_ms += 7
-        return shared_log.ReadRecords((), offset)
+        return shared_log.ReadRecords((), position)
 
     async def read_newest(
         self, topic: str
     ) -> shared_log.Newest | shared_log.LogUnavailable:
         del topic
         self.now_ms += 7
-        return shared_log.Newest((), 0)
+        return shared_log.Newest((), _START)
 
 
 def test_all_calls_except_waiting_reads_are_measured() -> None:
@@ -53,8 +55,8 @@
 
     async def call_all() -> None:
         await log.append("t", (), shared_log.ProducerStamp("p", 1, 0))
-        await log.read("t", 0, 0)
-        await log.read("t", 0, 5_000)
+        await log.read("t", _START, 0)
+        await log.read("t", _START, 5_000)
         await log.read_newest("t")
 
     asyncio.run(call_all())
--- a/redwingchute/standin/keyed_log.py
+++ b/redwingchute/standin/keyed_log.py
@@ -25,13 +25,12 @@
       epoch: The highest epoch seen.
       next_sequence: The required sequence number of the next append; None if
         any is allowed.
-      end_offsets: The topic's end offset after each of the last appends, by
-        sequence number.
+      ends: The topic's end after each of the last appends, by sequence number.
     """
 
     epoch: int
     next_sequence: int | None
-    end_offsets: collections.OrderedDict[int, int]
+    ends: collections.OrderedDict[int, shared_log.LogPosition]
 
 
 class KeyedTopic:
@@ -40,11 +39,13 @@
     Attributes:
       first_offset: The oldest offset of the history; older records are deleted,
         except for the newest of each key.
+      era: The era of the log.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, era: int = 0) -> None:
         """Starts empty."""
         self.first_offset = 0
+        self.era = era
         self._records: list[shared_log.KeyedRecord] = []
         self._newest: dict[str, shared_log.KeyedRecord] = {}
         self._producers: dict[str, _Producer] = {}
@@ -54,6 +55,11 @@
         """The offset of the next record."""
         return self.first_offset + len(self._records)
 
+    @property
+    def end(self) -> shared_log.LogPosition:
+        """The position of the next record."""
+        return shared_log.LogPosition(self.era, self.end_offset)
+
     def append(
         self,
         records: tuple[shared_log.KeyedRecord, ...],
@@ -66,7 +72,7 @@
             if result is not None:
                 return result
         if at_offset is not None and at_offset != self.end_offset:
-            return shared_log.ConditionFailed(self.end_offset)
+            return shared_log.ConditionFailed(self.end)
         for record in records:
             stored = attrs.evolve(record, offset=self.end_offset)
             self._records.append(stored)
@@ -75,18 +81,18 @@
                 self._newest[record.key] = stored
         if stamp is not None:
             self._record_append(stamp)
-        return shared_log.Appended(self.end_offset)
+        return shared_log.Appended(self.end)
 
     def read(self, offset: int) -> shared_log.ReadResult:
         """Returns all records from an offset on."""
         if offset < self.first_offset or offset > self.end_offset:
-            return shared_log.HistoryGone()
+            return shared_log.HistoryGone(self.era)
         records = tuple(self._records[offset - self.first_offset :])
-        return shared_log.ReadRecords(records, self.end_offset)
+        return shared_log.ReadRecords(records, self.end)
 
     def read_newest(self) -> shared_log.Newest:
         """Returns the newest record of each key."""
-        return shared_log.Newest(tuple(self._newest.values()), self.end_offset)
+        return shared_log.Newest(tuple(self._newest.values()), self.end)
 
     def discard_history(self) -> None:
         """Deletes all records except the newest of each key."""
@@ -106,11 +112,13 @@
         if producer is None or stamp.epoch > producer.epoch:
             return None
         if stamp.epoch < producer.epoch:
-            return shared_log.Fenced()
-        if stamp.sequence in producer.end_offsets:
-            return shared_log.Appended(producer.end_offsets[stamp.sequence])
+            return shared_log.Fenced(self.era)
+        if stamp.sequence in producer.ends:
+            return shared_log.Appended(producer.ends[stamp.sequence])
         if producer.next_sequence not in (None, stamp.sequence):
-            return shared_log.WrongSequence(producer.next_sequence or 0)
+            return shared_log.WrongSequence(
+                producer.next_sequence or 0, self.era
+            )
         return None
 
     def _record_append(self, stamp: shared_log.ProducerStamp) -> None:
@@ -120,9 +128,9 @@
             producer = _Producer(stamp.epoch, None, collections.OrderedDict())
             self._producers[stamp.producer] = producer
         producer.next_sequence = stamp.sequence + 1
-        producer.end_offsets[stamp.sequence] = self.end_offset
-        while len(producer.end_offsets) > _REMEMBERED_APPENDS:
-            producer.end_offsets.popitem(last=False)
+        producer.ends[stamp.sequence] = self.end
+        while len(producer.ends) > _REMEMBERED_APPENDS:
+            producer.ends.popitem(last=False)
 
 
 class KeyedLog:
@@ -150,7 +158,9 @@
         """
         self.topics = earlier.take_copy().topics
         self.era += 1
+        for topic in self.topics.values():
+            topic.era = self.era
 
     def get_or_create_topic(self, name: str) -> KeyedTopic:
         """Returns a topic, created empty at its first use."""
-        return self.topics.setdefault(name, KeyedTopic())
+        return self.topics.setdefault(name, KeyedTopic(self.era))
--- a/redwingchute/standin/metadata_store.py
+++ b/redwingchute/standin/metadata_store.py
@@ -332,7 +332,7 @@
                 for record in page
             ],
             "hasMore": len(records) > len(page),
-            "endOffset": newest.next_offset,
+            "endOffset": newest.next_position.offset,
         }
         await self._send(responder, 200, json.dumps(fields).encode())
 
@@ -346,10 +346,10 @@
 ) -> tuple[int, dict[str, Any]]:
     """Returns the HTTP status and JSON fields for the result of an append."""
     match result:
-        case shared_log.Appended(end_offset):
-            return 200, {"endOffset": end_offset}
-        case shared_log.ConditionFailed(end_offset):
-            return 412, {"endOffset": end_offset}
+        case shared_log.Appended(end):
+            return 200, {"endOffset": end.offset}
+        case shared_log.ConditionFailed(end):
+            return 412, {"endOffset": end.offset}
         case shared_log.Fenced():
             return 409, {"reason": "fenced"}
         case shared_log.WrongSequence(expected):
--- a/redwingchute/testing/memory_log.py
+++ b/redwingchute/testing/memory_log.py
@@ -22,18 +22,20 @@
         topic: str,
         records: tuple[shared_log.KeyedRecord, ...],
         stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
+        at: shared_log.LogPosition | None = None,
     ) -> shared_log.AppendResult:
         """Appends records."""
         del topic
         if self.is_unavailable:
             return shared_log.LogUnavailable("no answer")
-        return self.topic.append(records, stamp, at_offset)
+        return self.topic.append(
+            records, stamp, None if at is None else at.offset
+        )
 
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: shared_log.LogPosition,
         wait_ms: int,
         response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
@@ -41,7 +43,7 @@
         del topic, wait_ms, response_timeout_ms
         if self.is_unavailable:
             return shared_log.LogUnavailable("no answer")
-        return self.topic.read(offset)
+        return self.topic.read(position.offset)
 
     async def read_newest(
         self, topic: str
--- a/redwingchute/testing/prepaid_simulation.py
+++ b/redwingchute/testing/prepaid_simulation.py
@@ -15,6 +15,7 @@
 from redwingchute.core import data
 from redwingchute.core import outcomes
 from redwingchute.core import prepaid
+from redwingchute.process import era_log
 from redwingchute.process import hub_choice
 from redwingchute.process import peer_network
 from redwingchute.process import shared_log
@@ -188,7 +189,7 @@
             return {ACCOUNT: self.prepaid_tokens}
 
         grants = grant_manager.GrantManager(
-            SimulatedLog(self, host),
+            era_log.EraLog(SimulatedLog(self, host)),
             prepaid.HostStamp(host, _find_zone(host), host, 0, 0, 0),
             grant_manager.Clocks(
                 read_boot_ms,
@@ -297,11 +298,12 @@
         topic: str,
         records: tuple[shared_log.KeyedRecord, ...],
         stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
+        at: shared_log.LogPosition | None = None,
     ) -> shared_log.AppendResult:
         """Appends records; the response may be lost."""
         del topic
         simulation = self._simulation
+        at_offset = None if at is None else at.offset
         await asyncio.sleep(simulation.log_latency_s)
         is_cut = self._host in simulation.cut_from_log
         if simulation.responses_to_lose > 0 or is_cut:
@@ -324,7 +326,7 @@
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: shared_log.LogPosition,
         wait_ms: int,
         response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
@@ -332,7 +334,7 @@
         del topic, wait_ms, response_timeout_ms
         if await self._is_response_lost():
             return shared_log.LogUnavailable("no response")
-        return self._simulation.topic.read(offset)
+        return self._simulation.topic.read(position.offset)
 
     async def read_newest(
         self, topic: str
