Keep versions, upstreams and hosts while the log recovers from a copy

After a return from a copy the newest records are old for up to 2 s, until the operator and the upstreams have written theirs again. Followers took them as they were: upstreams that were missing stopped serving, ones that had left came back, one that had announced to drain was ready again. Now a follower with a rewrite time delivers no key that it saw removed, keeps keys that are missing, and takes over the topic as it is once that time is over. Within it, an upstream's entry with a lower start time and sequence than the known one is skipped, an older configuration isn't reported as a fault, and the configuration doesn't count as confirmed (503, not 402 or 404). Each host appends its own entry again at once, spread over 300 ms.

--- a/redwingchute/core/forwarding.py
+++ b/redwingchute/core/forwarding.py
@@ -166,6 +166,7 @@
       slots: The number of requests that it runs concurrently.
       born_ms: Its start time, in milliseconds since the Unix epoch; 0 if it
         is not known.
+      sequence: Rises with each entry that the instance writes.
     """
 
     id: str
@@ -175,6 +176,12 @@
     is_ready: bool
     slots: int = 1
     born_ms: int = 0
+    sequence: int = 0
+
+    @property
+    def revision(self) -> tuple[int, int]:
+        """Orders the entries under one id; a later entry's is greater."""
+        return self.born_ms, self.sequence
 
 
 @attrs.frozen
--- a/redwingchute/platform/documents_test.py
+++ b/redwingchute/platform/documents_test.py
@@ -67,7 +67,7 @@
         "i-1", json.dumps(_ENTRY).encode()
     )
     assert upstream == forwarding.Upstream(
-        "i-1", "llm", "10.128.0.9:8080", "huon", True, 64, 1_790_000_000_000
+        "i-1", "llm", "10.128.0.9:8080", "huon", True, 64, 1_790_000_000_000, 4
     )
 
 
--- a/redwingchute/platform/upstream_entries.py
+++ b/redwingchute/platform/upstream_entries.py
@@ -47,6 +47,7 @@
         is_ready=state == _READY,
         slots=max(1, _read_count(fields.get("slots"))),
         born_ms=_read_count(fields.get("born")),
+        sequence=_read_count(fields.get("sequence")),
     )
 
 
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -70,6 +70,9 @@
 # routers, which send fewer.
 _HUB_LOAD_CHECK_S = 0.05
 _LOAD_CHECK_S = 0.2
+# How long the operator and the upstreams take to write again what the log lost
+# when it returned from an earlier copy.
+_REWRITE_MS = 2_000
 # How long a router that shuts down waits for its entry in the list of hosts.
 _LEAVE_TIMEOUT_S = 0.3
 
@@ -170,6 +173,7 @@
             make_configuration_timing(settings),
             read_boot_ms,
             self._handle_configuration,
+            rewrite_ms=_REWRITE_MS,
         )
         self._upstream_follower = keyed_follower.KeyedFollower(
             self._log,
@@ -180,6 +184,7 @@
             read_boot_ms,
             self._handle_upstream,
             self._upstream_directory.keep_only,
+            _REWRITE_MS,
         )
         self._caller_server = self._make_caller_server()
 
@@ -413,8 +418,11 @@
             return
         before = self._route_index.table.version if self._route_index else None
         if before is not None and table.version <= before:
+            # An earlier copy of the log may hold an older version until the
+            # operator has written the newer one again.
             invariants.check(
-                table.version == before,
+                table.version == before
+                or self._configuration_follower.is_settling,
                 "configuration_regressed",
                 version=table.version,
                 version_before=before,
@@ -445,6 +453,14 @@
         if record.value is not None:
             upstream = self._ports.decode_upstream(record.key, record.value)
         known = self._upstream_directory.find(record.key)
+        if (
+            self._upstream_follower.is_settling
+            and known is not None
+            and upstream is not None
+            and upstream.revision < known.revision
+        ):
+            # The upstream writes its newer entry again.
+            return
         if upstream is None:
             self._upstream_directory.remove(record.key)
         else:
@@ -463,6 +479,8 @@
         follower = self._configuration_follower
         if follower.failed_since_ms or self._route_index is None:
             return False
+        if follower.is_settling:
+            return False
         age_ms = read_boot_ms() - follower.confirmed_ms
         # A read that waits at the log returns as soon as a newer version is
         # appended, so its waiting time does not make the version stale.
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -2,12 +2,15 @@
 
 A router registers its host when it starts, renews the entry from time to time,
 and marks it as leaving when it shuts down. A host whose entry was not renewed
-for a while, although others were, is taken as gone.
+for a while, although others were, is taken as gone. When the log has returned
+from an earlier copy, each router renews its entry at once.
 """
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import json
+import zlib
 
 import attrs
 
@@ -28,6 +31,9 @@
 _FIRST_READ_INTERVAL_S = 0.5
 _FIRST_READS = 3
 _RETRY_S = 0.5
+# The renewals after a return of the log from a copy are spread over this time,
+# so that they are no load peak for the log.
+_ERA_RENEWAL_SPREAD_MS = 300
 
 
 @attrs.frozen
@@ -96,6 +102,9 @@
         # and takes none for the repetition of another.
         self._producer = f"{own_host.name}/{incarnation:x}"
         self._append_count = 0
+        # Set when the log may have lost the own entry.
+        self._has_new_era = asyncio.Event()
+        log.add_listener(self._has_new_era.set)
         self._follower = keyed_follower.KeyedFollower(
             log,
             TOPIC,
@@ -129,10 +138,16 @@
     async def _renew(self) -> None:
         """Appends the own entry at each interval."""
         while True:
+            self._has_new_era.clear()
             is_appended = await self._append()
-            await asyncio.sleep(
-                _RENEWAL_INTERVAL_S if is_appended else _RETRY_S
-            )
+            interval_s = _RENEWAL_INTERVAL_S if is_appended else _RETRY_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self._has_new_era.wait()
+            if self._has_new_era.is_set():
+                await asyncio.sleep(
+                    _find_renewal_delay_ms(self.own_host.name) / 1000
+                )
 
     async def _append(self) -> bool:
         """Appends the own entry; returns whether the log has it."""
@@ -193,6 +208,11 @@
             self._handle_change()
 
 
+def _find_renewal_delay_ms(host: str) -> int:
+    """Returns how long a host waits with its renewal in a new era."""
+    return zlib.crc32(host.encode()) % _ERA_RENEWAL_SPREAD_MS
+
+
 def _decode_host(value: bytes) -> RegisteredHost | None:
     """Decodes an entry; returns None if it is malformed.
 
--- a/redwingchute/process/host_registry_test.py
+++ b/redwingchute/process/host_registry_test.py
@@ -1,6 +1,8 @@
 """Tests of the list of the fleet's hosts in the shared log."""
 
 import asyncio
+import copy
+import itertools
 
 import pytest
 
@@ -162,3 +164,39 @@
     listed = fleet.list_names("a")
     fleet.close()
     assert listed == ["a"]
+
+
+# Guards against hosts that are missing from the list until the next renewal.
+def test_hosts_register_again_when_the_log_returns_from_a_copy() -> None:
+    fleet = _Fleet()
+    earlier = copy.deepcopy(fleet.log.topic)
+    for name in ("a", "b", "c"):
+        fleet.start(name)
+    fleet.run_for(5)
+    fleet.log.topic = earlier
+    fleet.log.topic.era = 1
+    fleet.run_for(3)
+    newest = fleet.log.topic.read_newest()
+    listed = fleet.list_names("a")
+    fleet.close()
+    assert sorted(record.key for record in newest.records) == ["a", "b", "c"]
+    assert newest.next_position.offset == 3
+    assert listed == ["a", "b", "c"]
+
+
+def test_renewals_in_a_new_era_are_spread() -> None:
+    fleet = _Fleet()
+    names = [f"host-{number}" for number in range(60)]
+    for name in names:
+        fleet.start(name)
+    fleet.run_for(5)
+    fleet.log.topic.era = 1
+    end_before = fleet.log.topic.end_offset
+    appended = []
+    for _ in range(32):
+        fleet.run_for(0.1)
+        appended.append(fleet.log.topic.end_offset - end_before)
+    fleet.close()
+    assert appended[-1] == len(names)
+    peaks = [after - now for now, after in itertools.pairwise(appended)]
+    assert max(peaks) <= 30
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -5,6 +5,10 @@
 the records at its offset, or has returned from an earlier copy. A record is
 skipped unless it is newer than the last one that was delivered for its key. A
 key's value thus goes back only with the log itself.
+
+After a return from a copy the topic's writers write their lost records again.
+Until they had time for this, keys that are missing from the copy are kept, and
+keys that were removed before are not delivered again.
 """
 
 import asyncio
@@ -21,6 +25,19 @@
 _MAX_RETRY_S = 1.0
 
 
+@attrs.frozen
+class _Delivered:
+    """The last delivered record of a key.
+
+    Attributes:
+      position: Its position.
+      is_present: Whether the key has a value.
+    """
+
+    position: shared_log.LogPosition
+    is_present: bool
+
+
 @attrs.frozen
 class PollTiming:
     """How often a topic is read.
@@ -57,6 +74,7 @@
         read_clock_ms: Callable[[], int],
         on_record: Callable[[shared_log.KeyedRecord], None],
         retain_only: Callable[[frozenset[str]], None] | None = None,
+        rewrite_ms: int = 0,
     ) -> None:
         """Initializes the follower; `run` starts it.
 
@@ -68,6 +86,8 @@
           on_record: Called with each new record.
           retain_only: Called with all keys that exist after each start or
             restart, so that entries with other keys can be removed.
+          rewrite_ms: How long the topic's writers may take to write again what
+            the log lost when it returned from a copy.
         """
         self.confirmed_ms = 0
         self.failed_since_ms = 0
@@ -78,9 +98,18 @@
         self._read_clock_ms = read_clock_ms
         self._on_record = on_record
         self._retain_only = retain_only
-        self._delivered: dict[str, shared_log.LogPosition] = {}
+        self._rewrite_ms = rewrite_ms
+        # When the writers have written again what the log lost; 0 if the log
+        # did not return from a copy, or if that time is over.
+        self._rewritten_ms = 0
+        self._delivered: dict[str, _Delivered] = {}
         self._lock = asyncio.Lock()
 
+    @property
+    def is_settling(self) -> bool:
+        """Whether lost records may still be missing after a new era began."""
+        return self._rewritten_ms > 0
+
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         retry_s = _MIN_RETRY_S
@@ -110,7 +139,11 @@
           newest.
         """
         async with self._lock:
-            if self.position is None or self.position.era != self._log.era:
+            if (
+                self.position is None
+                or self.position.era != self._log.era
+                or 0 < self._rewritten_ms <= self._read_clock_ms()
+            ):
                 return self._record_result(await self._start())
             started_ms = self._read_clock_ms()
             timeout_ms = self._timing.response_timeout_ms if wait_ms else None
@@ -146,15 +179,34 @@
         newest = await self._log.read_newest(self._topic)
         if isinstance(newest, shared_log.LogUnavailable):
             return newest
+        if self.position is not None and self.position.era != newest.era:
+            self._rewritten_ms = (
+                started_ms + self._rewrite_ms if self._rewrite_ms else 0
+            )
+        elif 0 < self._rewritten_ms <= started_ms:
+            # What the log holds now is valid, also where it differs from what
+            # was delivered of the previous era.
+            self._rewritten_ms = 0
+            self._delivered.clear()
         for record in newest.records:
+            delivered = self._delivered.get(record.key)
+            if self.is_settling and delivered and not delivered.is_present:
+                continue
             self._deliver_if_newer(record, newest.era)
-        if self._retain_only is not None:
-            keys = frozenset(record.key for record in newest.records)
-            self._retain_only(keys)
+        if not self.is_settling:
+            self._retain(frozenset(record.key for record in newest.records))
         self.position = newest.next_position
         self.confirmed_ms = started_ms
         return None
 
+    def _retain(self, keys: frozenset[str]) -> None:
+        """Removes all keys except the given ones."""
+        for key, delivered in self._delivered.items():
+            if key not in keys:
+                self._delivered[key] = attrs.evolve(delivered, is_present=False)
+        if self._retain_only is not None:
+            self._retain_only(keys)
+
     def _deliver_if_newer(
         self, record: shared_log.KeyedRecord, era: int
     ) -> None:
@@ -166,9 +218,11 @@
         """
         position = shared_log.LogPosition(era, record.offset)
         delivered = self._delivered.get(record.key)
-        if delivered is not None and position <= delivered:
+        if delivered is not None and position <= delivered.position:
             return
-        self._delivered[record.key] = position
+        self._delivered[record.key] = _Delivered(
+            position, record.value is not None
+        )
         self._on_record(record)
 
     def _record_result(self, failure: shared_log.LogUnavailable | None) -> bool:
--- a/redwingchute/process/keyed_follower_test.py
+++ b/redwingchute/process/keyed_follower_test.py
@@ -15,7 +15,8 @@
 class _Reader:
     """A follower and the records and keys that it delivered."""
 
-    def __init__(self) -> None:
+    def __init__(self, rewrite_ms: int = 0) -> None:
+        self.now_ms = 1_000
         self.log = memory_log.MemoryLog()
         self.delivered: list[tuple[str, bytes | None]] = []
         self.retained_keys: list[frozenset[str]] = []
@@ -23,9 +24,10 @@
             era_log.EraLog(self.log),
             "keyed.op",
             _POLL_TIMING,
-            lambda: 1_000,
+            lambda: self.now_ms,
             lambda record: self.delivered.append((record.key, record.value)),
             self.retained_keys.append,
+            rewrite_ms,
         )
 
     def append(self, key: str, value: bytes | None) -> None:
@@ -109,3 +111,55 @@
     reader.return_from(earlier)
     assert reader.read()
     assert reader.follower.position == shared_log.LogPosition(1, 0)
+
+
+# Guards against upstreams that vanish until they write their entries again.
+def test_keys_missing_from_a_copy_are_kept_until_writers_wrote_again() -> None:
+    reader = _Reader(rewrite_ms=2_000)
+    earlier = copy.deepcopy(reader.log.topic)
+    reader.append("kept", b"1")
+    reader.append("gone", b"1")
+    reader.read()
+    reader.return_from(earlier)
+    reader.read()
+    assert reader.retained_keys == [{"kept", "gone"}]
+    assert reader.follower.is_settling
+    reader.append("kept", b"2")
+    reader.now_ms += 1_999
+    reader.read()
+    assert reader.delivered[-1] == ("kept", b"2")
+    assert len(reader.retained_keys) == 1
+    reader.now_ms += 1
+    reader.read()
+    assert reader.retained_keys[-1] == {"kept"}
+    assert not reader.follower.is_settling
+
+
+def test_a_key_that_a_copy_holds_again_is_not_delivered_at_once() -> None:
+    reader = _Reader(rewrite_ms=2_000)
+    reader.append("left", b"1")
+    earlier = copy.deepcopy(reader.log.topic)
+    reader.read()
+    reader.append("left", None)
+    reader.read()
+    reader.return_from(earlier)
+    reader.read()
+    assert reader.delivered == [("left", b"1"), ("left", None)]
+    reader.now_ms += 2_000
+    reader.read()
+    assert reader.delivered[2:] == [("left", b"1")]
+
+
+def test_a_second_return_begins_the_time_to_write_again_anew() -> None:
+    reader = _Reader(rewrite_ms=2_000)
+    earlier = copy.deepcopy(reader.log.topic)
+    reader.append("kept", b"1")
+    reader.read()
+    reader.return_from(copy.deepcopy(earlier))
+    reader.read()
+    reader.now_ms += 1_500
+    reader.return_from(copy.deepcopy(earlier))
+    reader.read()
+    reader.now_ms += 1_500
+    reader.read()
+    assert reader.retained_keys == [{"kept"}]
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -80,6 +80,7 @@
       runs: The requests that it started to run.
       arrivals: The number of requests received, without health checks.
       cancelled: The number of runs whose caller disconnected.
+      entry_count: The number of entries made for the store.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         self.runs: list[RunnerRun] = []
         self.arrivals = 0
         self.cancelled = 0
+        self.entry_count = 0
 
     def make_entry(self, state: str = "ready") -> dict[str, Any]:
         """Returns the runner's entry in the store.
@@ -104,6 +106,7 @@
         Args:
           state: The state in the entry, such as `ready`.
         """
+        self.entry_count += 1
         return {
             "service": self.service,
             "address": f"{self.address}:{self.port}",
@@ -112,7 +115,7 @@
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
-            "sequence": 1,
+            "sequence": self.entry_count,
         }
 
     async def handle(
