Keep prepaid tokens exact when the log returns from a copy

What happened: the log may lose rows that it acknowledged.

Rows and stamps now carry the era in which they were written. After a change of era each host first writes, in a new epoch that fences its lost appends, what it may spend; a raise that was not confirmed in time counts no more. Only rows of the present era count, and those of hosts that had left before the copy. Nobody raises or lowers a grant until all known hosts have written, and not within the first second. If a host still is missing after 3 s, or one started without knowing what its predecessor had spent, an EraClosure counts all tokens that nobody accounts for as spent. A host that comes back with its memory subtracts its grant from it, and once all are back it ends.

Why it works: at the end of the lost era the sum of all grants was at most the prepaid tokens, so hosts that have not written hold at most what those that have written leave over.

Epochs of producers are milliseconds now, so that a successor doesn't reach an epoch of its predecessor that the log has lost. The test that fences a process by hand therefore uses 2,000,000,000 instead of 2,000,000, which is as far ahead of the simulated clock as before.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -31,6 +31,7 @@
       unsure_tokens: The part of `spent_tokens` that may not have been spent: a
         previous process on the host ended without reporting it.
       restart_ms: The age of the stamp from which on the ceiling rises faster.
+      era: The era of the log in which the row was written.
     """
 
     account: str
@@ -42,6 +43,7 @@
     demand_tokens_per_s: float
     unsure_tokens: int = 0
     restart_ms: int = 3_000
+    era: int = 0
 
 
 @attrs.frozen
@@ -57,6 +59,10 @@
       wall_ms: The time of the stamp on the host's wall clock.
       is_leaving: Whether the process is shutting down and has returned the
         unspent tokens of its grants.
+      era: The era of the log in which the stamp was written.
+      has_lost_history: Whether this process or an earlier one of the host
+        started without knowing what its predecessor had spent, since the log
+        had lost it.
     """
 
     host: str
@@ -66,6 +72,25 @@
     boot_ms: int
     wall_ms: int
     is_leaving: bool = False
+    era: int = 0
+    has_lost_history: bool = False
+
+
+@attrs.frozen
+class EraClosure:
+    """What hosts may hold or have spent of which an era has no record.
+
+    It is written when a host has not confirmed its rows in a new era, or
+    cannot. All tokens that were not confirmed then count as spent.
+
+    Attributes:
+      era: The era.
+      unaccounted_tokens: The tokens without a record, by account. An account
+        that is missing was created later and has none.
+    """
+
+    era: int
+    unaccounted_tokens: dict[str, int]
 
 
 @attrs.frozen
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -234,6 +234,7 @@
             grant_manager.Clocks(read_boot_ms, read_wall_ms),
             self._list_prepaid_tokens,
             self._is_hub,
+            is_fresh=self._is_fresh,
         )
 
     def _is_hub(self) -> bool:
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -75,6 +75,7 @@
         on_record: Callable[[shared_log.KeyedRecord], None],
         retain_only: Callable[[frozenset[str]], None] | None = None,
         rewrite_ms: int = 0,
+        begin_era: Callable[[int], None] | None = None,
     ) -> None:
         """Initializes the follower; `run` starts it.
 
@@ -88,6 +89,8 @@
             restart, so that entries with other keys can be removed.
           rewrite_ms: How long the topic's writers may take to write again what
             the log lost when it returned from a copy.
+          begin_era: Called with the era before the first record of each era is
+            delivered.
         """
         self.confirmed_ms = 0
         self.failed_since_ms = 0
@@ -99,6 +102,7 @@
         self._on_record = on_record
         self._retain_only = retain_only
         self._rewrite_ms = rewrite_ms
+        self._begin_era = begin_era
         # When the writers have written again what the log lost; 0 if the log
         # did not return from a copy, or if that time is over.
         self._rewritten_ms = 0
@@ -188,6 +192,10 @@
             # was delivered of the previous era.
             self._rewritten_ms = 0
             self._delivered.clear()
+        if self._begin_era is not None and (
+            self.position is None or self.position.era != newest.era
+        ):
+            self._begin_era(newest.era)
         for record in newest.records:
             delivered = self._delivered.get(record.key)
             if self.is_settling and delivered and not delivered.is_present:
--- a/redwingchute/process/prepaid/append_planner.py
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -36,6 +36,7 @@
         list_prepaid_tokens: Callable[[], dict[str, int]],
         read_boot_ms: Callable[[], int],
         policy: grant_planner.GrantPolicy,
+        is_suspended: Callable[[], bool],
     ) -> None:
         """Creates the planner of a router.
 
@@ -46,6 +47,7 @@
           list_prepaid_tokens: Returns the prepaid tokens of each account.
           read_boot_ms: Returns the time on the boot clock.
           policy: How grants are sized.
+          is_suspended: Returns whether grants must stay as they are for now.
         """
         self._host = host
         self._fold = fold
@@ -53,6 +55,16 @@
         self._list_prepaid_tokens = list_prepaid_tokens
         self._read_boot_ms = read_boot_ms
         self._policy = policy
+        self._is_suspended = is_suspended
+
+    @property
+    def can_change(self) -> bool:
+        """Whether grants may be raised or lowered.
+
+        They may not while it is unknown what other hosts hold. A host keeps
+        its grant meanwhile, since what it returned could not be granted.
+        """
+        return not self._is_suspended() and self._fold.can_raise
 
     def plan_rows(self, requested_tokens: dict[str, int]) -> PlannedRows:
         """Returns the rows that have to be written now.
@@ -99,6 +111,19 @@
                 rows.append(row)
         return tuple(rows)
 
+    def plan_confirmed_rows(self) -> tuple[prepaid.GrantRow, ...]:
+        """Returns the rows that state all that this router may spend."""
+        return tuple(
+            grant_planner.plan_row(
+                grant,
+                grant.granted_tokens,
+                self._make_plan_input(0, 0),
+                self._policy,
+            )
+            for grant in self._grants.values()
+            if grant.granted_tokens or grant.row is not None
+        )
+
     def can_raise(self, requested_tokens: dict[str, int]) -> bool:
         """Returns whether a grant that requests wait for can be raised.
 
@@ -129,14 +154,24 @@
           should have.
         """
         grant = grant_lib.get_or_create_grant(self._grants, account)
-        plan_input = grant_planner.PlanInput(
+        plan_input = self._make_plan_input(
+            prepaid_tokens, requested_tokens.get(account, 0)
+        )
+        granted_tokens = grant.granted_tokens
+        if self.can_change:
+            granted_tokens = grant_planner.plan_grant(
+                grant, self._fold, plan_input, self._policy
+            )
+        return grant, plan_input, granted_tokens
+
+    def _make_plan_input(
+        self, prepaid_tokens: int, requested_tokens: int
+    ) -> grant_planner.PlanInput:
+        """Returns the input of a plan at the present time."""
+        return grant_planner.PlanInput(
             host=self._host,
             prepaid_tokens=prepaid_tokens,
             host_count=len(self._fold.list_active_stamps()),
-            requested_tokens=requested_tokens.get(account, 0),
+            requested_tokens=requested_tokens,
             boot_ms=self._read_boot_ms(),
         )
-        granted_tokens = grant_planner.plan_grant(
-            grant, self._fold, plan_input, self._policy
-        )
-        return grant, plan_input, granted_tokens
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -6,6 +6,12 @@
 limits the host does not obey. An append that raises a grant is conditional: it
 takes effect only if no other record was appended since the rows were read.
 
+When the log has returned from an earlier copy, it may hold neither this host's
+newest rows nor those of others. The router then fences its own lost appends and
+writes what it may spend before anything else. It raises no grant until all
+hosts have done so, or until what the others may hold counts as spent; see
+`grant_fold`.
+
 Only hubs hold grants, see `hub_choice`. The manager of another router appends
 and reads nothing, unless it still has to return the tokens of a time when its
 host was a hub.
@@ -14,6 +20,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import zlib
 
 import attrs
 
@@ -48,6 +55,20 @@
 # Conditional appends fail while other routers raise grants at the same time; a
 # round plans and sends at most this many appends.
 _MAX_APPENDS_PER_ROUND = 6
+# No grant is raised for this long after a new era was seen. Hosts that reach
+# the log write their rows in this time, also those that it does not list.
+_ERA_SUSPENSION_MS = 1_000
+# How long after a new era was seen the tokens that hosts have not accounted for
+# count as spent. The operator has written its lost records again by then.
+_ERA_CLOSURE_MS = 3_000
+# How long a new host waits for the stamps of an era in which it has none.
+_ERA_STAMPS_WAIT_MS = 2_000
+_ERA_STAMPS_POLL_S = 0.2
+# The first appends of an era are spread over this time.
+_ERA_APPEND_SPREAD_MS = 150
+# Epochs are milliseconds of the wall clock. A process raises its epoch by one
+# in each era; its successor must not reach it if the clock is set back.
+_EPOCH_STEP = 1_024
 # How often a router that is no hub checks whether it has become one.
 _HUB_CHECK_S = 0.5
 # The append rounds that a request waits for: the one in progress, the one that
@@ -79,12 +100,16 @@
       at: The end of the topic that the append requires; None if it is
         unconditional.
       sequence: The sequence number of the append within the epoch.
+      closure: The closure of the era, if it is written or changed.
+      missing_stamps: Stamps of other hosts that the log has lost.
     """
 
     stamp: prepaid.HostStamp
     rows: tuple[prepaid.GrantRow, ...]
     at: shared_log.LogPosition | None
     sequence: int
+    closure: prepaid.EraClosure | None = None
+    missing_stamps: tuple[prepaid.HostStamp, ...] = ()
 
 
 class GrantManager:
@@ -109,6 +134,7 @@
         list_prepaid_tokens: Callable[[], dict[str, int]],
         is_hub: Callable[[], bool] = lambda: True,
         policy: grant_planner.GrantPolicy | None = None,
+        is_fresh: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the manager; `run` starts its work.
 
@@ -120,6 +146,8 @@
           list_prepaid_tokens: Returns the prepaid tokens of each account.
           is_hub: Returns whether this router should hold grants.
           policy: How grants are sized.
+          is_fresh: Returns whether the prepaid tokens are known to be the
+            newest.
         """
         self.fold = grant_fold.GrantFold()
         self.has_taken_over = False
@@ -138,7 +166,16 @@
             _READ_POLL_TIMING,
             clocks.read_boot_ms,
             self._handle_record,
+            begin_era=self._begin_era,
         )
+        self._is_fresh = is_fresh
+        # The era in which the log has all rows of this host; -1 before the
+        # takeover.
+        self._confirmed_era = -1
+        self._era_seen_boot_ms = 0
+        # The last append that confirmed the rows; its outcome may be unknown.
+        self._sent_confirmation: _Append | None = None
+        log.add_listener(self._handle_new_era)
         self._grants: dict[str, grant_lib.Grant] = {}
         self._planner = append_planner.AppendPlanner(
             own_stamp.host,
@@ -147,6 +184,7 @@
             list_prepaid_tokens,
             clocks.read_boot_ms,
             self._policy,
+            self._is_suspended,
         )
         # What other routers reported as spent, by account and host.
         self._peer_spent_tokens: dict[tuple[str, str], int] = {}
@@ -159,6 +197,8 @@
         self._predecessor = predecessor_grants.PredecessorGrants(
             clocks.read_boot_ms(), clocks.read_wall_ms()
         )
+        # The rows of the predecessor as they were read.
+        self._loaded_rows: tuple[prepaid.GrantRow, ...] = ()
         self._epoch = 0
         self._sequence = 0
         self._last_append_duration_ms = 0
@@ -276,6 +316,8 @@
             account, excluded_host=self.own_host
         )
         prepaid_tokens = self._list_prepaid_tokens().get(account, 0)
+        if not self._planner.can_change:
+            return grant.free_tokens
         ungranted_tokens = (
             prepaid_tokens - others_granted_tokens - grant.committed_tokens
         )
@@ -324,6 +366,7 @@
             for row in self.fold.list_rows(account)
             if row.host != self.own_host
         )
+        others_spent_tokens += self.fold.find_unaccounted(account)
         committed_tokens = self.find_grant(account).committed_tokens
         return prepaid_tokens - others_spent_tokens - committed_tokens
 
@@ -371,6 +414,8 @@
         """Waits until this router is a hub or has tokens to return."""
         has_read_rows = False
         while not self._is_hub():
+            if self.has_taken_over and self._log.era != self._confirmed_era:
+                return
             if not has_read_rows and not self.has_taken_over:
                 has_read_rows = await self._follower.read_once()
                 rows = self.fold.list_host_rows(self.own_host)
@@ -446,14 +491,43 @@
         ):
             self._predecessor.record_stamp(decoded)
 
-    def _make_stamp(self) -> prepaid.HostStamp:
-        """Returns a stamp of this host with the current times."""
+    def _handle_new_era(self) -> None:
+        """Has the rows of this host confirmed soon."""
+        self._append_requested.set()
+
+    def _begin_era(self, era: int) -> None:
+        """Discards what was read in the previous era."""
+        self.fold.begin_era(era)
+        self._era_seen_boot_ms = self._clocks.read_boot_ms()
+
+    @property
+    def _era_age_ms(self) -> int:
+        """The time since the era of the fold was seen first."""
+        return self._clocks.read_boot_ms() - self._era_seen_boot_ms
+
+    def _is_suspended(self) -> bool:
+        """Returns whether grants must stay as they are after a new era began.
+
+        They must until the log has the rows of this host, and for a while.
+        """
+        if self.fold.era != self._confirmed_era:
+            return True
+        return self.fold.era > 0 and self._era_age_ms < _ERA_SUSPENSION_MS
+
+    def _make_stamp(self, era: int) -> prepaid.HostStamp:
+        """Returns a stamp of this host with the current times.
+
+        Args:
+          era: The era in which the log has all rows of this host once it has
+            the append with the stamp.
+        """
         return attrs.evolve(
             self._own_stamp,
             epoch=self._epoch,
             boot_ms=self._clocks.read_boot_ms(),
             wall_ms=self._clocks.read_wall_ms(),
             is_leaving=self._own_stamp.is_leaving or not self._is_hub(),
+            era=era,
         )
 
     async def _take_over(self) -> None:
@@ -473,24 +547,69 @@
                 # Only the response to the takeover was lost.
                 self._finish_takeover(takeover)
                 break
-            wall_s = self._clocks.read_wall_ms() // 1000
+            if takeover is None:
+                if self._must_wait_for_stamps():
+                    await asyncio.sleep(_ERA_STAMPS_POLL_S)
+                    continue
+                self._load_history(previous_stamp)
             self._epoch = max(
                 self._epoch + 1,
-                wall_s,
-                previous_stamp.epoch + 1 if previous_stamp else 0,
+                self._clocks.read_wall_ms(),
+                previous_stamp.epoch + _EPOCH_STEP if previous_stamp else 0,
             )
-            if takeover is None:
-                self._load_predecessor_grants()
             await self._append_takeover()
         # The takeover stamp makes the other hosts count this one; wait for the
         # stamps of hosts that start at the same time.
         if not self.fold.list_host_rows(self.own_host):
             await asyncio.sleep(_PEER_STAMPS_WAIT_S)
 
+    def _must_wait_for_stamps(self) -> bool:
+        """Returns whether other hosts may still report this host as known.
+
+        In a new era the log may have lost the stamp of a predecessor. Hosts
+        that read it write it again with their own rows.
+        """
+        if self.fold.era == 0 or self.own_host in self.fold.stamps:
+            return False
+        hosts = self.fold.stamps.keys()
+        if hosts and all(map(self.fold.is_confirmed, hosts)):
+            return False
+        wait_ms = _ERA_STAMPS_WAIT_MS if hosts else _ERA_SUSPENSION_MS
+        return self._era_age_ms < wait_ms
+
+    def _load_history(self, previous_stamp: prepaid.HostStamp | None) -> None:
+        """Loads what the previous process on this host may have spent.
+
+        If the log has lost it, all that no host accounts for counts as spent.
+
+        Args:
+          previous_stamp: The newest stamp of this host, or None.
+        """
+        if previous_stamp is None:
+            has_lost_history = not all(
+                map(self.fold.is_confirmed, self.fold.stamps)
+            )
+        else:
+            has_lost_history = not self.fold.is_confirmed(self.own_host)
+        if has_lost_history:
+            decision_log.log_failure(
+                "grant_history_lost",
+                era=self.fold.era,
+                stamp_era=previous_stamp.era if previous_stamp else None,
+            )
+        else:
+            self._load_predecessor_grants()
+        self._own_stamp = attrs.evolve(
+            self._own_stamp,
+            has_lost_history=has_lost_history
+            or (previous_stamp is not None and previous_stamp.has_lost_history),
+        )
+
     def _load_predecessor_grants(self) -> None:
         """Loads the grants of the previous process on this host."""
         boot_ms = self._clocks.read_boot_ms()
         self._predecessor.load(self.own_host, self.fold)
+        self._loaded_rows = self._predecessor.rows
         for row in self._predecessor.rows:
             self.find_grant(row.account).inherit(row, boot_ms)
         self._release_predecessor_tokens()
@@ -526,17 +645,19 @@
 
     async def _append_takeover(self) -> None:
         """Appends this process's first stamp and the rows that it took over."""
-        stamp = self._make_stamp()
-        rows = tuple(
-            attrs.evolve(
-                row,
-                spent_tokens=self.find_grant(row.account).spent_tokens,
-                unsure_tokens=self.find_grant(row.account).unsure_tokens,
-                ceiling_tokens=self.find_grant(row.account).spent_tokens,
+        append = self._sent_takeover = self._make_confirmation(
+            tuple(
+                attrs.evolve(
+                    row,
+                    granted_tokens=grant.granted_tokens,
+                    spent_tokens=grant.spent_tokens,
+                    unsure_tokens=grant.unsure_tokens,
+                    ceiling_tokens=grant.spent_tokens,
+                )
+                for row in self._list_takeover_rows()
+                for grant in (self.find_grant(row.account),)
             )
-            for row in self.fold.list_host_rows(self.own_host)
         )
-        append = self._sent_takeover = _Append(stamp, rows, None, 0)
         result = await self._send(append)
         if isinstance(result, shared_log.Appended):
             self._finish_takeover(append)
@@ -547,9 +668,136 @@
     def _finish_takeover(self, takeover: _Append) -> None:
         """Applies the takeover, which is known to be in the log."""
         self.has_taken_over = True
+        self._confirmed_era = takeover.stamp.era
         self._handle_appended(takeover)
         decision_log.log_event("grants_taken_over", epoch=self._epoch)
 
+    def _list_takeover_rows(self) -> tuple[prepaid.GrantRow, ...]:
+        """Returns the rows of this host in the log and in what was loaded.
+
+        A row that only the log has belongs to a lost history, and one that
+        only was loaded has been lost since.
+        """
+        rows = {row.account: row for row in self._loaded_rows}
+        for row in self.fold.list_host_rows(self.own_host):
+            rows.setdefault(row.account, row)
+        return tuple(rows.values())
+
+    def _make_confirmation(self, rows: tuple[prepaid.GrantRow, ...]) -> _Append:
+        """Returns the append that states what this host may spend in an era.
+
+        If the era is closed, the tokens of rows that did not count before are
+        subtracted from the unaccounted ones, which included them. The append
+        is then conditional, as it is if it restores stamps of other hosts.
+
+        Args:
+          rows: All rows of this host.
+        """
+        stamp = self._make_stamp(self.fold.era)
+        rows = tuple(attrs.evolve(row, era=stamp.era) for row in rows)
+        closure = self.fold.closure
+        if closure is not None and not self.fold.is_confirmed(self.own_host):
+            granted_tokens = {row.account: row.granted_tokens for row in rows}
+            closure = attrs.evolve(
+                closure,
+                unaccounted_tokens={
+                    account: max(0, tokens - granted_tokens.get(account, 0))
+                    for account, tokens in closure.unaccounted_tokens.items()
+                },
+            )
+        else:
+            closure = None
+        missing_stamps = tuple(
+            missing
+            for missing in self.fold.list_missing_stamps()
+            if missing.host != self.own_host
+        )
+        is_conditional = closure is not None or bool(missing_stamps)
+        return _Append(
+            stamp,
+            rows,
+            self._follower.position if is_conditional else None,
+            0,
+            closure,
+            missing_stamps,
+        )
+
+    async def _confirm_era(self) -> bool:
+        """Writes what this host may spend, in an era in which it has not yet.
+
+        A new epoch fences the appends that this process sent in earlier eras
+        and that the log may still carry out. What the host may spend stays the
+        same: a raise that was not confirmed before has no effect.
+
+        Returns:
+          Whether the log has the rows of this host in its present era.
+        """
+        delay_ms = zlib.crc32(self.own_host.encode()) % _ERA_APPEND_SPREAD_MS
+        await asyncio.sleep(delay_ms / 1000)
+        self._pending_append = None
+        for _ in range(_MAX_APPENDS_PER_ROUND):
+            if not await self._follower.read_once():
+                self.is_connected = False
+                return False
+            sent = self._sent_confirmation
+            own_stamp = self.fold.stamps.get(self.own_host)
+            if sent is not None and sent.stamp == own_stamp:
+                # Only the response to the append was lost.
+                self._finish_confirmation(sent)
+                return True
+            self._epoch += 1
+            append = self._sent_confirmation = self._make_confirmation(
+                self._planner.plan_confirmed_rows()
+            )
+            self._apply_sent_append(append)
+            result = await self._send(append)
+            if self._log.era != append.stamp.era:
+                continue
+            match result:
+                case shared_log.Appended():
+                    self._finish_confirmation(append)
+                    return True
+                case shared_log.Fenced():
+                    self._handle_fenced()
+                    return False
+                case shared_log.LogUnavailable() as failure:
+                    self._handle_log_unavailable(failure)
+                    return False
+        return False
+
+    def _finish_confirmation(self, append: _Append) -> None:
+        """Applies a confirmation, which is known to be in the log."""
+        self._sent_confirmation = None
+        self._confirmed_era = append.stamp.era
+        self._handle_appended(append)
+        decision_log.log_event(
+            "grants_confirmed",
+            era=append.stamp.era,
+            epoch=self._epoch,
+            granted_tokens=sum(row.granted_tokens for row in append.rows),
+        )
+
+    def _plan_closure(self) -> prepaid.EraClosure | None:
+        """Returns the closure of the era if it is due.
+
+        It counts all tokens as spent that no host has accounted for.
+        """
+        prepaid_tokens = self._list_prepaid_tokens()
+        if (
+            self.fold.can_raise
+            or self._era_age_ms < _ERA_CLOSURE_MS
+            or not prepaid_tokens
+            or not self._is_fresh()
+        ):
+            return None
+        return prepaid.EraClosure(
+            self.fold.era,
+            {
+                account: max(0, tokens - self.fold.sum_granted(account))
+                for account, tokens in prepaid_tokens.items()
+            },
+        )
+
     async def _run_appends(self) -> None:
         """Appends stamps and rows at each interval and on request.
 
@@ -601,6 +849,14 @@
         after `_MAX_APPENDS_PER_ROUND` appends.
         """
         for _ in range(_MAX_APPENDS_PER_ROUND):
+            if not self.fold.can_raise:
+                # Other hosts may have confirmed their rows since.
+                await self._follower.read_once()
+            if (
+                self._log.era != self._confirmed_era
+                and not await self._confirm_era()
+            ):
+                return
             append = self._pending_append
             if append is None:
                 requested_tokens = self._list_requested_tokens()
@@ -608,7 +864,11 @@
                     requested_tokens
                 )
                 self._apply_sent_append(append)
-            match await self._send(append):
+            result = await self._send(append)
+            if self._log.era != append.stamp.era:
+                # Whatever became of the append, it counts no more.
+                continue
+            match result:
                 case shared_log.Appended():
                     self._pending_append = None
                     self._sequence = append.sequence + 1
@@ -656,16 +916,25 @@
 
     def _plan_append(self, requested_tokens: dict[str, int]) -> _Append:
         """Returns the next append, the last one if the process is stopping."""
+        stamp = self._make_stamp(self._confirmed_era)
         if self._is_stopping:
             self._own_stamp = attrs.evolve(self._own_stamp, is_leaving=True)
+            stamp = attrs.evolve(stamp, is_leaving=True)
             rows = self._planner.plan_return_rows()
-            return _Append(self._make_stamp(), rows, None, self._sequence)
+            return _Append(stamp, rows, None, self._sequence)
         if not self._is_hub():
             rows = self._planner.plan_return_rows()
-            return _Append(self._make_stamp(), rows, None, self._sequence)
+            return _Append(stamp, rows, None, self._sequence)
         planned = self._planner.plan_rows(requested_tokens)
-        at = self._follower.position if planned.has_raise else None
-        return _Append(self._make_stamp(), planned.rows, at, self._sequence)
+        closure = self._plan_closure()
+        is_conditional = planned.has_raise or closure is not None
+        return _Append(
+            stamp,
+            tuple(attrs.evolve(row, era=stamp.era) for row in planned.rows),
+            self._follower.position if is_conditional else None,
+            self._sequence,
+            closure,
+        )
 
     def _apply_sent_append(self, append: _Append) -> None:
         """Applies the limits of an append to the grants before it is sent."""
@@ -676,8 +945,11 @@
 
     async def _send(self, append: _Append) -> shared_log.AppendResult:
         """Sends an append to the log and returns its result."""
-        records = [grant_fold.encode_stamp(append.stamp)]
+        stamps = (append.stamp, *append.missing_stamps)
+        records = [grant_fold.encode_stamp(stamp) for stamp in stamps]
         records += [grant_fold.encode_row(row) for row in append.rows]
+        if append.closure is not None:
+            records.append(grant_fold.encode_closure(append.closure))
         return await self._log.append(
             TOPIC,
             tuple(records),
@@ -700,6 +972,13 @@
             self._clocks.read_boot_ms() - append.stamp.boot_ms
         )
         self.fold.apply_record(append.stamp)
+        if append.closure is not None:
+            self.fold.apply_record(append.closure)
+            decision_log.log_failure(
+                "era_closed",
+                era=append.closure.era,
+                unaccounted_tokens=append.closure.unaccounted_tokens,
+            )
         for row in append.rows:
             grant = self.find_grant(row.account)
             grant.record_appended_row(row, append.stamp.boot_ms)
@@ -719,7 +998,10 @@
         """
         for row in self.fold.list_host_rows(self.own_host):
             grant = self.find_grant(row.account)
-            if row.granted_tokens >= grant.committed_tokens:
+            if (
+                row.era == self._confirmed_era
+                and row.granted_tokens >= grant.committed_tokens
+            ):
                 grant.record_appended_row(row, self._last_stamp_boot_ms)
 
     def _handle_log_unavailable(
--- a/redwingchute/process/prepaid/grant_recovery_test.py
+++ b/redwingchute/process/prepaid/grant_recovery_test.py
@@ -152,7 +152,7 @@
 ) -> None:
     simulation.cut_links = {frozenset(_HOSTS)}
     grants = simulation.routers["huon-1"].grants
-    stamp = shared_log.ProducerStamp("huon-1", 2_000_000, 0)
+    stamp = shared_log.ProducerStamp("huon-1", 2_000_000_000, 0)
     simulation.topic.append((), stamp)
     simulation.run_for(2)
     assert not grants.has_taken_over
--- a/redwingchute/process/prepaid/prepaid_machine_test.py
+++ b/redwingchute/process/prepaid/prepaid_machine_test.py
@@ -1,9 +1,10 @@
 """State machine test: prepaid tokens are never overspent.
 
 Hypothesis kills and restarts routers, cuts them off from the log and from each
-other, loses the replies to appends and delays the effect of appends. What
-requests consume is counted outside the routers and compared with the prepaid
-tokens after every step.
+other, loses the replies to appends and delays the effect of appends. It also
+has the log return from an earlier copy of itself at any point, several times.
+What requests consume is counted outside the routers and compared with the
+prepaid tokens after every step.
 """
 
 import hypothesis
@@ -42,6 +43,7 @@
             _HOSTS, 3_000, _HUBS
         )
         self.simulation.run_for(3)
+        self.simulation.take_copy()
 
     @stateful.rule(
         host=_HOST,
@@ -103,6 +105,30 @@
         self.simulation.append_effect = fate
         self.simulation.responses_to_lose = count
 
+    @stateful.rule()
+    def take_copy(self) -> None:
+        self.simulation.take_copy()
+
+    @stateful.rule(away_s=strategies.sampled_from((0, 0.3, 2)))
+    def return_from_copy(self, away_s: float) -> None:
+        self.simulation.return_from_copy(away_s)
+
+    @stateful.rule(
+        host=_HOST,
+        tokens=strategies.integers(200, 2_500),
+        seconds=strategies.sampled_from((0.1, 0.5, 3)),
+        kills=strategies.booleans(),
+    )
+    def lose_what_a_host_spends(
+        self, host: str, tokens: int, seconds: float, kills: bool
+    ) -> None:
+        self.simulation.take_copy()
+        self.simulation.send_request(host, tokens, tokens, seconds=0.05)
+        self.simulation.run_for(seconds)
+        if kills:
+            self.simulation.kill(host)
+        self.simulation.return_from_copy()
+
     @stateful.rule(tokens=strategies.integers(0, 1_000))
     def top_up(self, tokens: int) -> None:
         self.simulation.prepaid_tokens += tokens
--- a/redwingchute/testing/prepaid_simulation.py
+++ b/redwingchute/testing/prepaid_simulation.py
@@ -2,11 +2,13 @@
 
 All run on a manual clock. Consumed tokens are counted outside the routers, so
 that a test can compare them with the prepaid tokens. A request of a killed
-router counts with its upper bound, because it may have run to its end.
+router counts with its upper bound, because it may have run to its end. The log
+may return from an earlier copy of itself, in a new era.
 """
 
 import asyncio
 from collections.abc import Coroutine
+import copy
 import enum
 from typing import Any
 
@@ -93,6 +95,7 @@
         time.
       responses_to_lose: The number of next appends whose responses are lost.
       log_latency_s: The latency of the log each way.
+      is_log_away: Whether the log refuses connections.
       hubs: The hosts whose routers are hubs.
       former_hubs: Hosts among `hubs` that know already that they are none.
     """
@@ -124,6 +127,8 @@
         self.append_effect = AppendEffect.IMMEDIATE
         self.responses_to_lose = 0
         self.log_latency_s = _LOG_LATENCY_S
+        self.is_log_away = False
+        self._copy = copy.deepcopy(self.topic)
         self.routers: dict[str, Router] = {}
         self.incarnations = 0
         self.wall_clock_offsets_ms: dict[str, int] = {}
@@ -160,6 +165,34 @@
         """Runs the routers for a duration on the manual clock."""
         self.loop.run_until_complete(asyncio.sleep(seconds))
 
+    def take_copy(self) -> None:
+        """Takes a copy of the log."""
+        self._copy = copy.deepcopy(self.topic)
+
+    def return_from_copy(self, away_s: float = 0.0) -> None:
+        """Replaces the log by the last copy, after a time without a log.
+
+        Args:
+          away_s: How long the log is away.
+        """
+        self.is_log_away = True
+        if away_s:
+            self.run_for(away_s)
+        era = self.topic.era + 1
+        self.topic = copy.deepcopy(self._copy)
+        self.topic.era = era
+        self.is_log_away = False
+
+    def append_late(
+        self,
+        records: tuple[shared_log.KeyedRecord, ...],
+        stamp: shared_log.ProducerStamp,
+        at_offset: int | None,
+    ) -> None:
+        """Appends to what the log is now, unless it is away."""
+        if not self.is_log_away:
+            self.topic.append(records, stamp, at_offset)
+
     def lose_power(self, host: str) -> None:
         """Kills a router and restarts the boot clock of its host at 0."""
         self.kill(host)
@@ -305,6 +338,8 @@
         simulation = self._simulation
         at_offset = None if at is None else at.offset
         await asyncio.sleep(simulation.log_latency_s)
+        if simulation.is_log_away:
+            return shared_log.LogUnavailable("connection refused")
         is_cut = self._host in simulation.cut_from_log
         if simulation.responses_to_lose > 0 or is_cut:
             simulation.responses_to_lose -= not is_cut
@@ -315,7 +350,7 @@
                 simulation.topic.append(records, stamp, at_offset)
             elif append_effect is AppendEffect.DELAYED:
                 simulation.loop.call_later(
-                    2.0, simulation.topic.append, records, stamp, at_offset
+                    2.0, simulation.append_late, records, stamp, at_offset
                 )
             await asyncio.sleep(_LOG_TIMEOUT_S)
             return shared_log.LogUnavailable("no response", may_have_run=True)
@@ -348,6 +383,8 @@
     async def _is_response_lost(self) -> bool:
         """Waits for a call's duration; returns True if its response is lost."""
         await asyncio.sleep(2 * self._simulation.log_latency_s)
+        if self._simulation.is_log_away:
+            return True
         if self._host not in self._simulation.cut_from_log:
             return False
         await asyncio.sleep(_LOG_TIMEOUT_S)
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -17,6 +17,8 @@
 _SCENARIOS = "redwingchute/testing/scenario_test.py::test_scenario_holds"
 _FOLD = "redwingchute/process/ledger/fold.py"
 _FOLD_TEST = "redwingchute/process/ledger/fold_test.py"
+_GRANT_FOLD = "redwingchute/process/prepaid/grant_fold.py"
+_GRANT_ERA_TEST = "redwingchute/process/prepaid/grant_era_test.py"
 
 
 @attrs.frozen
@@ -95,6 +97,42 @@
             f"{_SCENARIOS}[claim-and-router-death]",
         ),
     ),
+    Mutant(
+        "use a response of an earlier era",
+        "redwingchute/process/era_log.py",
+        "        if result.era < self.era:\n            return False\n",
+        "",
+        ("redwingchute/process/era_log_test.py",),
+    ),
+    Mutant(
+        "read on at a position of an earlier era",
+        "redwingchute/process/era_log.py",
+        "        if position.era != self.era:\n"
+        "            return shared_log.HistoryGone(self.era)\n",
+        "",
+        ("redwingchute/process/era_log_test.py",),
+    ),
+    Mutant(
+        "count rows of an earlier era",
+        _GRANT_FOLD,
+        "if row.era == self.era:",
+        "if row.era >= 0:",
+        ("redwingchute/process/prepaid/grant_fold_test.py",),
+    ),
+    Mutant(
+        "raise before all hosts confirmed their rows",
+        _GRANT_FOLD,
+        "stamp.era == self.era or stamp.is_leaving",
+        "stamp.era >= 0 or stamp.is_leaving",
+        (_GRANT_ERA_TEST,),
+    ),
+    Mutant(
+        "forget that a host lost its history",
+        _GRANT_FOLD,
+        "self.is_confirmed(host) and not stamp.has_lost_history",
+        "self.is_confirmed(host)",
+        (_GRANT_ERA_TEST,),
+    ),
 )
 
 
