Test a drill with three routers, and the calls of hubs after a change

Over HTTP, with 10,000 prepaid tokens, three routers and three returns of the store from a copy by seed: never more charged than prepaid, at least half, and no status but 200, 402 and 503.

--- a/redwingchute/process/gateway_era_test.py
+++ b/redwingchute/process/gateway_era_test.py
@@ -1,6 +1,9 @@
 """Tests of a router when the store returns from an earlier copy."""
 
 import asyncio
+import collections
+
+import pytest
 
 from redwingchute.standin import metadata_store
 from redwingchute.testing import gateway_rig
@@ -73,3 +76,26 @@
             assert len(rig.list_runs("l-1")) == before
 
     asyncio.run(scenario())
+
+
+# Guards against tokens that are spent twice by routers over a real store.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_prepaid_tokens_are_not_overspent_in_a_drill(seed: int) -> None:
+    async def scenario() -> None:
+        async with gateway_rig.GatewayRig(gateway_count=3) as rig:
+            drill = asyncio.ensure_future(
+                rig.store.run_drill(metadata_store.draw_restorations(seed, 3))
+            )
+            charged_tokens = 0
+            statuses = collections.Counter[int]()
+            for index in range(90):
+                response = await rig.generate("/draft/x", 180, 20)
+                statuses[response.status] += 1
+                charged_tokens += 200 * (response.status == 200)
+                await asyncio.sleep(0.1 if index % 3 else 0.2)
+            await drill
+            assert charged_tokens <= 10_000
+            assert charged_tokens >= 5_000
+            assert set(statuses) <= {200, 402, 503}
+
+    asyncio.run(scenario())
--- a/redwingchute/process/prepaid/grant_era_test.py
+++ b/redwingchute/process/prepaid/grant_era_test.py
@@ -1,6 +1,7 @@
 """Tests what routers may spend after the log returned from an earlier copy."""
 
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
@@ -213,3 +214,38 @@
     used_tokens = simulation.max_used_tokens
     simulation.close()
     assert 0.98 * _TOKENS <= used_tokens <= _TOKENS
+
+
+# Guards against a load peak when all hubs see the change at once.
+@pytest.mark.parametrize("hub_count", [7, 9, 24])
+def test_a_change_of_era_is_no_load_peak(
+    hub_count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    hosts = tuple(f"zone{index % 3}-{index}" for index in range(hub_count))
+    simulation = prepaid_simulation.PrepaidSimulation(hosts, 500_000)
+    simulation.run_for(5)
+    called_s: list[float] = []
+    for name in ("append", "read", "read_newest"):
+        call = getattr(prepaid_simulation.SimulatedLog, name)
+
+        def record(*arguments: Any, call: Any = call) -> Any:
+            called_s.append(simulation.loop.time())
+            return call(*arguments)
+
+        monkeypatch.setattr(prepaid_simulation.SimulatedLog, name, record)
+    simulation.take_copy()
+    _spend(simulation, 20, hosts, 100)
+    usual_calls = len(called_s)
+    simulation.return_from_copy(0.5)
+    returned_s = simulation.loop.time()
+    used_tokens = simulation.max_used_tokens
+    _spend(simulation, 20, hosts, 100)
+    served_tokens = simulation.max_used_tokens - used_tokens
+    simulation.close()
+    first_calls = sum(
+        returned_s <= at_s < returned_s + 0.25 for at_s in called_s
+    )
+    calls = sum(returned_s <= at_s for at_s in called_s)
+    assert first_calls <= 6 * hub_count
+    assert calls <= usual_calls + 6 * hub_count
+    assert served_tokens == 20 * hub_count * 100
