Test hosts that leave, join or withdraw around a change of era

A host that left before the copy or leaves after it costs no tokens; one that the copy doesn't know is waited for; a withdrawn hub states what it spent once any of its followers sees the change.

--- a/redwingchute/process/prepaid/grant_era_test.py
+++ b/redwingchute/process/prepaid/grant_era_test.py
@@ -249,3 +249,75 @@
     assert first_calls <= 6 * hub_count
     assert calls <= usual_calls + 6 * hub_count
     assert served_tokens == 20 * hub_count * 100
+
+
+def _stop(simulation: prepaid_simulation.PrepaidSimulation, host: str) -> None:
+    """Shuts a router down gracefully."""
+    grants = simulation.routers[host].grants
+    simulation.loop.run_until_complete(grants.stop(2))
+    simulation.kill(host)
+
+
+# Guards against a host that left and holds up all raises for ever.
+def test_a_host_that_left_before_the_copy_costs_nothing(
+    simulation: prepaid_simulation.PrepaidSimulation,
+) -> None:
+    _spend(simulation, 5)
+    _stop(simulation, "huon-1")
+    simulation.run_for(1)
+    simulation.take_copy()
+    _spend(simulation, 5)
+    simulation.return_from_copy(0.3)
+    _spend(simulation, 150, ("huon-2", "bruny-1"))
+    assert 0.98 * _TOKENS <= simulation.max_used_tokens <= _TOKENS
+
+
+def test_a_host_that_leaves_in_a_new_era_returns_its_tokens(
+    simulation: prepaid_simulation.PrepaidSimulation,
+) -> None:
+    simulation.take_copy()
+    _spend(simulation, 5)
+    simulation.return_from_copy(0.3)
+    simulation.run_for(0.1)
+    _stop(simulation, "huon-1")
+    _spend(simulation, 150, ("huon-2", "bruny-1"))
+    assert 0.98 * _TOKENS <= simulation.max_used_tokens <= _TOKENS
+
+
+# Guards against a host that started after the copy and is cut off since.
+def test_a_host_unknown_to_the_copy_is_waited_for() -> None:
+    simulation = prepaid_simulation.PrepaidSimulation(
+        ("huon-2", "bruny-1"), _TOKENS, _HOSTS
+    )
+    simulation.run_for(3)
+    simulation.take_copy()
+    simulation.start("huon-1")
+    simulation.run_for(3)
+    simulation.send_request("huon-1", 12_000, 12_000, seconds=30)
+    simulation.run_for(3)
+    simulation.cut_from_log = {"huon-1"}
+    simulation.cut_links = {
+        frozenset(("huon-1", "huon-2")),
+        frozenset(("huon-1", "bruny-1")),
+    }
+    simulation.return_from_copy(0.3)
+    _spend(simulation, 150)
+    used_tokens = simulation.max_used_tokens
+    simulation.close()
+    assert used_tokens <= _TOKENS
+
+
+# Guards against a withdrawn hub whose older row in the copy grants more.
+def test_a_router_that_is_no_hub_any_more_confirms_what_it_spent(
+    simulation: prepaid_simulation.PrepaidSimulation,
+) -> None:
+    _spend(simulation, 5)
+    simulation.take_copy()
+    simulation.former_hubs = {"huon-1"}
+    simulation.run_for(2)
+    simulation.return_from_copy(0.3)
+    # A router that is no hub reads other topics only.
+    log = simulation.routers["huon-1"].log
+    simulation.loop.run_until_complete(log.read_newest("keyed.op"))
+    _spend(simulation, 150, ("huon-2", "bruny-1"))
+    assert 0.98 * _TOKENS <= simulation.max_used_tokens <= _TOKENS
--- a/redwingchute/testing/prepaid_simulation.py
+++ b/redwingchute/testing/prepaid_simulation.py
@@ -66,11 +66,13 @@
 
     Attributes:
       process: The process that its tasks belong to.
+      log: The shared log as the router reaches it.
       grants: Its prepaid grants.
       charger: Charges requests to grants, its own and those of other routers.
     """
 
     process: manual_loop.SimulatedProcess
+    log: era_log.EraLog
     grants: grant_manager.GrantManager
     charger: charging.Charger
 
@@ -221,8 +223,9 @@
         def list_prepaid_tokens() -> dict[str, int]:
             return {ACCOUNT: self.prepaid_tokens}
 
+        log = era_log.EraLog(SimulatedLog(self, host))
         grants = grant_manager.GrantManager(
-            era_log.EraLog(SimulatedLog(self, host)),
+            log,
             prepaid.HostStamp(host, _find_zone(host), host, 0, 0, 0),
             grant_manager.Clocks(
                 read_boot_ms,
@@ -239,7 +242,7 @@
             read_boot_ms,
             self.incarnations,
         )
-        self.routers[host] = Router(process, grants, charger)
+        self.routers[host] = Router(process, log, grants, charger)
         self._spawn(process, grants.run())
 
     def kill(self, host: str) -> None:
