--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -23,6 +23,7 @@
 from redwingchute.core import requesting
 from redwingchute.process import background_tasks
 from redwingchute.process import decision_log
+from redwingchute.process import era_log
 from redwingchute.process import gateway_settings
 from redwingchute.process import host_registry
 from redwingchute.process import hub_choice
@@ -69,6 +70,9 @@
 # routers, which send fewer.
 _HUB_LOAD_CHECK_S = 0.05
 _LOAD_CHECK_S = 0.2
+# How long the operator and the upstreams take to write again what the log lost
+# when it returned from an earlier copy.
+_REWRITE_MS = 2_000
 # How long a router that shuts down waits for its entry in the list of hosts.
 _LEAVE_TIMEOUT_S = 0.3
 
@@ -132,8 +136,8 @@
         self._incarnation = secrets.randbits(47) or 1
         self._metrics = telemetry.Metrics(settings.host_name, settings.zone)
         self._metrics.observe_events(decision_log.read_counts)
-        self._log = timed_log.TimedLog(
-            ports.log, read_boot_ms, self._record_log_call
+        self._log = era_log.EraLog(
+            timed_log.TimedLog(ports.log, read_boot_ms, self._record_log_call)
         )
         self._route_index: route_index.RouteIndex | None = None
         self._upstream_directory = upstream_directory.UpstreamDirectory(
@@ -177,6 +181,7 @@
             make_configuration_timing(settings),
             read_boot_ms,
             self._handle_configuration,
+            rewrite_ms=_REWRITE_MS,
         )
         self._upstream_follower = keyed_follower.KeyedFollower(
             self._log,
@@ -187,6 +192,7 @@
             read_boot_ms,
             self._handle_upstream,
             self._upstream_directory.keep_only,
+            _REWRITE_MS,
         )
         self._caller_server = self._make_caller_server()
 
@@ -236,6 +242,7 @@
             grant_manager.Clocks(read_boot_ms, read_wall_ms),
             self._list_prepaid_tokens,
             self._is_hub,
+            is_fresh=self._is_fresh,
         )
 
     def _is_hub(self) -> bool:
@@ -395,7 +402,7 @@
             return "stopping"
         if self._route_index is None:
             return "no configuration"
-        if self._upstream_follower.next_offset < 0:
+        if self._upstream_follower.position is None:
             return "no upstreams"
         # Readiness waits for the hosts and the first grants, but no longer than
         # _GRANT_WAIT_MS: requests that cost no tokens can be served even while
@@ -423,8 +430,11 @@
             return
         before = self._route_index.table.version if self._route_index else None
         if before is not None and table.version <= before:
+            # An earlier copy of the log may hold an older version until the
+            # operator has written the newer one again.
             invariants.check(
-                table.version == before,
+                table.version == before
+                or self._configuration_follower.is_settling,
                 "configuration_regressed",
                 version=table.version,
                 version_before=before,
@@ -455,6 +465,14 @@
         if record.value is not None:
             upstream = self._ports.decode_upstream(record.key, record.value)
         known = self._upstream_directory.find(record.key)
+        if (
+            self._upstream_follower.is_settling
+            and known is not None
+            and upstream is not None
+            and upstream.revision < known.revision
+        ):
+            # The upstream writes its newer entry again.
+            return
         if upstream is None:
             self._upstream_directory.remove(record.key)
         else:
@@ -473,6 +491,8 @@
         follower = self._configuration_follower
         if follower.failed_since_ms or self._route_index is None:
             return False
+        if follower.is_settling:
+            return False
         age_ms = read_boot_ms() - follower.confirmed_ms
         # A read that waits at the log returns as soon as a newer version is
         # appended, so its waiting time does not make the version stale.
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -2,8 +2,13 @@
 
 The follower starts with the newest record of each key and then reads all
 later records. It restarts from the newest records when the log has deleted
-the records at its offset. A record is skipped unless it is newer than the last
-one that was delivered for its key, so a key's value never goes back.
+the records at its offset, or has returned from an earlier copy. A record is
+skipped unless it is newer than the last one that was delivered for its key. A
+key's value thus goes back only with the log itself.
+
+After a return from a copy the topic's writers write their lost records again.
+Until they had time for this, keys that are missing from the copy are kept, and
+keys that were removed before are not delivered again.
 """
 
 import asyncio
@@ -12,6 +17,7 @@
 import attrs
 
 from redwingchute.process import decision_log
+from redwingchute.process import era_log
 from redwingchute.process import shared_log
 
 # The first and the longest pause after a failed read; it doubles each time.
@@ -19,6 +25,19 @@
 _MAX_RETRY_S = 1.0
 
 
+@attrs.frozen
+class _Delivered:
+    """The last delivered record of a key.
+
+    Attributes:
+      position: Its position.
+      is_present: Whether the key has a value.
+    """
+
+    position: shared_log.LogPosition
+    is_present: bool
+
+
 @attrs.frozen
 class PollTiming:
     """How often a topic is read.
@@ -42,19 +61,21 @@
       confirmed_ms: When the delivered records were last confirmed to be the
         newest, on the clock that `read_clock_ms` reads; 0 before the first
         successful read.
-      next_offset: The offset of the next read; -1 before the first one.
+      position: The position of the next read; None before the first one.
       failed_since_ms: When reads began to fail, on the same clock; 0 while
         they succeed.
     """
 
     def __init__(
         self,
-        log: shared_log.SharedLog,
+        log: era_log.EraLog,
         topic: str,
         timing: PollTiming,
         read_clock_ms: Callable[[], int],
         on_record: Callable[[shared_log.KeyedRecord], None],
         retain_only: Callable[[frozenset[str]], None] | None = None,
+        rewrite_ms: int = 0,
+        begin_era: Callable[[int], None] | None = None,
     ) -> None:
         """Initializes the follower; `run` starts it.
 
@@ -66,19 +87,33 @@
           on_record: Called with each new record.
           retain_only: Called with all keys that exist after each start or
             restart, so that entries with other keys can be removed.
+          rewrite_ms: How long the topic's writers may take to write again what
+            the log lost when it returned from a copy.
+          begin_era: Called with the era before the first record of each era is
+            delivered.
         """
         self.confirmed_ms = 0
         self.failed_since_ms = 0
-        self.next_offset = -1
+        self.position: shared_log.LogPosition | None = None
         self._log = log
         self._topic = topic
         self._timing = timing
         self._read_clock_ms = read_clock_ms
         self._on_record = on_record
         self._retain_only = retain_only
-        self._offsets: dict[str, int] = {}
+        self._rewrite_ms = rewrite_ms
+        self._begin_era = begin_era
+        # When the writers have written again what the log lost; 0 if the log
+        # did not return from a copy, or if that time is over.
+        self._rewritten_ms = 0
+        self._delivered: dict[str, _Delivered] = {}
         self._lock = asyncio.Lock()
 
+    @property
+    def is_settling(self) -> bool:
+        """Whether lost records may still be missing after a new era began."""
+        return self._rewritten_ms > 0
+
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         retry_s = _MIN_RETRY_S
@@ -108,17 +143,21 @@
           newest.
         """
         async with self._lock:
-            if self.next_offset < 0:
+            if (
+                self.position is None
+                or self.position.era != self._log.era
+                or 0 < self._rewritten_ms <= self._read_clock_ms()
+            ):
                 return self._record_result(await self._start())
             started_ms = self._read_clock_ms()
             timeout_ms = self._timing.response_timeout_ms if wait_ms else None
             match await self._log.read(
-                self._topic, self.next_offset, wait_ms, timeout_ms
+                self._topic, self.position, wait_ms, timeout_ms
             ):
-                case shared_log.ReadRecords(records, next_offset):
+                case shared_log.ReadRecords(records, next_position):
                     for record in records:
-                        self._deliver_if_newer(record)
-                    self.next_offset = next_offset
+                        self._deliver_if_newer(record, next_position.era)
+                    self.position = next_position
                     # A read without a wait returns the records that the log
                     # has at some time after `started_ms`; a waiting read
                     # returns those that it has when the wait ends.
@@ -131,7 +170,8 @@
                     decision_log.log_event(
                         "log_history_gone",
                         topic=self._topic,
-                        offset=self.next_offset,
+                        era=self.position.era,
+                        offset=self.position.offset,
                     )
                     return self._record_result(await self._start())
                 case shared_log.LogUnavailable() as failure:
@@ -143,20 +183,54 @@
         newest = await self._log.read_newest(self._topic)
         if isinstance(newest, shared_log.LogUnavailable):
             return newest
+        if self.position is not None and self.position.era != newest.era:
+            self._rewritten_ms = (
+                started_ms + self._rewrite_ms if self._rewrite_ms else 0
+            )
+        elif 0 < self._rewritten_ms <= started_ms:
+            # What the log holds now is valid, also where it differs from what
+            # was delivered of the previous era.
+            self._rewritten_ms = 0
+            self._delivered.clear()
+        if self._begin_era is not None and (
+            self.position is None or self.position.era != newest.era
+        ):
+            self._begin_era(newest.era)
         for record in newest.records:
-            self._deliver_if_newer(record)
-        if self._retain_only is not None:
-            keys = frozenset(record.key for record in newest.records)
-            self._retain_only(keys)
-        self.next_offset = newest.next_offset
+            delivered = self._delivered.get(record.key)
+            if self.is_settling and delivered and not delivered.is_present:
+                continue
+            self._deliver_if_newer(record, newest.era)
+        if not self.is_settling:
+            self._retain(frozenset(record.key for record in newest.records))
+        self.position = newest.next_position
         self.confirmed_ms = started_ms
         return None
 
-    def _deliver_if_newer(self, record: shared_log.KeyedRecord) -> None:
-        """Delivers a record unless a newer one of its key was delivered."""
-        if record.offset <= self._offsets.get(record.key, -1):
+    def _retain(self, keys: frozenset[str]) -> None:
+        """Removes all keys except the given ones."""
+        for key, delivered in self._delivered.items():
+            if key not in keys:
+                self._delivered[key] = attrs.evolve(delivered, is_present=False)
+        if self._retain_only is not None:
+            self._retain_only(keys)
+
+    def _deliver_if_newer(
+        self, record: shared_log.KeyedRecord, era: int
+    ) -> None:
+        """Delivers a record unless a newer one of its key was delivered.
+
+        Args:
+          record: The record.
+          era: The era of the log in which it was read.
+        """
+        position = shared_log.LogPosition(era, record.offset)
+        delivered = self._delivered.get(record.key)
+        if delivered is not None and position <= delivered.position:
             return
-        self._offsets[record.key] = record.offset
+        self._delivered[record.key] = _Delivered(
+            position, record.value is not None
+        )
         self._on_record(record)
 
     def _record_result(self, failure: shared_log.LogUnavailable | None) -> bool:
--- a/redwingchute/testing/retry_simulation.py
+++ b/redwingchute/testing/retry_simulation.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from redwingchute.process import era_log
 from redwingchute.process import host_registry
 from redwingchute.process import hub_choice
 from redwingchute.process import retry_budget
@@ -82,24 +83,24 @@
         topic: str,
         records: tuple[shared_log.KeyedRecord, ...],
         stamp: shared_log.ProducerStamp,
-        at_offset: int | None = None,
+        at: shared_log.LogPosition | None = None,
     ) -> shared_log.AppendResult:
         """Appends records."""
         if self.is_cut:
             return shared_log.LogUnavailable("cut off")
-        return await self._log.append(topic, records, stamp, at_offset)
+        return await self._log.append(topic, records, stamp, at)
 
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: shared_log.LogPosition,
         wait_ms: int,
         response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         """Reads records."""
         if self.is_cut:
             return shared_log.LogUnavailable("cut off")
-        return await self._log.read(topic, offset, wait_ms)
+        return await self._log.read(topic, position, wait_ms)
 
     async def read_newest(
         self, topic: str
@@ -128,7 +129,7 @@
             RATIO, slack, WINDOW_MS, lambda: self.registry.find_registration()
         )
         self.registry = host_registry.HostRegistry(
-            log,
+            era_log.EraLog(log),
             host_registry.RegisteredHost(name, "huon", f"{name}:7000", 1.0),
             incarnation,
             read_clock_ms,
