Give the responder on the manual clock the field for HEAD requests

28 scenarios and two tests of the transport in memory failed since: the responder of the manual clock sets its own fields, and the new one was missing.

--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -308,6 +308,7 @@
         """Binds the responder to its exchange."""
         self._exchange = exchange
         self._must_close = lambda: False
+        self._is_head = False
         self.has_started = False
 
     async def _send(
