Refuse a request that comes too close to its deadline without blaming upstreams

What callers saw: a request with under 5 ms left was answered no_upstream, and up to four sound upstreams were then avoided for 0.25 s and more; an idle connection to each was closed. Cause: the attempt reported such a request like a failed connection. Change: it is found before a connection is taken, and is a result of its own: 503 (nothing was sent), or 504 if an earlier attempt may have run.

--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -44,6 +44,11 @@
     is_unresponsive: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class OutOfTime:
+    """Nothing was sent because the request's deadline is too close."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Rejected:
     """The upstream responded that it did not run the request.
@@ -94,7 +99,7 @@
 
 
 AttemptResult: TypeAlias = (
-    NotConnected | Rejected | Broken | CompleteResponse | Streamed
+    NotConnected | OutOfTime | Rejected | Broken | CompleteResponse | Streamed
 )
 
 
@@ -199,6 +204,8 @@
           outgoing: The request.
           relay: Sends a stream to the caller and counts its events.
         """
+        if _find_remaining_ms(outgoing) < _MIN_REMAINING_MS:
+            return OutOfTime()
         address = http_client.Address.parse(upstream.address)
         connection = await self._pool.acquire(address)
         if isinstance(connection, http_client.ConnectFailed):
@@ -222,10 +229,10 @@
         relay: Relay,
     ) -> AttemptResult:
         """Sends the request and reads the response."""
-        remaining_s = outgoing.deadline_s - asyncio.get_running_loop().time()
-        remaining_ms = int(1000 * remaining_s)
+        remaining_ms = _find_remaining_ms(outgoing)
+        # Connecting may have taken the time that was left.
         if remaining_ms < _MIN_REMAINING_MS:
-            return NotConnected("the deadline is too close to send the request")
+            return OutOfTime()
         metadata = attrs.evolve(outgoing.metadata, remaining_ms=remaining_ms)
         request = outgoing.request
         outgoing.trace.is_sent = True
@@ -346,6 +353,12 @@
         await relay.responder.start(head.status, headers)
 
 
+def _find_remaining_ms(outgoing: UpstreamRequest) -> int:
+    """Returns the time until the deadline of a request."""
+    remaining_s = outgoing.deadline_s - asyncio.get_running_loop().time()
+    return int(1000 * remaining_s)
+
+
 async def _skip_response(connection: http_client.ClientConnection) -> bool:
     """Skips an extra response; returns False if its end does not arrive."""
     try:
--- a/redwingchute/request/forward_attempt_test.py
+++ b/redwingchute/request/forward_attempt_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from redwingchute.connection import http_client
@@ -113,3 +114,34 @@
     (_, second), _ = _run_attempts(late)
     assert isinstance(second, forward_attempt.Broken)
     assert not second.is_timeout
+
+
+# Guards against taking sound upstreams for unreachable, and against closing a
+# connection to one, when a request comes too close to its deadline.
+def test_a_request_without_time_left_touches_no_connection() -> None:
+    async def serve(connection: scripted_upstream.UpstreamConnection) -> None:
+        request_id = (await connection.read_request()).request_id
+        await connection.send(_make_success(request_id))
+        await connection.read_request()
+
+    async def main() -> None:
+        upstream = scripted_upstream.ScriptedUpstream(serve)
+        async with upstream, http_client.ClientPool() as pool:
+            runner = forward_attempt.AttemptRunner(
+                pool, headers.PlatformHeaderTranslator()
+            )
+            target = forwarding_builders.make_upstream(
+                "m-1", address=str(upstream.address)
+            )
+            served = forwarding_builders.make_outgoing("first")
+            relay = forward_attempt.Relay(forwarding_builders.make_responder())
+            await runner.run(target, served, relay)
+            late = attrs.evolve(
+                forwarding_builders.make_outgoing("second"),
+                deadline_s=asyncio.get_running_loop().time() + 0.002,
+            )
+            result = await runner.run(target, late, relay)
+            assert isinstance(result, forward_attempt.OutOfTime)
+            assert pool.count_idle(upstream.address) == 1
+
+    asyncio.run(main())
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -348,6 +348,9 @@
                 progress.may_have_run = may_have_run
                 progress.sends -= 1
                 progress.connect_failures += 1
+            case forward_attempt.OutOfTime():
+                progress.may_have_run = may_have_run
+                progress.sends -= 1
             case forward_attempt.Rejected():
                 progress.may_have_run = may_have_run
         return result
@@ -431,6 +434,14 @@
                 if progress.may_have_run:
                     return _make_failure(message)
                 return self._refuse_no_upstream(plan)
+            case forward_attempt.OutOfTime():
+                message = "the deadline is too close to send the request"
+                self._log_attempt(
+                    plan, progress, upstream, "out_of_time", message
+                )
+                if progress.may_have_run:
+                    return outcomes.Failed(504, "timed_out", message)
+                return outcomes.NotRun(503, "out_of_time", message)
             case forward_attempt.Rejected(status, is_wrong_instance):
                 if is_wrong_instance:
                     # An instance that still runs elsewhere is listed again
