Treat a start in a later era as one just after a change

A process that starts within the 2 s after the return would have refused requests by the copy's version as if that were confirmed: a follower's first read in an era above 0 counts as settling too. A new host that joins an era that is closed no longer says that its history is lost; all hosts that knew it would have restored its stamp.

--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -103,8 +103,8 @@
         self._retain_only = retain_only
         self._rewrite_ms = rewrite_ms
         self._begin_era = begin_era
-        # When the writers have written again what the log lost; 0 if the log
-        # did not return from a copy, or if that time is over.
+        # When the writers have written again what the log may have lost; 0 if
+        # it did not return from a copy, or if that time is over.
         self._rewritten_ms = 0
         self._delivered: dict[str, _Delivered] = {}
         self._lock = asyncio.Lock()
@@ -183,7 +183,9 @@
         newest = await self._log.read_newest(self._topic)
         if isinstance(newest, shared_log.LogUnavailable):
             return newest
-        if self.position is not None and self.position.era != newest.era:
+        era_before = 0 if self.position is None else self.position.era
+        if newest.era != era_before:
+            # The first read may also come just after a return from a copy.
             self._rewritten_ms = (
                 started_ms + self._rewrite_ms if self._rewrite_ms else 0
             )
--- a/redwingchute/process/keyed_follower_test.py
+++ b/redwingchute/process/keyed_follower_test.py
@@ -163,3 +163,17 @@
     reader.now_ms += 1_500
     reader.read()
     assert reader.retained_keys == [{"kept"}]
+
+
+# Guards against a router that starts just after the change and refuses
+# requests by an old version.
+def test_a_follower_that_starts_in_a_later_era_is_settling() -> None:
+    reader = _Reader(rewrite_ms=2_000)
+    reader.log.topic.era = 3
+    reader.append("a", b"1")
+    reader.read()
+    assert reader.delivered == [("a", b"1")]
+    assert reader.follower.is_settling
+    reader.now_ms += 2_000
+    reader.read()
+    assert not reader.follower.is_settling
--- a/redwingchute/process/prepaid/grant_era_test.py
+++ b/redwingchute/process/prepaid/grant_era_test.py
@@ -321,3 +321,22 @@
     simulation.loop.run_until_complete(log.read_newest("keyed.op"))
     _spend(simulation, 150, ("huon-2", "bruny-1"))
     assert 0.98 * _TOKENS <= simulation.max_used_tokens <= _TOKENS
+
+
+# Guards against a new host that counts as one whose history is lost.
+def test_a_new_host_after_a_closure_holds_tokens(
+    simulation: prepaid_simulation.PrepaidSimulation,
+) -> None:
+    simulation.take_copy()
+    simulation.kill("huon-1")
+    simulation.return_from_copy(0.3)
+    simulation.run_for(5)
+    simulation.hubs = (*_HOSTS, "bruny-2")
+    simulation.start("bruny-2")
+    simulation.prepaid_tokens += 10_000
+    simulation.run_for(3)
+    stamp = simulation.routers["bruny-1"].grants.fold.stamps["bruny-2"]
+    assert not stamp.has_lost_history
+    _spend(simulation, 120, ("bruny-2",))
+    assert simulation.max_used_tokens >= 9_000
+    assert simulation.max_used_tokens <= _TOKENS + 10_000
--- a/redwingchute/process/prepaid/grant_fold.py
+++ b/redwingchute/process/prepaid/grant_fold.py
@@ -145,6 +145,17 @@
         stamp = self.stamps.get(host)
         return stamp is not None and (stamp.era == self.era or stamp.is_leaving)
 
+    @property
+    def are_stamps_restored(self) -> bool:
+        """Whether surviving hosts have restored all stamps that they knew.
+
+        They do so when they confirm their rows, which all have done, or had
+        time to do before the era was closed.
+        """
+        return self.closure is not None or all(
+            map(self.is_confirmed, self.stamps)
+        )
+
     @property
     def is_complete(self) -> bool:
         """Whether the rows state all that is spent or may be spent."""
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -571,10 +571,10 @@
         """
         if self.fold.era == 0 or self.own_host in self.fold.stamps:
             return False
-        hosts = self.fold.stamps.keys()
-        if hosts and all(map(self.fold.is_confirmed, hosts)):
+        has_stamps = bool(self.fold.stamps)
+        if has_stamps and self.fold.are_stamps_restored:
             return False
-        wait_ms = _ERA_STAMPS_WAIT_MS if hosts else _ERA_SUSPENSION_MS
+        wait_ms = _ERA_STAMPS_WAIT_MS if has_stamps else _ERA_SUSPENSION_MS
         return self._era_age_ms < wait_ms
 
     def _load_history(self, previous_stamp: prepaid.HostStamp | None) -> None:
@@ -586,9 +586,7 @@
           previous_stamp: The newest stamp of this host, or None.
         """
         if previous_stamp is None:
-            has_lost_history = not all(
-                map(self.fold.is_confirmed, self.fold.stamps)
-            )
+            has_lost_history = not self.fold.are_stamps_restored
         else:
             has_lost_history = not self.fold.is_confirmed(self.own_host)
         if has_lost_history:
@@ -741,7 +739,11 @@
                 return False
             sent = self._sent_confirmation
             own_stamp = self.fold.stamps.get(self.own_host)
-            if sent is not None and sent.stamp == own_stamp:
+            if (
+                sent is not None
+                and sent.stamp == own_stamp
+                and sent.stamp.era == self.fold.era
+            ):
                 # Only the response to the append was lost.
                 self._finish_confirmation(sent)
                 return True
