Let a host that joins raise no grant before another hub has read its stamp

What was open: a host that joined in the lost seconds was in no memory. A hub that no other had read yet raised 12,000 of 30,000 tokens, was cut off, and the others granted them again: 42,000 were spent (test_a_host_that_nobody_has_read_ raises_no_grant, on the code before).

Stamps state up to where their host has read. A host whose predecessor has no stamp, or left, keeps to no grant until another hub's stamp says that it has read the host's own, or that is 10 s old. It appends every 100 ms meanwhile and charges to other hosts, so it counts as started if these have tokens.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -63,6 +63,8 @@
       has_lost_history: Whether this process or an earlier one of the host
         started without knowing what its predecessor had spent, since the log
         had lost it.
+      read_offset: The offset in `era` up to which the host had read when it
+        made the stamp; -1 if it does not state it.
     """
 
     host: str
@@ -74,6 +76,7 @@
     is_leaving: bool = False
     era: int = 0
     has_lost_history: bool = False
+    read_offset: int = -1
 
 
 @attrs.frozen
--- a/redwingchute/process/prepaid/grant_era_test.py
+++ b/redwingchute/process/prepaid/grant_era_test.py
@@ -340,3 +340,26 @@
     _spend(simulation, 120, ("bruny-2",))
     assert simulation.max_used_tokens >= 9_000
     assert simulation.max_used_tokens <= _TOKENS + 10_000
+
+
+# Guards against a grant of a host that no surviving hub has read.
+def test_a_host_that_nobody_has_read_raises_no_grant() -> None:
+    simulation = prepaid_simulation.PrepaidSimulation(
+        ("huon-2", "bruny-1"), _TOKENS, _HOSTS
+    )
+    simulation.run_for(4.7)
+    simulation.take_copy()
+    simulation.start("huon-1")
+    simulation.run_for(0.8)
+    simulation.send_request("huon-1", 12_000, 12_000, seconds=30)
+    simulation.run_for(0.3)
+    simulation.cut_from_log = {"huon-1"}
+    simulation.cut_links = {
+        frozenset(("huon-1", "huon-2")),
+        frozenset(("huon-1", "bruny-1")),
+    }
+    simulation.return_from_copy()
+    _spend(simulation, 150, ("huon-2", "bruny-1"))
+    used_tokens = simulation.max_used_tokens
+    simulation.close()
+    assert used_tokens <= _TOKENS
--- a/redwingchute/process/prepaid/grant_fold.py
+++ b/redwingchute/process/prepaid/grant_fold.py
@@ -201,6 +201,28 @@
             stamp for stamp in self.stamps.values() if not stamp.is_leaving
         )
 
+    def is_read_by_others(
+        self, host: str, position: shared_log.LogPosition
+    ) -> bool:
+        """Returns whether another host has read up to a position.
+
+        It also returns true if no other host could have.
+
+        Args:
+          host: The host that asks.
+          position: The position.
+        """
+        read_offsets = [
+            stamp.read_offset
+            for stamp in self.list_active_stamps()
+            if stamp.host != host
+            and stamp.era == self.era
+            and stamp.read_offset >= 0
+        ]
+        if position.era != self.era:
+            return False
+        return not read_offsets or max(read_offsets) >= position.offset
+
     def find_row(self, account: str, host: str) -> prepaid.GrantRow | None:
         """Returns the newest row of an account and host, or None."""
         return self._rows.get(account, {}).get(host)
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -66,6 +66,12 @@
 _ERA_STAMPS_POLL_S = 0.2
 # The first appends of an era are spread over this time.
 _ERA_APPEND_SPREAD_MS = 150
+# A host that joins raises no grant until another host has read its stamp, or
+# until the stamp is older than any copy from which the log may return: else
+# nobody might know of the grant if the log lost it and the host died.
+_MAX_COPY_AGE_MS = 10_000
+# The interval of appends until then.
+_JOIN_APPEND_INTERVAL_MS = 100
 # Epochs are milliseconds of the wall clock. A process raises its epoch by one
 # in each era; its successor must not reach it if the clock is set back.
 _EPOCH_STEP = 1_024
@@ -122,7 +128,7 @@
       is_connected: Whether the log replied to the last append, and did not
         reply that this process is fenced.
       has_appended_rows: Whether an append has succeeded since accounts with
-        prepaid tokens became known.
+        prepaid tokens became known and hosts had tokens of them.
       is_active: Whether the manager appends and reads rows.
     """
 
@@ -173,6 +179,11 @@
         # takeover.
         self._confirmed_era = -1
         self._era_seen_boot_ms = 0
+        # Whether other hosts know that this one may hold grants, the end of the
+        # append with its first stamp, and the time of that append.
+        self._has_joined = False
+        self._joining_at: shared_log.LogPosition | None = None
+        self._joining_boot_ms = 0
         # The last append that confirmed the rows; its outcome may be unknown.
         self._sent_confirmation: _Append | None = None
         log.add_listener(self._handle_new_era)
@@ -512,8 +523,38 @@
         """
         if self.fold.era != self._confirmed_era:
             return True
+        if not self._has_joined:
+            return True
         return self.fold.era > 0 and self._era_age_ms < _ERA_SUSPENSION_MS
 
+    def _record_joining(
+        self, append: _Append, end: shared_log.LogPosition
+    ) -> None:
+        """Records that the log has a stamp of this host.
+
+        Args:
+          append: The append with the stamp.
+          end: The end of the topic after it, or a later position.
+        """
+        if append.stamp.is_leaving:
+            self._has_joined = False
+            self._joining_at = None
+        elif not self._has_joined and (
+            self._joining_at is None or self._joining_at.era != self.fold.era
+        ):
+            self._joining_at = end
+            self._joining_boot_ms = append.stamp.boot_ms
+
+    def _update_joining(self) -> None:
+        """Checks whether another host has read this host's stamp."""
+        if self._has_joined or self._joining_at is None:
+            return
+        age_ms = self._clocks.read_boot_ms() - self._joining_boot_ms
+        self._has_joined = (
+            age_ms > _MAX_COPY_AGE_MS
+            or self.fold.is_read_by_others(self.own_host, self._joining_at)
+        )
+
     def _make_stamp(self, era: int) -> prepaid.HostStamp:
         """Returns a stamp of this host with the current times.
 
@@ -521,6 +562,7 @@
           era: The era in which the log has all rows of this host once it has
             the append with the stamp.
         """
+        position = self._find_read_position()
         return attrs.evolve(
             self._own_stamp,
             epoch=self._epoch,
@@ -528,8 +570,13 @@
             wall_ms=self._clocks.read_wall_ms(),
             is_leaving=self._own_stamp.is_leaving or not self._is_hub(),
             era=era,
+            read_offset=position.offset if position.era == era else -1,
         )
 
+    def _find_read_position(self) -> shared_log.LogPosition:
+        """Returns the position up to which the topic was read."""
+        return self._follower.position or shared_log.LogPosition(-1, 0)
+
     async def _take_over(self) -> None:
         """Fences the previous process on this host and takes over its grants.
 
@@ -545,7 +592,7 @@
             takeover = self._sent_takeover
             if takeover is not None and takeover.stamp == previous_stamp:
                 # Only the response to the takeover was lost.
-                self._finish_takeover(takeover)
+                self._finish_takeover(takeover, self._find_read_position())
                 break
             if takeover is None:
                 if self._must_wait_for_stamps():
@@ -597,6 +644,9 @@
             )
         else:
             self._load_predecessor_grants()
+        self._has_joined = (
+            previous_stamp is not None and not previous_stamp.is_leaving
+        )
         self._own_stamp = attrs.evolve(
             self._own_stamp,
             has_lost_history=has_lost_history
@@ -658,16 +708,18 @@
         )
         result = await self._send(append)
         if isinstance(result, shared_log.Appended):
-            self._finish_takeover(append)
+            self._finish_takeover(append, result.end)
         else:
             self.is_connected = False
             await asyncio.sleep(_LOG_RETRY_S)
 
-    def _finish_takeover(self, takeover: _Append) -> None:
+    def _finish_takeover(
+        self, takeover: _Append, end: shared_log.LogPosition
+    ) -> None:
         """Applies the takeover, which is known to be in the log."""
         self.has_taken_over = True
         self._confirmed_era = takeover.stamp.era
-        self._handle_appended(takeover)
+        self._handle_appended(takeover, end)
         decision_log.log_event("grants_taken_over", epoch=self._epoch)
 
     def _list_takeover_rows(self) -> tuple[prepaid.GrantRow, ...]:
@@ -745,7 +797,7 @@
                 and sent.stamp.era == self.fold.era
             ):
                 # Only the response to the append was lost.
-                self._finish_confirmation(sent)
+                self._finish_confirmation(sent, self._find_read_position())
                 return True
             self._epoch += 1
             append = self._sent_confirmation = self._make_confirmation(
@@ -756,8 +808,8 @@
             if self._log.era != append.stamp.era:
                 continue
             match result:
-                case shared_log.Appended():
-                    self._finish_confirmation(append)
+                case shared_log.Appended(end):
+                    self._finish_confirmation(append, end)
                     return True
                 case shared_log.Fenced():
                     self._handle_fenced()
@@ -767,11 +819,13 @@
                     return False
         return False
 
-    def _finish_confirmation(self, append: _Append) -> None:
+    def _finish_confirmation(
+        self, append: _Append, end: shared_log.LogPosition
+    ) -> None:
         """Applies a confirmation, which is known to be in the log."""
         self._sent_confirmation = None
         self._confirmed_era = append.stamp.era
-        self._handle_appended(append)
+        self._handle_appended(append, end)
         decision_log.log_event(
             "grants_confirmed",
             era=append.stamp.era,
@@ -814,7 +868,7 @@
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(
                         self._append_requested.wait(),
-                        _APPEND_INTERVAL_MS / 1000,
+                        self._append_interval_ms / 1000,
                     )
             self._append_requested.clear()
             if self._predecessor.rows:
@@ -832,6 +886,13 @@
             elif self._is_stopping and self._own_stamp.is_leaving:
                 await asyncio.sleep(_APPEND_INTERVAL_MS / 1000)
 
+    @property
+    def _append_interval_ms(self) -> int:
+        """The interval of appends that no request waits for."""
+        if self._has_joined or not self._is_hub():
+            return _APPEND_INTERVAL_MS
+        return _JOIN_APPEND_INTERVAL_MS
+
     def _check_spending(self) -> None:
         """Checks that no grant has more committed than granted tokens."""
         for grant in self._grants.values():
@@ -851,9 +912,11 @@
         after `_MAX_APPENDS_PER_ROUND` appends.
         """
         for _ in range(_MAX_APPENDS_PER_ROUND):
-            if not self.fold.can_raise:
-                # Other hosts may have confirmed their rows since.
+            if not self.fold.can_raise or not self._has_joined:
+                # Other hosts may have confirmed their rows, or read the stamp
+                # of this one.
                 await self._follower.read_once()
+                self._update_joining()
             if (
                 self._log.era != self._confirmed_era
                 and not await self._confirm_era()
@@ -871,11 +934,11 @@
                 # Whatever became of the append, it counts no more.
                 continue
             match result:
-                case shared_log.Appended():
+                case shared_log.Appended(end):
                     self._pending_append = None
                     self._sequence = append.sequence + 1
-                    self._handle_appended(append)
-                    self.has_appended_rows |= bool(self._list_prepaid_tokens())
+                    self._handle_appended(append, end)
+                    self.has_appended_rows |= self._can_charge()
                     if not self._lacks_tokens():
                         return
                     await self._follower.read_once()
@@ -908,6 +971,17 @@
             if tokens
         }
 
+    def _can_charge(self) -> bool:
+        """Returns whether requests can be charged, here or to other hosts."""
+        accounts = self._list_prepaid_tokens()
+        return bool(accounts) and (
+            self._has_joined
+            or any(
+                self.fold.sum_granted(account) > self.fold.sum_spent(account)
+                for account in accounts
+            )
+        )
+
     def _lacks_tokens(self) -> bool:
         """Returns whether requests still lack tokens after an append."""
         return any(
@@ -961,8 +1035,15 @@
             append.at,
         )
 
-    def _handle_appended(self, append: _Append) -> None:
-        """Applies an append that is known to be in the log."""
+    def _handle_appended(
+        self, append: _Append, end: shared_log.LogPosition
+    ) -> None:
+        """Applies an append that is known to be in the log.
+
+        Args:
+          append: The append.
+          end: The end of the topic after it, or a later position.
+        """
         if not self.is_connected:
             self.is_connected = True
             decision_log.log_event("grants_connected", epoch=self._epoch)
@@ -974,6 +1055,7 @@
             self._clocks.read_boot_ms() - append.stamp.boot_ms
         )
         self.fold.apply_record(append.stamp)
+        self._record_joining(append, end)
         if append.closure is not None:
             self.fold.apply_record(append.closure)
             decision_log.log_failure(
