--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -223,7 +223,7 @@
     """Yields upstreams that are stopped and continued."""
     for at_ms in _draw_times(source, 4_000, size.duration_ms):
         yield Pause(
-            at_ms, _draw_upstream(source, size), source.randint(100, 3_000)
+            at_ms, _draw_upstream(source, size), source.randint(100, 6_000)
         )
 
 
