--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -19,6 +19,7 @@
 import attrs
 
 from redwingchute.connection import http_client
+from redwingchute.platform import settings_file
 from redwingchute.soak import observations
 from redwingchute.soak import plan
 
@@ -38,6 +39,7 @@
 _ENTRY_EXPIRY_S = 3.6
 _UPSTREAM_WORK_MS = 30
 _PR_SET_PDEATHSIG = 1
+_STAND_IN = ("redwingchute.main", "stand-in")
 
 
 @attrs.define
@@ -116,7 +118,7 @@
 
     def find_address(self, name: str) -> http_client.Address:
         """Returns the address of a host, an upstream or the store."""
-        if name in self._services or name == plan.STORE:
+        if self._is_stand_in(name):
             address = self._programs[name].address
             assert address is not None
             return address
@@ -148,39 +150,23 @@
         program.starts += 1
         label = f"{name}-{program.starts}"
         environment = dict(os.environ)
-        if name == plan.STORE:
-            arguments = [*_STAND_IN, "metadata-store", "--listen=127.0.0.1:0"]
-        elif name in self._services:
-            record = self._directory / f"{label}.records"
-            record.touch()
-            arguments = [
-                *(*_STAND_IN, "runner", f"--name={label}"),
-                f"--store={self.find_address(plan.STORE)}",
-                f"--service={self._services[name]}",
-                # The next start of an upstream takes over its address, while
-                # its former id may still be listed.
-                f"--listen={program.address or '127.0.0.1:0'}",
-                f"--work-ms={_UPSTREAM_WORK_MS}",
-                f"--record={record}",
-            ]
-        else:
+        if not self._is_stand_in(name):
             path = self._directory / f"{name}.conf"
             path.write_text(self._make_settings(name))
-            environment["REDWINGCHUTE_CONFIG"] = str(path)
-            arguments = ["redwingchute.platform.main"]
+            environment[settings_file.PATH_VARIABLE] = str(path)
         output_path = self._directory / f"{label}.out"
         with (
             output_path.open("wb") as output,
             (self._directory / f"{label}.err").open("wb") as errors,
         ):
             program.process = subprocess.Popen(
-                (sys.executable, "-m", *arguments),
+                (sys.executable, "-m", *self._make_arguments(program, label)),
                 stdout=output,
                 stderr=errors,
                 env=environment,
                 preexec_fn=_end_with_parent,
             )
-        if name == plan.STORE or name in self._services:
+        if self._is_stand_in(name):
             program.address = (
                 await _wait_for_address(program.process, output_path)
                 or program.address
@@ -198,6 +184,7 @@
         """Ends a process with a signal, and with SIGKILL after the grace."""
         process = self._programs[name].process
         assert process is not None
+        label = f"{name}-{self.count_starts(name)}"
         self.send_signal(name, number)
         try:
             async with asyncio.timeout(_GRACE_S + _GRACE_MARGIN_S):
@@ -207,7 +194,6 @@
             process.kill()
             process.wait()
         if name in self._services:
-            label = f"{name}-{self.count_starts(name)}"
             task = asyncio.ensure_future(self._expire_entry(label))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -221,6 +207,29 @@
         body = {"topic": topic, "key": key, "value": value}
         return await self._post(plan.STORE, "/control/put", body)
 
+    def _is_stand_in(self, name: str) -> bool:
+        """Returns whether a program is an upstream or the store."""
+        return name in self._services or name == plan.STORE
+
+    def _make_arguments(self, program: _Program, label: str) -> list[str]:
+        """Returns the module that a program runs, and its arguments."""
+        if not self._is_stand_in(program.name):
+            return ["redwingchute.platform.main"]
+        # The next start of an upstream takes over its address, while its former
+        # id may still be listed.
+        listen = f"--listen={program.address or '127.0.0.1:0'}"
+        if program.name == plan.STORE:
+            return [*_STAND_IN, "metadata-store", listen]
+        record = self._directory / f"{label}.records"
+        record.touch()
+        return [
+            *(*_STAND_IN, "runner", listen, f"--name={label}"),
+            f"--store={self.find_address(plan.STORE)}",
+            f"--service={self._services[program.name]}",
+            f"--work-ms={_UPSTREAM_WORK_MS}",
+            f"--record={record}",
+        ]
+
     async def _post(self, name: str, path: str, body: Any) -> bool:
         """Sends a control request to a stand-in."""
         fetched = await self._pool.fetch(
@@ -280,9 +289,6 @@
         return "".join(f"{name}={value}\n" for name, value in fields.items())
 
 
-_STAND_IN = ("redwingchute.main", "stand-in")
-
-
 def _make_configuration() -> dict[str, Any]:
     """Returns a configuration with one route for each kind of request."""
     return {
