Do not send an id twice on one connection to an upstream

A rejection is matched to its request by the id alone. If the id was sent before on the connection, an extra copy of the first response, arriving late, still passes for the response to the second request: callers would get "not run" for a request that runs, and after a 421 a sound upstream would leave the list. An id reaches one connection twice if a request that got 421 is retried at the new instance at the same address, whose entry is listed before the old one is gone, or if a caller uses an id again. Evidence: scripted upstream, two requests with one id, late rejection (503, 429, 421) in front of the second response: Rejected before in all three cases. Change: the pool skips (and closes) idle connections that remember the id. Why it works: on a new connection no response can belong to an earlier request. What remains: a connection remembers its last four ids; an extra response to an older one with a repeated id is not recognized.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -413,13 +413,24 @@
         self._idle.clear()
 
     async def acquire(
-        self, address: Address
+        self, address: Address, request_id: str | None = None
     ) -> ClientConnection | ConnectFailed:
-        """Returns an idle or new connection without an exchange on it."""
+        """Returns an idle or new connection without an exchange on it.
+
+        Args:
+          address: The address of the upstream.
+          request_id: The id of the request to send, or None. A connection on
+            which this id was sent before is not used, since an extra response
+            to it could not be told apart.
+        """
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
-            if connection.is_usable() and connection.is_kept_alive():
+            if (
+                connection.is_usable()
+                and connection.is_kept_alive()
+                and request_id not in connection.request_ids
+            ):
                 return connection
             connection.close()
         try:
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -200,7 +200,7 @@
           relay: Sends a stream to the caller and counts its events.
         """
         address = http_client.Address.parse(upstream.address)
-        connection = await self._pool.acquire(address)
+        connection = await self._pool.acquire(address, outgoing.request_id)
         if isinstance(connection, http_client.ConnectFailed):
             return NotConnected(connection.message, connection.is_unresponsive)
         outgoing.trace.connection = connection.number
--- a/redwingchute/request/forward_attempt_test.py
+++ b/redwingchute/request/forward_attempt_test.py
@@ -113,3 +113,13 @@
     (_, second), _ = _run_attempts(late)
     assert isinstance(second, forward_attempt.Broken)
     assert not second.is_timeout
+
+
+# Guards against refusals as "not run" of requests that ran: an id that was sent
+# before on the connection cannot tell an extra response from the expected one.
+@pytest.mark.parametrize("status", [503, 429, 421])
+def test_an_id_is_not_sent_twice_on_a_connection(status: int) -> None:
+    late = scripted_upstream.make_rejection(status, "same")
+    (_, second), connection_count = _run_attempts(late, ("same", "same"))
+    assert isinstance(second, forward_attempt.CompleteResponse)
+    assert connection_count == 2
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -417,9 +417,10 @@
         self._connect_timeout_s = connect_timeout_ms / 1000
 
     async def acquire(
-        self, address: http_client.Address
+        self, address: http_client.Address, request_id: str | None = None
     ) -> http_client.ClientConnection | http_client.ConnectFailed:
         """Opens a connection to the process that listens on the port."""
+        del request_id
         process = manual_loop.get_current_process()
         assert process is not None
         server = self._network.servers.get(address.port)
