Do not skip extra responses on connections with a HEAD request

A caller could get a 503 that promises that nothing ran for a request that ran, if a body holds the text of a rejection with the request's id. Cause: whether a response has a body depends on the method of its request, and the parser knows only the current one. If the current request is a HEAD request, the body of a late response to an earlier POST is parsed as the next response; if the earlier one was a HEAD request, its late response without a body swallows the head of the expected one, whose body is then parsed as a response. Change: a connection that has carried a HEAD request skips nothing: an extra response breaks its exchange, as before. Why it works: 1xx, 204 and 304 have no body whatever the method, and without HEAD requests all other responses end the same way for every method used.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -138,6 +138,7 @@
             maxlen=_REMEMBERED_REQUESTS
         )
         self._method = ""
+        self._has_sent_head = False
         self._is_retired = False
         self._idle_since_s = 0.0
         self._keep_alive_s = _DEFAULT_KEEP_ALIVE_S
@@ -179,6 +180,7 @@
           None, or why sending failed.
         """
         self._method = method
+        self._has_sent_head |= method == "HEAD"
         if request_id is not None:
             self.request_ids.append(request_id)
         framing = []
@@ -275,6 +277,10 @@
         Returns:
           Whether the response was skipped; if not, the exchange is broken.
         """
+        # Where a response to a HEAD request ends depends on which request it
+        # belongs to.
+        if self._has_sent_head:
+            return False
         if isinstance(await self.read_body(max_bytes), ExchangeBroken):
             return False
         if self._protocol.their_state is not h11.DONE:
--- a/redwingchute/request/forward_attempt_test.py
+++ b/redwingchute/request/forward_attempt_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from redwingchute.connection import http_client
@@ -20,8 +21,29 @@
     )
 
 
+def _cut_body(response: bytes) -> bytes:
+    """Returns a response without its body, as to a HEAD request."""
+    head, end, _ = response.partition(b"\r\n\r\n")
+    return head + end
+
+
+def _make_outgoing(
+    request_id: str, method: str
+) -> forward_attempt.UpstreamRequest:
+    """Returns a request with a method to forward."""
+    outgoing = forwarding_builders.make_outgoing(
+        request_id, b"body" if method == "POST" else b""
+    )
+    return attrs.evolve(
+        outgoing, request=attrs.evolve(outgoing.request, method=method)
+    )
+
+
 def _run_attempts(
-    late: bytes, request_ids: tuple[str, ...] = ("first", "second")
+    late: bytes,
+    request_ids: tuple[str, ...] = ("first", "second"),
+    methods: tuple[str, ...] = ("POST", "POST", "POST"),
+    body: bytes | None = None,
 ) -> tuple[list[forward_attempt.AttemptResult], int]:
     """Returns the results of attempts in turn, and the connections made.
 
@@ -29,6 +51,8 @@
       late: What the upstream sends in front of the second response on a
         connection.
       request_ids: The ids of the requests, in order.
+      methods: The methods of the requests, in order.
+      body: The body of each response; the id of its request by default.
     """
 
     async def serve(connection: scripted_upstream.UpstreamConnection) -> None:
@@ -36,8 +60,11 @@
             request_id = (await connection.read_request()).request_id
             if number == 1:
                 await connection.send(late, pause_s=_PAUSE_S)
+            response = _make_success(
+                request_id, request_id.encode() if body is None else body
+            )
             await connection.send(
-                _make_success(request_id, request_id.encode())
+                _cut_body(response) if methods[number] == "HEAD" else response
             )
 
     async def main() -> list[forward_attempt.AttemptResult]:
@@ -50,10 +77,12 @@
                     forwarding_builders.make_upstream(
                         "m-1", address=str(upstream.address)
                     ),
-                    forwarding_builders.make_outgoing(request_id, b"body"),
+                    _make_outgoing(request_id, method),
                     forward_attempt.Relay(forwarding_builders.make_responder()),
                 )
-                for request_id in request_ids
+                for request_id, method in zip(
+                    request_ids, methods, strict=False
+                )
             ]
 
     upstream = scripted_upstream.ScriptedUpstream(serve)
@@ -123,3 +152,24 @@
     (_, second), connection_count = _run_attempts(late, ("same", "same"))
     assert isinstance(second, forward_attempt.CompleteResponse)
     assert connection_count == 2
+
+
+# Guards against taking a part of a body for a rejection: the extra response has
+# a body, where one to the HEAD request would have none.
+def test_the_body_of_an_extra_response_to_a_head_request_is_not_read() -> None:
+    late = _make_success(
+        "first", scripted_upstream.make_rejection(503, "second")
+    )
+    (_, second), _ = _run_attempts(late, methods=("POST", "HEAD"))
+    assert isinstance(second, forward_attempt.Broken)
+
+
+# Guards against taking a part of a body for a rejection: the extra response to
+# the HEAD request has no body, where one to the later request would have one.
+def test_an_extra_response_to_a_head_request_is_not_skipped() -> None:
+    rejection = scripted_upstream.make_rejection(503, "second")
+    body = b"abc" + rejection
+    skipped_bytes = len(_make_success("second", body)) - len(rejection)
+    late = _cut_body(_make_success("first", bytes(skipped_bytes)))
+    (_, second), _ = _run_attempts(late, methods=("HEAD", "POST"), body=body)
+    assert isinstance(second, forward_attempt.Broken)
