Record departures by the start of the upstream that stated them

The statement that an upstream leaves was applied to whatever entry had its id when the response or notice was read: - Without an entry it was lost. If the entry came back (the store was away, or another writer), the router sent requests after the drain time, counted from the first response that stated it. - With the entry of a later start, that start was taken as leaving. Once the drain time was over this router, and through the notice every other one, never used it again: callers got 503 no_upstream if it was the only one. A router that was frozen reads old responses and new entries in any order. Change: departures are recorded by the start of the upstream that the request was sent to; notices carry the start time (0 if it is not known). Why it works: the start is known when the request is sent and cannot change.

--- a/redwingchute/core/requesting.py
+++ b/redwingchute/core/requesting.py
@@ -133,10 +133,12 @@
     Attributes:
       upstream: The upstream's name.
       seen_at_ms: When the response that stated it was received.
+      born_ms: The upstream's start time; 0 if it is not known.
     """
 
     upstream: str
     seen_at_ms: int
+    born_ms: int = 0
 
 
 @attrs.frozen
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -538,9 +538,8 @@
         self, peer: data.Host, notice: requesting.LeavingNotice
     ) -> None:
         """Marks an upstream as leaving that another router heard from."""
-        if self._upstream_directory.mark_leaving(
-            notice.upstream, read_boot_ms()
-        ):
+        start = forwarding.UpstreamStart(notice.upstream, notice.born_ms)
+        if self._upstream_directory.mark_leaving(start, read_boot_ms()):
             decision_log.log_event(
                 "upstream_leaving", upstream=notice.upstream, source=peer.name
             )
--- a/redwingchute/request/departures.py
+++ b/redwingchute/request/departures.py
@@ -29,11 +29,11 @@
         # oldest first.
         self._seen_ms: dict[forwarding.UpstreamStart, int] = {}
 
-    def record(self, upstream: forwarding.Upstream, now_ms: int) -> bool:
+    def record(self, start: forwarding.UpstreamStart, now_ms: int) -> bool:
         """Records that an upstream is leaving; returns whether that is new."""
-        if upstream.start in self._seen_ms:
+        if start in self._seen_ms:
             return False
-        self._seen_ms[upstream.start] = now_ms
+        self._seen_ms[start] = now_ms
         while len(self._seen_ms) > _MAX_DEPARTURES:
             del self._seen_ms[next(iter(self._seen_ms))]
         return True
--- a/redwingchute/request/departures_test.py
+++ b/redwingchute/request/departures_test.py
@@ -24,6 +24,14 @@
     return directory
 
 
+def _mark_leaving(
+    directory: upstream_directory.UpstreamDirectory, name: str, now_ms: int
+) -> bool:
+    upstream = directory.find(name)
+    assert upstream is not None
+    return directory.mark_leaving(upstream.start, now_ms)
+
+
 def _choose(
     directory: upstream_directory.UpstreamDirectory,
     now_ms: int,
@@ -42,8 +50,8 @@
 # Guards against new requests at an upstream that stated that it leaves.
 def test_a_leaving_upstream_gets_nothing_while_another_can_serve() -> None:
     directory = _make_directory("m-1", "m-2")
-    assert directory.mark_leaving("m-1", _NOW_MS)
-    assert not directory.mark_leaving("m-1", _NOW_MS + 1)
+    assert _mark_leaving(directory, "m-1", _NOW_MS)
+    assert not _mark_leaving(directory, "m-1", _NOW_MS + 1)
     assert _choose(directory, _NOW_MS) == {"m-2"}
 
 
@@ -51,7 +59,7 @@
 # and against requests to it after its drain time.
 def test_the_last_upstream_is_used_until_its_drain_time_is_over() -> None:
     directory = _make_directory("m-1")
-    directory.mark_leaving("m-1", _NOW_MS)
+    _mark_leaving(directory, "m-1", _NOW_MS)
     last_ms = _NOW_MS + _DRAIN_MS - 1
     assert _choose(directory, last_ms) == {"m-1"}
     assert not _choose(directory, last_ms + 1)
@@ -62,16 +70,40 @@
 # stated, still or again says that it is ready.
 def test_an_entry_does_not_end_the_departure_of_the_same_start() -> None:
     directory = _make_directory("m-1", "m-2")
-    directory.mark_leaving("m-1", _NOW_MS)
+    _mark_leaving(directory, "m-1", _NOW_MS)
     directory.remove("m-1")
     directory.set_upstream(forwarding_builders.make_upstream("m-1"))
     assert _choose(directory, _NOW_MS + 10) == {"m-2"}
 
 
+# Guards against requests after the drain time to an upstream whose entry was
+# missing when it stated that it leaves, and came back.
+def test_a_departure_is_recorded_while_the_entry_is_missing() -> None:
+    directory = _make_directory("m-1")
+    upstream = directory.find("m-1")
+    assert upstream is not None
+    directory.remove("m-1")
+    assert directory.mark_leaving(upstream.start, _NOW_MS)
+    directory.set_upstream(upstream)
+    assert _choose(directory, _NOW_MS + _DRAIN_MS - 1) == {"m-1"}
+    assert not _choose(directory, _NOW_MS + _DRAIN_MS)
+
+
+# Guards against an upstream that is never used because a response of its
+# earlier start was read after its new entry.
+def test_a_late_statement_of_an_earlier_start_is_not_of_the_later() -> None:
+    directory = _make_directory("m-1")
+    earlier = directory.find("m-1")
+    assert earlier is not None
+    directory.set_upstream(attrs.evolve(earlier, born_ms=7))
+    assert directory.mark_leaving(earlier.start, _NOW_MS)
+    assert _choose(directory, _NOW_MS + _DRAIN_MS) == {"m-1"}
+
+
 # Guards against an upstream that started again and is never used.
 def test_a_later_start_under_the_same_id_is_another_upstream() -> None:
     directory = _make_directory("m-1", "m-2")
-    directory.mark_leaving("m-1", _NOW_MS)
+    _mark_leaving(directory, "m-1", _NOW_MS)
     known = directory.find("m-1")
     assert known is not None
     directory.pause(known, 60_000, _NOW_MS)
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -366,12 +366,14 @@
             self._dependencies.pool.close_idle(
                 http_client.Address.parse(upstream.address)
             )
-            if directory.mark_leaving(upstream.id, now_ms):
+            if directory.mark_leaving(upstream.start, now_ms):
                 decision_log.log_event(
                     "upstream_leaving", upstream=upstream.id, source="response"
                 )
                 self._dependencies.broadcast(
-                    requesting.LeavingNotice(upstream.id, now_ms)
+                    requesting.LeavingNotice(
+                        upstream.id, now_ms, upstream.born_ms
+                    )
                 )
         if response.retry_after_ms:
             pause_ms = directory.pause(
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -312,16 +312,17 @@
         )
         return max(0, min(ends_ms, default=0) - now_ms)
 
-    def mark_leaving(self, upstream_id: str, now_ms: int) -> bool:
+    def mark_leaving(
+        self, start: forwarding.UpstreamStart, now_ms: int
+    ) -> bool:
         """Marks an upstream as leaving, as it stated in a response.
 
+        Its entry may be missing by then, or be that of a later start.
+
         Returns:
-          Whether that is new; False also for unknown upstreams.
+          Whether that is new.
         """
-        upstream = self.find(upstream_id)
-        return upstream is not None and self._departures.record(
-            upstream, now_ms
-        )
+        return self._departures.record(start, now_ms)
 
     def pause(
         self, upstream: forwarding.Upstream, retry_after_ms: int, now_ms: int
