Mark no upstream as unreachable for a request without time

It was tried at up to four upstreams, each of which was then avoided for 250 ms, doubling to 4 s. A paused router reads many such requests at once when it resumes; all its upstreams then look unreachable, and those that are leaving are used like the others. The refusal named no cause ("No upstream is ready"). Evidence: a request with Deadline-Ms 1 marked l-1 and l-2. Change: it is refused at once, with 503 too_late if nothing was sent by an earlier attempt and 504 otherwise. Measured: the new test, failed before, passes; forwarding_handler_test and not_run_test pass. Why it works: the time left is the same at every upstream.

--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -38,10 +38,13 @@
     Attributes:
       message: The cause.
       is_unresponsive: Whether the upstream's host did not respond at all.
+      is_too_late: Whether the request was not sent since its deadline is too
+        close, whatever the upstream.
     """
 
     message: str
     is_unresponsive: bool = False
+    is_too_late: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -225,7 +228,10 @@
         remaining_s = outgoing.deadline_s - asyncio.get_running_loop().time()
         remaining_ms = int(1000 * remaining_s)
         if remaining_ms < _MIN_REMAINING_MS:
-            return NotConnected("the deadline is too close to send the request")
+            return NotConnected(
+                "the deadline is too close to send the request",
+                is_too_late=True,
+            )
         metadata = attrs.evolve(outgoing.metadata, remaining_ms=remaining_ms)
         request = outgoing.request
         outgoing.trace.is_sent = True
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -421,6 +421,11 @@
                 return result
             case forward_attempt.CompleteResponse():
                 return self._evaluate_response(plan, progress, upstream, result)
+            case forward_attempt.NotConnected(message, is_too_late=True):
+                self._log_attempt(plan, progress, upstream, "too_late", message)
+                if progress.may_have_run:
+                    return outcomes.Failed(504, "timed_out", message)
+                return outcomes.NotRun(503, "too_late", message)
             case forward_attempt.NotConnected(message, is_unresponsive):
                 directory.mark_unreachable(upstream, now_ms)
                 if is_unresponsive:
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -8,6 +8,7 @@
 import pytest
 
 from redwingchute.process import decision_log
+from redwingchute.request import outlier_detector
 from redwingchute.request import upstream_directory
 from redwingchute.standin import runner
 from redwingchute.testing import gateway_rig
@@ -376,3 +377,24 @@
     assert failed["is_sent"]
     assert failed["response_status"] == 200
     assert failed["response_id"] == "another"
+
+
+# Guards against avoiding all upstreams after a router was paused: requests
+# whose deadline had passed marked up to four upstreams each as unreachable.
+def test_a_request_without_time_marks_no_upstream_as_unreachable(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    marked: list[str] = []
+    monkeypatch.setattr(
+        outlier_detector.OutlierDetector,
+        "mark_unreachable",
+        lambda detector, name, now_ms: marked.append(name),
+    )
+
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        response = await rig.send_request("/post/x", b"body", deadline_ms="1")
+        assert response.status == 503
+        assert not rig.list_runs()
+        assert not marked
+
+    _run(scenario)
