Do not wait for the body of a rejection

A rejection whose head had arrived, but not its whole body (an upstream that stalls, a link that is cut), kept its caller until the deadline; it then got 504, which promises nothing, or lost the time for a retry, although the upstream had stated that it did not run the request. Cause: the body was read only to reuse the connection, with no other limit than the request's deadline and 16 MB. Change: it is read for at most 0.25 s and 1 MB, like that of an extra response; else the connection is closed. Measured: the new test (upstream withholds the last byte, deadline 1.5 s) timed out at 1 s before, gets 503 now; forward_attempt_test, not_run_test and connection_reuse_test pass. Why it works: the statement is complete with the head, whose id is compared.

--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -25,7 +25,7 @@
 # Extra responses that are skipped in one exchange, and their largest body.
 _MAX_SKIPPED_RESPONSES = 3
 _MAX_SKIPPED_BYTES = 1024 * 1024
-# An upstream sends an extra response as a whole.
+# An upstream sends an extra response or a rejection as a whole.
 _SKIP_TIMEOUT_S = 0.25
 # A request with less time than this before its deadline is not sent.
 _MIN_REMAINING_MS = 5
@@ -251,8 +251,7 @@
             connection.retire()
         outgoing.record_head(response)
         if response.was_not_run:
-            # The connection is reusable once the body is read.
-            await connection.read_body(_MAX_RESPONSE_BYTES)
+            await _skip_body(connection)
             return Rejected(response.status, response.is_wrong_instance)
         if 200 <= response.status < 300 and not response.is_signed:
             connection.close()
@@ -352,6 +351,15 @@
         await relay.responder.start(head.status, headers)
 
 
+async def _skip_body(connection: http_client.ClientConnection) -> None:
+    """Skips the body of a rejection, so that the connection is reusable."""
+    try:
+        async with asyncio.timeout(_SKIP_TIMEOUT_S):
+            await connection.read_body(_MAX_SKIPPED_BYTES)
+    except TimeoutError:
+        connection.close()
+
+
 async def _skip_response(connection: http_client.ClientConnection) -> bool:
     """Skips an extra response; returns False if its end does not arrive."""
     try:
--- a/redwingchute/request/not_run_test.py
+++ b/redwingchute/request/not_run_test.py
@@ -145,6 +145,26 @@
     _run(reject, scenario)
 
 
+# A rejection whose body did not arrive kept the caller waiting to its deadline.
+def test_a_rejection_without_its_body_is_a_promise_at_once() -> None:
+    async def reject(connection: scripted_upstream.UpstreamConnection) -> None:
+        request = await connection.read_request()
+        rejection = scripted_upstream.make_response(
+            503, b"body", request.request_id, not_executed="1"
+        )
+        await connection.send(rejection[:-1])
+        await asyncio.Event().wait()
+
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        async with asyncio.timeout(1):
+            response = await rig.send_request(
+                "/post/x", b"body", deadline_ms="1500"
+            )
+        assert response.status == 503
+
+    _run(reject, scenario)
+
+
 # An upstream that answered before it had read the body got the next request
 # where the rest of the body was due.
 def test_a_body_that_is_read_after_its_rejection_arrives_unchanged() -> None:
