--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -8,6 +8,7 @@
 import pytest
 
 from redwingchute.process import decision_log
+from redwingchute.request import outlier_detector
 from redwingchute.request import upstream_directory
 from redwingchute.standin import runner
 from redwingchute.testing import gateway_rig
@@ -387,3 +388,24 @@
         assert (await rig.send_request("/post/x", b"body")).status == 200
 
     _run(scenario)
+
+
+# Guards against avoiding all upstreams after a router was paused: requests
+# whose deadline had passed marked up to four upstreams each as unreachable.
+def test_a_request_without_time_marks_no_upstream_as_unreachable(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    marked: list[str] = []
+    monkeypatch.setattr(
+        outlier_detector.OutlierDetector,
+        "mark_unreachable",
+        lambda detector, name, now_ms: marked.append(name),
+    )
+
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        response = await rig.send_request("/post/x", b"body", deadline_ms="1")
+        assert response.status == 503
+        assert not rig.list_runs()
+        assert not marked
+
+    _run(scenario)
