--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -36,6 +36,8 @@
 # does not run the request.
 _MISDIRECTED_REQUEST_STATUS = 421
 _UNAVAILABLE_STATUS = 503
+# A success is never a rejection, whatever else it states.
+_MIN_REJECTION_STATUS = 400
 # A year; a larger value is no time.
 _MAX_RETRY_AFTER_S = 31_536_000.0
 
@@ -134,7 +136,10 @@
         return header_translator.ResponseMetadata(
             status=head.status,
             request_id=head.headers.get(_REQUEST_ID),
-            was_not_run=_NOT_RUN in head.headers
+            was_not_run=(
+                _NOT_RUN in head.headers
+                and head.status >= _MIN_REJECTION_STATUS
+            )
             or head.status == _MISDIRECTED_REQUEST_STATUS,
             is_wrong_instance=head.status == _MISDIRECTED_REQUEST_STATUS,
             is_signed=_SIGNATURE in head.headers,
--- a/redwingchute/platform/headers_test.py
+++ b/redwingchute/platform/headers_test.py
@@ -59,6 +59,16 @@
     assert response.retry_after_ms == expected_ms
 
 
+# Guards against a refusal as "not run" of a request that ran with success.
+@pytest.mark.parametrize(
+    ("status", "was_not_run"), [(200, False), (400, True), (503, True)]
+)
+def test_a_success_is_never_a_rejection(status: int, was_not_run: bool) -> None:
+    head = http_client.ResponseHead(status, {"not-executed": "1"})
+    response = headers.PlatformHeaderTranslator().parse_response(head)
+    assert response.was_not_run == was_not_run
+
+
 @pytest.mark.parametrize(
     ("value", "is_leaving"), [("1", True), ("0", False), ("", False)]
 )
