--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -99,9 +99,10 @@
             return outcomes.NotRun(
                 503, "stopping", "This router is about to stop.", 0
             )
-        patience_ms = min(
-            request.patience_ms or _DEFAULT_PATIENCE_MS, route.timeout_ms
-        )
+        patience_ms = request.patience_ms
+        if patience_ms is None:
+            patience_ms = _DEFAULT_PATIENCE_MS
+        patience_ms = min(patience_ms, route.timeout_ms)
         return Plan(
             request=request,
             route=route,
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -382,9 +382,12 @@
 # Guards against taking sound upstreams off for requests that come too late.
 def test_a_request_without_time_left_is_refused_and_harms_no_other() -> None:
     async def scenario(rig: gateway_rig.GatewayRig) -> None:
-        refused = await rig.send_request("/post/x", b"body", deadline_ms="2")
-        assert refused.status == 503
-        assert _read_code(refused) == "out_of_time"
+        for deadline_ms in ("2", "0"):
+            refused = await rig.send_request(
+                "/post/x", b"body", deadline_ms=deadline_ms
+            )
+            assert refused.status == 503
+            assert _read_code(refused) == "out_of_time"
         assert (await rig.send_request("/post/x", b"body")).status == 200
 
     _run(scenario)
