--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -19,6 +19,8 @@
 _FOLD_TEST = "redwingchute/process/ledger/fold_test.py"
 _GRANT_FOLD = "redwingchute/process/prepaid/grant_fold.py"
 _GRANT_ERA_TEST = "redwingchute/process/prepaid/grant_era_test.py"
+_FORWARD_ATTEMPT = "redwingchute/request/forward_attempt.py"
+_FORWARD_ATTEMPT_TEST = "redwingchute/request/forward_attempt_test.py"
 
 
 @attrs.frozen
@@ -133,6 +135,50 @@
         "self.is_confirmed(host)",
         (_GRANT_ERA_TEST,),
     ),
+    Mutant(
+        "believe a rejection of another request",
+        _FORWARD_ATTEMPT,
+        "            if response.request_id == outgoing.request_id:\n",
+        "            if response.was_not_run or (\n"
+        "                response.request_id == outgoing.request_id\n"
+        "            ):\n",
+        (_FORWARD_ATTEMPT_TEST,),
+    ),
+    Mutant(
+        "reuse a connection with an extra response",
+        "redwingchute/connection/http_client.py",
+        "        if self._is_retired:\n            return False\n",
+        "",
+        (_FORWARD_ATTEMPT_TEST,),
+    ),
+    Mutant(
+        "reuse a connection whose body was not read to its end",
+        "redwingchute/connection/http_client.py",
+        "if self._pending_event is not None:",
+        "if False:",
+        ("redwingchute/connection/http_client_test.py",),
+    ),
+    Mutant(
+        "use the slack right after a restart",
+        "redwingchute/process/retry_budget.py",
+        "        if now_ms < begins_ms:\n            return 0.0\n",
+        "",
+        ("redwingchute/process/retry_budget_test.py",),
+    ),
+    Mutant(
+        "use an upstream after its drain time",
+        "redwingchute/request/departures.py",
+        "now_ms - seen_ms >= self._drain_ms",
+        "False",
+        ("redwingchute/request/departures_test.py",),
+    ),
+    Mutant(
+        "send during a requested pause",
+        "redwingchute/request/requested_pauses.py",
+        "self._ends_ms.get(upstream.start, 0) if self._ends_ms else 0",
+        "0",
+        ("redwingchute/request/departures_test.py",),
+    ),
 )
 
 
