Leave the prefix of keyed topics to the adapter

The product named its topics by the platform's convention. The store's client now adds the prefix, so that the names of topics on the store are the same as before and only the value of the field topic in log lines is shorter. 226 tests of platform, stand-ins, prepaid grants and followers pass.

--- a/redwingchute/platform/configuration_document.py
+++ b/redwingchute/platform/configuration_document.py
@@ -11,7 +11,7 @@
 
 from redwingchute.core import forwarding
 
-TOPIC = "keyed.op"
+TOPIC = "op"
 KEY = "config"
 
 _KINDS = {
--- a/redwingchute/platform/lost_response_test.py
+++ b/redwingchute/platform/lost_response_test.py
@@ -68,7 +68,7 @@
     delivered_s: list[float] = []
     follower = keyed_follower.KeyedFollower(
         era_log.EraLog(_SilentLog()),
-        "keyed.op",
+        "op",
         gateway.make_configuration_timing(_make_settings(fresh_ms)),
         lambda: int(1000 * loop.time()),
         lambda record: delivered_s.append(loop.time()),
--- a/redwingchute/platform/store_client.py
+++ b/redwingchute/platform/store_client.py
@@ -18,6 +18,9 @@
 # it is slow.
 CALL_TIMEOUT_MS = 1_500
 _MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# The store keeps the newest record of each key only in topics whose names begin
+# with this.
+_TOPIC_PREFIX = "keyed."
 # Topics have partitions; all records of the routers are in this one.
 _PARTITION = 0
 # The length that precedes each record.
@@ -52,7 +55,7 @@
     ) -> shared_log.AppendResult:
         """Appends records; see `shared_log.SharedLog`."""
         query = {
-            "topic": topic,
+            "topic": _TOPIC_PREFIX + topic,
             "part": _PARTITION,
             "producer": stamp.producer,
             "epoch": stamp.epoch,
@@ -74,7 +77,11 @@
         response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
         """Reads records; see `shared_log.SharedLog`."""
-        query = {"topic": topic, "part": _PARTITION, "source": position.offset}
+        query = {
+            "topic": _TOPIC_PREFIX + topic,
+            "part": _PARTITION,
+            "source": position.offset,
+        }
         if wait_ms:
             query["waitMs"] = wait_ms
         fetched = await self._call(
@@ -103,7 +110,10 @@
         self, topic: str
     ) -> shared_log.Newest | shared_log.LogUnavailable:
         """Reads the newest records; see `shared_log.SharedLog`."""
-        query: dict[str, Any] = {"topic": topic, "part": _PARTITION}
+        query: dict[str, Any] = {
+            "topic": _TOPIC_PREFIX + topic,
+            "part": _PARTITION,
+        }
         records: list[shared_log.KeyedRecord] = []
         next_position: shared_log.LogPosition | None = None
         while True:
--- a/redwingchute/platform/store_client_test.py
+++ b/redwingchute/platform/store_client_test.py
@@ -9,7 +9,7 @@
 from redwingchute.process import shared_log
 from redwingchute.standin import metadata_store
 
-_TOPIC = "keyed.grants"
+_TOPIC = "grants"
 
 
 def _run(
@@ -117,7 +117,7 @@
         client: store_client.StoreClient, store: metadata_store.MetadataStore
     ) -> None:
         reading = asyncio.ensure_future(
-            client.read("keyed.op", _make_position(0), 5_000)
+            client.read("op", _make_position(0), 5_000)
         )
         await asyncio.sleep(0.05)
         store.write_record("keyed.op", "config", b"1")
@@ -136,10 +136,10 @@
             store.write_record("keyed.op", f"k{number:04}", b"v")
         store.log.get_or_create_topic("keyed.op").discard_history()
         assert (
-            await client.read("keyed.op", _make_position(0), 0)
+            await client.read("op", _make_position(0), 0)
             == shared_log.HistoryGone()
         )
-        newest = await client.read_newest("keyed.op")
+        newest = await client.read_newest("op")
         assert isinstance(newest, shared_log.Newest)
         assert len(newest.records) == 1_201
 
--- a/redwingchute/platform/upstream_entries.py
+++ b/redwingchute/platform/upstream_entries.py
@@ -11,7 +11,7 @@
 from redwingchute.connection import http_client
 from redwingchute.core import forwarding
 
-TOPIC = "keyed.servers"
+TOPIC = "servers"
 
 _READY = "ready"
 _LEAVING = "draining"
--- a/redwingchute/process/explanation_test.py
+++ b/redwingchute/process/explanation_test.py
@@ -18,7 +18,7 @@
     _make_line(8_000, "a", "grants_cut_off", reason="timed out"),
     _make_line(8_100, "b", "grants_cut_off", reason="timed out"),
     _make_line(8_200, "a", "request_ended", request_id="other"),
-    _make_line(1_000, "a", "log_lost", topic="keyed.op"),
+    _make_line(1_000, "a", "log_lost", topic="op"),
     "not a log line {",
 ]
 
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -20,7 +20,7 @@
 from redwingchute.process import shared_log
 
 # The topic of the shared log that holds one entry for each host.
-TOPIC = "keyed.hosts"
+TOPIC = "hosts"
 
 _RENEWAL_INTERVAL_S = 10.0
 # An entry is out of date if it is older than the newest one by three missed
--- a/redwingchute/process/keyed_follower_test.py
+++ b/redwingchute/process/keyed_follower_test.py
@@ -22,7 +22,7 @@
         self.retained_keys: list[frozenset[str]] = []
         self.follower = keyed_follower.KeyedFollower(
             era_log.EraLog(self.log),
-            "keyed.op",
+            "op",
             _POLL_TIMING,
             lambda: self.now_ms,
             lambda record: self.delivered.append((record.key, record.value)),
--- a/redwingchute/process/prepaid/grant_era_test.py
+++ b/redwingchute/process/prepaid/grant_era_test.py
@@ -318,7 +318,7 @@
     simulation.return_from_copy(0.3)
     # A router that is no hub reads other topics only.
     log = simulation.routers["huon-1"].log
-    simulation.loop.run_until_complete(log.read_newest("keyed.op"))
+    simulation.loop.run_until_complete(log.read_newest("op"))
     _spend(simulation, 150, ("huon-2", "bruny-1"))
     assert 0.98 * _TOKENS <= simulation.max_used_tokens <= _TOKENS
 
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -37,7 +37,7 @@
 from redwingchute.process.prepaid import predecessor_grants
 
 # The topic of the shared log that holds the grant rows and host stamps.
-TOPIC = "keyed.grants"
+TOPIC = "grants"
 
 # The interval at which stamps and changed rows are appended. What a successor
 # has to count as spent grows with the age of the last stamp.
