--- a/redwingchute/platform/main.py
+++ b/redwingchute/platform/main.py
@@ -16,7 +16,8 @@
 from redwingchute.process import gateway_settings
 
 _EXIT_BAD_SETTINGS = 2
-_READY_PATH = "/v1/readyz"
+# The path of the balancer's readiness checks.
+READY_PATH = "/v1/readyz"
 # The round trip between hosts takes milliseconds, and TCP retransmits a lost
 # packet within 0.3 s.
 _CONNECT_TIMEOUT_MS = 400
@@ -42,7 +43,7 @@
         decode_configuration=configuration_document.decode_configuration,
         upstream_topic=upstream_entries.TOPIC,
         decode_upstream=upstream_entries.decode_upstream,
-        ready_path=_READY_PATH,
+        ready_path=READY_PATH,
     )
 
 
--- a/redwingchute/platform/store_client.py
+++ b/redwingchute/platform/store_client.py
@@ -20,7 +20,7 @@
 _MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # The store keeps the newest record of each key only in topics whose names begin
 # with this.
-_TOPIC_PREFIX = "keyed."
+TOPIC_PREFIX = "keyed."
 # Topics have partitions; all records of the routers are in this one.
 _PARTITION = 0
 # The length that precedes each record.
@@ -55,7 +55,7 @@
     ) -> shared_log.AppendResult:
         """Appends records; see `shared_log.SharedLog`."""
         query = {
-            "topic": _TOPIC_PREFIX + topic,
+            "topic": TOPIC_PREFIX + topic,
             "part": _PARTITION,
             "producer": stamp.producer,
             "epoch": stamp.epoch,
@@ -78,7 +78,7 @@
     ) -> shared_log.ReadResult:
         """Reads records; see `shared_log.SharedLog`."""
         query = {
-            "topic": _TOPIC_PREFIX + topic,
+            "topic": TOPIC_PREFIX + topic,
             "part": _PARTITION,
             "source": position.offset,
         }
@@ -111,7 +111,7 @@
     ) -> shared_log.Newest | shared_log.LogUnavailable:
         """Reads the newest records; see `shared_log.SharedLog`."""
         query: dict[str, Any] = {
-            "topic": _TOPIC_PREFIX + topic,
+            "topic": TOPIC_PREFIX + topic,
             "part": _PARTITION,
         }
         records: list[shared_log.KeyedRecord] = []
--- a/redwingchute/soak/callers.py
+++ b/redwingchute/soak/callers.py
@@ -11,6 +11,9 @@
 import attrs
 
 from redwingchute.connection import http_client
+from redwingchute.core import forwarding
+from redwingchute.platform import document_encoder
+from redwingchute.platform import headers as platform_headers
 from redwingchute.soak import fleet as fleet_lib
 from redwingchute.soak import observations
 from redwingchute.soak import plan
@@ -26,6 +29,8 @@
 # A caller honours Retry-After up to this share of its remaining time.
 _MAX_WAIT_SHARE = 1 / 3
 _MIN_REMAINING_MS = 50
+_PROMPT_TOKENS = 40
+_TRANSLATOR = platform_headers.PlatformHeaderTranslator()
 
 
 class Callers:
@@ -150,25 +155,16 @@
     ) -> observations.Outcome:
         """Sends the request and reads the whole response."""
         kind = self.request.kind
-        headers = [
-            ("attempt-id", self.request_id),
-            ("authorization", f"Bearer {fleet_lib.KEY}"),
-            ("deadline-ms", str(self.deadline_ms)),
-        ]
+        headers = document_encoder.encode_request_headers(self._make_request())
         if kind.is_stream:
-            headers += [
-                ("model", "m"),
-                ("token-usage", f"40,{self.request.output_tokens}"),
-                ("prompt-prefix", f"{self.request.number:x}:40"),
-                ("event-label", self.request_id),
-            ]
+            headers.append(("event-label", self.request_id))
         is_get = kind is observations.Kind.IDEMPOTENT
         broken = await connection.send_request(
             "GET" if is_get else "POST",
             f"/{kind}/{self.request_id}",
             headers,
             b"" if is_get else b"x" * self.request.body_bytes,
-            host="soak.example",
+            host=fleet_lib.CALLED_HOST,
         )
         head = broken or await connection.read_head()
         if isinstance(head, http_client.ExchangeBroken):
@@ -183,9 +179,28 @@
                 case http_client.ExchangeBroken():
                     return observations.Outcome.CLOSED
 
+    def _make_request(self) -> forwarding.ForwardRequest:
+        """Returns the request as its headers state it."""
+        generation = None
+        if self.request.kind.is_stream:
+            part_id = f"{self.request.number:x}"
+            generation = forwarding.Generation(
+                _PROMPT_TOKENS,
+                self.request.output_tokens,
+                (forwarding.PromptPart(part_id, _PROMPT_TOKENS),),
+            )
+        return forwarding.ForwardRequest(
+            id=self.request_id,
+            host=fleet_lib.CALLED_HOST,
+            path="",
+            patience_ms=self.deadline_ms,
+            key=fleet_lib.KEY,
+            generation=generation,
+        )
+
     def make_record(self, host: str) -> observations.CallerAttempt:
         """Returns what the caller saw."""
-        headers = self.head.headers if self.head else {}
+        response = _TRANSLATOR.parse_response(self.head) if self.head else None
         return observations.CallerAttempt(
             request_id=self.request_id,
             kind=self.request.kind,
@@ -195,9 +210,9 @@
             deadline_ms=self.deadline_ms,
             outcome=self.outcome,
             output_tokens=self.request.output_tokens,
-            status=self.head.status if self.head else 0,
-            response_id=headers.get("attempt-id"),
-            is_signed="runner-signature" in headers,
+            status=response.status if response else 0,
+            response_id=response.request_id if response else None,
+            is_signed=response is not None and response.is_signed,
             body=self.body.decode("latin-1"),
         )
 
--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -19,15 +19,24 @@
 import attrs
 
 from redwingchute.connection import http_client
+from redwingchute.core import forwarding
+from redwingchute.platform import configuration_document
+from redwingchute.platform import document_encoder
+from redwingchute.platform import main as platform_main
 from redwingchute.platform import settings_file
+from redwingchute.platform import store_client
+from redwingchute.platform import upstream_entries
+from redwingchute.process import gateway_settings
 from redwingchute.soak import observations
 from redwingchute.soak import plan
 
 KEY = "soak-key"
+CALLED_HOST = "soak.example"
 FRONTEND_PORT = 8227
 RETRY_LIMIT = observations.RetryLimit(ratio=0.2, slack=50.0, window_ms=10_000)
 
 _READY_PORT = 8220
+_PEER_PORT = 7340
 _GRACE_S = 8
 # Beyond the grace period, before a process gets SIGKILL.
 _GRACE_MARGIN_S = 1.0
@@ -35,6 +44,8 @@
 _POLL_S = 0.05
 _CALL_TIMEOUT_MS = 1_000
 _ROUTE_TIMEOUT_MS = 4_000
+_TARGET_LATENCY_MS = 600
+_MAX_CONNECTIONS = 64
 # The store removes the entry of an upstream after three silent heartbeats.
 _ENTRY_EXPIRY_S = 3.6
 _UPSTREAM_WORK_MS = 30
@@ -90,7 +101,11 @@
         try:
             await self.start(plan.STORE)
             await asyncio.gather(*map(self.start, self._services))
-            await self.put("keyed.op", "config", _make_configuration())
+            await self._put_record(
+                configuration_document.TOPIC,
+                configuration_document.KEY,
+                document_encoder.encode_configuration(_make_routes()),
+            )
             hosts = self._size.list_hosts()
             await asyncio.gather(*map(self.start, hosts))
             async with asyncio.timeout(_START_TIMEOUT_S):
@@ -202,9 +217,13 @@
         """Sets faults of a stand-in; returns whether it confirmed them."""
         return await self._post(name, "/control", faults)
 
-    async def put(self, topic: str, key: str, value: Any) -> bool:
+    async def _put_record(self, topic: str, key: str, value: Any) -> bool:
         """Writes a record to the store as the operator or an upstream does."""
-        body = {"topic": topic, "key": key, "value": value}
+        body = {
+            "topic": store_client.TOPIC_PREFIX + topic,
+            "key": key,
+            "value": value,
+        }
         return await self._post(plan.STORE, "/control/put", body)
 
     def _is_stand_in(self, name: str) -> bool:
@@ -247,7 +266,9 @@
     async def _expire_entry(self, upstream_id: str) -> None:
         """Removes the entry of an ended upstream, as the store does."""
         await asyncio.sleep(_ENTRY_EXPIRY_S)
-        while not await self.put("keyed.servers", upstream_id, None):
+        while not await self._put_record(
+            upstream_entries.TOPIC, upstream_id, None
+        ):
             await asyncio.sleep(_POLL_S)
 
     async def _is_ready(self, host: str) -> bool:
@@ -257,7 +278,7 @@
         fetched = await self._pool.fetch(
             http_client.Address(self._find_ip(host), _READY_PORT),
             "GET",
-            "/v1/readyz",
+            platform_main.READY_PATH,
             [],
             b"",
             _CALL_TIMEOUT_MS,
@@ -271,56 +292,57 @@
         return f"{self._network}.{1 + self._size.list_hosts().index(host)}"
 
     def _make_settings(self, host: str) -> str:
-        """Returns a host's settings file in the format of the platform."""
+        """Returns a host's settings file."""
         ip = self._find_ip(host)
-        fields = {
-            "nodeName": host,
-            "ip": ip,
-            "zone": "huon",
-            "listen.frontend": f"{ip}:{FRONTEND_PORT}",
-            "listen.ready": f"{ip}:{_READY_PORT}",
-            "internalPorts": "7340,7355",
-            "bounds.graceS": _GRACE_S,
-            "bounds.retryBudgetRatio": RETRY_LIMIT.ratio,
-            "bounds.retryWindowS": RETRY_LIMIT.window_ms / 1000,
-            "bounds.retrySlack": RETRY_LIMIT.slack,
-            "platform.address": self.find_address(plan.STORE),
-        }
-        return "".join(f"{name}={value}\n" for name, value in fields.items())
+        settings = gateway_settings.GatewaySettings(
+            host_name=host,
+            zone="huon",
+            listen=http_client.Address(ip, FRONTEND_PORT),
+            ready_listen=http_client.Address(ip, _READY_PORT),
+            peer_listen=http_client.Address(ip, _PEER_PORT),
+            metrics_listen=http_client.Address(ip, 0),
+            log_address=self.find_address(plan.STORE),
+            fleet_key=b"",
+            stop_ms=1000 * _GRACE_S,
+            retry_ratio=RETRY_LIMIT.ratio,
+            retry_window_ms=RETRY_LIMIT.window_ms,
+            retry_slack=RETRY_LIMIT.slack,
+        )
+        return document_encoder.encode_settings(settings)
 
 
-def _make_configuration() -> dict[str, Any]:
+def _make_routes() -> forwarding.RouteTable:
     """Returns a configuration with one route for each kind of request."""
-    return {
-        "version": 1,
-        "routes": [
-            {
-                "name": str(kind),
-                "host": "soak.example",
-                "pathPrefix": f"/{kind}/",
-                "type": "streaming"
-                if kind.is_stream
-                else "idempotent"
-                if kind.is_repeatable
-                else "non_idempotent",
-                "timeoutMs": _ROUTE_TIMEOUT_MS,
-                "targetLatencyMs": 600,
-                "service": kind.service,
-                "maxAttempts": kind.max_attempts,
-                "resumable": kind is observations.Kind.RESUMABLE_STREAM,
-            }
-            for kind in observations.Kind
-        ],
-        "services": [
-            {"name": "ledger", "maxConnections": 64},
-            {
-                "name": "llm",
-                "maxConnections": 64,
-                "inferenceEngine": {"stride": 1, "slots": 8},
-            },
-        ],
-        "tenants": [{"name": "soak", "apiKeys": [KEY]}],
-    }
+    return forwarding.RouteTable(
+        version=1,
+        routes=tuple(map(_make_route, observations.Kind)),
+        services=(
+            forwarding.Service("ledger", _MAX_CONNECTIONS),
+            forwarding.Service("llm", _MAX_CONNECTIONS, tokens_per_event=1),
+        ),
+        accounts=(forwarding.ClientAccount("soak", frozenset({KEY})),),
+    )
+
+
+def _make_route(kind: observations.Kind) -> forwarding.Route:
+    """Returns the route for a kind of request."""
+    if kind.is_stream:
+        request_kind = forwarding.RequestKind.STREAMING
+    elif kind.is_repeatable:
+        request_kind = forwarding.RequestKind.IDEMPOTENT
+    else:
+        request_kind = forwarding.RequestKind.NON_IDEMPOTENT
+    return forwarding.Route(
+        name=str(kind),
+        host=CALLED_HOST,
+        path_prefix=f"/{kind}/",
+        kind=request_kind,
+        services=(forwarding.WeightedService(kind.service, 1.0),),
+        timeout_ms=_ROUTE_TIMEOUT_MS,
+        target_latency_ms=_TARGET_LATENCY_MS,
+        max_attempts=kind.max_attempts,
+        is_resumable=kind is observations.Kind.RESUMABLE_STREAM,
+    )
 
 
 async def _wait_for_address(
