Look at hubs and upstreams once in what runs for each request or append

Read as a newcomer: whether grants may change was worked out from all stamps again for each account of an append; three checks of each request went over all upstreams of its service; the log line of a closed era listed all accounts.

--- a/redwingchute/process/prepaid/append_planner.py
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -75,9 +75,10 @@
         """
         rows = []
         has_raise = False
+        can_change = self.can_change
         for account, prepaid_tokens in self._list_prepaid_tokens().items():
             grant, plan_input, granted_tokens = self._plan_grant(
-                account, prepaid_tokens, requested_tokens
+                account, prepaid_tokens, requested_tokens, can_change
             )
             row = grant_planner.plan_row(
                 grant, granted_tokens, plan_input, self._policy
@@ -131,11 +132,12 @@
           requested_tokens: The tokens that waiting requests need of each
             account.
         """
-        for account, prepaid_tokens in self._list_prepaid_tokens().items():
-            if account not in requested_tokens:
-                continue
+        if not self.can_change:
+            return False
+        all_prepaid_tokens = self._list_prepaid_tokens()
+        for account in requested_tokens.keys() & all_prepaid_tokens.keys():
             grant, _, granted_tokens = self._plan_grant(
-                account, prepaid_tokens, requested_tokens
+                account, all_prepaid_tokens[account], requested_tokens, True
             )
             if granted_tokens > grant.granted_tokens:
                 return True
@@ -146,8 +148,9 @@
         account: str,
         prepaid_tokens: int,
         requested_tokens: dict[str, int],
+        can_change: bool,
     ) -> tuple[grant_lib.Grant, grant_planner.PlanInput, int]:
-        """Plans the grant of one account.
+        """Plans the grant of one account, which stays if it cannot change.
 
         Returns:
           The current grant, the input of its plan, and the tokens that it
@@ -158,7 +161,7 @@
             prepaid_tokens, requested_tokens.get(account, 0)
         )
         granted_tokens = grant.granted_tokens
-        if self.can_change:
+        if can_change:
             granted_tokens = grant_planner.plan_grant(
                 grant, self._fold, plan_input, self._policy
             )
--- a/redwingchute/process/prepaid/grant_fold.py
+++ b/redwingchute/process/prepaid/grant_fold.py
@@ -171,9 +171,10 @@
 
     def find_unaccounted(self, account: str) -> int:
         """Returns the tokens of an account that the rows do not account for."""
-        if self.closure is None or self.is_complete:
+        if self.closure is None:
             return 0
-        return self.closure.unaccounted_tokens.get(account, 0)
+        tokens = self.closure.unaccounted_tokens.get(account, 0)
+        return 0 if not tokens or self.is_complete else tokens
 
     def list_missing_stamps(self) -> tuple[prepaid.HostStamp, ...]:
         """Returns stamps of earlier eras that the log has lost.
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -938,7 +938,8 @@
                     self._pending_append = None
                     self._sequence = append.sequence + 1
                     self._handle_appended(append, end)
-                    self.has_appended_rows |= self._can_charge()
+                    if not self.has_appended_rows:
+                        self.has_appended_rows = self._can_charge()
                     if not self._lacks_tokens():
                         return
                     await self._follower.read_once()
@@ -1061,7 +1062,9 @@
             decision_log.log_failure(
                 "era_closed",
                 era=append.closure.era,
-                unaccounted_tokens=append.closure.unaccounted_tokens,
+                unaccounted_tokens=sum(
+                    append.closure.unaccounted_tokens.values()
+                ),
             )
         for row in append.rows:
             grant = self.find_grant(row.account)
--- a/redwingchute/request/departures_test.py
+++ b/redwingchute/request/departures_test.py
@@ -63,7 +63,7 @@
     last_ms = _NOW_MS + _DRAIN_MS - 1
     assert _choose(directory, last_ms) == {"m-1"}
     assert not _choose(directory, last_ms + 1)
-    assert not directory.count_ready("llm", last_ms + 1)
+    assert not directory.has_upstream("llm", last_ms + 1)
 
 
 # Guards against requests to a leaving upstream whose entry, older than what it
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -206,7 +206,7 @@
             now_ms
         )
         directory = self._dependencies.directory
-        if not directory.count_ready(plan.service.name, now_ms):
+        if not directory.has_upstream(plan.service.name, now_ms):
             return _make_no_upstream_refusal()
         if directory.find_retry_delay_ms(plan.service.name, now_ms):
             return self._refuse_no_upstream(plan)
--- a/redwingchute/request/unresponsive_upstreams.py
+++ b/redwingchute/request/unresponsive_upstreams.py
@@ -119,15 +119,10 @@
             state.paused_until_ms = now_ms + _PROBE_MS
             state.is_probed = True
 
-    def find_earliest_retry_ms(self, upstream_ids: Iterable[str]) -> int:
-        """Returns when the first of some upstreams may be used again."""
-        return min(
-            (
-                self._get_state(upstream_id).paused_until_ms
-                for upstream_id in upstream_ids
-            ),
-            default=0,
-        )
+    def find_pause_end_ms(self, upstream_id: str) -> int:
+        """Returns when an upstream may be used; a past time means now."""
+        state = self._states.get(upstream_id)
+        return 0 if state is None else state.paused_until_ms
 
     def remove(self, upstream_id: str) -> None:
         """Discards the state of a removed upstream."""
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -99,9 +99,9 @@
             return None
         return self._get_pool(service).upstreams.get(upstream_id)
 
-    def count_ready(self, service: str, now_ms: int) -> int:
-        """Returns how many upstreams of a service accept new work."""
-        return len(self._list_in_use(service, now_ms))
+    def has_upstream(self, service: str, now_ms: int) -> bool:
+        """Returns whether an upstream of a service accepts new work."""
+        return any(True for _ in self._iterate_in_use(service, now_ms))
 
     def choose(
         self,
@@ -126,7 +126,7 @@
         pool = self._get_pool(service)
         ready = [
             upstream
-            for upstream in self._list_in_use(service, now_ms)
+            for upstream in self._iterate_in_use(service, now_ms)
             if upstream.id not in excluded
             and self._find_pause_end_ms(upstream) <= now_ms
         ]
@@ -150,21 +150,20 @@
             request.id,
         )
 
-    def _list_in_use(
+    def _iterate_in_use(
         self, service: str, now_ms: int
-    ) -> list[forwarding.Upstream]:
-        """Returns the upstreams that accept new work now or after a pause."""
-        return [
-            upstream
-            for upstream in self._get_pool(service).upstreams.values()
-            if upstream.is_ready
-            and not self._departures.has_drained(upstream, now_ms)
-        ]
+    ) -> Iterator[forwarding.Upstream]:
+        """Yields the upstreams that accept new work now or after a pause."""
+        for upstream in self._get_pool(service).upstreams.values():
+            if upstream.is_ready and not self._departures.has_drained(
+                upstream, now_ms
+            ):
+                yield upstream
 
     def _find_pause_end_ms(self, upstream: forwarding.Upstream) -> int:
         """Returns when an upstream may be used; a past time means now."""
         return max(
-            self._unresponsive.find_earliest_retry_ms((upstream.id,)),
+            self._unresponsive.find_pause_end_ms(upstream.id),
             self._pauses.find_end_ms(upstream),
         )
 
@@ -307,10 +306,14 @@
 
         It is 0 unless all of them are paused.
         """
-        ends_ms = map(
-            self._find_pause_end_ms, self._list_in_use(service, now_ms)
-        )
-        return max(0, min(ends_ms, default=0) - now_ms)
+        earliest_ms = 0
+        for upstream in self._iterate_in_use(service, now_ms):
+            end_ms = self._find_pause_end_ms(upstream)
+            # The usual case: no further upstream has to be looked at.
+            if end_ms <= now_ms:
+                return 0
+            earliest_ms = min(earliest_ms or end_ms, end_ms)
+        return max(0, earliest_ms - now_ms)
 
     def mark_leaving(
         self, start: forwarding.UpstreamStart, now_ms: int
@@ -338,7 +341,7 @@
         """Returns whether an upstream of a service asked for a pause."""
         return any(
             self._pauses.is_paused(upstream, now_ms)
-            for upstream in self._list_in_use(service, now_ms)
+            for upstream in self._iterate_in_use(service, now_ms)
         )
 
     def mark_unreachable(
