--- a/redwingchute/request/spread.py
+++ b/redwingchute/core/spread.py
@@ -19,4 +19,14 @@
     """
     span_ms = int(_SPREAD_SHARE * delay_ms)
     span_ms = min(_MAX_SPREAD_MS, max(_MIN_SPREAD_MS, span_ms))
-    return delay_ms + xxhash.xxh64_intdigest(key.encode()) % span_ms
+    return delay_ms + find_offset_ms(span_ms, key)
+
+
+def find_offset_ms(span_ms: int, key: str) -> int:
+    """Returns an offset within a span of time that depends on a key.
+
+    Args:
+      span_ms: The length of the span.
+      key: Whatever is spread over the span, such as the host.
+    """
+    return xxhash.xxh64_intdigest(key.encode()) % span_ms
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 import contextlib
 import json
-import zlib
 
 import attrs
 
+from redwingchute.core import spread
 from redwingchute.process import decision_log
 from redwingchute.process import era_log
 from redwingchute.process import keyed_follower
@@ -273,7 +273,7 @@
 
 def _find_renewal_delay_ms(host: str) -> int:
     """Returns how long a host waits with its renewal in a new era."""
-    return zlib.crc32(host.encode()) % _ERA_RENEWAL_SPREAD_MS
+    return spread.find_offset_ms(_ERA_RENEWAL_SPREAD_MS, host)
 
 
 def _decode_host(value: bytes) -> RegisteredHost | None:
--- a/redwingchute/process/prepaid/append_planner.py
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -1,15 +1,38 @@
-"""Plans the grant rows that a router's next append contains."""
+"""Plans the grant rows that a router's next append contains, and holds it."""
 
 from collections.abc import Callable
 
 import attrs
 
 from redwingchute.core import prepaid
+from redwingchute.process import shared_log
 from redwingchute.process.prepaid import grant as grant_lib
 from redwingchute.process.prepaid import grant_fold
 from redwingchute.process.prepaid import grant_planner
 
 
+@attrs.frozen
+class Append:
+    """An append whose outcome may not be known yet.
+
+    Attributes:
+      stamp: The host's stamp at the time of the append.
+      rows: The rows that changed.
+      at: The end of the topic that the append requires; None if it is
+        unconditional.
+      sequence: The sequence number of the append within the epoch.
+      closure: The closure of the era, if it is written or changed.
+      missing_stamps: Stamps of other hosts that the log has lost.
+    """
+
+    stamp: prepaid.HostStamp
+    rows: tuple[prepaid.GrantRow, ...]
+    at: shared_log.LogPosition | None
+    sequence: int
+    closure: prepaid.EraClosure | None = None
+    missing_stamps: tuple[prepaid.HostStamp, ...] = ()
+
+
 @attrs.frozen
 class PlannedRows:
     """The rows of an append.
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -20,20 +20,22 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
-import zlib
 
 import attrs
 
 from redwingchute.core import prepaid
+from redwingchute.core import spread
 from redwingchute.process import decision_log
 from redwingchute.process import era_log
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
 from redwingchute.process.prepaid import append_planner
+from redwingchute.process.prepaid import era_planner
 from redwingchute.process.prepaid import grant as grant_lib
 from redwingchute.process.prepaid import grant_fold
 from redwingchute.process.prepaid import grant_planner
+from redwingchute.process.prepaid import host_joining
 from redwingchute.process.prepaid import predecessor_grants
 
 # The topic of the shared log that holds the grant rows and host stamps.
@@ -58,19 +60,12 @@
 # No grant is raised for this long after a new era was seen. Hosts that reach
 # the log write their rows in this time, also those that it does not list.
 _ERA_SUSPENSION_MS = 1_000
-# How long after a new era was seen the tokens that hosts have not accounted for
-# count as spent. The operator has written its lost records again by then.
-_ERA_CLOSURE_MS = 3_000
 # How long a new host waits for the stamps of an era in which it has none.
 _ERA_STAMPS_WAIT_MS = 2_000
 _ERA_STAMPS_POLL_S = 0.2
 # The first appends of an era are spread over this time.
 _ERA_APPEND_SPREAD_MS = 150
-# A host that joins raises no grant until another host has read its stamp, or
-# until the stamp is older than any copy from which the log may return: else
-# nobody might know of the grant if the log lost it and the host died.
-_MAX_COPY_AGE_MS = 10_000
-# The interval of appends until then.
+# The interval of appends until other hosts know that this one has joined.
 _JOIN_APPEND_INTERVAL_MS = 100
 # Epochs are milliseconds of the wall clock. A process raises its epoch by one
 # in each era; its successor must not reach it if the clock is set back.
@@ -96,28 +91,6 @@
     read_wall_ms: Callable[[], int]
 
 
-@attrs.frozen
-class _Append:
-    """An append whose outcome may not be known yet.
-
-    Attributes:
-      stamp: The host's stamp at the time of the append.
-      rows: The rows that changed.
-      at: The end of the topic that the append requires; None if it is
-        unconditional.
-      sequence: The sequence number of the append within the epoch.
-      closure: The closure of the era, if it is written or changed.
-      missing_stamps: Stamps of other hosts that the log has lost.
-    """
-
-    stamp: prepaid.HostStamp
-    rows: tuple[prepaid.GrantRow, ...]
-    at: shared_log.LogPosition | None
-    sequence: int
-    closure: prepaid.EraClosure | None = None
-    missing_stamps: tuple[prepaid.HostStamp, ...] = ()
-
-
 class GrantManager:
     """Takes over, maintains and returns the grants of one router.
 
@@ -179,13 +152,9 @@
         # takeover.
         self._confirmed_era = -1
         self._era_seen_boot_ms = 0
-        # Whether other hosts know that this one may hold grants, the end of the
-        # append with its first stamp, and the time of that append.
-        self._has_joined = False
-        self._joining_at: shared_log.LogPosition | None = None
-        self._joining_boot_ms = 0
+        self._joining = host_joining.HostJoining()
         # The last append that confirmed the rows; its outcome may be unknown.
-        self._sent_confirmation: _Append | None = None
+        self._sent_confirmation: append_planner.Append | None = None
         log.add_listener(self._handle_new_era)
         self._grants: dict[str, grant_lib.Grant] = {}
         self._planner = append_planner.AppendPlanner(
@@ -214,9 +183,9 @@
         self._sequence = 0
         self._last_append_duration_ms = 0
         self._last_stamp_boot_ms = 0
-        self._pending_append: _Append | None = None
+        self._pending_append: append_planner.Append | None = None
         # The last takeover that was sent; its outcome may not be known.
-        self._sent_takeover: _Append | None = None
+        self._sent_takeover: append_planner.Append | None = None
         self._is_stopping = False
         self._is_fenced = False
         # Whether the last append of a router that is no hub any more returned
@@ -523,38 +492,10 @@
         """
         if self.fold.era != self._confirmed_era:
             return True
-        if not self._has_joined:
+        if not self._joining.has_joined:
             return True
         return self.fold.era > 0 and self._era_age_ms < _ERA_SUSPENSION_MS
 
-    def _record_joining(
-        self, append: _Append, end: shared_log.LogPosition
-    ) -> None:
-        """Records that the log has a stamp of this host.
-
-        Args:
-          append: The append with the stamp.
-          end: The end of the topic after it, or a later position.
-        """
-        if append.stamp.is_leaving:
-            self._has_joined = False
-            self._joining_at = None
-        elif not self._has_joined and (
-            self._joining_at is None or self._joining_at.era != self.fold.era
-        ):
-            self._joining_at = end
-            self._joining_boot_ms = append.stamp.boot_ms
-
-    def _update_joining(self) -> None:
-        """Checks whether another host has read this host's stamp."""
-        if self._has_joined or self._joining_at is None:
-            return
-        age_ms = self._clocks.read_boot_ms() - self._joining_boot_ms
-        self._has_joined = (
-            age_ms > _MAX_COPY_AGE_MS
-            or self.fold.is_read_by_others(self.own_host, self._joining_at)
-        )
-
     def _make_stamp(self, era: int) -> prepaid.HostStamp:
         """Returns a stamp of this host with the current times.
 
@@ -644,7 +585,7 @@
             )
         else:
             self._load_predecessor_grants()
-        self._has_joined = (
+        self._joining.has_joined = (
             previous_stamp is not None and not previous_stamp.is_leaving
         )
         self._own_stamp = attrs.evolve(
@@ -693,7 +634,9 @@
 
     async def _append_takeover(self) -> None:
         """Appends this process's first stamp and the rows that it took over."""
-        append = self._sent_takeover = self._make_confirmation(
+        append = self._sent_takeover = era_planner.plan_confirmation(
+            self.fold,
+            self._make_stamp(self.fold.era),
             tuple(
                 attrs.evolve(
                     row,
@@ -702,9 +645,12 @@
                     unsure_tokens=grant.unsure_tokens,
                     ceiling_tokens=grant.spent_tokens,
                 )
-                for row in self._list_takeover_rows()
+                for row in era_planner.merge_rows(
+                    self._loaded_rows, self.fold.list_host_rows(self.own_host)
+                )
                 for grant in (self.find_grant(row.account),)
-            )
+            ),
+            self._follower.position,
         )
         result = await self._send(append)
         if isinstance(result, shared_log.Appended):
@@ -714,7 +660,7 @@
             await asyncio.sleep(_LOG_RETRY_S)
 
     def _finish_takeover(
-        self, takeover: _Append, end: shared_log.LogPosition
+        self, takeover: append_planner.Append, end: shared_log.LogPosition
     ) -> None:
         """Applies the takeover, which is known to be in the log."""
         self.has_taken_over = True
@@ -722,56 +668,6 @@
         self._handle_appended(takeover, end)
         decision_log.log_event("grants_taken_over", epoch=self._epoch)
 
-    def _list_takeover_rows(self) -> tuple[prepaid.GrantRow, ...]:
-        """Returns the rows of this host in the log and in what was loaded.
-
-        A row that only the log has belongs to a lost history, and one that
-        only was loaded has been lost since.
-        """
-        rows = {row.account: row for row in self._loaded_rows}
-        for row in self.fold.list_host_rows(self.own_host):
-            rows.setdefault(row.account, row)
-        return tuple(rows.values())
-
-    def _make_confirmation(self, rows: tuple[prepaid.GrantRow, ...]) -> _Append:
-        """Returns the append that states what this host may spend in an era.
-
-        If the era is closed, the tokens of rows that did not count before are
-        subtracted from the unaccounted ones, which included them. The append
-        is then conditional, as it is if it restores stamps of other hosts.
-
-        Args:
-          rows: All rows of this host.
-        """
-        stamp = self._make_stamp(self.fold.era)
-        rows = tuple(attrs.evolve(row, era=stamp.era) for row in rows)
-        closure = self.fold.closure
-        if closure is not None and not self.fold.is_confirmed(self.own_host):
-            granted_tokens = {row.account: row.granted_tokens for row in rows}
-            closure = attrs.evolve(
-                closure,
-                unaccounted_tokens={
-                    account: max(0, tokens - granted_tokens.get(account, 0))
-                    for account, tokens in closure.unaccounted_tokens.items()
-                },
-            )
-        else:
-            closure = None
-        missing_stamps = tuple(
-            missing
-            for missing in self.fold.list_missing_stamps()
-            if missing.host != self.own_host
-        )
-        is_conditional = closure is not None or bool(missing_stamps)
-        return _Append(
-            stamp,
-            rows,
-            self._follower.position if is_conditional else None,
-            0,
-            closure,
-            missing_stamps,
-        )
-
     async def _confirm_era(self) -> bool:
         """Writes what this host may spend, in an era in which it has not yet.
 
@@ -782,7 +678,7 @@
         Returns:
           Whether the log has the rows of this host in its present era.
         """
-        delay_ms = zlib.crc32(self.own_host.encode()) % _ERA_APPEND_SPREAD_MS
+        delay_ms = spread.find_offset_ms(_ERA_APPEND_SPREAD_MS, self.own_host)
         await asyncio.sleep(delay_ms / 1000)
         self._pending_append = None
         for _ in range(_MAX_APPENDS_PER_ROUND):
@@ -800,8 +696,11 @@
                 self._finish_confirmation(sent, self._find_read_position())
                 return True
             self._epoch += 1
-            append = self._sent_confirmation = self._make_confirmation(
-                self._planner.plan_confirmed_rows()
+            append = self._sent_confirmation = era_planner.plan_confirmation(
+                self.fold,
+                self._make_stamp(self.fold.era),
+                self._planner.plan_confirmed_rows(),
+                self._follower.position,
             )
             self._apply_sent_append(append)
             result = await self._send(append)
@@ -820,7 +719,7 @@
         return False
 
     def _finish_confirmation(
-        self, append: _Append, end: shared_log.LogPosition
+        self, append: append_planner.Append, end: shared_log.LogPosition
     ) -> None:
         """Applies a confirmation, which is known to be in the log."""
         self._sent_confirmation = None
@@ -833,27 +732,6 @@
             granted_tokens=sum(row.granted_tokens for row in append.rows),
         )
 
-    def _plan_closure(self) -> prepaid.EraClosure | None:
-        """Returns the closure of the era if it is due.
-
-        It counts all tokens as spent that no host has accounted for.
-        """
-        prepaid_tokens = self._list_prepaid_tokens()
-        if (
-            self.fold.can_raise
-            or self._era_age_ms < _ERA_CLOSURE_MS
-            or not prepaid_tokens
-            or not self._is_fresh()
-        ):
-            return None
-        return prepaid.EraClosure(
-            self.fold.era,
-            {
-                account: max(0, tokens - self.fold.sum_granted(account))
-                for account, tokens in prepaid_tokens.items()
-            },
-        )
-
     async def _run_appends(self) -> None:
         """Appends stamps and rows at each interval and on request.
 
@@ -889,7 +767,7 @@
     @property
     def _append_interval_ms(self) -> int:
         """The interval of appends that no request waits for."""
-        if self._has_joined or not self._is_hub():
+        if self._joining.has_joined or not self._is_hub():
             return _APPEND_INTERVAL_MS
         return _JOIN_APPEND_INTERVAL_MS
 
@@ -912,11 +790,13 @@
         after `_MAX_APPENDS_PER_ROUND` appends.
         """
         for _ in range(_MAX_APPENDS_PER_ROUND):
-            if not self.fold.can_raise or not self._has_joined:
+            if not self.fold.can_raise or not self._joining.has_joined:
                 # Other hosts may have confirmed their rows, or read the stamp
                 # of this one.
                 await self._follower.read_once()
-                self._update_joining()
+                self._joining.update(
+                    self.fold, self.own_host, self._clocks.read_boot_ms()
+                )
             if (
                 self._log.era != self._confirmed_era
                 and not await self._confirm_era()
@@ -976,7 +856,7 @@
         """Returns whether requests can be charged, here or to other hosts."""
         accounts = self._list_prepaid_tokens()
         return bool(accounts) and (
-            self._has_joined
+            self._joining.has_joined
             or any(
                 self.fold.sum_granted(account) > self.fold.sum_spent(account)
                 for account in accounts
@@ -991,21 +871,27 @@
             for account, tokens in self._list_requested_tokens().items()
         )
 
-    def _plan_append(self, requested_tokens: dict[str, int]) -> _Append:
+    def _plan_append(
+        self, requested_tokens: dict[str, int]
+    ) -> append_planner.Append:
         """Returns the next append, the last one if the process is stopping."""
         stamp = self._make_stamp(self._confirmed_era)
         if self._is_stopping:
             self._own_stamp = attrs.evolve(self._own_stamp, is_leaving=True)
             stamp = attrs.evolve(stamp, is_leaving=True)
             rows = self._planner.plan_return_rows()
-            return _Append(stamp, rows, None, self._sequence)
+            return append_planner.Append(stamp, rows, None, self._sequence)
         if not self._is_hub():
             rows = self._planner.plan_return_rows()
-            return _Append(stamp, rows, None, self._sequence)
+            return append_planner.Append(stamp, rows, None, self._sequence)
         planned = self._planner.plan_rows(requested_tokens)
-        closure = self._plan_closure()
+        closure = None
+        if self._is_fresh():
+            closure = era_planner.plan_closure(
+                self.fold, self._list_prepaid_tokens(), self._era_age_ms
+            )
         is_conditional = planned.has_raise or closure is not None
-        return _Append(
+        return append_planner.Append(
             stamp,
             tuple(attrs.evolve(row, era=stamp.era) for row in planned.rows),
             self._follower.position if is_conditional else None,
@@ -1013,14 +899,16 @@
             closure,
         )
 
-    def _apply_sent_append(self, append: _Append) -> None:
+    def _apply_sent_append(self, append: append_planner.Append) -> None:
         """Applies the limits of an append to the grants before it is sent."""
         self._last_stamp_boot_ms = append.stamp.boot_ms
         rows = {row.account: row for row in append.rows}
         for account, grant in self._grants.items():
             grant.record_sent_append(rows.get(account), append.stamp.boot_ms)
 
-    async def _send(self, append: _Append) -> shared_log.AppendResult:
+    async def _send(
+        self, append: append_planner.Append
+    ) -> shared_log.AppendResult:
         """Sends an append to the log and returns its result."""
         stamps = (append.stamp, *append.missing_stamps)
         records = [grant_fold.encode_stamp(stamp) for stamp in stamps]
@@ -1037,7 +925,7 @@
         )
 
     def _handle_appended(
-        self, append: _Append, end: shared_log.LogPosition
+        self, append: append_planner.Append, end: shared_log.LogPosition
     ) -> None:
         """Applies an append that is known to be in the log.
 
@@ -1056,7 +944,7 @@
             self._clocks.read_boot_ms() - append.stamp.boot_ms
         )
         self.fold.apply_record(append.stamp)
-        self._record_joining(append, end)
+        self._joining.record_stamp(append.stamp, end, self.fold.era)
         if append.closure is not None:
             self.fold.apply_record(append.closure)
             decision_log.log_failure(
@@ -1071,7 +959,7 @@
             grant.record_appended_row(row, append.stamp.boot_ms)
             self.fold.apply_record(row)
 
-    def _handle_not_appended(self, append: _Append) -> None:
+    def _handle_not_appended(self, append: append_planner.Append) -> None:
         """Discards an append that is known not to be in the log."""
         self.is_connected = True
         for row in append.rows:
--- a/redwingchute/request/departures_test.py
+++ b/redwingchute/request/departures_test.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from redwingchute.core import spread
 from redwingchute.request import requested_pauses
-from redwingchute.request import spread
 from redwingchute.request import upstream_directory
 from redwingchute.testing import forwarding_builders
 
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -17,6 +17,7 @@
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
 from redwingchute.core import requesting
+from redwingchute.core import spread
 from redwingchute.process import decision_log
 from redwingchute.process import invariants
 from redwingchute.process.prepaid import charging
@@ -28,7 +29,6 @@
 from redwingchute.request import quarantine
 from redwingchute.request import request_metrics
 from redwingchute.request import retry_allowance
-from redwingchute.request import spread
 from redwingchute.request import upstream_directory
 from redwingchute.version import route_index
 
--- a/redwingchute/request/requested_pauses.py
+++ b/redwingchute/request/requested_pauses.py
@@ -6,7 +6,7 @@
 """
 
 from redwingchute.core import forwarding
-from redwingchute.request import spread
+from redwingchute.core import spread
 
 # A longer pause is cut to this. An upstream that asks for more is out of use
 # until it starts again, as far as any caller can wait.
