--- /dev/null
+++ b/redwingchute/request/forward_progress.py
@@ -0,0 +1,92 @@
+"""The progress of one forwarded request, and its lines in the decision log."""
+
+import attrs
+
+from redwingchute.core import forwarding
+from redwingchute.process import decision_log
+from redwingchute.request import forward_attempt
+from redwingchute.request import forward_plan
+
+
+@attrs.define
+class Progress:
+    """The progress of one request over its attempts.
+
+    Attributes:
+      relay: What the caller has received of a streamed response.
+      sends: The number of upstreams that the request was sent to.
+      connect_failures: The number of upstreams to which connecting failed.
+      may_have_run: Whether an upstream may have processed the request.
+      excluded: Upstreams that were tried and are not tried again.
+      upstream_id: The upstream of the last attempt.
+      last_event_ms: When the last chunk of a stream arrived; None before the
+        first.
+      trace: The exchange of the last attempt.
+    """
+
+    relay: forward_attempt.Relay
+    sends: int = 0
+    connect_failures: int = 0
+    may_have_run: bool = False
+    excluded: frozenset[str] = frozenset()
+    upstream_id: str = ""
+    last_event_ms: int | None = None
+    trace: forward_attempt.ExchangeTrace = attrs.field(
+        factory=forward_attempt.ExchangeTrace
+    )
+
+
+def count_spent_tokens(plan: forward_plan.Plan, progress: Progress) -> int:
+    """Returns the tokens consumed: the prompt and the delivered output.
+
+    Returns 0 if no upstream may have run the request.
+    """
+    generation = plan.request.generation
+    if generation is None or not progress.may_have_run:
+        return 0
+    delivered = progress.relay.event_count * plan.service.tokens_per_event
+    return generation.prompt_tokens + min(
+        delivered, generation.max_output_tokens
+    )
+
+
+def log_end(
+    plan: forward_plan.Plan, progress: Progress, outcome: str, elapsed_ms: int
+) -> None:
+    """Logs the end of a request whose caller got no refusal."""
+    decision_log.log_event(
+        "request_ended",
+        request_id=plan.request.id,
+        route=plan.route.name,
+        account=plan.account.name if plan.account else None,
+        upstream=progress.upstream_id,
+        sends=progress.sends,
+        events=progress.relay.event_count,
+        spent_tokens=count_spent_tokens(plan, progress),
+        outcome=outcome,
+        connection=progress.trace.connection,
+        earlier_exchanges=progress.trace.earlier_exchanges,
+        skipped_responses=progress.trace.skipped_responses,
+        elapsed_ms=elapsed_ms,
+    )
+
+
+def log_attempt(
+    plan: forward_plan.Plan,
+    progress: Progress,
+    upstream: forwarding.Upstream,
+    outcome: str,
+    reason: str,
+    elapsed_ms: int,
+) -> None:
+    """Logs an attempt that failed."""
+    decision_log.log_failure(
+        "attempt_failed",
+        request_id=plan.request.id,
+        upstream=upstream.id,
+        address=upstream.address,
+        outcome=outcome,
+        reason=reason,
+        **attrs.asdict(progress.trace),
+        elapsed_ms=elapsed_ms,
+    )
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -24,6 +24,8 @@
 from redwingchute.request import fleet_load
 from redwingchute.request import forward_attempt
 from redwingchute.request import forward_plan
+from redwingchute.request import forward_progress
+from redwingchute.request import forward_retry
 from redwingchute.request import header_translator
 from redwingchute.request import load_shedding
 from redwingchute.request import quarantine
@@ -79,34 +81,6 @@
     metrics: request_metrics.RequestMetrics
 
 
-@attrs.define
-class _Progress:
-    """The progress of one request over its attempts.
-
-    Attributes:
-      relay: What the caller has received of a streamed response.
-      sends: The number of upstreams that the request was sent to.
-      connect_failures: The number of upstreams to which connecting failed.
-      may_have_run: Whether an upstream may have processed the request.
-      excluded: Upstreams that were tried and are not tried again.
-      upstream_id: The upstream of the last attempt.
-      last_event_ms: When the last chunk of a stream arrived; None before the
-        first.
-      trace: The exchange of the last attempt.
-    """
-
-    relay: forward_attempt.Relay
-    sends: int = 0
-    connect_failures: int = 0
-    may_have_run: bool = False
-    excluded: frozenset[str] = frozenset()
-    upstream_id: str = ""
-    last_event_ms: int | None = None
-    trace: forward_attempt.ExchangeTrace = attrs.field(
-        factory=forward_attempt.ExchangeTrace
-    )
-
-
 # How a request ends. A stream has already been sent to the caller.
 _FinalResult: TypeAlias = (
     forward_attempt.CompleteResponse
@@ -178,7 +152,7 @@
         if isinstance(plan, outcomes.NotRun):
             await self._refuse(plan, parsed.id, arrived_ms, responder)
             return
-        progress = _Progress(forward_attempt.Relay(responder))
+        progress = forward_progress.Progress(forward_attempt.Relay(responder))
         try:
             result = await self._charge_and_run(plan, request, progress)
         except asyncio.CancelledError:
@@ -193,7 +167,7 @@
         self,
         plan: forward_plan.Plan,
         request: http_server.HttpRequest,
-        progress: _Progress,
+        progress: forward_progress.Progress,
     ) -> _FinalResult:
         """Reserves tokens for a request, runs it and settles the charge."""
         crash_key = forward_plan.make_crash_key(plan, request)
@@ -221,7 +195,7 @@
         finally:
             if charge is not None:
                 self._dependencies.charger.settle(
-                    charge, _count_spent_tokens(plan, progress)
+                    charge, forward_progress.count_spent_tokens(plan, progress)
                 )
 
     def _refuse_if_busy(
@@ -269,7 +243,7 @@
         self,
         plan: forward_plan.Plan,
         request: http_server.HttpRequest,
-        progress: _Progress,
+        progress: forward_progress.Progress,
         crash_key: quarantine.RequestKey,
     ) -> _FinalResult:
         """Runs attempts until one ends the request or no upstream is left."""
@@ -306,7 +280,7 @@
         self,
         plan: forward_plan.Plan,
         request: http_server.HttpRequest,
-        progress: _Progress,
+        progress: forward_progress.Progress,
         upstream: forwarding.Upstream,
         open_request: fleet_load.OpenRequest,
     ) -> forward_attempt.AttemptResult:
@@ -392,7 +366,7 @@
     def _record_event(
         self,
         plan: forward_plan.Plan,
-        progress: _Progress,
+        progress: forward_progress.Progress,
         open_request: fleet_load.OpenRequest,
     ) -> None:
         """Records the arrival of a chunk of a stream."""
@@ -410,7 +384,7 @@
     def _evaluate_attempt(
         self,
         plan: forward_plan.Plan,
-        progress: _Progress,
+        progress: forward_progress.Progress,
         upstream: forwarding.Upstream,
         result: forward_attempt.AttemptResult,
         crash_key: quarantine.RequestKey,
@@ -514,7 +488,7 @@
     def _evaluate_response(
         self,
         plan: forward_plan.Plan,
-        progress: _Progress,
+        progress: forward_progress.Progress,
         upstream: forwarding.Upstream,
         result: forward_attempt.CompleteResponse,
     ) -> _FinalResult | None:
@@ -534,42 +508,18 @@
         return result
 
     def _try_acquire_retry(
-        self, plan: forward_plan.Plan, progress: _Progress
+        self, plan: forward_plan.Plan, progress: forward_progress.Progress
     ) -> bool:
-        """Acquires a retry from the allowance, if the request can be retried.
-
-        Returns False without a use of the allowance if no other upstream is
-        left. While upstreams pause because they are full, the retries do not
-        fill the ones that are left.
-        """
-        if progress.sends >= plan.route.max_attempts:
-            return False
+        """Acquires a retry, if the request can be retried."""
         if asyncio.get_running_loop().time() >= plan.deadline_s:
             return False
-        now_ms = self._dependencies.read_clock_ms()
-        directory = self._dependencies.directory
-        chosen = directory.choose(
-            plan.service.name, plan.request, progress.excluded, now_ms
+        return forward_retry.try_acquire_retry(
+            plan,
+            progress,
+            self._dependencies.directory,
+            self._dependencies.find_allowance(plan.service.name),
+            self._dependencies.read_clock_ms(),
         )
-        if chosen is None:
-            return False
-        is_full = chosen.load >= chosen.upstream.slots
-        if is_full and directory.has_requested_pause(plan.service.name, now_ms):
-            return False
-        allowance = self._dependencies.find_allowance(plan.service.name)
-        is_acquired = allowance.acquire_retry(now_ms)
-        state = allowance.find_state(now_ms)
-        fields = {
-            "request_id": plan.request.id,
-            "service": plan.service.name,
-            "used": state.used,
-            "limit": round(state.limit, 1),
-        }
-        if is_acquired:
-            decision_log.log_failure("retry_acquired", **fields)
-        else:
-            decision_log.log_failure("retry_denied", **fields)
-        return is_acquired
 
     def _record_crash(
         self,
@@ -595,7 +545,7 @@
         self,
         result: _FinalResult,
         plan: forward_plan.Plan,
-        progress: _Progress,
+        progress: forward_progress.Progress,
         responder: http_server.HttpResponder,
     ) -> None:
         """Sends the response, unless a stream has already delivered it."""
@@ -635,7 +585,9 @@
                     route=plan.route.name,
                     upstream=progress.upstream_id,
                     account=plan.account.name if plan.account else None,
-                    spent_tokens=_count_spent_tokens(plan, progress),
+                    spent_tokens=forward_progress.count_spent_tokens(
+                        plan, progress
+                    ),
                 )
 
     async def _refuse(
@@ -668,62 +620,31 @@
         )
 
     def _log_end(
-        self, plan: forward_plan.Plan, progress: _Progress, outcome: str
+        self,
+        plan: forward_plan.Plan,
+        progress: forward_progress.Progress,
+        outcome: str,
     ) -> None:
         """Logs the end of a request and records its outcome."""
         elapsed_ms = self._dependencies.read_clock_ms() - plan.arrived_ms
         self._dependencies.metrics.record_outcome(outcome, elapsed_ms)
-        decision_log.log_event(
-            "request_ended",
-            request_id=plan.request.id,
-            route=plan.route.name,
-            account=plan.account.name if plan.account else None,
-            upstream=progress.upstream_id,
-            sends=progress.sends,
-            events=progress.relay.event_count,
-            spent_tokens=_count_spent_tokens(plan, progress),
-            outcome=outcome,
-            connection=progress.trace.connection,
-            earlier_exchanges=progress.trace.earlier_exchanges,
-            skipped_responses=progress.trace.skipped_responses,
-            elapsed_ms=elapsed_ms,
-        )
+        forward_progress.log_end(plan, progress, outcome, elapsed_ms)
 
     def _log_attempt(
         self,
         plan: forward_plan.Plan,
-        progress: _Progress,
+        progress: forward_progress.Progress,
         upstream: forwarding.Upstream,
         outcome: str,
         reason: str,
     ) -> None:
         """Logs an attempt that failed."""
-        decision_log.log_failure(
-            "attempt_failed",
-            request_id=plan.request.id,
-            upstream=upstream.id,
-            address=upstream.address,
-            outcome=outcome,
-            reason=reason,
-            **attrs.asdict(progress.trace),
-            elapsed_ms=self._dependencies.read_clock_ms() - plan.arrived_ms,
+        elapsed_ms = self._dependencies.read_clock_ms() - plan.arrived_ms
+        forward_progress.log_attempt(
+            plan, progress, upstream, outcome, reason, elapsed_ms
         )
 
 
-def _count_spent_tokens(plan: forward_plan.Plan, progress: _Progress) -> int:
-    """Returns the tokens consumed: the prompt and the delivered output.
-
-    Returns 0 if no upstream may have run the request.
-    """
-    generation = plan.request.generation
-    if generation is None or not progress.may_have_run:
-        return 0
-    delivered = progress.relay.event_count * plan.service.tokens_per_event
-    return generation.prompt_tokens + min(
-        delivered, generation.max_output_tokens
-    )
-
-
 def _make_no_upstream_refusal(
     retry_after_ms: int = _RETRY_AFTER_MS,
 ) -> outcomes.NotRun:
