--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -167,6 +167,7 @@
             _make_notice_id,
         )
         self._grant_manager = self._make_grant_manager()
+        self._metrics.observe_grants(self._grant_manager.measure_grants)
         self._charger = charging.Charger(
             self._grant_manager,
             self._network,
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -490,6 +490,8 @@
             committed_tokens=grant.committed_tokens,
             available_tokens=grant.find_available(self._read_clock_ms()),
             remaining_tokens=remaining_tokens,
+            unsure_tokens=self._manager.sum_unsure(account),
+            exposed_tokens=self._manager.find_exposed(account),
             is_connected=self._manager.is_connected,
         )
         if is_spent:
--- a/redwingchute/process/prepaid/grant.py
+++ b/redwingchute/process/prepaid/grant.py
@@ -6,6 +6,8 @@
 the age of the stamp how much may have been spent.
 """
 
+from collections.abc import Iterable
+import heapq
 import math
 
 import attrs
@@ -22,6 +24,9 @@
 # `grant_planner` sizes grants to cover two such requests.
 _LARGEST_REQUEST_DECAY_MS = 48_000
 
+# Metrics name this many accounts, those with the most exposed tokens.
+_MAX_MEASURED_ACCOUNTS = 8
+
 
 @attrs.frozen
 class _SpendingLimit:
@@ -108,6 +113,27 @@
             )
         return max(0, limit_tokens - self.committed_tokens)
 
+    def find_exposed(self, boot_ms: int) -> int:
+        """Returns the tokens that a crash now would leave without a record.
+
+        A successor would have to count them as spent, although some of them
+        may not be.
+
+        Args:
+          boot_ms: The time on the boot clock.
+        """
+        return max(
+            (
+                ceiling.find_ceiling(
+                    spending_limit.row,
+                    max(0, boot_ms - spending_limit.stamp_boot_ms),
+                )
+                - spending_limit.row.spent_tokens
+                for spending_limit in self._limits
+            ),
+            default=0,
+        )
+
     def find_wait_ms(self, tokens: int, boot_ms: int) -> int | None:
         """Returns in how many ms the ceiling admits a request.
 
@@ -285,6 +311,48 @@
         )
 
 
+@attrs.frozen
+class GrantTotals:
+    """What the grants of a router add up to.
+
+    Attributes:
+      granted_tokens: The tokens that the router may spend.
+      committed_tokens: The tokens that are spent or reserved.
+      unsure_tokens: The tokens that count as spent without proof.
+      exposed_tokens: The tokens that a crash would make unsure, by account;
+        only the accounts with the most of them.
+    """
+
+    granted_tokens: int
+    committed_tokens: int
+    unsure_tokens: int
+    exposed_tokens: dict[str, int]
+
+
+def sum_grants(grants: Iterable[Grant], boot_ms: int) -> GrantTotals:
+    """Returns what grants add up to.
+
+    Args:
+      grants: The grants of one router.
+      boot_ms: The time on the boot clock.
+    """
+    grants = list(grants)
+    exposed_tokens = {
+        grant.account: grant.find_exposed(boot_ms) for grant in grants
+    }
+    largest = heapq.nlargest(
+        _MAX_MEASURED_ACCOUNTS, exposed_tokens, key=exposed_tokens.__getitem__
+    )
+    return GrantTotals(
+        granted_tokens=sum(grant.granted_tokens for grant in grants),
+        committed_tokens=sum(grant.committed_tokens for grant in grants),
+        unsure_tokens=sum(grant.unsure_tokens for grant in grants),
+        exposed_tokens={
+            account: exposed_tokens[account] for account in largest
+        },
+    )
+
+
 def get_or_create_grant(grants: dict[str, Grant], account: str) -> Grant:
     """Returns the grant of an account; adds an empty one for a new account."""
     grant = grants.get(account)
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -350,6 +350,33 @@
         committed_tokens = self.find_grant(account).committed_tokens
         return prepaid_tokens - others_spent_tokens - committed_tokens
 
+    def sum_unsure(self, account: str) -> int:
+        """Returns the tokens that count as spent at any host without proof.
+
+        Processes that ended may not have spent them, and no router can reserve
+        them.
+
+        Args:
+          account: The client account.
+        """
+        return self.find_grant(account).unsure_tokens + sum(
+            row.unsure_tokens
+            for row in self.fold.list_rows(account)
+            if row.host != self.own_host
+        )
+
+    def find_exposed(self, account: str) -> int:
+        """Returns the tokens of an account that a crash would make unsure."""
+        return self.find_grant(account).find_exposed(
+            self._clocks.read_boot_ms()
+        )
+
+    def measure_grants(self) -> grant_lib.GrantTotals:
+        """Returns what this router's grants add up to now."""
+        return grant_lib.sum_grants(
+            self._grants.values(), self._clocks.read_boot_ms()
+        )
+
     def record_peer_spent(
         self, account: str, host: str, spent_tokens: int
     ) -> None:
@@ -627,6 +654,9 @@
                 ceiling_tokens=row.ceiling_tokens,
                 rise_tokens_per_s=row.rise_tokens_per_s,
                 released_tokens=released_tokens,
+                unrecorded_tokens=row.granted_tokens
+                - row.spent_tokens
+                - released_tokens,
                 stamp_age_ms=age_bound.age_ms,
                 proof=age_bound.source,
             )
--- a/redwingchute/process/prepaid/grant_test.py
+++ b/redwingchute/process/prepaid/grant_test.py
@@ -110,3 +110,14 @@
     grant = grant_lib.Grant("yield")
     grant.inherit(attrs.evolve(_ROW, demand_tokens_per_s=500.0), 7_000)
     assert 450 <= grant.find_demand(7_100) <= 850
+
+
+def test_exposed_tokens_are_those_without_a_record() -> None:
+    grant = _make_grant()
+    assert grant.find_exposed(_STAMP_MS) == 400
+    assert grant.find_exposed(_STAMP_MS + 1_000) == 500
+    row = attrs.evolve(_ROW, ceiling_tokens=450, spent_tokens=400)
+    grant.record_appended_row(row, _STAMP_MS)
+    totals = grant_lib.sum_grants([grant], _STAMP_MS)
+    assert totals.exposed_tokens == {"yield": 50}
+    assert totals.granted_tokens == 1_000
--- a/redwingchute/process/telemetry.py
+++ b/redwingchute/process/telemetry.py
@@ -18,6 +18,8 @@
 import prometheus_client
 from pythonjsonlogger import json as json_logger
 
+from redwingchute.process.prepaid import grant
+
 # The histograms' upper bounds. They cover and tell apart all durations measured
 # here, from a call to the log (some ms) to a complete request (some seconds).
 _BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1_600, 3_200, 8_000)
@@ -91,6 +93,40 @@
 
         self._meter.create_observable_counter("events", [observe])
 
+    def observe_grants(self, read: Callable[[], grant.GrantTotals]) -> None:
+        """Exposes the tokens of grants, and those that a crash would lose.
+
+        Args:
+          read: Returns what the grants of the router add up to.
+        """
+
+        def observe_totals(
+            options: api_metrics.CallbackOptions,
+        ) -> Iterable[api_metrics.Observation]:
+            del options
+            totals = read()
+            return [
+                api_metrics.Observation(tokens, {"state": state})
+                for state, tokens in (
+                    ("granted", totals.granted_tokens),
+                    ("committed", totals.committed_tokens),
+                    ("unsure", totals.unsure_tokens),
+                )
+            ]
+
+        def observe_exposed(
+            options: api_metrics.CallbackOptions,
+        ) -> Iterable[api_metrics.Observation]:
+            del options
+            return [
+                api_metrics.Observation(tokens, {"account": account})
+                for account, tokens in read().exposed_tokens.items()
+            ]
+
+        create_gauge = self._meter.create_observable_gauge
+        create_gauge("grant_tokens", [observe_totals])
+        create_gauge("grant_exposed_tokens", [observe_exposed])
+
     def _create_histogram(self, name: str) -> api_metrics.Histogram:
         """Returns a histogram of durations in milliseconds."""
         return self._meter.create_histogram(
--- a/redwingchute/process/telemetry_test.py
+++ b/redwingchute/process/telemetry_test.py
@@ -1,6 +1,7 @@
 """Tests of the metrics."""
 
 from redwingchute.process import telemetry
+from redwingchute.process.prepaid import grant
 
 
 def test_metrics_render_and_close() -> None:
@@ -18,3 +19,14 @@
     assert 'grant_wait_ms_bucket{le="10",outcome="reserved"} 1.0' in text
     assert 'events_total{event="grants_cut_off"} 3.0' in text
     metrics.close()
+
+
+def test_tokens_that_a_crash_would_lose_are_exposed_by_account() -> None:
+    metrics = telemetry.Metrics("huon-1", "huon")
+    metrics.observe_grants(
+        lambda: grant.GrantTotals(9_000, 4_000, 500, {"yield": 1_200})
+    )
+    text = metrics.render().decode()
+    assert 'grant_tokens{state="unsure"} 500.0' in text
+    assert 'grant_exposed_tokens{account="yield"} 1200.0' in text
+    metrics.close()
