Log the ends of upstreams that count against a request

The reports of a request that ended upstreams could not be told apart by logs: neither what a router counted nor what it heard from others was written. No decision changes.

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -552,7 +552,14 @@
         self, peer: data.Host, notice: requesting.CrashNotice
     ) -> None:
         """Records a crash that another router observed and passes it on."""
-        self._quarantine.record_crash(notice, read_boot_ms())
+        quarantined = self._quarantine.record_crash(notice, read_boot_ms())
+        decision_log.log_event(
+            "crash_notice_received",
+            sender=peer.name,
+            upstream=notice.upstream,
+            request_digest=notice.body_digest.hex()[:16],
+            is_quarantined=quarantined is not None,
+        )
         self._relay.handle_notice(peer.name, notice)
 
     async def _handle_leaving(
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -538,7 +538,15 @@
             f"{plan.request.id}/{upstream.id}",
             now_ms,
         )
-        self._dependencies.quarantine.record_crash(notice, now_ms)
+        quarantined = self._dependencies.quarantine.record_crash(notice, now_ms)
+        decision_log.log_event(
+            "crash_recorded",
+            request_id=plan.request.id,
+            upstream=upstream.id,
+            account=crash_key.client_account,
+            request_digest=crash_key.body_digest.hex()[:16],
+            is_quarantined=quarantined is not None,
+        )
         self._dependencies.broadcast(notice)
 
     async def _respond(
