Let ceilings follow what a host admits, not what it is asked for

Demand counts refused requests and their repeats. A host that refused ten requests a second for want of tokens got the ceiling of a burst with the next top-up, and after a loss of all power its successor counted that as spent, for good. Class: a bound of what may have happened, computed from what was asked for.

Change: the headroom and rise of a ceiling follow the rate at which tokens were reserved, less what was returned. Demand still sizes grants. The test that asked for a ceiling by demand now asks for one by admitted requests, and a new one that refused requests leave it as it is.

--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -340,7 +340,9 @@
             unsettled_tokens -= part_spent_tokens
             if part.host == self._manager.own_host:
                 grant = self._manager.find_grant(charge.account)
-                grant.settle(part.tokens, part_spent_tokens)
+                grant.settle(
+                    part.tokens, part_spent_tokens, self._read_clock_ms()
+                )
             else:
                 self._spawn_settlement(charge.account, part, part_spent_tokens)
 
@@ -490,6 +492,7 @@
             committed_tokens=grant.committed_tokens,
             available_tokens=grant.find_available(self._read_clock_ms()),
             remaining_tokens=remaining_tokens,
+            prepaid_tokens=request.prepaid_tokens,
             unsure_tokens=self._manager.sum_unsure(account),
             exposed_tokens=self._manager.find_exposed(account),
             is_connected=self._manager.is_connected,
--- a/redwingchute/process/prepaid/grant.py
+++ b/redwingchute/process/prepaid/grant.py
@@ -8,18 +8,13 @@
 
 from collections.abc import Iterable
 import heapq
-import math
 
 import attrs
 
 from redwingchute.core import prepaid
 from redwingchute.process.prepaid import ceiling
+from redwingchute.process.prepaid import token_rate
 
-# The time constant of the moving average of the demand for tokens.
-_DEMAND_WINDOW_MS = 6_000
-# The demand counts as observed since this long before the first request. A
-# shorter time would make the first requests result in an extreme rate.
-_INITIAL_DEMAND_SPAN_MS = 3_000
 # The time constant at which the recorded size of the largest request decays.
 # `grant_planner` sizes grants to cover two such requests.
 _LARGEST_REQUEST_DECAY_MS = 48_000
@@ -72,9 +67,9 @@
         self.largest_request_tokens = 0.0
         self.row: prepaid.GrantRow | None = None
         self._limits: tuple[_SpendingLimit, ...] = ()
-        self._demand_tokens = 0.0
+        self._demand_rate = token_rate.TokenRate()
+        self._commitment_rate = token_rate.TokenRate()
         self._decayed_at_ms = 0
-        self._demand_since_ms: int | None = None
 
     @property
     def committed_tokens(self) -> int:
@@ -171,18 +166,24 @@
         if tokens > self.find_available(boot_ms):
             return False
         self.reserved_tokens += tokens
+        self._commitment_rate.record(tokens, boot_ms)
         return True
 
-    def settle(self, reserved_tokens: int, spent_tokens: int) -> None:
+    def settle(
+        self, reserved_tokens: int, spent_tokens: int, boot_ms: int
+    ) -> None:
         """Replaces a reservation by what the request consumed.
 
         Args:
           reserved_tokens: The reservation.
           spent_tokens: What the request consumed; tokens beyond the
             reservation are not counted.
+          boot_ms: The time on the boot clock.
         """
+        spent_tokens = min(spent_tokens, reserved_tokens)
         self.reserved_tokens -= reserved_tokens
-        self.spent_tokens += min(spent_tokens, reserved_tokens)
+        self.spent_tokens += spent_tokens
+        self._commitment_rate.record(spent_tokens - reserved_tokens, boot_ms)
 
     def record_demand(self, tokens: int, now_ms: int) -> None:
         """Records a request for tokens, whether it gets them or not.
@@ -191,10 +192,8 @@
           tokens: The maximum cost of the request.
           now_ms: The time on the boot clock.
         """
-        if self._demand_since_ms is None:
-            self._demand_since_ms = now_ms - _INITIAL_DEMAND_SPAN_MS
-        self._decay(now_ms)
-        self._demand_tokens += tokens
+        self._demand_rate.record(tokens, now_ms)
+        self._decay_largest_request(now_ms)
         self.largest_request_tokens = max(self.largest_request_tokens, tokens)
 
     def find_demand(self, now_ms: int) -> float:
@@ -203,12 +202,18 @@
         Args:
           now_ms: The time on the boot clock.
         """
-        if self._demand_since_ms is None:
-            return 0.0
-        self._decay(now_ms)
-        seen_ms = now_ms - self._demand_since_ms
-        seen_share = 1 - math.exp(-seen_ms / _DEMAND_WINDOW_MS)
-        return self._demand_tokens * 1000 / _DEMAND_WINDOW_MS / seen_share
+        self._decay_largest_request(now_ms)
+        return self._demand_rate.find(now_ms)
+
+    def find_commitment_rate(self, now_ms: int) -> float:
+        """Returns by how many tokens per second the committed ones rose.
+
+        Unlike the demand it leaves out requests that were refused.
+
+        Args:
+          now_ms: The time on the boot clock.
+        """
+        return self._commitment_rate.find(now_ms)
 
     def lower(self, granted_tokens: int) -> None:
         """Lowers the grant, but not below the committed tokens.
@@ -235,10 +240,7 @@
         self.spent_tokens = row.granted_tokens
         known_spent_tokens = row.spent_tokens - row.unsure_tokens
         self.unsure_tokens = row.granted_tokens - known_spent_tokens
-        self._demand_tokens = row.demand_tokens_per_s * _DEMAND_WINDOW_MS / 1000
-        self._decayed_at_ms = boot_ms
-        if row.demand_tokens_per_s > 0:
-            self._demand_since_ms = boot_ms - _DEMAND_WINDOW_MS
+        self._demand_rate.restore(row.demand_tokens_per_s, boot_ms)
 
     def release_unspent(
         self, row: prepaid.GrantRow, max_spent_tokens: int
@@ -301,11 +303,10 @@
         self.granted_tokens = row.granted_tokens
         self._limits = (_SpendingLimit(row, stamp_boot_ms),)
 
-    def _decay(self, now_ms: int) -> None:
-        """Reduces the recorded demand by the time since the last call."""
+    def _decay_largest_request(self, now_ms: int) -> None:
+        """Reduces the size of the largest request by the time passed."""
         elapsed_ms = max(0, now_ms - self._decayed_at_ms)
         self._decayed_at_ms = now_ms
-        self._demand_tokens *= max(0.0, 1 - elapsed_ms / _DEMAND_WINDOW_MS)
         self.largest_request_tokens *= max(
             0.0, 1 - elapsed_ms / _LARGEST_REQUEST_DECAY_MS
         )
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -36,13 +36,13 @@
         only if it differs from the target by more than this share of the
         account's unspent tokens, or if other hosts' grants and this one exceed
         the prepaid tokens.
-      burst_ms: How long the ceiling of a new row covers the current demand
-        without rising.
+      burst_ms: How long the ceiling of a new row covers the rate at which
+        tokens are committed without rising.
       burst_share: The minimum headroom of a new row's ceiling, as a share of
         the free tokens of the grant, for requests after an idle time.
-      rise_factor: The rate at which a ceiling rises, relative to the demand.
-        It is more than 1 since the demand is spread unevenly among routers
-        that are cut off.
+      rise_factor: The rate at which a ceiling rises, relative to the rate at
+        which tokens are committed. It is more than 1 since the demand is
+        spread unevenly among routers that are cut off.
       rise_share: The minimum rate at which a ceiling rises, as a share of the
         free tokens of the grant per second.
       restart_ms: Most crashes and restarts take less time than this. A host
@@ -156,14 +156,17 @@
       policy: How ceilings are sized.
     """
     demand_tokens_per_s = grant.find_demand(plan_input.boot_ms)
+    # Refused requests must not raise the ceiling: it counts as spent if all
+    # hosts lose power.
+    commitment_tokens_per_s = grant.find_commitment_rate(plan_input.boot_ms)
     free_tokens = max(0, granted_tokens - grant.committed_tokens)
     headroom_tokens = max(
-        int(demand_tokens_per_s * policy.burst_ms / 1000),
+        int(commitment_tokens_per_s * policy.burst_ms / 1000),
         plan_input.requested_tokens,
         int(free_tokens * policy.burst_share),
     )
     rise_tokens_per_s = max(
-        demand_tokens_per_s * policy.rise_factor,
+        commitment_tokens_per_s * policy.rise_factor,
         free_tokens * policy.rise_share,
     )
     return prepaid.GrantRow(
--- a/redwingchute/process/prepaid/grant_planner_test.py
+++ b/redwingchute/process/prepaid/grant_planner_test.py
@@ -90,15 +90,32 @@
     assert planned == 2_600
 
 
-def test_a_ceiling_covers_a_burst_and_rises_with_the_demand() -> None:
+def test_a_ceiling_covers_a_burst_and_rises_with_admitted_requests() -> None:
+    grant = grant_lib.Grant("yield")
+    grant.record_appended_row(
+        prepaid.GrantRow("yield", "huon-1", 8_000, 8_000, 0.0, 0, 0.0), 1_000
+    )
+    assert grant.reserve(3_000, 1_000)
+    row = grant_planner.plan_row(grant, 8_000, _make_input(), _POLICY)
+    rate = grant.find_commitment_rate(1_000)
+    assert rate > 1_000
+    headroom = row.ceiling_tokens - grant.committed_tokens
+    assert headroom >= rate * _POLICY.burst_ms / 1_000 - 1
+    assert headroom < 2_000
+    assert row.rise_tokens_per_s >= rate
+
+
+# Guards against ceilings that rise because requests are refused: they count as
+# spent after a loss of all power.
+def test_a_ceiling_does_not_rise_with_refused_requests() -> None:
     grant = grant_lib.Grant("yield")
     grant.granted_tokens = 8_000
+    idle = grant_planner.plan_row(grant, 8_000, _make_input(), _POLICY)
     grant.record_demand(3_000, 1_000)
     row = grant_planner.plan_row(grant, 8_000, _make_input(), _POLICY)
-    demand = grant.find_demand(1_000)
-    assert row.ceiling_tokens >= demand * _POLICY.burst_ms / 1_000 - 1
-    assert row.ceiling_tokens < 2_000
-    assert row.rise_tokens_per_s >= demand
+    assert row.demand_tokens_per_s > 0
+    assert row.ceiling_tokens == idle.ceiling_tokens
+    assert row.rise_tokens_per_s == idle.rise_tokens_per_s
 
 
 def test_the_ceiling_of_an_idle_grant_rises_too() -> None:
