Expose no more of an account than a part of what it has left

Cause: a ceiling covers 0.4 s of the admitted rate and rises by 1.2 times it until the successor starts, which is the only bound of when the predecessor ended. With two seconds between stamp and start that is 2.5 s of spending, for an account that has five seconds left half of it. Class: a reserve sized by the rate of use alone, whatever is left.

Change: headroom and rise without waiting requests are at most 2 and 4 in 100 a second of the part of the account's unspent tokens that is due to the host by its demand. An account with thirty seconds left is not affected; one with less writes its rows more often, which requests wait some 10 ms for. Ruled out: a ceiling that does not rise for the time of a restart; when the store falls silent a router would then admit nothing for that time.

--- a/redwingchute/process/prepaid/append_planner.py
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -103,8 +103,11 @@
             grant, plan_input, granted_tokens = self._plan_grant(
                 account, prepaid_tokens, requested_tokens, can_change
             )
+            due_tokens = grant_planner.find_due_tokens(
+                grant, self._fold, plan_input, self._policy
+            )
             row = grant_planner.plan_row(
-                grant, granted_tokens, plan_input, self._policy
+                grant, granted_tokens, due_tokens, plan_input, self._policy
             )
             if account in requested_tokens or grant_planner.needs_writing(
                 row, grant.row, grant.is_above_ceiling, self._policy
@@ -141,6 +144,7 @@
             grant_planner.plan_row(
                 grant,
                 grant.granted_tokens,
+                grant.free_tokens,
                 self._make_plan_input(0, 0),
                 self._policy,
             )
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -39,12 +39,15 @@
       burst_ms: How long the ceiling of a new row covers the rate at which
         tokens are committed without rising.
       burst_share: The minimum headroom of a new row's ceiling, as a share of
-        the free tokens of the grant, for requests after an idle time.
+        the free tokens of the grant, for requests after an idle time; and its
+        maximum without waiting requests, as a share of the tokens due to the
+        host, since the headroom may have to count as spent.
       rise_factor: The rate at which a ceiling rises, relative to the rate at
         which tokens are committed. It is more than 1 since the demand is
         spread unevenly among routers that are cut off.
       rise_share: The minimum rate at which a ceiling rises, as a share of the
-        free tokens of the grant per second.
+        free tokens of the grant per second; and the maximum, as a share of the
+        tokens due to the host.
       restart_ms: Most crashes and restarts take less time than this. A host
         whose stamp is older is probably cut off from the log instead, and its
         ceiling rises faster, so that it can spend its grant.
@@ -104,12 +107,7 @@
         grant.account, excluded_host=plan_input.host
     )
     available_tokens = max(0, plan_input.prepaid_tokens - others_granted_tokens)
-    others_spent_tokens = fold.sum_spent(
-        grant.account, excluded_host=plan_input.host
-    )
-    unspent_tokens = max(
-        0, plan_input.prepaid_tokens - others_spent_tokens - grant.spent_tokens
-    )
+    unspent_tokens = _find_unspent(grant, fold, plan_input)
     share = _find_demand_share(grant, fold, plan_input, policy)
     allocated_tokens = unspent_tokens * share * policy.allocated_share
     demand_tokens_per_s = grant.find_demand(plan_input.boot_ms)
@@ -141,9 +139,28 @@
     return grant.granted_tokens
 
 
+def find_due_tokens(
+    grant: grant_lib.Grant,
+    fold: grant_fold.GrantFold,
+    plan_input: PlanInput,
+    policy: GrantPolicy,
+) -> int:
+    """Returns the host's part of an account's unspent tokens by its demand.
+
+    Args:
+      grant: The router's current grant.
+      fold: The rows of all hosts.
+      plan_input: The account's tokens, the hosts and the time.
+      policy: How grants are sized.
+    """
+    share = _find_demand_share(grant, fold, plan_input, policy)
+    return int(_find_unspent(grant, fold, plan_input) * share)
+
+
 def plan_row(
     grant: grant_lib.Grant,
     granted_tokens: int,
+    due_tokens: int,
     plan_input: PlanInput,
     policy: GrantPolicy,
 ) -> prepaid.GrantRow:
@@ -152,6 +169,7 @@
     Args:
       grant: The router's current grant.
       granted_tokens: The planned grant.
+      due_tokens: The host's part of the account's unspent tokens.
       plan_input: The account's tokens, the hosts and the time.
       policy: How ceilings are sized.
     """
@@ -160,21 +178,26 @@
     # hosts lose power.
     commitment_tokens_per_s = grant.find_commitment_rate(plan_input.boot_ms)
     free_tokens = max(0, granted_tokens - grant.committed_tokens)
+    due_tokens = max(due_tokens, free_tokens)
     headroom_tokens = max(
-        int(commitment_tokens_per_s * policy.burst_ms / 1000),
+        _clamp(
+            commitment_tokens_per_s * policy.burst_ms / 1000,
+            free_tokens * policy.burst_share,
+            due_tokens * policy.burst_share,
+        ),
         plan_input.requested_tokens,
-        int(free_tokens * policy.burst_share),
     )
-    rise_tokens_per_s = max(
+    rise_tokens_per_s = _clamp(
         commitment_tokens_per_s * policy.rise_factor,
         free_tokens * policy.rise_share,
+        due_tokens * policy.rise_share,
     )
     return prepaid.GrantRow(
         account=grant.account,
         host=plan_input.host,
         granted_tokens=granted_tokens,
         ceiling_tokens=min(
-            granted_tokens, grant.committed_tokens + headroom_tokens
+            granted_tokens, grant.committed_tokens + int(headroom_tokens)
         ),
         rise_tokens_per_s=round(rise_tokens_per_s, 1),
         spent_tokens=grant.spent_tokens,
@@ -211,6 +234,23 @@
     return drift_tokens > headroom_tokens * policy.rewrite_share
 
 
+def _find_unspent(
+    grant: grant_lib.Grant, fold: grant_fold.GrantFold, plan_input: PlanInput
+) -> int:
+    """Returns the tokens of an account that no host counts as spent."""
+    others_spent_tokens = fold.sum_spent(
+        grant.account, excluded_host=plan_input.host
+    )
+    return max(
+        0, plan_input.prepaid_tokens - others_spent_tokens - grant.spent_tokens
+    )
+
+
+def _clamp(value: float, minimum: float, maximum: float) -> float:
+    """Returns the value, or the bound that it exceeds."""
+    return max(minimum, min(value, maximum))
+
+
 def _find_demand_share(
     grant: grant_lib.Grant,
     fold: grant_fold.GrantFold,
--- a/redwingchute/process/prepaid/grant_planner_test.py
+++ b/redwingchute/process/prepaid/grant_planner_test.py
@@ -96,7 +96,7 @@
         prepaid.GrantRow("yield", "huon-1", 8_000, 8_000, 0.0, 0, 0.0), 1_000
     )
     assert grant.reserve(3_000, 1_000)
-    row = grant_planner.plan_row(grant, 8_000, _make_input(), _POLICY)
+    row = grant_planner.plan_row(grant, 8_000, 80_000, _make_input(), _POLICY)
     rate = grant.find_commitment_rate(1_000)
     assert rate > 1_000
     headroom = row.ceiling_tokens - grant.committed_tokens
@@ -105,14 +105,27 @@
     assert row.rise_tokens_per_s >= rate
 
 
+# Guards against accounts near their end that lose what they have left with all
+# power.
+def test_a_ceiling_exposes_only_a_part_of_what_the_account_has_left() -> None:
+    grant = grant_lib.Grant("yield")
+    grant.record_appended_row(
+        prepaid.GrantRow("yield", "huon-1", 8_000, 8_000, 0.0, 0, 0.0), 1_000
+    )
+    assert grant.reserve(6_000, 1_000)
+    row = grant_planner.plan_row(grant, 8_000, 2_400, _make_input(), _POLICY)
+    headroom = row.ceiling_tokens - grant.committed_tokens
+    assert headroom + 2 * row.rise_tokens_per_s <= 0.1 * 2_400
+
+
 # Guards against ceilings that rise because requests are refused: they count as
 # spent after a loss of all power.
 def test_a_ceiling_does_not_rise_with_refused_requests() -> None:
     grant = grant_lib.Grant("yield")
     grant.granted_tokens = 8_000
-    idle = grant_planner.plan_row(grant, 8_000, _make_input(), _POLICY)
+    idle = grant_planner.plan_row(grant, 8_000, 80_000, _make_input(), _POLICY)
     grant.record_demand(3_000, 1_000)
-    row = grant_planner.plan_row(grant, 8_000, _make_input(), _POLICY)
+    row = grant_planner.plan_row(grant, 8_000, 80_000, _make_input(), _POLICY)
     assert row.demand_tokens_per_s > 0
     assert row.ceiling_tokens == idle.ceiling_tokens
     assert row.rise_tokens_per_s == idle.rise_tokens_per_s
@@ -120,7 +133,7 @@
 
 def test_the_ceiling_of_an_idle_grant_rises_too() -> None:
     grant = grant_lib.Grant("yield")
-    row = grant_planner.plan_row(grant, 8_000, _make_input(), _POLICY)
+    row = grant_planner.plan_row(grant, 8_000, 80_000, _make_input(), _POLICY)
     assert row.ceiling_tokens > 0
     assert row.rise_tokens_per_s > 0
 
@@ -129,7 +142,7 @@
     grant = grant_lib.Grant("yield")
     grant.granted_tokens = 8_000
     row = grant_planner.plan_row(
-        grant, 8_000, _make_input(requested_tokens=5_000), _POLICY
+        grant, 8_000, 80_000, _make_input(requested_tokens=5_000), _POLICY
     )
     assert row.ceiling_tokens >= 5_000
 
