--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -54,6 +54,11 @@
       wrong_id: Responses have the id of another request.
       is_leaving: All responses state that the runner is leaving.
       retry_after_s: The pause that refusals with 503 ask for; 0 for none.
+      crash_marker: A request with this text in its body or prompt parts ends
+        the runner before the first output: all connections close, and it
+        listens again after `crash_ms` under the same id, with another birth.
+        Empty for none.
+      crash_ms: How long the runner is down then.
       event_ms: The time between two events of a stream.
       work_ms: The time to run a plain request.
     """
@@ -73,6 +78,8 @@
     wrong_id: bool = False
     is_leaving: bool = False
     retry_after_s: float = 0.0
+    crash_marker: str = ""
+    crash_ms: int = 300
     event_ms: int = 5
     work_ms: int = 5
 
@@ -107,6 +114,7 @@
       arrivals: The number of requests received, without health checks.
       cancelled: The number of runs whose caller disconnected.
       entry_count: The number of entries made for the store.
+      born_ms: The time of its last start, in milliseconds.
     """
 
     def __init__(
@@ -138,6 +146,7 @@
         self.arrivals = 0
         self.cancelled = 0
         self.entry_count = 0
+        self.born_ms = base.now_ms()
 
     def make_entry(self, state: str = "ready") -> dict[str, Any]:
         """Returns the runner's entry in the store.
@@ -154,6 +163,7 @@
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
+            "born": self.born_ms,
             "sequence": self.entry_count,
         }
 
@@ -226,6 +236,11 @@
         responder: http_server.HttpResponder,
     ) -> None:
         """Runs a request and sends the response."""
+        if self._is_crashing(request):
+            await asyncio.sleep(self.faults.work_ms / 1000)
+            self.schedule_crash()
+            self._spawn(self._start_again())
+            raise http_server.ClientDisconnectedError
         if self.faults.lose_answers:
             raise http_server.ClientDisconnectedError
         response_id = "another" if self.faults.wrong_id else run.request_id
@@ -258,6 +273,20 @@
             await asyncio.sleep(self.faults.event_ms / 1000)
         await responder.finish()
 
+    def _is_crashing(self, request: http_server.HttpRequest) -> bool:
+        """Returns whether a request ends the runner that runs it."""
+        marker = self.faults.crash_marker
+        return bool(marker) and (
+            marker.encode() in request.body
+            or marker in request.headers.get("prompt-prefix", "")
+        )
+
+    async def _start_again(self) -> None:
+        """Listens again after a crash, as a new start of the runner."""
+        await asyncio.sleep(self.faults.crash_ms / 1000)
+        self.born_ms = base.now_ms()
+        await self.restart()
+
     async def _respond(
         self,
         request: http_server.HttpRequest,
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -138,7 +138,7 @@
             await self.start_runner(runner_id, service)
         self.publish(self._document)
         for number in range(1, self._gateway_count + 1):
-            await self._start_gateway(f"huon-{number}")
+            await self.start_gateway(f"huon-{number}")
         return self
 
     async def __aexit__(
@@ -246,7 +246,7 @@
         """Returns the number of callers' connections that are open and idle."""
         return self._pool.count_idle(self.gateways[0].settings.listen)
 
-    async def _start_gateway(self, host_name: str) -> None:
+    async def start_gateway(self, host_name: str) -> None:
         """Starts a gateway and waits until it is ready."""
         ports = _find_free_ports(4)
         addresses = [http_client.Address(_ADDRESS, port) for port in ports]
