Keep what routers know of requests that end upstreams

Callers saw: a request under which three upstreams had ended was sent on.

Class: knowledge that has to outlast a process kept in one, and a decision that is not taken again when it takes effect.

Also sound requests were refused for 30 minutes after two upstreams had ended under them for other reasons.

Change: a request is a subject; routers record under it the starts of upstreams that ended while it had shown no output, tell each other, and each host keeps its observations in the log. It is looked up before each send. Completing clears it; an avoided one is tried again by one router at a time. An attempt counts only if the upstream closed the connection, not if its response was invalid.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -78,10 +78,12 @@
     Attributes:
       message: The error.
       is_unresponsive: Whether the upstream's host stopped acknowledging bytes.
+      is_closed: Whether the upstream closed or reset the connection.
     """
 
     message: str
     is_unresponsive: bool = False
+    is_closed: bool = False
 
 
 @attrs.frozen
@@ -198,7 +200,7 @@
         try:
             self._writer.write(payload)
         except OSError as error:
-            return ExchangeBroken(f"sending failed: {error}")
+            return ExchangeBroken(f"sending failed: {error}", is_closed=True)
         return None
 
     async def read_head(self) -> ResponseHead | ExchangeBroken:
@@ -216,7 +218,9 @@
                 case ExchangeBroken():
                     return event
                 case _:
-                    return ExchangeBroken("the upstream closed early")
+                    return ExchangeBroken(
+                        "the upstream closed early", is_closed=True
+                    )
 
     async def read_chunk(self) -> BodyEvent:
         """Reads the next part of the body."""
@@ -230,7 +234,9 @@
             case ExchangeBroken():
                 return event
             case _:
-                return ExchangeBroken("the upstream closed early")
+                return ExchangeBroken(
+                    "the upstream closed early", is_closed=True
+                )
 
     def _join_received(self, first: h11.Data) -> bytes:
         """Joins a part of the body with all parts received after it.
@@ -242,7 +248,9 @@
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
-                self._pending_event = ExchangeBroken(str(error))
+                self._pending_event = ExchangeBroken(
+                    str(error), is_closed=self._reader.at_eof()
+                )
                 return b"".join(parts)
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
@@ -372,9 +380,12 @@
                     await self._reader.read(_READ_BYTES)
                 )
             except (h11.RemoteProtocolError, OSError) as error:
+                is_unresponsive = isinstance(error, TimeoutError)
                 return ExchangeBroken(
                     str(error) or type(error).__name__,
-                    is_unresponsive=isinstance(error, TimeoutError),
+                    is_unresponsive,
+                    is_closed=not is_unresponsive
+                    and (isinstance(error, OSError) or self._reader.at_eof()),
                 )
 
 
--- a/redwingchute/core/requesting.py
+++ b/redwingchute/core/requesting.py
@@ -30,6 +30,36 @@
     crashed_at_ms: int
 
 
+@attrs.frozen
+class CrashObservation:
+    """What a router observed of a subject and an upstream that ended under it.
+
+    Attributes:
+      subject: Names what the upstream may have ended for, as
+        `crash_evidence.encode_subject` does.
+      upstream_start: Identifies the start of the upstream.
+      is_cleared: Whether the end does not count any more, because a request of
+        the subject has completed since.
+    """
+
+    subject: str
+    upstream_start: str
+    is_cleared: bool = False
+
+
+@attrs.frozen
+class CrashReport:
+    """Tells other routers what one of them observed of crashing requests.
+
+    Attributes:
+      report_id: Identifies the report.
+      observations: The observations.
+    """
+
+    report_id: str
+    observations: tuple[CrashObservation, ...]
+
+
 @attrs.frozen
 class OpenLoad:
     """The load that one or more routers have put on an upstream.
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import itertools
 import secrets
 import time
 from types import TracebackType
@@ -22,6 +23,7 @@
 from redwingchute.core import prepaid
 from redwingchute.core import requesting
 from redwingchute.process import background_tasks
+from redwingchute.process import crash_journal
 from redwingchute.process import decision_log
 from redwingchute.process import era_log
 from redwingchute.process import gateway_settings
@@ -37,11 +39,12 @@
 from redwingchute.process import timed_log
 from redwingchute.process.prepaid import charging
 from redwingchute.process.prepaid import grant_manager
+from redwingchute.request import crash_evidence
 from redwingchute.request import forwarding_handler
 from redwingchute.request import header_translator
 from redwingchute.request import load_exchange
-from redwingchute.request import quarantine
 from redwingchute.request import request_metrics
+from redwingchute.request import suspect_tracker
 from redwingchute.request import upstream_directory
 from redwingchute.version import route_index
 from redwingchute.wire import registry
@@ -143,7 +146,6 @@
         self._upstream_directory = upstream_directory.UpstreamDirectory(
             settings.zone, settings.host_name, settings.drain_ms
         )
-        self._quarantine = quarantine.Quarantine(settings.host_name)
         self._is_stopping = False
         self._stop_deadline_ms = 0
         self._started_ms = read_boot_ms()
@@ -159,13 +161,32 @@
         self._registry = self._make_registry()
         self._hub_view = hub_choice.choose_hubs(self._registry.own_host, ())
         self._relay = notice_relay.NoticeRelay[
-            requesting.CrashNotice | requesting.LeavingNotice
+            requesting.CrashReport | requesting.LeavingNotice
         ](
             lambda: self._hub_view,
             lambda: self._upstream_directory.reporters,
             self._network.send_to_all,
             _make_notice_id,
         )
+        self._crash_report_numbers = itertools.count(1)
+        self._suspects = suspect_tracker.SuspectTracker(
+            crash_evidence.CrashEvidence(
+                settings.host_name,
+                lambda: [host.name for host in self._registry.list_hosts()],
+            ),
+            self._share_observations,
+            read_boot_ms,
+        )
+        self._crash_journal = crash_journal.CrashJournal(
+            self._log,
+            settings.host_name,
+            self._incarnation,
+            read_boot_ms,
+            read_wall_ms,
+            lambda observations: self._suspects.handle_observations(
+                "log", observations
+            ),
+        )
         self._grant_manager = self._make_grant_manager()
         self._metrics.observe_grants(self._grant_manager.measure_grants)
         self._charger = charging.Charger(
@@ -261,7 +282,7 @@
                 find_index=lambda: self._route_index,
                 is_fresh=self._is_fresh,
                 find_allowance=self._retry_budget.find_allowance,
-                quarantine=self._quarantine,
+                suspects=self._suspects,
                 broadcast=self._relay.broadcast,
                 find_time_left_ms=self._find_time_left_ms,
                 read_clock_ms=read_boot_ms,
@@ -282,7 +303,7 @@
             prepaid.RemoteSettlement, self._charger.handle_settlement
         )
         self._network.register_handler(
-            requesting.CrashNotice, self._handle_crash
+            requesting.CrashReport, self._handle_crash_report
         )
         self._network.register_handler(
             requesting.LeavingNotice, self._handle_leaving
@@ -291,6 +312,7 @@
         self._tasks.spawn(self._configuration_follower.run())
         self._tasks.spawn(self._upstream_follower.run())
         self._tasks.spawn(self._registry.run())
+        self._tasks.spawn(self._crash_journal.run())
         self._tasks.spawn(self._grant_manager.run())
         self._tasks.spawn(self._send_load_notices())
         await enter(
@@ -548,19 +570,25 @@
             peer.name, notice, read_boot_ms()
         )
 
-    async def _handle_crash(
-        self, peer: data.Host, notice: requesting.CrashNotice
+    def _share_observations(
+        self, observations: tuple[requesting.CrashObservation, ...]
     ) -> None:
-        """Records a crash that another router observed and passes it on."""
-        quarantined = self._quarantine.record_crash(notice, read_boot_ms())
-        decision_log.log_event(
-            "crash_notice_received",
-            sender=peer.name,
-            upstream=notice.upstream,
-            request_digest=notice.body_digest.hex()[:16],
-            is_quarantined=quarantined is not None,
+        """Tells other routers what this one observed, and keeps it."""
+        self._crash_journal.add(observations)
+        number = next(self._crash_report_numbers)
+        self._relay.broadcast(
+            requesting.CrashReport(
+                f"{self.settings.host_name}/{self._incarnation:x}/{number}",
+                observations,
+            )
         )
-        self._relay.handle_notice(peer.name, notice)
+
+    async def _handle_crash_report(
+        self, peer: data.Host, report: requesting.CrashReport
+    ) -> None:
+        """Applies what another router observed, and passes it on."""
+        self._suspects.handle_observations(peer.name, report.observations)
+        self._relay.handle_notice(peer.name, report)
 
     async def _handle_leaving(
         self, peer: data.Host, notice: requesting.LeavingNotice
@@ -613,12 +641,12 @@
 
 
 def _make_notice_id(
-    notice: requesting.CrashNotice | requesting.LeavingNotice,
+    notice: requesting.CrashReport | requesting.LeavingNotice,
 ) -> str:
     """Returns what identifies a notice that routers pass on."""
     match notice:
-        case requesting.CrashNotice():
-            return notice.attempt_id
+        case requesting.CrashReport(report_id):
+            return report_id
         case requesting.LeavingNotice():
             return f"{notice.upstream}/{notice.seen_at_ms}"
 
--- /dev/null
+++ b/redwingchute/request/crash_evidence.py
@@ -0,0 +1,303 @@
+"""Finds out which requests end the upstreams that run them.
+
+An upstream that ends breaks all requests that it runs, most of which are sound.
+Each of them that had shown no output is suspected, under its subject: the
+request itself, which its caller may repeat. A subject is avoided once more
+upstreams have ended under it than can be chance, and cleared when a request of
+it completes.
+
+Routers tell each other what they observe, and keep it in the shared log. What
+is known is the union of all observations, so that they may arrive in any order
+and more than once. Clearing names the ends that no longer count instead of a
+time, since clocks of different hosts differ.
+
+A subject that is avoided wrongly is tried again: one router at a time, chosen
+by the subject, may send one request of it after a pause that grows with each
+further end.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import TypeAlias
+
+import attrs
+import xxhash
+
+from redwingchute.core import requesting
+
+# A request is avoided after it has ended this many upstreams.
+_MAX_REQUEST_CRASHES = 2
+# Observations older than this no longer count.
+WINDOW_MS = 1_800_000
+# The pause before a subject is tried again, and its factor for each further
+# end of an upstream.
+_TRIAL_PAUSE_MS = 20_000
+_TRIAL_PAUSE_FACTOR = 4
+_MAX_TRIAL_PAUSE_MS = 900_000
+# How long a router has the turn to try a subject. It uses the first half only,
+# since routers learn of the last end at slightly different times.
+_TURN_MS = 2_000
+# Requests that have shown more events than this did not end their upstream.
+MAX_SUSPECT_EVENTS = 2
+# Bounds the memory that many suspects can take.
+_MAX_SUBJECTS = 1_024
+_MAX_CRASHES_PER_SUBJECT = 16
+
+
+@attrs.frozen
+class RequestSubject:
+    """A request and its repeats by the caller.
+
+    Requests of different client accounts are different subjects, so that no
+    account can get the requests of another one refused.
+
+    Attributes:
+      client_account: The client account; empty on routes without keys.
+      digest: The digest of the request's target and body, in hexadecimal.
+    """
+
+    client_account: str
+    digest: str
+
+
+Subject: TypeAlias = RequestSubject
+
+
+@attrs.define
+class _Suspicion:
+    """What is known of one subject.
+
+    Attributes:
+      crashes: The upstreams that ended under it, as the texts of their starts.
+      cleared: Those of them that no longer count.
+      changed_ms: When the newest of them became known here.
+      tried_ms: When this router last tried the subject.
+    """
+
+    # Both in order of their addition, so that the oldest can be removed.
+    crashes: dict[str, None] = attrs.field(factory=dict)
+    cleared: dict[str, None] = attrs.field(factory=dict)
+    changed_ms: int = 0
+    tried_ms: int | None = None
+
+    @property
+    def counted(self) -> list[str]:
+        """The starts of the upstreams whose ends count."""
+        return [start for start in self.crashes if start not in self.cleared]
+
+
+class CrashEvidence:
+    """What one router knows of requests that end upstreams."""
+
+    def __init__(
+        self, own_host: str, list_hosts: Callable[[], Sequence[str]]
+    ) -> None:
+        """Starts without observations.
+
+        Args:
+          own_host: This router's host.
+          list_hosts: Returns the names of all hosts in a stable order.
+        """
+        self._own_host = own_host
+        self._list_hosts = list_hosts
+        self._suspicions: dict[Subject, _Suspicion] = {}
+
+    def record_crash(
+        self, start: str, subject: Subject, now_ms: int
+    ) -> tuple[requesting.CrashObservation, ...]:
+        """Records that an upstream ended under a subject.
+
+        Args:
+          start: Identifies the start of the upstream.
+          subject: A subject that had shown no output there.
+          now_ms: The time on a steady clock.
+
+        Returns:
+          What other routers should be told.
+        """
+        observation = requesting.CrashObservation(
+            encode_subject(subject), start
+        )
+        return self.apply((observation,), now_ms)
+
+    def record_success(
+        self, subject: Subject, now_ms: int
+    ) -> tuple[requesting.CrashObservation, ...]:
+        """Records that a request of a subject completed; it is then cleared.
+
+        Args:
+          subject: The subject.
+          now_ms: The time on a steady clock.
+
+        Returns:
+          What other routers should be told.
+        """
+        suspicion = self._suspicions.get(subject)
+        if suspicion is None:
+            return ()
+        text = encode_subject(subject)
+        return self.apply(
+            tuple(
+                requesting.CrashObservation(text, start, is_cleared=True)
+                for start in suspicion.counted
+            ),
+            now_ms,
+        )
+
+    def apply(
+        self,
+        observations: Iterable[requesting.CrashObservation],
+        now_ms: int,
+    ) -> tuple[requesting.CrashObservation, ...]:
+        """Applies what this or other routers observed.
+
+        Args:
+          observations: The observations; known ones have no effect.
+          now_ms: The time on a steady clock.
+
+        Returns:
+          Those that were not known.
+        """
+        return tuple(
+            observation
+            for observation in observations
+            if self._apply_one(observation, now_ms)
+        )
+
+    def find_avoided(
+        self, subjects: Iterable[Subject], now_ms: int
+    ) -> Subject | None:
+        """Returns a subject because of which a request must not be sent now.
+
+        Args:
+          subjects: The subjects of the request.
+          now_ms: The time on a steady clock.
+
+        Returns:
+          The subject, or None if the request may be sent: nothing is known
+          against it, or this router has the turn to try it.
+        """
+        for subject in subjects:
+            if self._is_avoided(subject, now_ms) and not self._has_turn(
+                subject, now_ms
+            ):
+                return subject
+        return None
+
+    def begin_trials(
+        self, subjects: Iterable[Subject], now_ms: int
+    ) -> tuple[Subject, ...]:
+        """Uses up the turns of this router that a request needs to be sent.
+
+        Args:
+          subjects: The subjects of the request, none of which must be avoided.
+          now_ms: The time on a steady clock.
+
+        Returns:
+          The subjects that the request tries.
+        """
+        tried = tuple(
+            subject for subject in subjects if self._is_avoided(subject, now_ms)
+        )
+        for subject in tried:
+            self._suspicions[subject].tried_ms = now_ms
+        return tried
+
+    def count_crashes(self, subject: Subject) -> int:
+        """Returns how many ends of upstreams count against a subject."""
+        suspicion = self._suspicions.get(subject)
+        return 0 if suspicion is None else len(suspicion.counted)
+
+    def _apply_one(
+        self, observation: requesting.CrashObservation, now_ms: int
+    ) -> bool:
+        """Applies an observation; returns whether it was new."""
+        subject = decode_subject(observation.subject)
+        if subject is None:
+            return False
+        suspicion = self._suspicions.get(subject)
+        if suspicion is None:
+            suspicion = _Suspicion()
+        start = observation.upstream_start
+        if observation.is_cleared:
+            if start in suspicion.cleared:
+                return False
+            suspicion.cleared[start] = None
+        else:
+            if start in suspicion.crashes:
+                return False
+            suspicion.crashes[start] = None
+            suspicion.changed_ms = now_ms
+        _drop_oldest(suspicion)
+        # The most recently changed suspicion is the last to be evicted.
+        self._suspicions.pop(subject, None)
+        self._suspicions[subject] = suspicion
+        self._evict()
+        return True
+
+    def _evict(self) -> None:
+        """Forgets the suspicion that matters least, if there are too many."""
+        if len(self._suspicions) <= _MAX_SUBJECTS:
+            return
+        least = min(
+            self._suspicions,
+            key=lambda subject: len(self._suspicions[subject].counted),
+        )
+        del self._suspicions[least]
+
+    def _is_avoided(self, subject: Subject, now_ms: int) -> bool:
+        """Returns whether enough is known against a subject."""
+        suspicion = self._suspicions.get(subject)
+        if suspicion is None or now_ms - suspicion.changed_ms > WINDOW_MS:
+            return False
+        return self._count_excess(subject, suspicion) >= 0
+
+    def _count_excess(self, subject: Subject, suspicion: _Suspicion) -> int:
+        """Returns by how much the evidence exceeds what avoids a subject."""
+        match subject:
+            case RequestSubject():
+                return len(suspicion.counted) - _MAX_REQUEST_CRASHES
+
+    def _has_turn(self, subject: Subject, now_ms: int) -> bool:
+        """Returns whether this router may try an avoided subject now."""
+        suspicion = self._suspicions[subject]
+        excess = self._count_excess(subject, suspicion)
+        pause_ms = min(
+            _MAX_TRIAL_PAUSE_MS, _TRIAL_PAUSE_MS * _TRIAL_PAUSE_FACTOR**excess
+        )
+        since_ms = now_ms - suspicion.changed_ms - pause_ms
+        if since_ms < 0 or since_ms % _TURN_MS >= _TURN_MS // 2:
+            return False
+        tried_ms = suspicion.tried_ms
+        if tried_ms is not None and now_ms - tried_ms < pause_ms:
+            return False
+        hosts = self._list_hosts()
+        if not hosts:
+            return False
+        first = xxhash.xxh64_intdigest(encode_subject(subject).encode())
+        turn = (first + since_ms // _TURN_MS) % len(hosts)
+        return bool(hosts[turn] == self._own_host)
+
+
+def encode_subject(subject: Subject) -> str:
+    """Returns the text that names a subject in messages and records."""
+    match subject:
+        case RequestSubject(client_account, digest):
+            return f"request/{digest}/{client_account}"
+
+
+def decode_subject(text: str) -> Subject | None:
+    """Returns the subject that a text names; None for an unknown kind."""
+    kind, _, rest = text.partition("/")
+    digest, separator, client_account = rest.partition("/")
+    if kind == "request" and separator:
+        return RequestSubject(client_account, digest)
+    return None
+
+
+def _drop_oldest(suspicion: _Suspicion) -> None:
+    """Bounds the number of upstreams that a suspicion names."""
+    for starts in (suspicion.crashes, suspicion.cleared):
+        while len(starts) > _MAX_CRASHES_PER_SUBJECT:
+            del starts[next(iter(starts))]
--- /dev/null
+++ b/redwingchute/request/crash_evidence_test.py
@@ -0,0 +1,127 @@
+"""Tests of what routers know of requests that end upstreams."""
+
+import itertools
+
+from redwingchute.core import requesting
+from redwingchute.request import crash_evidence
+
+_HOSTS = ("bruny-1", "huon-1", "tamar-1")
+_SUBJECT = crash_evidence.RequestSubject("yield", "9f86d081")
+_HOUR_MS = 3_600_000
+
+
+def _make_evidence(host: str = "huon-1") -> crash_evidence.CrashEvidence:
+    return crash_evidence.CrashEvidence(host, lambda: _HOSTS)
+
+
+def _is_avoided(evidence: crash_evidence.CrashEvidence, now_ms: int) -> bool:
+    return evidence.find_avoided((_SUBJECT,), now_ms) is not None
+
+
+def test_a_request_is_avoided_after_it_ended_two_upstreams() -> None:
+    evidence = _make_evidence()
+    evidence.record_crash("m-1/5", _SUBJECT, 0)
+    assert not _is_avoided(evidence, 1)
+    evidence.record_crash("m-2/5", _SUBJECT, 10)
+    assert _is_avoided(evidence, 11)
+    other = crash_evidence.RequestSubject("other", _SUBJECT.digest)
+    assert evidence.find_avoided((other,), 11) is None
+
+
+# Guards against an upstream that starts again under its id and counts once.
+def test_each_start_of_an_upstream_counts() -> None:
+    evidence = _make_evidence()
+    evidence.record_crash("m-1/5", _SUBJECT, 0)
+    evidence.record_crash("m-1/5", _SUBJECT, 1)
+    assert not _is_avoided(evidence, 2)
+    evidence.record_crash("m-1/900", _SUBJECT, 3)
+    assert _is_avoided(evidence, 4)
+
+
+def test_observations_of_other_routers_count_once_in_any_order() -> None:
+    crashes = [
+        requesting.CrashObservation(
+            crash_evidence.encode_subject(_SUBJECT), start
+        )
+        for start in ("m-1/5", "m-2/5", "m-3/5")
+    ]
+    cleared = requesting.CrashObservation(
+        crashes[0].subject, "m-1/5", is_cleared=True
+    )
+    for order in itertools.permutations([*crashes[:2], cleared]):
+        evidence = _make_evidence()
+        evidence.apply(order, 0)
+        evidence.apply(order, 1)
+        assert evidence.count_crashes(_SUBJECT) == 1
+        evidence.apply(crashes[2:], 2)
+        assert _is_avoided(evidence, 3)
+
+
+# Guards against sound requests that are refused because they ran on upstreams
+# that ended for other reasons.
+def test_a_completed_request_is_cleared() -> None:
+    evidence = _make_evidence()
+    evidence.record_crash("m-1/5", _SUBJECT, 0)
+    told = evidence.record_success(_SUBJECT, 10)
+    assert [observation.is_cleared for observation in told] == [True]
+    evidence.record_crash("m-2/5", _SUBJECT, 20)
+    assert not _is_avoided(evidence, 21)
+    assert evidence.record_success(_SUBJECT, 30)
+    assert not evidence.record_success(_SUBJECT, 40)
+
+
+# Guards against a request that is avoided for ever though it is sound, and
+# against one that all routers try again.
+def test_one_router_at_a_time_tries_an_avoided_request_again() -> None:
+    evidences = [_make_evidence(host) for host in _HOSTS]
+    for evidence in evidences:
+        evidence.record_crash("m-1/5", _SUBJECT, 0)
+        evidence.record_crash("m-2/5", _SUBJECT, 0)
+    tries: list[int] = []
+    for now_ms in range(0, 75_000, 50):
+        for evidence in evidences:
+            if _is_avoided(evidence, now_ms):
+                continue
+            assert evidence.begin_trials((_SUBJECT,), now_ms)
+            tries.append(now_ms)
+            for other in evidences:
+                other.record_crash(f"m-{3 + len(tries)}/5", _SUBJECT, now_ms)
+    assert len(tries) == 1
+    assert tries[0] >= 20_000
+
+
+def test_a_trial_that_completes_ends_the_avoidance() -> None:
+    evidence = crash_evidence.CrashEvidence("huon-1", lambda: ("huon-1",))
+    evidence.record_crash("m-1/5", _SUBJECT, 0)
+    evidence.record_crash("m-2/5", _SUBJECT, 0)
+    assert _is_avoided(evidence, 19_000)
+    assert not _is_avoided(evidence, 20_100)
+    assert evidence.begin_trials((_SUBJECT,), 20_100) == (_SUBJECT,)
+    assert _is_avoided(evidence, 20_150)
+    evidence.record_success(_SUBJECT, 20_400)
+    assert not _is_avoided(evidence, 20_401)
+
+
+def test_old_ends_no_longer_count() -> None:
+    evidence = _make_evidence()
+    evidence.record_crash("m-1/5", _SUBJECT, 0)
+    evidence.record_crash("m-2/5", _SUBJECT, 0)
+    assert not _is_avoided(evidence, _HOUR_MS)
+
+
+def test_many_suspects_do_not_displace_a_known_request() -> None:
+    evidence = _make_evidence()
+    evidence.record_crash("m-1/5", _SUBJECT, 0)
+    evidence.record_crash("m-2/5", _SUBJECT, 0)
+    for number in range(3_000):
+        subject = crash_evidence.RequestSubject("yield", f"{number:x}")
+        evidence.record_crash("m-1/5", subject, number)
+    assert _is_avoided(evidence, 3_000)
+
+
+def test_an_unknown_kind_of_subject_is_ignored() -> None:
+    evidence = _make_evidence()
+    news = evidence.apply(
+        (requesting.CrashObservation("later/kind", "m-1/5"),), 0
+    )
+    assert news == ()
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -71,11 +71,14 @@
       message: The cause.
       is_timeout: Whether the request's deadline passed.
       is_unresponsive: Whether the upstream's host stopped acknowledging data.
+      is_closed: Whether the upstream closed the connection before the end of
+        the response, as it does when its process ends.
     """
 
     message: str
     is_timeout: bool = False
     is_unresponsive: bool = False
+    is_closed: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -246,7 +249,7 @@
         )
         head = failure or await self._read_own_head(connection, outgoing)
         if isinstance(head, http_client.ExchangeBroken):
-            return Broken(head.message, is_unresponsive=head.is_unresponsive)
+            return _make_broken(head)
         response = self._translator.parse_response(head)
         if response.is_leaving:
             connection.retire()
@@ -261,7 +264,7 @@
             return await self._relay_stream(connection, head, outgoing, relay)
         body = await connection.read_body(_MAX_RESPONSE_BYTES)
         if isinstance(body, http_client.ExchangeBroken):
-            return Broken(body.message, is_unresponsive=body.is_unresponsive)
+            return _make_broken(body)
         return CompleteResponse(head, response, body)
 
     async def _read_own_head(
@@ -314,14 +317,19 @@
                     await self._send_events(events, head, relay)
                 case http_client.BodyEnd():
                     if splitter.has_partial_event:
-                        return Broken("the stream ended within an event")
+                        return Broken(
+                            "the stream ended within an event", is_closed=True
+                        )
                     if not relay.event_count:
-                        return Broken("the stream ended before its first event")
+                        return Broken(
+                            "the stream ended before its first event",
+                            is_closed=True,
+                        )
                     await self._send_head(head, relay)
                     await relay.responder.finish()
                     return Streamed()
-                case http_client.ExchangeBroken(message, is_unresponsive):
-                    return Broken(message, is_unresponsive=is_unresponsive)
+                case http_client.ExchangeBroken() as broken:
+                    return _make_broken(broken)
 
     async def _send_events(
         self,
@@ -352,6 +360,15 @@
         await relay.responder.start(head.status, headers)
 
 
+def _make_broken(broken: http_client.ExchangeBroken) -> Broken:
+    """Returns the result of an attempt whose exchange failed."""
+    return Broken(
+        broken.message,
+        is_unresponsive=broken.is_unresponsive,
+        is_closed=broken.is_closed,
+    )
+
+
 def _find_remaining_ms(outgoing: UpstreamRequest) -> int:
     """Returns the time until the deadline of a request."""
     remaining_s = outgoing.deadline_s - asyncio.get_running_loop().time()
--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -9,7 +9,7 @@
 from redwingchute.connection import http_server
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
-from redwingchute.request import quarantine
+from redwingchute.request import crash_evidence
 from redwingchute.version import route_index
 
 # The patience of callers that state none.
@@ -140,18 +140,20 @@
         )
 
 
-def make_crash_key(
+def list_crash_subjects(
     plan: Plan, request: http_server.HttpRequest
-) -> quarantine.RequestKey:
-    """Returns the key under which upstream crashes of a request are counted.
+) -> tuple[crash_evidence.Subject, ...]:
+    """Returns what an upstream may end for when it runs a request.
 
-    Repeats of a request have the same key: it holds the client account and a
-    digest of the request's target and body.
+    Only generations are observed. Repeats of a request are the same subject:
+    they have the same client account, target and body.
     """
+    if plan.request.generation is None:
+        return ()
     digest = hashlib.sha256(request.target.encode())
     digest.update(request.body)
     account = plan.account.name if plan.account else ""
-    return quarantine.RequestKey(account, digest.digest())
+    return (crash_evidence.RequestSubject(account, digest.hexdigest()[:32]),)
 
 
 def find_priority(plan: Plan) -> int | None:
--- a/redwingchute/request/forward_progress.py
+++ b/redwingchute/request/forward_progress.py
@@ -19,6 +19,7 @@
       may_have_run: Whether an upstream may have processed the request.
       excluded: Upstreams that were tried and are not tried again.
       upstream_id: The upstream of the last attempt.
+      earlier_events: The events that the caller had before the last attempt.
       last_event_ms: When the last chunk of a stream arrived; None before the
         first.
       trace: The exchange of the last attempt.
@@ -30,6 +31,7 @@
     may_have_run: bool = False
     excluded: frozenset[str] = frozenset()
     upstream_id: str = ""
+    earlier_events: int = 0
     last_event_ms: int | None = None
     trace: forward_attempt.ExchangeTrace = attrs.field(
         factory=forward_attempt.ExchangeTrace
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -21,6 +21,7 @@
 from redwingchute.process import decision_log
 from redwingchute.process import invariants
 from redwingchute.process.prepaid import charging
+from redwingchute.request import crash_evidence
 from redwingchute.request import fleet_load
 from redwingchute.request import forward_attempt
 from redwingchute.request import forward_plan
@@ -28,9 +29,9 @@
 from redwingchute.request import forward_retry
 from redwingchute.request import header_translator
 from redwingchute.request import load_shedding
-from redwingchute.request import quarantine
 from redwingchute.request import request_metrics
 from redwingchute.request import retry_allowance
+from redwingchute.request import suspect_tracker
 from redwingchute.request import upstream_directory
 from redwingchute.version import route_index
 
@@ -57,7 +58,7 @@
       is_fresh: Returns whether that configuration is confirmed to be the
         newest version.
       find_allowance: Returns the retry allowance of a service.
-      quarantine: The requests that crashed upstreams.
+      suspects: The requests that may end upstreams.
       broadcast: Sends a notice to all other routers, best effort.
       find_time_left_ms: Returns the time until the process stops; None unless
         a shutdown has begun.
@@ -72,10 +73,8 @@
     find_index: Callable[[], route_index.RouteIndex | None]
     is_fresh: Callable[[], bool]
     find_allowance: Callable[[str], retry_allowance.RetryAllowance]
-    quarantine: quarantine.Quarantine
-    broadcast: Callable[
-        [requesting.CrashNotice | requesting.LeavingNotice], None
-    ]
+    suspects: suspect_tracker.SuspectTracker
+    broadcast: Callable[[requesting.LeavingNotice], None]
     find_time_left_ms: Callable[[], int | None]
     read_clock_ms: Callable[[], int]
     metrics: request_metrics.RequestMetrics
@@ -170,12 +169,11 @@
         progress: forward_progress.Progress,
     ) -> _FinalResult:
         """Reserves tokens for a request, runs it and settles the charge."""
-        crash_key = forward_plan.make_crash_key(plan, request)
+        subjects = forward_plan.list_crash_subjects(plan, request)
         now_ms = self._dependencies.read_clock_ms()
-        if self._dependencies.quarantine.find(crash_key, now_ms) is not None:
-            return outcomes.NotRun(
-                503, "quarantined", "The request crashed several upstreams."
-            )
+        avoided = self._dependencies.suspects.find_refusal(subjects)
+        if avoided is not None:
+            return avoided
         self._dependencies.find_allowance(plan.service.name).record_request(
             now_ms
         )
@@ -191,7 +189,7 @@
         if isinstance(charge, outcomes.NotRun):
             return charge
         try:
-            return await self._run(plan, request, progress, crash_key)
+            return await self._run(plan, request, progress, subjects)
         finally:
             if charge is not None:
                 self._dependencies.charger.settle(
@@ -244,11 +242,18 @@
         plan: forward_plan.Plan,
         request: http_server.HttpRequest,
         progress: forward_progress.Progress,
-        crash_key: quarantine.RequestKey,
+        subjects: tuple[crash_evidence.Subject, ...],
     ) -> _FinalResult:
         """Runs attempts until one ends the request or no upstream is left."""
         directory = self._dependencies.directory
+        suspects = self._dependencies.suspects
         while True:
+            # More may be known of the request than when it arrived.
+            avoided = suspects.find_refusal(subjects)
+            if avoided is not None:
+                if progress.may_have_run:
+                    return _make_failure(avoided.message)
+                return avoided
             chosen = directory.choose(
                 plan.service.name,
                 plan.request,
@@ -262,6 +267,8 @@
             upstream = chosen.upstream
             progress.upstream_id = upstream.id
             progress.excluded |= {upstream.id}
+            progress.earlier_events = progress.relay.event_count
+            suspects.begin_send(plan.request.id, subjects)
             with directory.track_request(
                 upstream,
                 plan.request.generation,
@@ -271,7 +278,7 @@
                     plan, request, progress, upstream, open_request
                 )
             final_result = self._evaluate_attempt(
-                plan, progress, upstream, result, crash_key
+                plan, progress, upstream, result, subjects
             )
             if final_result is not None:
                 return final_result
@@ -387,7 +394,7 @@
         progress: forward_progress.Progress,
         upstream: forwarding.Upstream,
         result: forward_attempt.AttemptResult,
-        crash_key: quarantine.RequestKey,
+        subjects: tuple[crash_evidence.Subject, ...],
     ) -> _FinalResult | None:
         """Returns how a request ends, or None if it is retried."""
         now_ms = self._dependencies.read_clock_ms()
@@ -395,6 +402,9 @@
         match result:
             case forward_attempt.Streamed():
                 directory.record_success(upstream)
+                self._dependencies.suspects.record_success(
+                    plan.request.id, subjects
+                )
                 return result
             case forward_attempt.CompleteResponse():
                 return self._evaluate_response(plan, progress, upstream, result)
@@ -438,15 +448,22 @@
                     "The upstreams accept no more work at the moment.",
                     self._find_retry_after_ms(plan),
                 )
-            case forward_attempt.Broken(message, is_timeout, is_unresponsive):
+            case forward_attempt.Broken(
+                message, is_timeout, is_unresponsive, is_closed
+            ):
                 self._log_attempt(plan, progress, upstream, "broken", message)
                 if is_timeout:
                     return outcomes.Failed(504, "timed_out", message)
                 directory.record_failure(upstream, now_ms)
                 if is_unresponsive:
                     self._mark_unresponsive(upstream, now_ms)
-                else:
-                    self._record_crash(plan, upstream, crash_key, now_ms)
+                if is_closed:
+                    self._dependencies.suspects.record_crash(
+                        plan.request.id,
+                        subjects,
+                        upstream,
+                        progress.relay.event_count - progress.earlier_events,
+                    )
                 if plan.route.may_repeat and self._try_acquire_retry(
                     plan, progress
                 ):
@@ -521,34 +538,6 @@
             self._dependencies.read_clock_ms(),
         )
 
-    def _record_crash(
-        self,
-        plan: forward_plan.Plan,
-        upstream: forwarding.Upstream,
-        crash_key: quarantine.RequestKey,
-        now_ms: int,
-    ) -> None:
-        """Counts a broken generation as a crash, here and on other routers."""
-        if plan.request.generation is None:
-            return
-        notice = requesting.CrashNotice(
-            crash_key.client_account,
-            crash_key.body_digest,
-            upstream.id,
-            f"{plan.request.id}/{upstream.id}",
-            now_ms,
-        )
-        quarantined = self._dependencies.quarantine.record_crash(notice, now_ms)
-        decision_log.log_event(
-            "crash_recorded",
-            request_id=plan.request.id,
-            upstream=upstream.id,
-            account=crash_key.client_account,
-            request_digest=crash_key.body_digest.hex()[:16],
-            is_quarantined=quarantined is not None,
-        )
-        self._dependencies.broadcast(notice)
-
     async def _respond(
         self,
         result: _FinalResult,
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -59,6 +59,7 @@
     codec.Registration(401, requesting.QuarantineNotice, _REQUEST),
     codec.Registration(402, requesting.LeavingNotice, _REQUEST),
     codec.Registration(403, requesting.LoadNotice, _REQUEST),
+    codec.Registration(404, requesting.CrashReport, _REQUEST),
 )
 
 
