--- a/redwingchute/process/prepaid/ceiling.py
+++ b/redwingchute/process/prepaid/ceiling.py
@@ -56,3 +56,27 @@
     return row.restart_ms + math.ceil(
         (weighted_age_ms - row.restart_ms) / _ISOLATED_RISE_FACTOR
     )
+
+
+def find_restart_ms(
+    rise_tokens_per_s: float, wanted_rise_tokens_per_s: float, restart_ms: int
+) -> int:
+    """Returns from which age on a slower ceiling must rise fast to catch up.
+
+    Args:
+      rise_tokens_per_s: The rate of the slower ceiling.
+      wanted_rise_tokens_per_s: The rate of the ceiling to catch up with.
+      restart_ms: The age of the stamp by which it must have caught up.
+
+    Returns:
+      The age in milliseconds; 0 if the ceiling cannot catch up in time.
+    """
+    if wanted_rise_tokens_per_s <= rise_tokens_per_s:
+        return restart_ms
+    if rise_tokens_per_s <= 0:
+        return 0
+    fast_rise_tokens_per_s = rise_tokens_per_s * _ISOLATED_RISE_FACTOR
+    share = (fast_rise_tokens_per_s - wanted_rise_tokens_per_s) / (
+        fast_rise_tokens_per_s - rise_tokens_per_s
+    )
+    return max(0, int(restart_ms * share))
