--- a/redwingchute/request/forward_progress.py
+++ b/redwingchute/request/forward_progress.py
@@ -82,6 +82,8 @@
     elapsed_ms: int,
 ) -> None:
     """Logs an attempt that failed."""
+    generation = plan.request.generation
+    parts = generation.shared_parts if generation else ()
     decision_log.log_failure(
         "attempt_failed",
         request_id=plan.request.id,
@@ -90,5 +92,7 @@
         outcome=outcome,
         reason=reason,
         **attrs.asdict(progress.trace),
+        events=progress.relay.event_count,
+        parts=[part.id for part in parts],
         elapsed_ms=elapsed_ms,
     )
