Avoid prompt parts under which upstreams end one after the other

Callers saw: requests of one kind ended back ends one after the other, and sound ones that ran there broke with them.

Cause: requests were compared by account and body only, and no two of these are alike. Class: evidence is kept under a name that the next occurrence does not have.

Change: each part of a prompt but the last is a subject of the evidence beside the request. An end counts for a part by its level, one more than what was known when the request was sent; the third level avoids it. So upstreams that end together count once, and a part that sound requests share is cleared by the next of them that completes. Only subjects with two ends are kept in the log.

Why it works without clocks: level and clearing name ends, so that hosts may learn them in any order.

--- a/redwingchute/core/requesting.py
+++ b/redwingchute/core/requesting.py
@@ -40,11 +40,13 @@
       upstream_start: Identifies the start of the upstream.
       is_cleared: Whether the end does not count any more, because a request of
         the subject has completed since.
+      level: The level of the end, see `crash_evidence`; 0 if it is cleared.
     """
 
     subject: str
     upstream_start: str
     is_cleared: bool = False
+    level: int = 0
 
 
 @attrs.frozen
--- a/redwingchute/process/crash_journal.py
+++ b/redwingchute/process/crash_journal.py
@@ -178,6 +178,7 @@
                     str(row["subject"]),
                     str(row["upstream_start"]),
                     bool(row["is_cleared"]),
+                    int(row.get("level", 1)),
                 ),
                 int(row["wall_ms"]),
             )
--- a/redwingchute/process/crash_journal_test.py
+++ b/redwingchute/process/crash_journal_test.py
@@ -12,8 +12,8 @@
 from redwingchute.testing import manual_loop
 from redwingchute.testing import prepaid_simulation
 
-_FIRST = requesting.CrashObservation("request/9f86/yield", "m-1/5")
-_SECOND = requesting.CrashObservation("request/9f86/yield", "m-2/5")
+_FIRST = requesting.CrashObservation("request/9f86/yield", "m-1/5", level=1)
+_SECOND = requesting.CrashObservation("request/9f86/yield", "m-2/5", level=1)
 
 
 class _Rig:
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -175,6 +175,7 @@
                 lambda: [host.name for host in self._registry.list_hosts()],
             ),
             self._share_observations,
+            lambda observations: self._crash_journal.add(observations),
             read_boot_ms,
         )
         self._crash_journal = crash_journal.CrashJournal(
@@ -573,8 +574,7 @@
     def _share_observations(
         self, observations: tuple[requesting.CrashObservation, ...]
     ) -> None:
-        """Tells other routers what this one observed, and keeps it."""
-        self._crash_journal.add(observations)
+        """Tells the other routers what this one observed."""
         number = next(self._crash_report_numbers)
         self._relay.broadcast(
             requesting.CrashReport(
--- a/redwingchute/request/crash_evidence.py
+++ b/redwingchute/request/crash_evidence.py
@@ -1,10 +1,15 @@
 """Finds out which requests end the upstreams that run them.
 
 An upstream that ends breaks all requests that it runs, most of which are sound.
-Each of them that had shown no output is suspected, under its subject: the
-request itself, which its caller may repeat. A subject is avoided once more
-upstreams have ended under it than can be chance, and cleared when a request of
-it completes.
+Each of them that had shown no output is suspected, under its subjects: the
+request itself, which its caller may repeat, and the parts of its prompt that
+other requests share. A subject is avoided once more upstreams have ended under
+it than can be chance, and cleared when a request of it completes.
+
+Many sound requests share a part, and upstreams may end together, as when a
+zone loses power. The ends under a part therefore count by their level: one more
+than the level that was known when the request was sent. Ends of the same moment
+have the same level.
 
 Routers tell each other what they observe, and keep it in the shared log. What
 is known is the union of all observations, so that they may arrive in any order
@@ -28,6 +33,12 @@
 
 # A request is avoided after it has ended this many upstreams.
 _MAX_REQUEST_CRASHES = 2
+# A part is avoided after an end of this level.
+_MAX_PART_LEVEL = 3
+# A part of which a request completed within this time is not suspected.
+_PROVEN_MS = 10_000
+# How many parts that proved sound are remembered.
+_MAX_PROVEN = 2_048
 # Observations older than this no longer count.
 WINDOW_MS = 1_800_000
 # The pause before a subject is tried again, and its factor for each further
@@ -61,7 +72,18 @@
     digest: str
 
 
-Subject: TypeAlias = RequestSubject
+@attrs.frozen
+class PartSubject:
+    """A part of prompts, whatever request it is in.
+
+    Attributes:
+      part_id: The id of the part.
+    """
+
+    part_id: str
+
+
+Subject: TypeAlias = RequestSubject | PartSubject
 
 
 @attrs.define
@@ -69,14 +91,14 @@
     """What is known of one subject.
 
     Attributes:
-      crashes: The upstreams that ended under it, as the texts of their starts.
+      crashes: The level of each end under it, by the start of the upstream.
       cleared: Those of them that no longer count.
       changed_ms: When the newest of them became known here.
       tried_ms: When this router last tried the subject.
     """
 
     # Both in order of their addition, so that the oldest can be removed.
-    crashes: dict[str, None] = attrs.field(factory=dict)
+    crashes: dict[str, int] = attrs.field(factory=dict)
     cleared: dict[str, None] = attrs.field(factory=dict)
     changed_ms: int = 0
     tried_ms: int | None = None
@@ -86,6 +108,11 @@
         """The starts of the upstreams whose ends count."""
         return [start for start in self.crashes if start not in self.cleared]
 
+    @property
+    def level(self) -> int:
+        """The highest level of the ends that count; 0 if there are none."""
+        return max((self.crashes[start] for start in self.counted), default=0)
+
 
 class CrashEvidence:
     """What one router knows of requests that end upstreams."""
@@ -102,22 +129,28 @@
         self._own_host = own_host
         self._list_hosts = list_hosts
         self._suspicions: dict[Subject, _Suspicion] = {}
+        # When a request of a part completed here, in order of time.
+        self._proven_ms: dict[Subject, int] = {}
 
     def record_crash(
-        self, start: str, subject: Subject, now_ms: int
+        self, start: str, subject: Subject, level_before: int, now_ms: int
     ) -> tuple[requesting.CrashObservation, ...]:
         """Records that an upstream ended under a subject.
 
         Args:
           start: Identifies the start of the upstream.
           subject: A subject that had shown no output there.
+          level_before: The level of the subject when the request was sent.
           now_ms: The time on a steady clock.
 
         Returns:
           What other routers should be told.
         """
+        proven_ms = self._proven_ms.get(subject)
+        if proven_ms is not None and now_ms - proven_ms < _PROVEN_MS:
+            return ()
         observation = requesting.CrashObservation(
-            encode_subject(subject), start
+            encode_subject(subject), start, level=level_before + 1
         )
         return self.apply((observation,), now_ms)
 
@@ -133,6 +166,7 @@
         Returns:
           What other routers should be told.
         """
+        self._mark_proven(subject, now_ms)
         suspicion = self._suspicions.get(subject)
         if suspicion is None:
             return ()
@@ -209,6 +243,37 @@
         suspicion = self._suspicions.get(subject)
         return 0 if suspicion is None else len(suspicion.counted)
 
+    def find_level(self, subject: Subject) -> int:
+        """Returns the highest level of the ends that count against it."""
+        suspicion = self._suspicions.get(subject)
+        return 0 if suspicion is None else suspicion.level
+
+    def list_crashes(
+        self, subject: Subject
+    ) -> tuple[requesting.CrashObservation, ...]:
+        """Returns the ends that count against a subject."""
+        suspicion = self._suspicions.get(subject)
+        if suspicion is None:
+            return ()
+        text = encode_subject(subject)
+        return tuple(
+            requesting.CrashObservation(
+                text, start, level=suspicion.crashes[start]
+            )
+            for start in suspicion.counted
+        )
+
+    def _mark_proven(self, subject: Subject, now_ms: int) -> None:
+        """Records that a request of a part completed."""
+        match subject:
+            case PartSubject():
+                self._proven_ms.pop(subject, None)
+                self._proven_ms[subject] = now_ms
+            case RequestSubject():
+                return
+        while len(self._proven_ms) > _MAX_PROVEN:
+            del self._proven_ms[next(iter(self._proven_ms))]
+
     def _apply_one(
         self, observation: requesting.CrashObservation, now_ms: int
     ) -> bool:
@@ -225,9 +290,9 @@
                 return False
             suspicion.cleared[start] = None
         else:
-            if start in suspicion.crashes:
+            if suspicion.crashes.get(start, 0) >= observation.level:
                 return False
-            suspicion.crashes[start] = None
+            suspicion.crashes[start] = observation.level
             suspicion.changed_ms = now_ms
         _drop_oldest(suspicion)
         # The most recently changed suspicion is the last to be evicted.
@@ -258,6 +323,8 @@
         match subject:
             case RequestSubject():
                 return len(suspicion.counted) - _MAX_REQUEST_CRASHES
+            case PartSubject():
+                return suspicion.level - _MAX_PART_LEVEL
 
     def _has_turn(self, subject: Subject, now_ms: int) -> bool:
         """Returns whether this router may try an avoided subject now."""
@@ -285,11 +352,15 @@
     match subject:
         case RequestSubject(client_account, digest):
             return f"request/{digest}/{client_account}"
+        case PartSubject(part_id):
+            return f"part/{part_id}"
 
 
 def decode_subject(text: str) -> Subject | None:
     """Returns the subject that a text names; None for an unknown kind."""
     kind, _, rest = text.partition("/")
+    if kind == "part" and rest:
+        return PartSubject(rest)
     digest, separator, client_account = rest.partition("/")
     if kind == "request" and separator:
         return RequestSubject(client_account, digest)
--- a/redwingchute/request/crash_evidence_test.py
+++ b/redwingchute/request/crash_evidence_test.py
@@ -20,9 +20,9 @@
 
 def test_a_request_is_avoided_after_it_ended_two_upstreams() -> None:
     evidence = _make_evidence()
-    evidence.record_crash("m-1/5", _SUBJECT, 0)
+    evidence.record_crash("m-1/5", _SUBJECT, 0, 0)
     assert not _is_avoided(evidence, 1)
-    evidence.record_crash("m-2/5", _SUBJECT, 10)
+    evidence.record_crash("m-2/5", _SUBJECT, 0, 10)
     assert _is_avoided(evidence, 11)
     other = crash_evidence.RequestSubject("other", _SUBJECT.digest)
     assert evidence.find_avoided((other,), 11) is None
@@ -31,17 +31,17 @@
 # Guards against an upstream that starts again under its id and counts once.
 def test_each_start_of_an_upstream_counts() -> None:
     evidence = _make_evidence()
-    evidence.record_crash("m-1/5", _SUBJECT, 0)
-    evidence.record_crash("m-1/5", _SUBJECT, 1)
+    evidence.record_crash("m-1/5", _SUBJECT, 0, 0)
+    evidence.record_crash("m-1/5", _SUBJECT, 0, 1)
     assert not _is_avoided(evidence, 2)
-    evidence.record_crash("m-1/900", _SUBJECT, 3)
+    evidence.record_crash("m-1/900", _SUBJECT, 0, 3)
     assert _is_avoided(evidence, 4)
 
 
 def test_observations_of_other_routers_count_once_in_any_order() -> None:
     crashes = [
         requesting.CrashObservation(
-            crash_evidence.encode_subject(_SUBJECT), start
+            crash_evidence.encode_subject(_SUBJECT), start, level=1
         )
         for start in ("m-1/5", "m-2/5", "m-3/5")
     ]
@@ -61,10 +61,10 @@
 # that ended for other reasons.
 def test_a_completed_request_is_cleared() -> None:
     evidence = _make_evidence()
-    evidence.record_crash("m-1/5", _SUBJECT, 0)
+    evidence.record_crash("m-1/5", _SUBJECT, 0, 0)
     told = evidence.record_success(_SUBJECT, 10)
     assert [observation.is_cleared for observation in told] == [True]
-    evidence.record_crash("m-2/5", _SUBJECT, 20)
+    evidence.record_crash("m-2/5", _SUBJECT, 0, 20)
     assert not _is_avoided(evidence, 21)
     assert evidence.record_success(_SUBJECT, 30)
     assert not evidence.record_success(_SUBJECT, 40)
@@ -75,8 +75,8 @@
 def test_one_router_at_a_time_tries_an_avoided_request_again() -> None:
     evidences = [_make_evidence(host) for host in _HOSTS]
     for evidence in evidences:
-        evidence.record_crash("m-1/5", _SUBJECT, 0)
-        evidence.record_crash("m-2/5", _SUBJECT, 0)
+        evidence.record_crash("m-1/5", _SUBJECT, 0, 0)
+        evidence.record_crash("m-2/5", _SUBJECT, 0, 0)
     tries: list[int] = []
     for now_ms in range(0, 75_000, 50):
         for evidence in evidences:
@@ -85,15 +85,15 @@
             assert evidence.begin_trials((_SUBJECT,), now_ms)
             tries.append(now_ms)
             for other in evidences:
-                other.record_crash(f"m-{3 + len(tries)}/5", _SUBJECT, now_ms)
+                other.record_crash(f"m-{3 + len(tries)}/5", _SUBJECT, 0, now_ms)
     assert len(tries) == 1
     assert tries[0] >= 20_000
 
 
 def test_a_trial_that_completes_ends_the_avoidance() -> None:
     evidence = crash_evidence.CrashEvidence("huon-1", lambda: ("huon-1",))
-    evidence.record_crash("m-1/5", _SUBJECT, 0)
-    evidence.record_crash("m-2/5", _SUBJECT, 0)
+    evidence.record_crash("m-1/5", _SUBJECT, 0, 0)
+    evidence.record_crash("m-2/5", _SUBJECT, 0, 0)
     assert _is_avoided(evidence, 19_000)
     assert not _is_avoided(evidence, 20_100)
     assert evidence.begin_trials((_SUBJECT,), 20_100) == (_SUBJECT,)
@@ -104,24 +104,66 @@
 
 def test_old_ends_no_longer_count() -> None:
     evidence = _make_evidence()
-    evidence.record_crash("m-1/5", _SUBJECT, 0)
-    evidence.record_crash("m-2/5", _SUBJECT, 0)
+    evidence.record_crash("m-1/5", _SUBJECT, 0, 0)
+    evidence.record_crash("m-2/5", _SUBJECT, 0, 0)
     assert not _is_avoided(evidence, _HOUR_MS)
 
 
 def test_many_suspects_do_not_displace_a_known_request() -> None:
     evidence = _make_evidence()
-    evidence.record_crash("m-1/5", _SUBJECT, 0)
-    evidence.record_crash("m-2/5", _SUBJECT, 0)
+    evidence.record_crash("m-1/5", _SUBJECT, 0, 0)
+    evidence.record_crash("m-2/5", _SUBJECT, 0, 0)
     for number in range(3_000):
         subject = crash_evidence.RequestSubject("yield", f"{number:x}")
-        evidence.record_crash("m-1/5", subject, number)
+        evidence.record_crash("m-1/5", subject, 0, number)
     assert _is_avoided(evidence, 3_000)
 
 
+_PART = crash_evidence.PartSubject("5c1e07a2")
+
+
+def _end_under_part(
+    evidence: crash_evidence.CrashEvidence, start: str, now_ms: int
+) -> None:
+    """Records an end under a request that was sent just before."""
+    level = evidence.find_level(_PART)
+    evidence.record_crash(start, _PART, level, now_ms)
+
+
+def test_a_part_is_avoided_after_three_ends_in_a_row() -> None:
+    evidence = _make_evidence()
+    for number in range(3):
+        assert evidence.find_avoided((_PART,), number) is None
+        _end_under_part(evidence, f"m-{number}/5", number)
+    assert evidence.find_avoided((_PART,), 3) == _PART
+
+
+# Guards against a part that all requests share and that is avoided because many
+# upstreams lost power together.
+def test_ends_of_the_same_moment_count_once_against_a_part() -> None:
+    evidence = _make_evidence()
+    for number in range(12):
+        evidence.record_crash(f"m-{number}/5", _PART, 0, 0)
+    assert evidence.find_avoided((_PART,), 1) is None
+
+
+# Guards against sound requests that are refused because they share a part with
+# one that ends upstreams.
+def test_a_part_that_sound_requests_share_is_never_avoided() -> None:
+    evidence = _make_evidence()
+    for number in range(20):
+        now_ms = 12_000 * number
+        _end_under_part(evidence, f"m-{number}/5", now_ms)
+        assert evidence.find_avoided((_PART,), now_ms) is None
+        evidence.record_success(_PART, now_ms + 500)
+        assert not evidence.record_crash(
+            f"m-{number}/6", _PART, 0, now_ms + 600
+        )
+
+
 def test_an_unknown_kind_of_subject_is_ignored() -> None:
     evidence = _make_evidence()
     news = evidence.apply(
-        (requesting.CrashObservation("later/kind", "m-1/5"),), 0
+        (requesting.CrashObservation("later/kind", "m-1/5", level=1),), 0
     )
     assert news == ()
--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -146,14 +146,22 @@
     """Returns what an upstream may end for when it runs a request.
 
     Only generations are observed. Repeats of a request are the same subject:
-    they have the same client account, target and body.
+    they have the same client account, target and body. The last part of a
+    prompt is no subject, since no other request has it.
     """
-    if plan.request.generation is None:
+    generation = plan.request.generation
+    if generation is None:
         return ()
     digest = hashlib.sha256(request.target.encode())
     digest.update(request.body)
     account = plan.account.name if plan.account else ""
-    return (crash_evidence.RequestSubject(account, digest.hexdigest()[:32]),)
+    return (
+        crash_evidence.RequestSubject(account, digest.hexdigest()[:32]),
+        *(
+            crash_evidence.PartSubject(part.id)
+            for part in generation.shared_parts
+        ),
+    )
 
 
 def find_priority(plan: Plan) -> int | None:
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -268,7 +268,7 @@
             progress.upstream_id = upstream.id
             progress.excluded |= {upstream.id}
             progress.earlier_events = progress.relay.event_count
-            suspects.begin_send(plan.request.id, subjects)
+            send = suspects.begin_send(plan.request.id, subjects)
             with directory.track_request(
                 upstream,
                 plan.request.generation,
@@ -278,7 +278,7 @@
                     plan, request, progress, upstream, open_request
                 )
             final_result = self._evaluate_attempt(
-                plan, progress, upstream, result, subjects
+                plan, progress, upstream, result, send
             )
             if final_result is not None:
                 return final_result
@@ -394,7 +394,7 @@
         progress: forward_progress.Progress,
         upstream: forwarding.Upstream,
         result: forward_attempt.AttemptResult,
-        subjects: tuple[crash_evidence.Subject, ...],
+        send: suspect_tracker.Send,
     ) -> _FinalResult | None:
         """Returns how a request ends, or None if it is retried."""
         now_ms = self._dependencies.read_clock_ms()
@@ -402,9 +402,7 @@
         match result:
             case forward_attempt.Streamed():
                 directory.record_success(upstream)
-                self._dependencies.suspects.record_success(
-                    plan.request.id, subjects
-                )
+                self._dependencies.suspects.record_success(send)
                 return result
             case forward_attempt.CompleteResponse():
                 return self._evaluate_response(plan, progress, upstream, result)
@@ -459,8 +457,7 @@
                     self._mark_unresponsive(upstream, now_ms)
                 if is_closed:
                     self._dependencies.suspects.record_crash(
-                        plan.request.id,
-                        subjects,
+                        send,
                         upstream,
                         progress.relay.event_count - progress.earlier_events,
                     )
--- a/redwingchute/request/suspect_tracker.py
+++ b/redwingchute/request/suspect_tracker.py
@@ -3,12 +3,33 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 
+import attrs
+
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
 from redwingchute.core import requesting
 from redwingchute.process import decision_log
 from redwingchute.request import crash_evidence
 
+# Observations of subjects with fewer ends are not kept: most are sound requests
+# that ran on an upstream as it ended.
+_KEPT_CRASHES = 2
+
+
+@attrs.frozen
+class Send:
+    """A request that is sent to an upstream, and what was known of it then.
+
+    Attributes:
+      request_id: Identifies the request in the log.
+      subjects: Its subjects.
+      levels: The level of each subject, in the same order.
+    """
+
+    request_id: str
+    subjects: tuple[crash_evidence.Subject, ...]
+    levels: tuple[int, ...]
+
 
 class SuspectTracker:
     """Refuses requests that are known to end upstreams, and observes others."""
@@ -17,17 +38,20 @@
         self,
         evidence: crash_evidence.CrashEvidence,
         share: Callable[[tuple[requesting.CrashObservation, ...]], None],
+        keep: Callable[[tuple[requesting.CrashObservation, ...]], None],
         read_clock_ms: Callable[[], int],
     ) -> None:
         """Creates the tracker of a router.
 
         Args:
           evidence: What the router knows.
-          share: Has observations told to other routers and kept.
+          share: Has observations told to the other routers now.
+          keep: Has observations kept for processes that start later.
           read_clock_ms: Returns the time on a steady clock.
         """
         self._evidence = evidence
         self._share = share
+        self._keep = keep
         self._read_clock_ms = read_clock_ms
 
     def find_refusal(
@@ -42,17 +66,22 @@
         if self._evidence.find_avoided(subjects, now_ms) is None:
             return None
         return outcomes.NotRun(
-            503, "quarantined", "The request crashed several upstreams."
+            503,
+            "quarantined",
+            "The request, or a part of its prompt, crashed several upstreams.",
         )
 
     def begin_send(
         self, request_id: str, subjects: Sequence[crash_evidence.Subject]
-    ) -> None:
+    ) -> Send:
         """Records that a request is sent that `find_refusal` admitted.
 
         Args:
           request_id: Identifies the request in the log.
           subjects: Its subjects.
+
+        Returns:
+          What is known of the subjects at this moment.
         """
         for subject in self._evidence.begin_trials(
             subjects, self._read_clock_ms()
@@ -63,19 +92,16 @@
                 subject=crash_evidence.encode_subject(subject),
                 crashes=self._evidence.count_crashes(subject),
             )
+        levels = tuple(map(self._evidence.find_level, subjects))
+        return Send(request_id, tuple(subjects), levels)
 
     def record_crash(
-        self,
-        request_id: str,
-        subjects: Sequence[crash_evidence.Subject],
-        upstream: forwarding.Upstream,
-        event_count: int,
+        self, send: Send, upstream: forwarding.Upstream, event_count: int
     ) -> None:
         """Records that an upstream closed the connection of a request.
 
         Args:
-          request_id: Identifies the request in the log.
-          subjects: Its subjects.
+          send: The request that was sent to it.
           upstream: The upstream.
           event_count: The events that the request had shown there.
         """
@@ -83,40 +109,56 @@
             return
         now_ms = self._read_clock_ms()
         start = f"{upstream.id}/{upstream.born_ms}"
-        for subject in subjects:
-            news = self._evidence.record_crash(start, subject, now_ms)
-            if not news:
+        news: list[requesting.CrashObservation] = []
+        kept: list[requesting.CrashObservation] = []
+        for subject, level in zip(send.subjects, send.levels, strict=True):
+            found = self._evidence.record_crash(start, subject, level, now_ms)
+            if not found:
                 continue
-            self._share(news)
+            news.extend(found)
+            crashes = self._evidence.list_crashes(subject)
+            if len(crashes) >= _KEPT_CRASHES:
+                kept.extend(crashes)
             decision_log.log_event(
                 "crash_recorded",
-                request_id=request_id,
+                request_id=send.request_id,
                 upstream=upstream.id,
                 subject=crash_evidence.encode_subject(subject),
-                crashes=self._evidence.count_crashes(subject),
+                crashes=len(crashes),
+                level=self._evidence.find_level(subject),
             )
+        self._publish(news, kept)
 
-    def record_success(
-        self, request_id: str, subjects: Sequence[crash_evidence.Subject]
-    ) -> None:
-        """Records that a request completed, which clears its subjects.
-
-        Args:
-          request_id: Identifies the request in the log.
-          subjects: Its subjects.
-        """
+    def record_success(self, send: Send) -> None:
+        """Records that a request completed, which clears its subjects."""
         now_ms = self._read_clock_ms()
-        for subject in subjects:
-            news = self._evidence.record_success(subject, now_ms)
-            if not news:
+        news: list[requesting.CrashObservation] = []
+        kept: list[requesting.CrashObservation] = []
+        for subject in send.subjects:
+            found = self._evidence.record_success(subject, now_ms)
+            if not found:
                 continue
-            self._share(news)
+            news.extend(found)
+            if len(found) >= _KEPT_CRASHES:
+                kept.extend(found)
             decision_log.log_event(
                 "suspect_cleared",
-                request_id=request_id,
+                request_id=send.request_id,
                 subject=crash_evidence.encode_subject(subject),
-                crashes=len(news),
+                crashes=len(found),
             )
+        self._publish(news, kept)
+
+    def _publish(
+        self,
+        news: list[requesting.CrashObservation],
+        kept: list[requesting.CrashObservation],
+    ) -> None:
+        """Tells the other routers, and keeps what must last."""
+        if news:
+            self._share(tuple(news))
+        if kept:
+            self._keep(tuple(kept))
 
     def handle_observations(
         self,
