End exchanges with upstreams that send bytes without end

Class: a limit of time alone on what another process sends. Endless headers, header lines, trailers and bytes that are no response were ended by the parser's limit already.

The attempt is then broken, the connection closed, and the upstream counts as faulty. The limits hold for all calls of the client, also to the store.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -22,6 +22,12 @@
 from redwingchute.connection import http_headers
 
 _READ_BYTES = 64 * 1024
+# What may be received of a response beyond its content: heads, chunk headers,
+# trailers. Many small chunks have several bytes of framing for each of content.
+_MAX_FRAMING_BYTES = 256 * 1024
+_MAX_FRAMING_RATIO = 16
+# All bodies that are read as a whole at the same time.
+_MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
 
 # Applies when the upstream sends no Keep-Alive timeout.
@@ -86,6 +92,25 @@
     is_closed: bool = False
 
 
+@attrs.define
+class BufferedBodies:
+    """The bodies that are being read as a whole, over all connections.
+
+    Attributes:
+      size_bytes: Their size now.
+      max_bytes: The greatest size so far.
+    """
+
+    size_bytes: int = 0
+    max_bytes: int = 0
+
+    def add(self, count: int) -> bool:
+        """Adds bytes; returns whether there is room for more."""
+        self.size_bytes += count
+        self.max_bytes = max(self.max_bytes, self.size_bytes)
+        return self.size_bytes <= _MAX_BUFFERED_BYTES
+
+
 @attrs.frozen
 class ResponseHead:
     """The status and headers of a response; header names in lower case.
@@ -131,9 +156,21 @@
         address: Address,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        buffered_bodies: BufferedBodies | None = None,
     ) -> None:
-        """Creates a connection on open streams."""
+        """Creates a connection on open streams.
+
+        Args:
+          address: The address of the upstream.
+          reader: Reads from it.
+          writer: Writes to it.
+          buffered_bodies: Counts the bodies that are read as a whole.
+        """
         self.address = address
+        self._buffered_bodies = buffered_bodies or BufferedBodies()
+        # Of the present exchange, and the part of it that is content.
+        self._received_bytes = 0
+        self._content_bytes = 0
         self.number = next(_CONNECTION_NUMBERS)
         self.exchange_count = 0
         self.request_ids: collections.deque[str] = collections.deque(
@@ -182,6 +219,8 @@
           None, or why sending failed.
         """
         self._method = method
+        self._received_bytes = 0
+        self._content_bytes = 0
         self._has_sent_head |= method == "HEAD"
         if request_id is not None:
             self.request_ids.append(request_id)
@@ -253,6 +292,7 @@
                 )
                 return b"".join(parts)
             if isinstance(event, h11.Data):
+                self._content_bytes += len(event.data)
                 parts.append(bytes(event.data))
                 continue
             if event is not h11.NEED_DATA:
@@ -260,18 +300,26 @@
             return b"".join(parts)
 
     async def read_body(self, max_bytes: int) -> bytes | ExchangeBroken:
-        """Reads the whole body, or fails when it is too large."""
+        """Reads the whole body, or fails when it is too large.
+
+        It also fails when all bodies that are read at the same time are.
+        """
         body = bytearray()
-        while True:
-            match await self.read_chunk():
-                case BodyChunk(data):
-                    body += data
-                    if len(body) > max_bytes:
-                        return ExchangeBroken("the body is too large")
-                case BodyEnd():
-                    return bytes(body)
-                case ExchangeBroken() as broken:
-                    return broken
+        try:
+            while True:
+                match await self.read_chunk():
+                    case BodyChunk(data):
+                        body += data
+                        has_room = self._buffered_bodies.add(len(data))
+                        if len(body) > max_bytes or not has_room:
+                            self.close()
+                            return ExchangeBroken("the body is too large")
+                    case BodyEnd():
+                        return bytes(body)
+                    case ExchangeBroken() as broken:
+                        return broken
+        finally:
+            self._buffered_bodies.size_bytes -= len(body)
 
     async def skip_response(self, max_bytes: int) -> bool:
         """Skips an extra response whose head was read.
@@ -374,11 +422,13 @@
         while True:
             try:
                 event = self._protocol.next_event()
+                if self._has_endless_framing(event):
+                    return ExchangeBroken("the response has too much framing")
                 if event is not h11.NEED_DATA:
                     return event
-                self._protocol.receive_data(
-                    await self._reader.read(_READ_BYTES)
-                )
+                received = await self._reader.read(_READ_BYTES)
+                self._received_bytes += len(received)
+                self._protocol.receive_data(received)
             except (h11.RemoteProtocolError, OSError) as error:
                 is_unresponsive = isinstance(error, TimeoutError)
                 return ExchangeBroken(
@@ -388,9 +438,22 @@
                     and (isinstance(error, OSError) or self._reader.at_eof()),
                 )
 
+    def _has_endless_framing(self, event: object) -> bool:
+        """Counts an event; returns whether the response is mostly framing."""
+        if isinstance(event, h11.Data):
+            self._content_bytes += len(event.data)
+        framing_bytes = self._received_bytes - self._content_bytes
+        return framing_bytes > (
+            _MAX_FRAMING_BYTES + _MAX_FRAMING_RATIO * self._content_bytes
+        )
+
 
 class ClientPool:
-    """A pool of idle connections to upstreams; closes them on exit."""
+    """A pool of idle connections to upstreams; closes them on exit.
+
+    Attributes:
+      buffered_bodies: The bodies that its connections read as a whole.
+    """
 
     def __init__(
         self,
@@ -412,6 +475,7 @@
         self._max_idle_per_address = max_idle_per_address
         self._tcp_user_timeout_ms = tcp_user_timeout_ms
         self._idle: dict[Address, list[ClientConnection]] = {}
+        self.buffered_bodies = BufferedBodies()
 
     async def __aenter__(self) -> "ClientPool":
         """Returns the pool."""
@@ -460,7 +524,9 @@
                 str(error) or "connecting timed out",
                 is_unresponsive=isinstance(error, TimeoutError),
             )
-        connection = ClientConnection(address, reader, writer)
+        connection = ClientConnection(
+            address, reader, writer, self.buffered_bodies
+        )
         if self._tcp_user_timeout_ms is not None:
             connection.get_socket().setsockopt(
                 socket.IPPROTO_TCP,
--- a/redwingchute/request/event_stream.py
+++ b/redwingchute/request/event_stream.py
@@ -3,7 +3,7 @@
 import re
 
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
-_MAX_EVENT_BYTES = 4 * 1024 * 1024
+_MAX_EVENT_BYTES = 256 * 1024
 _ID_FIELD = b"id:"
 
 
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -164,6 +164,8 @@
       deadline_s: When the response must be complete, on the event loop's
         clock.
       trace: Records the exchange.
+      max_events: The most events that a response to it can have; None if that
+        is not known.
       mark_responsive: Called when data arrives from the upstream.
       record_head: Called with the head of the response, before its body.
       record_event: Called when a chunk of a stream arrives.
@@ -175,6 +177,7 @@
     is_streaming: bool
     deadline_s: float
     trace: ExchangeTrace
+    max_events: int | None = None
     mark_responsive: Callable[[], None] = lambda: None
     record_head: Callable[[header_translator.ResponseMetadata], None] = (
         lambda response: None
@@ -315,6 +318,11 @@
                     if splitter.is_oversized:
                         return Broken("an event of the stream is too large")
                     await self._send_events(events, head, relay)
+                    if (
+                        outgoing.max_events is not None
+                        and relay.event_count > outgoing.max_events
+                    ):
+                        return Broken("the stream has too many events")
                 case http_client.BodyEnd():
                     if splitter.has_partial_event:
                         return Broken(
