Read the records of crashing requests at most every two seconds

Until the first append creates the topic, the store may answer a waiting read at once; reads then followed each other every 0.5 s. Routers tell each other of ends directly, so that a later read delays nothing that matters.

--- a/redwingchute/process/crash_journal.py
+++ b/redwingchute/process/crash_journal.py
@@ -27,7 +27,7 @@
 _MAX_OBSERVATIONS = 128
 # A read returns as soon as there is a record.
 _POLL_TIMING = keyed_follower.PollTiming(
-    wait_ms=10_000, interval_ms=500, response_timeout_ms=1_500
+    wait_ms=10_000, interval_ms=2_000, response_timeout_ms=1_500
 )
 # Observations of this time are appended together.
 _APPEND_DELAY_S = 0.1
