Size ceilings by the requests a host admits, whichever grant pays

Now the tokens of each admitted request count at the host that admitted it, and what is lent does not.

--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -229,10 +229,19 @@
         Tries this router's grant first, then a raise of the grant, then the
         other routers, and last waits briefly for the ceiling to rise.
         """
+        grant = self._manager.find_grant(request.account)
+        grant.record_demand(request.tokens, self._read_clock_ms())
+        admitted = await self._reserve_at_hub(request)
+        if isinstance(admitted, Charge):
+            grant.record_admission(request.tokens, self._read_clock_ms())
+        return admitted
+
+    async def _reserve_at_hub(
+        self, request: _ChargeRequest
+    ) -> Charge | outcomes.NotRun:
+        """Reserves tokens; see `_admit_at_hub`."""
         manager = self._manager
         account, tokens = request.account, request.tokens
-        grant = manager.find_grant(account)
-        grant.record_demand(tokens, self._read_clock_ms())
         if not manager.has_appended_rows:
             await manager.wait_until_started(_TAKEOVER_TIMEOUT_S)
         if manager.reserve(account, tokens):
@@ -340,9 +349,7 @@
             unsettled_tokens -= part_spent_tokens
             if part.host == self._manager.own_host:
                 grant = self._manager.find_grant(charge.account)
-                grant.settle(
-                    part.tokens, part_spent_tokens, self._read_clock_ms()
-                )
+                grant.settle(part.tokens, part_spent_tokens)
             else:
                 self._spawn_settlement(charge.account, part, part_spent_tokens)
 
--- a/redwingchute/process/prepaid/grant.py
+++ b/redwingchute/process/prepaid/grant.py
@@ -68,7 +68,7 @@
         self.row: prepaid.GrantRow | None = None
         self._limits: tuple[_SpendingLimit, ...] = ()
         self._demand_rate = token_rate.TokenRate()
-        self._commitment_rate = token_rate.TokenRate()
+        self._admission_rate = token_rate.TokenRate()
         self._decayed_at_ms = 0
 
     @property
@@ -166,24 +166,18 @@
         if tokens > self.find_available(boot_ms):
             return False
         self.reserved_tokens += tokens
-        self._commitment_rate.record(tokens, boot_ms)
         return True
 
-    def settle(
-        self, reserved_tokens: int, spent_tokens: int, boot_ms: int
-    ) -> None:
+    def settle(self, reserved_tokens: int, spent_tokens: int) -> None:
         """Replaces a reservation by what the request consumed.
 
         Args:
           reserved_tokens: The reservation.
           spent_tokens: What the request consumed; tokens beyond the
             reservation are not counted.
-          boot_ms: The time on the boot clock.
         """
-        spent_tokens = min(spent_tokens, reserved_tokens)
         self.reserved_tokens -= reserved_tokens
-        self.spent_tokens += spent_tokens
-        self._commitment_rate.record(spent_tokens - reserved_tokens, boot_ms)
+        self.spent_tokens += min(spent_tokens, reserved_tokens)
 
     def record_demand(self, tokens: int, now_ms: int) -> None:
         """Records a request for tokens, whether it gets them or not.
@@ -205,15 +199,24 @@
         self._decay_largest_request(now_ms)
         return self._demand_rate.find(now_ms)
 
-    def find_commitment_rate(self, now_ms: int) -> float:
-        """Returns by how many tokens per second the committed ones rose.
+    def record_admission(self, tokens: int, now_ms: int) -> None:
+        """Records that a request got its tokens, from any router's grant.
+
+        Args:
+          tokens: The maximum cost of the request.
+          now_ms: The time on the boot clock.
+        """
+        self._admission_rate.record(tokens, now_ms)
+
+    def find_admission_rate(self, now_ms: int) -> float:
+        """Returns the tokens per second of requests that got their tokens.
 
         Unlike the demand it leaves out requests that were refused.
 
         Args:
           now_ms: The time on the boot clock.
         """
-        return self._commitment_rate.find(now_ms)
+        return self._admission_rate.find(now_ms)
 
     def lower(self, granted_tokens: int) -> None:
         """Lowers the grant, but not below the committed tokens.
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -37,15 +37,15 @@
         only if it differs from the target by more than this share of the
         account's unspent tokens, or if other hosts' grants and this one exceed
         the prepaid tokens.
-      burst_ms: How long the ceiling of a new row covers the rate at which
-        tokens are committed without rising.
+      burst_ms: How long the ceiling of a new row covers the demand of admitted
+        requests without rising.
       burst_share: The minimum headroom of a new row's ceiling, as a share of
         the free tokens of the grant, for requests after an idle time; and its
         maximum without waiting requests, as a share of the tokens due to the
         host, since the headroom may have to count as spent.
-      rise_factor: The rate at which a ceiling rises, relative to the rate at
-        which tokens are committed. It is more than 1 since the demand is
-        spread unevenly among routers that are cut off.
+      rise_factor: The rate at which a ceiling rises, relative to the demand
+        of admitted requests. It is more than 1 since the demand is spread
+        unevenly among routers that are cut off.
       rise_share: The minimum rate at which a ceiling rises, as a share of the
         free tokens of the grant per second; and the maximum, as a share of the
         tokens due to the host.
@@ -181,18 +181,18 @@
     demand_tokens_per_s = grant.find_demand(plan_input.boot_ms)
     # Refused requests must not raise the ceiling: it counts as spent if all
     # hosts lose power.
-    commitment_tokens_per_s = grant.find_commitment_rate(plan_input.boot_ms)
+    admitted_tokens_per_s = grant.find_admission_rate(plan_input.boot_ms)
     free_tokens = max(0, granted_tokens - grant.committed_tokens)
     due_tokens = max(due_tokens, free_tokens)
     headroom_tokens = max(
         _clamp(
-            commitment_tokens_per_s * policy.burst_ms / 1000,
+            admitted_tokens_per_s * policy.burst_ms / 1000,
             free_tokens * policy.burst_share,
             due_tokens * policy.burst_share,
         ),
         plan_input.requested_tokens,
     )
-    wanted_rise_tokens_per_s = commitment_tokens_per_s * policy.rise_factor
+    wanted_rise_tokens_per_s = admitted_tokens_per_s * policy.rise_factor
     rise_tokens_per_s = _clamp(
         wanted_rise_tokens_per_s,
         free_tokens * policy.rise_share,
--- a/redwingchute/process/prepaid/token_rate.py
+++ b/redwingchute/process/prepaid/token_rate.py
@@ -22,14 +22,13 @@
         """Records the tokens of an event.
 
         Args:
-          tokens: The tokens; negative if tokens of an earlier event do not
-            count after all.
+          tokens: The tokens.
           now_ms: The time on the boot clock.
         """
         if self._since_ms is None:
             self._since_ms = now_ms - _INITIAL_SPAN_MS
         self._decay(now_ms)
-        self._tokens = max(0.0, self._tokens + tokens)
+        self._tokens += tokens
 
     def find(self, now_ms: int) -> float:
         """Returns the recent rate in tokens per second.
