Bound ceilings by what an account has left only within a restart

Callers saw, since: while hosts are cut off from the store they refuse or delay what their grants would cover.

Cause: one pair of rate and age had to serve a quick restart, where little may be exposed, and a cut, where much must be.

Change: a row has both rates. A ceiling is the lower of the rise by admitted requests, as before, and the rise bounded by what the account has left, which is eight times as fast from 2 s on. At no age it exposes more than the first.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -32,6 +32,8 @@
         previous process on the host ended without reporting it.
       restart_ms: The age of the stamp from which on the ceiling rises faster.
       era: The era of the log in which the row was written.
+      bounded_rise_tokens_per_s: A lower rate, by what the account has left,
+        that also bounds the ceiling; None for none.
     """
 
     account: str
@@ -44,6 +46,7 @@
     unsure_tokens: int = 0
     restart_ms: int = 3_000
     era: int = 0
+    bounded_rise_tokens_per_s: float | None = None
 
 
 @attrs.frozen
--- a/redwingchute/process/prepaid/ceiling.py
+++ b/redwingchute/process/prepaid/ceiling.py
@@ -14,6 +14,9 @@
 # The factor by which the ceiling rises faster once the stamp is as old as its
 # row states.
 _ISOLATED_RISE_FACTOR = 8
+# The same age for the bounded rise. Quick restarts take less time than this; a
+# host that is cut off cannot go on for longer with the bounded rise.
+_BOUNDED_RESTART_MS = 2_000
 
 
 def find_ceiling(row: prepaid.GrantRow, age_ms: int) -> int:
@@ -23,10 +26,11 @@
       row: The host's grant row.
       age_ms: The age of the host's latest stamp.
     """
-    isolated_ms = max(0, age_ms - row.restart_ms)
-    weighted_age_ms = age_ms + (_ISOLATED_RISE_FACTOR - 1) * isolated_ms
-    rise_tokens = int(row.rise_tokens_per_s * weighted_age_ms / 1000)
-    return min(row.granted_tokens, row.ceiling_tokens + rise_tokens)
+    rise_tokens = min(
+        rate * _weight_age(age_ms, restart_ms) / 1000
+        for rate, restart_ms in _list_rises(row)
+    )
+    return min(row.granted_tokens, row.ceiling_tokens + int(rise_tokens))
 
 
 def find_age_ms(row: prepaid.GrantRow, tokens: int) -> int | None:
@@ -45,38 +49,36 @@
     lacking_tokens = tokens - row.ceiling_tokens
     if lacking_tokens <= 0:
         return 0
-    if row.rise_tokens_per_s <= 0:
+    if any(rate <= 0 for rate, _ in _list_rises(row)):
         return None
     # One token more, since `find_ceiling` rounds the rise down.
-    weighted_age_ms = math.ceil(
-        (lacking_tokens + 1) * 1000 / row.rise_tokens_per_s
-    )
-    if weighted_age_ms <= row.restart_ms:
-        return weighted_age_ms
-    return row.restart_ms + math.ceil(
-        (weighted_age_ms - row.restart_ms) / _ISOLATED_RISE_FACTOR
+    return max(
+        _unweight_age(math.ceil((lacking_tokens + 1) * 1000 / rate), restart_ms)
+        for rate, restart_ms in _list_rises(row)
     )
 
 
-def find_restart_ms(
-    rise_tokens_per_s: float, wanted_rise_tokens_per_s: float, restart_ms: int
-) -> int:
-    """Returns from which age on a slower ceiling must rise fast to catch up.
+def _list_rises(row: prepaid.GrantRow) -> list[tuple[float, int]]:
+    """Returns the rates of a row, each with the age of its faster rise.
 
-    Args:
-      rise_tokens_per_s: The rate of the slower ceiling.
-      wanted_rise_tokens_per_s: The rate of the ceiling to catch up with.
-      restart_ms: The age of the stamp by which it must have caught up.
-
-    Returns:
-      The age in milliseconds; 0 if the ceiling cannot catch up in time.
+    The ceiling is the lowest of what they give.
     """
-    if wanted_rise_tokens_per_s <= rise_tokens_per_s:
-        return restart_ms
-    if rise_tokens_per_s <= 0:
-        return 0
-    fast_rise_tokens_per_s = rise_tokens_per_s * _ISOLATED_RISE_FACTOR
-    share = (fast_rise_tokens_per_s - wanted_rise_tokens_per_s) / (
-        fast_rise_tokens_per_s - rise_tokens_per_s
+    rises = [(row.rise_tokens_per_s, row.restart_ms)]
+    if row.bounded_rise_tokens_per_s is not None:
+        rises.append((row.bounded_rise_tokens_per_s, _BOUNDED_RESTART_MS))
+    return rises
+
+
+def _weight_age(age_ms: int, restart_ms: int) -> int:
+    """Returns the age that gives the same rise at the slow rate."""
+    isolated_ms = max(0, age_ms - restart_ms)
+    return age_ms + (_ISOLATED_RISE_FACTOR - 1) * isolated_ms
+
+
+def _unweight_age(weighted_age_ms: int, restart_ms: int) -> int:
+    """Returns the age of a weighted one, rounded up."""
+    if weighted_age_ms <= restart_ms:
+        return weighted_age_ms
+    return restart_ms + math.ceil(
+        (weighted_age_ms - restart_ms) / _ISOLATED_RISE_FACTOR
     )
-    return max(0, int(restart_ms * share))
--- a/redwingchute/process/prepaid/ceiling_test.py
+++ b/redwingchute/process/prepaid/ceiling_test.py
@@ -60,30 +60,22 @@
 
 # Guards against hosts that are cut off and cannot go on, because what they may
 # expose is bounded by what the account has left.
-@pytest.mark.parametrize("wanted_rise", [600.0, 1_000.0, 3_000.0])
-def test_a_slower_ceiling_catches_up_in_time_and_not_before(
-    wanted_rise: float,
-) -> None:
-    wanted = attrs.evolve(
-        _ROW,
-        granted_tokens=100_000,
-        rise_tokens_per_s=wanted_rise,
-        restart_ms=6_000,
-    )
-    slower = attrs.evolve(
-        wanted,
-        rise_tokens_per_s=500.0,
-        restart_ms=ceiling.find_restart_ms(500.0, wanted_rise, 6_000),
-    )
-    for age_ms in range(0, 6_000, 100):
-        assert ceiling.find_ceiling(slower, age_ms) <= ceiling.find_ceiling(
-            wanted, age_ms
-        )
-    assert ceiling.find_ceiling(slower, 6_010) >= ceiling.find_ceiling(
-        wanted, 6_000
+def test_a_bounded_ceiling_catches_up_when_a_host_is_cut_off() -> None:
+    wanted = attrs.evolve(_ROW, granted_tokens=100_000, restart_ms=6_000)
+    bounded = attrs.evolve(wanted, bounded_rise_tokens_per_s=250.0)
+    for age_ms in range(0, 9_000, 100):
+        ceiling_tokens = ceiling.find_ceiling(bounded, age_ms)
+        assert ceiling_tokens <= ceiling.find_ceiling(wanted, age_ms)
+        found_ms = ceiling.find_age_ms(bounded, ceiling_tokens)
+        assert found_ms is not None
+        assert abs(found_ms - age_ms) <= 10
+    assert ceiling.find_ceiling(bounded, 2_000) == 1_500
+    assert ceiling.find_ceiling(bounded, 3_000) == ceiling.find_ceiling(
+        wanted, 3_000
     )
 
 
-def test_a_ceiling_that_is_not_slower_rises_fast_at_the_usual_age() -> None:
-    assert ceiling.find_restart_ms(500.0, 400.0, 6_000) == 6_000
-    assert ceiling.find_restart_ms(0.0, 400.0, 6_000) == 0
+def test_a_bounded_ceiling_that_does_not_rise_admits_nothing_more() -> None:
+    row = attrs.evolve(_ROW, bounded_rise_tokens_per_s=0.0)
+    assert ceiling.find_age_ms(row, 2_000) is None
+    assert ceiling.find_ceiling(row, 60_000) == 1_000
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -11,7 +11,6 @@
 import attrs
 
 from redwingchute.core import prepaid
-from redwingchute.process.prepaid import ceiling
 from redwingchute.process.prepaid import grant as grant_lib
 from redwingchute.process.prepaid import grant_fold
 
@@ -47,14 +46,11 @@
         of admitted requests. It is more than 1 since the demand is spread
         unevenly among routers that are cut off.
       rise_share: The minimum rate at which a ceiling rises, as a share of the
-        free tokens of the grant per second; and the maximum, as a share of the
-        tokens due to the host.
+        free tokens of the grant per second; and the bound of the rise within
+        a restart, as a share of the tokens due to the host.
       restart_ms: Most crashes and restarts take less time than this. A host
         whose stamp is older is probably cut off from the log instead, and its
         ceiling rises faster, so that it can spend its grant.
-      min_restart_ms: The same for a ceiling whose rise is bounded by what the
-        account has left, at least: it rises faster early enough to catch up by
-        `restart_ms`, so that a host that is cut off can go on.
       rewrite_share: A row is rewritten when its ceiling or its spent tokens
         changed by more than this share of the written row's headroom, which is
         its ceiling less its spent tokens.
@@ -70,7 +66,6 @@
     rise_factor: float = 1.2
     rise_share: float = 0.04
     restart_ms: int = 6_000
-    min_restart_ms: int = 2_500
     rewrite_share: float = 0.25
 
 
@@ -192,12 +187,11 @@
         ),
         plan_input.requested_tokens,
     )
-    wanted_rise_tokens_per_s = admitted_tokens_per_s * policy.rise_factor
-    rise_tokens_per_s = _clamp(
-        wanted_rise_tokens_per_s,
+    rise_tokens_per_s = max(
+        admitted_tokens_per_s * policy.rise_factor,
         free_tokens * policy.rise_share,
-        due_tokens * policy.rise_share,
     )
+    bounded_rise_tokens_per_s = due_tokens * policy.rise_share
     return prepaid.GrantRow(
         account=grant.account,
         host=plan_input.host,
@@ -209,11 +203,11 @@
         spent_tokens=grant.spent_tokens,
         demand_tokens_per_s=round(demand_tokens_per_s, 1),
         unsure_tokens=grant.unsure_tokens,
-        restart_ms=max(
-            policy.min_restart_ms,
-            ceiling.find_restart_ms(
-                rise_tokens_per_s, wanted_rise_tokens_per_s, policy.restart_ms
-            ),
+        restart_ms=policy.restart_ms,
+        bounded_rise_tokens_per_s=(
+            round(bounded_rise_tokens_per_s, 1)
+            if bounded_rise_tokens_per_s < rise_tokens_per_s
+            else None
         ),
     )
 
--- a/redwingchute/process/prepaid/grant_planner_test.py
+++ b/redwingchute/process/prepaid/grant_planner_test.py
@@ -117,7 +117,8 @@
     grant.record_admission(6_000, 1_000)
     row = grant_planner.plan_row(grant, 8_000, 2_400, _make_input(), _POLICY)
     headroom = row.ceiling_tokens - grant.committed_tokens
-    assert headroom + 2 * row.rise_tokens_per_s <= 0.1 * 2_400
+    assert row.bounded_rise_tokens_per_s is not None
+    assert headroom + 2 * row.bounded_rise_tokens_per_s <= 0.1 * 2_400
 
 
 # Guards against ceilings that rise because requests are refused: they count as
