--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -344,6 +344,7 @@
         self.address = address
         self._exchange = exchange
         self._is_closed = False
+        self._buffered_bodies = http_client.BufferedBodies()
 
     async def send_request(
         self,
