Do not count ends against a part that were cleared while a request ran

Callers would see: sound requests refused, on all routers, until another one that is in flight completes or the part is tried again.

Cause: the level of an end was one more than the level known when the request was sent. If a request of the part completed meanwhile, its ends were cleared, but an end of another cause raised the cleared level once more, to the one that avoids the part.

Evidence: found by reading the change again; the new test failed before (level 3 instead of 1). Change: the level is one more than the lower of both levels.

--- a/redwingchute/request/crash_evidence.py
+++ b/redwingchute/request/crash_evidence.py
@@ -149,8 +149,10 @@
         proven_ms = self._proven_ms.get(subject)
         if proven_ms is not None and now_ms - proven_ms < _PROVEN_MS:
             return ()
+        # Ends that were cleared while the request ran do not count.
+        level = 1 + min(level_before, self.find_level(subject))
         observation = requesting.CrashObservation(
-            encode_subject(subject), start, level=level_before + 1
+            encode_subject(subject), start, level=level
         )
         return self.apply((observation,), now_ms)
 
--- a/redwingchute/request/crash_evidence_test.py
+++ b/redwingchute/request/crash_evidence_test.py
@@ -147,6 +147,28 @@
     assert evidence.find_avoided((_PART,), 1) is None
 
 
+# Guards against a part that is avoided although a request with it completed
+# while the one that broke was running.
+def test_a_level_that_was_cleared_meanwhile_does_not_count() -> None:
+    evidence = _make_evidence()
+    for number in range(2):
+        _end_under_part(evidence, f"m-{number}/5", number)
+    level_when_sent = evidence.find_level(_PART)
+    assert level_when_sent == 2
+    evidence.apply(
+        tuple(
+            requesting.CrashObservation(
+                crash_evidence.encode_subject(_PART), start, is_cleared=True
+            )
+            for start in ("m-0/5", "m-1/5")
+        ),
+        10,
+    )
+    evidence.record_crash("m-2/5", _PART, level_when_sent, 20)
+    assert evidence.find_level(_PART) == 1
+    assert evidence.find_avoided((_PART,), 21) is None
+
+
 # Guards against sound requests that are refused because they share a part with
 # one that ends upstreams.
 def test_a_part_that_sound_requests_share_is_never_avoided() -> None:
