Read and log the limits that upstreams name in their responses

The adapter decodes the header, the directory keeps the limit of each start of an upstream, and a change is logged as upstream_limit_changed; requests to a limited upstream are counted as limited_upstream_used. Routing is unchanged. An answer whose request was sent before the newest change was known changes nothing, since answers overtake each other.

--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -5,11 +5,14 @@
 """
 
 import json
+import math
+import re
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
+from redwingchute.core import rate_limiting
 from redwingchute.request import header_translator
 
 # Identifies the caller's request, not an attempt of the router at an upstream.
@@ -30,6 +33,9 @@
 _RETRY_AFTER = "retry-after"
 # In all responses of an upstream that is about to stop.
 _LEAVING = "server-leaving"
+# The requests a second that an upstream takes from all routers together.
+_LIMIT = "server-limit"
+_DECIMAL_NUMBER = re.compile(r"(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?", re.ASCII)
 
 _KEY_SCHEME = "bearer "
 # The status with which an upstream refuses a request for another instance. It
@@ -145,6 +151,7 @@
             is_signed=_SIGNATURE in head.headers,
             is_leaving=head.headers.get(_LEAVING, "").strip() == "1",
             retry_after_ms=_read_retry_after_ms(head),
+            limit=_read_limit(head),
         )
 
     def build_response_headers(
@@ -221,6 +228,21 @@
     return int(1000 * seconds)
 
 
+def _read_limit(head: http_client.ResponseHead) -> rate_limiting.NamedLimit:
+    """Returns the limit that a response names; the lowest if there are more."""
+    if _LIMIT not in head.headers:
+        return rate_limiting.NoLimit()
+    header_list = head.header_list or tuple(head.headers.items())
+    texts = [value.strip() for name, value in header_list if name == _LIMIT]
+    limits = []
+    for text in texts:
+        limit = float(text) if _DECIMAL_NUMBER.fullmatch(text) else math.inf
+        if not math.isfinite(limit):
+            return rate_limiting.UnreadableLimit(text)
+        limits.append(limit)
+    return rate_limiting.RateLimit(min(limits))
+
+
 def _read_generation(
     headers: dict[str, str],
 ) -> forwarding.Generation | None:
--- a/redwingchute/platform/headers_test.py
+++ b/redwingchute/platform/headers_test.py
@@ -6,6 +6,7 @@
 from redwingchute.connection import http_server
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
+from redwingchute.core import rate_limiting
 from redwingchute.platform import headers
 from redwingchute.request import header_translator
 
@@ -59,6 +60,35 @@
     assert response.retry_after_ms == expected_ms
 
 
+_LIMIT_TEXTS = [
+    (("0",), rate_limiting.RateLimit(0.0)),
+    (("0.0",), rate_limiting.RateLimit(0.0)),
+    ((" 0.01",), rate_limiting.RateLimit(0.01)),
+    (("1e3",), rate_limiting.RateLimit(1_000.0)),
+    (("1." + "0" * 300,), rate_limiting.RateLimit(1.0)),
+    (("2", "1.5"), rate_limiting.RateLimit(1.5)),
+    ((), rate_limiting.NoLimit()),
+    (("",), rate_limiting.UnreadableLimit("")),
+    (("-1",), rate_limiting.UnreadableLimit("-1")),
+    (("nan",), rate_limiting.UnreadableLimit("nan")),
+    (("inf",), rate_limiting.UnreadableLimit("inf")),
+    (("1_000",), rate_limiting.UnreadableLimit("1_000")),
+    (("1e999",), rate_limiting.UnreadableLimit("1e999")),
+    (("2", "soon"), rate_limiting.UnreadableLimit("soon")),
+]
+
+
+@pytest.mark.parametrize("status", [200, 503])
+@pytest.mark.parametrize(("texts", "expected"), _LIMIT_TEXTS)
+def test_the_limit_that_a_response_names_is_read(
+    status: int, texts: tuple[str, ...], expected: rate_limiting.NamedLimit
+) -> None:
+    header_list = tuple(("server-limit", text) for text in texts)
+    head = http_client.ResponseHead(status, dict(header_list), header_list)
+    response = headers.PlatformHeaderTranslator().parse_response(head)
+    assert response.limit == expected
+
+
 # Guards against a refusal as "not run" of a request that ran with success.
 @pytest.mark.parametrize(
     ("status", "was_not_run"), [(200, False), (400, True), (503, True)]
--- a/redwingchute/process/decision_log.py
+++ b/redwingchute/process/decision_log.py
@@ -125,6 +125,11 @@
     LOG.write(event, False, fields)
 
 
+def count_event(event: str) -> None:
+    """Counts an event that is too frequent for a line of its own."""
+    LOG.counts[event] += 1
+
+
 def read_counts() -> Mapping[str, int]:
     """Returns the count of each event, and of dropped lines."""
     return {**LOG.counts, "line_dropped": LOG.dropped_lines}
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -16,6 +16,7 @@
 from redwingchute.connection import http_server
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
+from redwingchute.core import rate_limiting
 from redwingchute.core import requesting
 from redwingchute.core import spread
 from redwingchute.process import decision_log
@@ -41,6 +42,8 @@
 _RETRY_AFTER_MS = 500
 # Events of a stream beyond two for each output token, such as comments.
 _EXTRA_EVENTS = 64
+# The characters of a header's value that a line of the log holds.
+_MAX_LOGGED_VALUE = 64
 # Callers may take these statuses to mean that the request did not run. An
 # upstream's response with one of them, without the header that confirms it, is
 # not forwarded.
@@ -302,6 +305,9 @@
         progress.may_have_run = True
         progress.sends += 1
         progress.trace = forward_attempt.ExchangeTrace()
+        sent_limit = self._dependencies.directory.limits.find(upstream.start)
+        if sent_limit.requests_per_s is not None:
+            decision_log.count_event("limited_upstream_used")
         outgoing = forward_attempt.UpstreamRequest(
             request=request,
             request_id=plan.request.id,
@@ -321,7 +327,9 @@
                     upstream.id, self._dependencies.read_clock_ms()
                 )
             ),
-            record_head=lambda response: self._record_head(upstream, response),
+            record_head=lambda response: self._record_head(
+                upstream, response, sent_limit.revision
+            ),
             record_event=lambda: self._record_event(
                 plan, progress, open_request
             ),
@@ -343,10 +351,12 @@
         self,
         upstream: forwarding.Upstream,
         response: header_translator.ResponseMetadata,
+        sent_limit_revision: int,
     ) -> None:
         """Records what an upstream states about itself in a response."""
         if response.is_wrong_instance:
             return
+        self._record_limit(upstream, response, sent_limit_revision)
         directory = self._dependencies.directory
         now_ms = self._dependencies.read_clock_ms()
         if response.is_leaving:
@@ -373,6 +383,43 @@
                 pause_ms=pause_ms,
             )
 
+    def _record_limit(
+        self,
+        upstream: forwarding.Upstream,
+        response: header_translator.ResponseMetadata,
+        sent_revision: int,
+    ) -> None:
+        """Records the limit that an upstream names in a response, or its end.
+
+        Args:
+          upstream: The upstream.
+          response: The response.
+          sent_revision: The revision of its limit that was known when the
+            request was sent.
+        """
+        limits = self._dependencies.directory.limits
+        if isinstance(response.limit, rate_limiting.UnreadableLimit):
+            if limits.record_unreadable(upstream.start):
+                decision_log.log_failure(
+                    "upstream_limit_unreadable",
+                    upstream=upstream.id,
+                    value=response.limit.text[:_MAX_LOGGED_VALUE],
+                )
+            return
+        before = limits.find(upstream.start)
+        if limits.record_response(
+            upstream.start, response.limit, sent_revision, response.was_not_run
+        ):
+            limit = limits.find(upstream.start)
+            decision_log.log_event(
+                "upstream_limit_changed",
+                upstream=upstream.id,
+                source="response",
+                requests_per_s=limit.requests_per_s,
+                requests_per_s_before=before.requests_per_s,
+                revision=limit.revision,
+            )
+
     def _record_event(
         self,
         plan: forward_plan.Plan,
--- a/redwingchute/request/header_translator.py
+++ b/redwingchute/request/header_translator.py
@@ -8,6 +8,7 @@
 from redwingchute.connection import http_server
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
+from redwingchute.core import rate_limiting
 
 
 @attrs.frozen
@@ -45,6 +46,7 @@
       is_leaving: Whether the upstream states that it is about to stop.
       retry_after_ms: How long the upstream asks for no further request; None
         if it does not ask, or not in a readable way.
+      limit: The rate to which the upstream limits the requests of the fleet.
     """
 
     status: int
@@ -54,6 +56,7 @@
     is_signed: bool
     is_leaving: bool = False
     retry_after_ms: int | None = None
+    limit: rate_limiting.NamedLimit = rate_limiting.NoLimit()
 
 
 @attrs.frozen
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -19,6 +19,7 @@
 from redwingchute.request import requested_pauses
 from redwingchute.request import unresponsive_upstreams
 from redwingchute.request import upstream_choice
+from redwingchute.request import upstream_limits
 
 
 @attrs.define
@@ -35,7 +36,11 @@
 
 
 class UpstreamDirectory:
-    """The upstreams of all services and what is known of each."""
+    """The upstreams of all services and what is known of each.
+
+    Attributes:
+      limits: The rates to which upstreams limit the requests of the fleet.
+    """
 
     def __init__(
         self, zone: str, host: str = "", drain_ms: int = 2_000
@@ -56,6 +61,7 @@
         self._unresponsive = unresponsive_upstreams.UnresponsiveUpstreams()
         self._departures = departures.Departures(drain_ms)
         self._pauses = requested_pauses.RequestedPauses(host)
+        self.limits = upstream_limits.UpstreamLimits()
 
     def set_upstream(self, upstream: forwarding.Upstream) -> None:
         """Adds an upstream or replaces its entry; its service may change.
--- /dev/null
+++ b/redwingchute/request/upstream_limits_test.py
@@ -0,0 +1,57 @@
+"""Tests of what a router knows of the limits of upstreams."""
+
+from redwingchute.core import forwarding
+from redwingchute.core import rate_limiting
+from redwingchute.request import upstream_limits
+
+_START = forwarding.UpstreamStart("l-1", 1)
+
+
+# Guards against an answer to an older request that ends or changes a limit.
+def test_answers_to_requests_sent_before_a_change_say_nothing_new() -> None:
+    limits = upstream_limits.UpstreamLimits()
+    one, two = rate_limiting.RateLimit(1.0), rate_limiting.RateLimit(2.0)
+    assert limits.record_response(_START, one, 0, False)
+    for named in (rate_limiting.NoLimit(), two):
+        assert not limits.record_response(_START, named, 0, False)
+    assert limits.find(_START) == rate_limiting.KnownLimit(1, 1.0)
+    assert limits.record_response(_START, two, 1, False)
+    assert limits.record_response(_START, rate_limiting.NoLimit(), 2, False)
+    assert not limits.record_response(_START, two, 2, False)
+    assert limits.find(_START).requests_per_s is None
+
+
+# Guards against rejections and unreadable values that end a limit.
+def test_only_an_answer_without_a_limit_ends_it() -> None:
+    limits = upstream_limits.UpstreamLimits()
+    limits.record_response(_START, rate_limiting.RateLimit(1.0), 0, True)
+    none, unreadable = (
+        rate_limiting.NoLimit(),
+        rate_limiting.UnreadableLimit("x"),
+    )
+    assert not limits.record_response(_START, none, 1, True)
+    assert not limits.record_response(_START, unreadable, 1, False)
+    assert limits.find(_START).requests_per_s == 1.0
+    assert limits.record_unreadable(_START)
+    assert not limits.record_unreadable(_START)
+
+
+# Guards against a limit of an earlier start that binds a later one.
+def test_a_new_start_begins_without_a_limit() -> None:
+    limits = upstream_limits.UpstreamLimits()
+    limits.record_response(_START, rate_limiting.RateLimit(0.0), 0, False)
+    later = forwarding.UpstreamStart("l-1", 2)
+    assert limits.find(later) == rate_limiting.KnownLimit()
+
+
+# Guards against routers that never agree after they saw different changes.
+def test_the_newer_and_then_the_stricter_limit_is_merged() -> None:
+    limits = upstream_limits.UpstreamLimits()
+    make = rate_limiting.KnownLimit
+    assert limits.merge(_START, make(2, None))
+    assert not limits.merge(_START, make(1, 1.0))
+    assert limits.merge(_START, make(2, 3.0))
+    assert limits.merge(_START, make(2, 2.0))
+    assert not limits.merge(_START, make(2, 3.0))
+    assert not limits.merge(_START, make(2, None))
+    assert limits.merge(_START, make(3, None))
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import hashlib
 import json
@@ -27,6 +28,7 @@
 _EXTRA_RESPONSE_POLL_S = 0.001
 # The share of a truncated response's body that is sent.
 _TRUNCATED_SHARE = 0.5
+_MAX_KEPT_ARRIVALS = 10_000
 
 
 @attrs.frozen
@@ -54,6 +56,8 @@
       wrong_id: Responses have the id of another request.
       is_leaving: All responses state that the runner is leaving.
       retry_after_s: The pause that refusals with 503 ask for; 0 for none.
+      named_limit: The requests a second that all responses name as the most
+        that the runner takes; empty for none. It is not enforced.
       crash_marker: A request with this text in its body or prompt parts ends
         the runner before the first output: all connections close, and it
         listens again after `crash_ms` under the same id, with another birth.
@@ -78,6 +82,7 @@
     wrong_id: bool = False
     is_leaving: bool = False
     retry_after_s: float = 0.0
+    named_limit: str = ""
     crash_marker: str = ""
     crash_ms: int = 300
     event_ms: int = 5
@@ -112,6 +117,7 @@
       service: The name of the service.
       runs: The requests that it started to run.
       arrivals: The number of requests received, without health checks.
+      arrived_ms: When the latest of them arrived, in milliseconds.
       cancelled: The number of runs whose caller disconnected.
       entry_count: The number of entries made for the store.
       born_ms: The time of its last start, in milliseconds.
@@ -144,6 +150,9 @@
         self.service = service
         self.runs: list[RunnerRun] = []
         self.arrivals = 0
+        self.arrived_ms: collections.deque[int] = collections.deque(
+            maxlen=_MAX_KEPT_ARRIVALS
+        )
         self.cancelled = 0
         self.entry_count = 0
         self.born_ms = base.now_ms()
@@ -182,6 +191,7 @@
             await responder.send(200, b"", headers=headers)
             return
         self.arrivals += 1
+        self.arrived_ms.append(base.now_ms())
         self._record("arrived", request)
         expected = request.headers.get("target-instance", self.runner_id)
         echo = ("attempt-id", request.headers.get("attempt-id", ""))
@@ -219,7 +229,12 @@
 
     def _list_status_headers(self) -> list[tuple[str, str]]:
         """Returns what every response states about the runner itself."""
-        return [("server-leaving", "1")] if self.faults.is_leaving else []
+        headers = []
+        if self.faults.is_leaving:
+            headers.append(("server-leaving", "1"))
+        if self.faults.named_limit:
+            headers.append(("server-limit", self.faults.named_limit))
+        return headers
 
     def describe(self) -> dict[str, Any]:
         """Returns the number of requests and the runs."""
