Permit requests to limited upstreams from one holder of each limit

Cause: nothing obeyed the header; every host placed requests by load. Class: a bound on what all hosts do together that each host can break alone.

Change: each request to a limited upstream needs a permit. Permits are for one request at once and lapse with it. The limit is told to all routers with a revision; holders and those who ask tell each other what they know. A limited upstream without a permit is no candidate, and where all are limited the caller is refused at once with the time of the next permit; one permit is kept for the first priority.

--- a/redwingchute/core/rate_limiting.py
+++ b/redwingchute/core/rate_limiting.py
@@ -6,6 +6,7 @@
 schema struct of the same name in wire/request.capnp.
 """
 
+import math
 from typing import TypeAlias
 
 import attrs
@@ -49,8 +50,77 @@
     Attributes:
       revision: Rises by one with each observed change. Of two routers, the one
         with the higher revision knows the newer limit; 0 before the first.
-      requests_per_s: The limit; None if there is none.
+      requests_per_s: The limit; infinite if there is none.
     """
 
     revision: int = 0
-    requests_per_s: float | None = None
+    requests_per_s: float = math.inf
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit."""
+        return self.requests_per_s < math.inf
+
+
+@attrs.frozen
+class LimitNotice:
+    """Tells other routers the limit of an upstream, or its end.
+
+    Attributes:
+      upstream: The upstream.
+      born_ms: Its start time; 0 if it is not known.
+      limit: The limit.
+    """
+
+    upstream: str
+    born_ms: int
+    limit: KnownLimit
+
+
+@attrs.frozen
+class PermitRequest:
+    """Asks the holder of a limit to permit one request.
+
+    Attributes:
+      upstream: The upstream that the request is for.
+      born_ms: Its start time; 0 if it is not known.
+      zone: Its availability zone.
+      limit: What the asking router knows of its limit.
+      is_urgent: Whether the request has the highest priority.
+    """
+
+    upstream: str
+    born_ms: int
+    zone: str
+    limit: KnownLimit
+    is_urgent: bool
+
+
+@attrs.frozen
+class PermitReply:
+    """Answers a `PermitRequest`.
+
+    Attributes:
+      is_holder: Whether the replying router holds a part of the limit.
+      is_permitted: Whether the request may be sent.
+      wait_ms: When the next request will be permitted, if nobody asks before.
+      limit: What the replying router knows of the limit.
+    """
+
+    is_holder: bool
+    is_permitted: bool
+    wait_ms: int
+    limit: KnownLimit
+
+
+@attrs.frozen
+class PermitReturn:
+    """Returns a permit to its holder, because nothing was sent.
+
+    Attributes:
+      upstream: The upstream.
+      born_ms: Its start time; 0 if it is not known.
+    """
+
+    upstream: str
+    born_ms: int
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -13,6 +13,7 @@
 import secrets
 import time
 from types import TracebackType
+from typing import TypeAlias
 
 import attrs
 
@@ -21,6 +22,7 @@
 from redwingchute.core import data
 from redwingchute.core import forwarding
 from redwingchute.core import prepaid
+from redwingchute.core import rate_limiting
 from redwingchute.core import requesting
 from redwingchute.process import background_tasks
 from redwingchute.process import crash_journal
@@ -31,8 +33,10 @@
 from redwingchute.process import hub_choice
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
+from redwingchute.process import limit_holders
 from redwingchute.process import notice_relay
 from redwingchute.process import peer_network
+from redwingchute.process import permit_exchange
 from redwingchute.process import retry_budget
 from redwingchute.process import shared_log
 from redwingchute.process import telemetry
@@ -46,6 +50,7 @@
 from redwingchute.request import request_metrics
 from redwingchute.request import suspect_tracker
 from redwingchute.request import upstream_directory
+from redwingchute.request import upstream_statements
 from redwingchute.version import route_index
 from redwingchute.wire import registry
 
@@ -80,6 +85,13 @@
 _LEAVE_TIMEOUT_S = 0.3
 
 
+_RelayedNotice: TypeAlias = (
+    requesting.CrashReport
+    | requesting.LeavingNotice
+    | rate_limiting.LimitNotice
+)
+
+
 @attrs.frozen
 class GatewayPorts:
     """The interfaces through which the gateway uses the platform.
@@ -160,14 +172,21 @@
         self._network = self._make_network()
         self._registry = self._make_registry()
         self._hub_view = hub_choice.choose_hubs(self._registry.own_host, ())
-        self._relay = notice_relay.NoticeRelay[
-            requesting.CrashReport | requesting.LeavingNotice
-        ](
+        self._relay = notice_relay.NoticeRelay[_RelayedNotice](
             lambda: self._hub_view,
             lambda: self._upstream_directory.reporters,
             self._network.send_to_all,
             _make_notice_id,
         )
+        self._limit_holders = limit_holders.LimitHolders(
+            settings.host_name, lambda: self._registry.find_registration()
+        )
+        self._permits = permit_exchange.PermitExchange(
+            self._network,
+            self._limit_holders,
+            self._upstream_directory.limits,
+            read_boot_ms,
+        )
         self._crash_report_numbers = itertools.count(1)
         self._suspects = suspect_tracker.SuspectTracker(
             crash_evidence.CrashEvidence(
@@ -284,7 +303,13 @@
                 is_fresh=self._is_fresh,
                 find_allowance=self._retry_budget.find_allowance,
                 suspects=self._suspects,
-                broadcast=self._relay.broadcast,
+                statements=upstream_statements.UpstreamStatements(
+                    self._upstream_directory,
+                    self._pool,
+                    self._relay.broadcast,
+                    read_boot_ms,
+                ),
+                permits=self._permits,
                 find_time_left_ms=self._find_time_left_ms,
                 read_clock_ms=read_boot_ms,
                 metrics=self._make_request_metrics(),
@@ -310,6 +335,15 @@
             requesting.LeavingNotice, self._handle_leaving
         )
         self._network.register_handler(requesting.LoadNotice, self._handle_load)
+        self._network.register_handler(
+            rate_limiting.LimitNotice, self._handle_limit
+        )
+        self._network.register_handler(
+            rate_limiting.PermitRequest, self._permits.handle_request
+        )
+        self._network.register_handler(
+            rate_limiting.PermitReturn, self._permits.handle_return
+        )
         self._tasks.spawn(self._configuration_follower.run())
         self._tasks.spawn(self._upstream_follower.run())
         self._tasks.spawn(self._registry.run())
@@ -538,6 +572,9 @@
         self._hub_view = view = hub_choice.choose_hubs(
             self._registry.own_host, self._registry.list_hosts()
         )
+        self._limit_holders.record_hosts(
+            self._registry.list_hosts(), read_boot_ms()
+        )
         for host in self._registry.list_hosts():
             if host.name != self.settings.host_name:
                 self._network.set_address(host.name, host.peer_address)
@@ -601,6 +638,18 @@
             )
         self._relay.handle_notice(peer.name, notice)
 
+    async def _handle_limit(
+        self, peer: data.Host, notice: rate_limiting.LimitNotice
+    ) -> None:
+        """Applies the limit of an upstream that another router heard of."""
+        start = forwarding.UpstreamStart(notice.upstream, notice.born_ms)
+        limits = self._upstream_directory.limits
+        if limits.merge(start, notice.limit):
+            upstream_statements.log_limit_change(
+                notice.upstream, peer.name, limits.find(start)
+            )
+        self._relay.handle_notice(peer.name, notice)
+
     def _make_request_metrics(self) -> request_metrics.RequestMetrics:
         """Returns the callbacks that record request measurements."""
         metrics = self._metrics
@@ -641,7 +690,7 @@
 
 
 def _make_notice_id(
-    notice: requesting.CrashReport | requesting.LeavingNotice,
+    notice: _RelayedNotice,
 ) -> str:
     """Returns what identifies a notice that routers pass on."""
     match notice:
@@ -649,6 +698,9 @@
             return report_id
         case requesting.LeavingNotice():
             return f"{notice.upstream}/{notice.seen_at_ms}"
+        case rate_limiting.LimitNotice(upstream, born_ms, limit):
+            rate = limit.requests_per_s
+            return f"{upstream}/{born_ms}/{limit.revision}/{rate}"
 
 
 def _log_failed_task(error: BaseException) -> None:
--- /dev/null
+++ b/redwingchute/process/permit_exchange.py
@@ -0,0 +1,177 @@
+"""Asks the holders of limits for permits, and answers others that ask.
+
+A permit is for one request that is sent at once. A router that reaches no
+holder has no permits, so it sends nothing to limited upstreams.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import TypeAlias
+
+from redwingchute.core import data
+from redwingchute.core import forwarding
+from redwingchute.core import rate_limiting
+from redwingchute.process import decision_log
+from redwingchute.process import limit_holders
+from redwingchute.process import peer_network
+from redwingchute.request import permit_issuer
+from redwingchute.request import upstream_limits
+
+# A reply takes some milliseconds, also from another zone.
+_CALL_TIMEOUT_MS = 250
+# A holder that did not reply is not asked for this time.
+_AVOIDANCE_MS = 1_000
+# The wait for a permit while no holder replies.
+_NO_HOLDER_WAIT_MS = 500
+# A shorter wait is not worth another call.
+_MIN_WAIT_MS = 20
+
+
+@dataclasses.dataclass(frozen=True)
+class Permitted:
+    """The request may be sent.
+
+    Attributes:
+      start: The start of the upstream that it is for.
+      holder: The host that issued the permit; None if none was needed.
+    """
+
+    start: forwarding.UpstreamStart
+    holder: str | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class NotPermitted:
+    """The request may not be sent.
+
+    Attributes:
+      wait_ms: When the next one may be.
+    """
+
+    wait_ms: int
+
+
+PermitResult: TypeAlias = Permitted | NotPermitted
+
+
+class PermitExchange:
+    """The permits that one router gets from others and issues to them."""
+
+    def __init__(
+        self,
+        network: peer_network.PeerNetwork,
+        holders: limit_holders.LimitHolders,
+        limits: upstream_limits.UpstreamLimits,
+        read_clock_ms: Callable[[], int],
+    ) -> None:
+        """Creates the exchange of a router.
+
+        Args:
+          network: The links to the other routers.
+          holders: Which routers hold which limits.
+          limits: What the router knows of limits.
+          read_clock_ms: Returns the current time, including suspended time.
+        """
+        self._network = network
+        self._holders = holders
+        self._limits = limits
+        self._issuer = permit_issuer.PermitIssuer()
+        self._read_clock_ms = read_clock_ms
+        self._avoided_until_ms: dict[str, int] = {}
+
+    async def acquire(
+        self, upstream: forwarding.Upstream, is_urgent: bool
+    ) -> PermitResult:
+        """Acquires the permit for one request to an upstream.
+
+        If it is refused, the directory offers the upstream again only once a
+        permit is likely.
+
+        Args:
+          upstream: The upstream.
+          is_urgent: Whether the request has the highest priority.
+        """
+        start = upstream.start
+        if not self._limits.find(start).is_limited:
+            return Permitted(start)
+        result = await self._ask_holders(upstream, is_urgent)
+        if isinstance(result, NotPermitted):
+            decision_log.count_event("permit_refused")
+            now_ms = self._read_clock_ms()
+            self._limits.block(
+                start,
+                is_urgent,
+                now_ms + max(_MIN_WAIT_MS, result.wait_ms),
+                now_ms,
+            )
+        return result
+
+    async def _ask_holders(
+        self, upstream: forwarding.Upstream, is_urgent: bool
+    ) -> PermitResult:
+        """Asks the first holder, and the second if the first is silent."""
+        start = upstream.start
+        for holder in self._holders.list_holders(upstream.id, upstream.zone):
+            now_ms = self._read_clock_ms()
+            if self._avoided_until_ms.get(holder, 0) > now_ms:
+                continue
+            request = rate_limiting.PermitRequest(
+                upstream.id,
+                upstream.born_ms,
+                upstream.zone,
+                self._limits.find(start),
+                is_urgent,
+            )
+            reply = await self._network.call(holder, request, _CALL_TIMEOUT_MS)
+            if not isinstance(reply, rate_limiting.PermitReply):
+                decision_log.log_failure(
+                    "limit_holder_silent", holder=holder, upstream=upstream.id
+                )
+                self._avoided_until_ms[holder] = now_ms + _AVOIDANCE_MS
+                continue
+            self._limits.merge(start, reply.limit)
+            if reply.is_permitted:
+                return Permitted(start, holder)
+            if reply.is_holder:
+                return NotPermitted(reply.wait_ms)
+        return NotPermitted(_NO_HOLDER_WAIT_MS)
+
+    def give_back(self, permit: Permitted) -> None:
+        """Gives back a permit, because nothing was sent."""
+        if permit.holder is None:
+            return
+        if permit.holder == self._network.own_host.name:
+            self._issuer.take_back(permit.start)
+            return
+        self._network.send(
+            permit.holder,
+            rate_limiting.PermitReturn(permit.start.id, permit.start.born_ms),
+        )
+
+    async def handle_request(
+        self, peer: data.Host, request: rate_limiting.PermitRequest
+    ) -> rate_limiting.PermitReply:
+        """Answers a router that asks for a permit."""
+        del peer
+        start = forwarding.UpstreamStart(request.upstream, request.born_ms)
+        self._limits.merge(start, request.limit)
+        limit = self._limits.find(start)
+        if not limit.is_limited:
+            return rate_limiting.PermitReply(True, True, 0, limit)
+        now_ms = self._read_clock_ms()
+        share = self._holders.find_share(request.upstream, request.zone, now_ms)
+        if not share:
+            return rate_limiting.PermitReply(False, False, 0, limit)
+        wait_ms = self._issuer.issue(
+            start, limit.requests_per_s, share, request.is_urgent, now_ms
+        )
+        return rate_limiting.PermitReply(True, not wait_ms, wait_ms, limit)
+
+    async def handle_return(
+        self, peer: data.Host, permit: rate_limiting.PermitReturn
+    ) -> None:
+        """Takes back a permit that another router did not use."""
+        del peer
+        self._issuer.take_back(
+            forwarding.UpstreamStart(permit.upstream, permit.born_ms)
+        )
--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -164,6 +164,14 @@
     )
 
 
+def is_urgent(plan: Plan) -> bool:
+    """Returns whether a request has the highest priority."""
+    priority = plan.route.priority
+    if plan.account is not None and plan.account.priority is not None:
+        priority = plan.account.priority
+    return priority <= 0
+
+
 def find_priority(plan: Plan) -> int | None:
     """Returns a generation's priority at its upstream, else None."""
     if plan.request.generation is None:
--- a/redwingchute/request/forward_progress.py
+++ b/redwingchute/request/forward_progress.py
@@ -18,6 +18,7 @@
       connect_failures: The number of upstreams to which connecting failed.
       may_have_run: Whether an upstream may have processed the request.
       excluded: Upstreams that were tried and are not tried again.
+      not_permitted: Upstreams whose limits did not permit the request.
       upstream_id: The upstream of the last attempt.
       earlier_events: The events that the caller had before the last attempt.
       last_event_ms: When the last chunk of a stream arrived; None before the
@@ -30,6 +31,7 @@
     connect_failures: int = 0
     may_have_run: bool = False
     excluded: frozenset[str] = frozenset()
+    not_permitted: frozenset[str] = frozenset()
     upstream_id: str = ""
     earlier_events: int = 0
     last_event_ms: int | None = None
--- a/redwingchute/request/forward_retry.py
+++ b/redwingchute/request/forward_retry.py
@@ -30,7 +30,11 @@
     if progress.sends >= plan.route.max_attempts:
         return False
     chosen = directory.choose(
-        plan.service.name, plan.request, progress.excluded, now_ms
+        plan.service.name,
+        plan.request,
+        progress.excluded | progress.not_permitted,
+        now_ms,
+        forward_plan.is_urgent(plan),
     )
     if chosen is None:
         return False
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -16,11 +16,10 @@
 from redwingchute.connection import http_server
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
-from redwingchute.core import rate_limiting
-from redwingchute.core import requesting
 from redwingchute.core import spread
 from redwingchute.process import decision_log
 from redwingchute.process import invariants
+from redwingchute.process import permit_exchange
 from redwingchute.process.prepaid import charging
 from redwingchute.request import crash_evidence
 from redwingchute.request import fleet_load
@@ -34,6 +33,7 @@
 from redwingchute.request import retry_allowance
 from redwingchute.request import suspect_tracker
 from redwingchute.request import upstream_directory
+from redwingchute.request import upstream_statements
 from redwingchute.version import route_index
 
 # A request is refused once connecting to this many upstreams has failed.
@@ -42,8 +42,6 @@
 _RETRY_AFTER_MS = 500
 # Events of a stream beyond two for each output token, such as comments.
 _EXTRA_EVENTS = 64
-# The characters of a header's value that a line of the log holds.
-_MAX_LOGGED_VALUE = 64
 # Callers may take these statuses to mean that the request did not run. An
 # upstream's response with one of them, without the header that confirms it, is
 # not forwarded.
@@ -64,7 +62,8 @@
         newest version.
       find_allowance: Returns the retry allowance of a service.
       suspects: The requests that may end upstreams.
-      broadcast: Sends a notice to all other routers, best effort.
+      statements: Records what upstreams state about themselves.
+      permits: Acquires permits for requests to upstreams that limit them.
       find_time_left_ms: Returns the time until the process stops; None unless
         a shutdown has begun.
       read_clock_ms: Returns the time on a steady clock.
@@ -79,7 +78,8 @@
     is_fresh: Callable[[], bool]
     find_allowance: Callable[[str], retry_allowance.RetryAllowance]
     suspects: suspect_tracker.SuspectTracker
-    broadcast: Callable[[requesting.LeavingNotice], None]
+    statements: upstream_statements.UpstreamStatements
+    permits: permit_exchange.PermitExchange
     find_time_left_ms: Callable[[], int | None]
     read_clock_ms: Callable[[], int]
     metrics: request_metrics.RequestMetrics
@@ -185,7 +185,9 @@
         directory = self._dependencies.directory
         if not directory.has_upstream(plan.service.name, now_ms):
             return _make_no_upstream_refusal()
-        if directory.find_retry_delay_ms(plan.service.name, now_ms):
+        if directory.find_retry_delay_ms(
+            plan.service.name, now_ms, forward_plan.is_urgent(plan)
+        ):
             return self._refuse_no_upstream(plan)
         busy = self._refuse_if_busy(plan, now_ms)
         if busy is not None:
@@ -208,7 +210,11 @@
         if plan.request.generation is None:
             return None
         chosen = self._dependencies.directory.choose(
-            plan.service.name, plan.request, frozenset(), now_ms
+            plan.service.name,
+            plan.request,
+            frozenset(),
+            now_ms,
+            forward_plan.is_urgent(plan),
         )
         if chosen is None:
             return None
@@ -262,14 +268,21 @@
             chosen = directory.choose(
                 plan.service.name,
                 plan.request,
-                progress.excluded,
+                progress.excluded | progress.not_permitted,
                 self._dependencies.read_clock_ms(),
+                forward_plan.is_urgent(plan),
             )
             if chosen is None:
                 if progress.may_have_run:
                     return _make_failure("no other upstream is ready")
                 return self._refuse_no_upstream(plan)
             upstream = chosen.upstream
+            permit = await self._dependencies.permits.acquire(
+                upstream, forward_plan.is_urgent(plan)
+            )
+            if isinstance(permit, permit_exchange.NotPermitted):
+                progress.not_permitted |= {upstream.id}
+                continue
             progress.upstream_id = upstream.id
             progress.excluded |= {upstream.id}
             progress.earlier_events = progress.relay.event_count
@@ -282,6 +295,11 @@
                 result = await self._attempt(
                     plan, request, progress, upstream, open_request
                 )
+            if isinstance(
+                result,
+                forward_attempt.NotConnected | forward_attempt.OutOfTime,
+            ):
+                self._dependencies.permits.give_back(permit)
             final_result = self._evaluate_attempt(
                 plan, progress, upstream, result, send
             )
@@ -306,7 +324,7 @@
         progress.sends += 1
         progress.trace = forward_attempt.ExchangeTrace()
         sent_limit = self._dependencies.directory.limits.find(upstream.start)
-        if sent_limit.requests_per_s is not None:
+        if sent_limit.is_limited:
             decision_log.count_event("limited_upstream_used")
         outgoing = forward_attempt.UpstreamRequest(
             request=request,
@@ -327,7 +345,7 @@
                     upstream.id, self._dependencies.read_clock_ms()
                 )
             ),
-            record_head=lambda response: self._record_head(
+            record_head=lambda response: self._dependencies.statements.record(
                 upstream, response, sent_limit.revision
             ),
             record_event=lambda: self._record_event(
@@ -347,79 +365,6 @@
                 progress.may_have_run = may_have_run
         return result
 
-    def _record_head(
-        self,
-        upstream: forwarding.Upstream,
-        response: header_translator.ResponseMetadata,
-        sent_limit_revision: int,
-    ) -> None:
-        """Records what an upstream states about itself in a response."""
-        if response.is_wrong_instance:
-            return
-        self._record_limit(upstream, response, sent_limit_revision)
-        directory = self._dependencies.directory
-        now_ms = self._dependencies.read_clock_ms()
-        if response.is_leaving:
-            self._dependencies.pool.close_idle(
-                http_client.Address.parse(upstream.address)
-            )
-            if directory.mark_leaving(upstream.start, now_ms):
-                decision_log.log_event(
-                    "upstream_leaving", upstream=upstream.id, source="response"
-                )
-                self._dependencies.broadcast(
-                    requesting.LeavingNotice(
-                        upstream.id, now_ms, upstream.born_ms
-                    )
-                )
-        if response.retry_after_ms:
-            pause_ms = directory.pause(
-                upstream, response.retry_after_ms, now_ms
-            )
-            decision_log.log_event(
-                "upstream_paused",
-                upstream=upstream.id,
-                retry_after_ms=response.retry_after_ms,
-                pause_ms=pause_ms,
-            )
-
-    def _record_limit(
-        self,
-        upstream: forwarding.Upstream,
-        response: header_translator.ResponseMetadata,
-        sent_revision: int,
-    ) -> None:
-        """Records the limit that an upstream names in a response, or its end.
-
-        Args:
-          upstream: The upstream.
-          response: The response.
-          sent_revision: The revision of its limit that was known when the
-            request was sent.
-        """
-        limits = self._dependencies.directory.limits
-        if isinstance(response.limit, rate_limiting.UnreadableLimit):
-            if limits.record_unreadable(upstream.start):
-                decision_log.log_failure(
-                    "upstream_limit_unreadable",
-                    upstream=upstream.id,
-                    value=response.limit.text[:_MAX_LOGGED_VALUE],
-                )
-            return
-        before = limits.find(upstream.start)
-        if limits.record_response(
-            upstream.start, response.limit, sent_revision, response.was_not_run
-        ):
-            limit = limits.find(upstream.start)
-            decision_log.log_event(
-                "upstream_limit_changed",
-                upstream=upstream.id,
-                source="response",
-                requests_per_s=limit.requests_per_s,
-                requests_per_s_before=before.requests_per_s,
-                revision=limit.revision,
-            )
-
     def _record_event(
         self,
         plan: forward_plan.Plan,
@@ -540,7 +485,9 @@
         callers then return at different times.
         """
         retry_delay_ms = self._dependencies.directory.find_retry_delay_ms(
-            plan.service.name, self._dependencies.read_clock_ms()
+            plan.service.name,
+            self._dependencies.read_clock_ms(),
+            forward_plan.is_urgent(plan),
         )
         if not retry_delay_ms:
             return _RETRY_AFTER_MS
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -115,26 +115,29 @@
         request: forwarding.ForwardRequest,
         excluded: frozenset[str],
         now_ms: int,
+        is_urgent: bool = False,
     ) -> upstream_choice.Candidate | None:
         """Returns the upstream for a request, or None.
 
         Upstreams that failed recently are chosen only if no other is
         available, those that are leaving only if no other can serve. Paused
         upstreams, whose hosts do not respond or that asked for the pause, are
-        never chosen, nor are those that have left.
+        never chosen, nor are those that have left or whose limit permits no
+        request at the moment.
 
         Args:
           service: The service that runs the request.
           request: The request.
           excluded: Upstreams that were already tried for it.
           now_ms: The current time.
+          is_urgent: Whether the request has the highest priority.
         """
         pool = self._get_pool(service)
         ready = [
             upstream
             for upstream in self._iterate_in_use(service, now_ms)
             if upstream.id not in excluded
-            and self._find_pause_end_ms(upstream) <= now_ms
+            and self._find_pause_end_ms(upstream, is_urgent) <= now_ms
         ]
         healthy = [
             upstream
@@ -166,11 +169,14 @@
             ):
                 yield upstream
 
-    def _find_pause_end_ms(self, upstream: forwarding.Upstream) -> int:
+    def _find_pause_end_ms(
+        self, upstream: forwarding.Upstream, is_urgent: bool
+    ) -> int:
         """Returns when an upstream may be used; a past time means now."""
         return max(
             self._unresponsive.find_pause_end_ms(upstream.id),
             self._pauses.find_end_ms(upstream),
+            self.limits.find_block_end_ms(upstream.start, is_urgent),
         )
 
     def _make_candidate(
@@ -307,14 +313,22 @@
             upstream.id, zone_ids, now_ms
         )
 
-    def find_retry_delay_ms(self, service: str, now_ms: int) -> int:
+    def find_retry_delay_ms(
+        self, service: str, now_ms: int, is_urgent: bool = False
+    ) -> int:
         """Returns the time in ms until an upstream of a service may be used.
 
-        It is 0 unless all of them are paused.
+        It is 0 unless all of them are paused, or their limits permit no request
+        at the moment.
+
+        Args:
+          service: The service.
+          now_ms: The current time.
+          is_urgent: Whether the request has the highest priority.
         """
         earliest_ms = 0
         for upstream in self._iterate_in_use(service, now_ms):
-            end_ms = self._find_pause_end_ms(upstream)
+            end_ms = self._find_pause_end_ms(upstream, is_urgent)
             # The usual case: no further upstream has to be looked at.
             if end_ms <= now_ms:
                 return 0
--- a/redwingchute/request/upstream_limits_test.py
+++ b/redwingchute/request/upstream_limits_test.py
@@ -18,7 +18,7 @@
     assert limits.record_response(_START, two, 1, False)
     assert limits.record_response(_START, rate_limiting.NoLimit(), 2, False)
     assert not limits.record_response(_START, two, 2, False)
-    assert limits.find(_START).requests_per_s is None
+    assert not limits.find(_START).is_limited
 
 
 # Guards against rejections and unreadable values that end a limit.
@@ -48,10 +48,10 @@
 def test_the_newer_and_then_the_stricter_limit_is_merged() -> None:
     limits = upstream_limits.UpstreamLimits()
     make = rate_limiting.KnownLimit
-    assert limits.merge(_START, make(2, None))
+    assert limits.merge(_START, make(2))
     assert not limits.merge(_START, make(1, 1.0))
     assert limits.merge(_START, make(2, 3.0))
     assert limits.merge(_START, make(2, 2.0))
     assert not limits.merge(_START, make(2, 3.0))
-    assert not limits.merge(_START, make(2, None))
-    assert limits.merge(_START, make(3, None))
+    assert not limits.merge(_START, make(2))
+    assert limits.merge(_START, make(3))
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -9,6 +9,7 @@
 from redwingchute.core import distribution
 from redwingchute.core import fleet
 from redwingchute.core import prepaid
+from redwingchute.core import rate_limiting
 from redwingchute.core import requesting
 from redwingchute.core import spending
 from redwingchute.core import status
@@ -60,6 +61,10 @@
     codec.Registration(402, requesting.LeavingNotice, _REQUEST),
     codec.Registration(403, requesting.LoadNotice, _REQUEST),
     codec.Registration(404, requesting.CrashReport, _REQUEST),
+    codec.Registration(405, rate_limiting.LimitNotice, _REQUEST),
+    codec.Registration(406, rate_limiting.PermitRequest, _REQUEST),
+    codec.Registration(407, rate_limiting.PermitReply, _REQUEST),
+    codec.Registration(408, rate_limiting.PermitReturn, _REQUEST),
 )
 
 
--- a/redwingchute/wire/request.capnp
+++ b/redwingchute/wire/request.capnp
@@ -1,6 +1,6 @@
 @0x9f3b6b1b3c9f4a40;
 # Notices between routers about requests and upstreams. Field names mirror
-# core/requesting.py.
+# core/requesting.py and core/rate_limiting.py.
 
 struct CrashNotice { clientAccount @0 :Text; bodyDigest @1 :Data; upstream @2 :Text; attemptId @3 :Text; crashedAtMs @4 :Int64; }
 struct CrashObservation { subject @0 :Text; upstreamStart @1 :Text; isCleared @2 :Bool; level @3 :UInt32; }
@@ -8,3 +8,9 @@
 struct QuarantineNotice { clientAccount @0 :Text; bodyDigest @1 :Data; untilMs @2 :Int64; changedAtMs @3 :Int64; isLifted @4 :Bool; author @5 :Text; }
 struct LeavingNotice { upstream @0 :Text; seenAtMs @1 :Int64; bornMs @2 :Int64; }
 struct LoadNotice { upstreams @0 :List(Text); openRequests @1 :List(UInt32); waitingTokens @2 :List(UInt64); partUpstreams @3 :List(Text); partIds @4 :List(Text); }
+
+struct KnownLimit { revision @0 :Int64; requestsPerS @1 :Float64; }
+struct LimitNotice { upstream @0 :Text; bornMs @1 :Int64; limit @2 :KnownLimit; }
+struct PermitRequest { upstream @0 :Text; bornMs @1 :Int64; zone @2 :Text; limit @3 :KnownLimit; isUrgent @4 :Bool; }
+struct PermitReply { isHolder @0 :Bool; isPermitted @1 :Bool; waitMs @2 :Int64; limit @3 :KnownLimit; }
+struct PermitReturn { upstream @0 :Text; bornMs @1 :Int64; }
