Log the software versions of upstreams and which request a caller resumes

Logs of attempts named the upstream but no version and no start, and nothing read the header that names the request which brought the first event, so the three hypotheses could not be told apart.

The adapter decodes the version of an entry and the header; attempt_failed, request_ended and upstream_changed show them. Routing is unchanged.

--- a/redwingchute/core/forwarding.py
+++ b/redwingchute/core/forwarding.py
@@ -181,6 +181,8 @@
       born_ms: Its start time, in milliseconds since the Unix epoch; 0 if it
         is not known.
       sequence: Rises with each entry that the instance writes.
+      version: The version of its software; empty if it is not known. Versions
+        have no order.
     """
 
     id: str
@@ -191,6 +193,7 @@
     slots: int = 1
     born_ms: int = 0
     sequence: int = 0
+    version: str = ""
 
     @property
     def revision(self) -> tuple[int, int]:
@@ -251,6 +254,8 @@
       generation: The generation that it asks for, or None.
       last_event_id: The last event that the caller received of an interrupted
         stream, or None.
+      resumed_id: The id of the request that brought the first event of that
+        stream, or None.
     """
 
     id: str
@@ -260,3 +265,4 @@
     key: str | None = None
     generation: Generation | None = None
     last_event_id: int | None = None
+    resumed_id: str | None = None
--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -23,6 +23,9 @@
 _TOKENS = "token-usage"
 _PROMPT_PARTS = "prompt-prefix"
 _LAST_EVENT_ID = "last-event-id"
+# The id of the request that brought the first event of a stream that the caller
+# asks to resume.
+_RESUMED_REQUEST_ID = "resumes"
 _EXPECTED_UPSTREAM = "target-instance"
 _ACCOUNT = "tenant"
 # Proves which upstream sent a response; a digest of its whole body.
@@ -105,6 +108,7 @@
                 key=_read_key(headers.get("authorization", "")),
                 generation=_read_generation(headers),
                 last_event_id=_read_int(headers.get(_LAST_EVENT_ID)),
+                resumed_id=headers.get(_RESUMED_REQUEST_ID) or None,
             )
         except ValueError as error:
             return _refuse_header(str(error))
--- a/redwingchute/platform/upstream_entries.py
+++ b/redwingchute/platform/upstream_entries.py
@@ -48,6 +48,7 @@
         slots=max(1, _read_count(fields.get("slots"))),
         born_ms=_read_count(fields.get("born")),
         sequence=_read_count(fields.get("sequence")),
+        version=_read_text(fields.get("version")),
     )
 
 
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -542,6 +542,8 @@
                 address=upstream.address if upstream else None,
                 is_listed=upstream is not None,
                 is_ready=upstream is not None and upstream.is_ready,
+                upstream_version=upstream.version if upstream else None,
+                born_ms=upstream.born_ms if upstream else None,
             )
 
     def _is_fresh(self) -> bool:
@@ -714,7 +716,9 @@
     """Returns whether a changed entry affects where requests may be sent."""
     if known is None or upstream is None:
         return known is not upstream
-    return (known.address, known.is_ready) != (
+    return (known.address, known.is_ready, known.start, known.version) != (
         upstream.address,
         upstream.is_ready,
+        upstream.start,
+        upstream.version,
     )
--- a/redwingchute/request/forward_progress.py
+++ b/redwingchute/request/forward_progress.py
@@ -20,6 +20,7 @@
       excluded: Upstreams that were tried and are not tried again.
       not_permitted: Upstreams whose limits did not permit the request.
       upstream_id: The upstream of the last attempt.
+      upstream_version: The software version of that upstream.
       earlier_events: The events that the caller had before the last attempt.
       last_event_ms: When the last chunk of a stream arrived; None before the
         first.
@@ -33,6 +34,7 @@
     excluded: frozenset[str] = frozenset()
     not_permitted: frozenset[str] = frozenset()
     upstream_id: str = ""
+    upstream_version: str = ""
     earlier_events: int = 0
     last_event_ms: int | None = None
     trace: forward_attempt.ExchangeTrace = attrs.field(
@@ -64,6 +66,8 @@
         route=plan.route.name,
         account=plan.account.name if plan.account else None,
         upstream=progress.upstream_id,
+        upstream_version=progress.upstream_version,
+        resumed_id=plan.request.resumed_id,
         sends=progress.sends,
         events=progress.relay.event_count,
         spent_tokens=count_spent_tokens(plan, progress),
@@ -91,6 +95,8 @@
         request_id=plan.request.id,
         upstream=upstream.id,
         address=upstream.address,
+        upstream_version=upstream.version,
+        born_ms=upstream.born_ms,
         outcome=outcome,
         reason=reason,
         **attrs.asdict(progress.trace),
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -284,6 +284,7 @@
                 progress.not_permitted |= {upstream.id}
                 continue
             progress.upstream_id = upstream.id
+            progress.upstream_version = upstream.version
             progress.excluded |= {upstream.id}
             progress.earlier_events = progress.relay.event_count
             send = suspects.begin_send(plan.request.id, subjects)
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -65,6 +65,7 @@
       crash_ms: How long the runner is down then.
       event_ms: The time between two events of a stream.
       work_ms: The time to run a plain request.
+      version: The software version in the entry; None leaves it out.
     """
 
     is_full: bool = False
@@ -87,6 +88,7 @@
     crash_ms: int = 300
     event_ms: int = 5
     work_ms: int = 5
+    version: str | None = "v1"
 
 
 @attrs.frozen
@@ -164,17 +166,19 @@
           state: The state in the entry, such as `ready`.
         """
         self.entry_count += 1
-        return {
+        entry = {
             "service": self.service,
             "address": f"{self.address}:{self.port}",
             "zone": "",
-            "version": "v1",
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
             "born": self.born_ms,
             "sequence": self.entry_count,
         }
+        if self.faults.version is not None:
+            entry["version"] = self.faults.version
+        return entry
 
     async def handle(
         self,
