Let streams go on only at the software version that began them

Cause: nothing knew versions; the next upstream was chosen by load. Class: a property of an earlier choice that binds later ones was not kept, and not told to the routers that make the later ones.

Change: from its first event a stream is bound to the version of the start that ran it; before it any upstream may take over. If no upstream of the version may be used, the answer is broken off. For the caller's tries at other routers each router remembers where its streams began; while a service has several versions it tells two routers of its zone, by a hash of the request's id, so that anyone knows whom to ask. When a second version appears, recent streams are told at once. With one version nothing is sent: the history of versions answers, if it is as long as a stream lasts and either the list is fresh or all that would have been told have run as long and agree. What isn't known is refused at once as not run. An unknown version equals only the same start. A take-up goes before new streams: it isn't shed as late, and is urgent for scarce permits.

Not done: asking all hosts (fails if the first is gone), and the version by hash of the id (first attempts fail over, and the set of versions changes).

--- a/redwingchute/process/explanation.py
+++ b/redwingchute/process/explanation.py
@@ -23,8 +23,10 @@
         "charge_refused",
         "request_ended",
         "request_refused",
+        "resume_refused",
         "retry_acquired",
         "retry_denied",
+        "stream_resumed",
     }
 )
 # State changes that are too frequent to be relevant to one request.
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -24,6 +24,7 @@
 from redwingchute.core import prepaid
 from redwingchute.core import rate_limiting
 from redwingchute.core import requesting
+from redwingchute.core import streams
 from redwingchute.process import background_tasks
 from redwingchute.process import crash_journal
 from redwingchute.process import decision_log
@@ -35,6 +36,7 @@
 from redwingchute.process import keyed_follower
 from redwingchute.process import limit_holders
 from redwingchute.process import notice_relay
+from redwingchute.process import origin_exchange
 from redwingchute.process import peer_network
 from redwingchute.process import permit_exchange
 from redwingchute.process import retry_budget
@@ -156,7 +158,10 @@
         )
         self._route_index: route_index.RouteIndex | None = None
         self._upstream_directory = upstream_directory.UpstreamDirectory(
-            settings.zone, settings.host_name, settings.drain_ms
+            settings.zone,
+            settings.host_name,
+            settings.drain_ms,
+            read_boot_ms,
         )
         self._is_stopping = False
         self._stop_deadline_ms = 0
@@ -187,6 +192,14 @@
             self._upstream_directory.limits,
             read_boot_ms,
         )
+        self._origins = origin_exchange.OriginExchange(
+            self._network,
+            lambda: self._registry.list_hosts(),
+            self._upstream_directory,
+            self._has_fresh_upstreams,
+            read_boot_ms,
+            read_wall_ms,
+        )
         self._crash_report_numbers = itertools.count(1)
         self._suspects = suspect_tracker.SuspectTracker(
             crash_evidence.CrashEvidence(
@@ -309,6 +322,7 @@
                     self._relay.broadcast,
                     read_boot_ms,
                 ),
+                origins=self._origins,
                 permits=self._permits,
                 find_time_left_ms=self._find_time_left_ms,
                 read_clock_ms=read_boot_ms,
@@ -344,6 +358,12 @@
         self._network.register_handler(
             rate_limiting.PermitReturn, self._permits.handle_return
         )
+        self._network.register_handler(
+            streams.OriginNotice, self._origins.handle_notice
+        )
+        self._network.register_handler(
+            streams.OriginRequest, self._origins.handle_request
+        )
         self._tasks.spawn(self._configuration_follower.run())
         self._tasks.spawn(self._upstream_follower.run())
         self._tasks.spawn(self._registry.run())
@@ -535,6 +555,17 @@
             self._upstream_directory.remove(record.key)
         else:
             self._upstream_directory.set_upstream(upstream)
+        if (
+            known is None
+            or upstream is None
+            or (
+                (known.service, known.version)
+                != (upstream.service, upstream.version)
+            )
+        ):
+            for entry in (known, upstream):
+                if entry is not None:
+                    self._origins.handle_upstreams_changed(entry.service)
         if _affects_routing(known, upstream):
             decision_log.log_event(
                 "upstream_changed",
@@ -546,6 +577,13 @@
                 born_ms=upstream.born_ms if upstream else None,
             )
 
+    def _has_fresh_upstreams(self) -> bool:
+        """Returns whether the entries of upstreams were read just now."""
+        follower = self._upstream_follower
+        if follower.failed_since_ms or follower.is_settling:
+            return False
+        return read_boot_ms() - follower.confirmed_ms < self.settings.drain_ms
+
     def _is_fresh(self) -> bool:
         """Returns whether the configuration is known to be the newest."""
         follower = self._configuration_follower
--- /dev/null
+++ b/redwingchute/process/origin_exchange.py
@@ -0,0 +1,250 @@
+"""Tells other routers which upstreams began streams, and asks them.
+
+A caller may ask another router for the rest of a stream, also after the router
+that began it has gone. While a service has more than one software version, each
+router tells two routers of its zone where its streams began; anyone can compute
+which two from the id of the request. With one version nothing is sent: then the
+history of versions answers.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import TypeAlias
+
+import xxhash
+
+from redwingchute.core import data
+from redwingchute.core import forwarding
+from redwingchute.core import streams
+from redwingchute.process import host_registry
+from redwingchute.process import peer_network
+from redwingchute.request import stream_origins
+from redwingchute.request import upstream_directory
+
+_KEEPERS = 2
+_CALL_TIMEOUT_MS = 250
+# The origins in one notice when a second version appears.
+_MAX_ORIGINS_PER_NOTICE = 256
+# How long ago streams began that are told then.
+_TOLD_MS = 30_000
+# How often to check whether a service still has several versions.
+_CHECK_INTERVAL_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Resolved:
+    """Where a stream may go on.
+
+    Attributes:
+      bond: The upstreams that it may go on at.
+      source: How it is known: `local` if this router had recorded it,
+        `versions` if the service has had just one, else the host that kept it.
+      age_ms: The time since its first event; None if it is not known.
+    """
+
+    bond: stream_origins.VersionBond
+    source: str
+    age_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class NotKnown:
+    """No router in reach knows at which version a stream began."""
+
+
+Resolution: TypeAlias = Resolved | NotKnown
+
+
+class OriginExchange:
+    """The origins of streams that one router tells, keeps and asks for."""
+
+    def __init__(
+        self,
+        network: peer_network.PeerNetwork,
+        list_hosts: Callable[[], tuple[host_registry.RegisteredHost, ...]],
+        directory: upstream_directory.UpstreamDirectory,
+        is_directory_fresh: Callable[[], bool],
+        read_clock_ms: Callable[[], int],
+        read_wall_ms: Callable[[], int],
+    ) -> None:
+        """Creates the exchange of a router.
+
+        Args:
+          network: The links to the other routers.
+          list_hosts: Returns the registered hosts.
+          directory: The upstreams of all services.
+          is_directory_fresh: Returns whether the entries of upstreams were read
+            just now.
+          read_clock_ms: Returns the time on a steady clock.
+          read_wall_ms: Returns the time of day.
+        """
+        self._network = network
+        self._list_hosts = list_hosts
+        self._directory = directory
+        self._is_directory_fresh = is_directory_fresh
+        self._read_clock_ms = read_clock_ms
+        self._read_wall_ms = read_wall_ms
+        self._origins = stream_origins.StreamOrigins()
+        # The services that had more than one version, and when that was last
+        # checked.
+        self._mixed_ms: dict[str, int] = {}
+
+    def record_begin(
+        self, request_id: str, upstream: forwarding.Upstream
+    ) -> streams.StreamOrigin:
+        """Records that an upstream sent the first event of a stream.
+
+        Args:
+          request_id: The request that the stream responds to.
+          upstream: The upstream, as its entry was when the request was sent.
+
+        Returns:
+          The origin of the stream.
+        """
+        origin = streams.StreamOrigin(
+            request_id,
+            upstream.service,
+            upstream.id,
+            upstream.born_ms,
+            upstream.version,
+            self._read_wall_ms(),
+        )
+        now_ms = self._read_clock_ms()
+        self._origins.record(origin, now_ms, is_own=True)
+        checked_ms = self._mixed_ms.get(upstream.service)
+        if checked_ms is not None:
+            self._tell((origin,))
+            if now_ms - checked_ms >= _CHECK_INTERVAL_MS:
+                self.handle_upstreams_changed(upstream.service)
+        return origin
+
+    def handle_upstreams_changed(self, service: str) -> None:
+        """Tells where streams began, once a service has several versions."""
+        now_ms = self._read_clock_ms()
+        versions = self._directory.list_versions(service, _TOLD_MS, now_ms)
+        if len(versions) <= 1 and "" not in versions:
+            self._mixed_ms.pop(service, None)
+            return
+        if service not in self._mixed_ms:
+            self._tell(self._origins.list_own(service, _TOLD_MS, now_ms))
+        self._mixed_ms[service] = now_ms
+
+    async def resolve(
+        self, service: str, request_id: str | None, max_age_ms: int
+    ) -> Resolution:
+        """Returns where the stream that a request began may go on.
+
+        Args:
+          service: Its service.
+          request_id: The request that brought its first event; None if the
+            caller does not say.
+          max_age_ms: How long ago it may have begun.
+        """
+        known = None if request_id is None else self._origins.find(request_id)
+        if known is not None:
+            return self._resolve_origin(known, "local")
+        now_ms = self._read_clock_ms()
+        versions = set(
+            self._directory.list_versions(service, max_age_ms, now_ms)
+        )
+        # Either no version can be missing here, or a router that knew of
+        # another one would have told those that were asked.
+        is_complete = self._is_directory_fresh() and (
+            self._directory.has_history(max_age_ms, now_ms)
+        )
+        if request_id is not None:
+            replies = await self._ask(service, request_id, max_age_ms)
+            for host, reply in replies:
+                if reply is None:
+                    continue
+                for origin in reply.origins:
+                    return self._resolve_origin(origin, host)
+                versions |= set(reply.versions)
+            is_complete = is_complete or (
+                bool(replies)
+                and all(reply and reply.has_history for _, reply in replies)
+            )
+        if not is_complete or len(versions) != 1 or "" in versions:
+            return NotKnown()
+        return Resolved(stream_origins.VersionBond(versions.pop()), "versions")
+
+    def _resolve_origin(
+        self, origin: streams.StreamOrigin, source: str
+    ) -> Resolved:
+        """Returns where the stream of a known origin may go on."""
+        bond = self.make_bond(origin)
+        age_ms = self._read_wall_ms() - origin.begun_ms
+        return Resolved(bond, source, age_ms)
+
+    def make_bond(
+        self, origin: streams.StreamOrigin
+    ) -> stream_origins.VersionBond:
+        """Returns the upstreams at which the stream of an origin may go on."""
+        listed = self._directory.find(origin.upstream)
+        return stream_origins.make_bond(origin, listed)
+
+    async def _ask(
+        self, service: str, request_id: str, max_age_ms: int
+    ) -> list[tuple[str, streams.OriginReply | None]]:
+        """Returns the routers that keep an origin, and their replies if any."""
+        keepers = self._list_keepers(request_id)
+        request = streams.OriginRequest(request_id, service, max_age_ms)
+        replies = await asyncio.gather(
+            *(
+                self._network.call(host, request, _CALL_TIMEOUT_MS)
+                for host in keepers
+            )
+        )
+        return [
+            (host, reply if isinstance(reply, streams.OriginReply) else None)
+            for host, reply in zip(keepers, replies, strict=True)
+        ]
+
+    def _tell(self, origins: tuple[streams.StreamOrigin, ...]) -> None:
+        """Tells the routers that keep them the origins of streams."""
+        by_keeper: dict[str, list[streams.StreamOrigin]] = {}
+        for origin in origins:
+            for host in self._list_keepers(origin.request_id):
+                by_keeper.setdefault(host, []).append(origin)
+        for host, kept in by_keeper.items():
+            for first in range(0, len(kept), _MAX_ORIGINS_PER_NOTICE):
+                part = kept[first : first + _MAX_ORIGINS_PER_NOTICE]
+                self._network.send(host, streams.OriginNotice(tuple(part)))
+
+    def _list_keepers(self, request_id: str) -> list[str]:
+        """Returns the other hosts of the zone that keep an origin."""
+        own = self._network.own_host
+        hosts = [
+            host.name
+            for host in self._list_hosts()
+            if host.zone == own.zone and host.name != own.name
+        ]
+        hosts.sort(
+            key=lambda name: xxhash.xxh64_intdigest(
+                f"{request_id}/{name}".encode()
+            )
+        )
+        return hosts[:_KEEPERS]
+
+    async def handle_notice(
+        self, peer: data.Host, notice: streams.OriginNotice
+    ) -> None:
+        """Keeps the origins that another router tells."""
+        del peer
+        now_ms = self._read_clock_ms()
+        for origin in notice.origins:
+            self._origins.record(origin, now_ms, is_own=False)
+
+    async def handle_request(
+        self, peer: data.Host, request: streams.OriginRequest
+    ) -> streams.OriginReply:
+        """Answers a router that asks for the origin of a stream."""
+        del peer
+        found = self._origins.find(request.request_id)
+        now_ms, max_age_ms = self._read_clock_ms(), request.max_age_ms
+        return streams.OriginReply(
+            () if found is None else (found,),
+            self._directory.list_versions(request.service, max_age_ms, now_ms),
+            self._directory.has_history(max_age_ms, now_ms),
+        )
--- /dev/null
+++ b/redwingchute/process/origin_exchange_test.py
@@ -0,0 +1,125 @@
+"""Tests of what routers know of the streams that others began."""
+
+from redwingchute.core import forwarding
+from redwingchute.process import origin_exchange
+from redwingchute.request import stream_origins
+from redwingchute.testing import origin_rig
+
+_V1 = tuple(origin_rig.make_upstream(f"m-{n}", "v1") for n in (1, 2))
+_V2 = tuple(origin_rig.make_upstream(f"m-{n}", "v2") for n in (3, 4))
+_REQUESTS = [f"request-{number}" for number in range(24)]
+
+
+def _read_version(resolution: origin_exchange.Resolution) -> str | None:
+    """Returns the version that a stream may go on at, or None."""
+    match resolution:
+        case origin_exchange.Resolved(bond):
+            return bond.version
+        case origin_exchange.NotKnown():
+            return None
+
+
+# Guards against streams that are lost with the host that began them, and
+# against any order of hosts in which those that are asked were not told.
+def test_origins_are_known_after_the_host_that_began_the_streams_is_gone() -> (
+    None
+):
+    for host_count in (2, 3, 8, 48):
+        fleet = origin_rig.OriginFleet(host_count)
+        fleet.set_upstreams(_V1 + _V2)
+        began = fleet.routers["host-0"]
+        for number, request_id in enumerate(_REQUESTS):
+            upstream = (_V1 + _V2)[number % 4]
+            began.exchange.record_begin(request_id, upstream)
+        began.is_reachable = False
+        for host in fleet.routers:
+            for number, request_id in enumerate(_REQUESTS):
+                version = _read_version(fleet.resolve(host, request_id))
+                assert version == (_V1 + _V2)[number % 4].version
+
+
+# Guards against streams of the only version that are refused when a second one
+# appears, and against messages while there is just one.
+def test_origins_are_told_once_a_second_version_appears() -> None:
+    fleet = origin_rig.OriginFleet(8)
+    fleet.set_upstreams(_V1)
+    began = fleet.routers["host-0"]
+    for request_id in _REQUESTS:
+        began.exchange.record_begin(request_id, _V1[0])
+    assert not began.network.sent
+    fleet.now_ms += 1_000
+    fleet.set_upstreams(_V1 + _V2)
+    assert began.network.sent
+    began.is_reachable = False
+    for request_id in _REQUESTS:
+        assert _read_version(fleet.resolve("host-7", request_id)) == "v1"
+
+
+# Guards against a take-up at the version that a router knows of, where another
+# one has read of a second version already.
+def test_one_version_answers_only_while_all_that_are_asked_agree() -> None:
+    fleet = origin_rig.OriginFleet(3)
+    fleet.set_upstreams(_V1)
+    assert _read_version(fleet.resolve("host-0", "unknown")) is None
+    fleet.now_ms += 20_000
+    assert _read_version(fleet.resolve("host-0", "unknown")) == "v1"
+    fleet.set_upstreams(_V1 + _V2, "host-1")
+    assert _read_version(fleet.resolve("host-0", "unknown")) is None
+
+
+# Guards against versions that have just gone and count as never there.
+def test_a_version_that_has_gone_counts_as_long_as_streams_last() -> None:
+    fleet = origin_rig.OriginFleet(2)
+    fleet.set_upstreams(_V1 + _V2)
+    fleet.now_ms += 20_000
+    fleet.set_upstreams(_V2)
+    assert _read_version(fleet.resolve("host-0", "unknown")) is None
+    fleet.now_ms += 10_001
+    assert _read_version(fleet.resolve("host-0", "unknown")) == "v2"
+
+
+# Guards against streams that are refused for the whole of an outage of the log,
+# and against a router that is alone and takes its old list for the newest.
+def test_while_nobody_reads_the_log_the_others_must_answer() -> None:
+    fleet = origin_rig.OriginFleet(3)
+    fleet.set_upstreams(_V1)
+    fleet.now_ms += 20_000
+    for router in fleet.routers.values():
+        router.has_fresh_upstreams = False
+    assert _read_version(fleet.resolve("host-0", "unknown")) == "v1"
+    assert _read_version(fleet.resolve("host-0", None)) is None
+    fleet.routers["host-1"].is_reachable = False
+    assert _read_version(fleet.resolve("host-0", "unknown")) is None
+    fleet.routers["host-1"].is_reachable = True
+    fleet.start_router("host-1")
+    assert _read_version(fleet.resolve("host-0", "unknown")) is None
+
+
+# Guards against an entry of an earlier start that names the version of a run.
+def test_a_later_start_with_other_software_makes_the_version_unknown() -> None:
+    fleet = origin_rig.OriginFleet(1)
+    fleet.set_upstreams(_V1)
+    exchange = fleet.routers["host-0"].exchange
+    exchange.record_begin("early", _V1[0])
+    fleet.now_ms += 5_000
+    exchange.record_begin("late", _V1[0])
+    again = origin_rig.make_upstream("m-1", "v2", fleet.now_ms - 2_000)
+    fleet.set_upstreams((again, _V1[1]))
+    assert _read_version(fleet.resolve("host-0", "early")) == "v1"
+    assert _read_version(fleet.resolve("host-0", "late")) == ""
+
+
+# Guards against unknown versions that are taken for equal.
+def test_an_unknown_version_equals_nothing_but_the_same_start() -> None:
+    unknown = origin_rig.make_upstream("m-1", "")
+    other = origin_rig.make_upstream("m-2", "")
+    bond = stream_origins.VersionBond("", unknown.start)
+    assert bond.allows(unknown)
+    assert not bond.allows(other)
+    assert not stream_origins.VersionBond("").allows(unknown)
+    start = forwarding.UpstreamStart("m-9", 1)
+    assert stream_origins.VersionBond("v1", start).allows(_V1[0])
+    fleet = origin_rig.OriginFleet(2)
+    fleet.set_upstreams((unknown, other))
+    fleet.now_ms += 20_000
+    assert _read_version(fleet.resolve("host-0", "unknown")) is None
--- a/redwingchute/process/stream_versions_test.py
+++ b/redwingchute/process/stream_versions_test.py
@@ -36,12 +36,16 @@
 
 
 async def _stream(
-    rig: gateway_rig.GatewayRig, number: int, **headers: str
+    rig: gateway_rig.GatewayRig,
+    number: int,
+    gateway_number: int = 0,
+    **headers: str,
 ) -> gateway_rig.Response:
     """Sends a request for a stream that may be resumed."""
     return await rig.send_request(
         f"/summary/{number}",
         b"prompt",
+        gateway_number,
         token_usage=f"100,{_EVENTS}",
         prompt_prefix=f"{number:x}:100",
         model="m",
@@ -124,8 +128,10 @@
 # version it began, and against a refusal that lets it seem to have run.
 def test_a_resumed_stream_of_unknown_version_is_refused_as_not_run() -> None:
     async def scenario(rig: gateway_rig.GatewayRig) -> None:
-        for number, headers in enumerate(({"resumes": "unknown"}, {})):
-            response = await _stream(rig, number, last_event_id="1", **headers)
+        for number, resumes in enumerate(("unknown", "")):
+            response = await _stream(
+                rig, number, last_event_id="1", resumes=resumes
+            )
             assert response.status == 503
             assert not _list_versions(rig, f"/summary/{number}")
 
--- a/redwingchute/request/forward_progress.py
+++ b/redwingchute/request/forward_progress.py
@@ -3,9 +3,11 @@
 import attrs
 
 from redwingchute.core import forwarding
+from redwingchute.core import streams
 from redwingchute.process import decision_log
 from redwingchute.request import forward_attempt
 from redwingchute.request import forward_plan
+from redwingchute.request import stream_origins
 
 
 @attrs.define
@@ -21,6 +23,8 @@
       not_permitted: Upstreams whose limits did not permit the request.
       upstream_id: The upstream of the last attempt.
       upstream_version: The software version of that upstream.
+      origin: Where a stream began whose first event has arrived, or None.
+      bond: Where a stream may go on that the caller resumes, or None.
       earlier_events: The events that the caller had before the last attempt.
       last_event_ms: When the last chunk of a stream arrived; None before the
         first.
@@ -35,6 +39,8 @@
     not_permitted: frozenset[str] = frozenset()
     upstream_id: str = ""
     upstream_version: str = ""
+    origin: streams.StreamOrigin | None = None
+    bond: stream_origins.VersionBond | None = None
     earlier_events: int = 0
     last_event_ms: int | None = None
     trace: forward_attempt.ExchangeTrace = attrs.field(
@@ -42,6 +48,19 @@
     )
 
 
+def is_urgent(plan: forward_plan.Plan, progress: Progress) -> bool:
+    """Returns whether a request goes before others.
+
+    That is so if it has the highest priority, or if its caller already has a
+    part of the response.
+    """
+    return (
+        progress.bond is not None
+        or progress.relay.event_count > 0
+        or forward_plan.is_urgent(plan)
+    )
+
+
 def count_spent_tokens(plan: forward_plan.Plan, progress: Progress) -> int:
     """Returns the tokens consumed: the prompt and the delivered output.
 
--- a/redwingchute/request/forward_retry.py
+++ b/redwingchute/request/forward_retry.py
@@ -4,6 +4,7 @@
 from redwingchute.request import forward_plan
 from redwingchute.request import forward_progress
 from redwingchute.request import retry_allowance
+from redwingchute.request import stream_origins
 from redwingchute.request import upstream_directory
 
 
@@ -13,6 +14,7 @@
     directory: upstream_directory.UpstreamDirectory,
     allowance: retry_allowance.RetryAllowance,
     now_ms: int,
+    bond: stream_origins.VersionBond | None = None,
 ) -> bool:
     """Acquires a retry from the allowance, if the request can be retried.
 
@@ -26,6 +28,7 @@
       directory: The upstreams of all services.
       allowance: The retry allowance of the service.
       now_ms: The current time.
+      bond: The upstreams that a stream may go on at; None for any.
     """
     if progress.sends >= plan.route.max_attempts:
         return False
@@ -34,7 +37,8 @@
         plan.request,
         progress.excluded | progress.not_permitted,
         now_ms,
-        forward_plan.is_urgent(plan),
+        forward_progress.is_urgent(plan, progress),
+        bond,
     )
     if chosen is None:
         return False
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -19,6 +19,7 @@
 from redwingchute.core import spread
 from redwingchute.process import decision_log
 from redwingchute.process import invariants
+from redwingchute.process import origin_exchange
 from redwingchute.process import permit_exchange
 from redwingchute.process.prepaid import charging
 from redwingchute.request import crash_evidence
@@ -31,7 +32,9 @@
 from redwingchute.request import load_shedding
 from redwingchute.request import request_metrics
 from redwingchute.request import retry_allowance
+from redwingchute.request import stream_origins
 from redwingchute.request import suspect_tracker
+from redwingchute.request import upstream_choice
 from redwingchute.request import upstream_directory
 from redwingchute.request import upstream_statements
 from redwingchute.version import route_index
@@ -40,6 +43,8 @@
 _MAX_CONNECT_ATTEMPTS = 4
 # Retry-after of a refusal whose cause has no known end.
 _RETRY_AFTER_MS = 500
+# How long after the timeout of its route a caller may still resume a stream.
+_RESUME_MARGIN_MS = 5_000
 # Events of a stream beyond two for each output token, such as comments.
 _EXTRA_EVENTS = 64
 # Callers may take these statuses to mean that the request did not run. An
@@ -63,6 +68,7 @@
       find_allowance: Returns the retry allowance of a service.
       suspects: The requests that may end upstreams.
       statements: Records what upstreams state about themselves.
+      origins: Tells and asks where streams began.
       permits: Acquires permits for requests to upstreams that limit them.
       find_time_left_ms: Returns the time until the process stops; None unless
         a shutdown has begun.
@@ -79,6 +85,7 @@
     find_allowance: Callable[[str], retry_allowance.RetryAllowance]
     suspects: suspect_tracker.SuspectTracker
     statements: upstream_statements.UpstreamStatements
+    origins: origin_exchange.OriginExchange
     permits: permit_exchange.PermitExchange
     find_time_left_ms: Callable[[], int | None]
     read_clock_ms: Callable[[], int]
@@ -189,9 +196,11 @@
             plan.service.name, now_ms, forward_plan.is_urgent(plan)
         ):
             return self._refuse_no_upstream(plan)
-        busy = self._refuse_if_busy(plan, now_ms)
-        if busy is not None:
-            return busy
+        refusal = await self._resume(plan, progress)
+        if refusal is None and progress.bond is None:
+            refusal = self._refuse_if_busy(plan, now_ms)
+        if refusal is not None:
+            return refusal
         charge = await self._charge(plan)
         if isinstance(charge, outcomes.NotRun):
             return charge
@@ -203,6 +212,75 @@
                     charge, forward_progress.count_spent_tokens(plan, progress)
                 )
 
+    async def _resume(
+        self, plan: forward_plan.Plan, progress: forward_progress.Progress
+    ) -> outcomes.NotRun | None:
+        """Finds where a stream may go on that the caller resumes.
+
+        Returns:
+          The refusal if that is not known, or no such upstream is left.
+        """
+        request = plan.request
+        if not plan.route.is_resumable or not (
+            request.resumed_id or request.last_event_id is not None
+        ):
+            return None
+        resolution = await self._dependencies.origins.resolve(
+            plan.service.name,
+            request.resumed_id,
+            plan.route.timeout_ms + _RESUME_MARGIN_MS,
+        )
+        match resolution:
+            case origin_exchange.NotKnown():
+                decision_log.log_failure(
+                    "resume_refused", request_id=request.id, cause="unknown"
+                )
+                return outcomes.NotRun(
+                    503,
+                    "unknown_version",
+                    "It is not known which version began the stream.",
+                    _RETRY_AFTER_MS,
+                )
+            case origin_exchange.Resolved(bond, source, age_ms):
+                progress.bond = bond
+                fields = {
+                    "request_id": request.id,
+                    "resumed_id": request.resumed_id,
+                    "upstream_version": bond.version,
+                    "start": bond.start.id if bond.start else None,
+                    "source": source,
+                    "age_ms": age_ms,
+                }
+                if self._choose(plan, progress) is None:
+                    decision_log.log_failure(
+                        "resume_refused", cause="none_left", **fields
+                    )
+                    return self._refuse_no_upstream(plan)
+                decision_log.log_event("stream_resumed", **fields)
+                return None
+
+    def _choose(
+        self, plan: forward_plan.Plan, progress: forward_progress.Progress
+    ) -> upstream_choice.Candidate | None:
+        """Returns the upstream for the next attempt, or None."""
+        return self._dependencies.directory.choose(
+            plan.service.name,
+            plan.request,
+            progress.excluded | progress.not_permitted,
+            self._dependencies.read_clock_ms(),
+            forward_progress.is_urgent(plan, progress),
+            self._find_bond(progress),
+        )
+
+    def _find_bond(
+        self, progress: forward_progress.Progress
+    ) -> stream_origins.VersionBond | None:
+        """Returns where a stream may go on; None before its first event."""
+        if progress.bond is None and progress.relay.event_count:
+            assert progress.origin is not None
+            return self._dependencies.origins.make_bond(progress.origin)
+        return progress.bond
+
     def _refuse_if_busy(
         self, plan: forward_plan.Plan, now_ms: int
     ) -> outcomes.NotRun | None:
@@ -265,20 +343,14 @@
                 if progress.may_have_run:
                     return _make_failure(avoided.message)
                 return avoided
-            chosen = directory.choose(
-                plan.service.name,
-                plan.request,
-                progress.excluded | progress.not_permitted,
-                self._dependencies.read_clock_ms(),
-                forward_plan.is_urgent(plan),
-            )
+            chosen = self._choose(plan, progress)
             if chosen is None:
                 if progress.may_have_run:
                     return _make_failure("no other upstream is ready")
                 return self._refuse_no_upstream(plan)
             upstream = chosen.upstream
             permit = await self._dependencies.permits.acquire(
-                upstream, forward_plan.is_urgent(plan)
+                upstream, forward_progress.is_urgent(plan, progress)
             )
             if isinstance(permit, permit_exchange.NotPermitted):
                 progress.not_permitted |= {upstream.id}
@@ -350,7 +422,7 @@
                 upstream, response, sent_limit.revision
             ),
             record_event=lambda: self._record_event(
-                plan, progress, open_request
+                plan, progress, upstream, open_request
             ),
         )
         result = await self._attempts.run(upstream, outgoing, progress.relay)
@@ -370,10 +442,19 @@
         self,
         plan: forward_plan.Plan,
         progress: forward_progress.Progress,
+        upstream: forwarding.Upstream,
         open_request: fleet_load.OpenRequest,
     ) -> None:
         """Records the arrival of a chunk of a stream."""
         now_ms = self._dependencies.read_clock_ms()
+        if (
+            plan.route.is_resumable
+            and progress.bond is None
+            and not progress.relay.event_count
+        ):
+            progress.origin = self._dependencies.origins.record_begin(
+                plan.request.id, upstream
+            )
         self._dependencies.directory.record_first_event(open_request, now_ms)
         if progress.last_event_ms is None:
             elapsed_ms = now_ms - plan.arrived_ms
@@ -531,6 +612,7 @@
             self._dependencies.directory,
             self._dependencies.find_allowance(plan.service.name),
             self._dependencies.read_clock_ms(),
+            self._find_bond(progress),
         )
 
     async def _respond(
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -4,6 +4,7 @@
 detection and the pauses of unresponsive upstreams to choose upstreams.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 
@@ -17,9 +18,11 @@
 from redwingchute.request import outlier_detector
 from redwingchute.request import prefill_model
 from redwingchute.request import requested_pauses
+from redwingchute.request import stream_origins
 from redwingchute.request import unresponsive_upstreams
 from redwingchute.request import upstream_choice
 from redwingchute.request import upstream_limits
+from redwingchute.request import version_history
 
 
 @attrs.define
@@ -43,7 +46,11 @@
     """
 
     def __init__(
-        self, zone: str, host: str = "", drain_ms: int = 2_000
+        self,
+        zone: str,
+        host: str = "",
+        drain_ms: int = 2_000,
+        read_clock_ms: Callable[[], int] = lambda: 0,
     ) -> None:
         """Creates a directory without upstreams.
 
@@ -51,6 +58,8 @@
           zone: The router's availability zone.
           host: The router's host.
           drain_ms: How long an upstream that leaves still accepts requests.
+          read_clock_ms: Returns the time on a steady clock, which dates the
+            history of versions.
         """
         self._zone = zone
         self._pools: dict[str, _Pool] = {}
@@ -62,6 +71,8 @@
         self._departures = departures.Departures(drain_ms)
         self._pauses = requested_pauses.RequestedPauses(host)
         self.limits = upstream_limits.UpstreamLimits()
+        self._read_clock_ms = read_clock_ms
+        self._versions = version_history.VersionHistory(read_clock_ms())
 
     def set_upstream(self, upstream: forwarding.Upstream) -> None:
         """Adds an upstream or replaces its entry; its service may change.
@@ -74,6 +85,8 @@
             upstream.start,
         ):
             self.remove(upstream.id)
+        if known is not None and known.version != upstream.version:
+            self._record_versions(upstream.service)
         self._service_names[upstream.id] = upstream.service
         pool = self._get_pool(upstream.service)
         is_new = upstream.id not in pool.upstreams
@@ -86,6 +99,7 @@
         service = self._service_names.pop(upstream_id, None)
         if service is None:
             return
+        self._record_versions(service)
         self._unresponsive.remove(upstream_id)
         self._prefill.remove(upstream_id)
         pool = self._get_pool(service)
@@ -105,6 +119,32 @@
             return None
         return self._get_pool(service).upstreams.get(upstream_id)
 
+    def _record_versions(self, service: str) -> None:
+        """Records the versions that a service has now."""
+        pool = self._get_pool(service)
+        self._versions.record_listed(
+            service,
+            {upstream.version for upstream in pool.upstreams.values()},
+            self._read_clock_ms(),
+        )
+
+    def list_versions(
+        self, service: str, max_age_ms: int, now_ms: int
+    ) -> tuple[str, ...]:
+        """Returns the software versions that a service has had for some time.
+
+        Args:
+          service: The service.
+          max_age_ms: The time.
+          now_ms: The current time.
+        """
+        self._record_versions(service)
+        return self._versions.list_versions(service, max_age_ms, now_ms)
+
+    def has_history(self, max_age_ms: int, now_ms: int) -> bool:
+        """Returns whether versions were recorded for at least some time."""
+        return self._versions.covers(max_age_ms, now_ms)
+
     def has_upstream(self, service: str, now_ms: int) -> bool:
         """Returns whether an upstream of a service accepts new work."""
         return any(True for _ in self._iterate_in_use(service, now_ms))
@@ -116,6 +156,7 @@
         excluded: frozenset[str],
         now_ms: int,
         is_urgent: bool = False,
+        bond: stream_origins.VersionBond | None = None,
     ) -> upstream_choice.Candidate | None:
         """Returns the upstream for a request, or None.
 
@@ -131,12 +172,14 @@
           excluded: Upstreams that were already tried for it.
           now_ms: The current time.
           is_urgent: Whether the request has the highest priority.
+          bond: The upstreams that a stream may go on at; None for any.
         """
         pool = self._get_pool(service)
         ready = [
             upstream
             for upstream in self._iterate_in_use(service, now_ms)
             if upstream.id not in excluded
+            and (bond is None or bond.allows(upstream))
             and self._find_pause_end_ms(upstream, is_urgent) <= now_ms
         ]
         healthy = [
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -13,6 +13,7 @@
 from redwingchute.core import requesting
 from redwingchute.core import spending
 from redwingchute.core import status
+from redwingchute.core import streams
 from redwingchute.version import changes
 from redwingchute.wire import codec
 
@@ -65,6 +66,9 @@
     codec.Registration(406, rate_limiting.PermitRequest, _REQUEST),
     codec.Registration(407, rate_limiting.PermitReply, _REQUEST),
     codec.Registration(408, rate_limiting.PermitReturn, _REQUEST),
+    codec.Registration(410, streams.OriginNotice, _REQUEST),
+    codec.Registration(411, streams.OriginRequest, _REQUEST),
+    codec.Registration(412, streams.OriginReply, _REQUEST),
 )
 
 
--- a/redwingchute/wire/request.capnp
+++ b/redwingchute/wire/request.capnp
@@ -1,6 +1,6 @@
 @0x9f3b6b1b3c9f4a40;
 # Notices between routers about requests and upstreams. Field names mirror
-# core/requesting.py and core/rate_limiting.py.
+# core/requesting.py, core/rate_limiting.py and core/streams.py.
 
 struct CrashNotice { clientAccount @0 :Text; bodyDigest @1 :Data; upstream @2 :Text; attemptId @3 :Text; crashedAtMs @4 :Int64; }
 struct CrashObservation { subject @0 :Text; upstreamStart @1 :Text; isCleared @2 :Bool; level @3 :UInt32; }
@@ -14,3 +14,8 @@
 struct PermitRequest { upstream @0 :Text; bornMs @1 :Int64; zone @2 :Text; limit @3 :KnownLimit; isUrgent @4 :Bool; }
 struct PermitReply { isHolder @0 :Bool; isPermitted @1 :Bool; waitMs @2 :Int64; limit @3 :KnownLimit; }
 struct PermitReturn { upstream @0 :Text; bornMs @1 :Int64; }
+
+struct StreamOrigin { requestId @0 :Text; service @1 :Text; upstream @2 :Text; bornMs @3 :Int64; version @4 :Text; begunMs @5 :Int64; }
+struct OriginNotice { origins @0 :List(StreamOrigin); }
+struct OriginRequest { requestId @0 :Text; service @1 :Text; maxAgeMs @2 :Int64; }
+struct OriginReply { origins @0 :List(StreamOrigin); versions @1 :List(Text); hasHistory @2 :Bool; }
