--- a/redwingchute/core/rate_limiting.py
+++ b/redwingchute/core/rate_limiting.py
@@ -79,7 +79,7 @@
 
 @attrs.frozen
 class PermitRequest:
-    """Asks the holder of a limit to permit one request.
+    """Asks a limiter of an upstream to permit one request.
 
     Attributes:
       upstream: The upstream that the request is for.
@@ -101,13 +101,13 @@
     """Answers a `PermitRequest`.
 
     Attributes:
-      is_holder: Whether the replying router holds a part of the limit.
+      is_limiter: Whether the replying router holds a part of the limit.
       is_permitted: Whether the request may be sent.
       wait_ms: When the next request will be permitted, if nobody asks before.
       limit: What the replying router knows of the limit.
     """
 
-    is_holder: bool
+    is_limiter: bool
     is_permitted: bool
     wait_ms: int
     limit: KnownLimit
@@ -115,7 +115,7 @@
 
 @attrs.frozen
 class PermitReturn:
-    """Returns a permit to its holder, because nothing was sent.
+    """Returns a permit to its limiter, because nothing was sent.
 
     Attributes:
       upstream: The upstream.
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -34,7 +34,7 @@
 from redwingchute.process import hub_choice
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
-from redwingchute.process import limit_holders
+from redwingchute.process import limiter_choice
 from redwingchute.process import notice_relay
 from redwingchute.process import origin_exchange
 from redwingchute.process import peer_network
@@ -183,12 +183,12 @@
             self._network.send_to_all,
             _make_notice_id,
         )
-        self._limit_holders = limit_holders.LimitHolders(
+        self._limiter_choice = limiter_choice.LimiterChoice(
             settings.host_name, lambda: self._registry.find_registration()
         )
         self._permits = permit_exchange.PermitExchange(
             self._network,
-            self._limit_holders,
+            self._limiter_choice,
             self._upstream_directory.limits,
             read_boot_ms,
         )
@@ -612,7 +612,7 @@
         self._hub_view = view = hub_choice.choose_hubs(
             self._registry.own_host, self._registry.list_hosts()
         )
-        self._limit_holders.record_hosts(
+        self._limiter_choice.record_hosts(
             self._registry.list_hosts(), read_boot_ms()
         )
         for host in self._registry.list_hosts():
--- a/redwingchute/process/limit_holders.py
+++ b/redwingchute/process/limiter_choice.py
@@ -1,12 +1,12 @@
-"""Decides which routers hold the limit of an upstream, and which part of it.
+"""Chooses the limiters of upstreams: the routers that issue permits for them.
 
-Every router derives the holders from the registered hosts: the first two in the
-order of a rendezvous hash, those in the upstream's zone before all others. The
-first issues permits for the whole limit, the second for a part, to routers that
-cannot reach the first. Both together stay within what an upstream tolerates, so
-they need no agreement when one of them stops or they are cut off.
+Every router derives them from the registered hosts: the first two in the order
+of a rendezvous hash, those in the upstream's zone before all others. The first
+issues permits for the whole limit, the second for a part, to routers that cannot
+reach the first. Both together stay within what an upstream tolerates, so they
+need no agreement when one of them stops or they are cut off.
 
-While hosts join or leave, routers may know different holders. A host that has
+While hosts join or leave, routers may know different limiters. A host that has
 just become the first, or whose list of hosts may be out of date, issues less.
 """
 
@@ -19,17 +19,17 @@
 from redwingchute.process import host_registry
 
 FIRST_SHARE = 1.0
-# Of the first holder while another router may take itself for the first.
+# Of the first limiter while another router may take itself for the first.
 UNSETTLED_SHARE = 0.5
 SECOND_SHARE = 0.4
 # A host that has not read the list of hosts for this long may lack changes.
 _READ_LAG_MS = 4_000
-# The holders of this many upstreams are remembered.
+# The limiters of this many upstreams are remembered.
 _MAX_CACHED = 8_192
 
 
-class LimitHolders:
-    """The holders of limits, as one router sees them."""
+class LimiterChoice:
+    """The limiters of limits, as one router sees them."""
 
     def __init__(
         self,
@@ -60,7 +60,7 @@
         self._hosts = tuple(hosts)
         self._cached.clear()
 
-    def list_holders(self, upstream_id: str, zone: str) -> tuple[str, ...]:
+    def list_limiters(self, upstream_id: str, zone: str) -> tuple[str, ...]:
         """Returns the hosts that hold a part of a limit, the first one first.
 
         Args:
@@ -68,13 +68,13 @@
           zone: Its availability zone.
         """
         key = (upstream_id, zone)
-        holders = self._cached.get(key)
-        if holders is None:
-            holders = _choose_holders(self._hosts, upstream_id, zone)
+        limiters = self._cached.get(key)
+        if limiters is None:
+            limiters = _choose_limiters(self._hosts, upstream_id, zone)
             if len(self._cached) >= _MAX_CACHED:
                 self._cached.clear()
-            self._cached[key] = holders
-        return holders
+            self._cached[key] = limiters
+        return limiters
 
     def find_share(self, upstream_id: str, zone: str, now_ms: int) -> float:
         """Returns the part of a limit that this router holds; 0 for none.
@@ -84,17 +84,17 @@
           zone: Its availability zone.
           now_ms: The current time.
         """
-        holders = self.list_holders(upstream_id, zone)
-        if self._own_host not in holders:
+        limiters = self.list_limiters(upstream_id, zone)
+        if self._own_host not in limiters:
             return 0.0
-        if self._own_host != holders[0]:
+        if self._own_host != limiters[0]:
             return SECOND_SHARE
         registration = self._find_registration()
         if registration is None or now_ms - registration.read_ms > _READ_LAG_MS:
             return UNSETTLED_SHARE
         self._drop_outdated(now_ms)
         for _, hosts in self._earlier:
-            earlier = _choose_holders(hosts, upstream_id, zone)
+            earlier = _choose_limiters(hosts, upstream_id, zone)
             if earlier[:1] != (self._own_host,):
                 return UNSETTLED_SHARE
         return FIRST_SHARE
@@ -105,7 +105,7 @@
             self._earlier.popleft()
 
 
-def _choose_holders(
+def _choose_limiters(
     hosts: Sequence[host_registry.RegisteredHost], upstream_id: str, zone: str
 ) -> tuple[str, ...]:
     """Returns the first two hosts in the order for an upstream."""
--- a/redwingchute/process/limit_holders_test.py
+++ b/redwingchute/process/limiter_choice_test.py
@@ -11,7 +11,7 @@
 
 from redwingchute.core import forwarding
 from redwingchute.process import host_registry
-from redwingchute.process import limit_holders
+from redwingchute.process import limiter_choice
 from redwingchute.request import permit_issuer
 
 _ZONES = ("huon", "bruny", "tamar", "derwent")
@@ -34,7 +34,7 @@
     ]
 
 
-class _Holder:
+class _Limiter:
     """One router that issues permits.
 
     Attributes:
@@ -46,7 +46,7 @@
         self.read_ms: int | None = None
         self._now_ms = 0
         self._issuer = permit_issuer.PermitIssuer()
-        self._holders = limit_holders.LimitHolders(name, self._find_place)
+        self._limiters = limiter_choice.LimiterChoice(name, self._find_place)
 
     def _find_place(self) -> host_registry.Registration:
         """Returns the place of the host in the list."""
@@ -57,16 +57,16 @@
         self, hosts: Sequence[host_registry.RegisteredHost], now_ms: int
     ) -> None:
         """Records a list of hosts."""
-        self._holders.record_hosts(hosts, now_ms)
+        self._limiters.record_hosts(hosts, now_ms)
 
-    def list_holders(self) -> tuple[str, ...]:
-        """Returns the holders as this router sees them."""
-        return self._holders.list_holders(_UPSTREAM, _ZONE)
+    def list_limiters(self) -> tuple[str, ...]:
+        """Returns the limiters as this router sees them."""
+        return self._limiters.list_limiters(_UPSTREAM, _ZONE)
 
     def issue_all(self, requests_per_s: float, now_ms: int) -> int:
         """Issues as many permits as it may; returns their number."""
         self._now_ms = now_ms
-        share = self._holders.find_share(_UPSTREAM, _ZONE, now_ms)
+        share = self._limiters.find_share(_UPSTREAM, _ZONE, now_ms)
         count = 0
         while share and not self._issuer.issue(
             _START, requests_per_s, share, True, now_ms
@@ -76,21 +76,21 @@
 
 
 class _Fleet:
-    """The routers that take themselves for holders, and what they issue."""
+    """The routers that take themselves for limiters, and what they issue."""
 
     def __init__(self, requests_per_s: float) -> None:
         """Creates a fleet without routers."""
         self.requests_per_s = requests_per_s
         self.now_ms = 100_000
-        self.holders: list[_Holder] = []
+        self.limiters: list[_Limiter] = []
         self.issued_ms: list[int] = []
 
     def run_for(self, duration_ms: int) -> None:
-        """Lets all holders issue all that they may."""
+        """Lets all limiters issue all that they may."""
         for _ in range(duration_ms // _STEP_MS):
             self.now_ms += _STEP_MS
-            for holder in self.holders:
-                count = holder.issue_all(self.requests_per_s, self.now_ms)
+            for limiter in self.limiters:
+                count = limiter.issue_all(self.requests_per_s, self.now_ms)
                 self.issued_ms.extend([self.now_ms] * count)
 
     def count_most(self) -> int:
@@ -110,14 +110,14 @@
 def _make_settled_fleet(
     requests_per_s: float, hosts: Sequence[host_registry.RegisteredHost]
 ) -> _Fleet:
-    """Returns a fleet whose two holders have been so for a while."""
+    """Returns a fleet whose two limiters have been so for a while."""
     fleet = _Fleet(requests_per_s)
-    names = limit_holders.LimitHolders("", lambda: None)
+    names = limiter_choice.LimiterChoice("", lambda: None)
     names.record_hosts(hosts, 0)
-    for name in names.list_holders(_UPSTREAM, _ZONE):
-        holder = _Holder(name)
-        holder.record_hosts(hosts, fleet.now_ms)
-        fleet.holders.append(holder)
+    for name in names.list_limiters(_UPSTREAM, _ZONE):
+        limiter = _Limiter(name)
+        limiter.record_hosts(hosts, fleet.now_ms)
+        fleet.limiters.append(limiter)
     fleet.run_for(10_000)
     return fleet
 
@@ -125,11 +125,11 @@
 # Guards against a bucket for each host, which together allow far too much.
 @pytest.mark.parametrize("host_count", [1, 8, 195, 540])
 @pytest.mark.parametrize("requests_per_s", _RATES_PER_S)
-def test_all_holders_together_stay_within_the_limit(
+def test_all_limiters_together_stay_within_the_limit(
     host_count: int, requests_per_s: float
 ) -> None:
     fleet = _make_settled_fleet(requests_per_s, _make_hosts(host_count))
-    assert len(fleet.holders) == min(2, host_count)
+    assert len(fleet.limiters) == min(2, host_count)
     fleet.run_for(10_000)
     assert fleet.count_most() <= fleet.find_allowed()
 
@@ -143,15 +143,15 @@
 ) -> None:
     hosts = _make_hosts(12)
     fleet = _make_settled_fleet(requests_per_s, hosts)
-    first = fleet.holders[0]
+    first = fleet.limiters[0]
     joined = _find_joiner(hosts)
-    newcomer = _Holder(joined.name)
+    newcomer = _Limiter(joined.name)
     if is_cut_from_log:
         first.read_ms = fleet.now_ms
     newcomer.record_hosts([*hosts, joined], fleet.now_ms)
-    assert newcomer.list_holders()[0] == joined.name
-    # Routers that read the old list never reach its second holder meanwhile.
-    fleet.holders = [first, newcomer]
+    assert newcomer.list_limiters()[0] == joined.name
+    # Routers that read the old list never reach its second limiter meanwhile.
+    fleet.limiters = [first, newcomer]
     if is_cut_from_log:
         fleet.run_for(20_000)
     else:
@@ -169,24 +169,24 @@
         joined = host_registry.RegisteredHost(
             f"new-{number}", _ZONE, "10.0.0.1:1", 0.5
         )
-        view = _Holder("")
+        view = _Limiter("")
         view.record_hosts([*hosts, joined], 0)
-        if view.list_holders()[0] == joined.name:
+        if view.list_limiters()[0] == joined.name:
             return joined
     raise AssertionError("no name comes first")
 
 
 # Guards against a restart that gives its host a fresh bucket.
 @pytest.mark.parametrize("requests_per_s", _RATES_PER_S)
-def test_a_restart_of_the_first_holder_adds_no_permits(
+def test_a_restart_of_the_first_limiter_adds_no_permits(
     requests_per_s: float,
 ) -> None:
     hosts = _make_hosts(12)
     fleet = _make_settled_fleet(requests_per_s, hosts)
     for _ in range(4):
-        restarted = _Holder(fleet.holders[0].list_holders()[0])
+        restarted = _Limiter(fleet.limiters[0].list_limiters()[0])
         restarted.record_hosts(hosts, fleet.now_ms)
-        fleet.holders[0] = restarted
+        fleet.limiters[0] = restarted
         fleet.run_for(1_000)
     fleet.run_for(8_000)
     assert fleet.count_most() <= fleet.find_allowed()
@@ -196,30 +196,30 @@
 @pytest.mark.parametrize("requests_per_s", [1.0, 10.0, 100.0])
 def test_a_steady_fleet_uses_the_whole_limit(requests_per_s: float) -> None:
     fleet = _make_settled_fleet(requests_per_s, _make_hosts(12))
-    fleet.holders = fleet.holders[:1]
+    fleet.limiters = fleet.limiters[:1]
     fleet.issued_ms.clear()
     fleet.run_for(10_000)
     assert len(fleet.issued_ms) >= 0.9 * requests_per_s * 10
 
 
 # Guards against a zone that is cut off and cannot use its own upstreams.
-def test_holders_are_in_the_zone_of_the_upstream() -> None:
+def test_limiters_are_in_the_zone_of_the_upstream() -> None:
     for count in (8, 12, 195, 540):
         hosts = _make_hosts(count)
         zones = {host.name: host.zone for host in hosts}
-        view = _Holder("")
+        view = _Limiter("")
         view.record_hosts(hosts, 0)
-        assert [zones[name] for name in view.list_holders()] == [_ZONE] * 2
+        assert [zones[name] for name in view.list_limiters()] == [_ZONE] * 2
 
 
-# Guards against holders that are the same few hosts for all upstreams.
+# Guards against limiters that are the same few hosts for all upstreams.
 def test_the_limits_of_many_upstreams_are_spread_over_the_hosts() -> None:
     hosts = _make_hosts(540)
-    view = limit_holders.LimitHolders("", lambda: None)
+    view = limiter_choice.LimiterChoice("", lambda: None)
     view.record_hosts(hosts, 0)
     counts: dict[str, int] = {}
     for number in range(4_500):
         zone = _ZONES[number % len(_ZONES)]
-        (first, _) = view.list_holders(f"m-{number}", zone)
+        (first, _) = view.list_limiters(f"m-{number}", zone)
         counts[first] = counts.get(first, 0) + 1
     assert max(counts.values()) <= 3 * 4_500 / 540
--- a/redwingchute/process/permit_exchange.py
+++ b/redwingchute/process/permit_exchange.py
@@ -1,7 +1,7 @@
-"""Asks the holders of limits for permits, and answers others that ask.
+"""Asks the limiters of limits for permits, and answers others that ask.
 
 A permit is for one request that is sent at once. A router that reaches no
-holder has no permits, so it sends nothing to limited upstreams.
+limiter has no permits, so it sends nothing to limited upstreams.
 """
 
 from collections.abc import Callable
@@ -12,17 +12,17 @@
 from redwingchute.core import forwarding
 from redwingchute.core import rate_limiting
 from redwingchute.process import decision_log
-from redwingchute.process import limit_holders
+from redwingchute.process import limiter_choice
 from redwingchute.process import peer_network
 from redwingchute.request import permit_issuer
 from redwingchute.request import upstream_limits
 
 # A reply takes some milliseconds, also from another zone.
 _CALL_TIMEOUT_MS = 250
-# A holder that did not reply is not asked for this time.
+# A limiter that did not reply is not asked for this time.
 _AVOIDANCE_MS = 1_000
-# The wait for a permit while no holder replies.
-_NO_HOLDER_WAIT_MS = 500
+# The wait for a permit while no limiter replies.
+_NO_LIMITER_WAIT_MS = 500
 # A shorter wait is not worth another call.
 _MIN_WAIT_MS = 20
 
@@ -33,11 +33,11 @@
 
     Attributes:
       start: The start of the upstream that it is for.
-      holder: The host that issued the permit; None if none was needed.
+      limiter: The host that issued the permit; None if none was needed.
     """
 
     start: forwarding.UpstreamStart
-    holder: str | None = None
+    limiter: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,7 +60,7 @@
     def __init__(
         self,
         network: peer_network.PeerNetwork,
-        holders: limit_holders.LimitHolders,
+        limiters: limiter_choice.LimiterChoice,
         limits: upstream_limits.UpstreamLimits,
         read_clock_ms: Callable[[], int],
     ) -> None:
@@ -68,12 +68,12 @@
 
         Args:
           network: The links to the other routers.
-          holders: Which routers hold which limits.
+          limiters: Which routers hold which limits.
           limits: What the router knows of limits.
           read_clock_ms: Returns the current time, including suspended time.
         """
         self._network = network
-        self._holders = holders
+        self._limiters = limiters
         self._limits = limits
         self._issuer = permit_issuer.PermitIssuer()
         self._read_clock_ms = read_clock_ms
@@ -94,7 +94,7 @@
         start = upstream.start
         if not self._limits.find(start).is_limited:
             return Permitted(start)
-        result = await self._ask_holders(upstream, is_urgent)
+        result = await self._ask_limiters(upstream, is_urgent)
         if isinstance(result, NotPermitted):
             decision_log.count_event("permit_refused")
             now_ms = self._read_clock_ms()
@@ -106,14 +106,14 @@
             )
         return result
 
-    async def _ask_holders(
+    async def _ask_limiters(
         self, upstream: forwarding.Upstream, is_urgent: bool
     ) -> PermitResult:
-        """Asks the first holder, and the second if the first is silent."""
+        """Asks the first limiter, and the second if the first is silent."""
         start = upstream.start
-        for holder in self._holders.list_holders(upstream.id, upstream.zone):
+        for limiter in self._limiters.list_limiters(upstream.id, upstream.zone):
             now_ms = self._read_clock_ms()
-            if self._avoided_until_ms.get(holder, 0) > now_ms:
+            if self._avoided_until_ms.get(limiter, 0) > now_ms:
                 continue
             request = rate_limiting.PermitRequest(
                 upstream.id,
@@ -122,29 +122,29 @@
                 self._limits.find(start),
                 is_urgent,
             )
-            reply = await self._network.call(holder, request, _CALL_TIMEOUT_MS)
+            reply = await self._network.call(limiter, request, _CALL_TIMEOUT_MS)
             if not isinstance(reply, rate_limiting.PermitReply):
                 decision_log.log_failure(
-                    "limit_holder_silent", holder=holder, upstream=upstream.id
+                    "limiter_silent", limiter=limiter, upstream=upstream.id
                 )
-                self._avoided_until_ms[holder] = now_ms + _AVOIDANCE_MS
+                self._avoided_until_ms[limiter] = now_ms + _AVOIDANCE_MS
                 continue
             self._limits.merge(start, reply.limit)
             if reply.is_permitted:
-                return Permitted(start, holder)
-            if reply.is_holder:
+                return Permitted(start, limiter)
+            if reply.is_limiter:
                 return NotPermitted(reply.wait_ms)
-        return NotPermitted(_NO_HOLDER_WAIT_MS)
+        return NotPermitted(_NO_LIMITER_WAIT_MS)
 
     def give_back(self, permit: Permitted) -> None:
         """Gives back a permit, because nothing was sent."""
-        if permit.holder is None:
+        if permit.limiter is None:
             return
-        if permit.holder == self._network.own_host.name:
+        if permit.limiter == self._network.own_host.name:
             self._issuer.take_back(permit.start)
             return
         self._network.send(
-            permit.holder,
+            permit.limiter,
             rate_limiting.PermitReturn(permit.start.id, permit.start.born_ms),
         )
 
@@ -159,7 +159,9 @@
         if not limit.is_limited:
             return rate_limiting.PermitReply(True, True, 0, limit)
         now_ms = self._read_clock_ms()
-        share = self._holders.find_share(request.upstream, request.zone, now_ms)
+        share = self._limiters.find_share(
+            request.upstream, request.zone, now_ms
+        )
         if not share:
             return rate_limiting.PermitReply(False, False, 0, limit)
         wait_ms = self._issuer.issue(
--- a/redwingchute/request/permit_issuer.py
+++ b/redwingchute/request/permit_issuer.py
@@ -1,6 +1,6 @@
 """Issues permits for requests to upstreams that limit their rate.
 
-Each limited upstream has a token bucket, which starts empty, so that a holder
+Each limited upstream has a token bucket, which starts empty, so that a limiter
 that starts again has no permits that its earlier process may have issued. The
 last permit of a bucket is kept for requests of the highest priority.
 """
