--- a/redwingchute/process/limiter_choice.py
+++ b/redwingchute/process/limiter_choice.py
@@ -2,9 +2,9 @@
 
 Every router derives them from the registered hosts: the first two in the order
 of a rendezvous hash, those in the upstream's zone before all others. The first
-issues permits for the whole limit, the second for a part, to routers that cannot
-reach the first. Both together stay within what an upstream tolerates, so they
-need no agreement when one of them stops or they are cut off.
+issues permits for the whole limit, the second for a part, to routers that
+cannot reach the first. Both together stay within what an upstream tolerates, so
+they need no agreement when one of them stops or they are cut off.
 
 While hosts join or leave, routers may know different limiters. A host that has
 just become the first, or whose list of hosts may be out of date, issues less.
