--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -192,15 +192,20 @@
         directory = self._dependencies.directory
         if not directory.has_upstream(plan.service.name, now_ms):
             return _make_no_upstream_refusal()
-        if directory.find_retry_delay_ms(
-            plan.service.name, now_ms, forward_plan.is_urgent(plan)
-        ):
-            return self._refuse_no_upstream(plan)
         refusal = await self._resume(plan, progress)
-        if refusal is None and progress.bond is None:
-            refusal = self._refuse_if_busy(plan, now_ms)
         if refusal is not None:
             return refusal
+        if directory.find_retry_delay_ms(
+            plan.service.name,
+            now_ms,
+            forward_progress.is_urgent(plan, progress),
+        ):
+            return self._refuse_no_upstream(plan)
+        # The caller already has a part of a stream that goes on.
+        if progress.bond is None:
+            busy = self._refuse_if_busy(plan, now_ms)
+            if busy is not None:
+                return busy
         charge = await self._charge(plan)
         if isinstance(charge, outcomes.NotRun):
             return charge
