--- a/redwingchute/soak/checks.py
+++ b/redwingchute/soak/checks.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from redwingchute.soak import findings
+from redwingchute.soak import limit_check
 from redwingchute.soak import observations as observations_lib
 from redwingchute.standin import runner
 
@@ -25,21 +27,6 @@
 _MIN_SERVED_SHARE = 0.25
 
 
-@attrs.frozen
-class Violation:
-    """A promise that was broken.
-
-    Attributes:
-      rule: The name of the check.
-      subject: The id of the request, or the name of the service.
-      message: What was observed.
-    """
-
-    rule: str
-    subject: str
-    message: str
-
-
 @attrs.frozen
 class RetryPeak:
     """The retries at a service in one window.
@@ -65,19 +52,20 @@
 
 
 _Check: TypeAlias = Callable[
-    [observations_lib.Observations], Iterable[Violation]
+    [observations_lib.Observations], Iterable[findings.Violation]
 ]
 
 
 def check_all(
     observations: observations_lib.Observations,
-) -> list[Violation]:
+) -> list[findings.Violation]:
     """Returns the violations that all checks find."""
     checks: Sequence[_Check] = (
         check_refused,
         check_run_once,
         check_asked,
         check_retry_limit,
+        limit_check.check_limits,
         check_max_attempts,
         check_content,
         check_streams,
@@ -91,7 +79,7 @@
 
 def check_refused(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds requests that ran although the caller was promised otherwise.
 
     Repeatable requests are exempt: running them again does no harm.
@@ -101,7 +89,7 @@
         if attempt.kind.is_repeatable:
             continue
         if attempt.status in _PROMISED_NOT_RUN and runs[attempt.request_id]:
-            yield Violation(
+            yield findings.Violation(
                 "REFUSED",
                 attempt.request_id,
                 f"{attempt.kind} answered {attempt.status} by {attempt.host} "
@@ -111,33 +99,33 @@
 
 def check_run_once(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds requests that ran more than once although they may not."""
     runs = _group_runs(observations)
     for attempt in observations.attempts:
         found = runs[attempt.request_id]
         if not attempt.kind.is_repeatable and len(found) > 1:
             message = f"{attempt.kind} by {attempt.host} {_describe(found)}"
-            yield Violation("TWICE", attempt.request_id, message)
+            yield findings.Violation("TWICE", attempt.request_id, message)
 
 
 def check_asked(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds runs of requests that no caller sent."""
     sent = {attempt.request_id for attempt in observations.attempts}
     for request_id, runs in _group_runs(observations).items():
         if request_id not in sent:
-            yield Violation("UNASKED", request_id, _describe(runs))
+            yield findings.Violation("UNASKED", request_id, _describe(runs))
 
 
 def check_retry_limit(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds services with more retries in a window than are allowed."""
     for peak in find_retry_peaks(observations):
         if peak.retries > peak.allowed:
-            yield Violation("BUDGET", peak.service, peak.describe())
+            yield findings.Violation("BUDGET", peak.service, peak.describe())
 
 
 def find_retry_peaks(
@@ -180,14 +168,14 @@
 
 def check_max_attempts(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds requests that ran on more upstreams than their route allows.
 
     A few are allowed; upstreams that end meanwhile are not exempted.
     """
     runs = _group_runs(observations)
     found = [
-        Violation(
+        findings.Violation(
             "BUDGET",
             attempt.request_id,
             f"{attempt.kind} by {attempt.host} {_describe(events)}",
@@ -201,18 +189,18 @@
 
 def check_content(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds responses that belong to another request or to no upstream."""
     for attempt in observations.attempts:
         message = _find_foreign_content(attempt)
         if message:
             message = f"{attempt.kind} by {attempt.host}: {message}"
-            yield Violation("MIXED", attempt.request_id, message)
+            yield findings.Violation("MIXED", attempt.request_id, message)
 
 
 def check_streams(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds streams with missing, repeated, foreign or joined events."""
     for attempt in observations.attempts:
         if not attempt.kind.is_stream or attempt.status != 200:
@@ -232,12 +220,12 @@
             f"{attempt.kind} by {attempt.host}, {attempt.outcome}: "
             f"{attempt.body[-_SHOWN_BODY_LENGTH:]!r}"
         )
-        yield Violation("ORDER", attempt.request_id, message)
+        yield findings.Violation("ORDER", attempt.request_id, message)
 
 
 def check_answered(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds callers that were left waiting by a host that was not paused."""
     for attempt in observations.attempts:
         if attempt.outcome is not observations_lib.Outcome.UNANSWERED:
@@ -253,12 +241,12 @@
                 f"{attempt.kind} sent to {attempt.host} at {attempt.sent_ms} "
                 f"with {attempt.deadline_ms} ms, left at {attempt.ended_ms}"
             )
-            yield Violation("UNANSWERED", attempt.request_id, message)
+            yield findings.Violation("UNANSWERED", attempt.request_id, message)
 
 
 def check_lost(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds requests that a sound host left without a complete response.
 
     Only those count that sound upstreams got. A host that is stopped with
@@ -271,8 +259,8 @@
     faults = collections.defaultdict(list)
     for fault in observations.faults:
         faults[fault.target].append(fault)
-    stopping: list[Violation] = []
-    serving: list[Violation] = []
+    stopping: list[findings.Violation] = []
+    serving: list[findings.Violation] = []
     for attempt in observations.attempts:
         upstreams = arrivals[attempt.request_id]
         if attempt.outcome is not observations_lib.Outcome.CLOSED:
@@ -297,14 +285,14 @@
             f"{attempt.kind} sent to {attempt.host} at {attempt.sent_ms}, "
             f"closed at {attempt.ended_ms}, status {attempt.status}"
         )
-        lost = Violation("LOST", attempt.request_id, message)
+        lost = findings.Violation("LOST", attempt.request_id, message)
         (stopping if host_faults else serving).append(lost)
     return stopping + (serving if len(serving) > _ALLOWED_LOST else [])
 
 
 def check_recovered(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds a fleet that serves few requests some time after all faults."""
     if not observations.faults:
         return
@@ -324,15 +312,15 @@
     )
     if served < _MIN_SERVED_SHARE * len(late):
         message = f"{served} of {len(late)} served from {from_ms} on"
-        yield Violation("RECOVER", "fleet", message)
+        yield findings.Violation("RECOVER", "fleet", message)
 
 
 def check_processes(
     observations: observations_lib.Observations,
-) -> Iterable[Violation]:
+) -> Iterable[findings.Violation]:
     """Finds processes that ended by themselves."""
     for name in observations.unexpected_ends:
-        yield Violation("ENDED", name, "the process ended by itself")
+        yield findings.Violation("ENDED", name, "the process ended by itself")
 
 
 def _group_runs(
--- a/redwingchute/soak/observations.py
+++ b/redwingchute/soak/observations.py
@@ -98,6 +98,8 @@
       service: The name of its service.
       request_id: The id of the request.
       status: The status of a response.
+      named_limit: The limit of requests a second that the upstream names when
+        a request arrives; empty for none.
     """
 
     at_ms: int
@@ -106,6 +108,7 @@
     service: str
     request_id: str
     status: int = 0
+    named_limit: str = ""
 
 
 @attrs.frozen
--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -65,7 +65,7 @@
     at_ms: int
     target: str
     duration_ms: int
-    faults: tuple[tuple[str, bool | int], ...]
+    faults: tuple[tuple[str, bool | int | str], ...]
 
 
 @attrs.frozen
@@ -191,6 +191,18 @@
         yield Patch(at_ms, target, duration_ms, (("is_full", True),))
 
 
+def _plan_limits(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields upstreams that name a limit of requests a second."""
+    for at_ms in _draw_times(source, 3_000, size.duration_ms):
+        limit = source.choice(("0", "0.5", "1", "2", "5", "1e1"))
+        yield Patch(
+            at_ms,
+            _draw_upstream(source, size),
+            source.randint(5_000, 12_000),
+            (("named_limit", limit),),
+        )
+
+
 def _plan_faulty_answers(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields upstreams that break off, lose or garble their responses."""
     for at_ms in _draw_times(source, 2_500, size.duration_ms):
@@ -283,6 +295,7 @@
     "extra": _plan_extra_responses,
     "full": _plan_full_upstreams,
     "answers": _plan_faulty_answers,
+    "limits": _plan_limits,
     "upstream-ends": _plan_upstream_ends,
     "upstream-pauses": _plan_upstream_pauses,
     "host-ends": _plan_host_ends,
--- a/redwingchute/soak/soak_command.py
+++ b/redwingchute/soak/soak_command.py
@@ -8,6 +8,7 @@
 
 from redwingchute.soak import callers as callers_lib
 from redwingchute.soak import checks
+from redwingchute.soak import findings
 from redwingchute.soak import fleet as fleet_lib
 from redwingchute.soak import injector as injector_lib
 from redwingchute.soak import lag_monitor
@@ -123,7 +124,7 @@
 
 def _describe_run(
     observed: observations_lib.Observations,
-    violations: list[checks.Violation],
+    violations: list[findings.Violation],
 ) -> Iterable[str]:
     """Yields the lines of the report."""
     outcomes = collections.Counter(
@@ -140,7 +141,7 @@
     yield f"longest delay of the soak itself: {observed.max_lag_ms} ms"
     for peak in checks.find_retry_peaks(observed):
         yield f"{peak.service}: at most {peak.describe()}"
-    by_rule: dict[str, list[checks.Violation]] = {}
+    by_rule: dict[str, list[findings.Violation]] = {}
     for violation in violations:
         by_rule.setdefault(violation.rule, []).append(violation)
     for rule, found in by_rule.items():
--- a/redwingchute/soak/soak_command_test.py
+++ b/redwingchute/soak/soak_command_test.py
@@ -4,6 +4,8 @@
 import pathlib
 import signal
 
+import attrs
+
 from redwingchute.soak import checks
 from redwingchute.soak import observations
 from redwingchute.soak import plan
@@ -66,6 +68,25 @@
     assert not violations, (len(violations), violations[:3])
 
 
+# Guards against a fleet that sends upstreams more than the limits they name,
+# while the hosts that issue the permits are ended and paused.
+def test_limits_are_kept_while_hosts_end_and_pause(
+    tmp_path: pathlib.Path,
+) -> None:
+    size = attrs.evolve(_LONG_SIZE, upstreams=3, rate_per_s=40.0)
+    limits = (("named_limit", "0.5"),)
+    faults: list[plan.Fault] = [
+        plan.Patch(1_000, name, size.duration_ms, limits)
+        for name in ("ledger-1", "ledger-2", "llm-1", "llm-2")
+    ]
+    faults.append(plan.Restart(3_000, "host-1", signal.SIGKILL, down_ms=500))
+    faults.append(plan.Pause(5_500, "host-2", 1_500))
+    observed = _run(faults, tmp_path, size)
+    assert any(event.named_limit for event in observed.events)
+    violations = checks.check_all(observed)
+    assert not violations, (len(violations), violations[:3])
+
+
 # Guards against hosts that restart together and then retry as if they had made
 # no retries before, or as if they were the only host.
 def test_hosts_that_restart_together_keep_the_retry_limit(
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -196,7 +196,7 @@
             return
         self.arrivals += 1
         self.arrived_ms.append(base.now_ms())
-        self._record("arrived", request)
+        self._record("arrived", request, named_limit=self.faults.named_limit)
         expected = request.headers.get("target-instance", self.runner_id)
         echo = ("attempt-id", request.headers.get("attempt-id", ""))
         if expected != self.runner_id:
