Split the binding of streams to a version from the request handler

Names and messages are unchanged, but that a refusal for want of an upstream of the version no longer repeats the origin, which the line of the take-up states.

--- a/redwingchute/process/limiter_choice.py
+++ b/redwingchute/process/limiter_choice.py
@@ -29,7 +29,7 @@
 
 
 class LimiterChoice:
-    """The limiters of limits, as one router sees them."""
+    """The limiters of all upstreams, as one router sees them."""
 
     def __init__(
         self,
--- a/redwingchute/process/permit_exchange.py
+++ b/redwingchute/process/permit_exchange.py
@@ -1,4 +1,4 @@
-"""Asks the limiters of limits for permits, and answers others that ask.
+"""Asks limiters for permits, and answers the routers that ask this one.
 
 A permit is for one request that is sent at once. A router that reaches no
 limiter has no permits, so it sends nothing to limited upstreams.
@@ -68,7 +68,7 @@
 
         Args:
           network: The links to the other routers.
-          limiters: Which routers hold which limits.
+          limiters: Which routers issue permits for which upstreams.
           limits: What the router knows of limits.
           read_clock_ms: Returns the current time, including suspended time.
         """
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -32,7 +32,7 @@
 from redwingchute.request import load_shedding
 from redwingchute.request import request_metrics
 from redwingchute.request import retry_allowance
-from redwingchute.request import stream_origins
+from redwingchute.request import stream_resumption
 from redwingchute.request import suspect_tracker
 from redwingchute.request import upstream_choice
 from redwingchute.request import upstream_directory
@@ -43,8 +43,6 @@
 _MAX_CONNECT_ATTEMPTS = 4
 # Retry-after of a refusal whose cause has no known end.
 _RETRY_AFTER_MS = 500
-# How long after the timeout of its route a caller may still resume a stream.
-_RESUME_MARGIN_MS = 5_000
 # Events of a stream beyond two for each output token, such as comments.
 _EXTRA_EVENTS = 64
 # Callers may take these statuses to mean that the request did not run. An
@@ -109,6 +107,9 @@
         self._attempts = forward_attempt.AttemptRunner(
             dependencies.pool, dependencies.translator
         )
+        self._resumption = stream_resumption.StreamResumption(
+            dependencies.origins
+        )
         self._planner = forward_plan.Planner(
             dependencies.find_index,
             dependencies.is_fresh,
@@ -192,9 +193,14 @@
         directory = self._dependencies.directory
         if not directory.has_upstream(plan.service.name, now_ms):
             return _make_no_upstream_refusal()
-        refusal = await self._resume(plan, progress)
+        refusal = await self._resumption.resume(plan, progress)
         if refusal is not None:
             return refusal
+        if progress.bond and self._choose(plan, progress) is None:
+            decision_log.log_failure(
+                "resume_refused", request_id=plan.request.id, cause="none_left"
+            )
+            return self._refuse_no_upstream(plan)
         if directory.find_retry_delay_ms(
             plan.service.name,
             now_ms,
@@ -217,53 +223,6 @@
                     charge, forward_progress.count_spent_tokens(plan, progress)
                 )
 
-    async def _resume(
-        self, plan: forward_plan.Plan, progress: forward_progress.Progress
-    ) -> outcomes.NotRun | None:
-        """Finds where a stream may go on that the caller resumes.
-
-        Returns:
-          The refusal if that is not known, or no such upstream is left.
-        """
-        request = plan.request
-        if not plan.route.is_resumable or not (
-            request.resumed_id or request.last_event_id is not None
-        ):
-            return None
-        resolution = await self._dependencies.origins.resolve(
-            plan.service.name,
-            request.resumed_id,
-            plan.route.timeout_ms + _RESUME_MARGIN_MS,
-        )
-        match resolution:
-            case origin_exchange.NotKnown():
-                decision_log.log_failure(
-                    "resume_refused", request_id=request.id, cause="unknown"
-                )
-                return outcomes.NotRun(
-                    503,
-                    "unknown_version",
-                    "It is not known which version began the stream.",
-                    _RETRY_AFTER_MS,
-                )
-            case origin_exchange.Resolved(bond, source, age_ms):
-                progress.bond = bond
-                fields = {
-                    "request_id": request.id,
-                    "resumed_id": request.resumed_id,
-                    "upstream_version": bond.version,
-                    "start": bond.start.id if bond.start else None,
-                    "source": source,
-                    "age_ms": age_ms,
-                }
-                if self._choose(plan, progress) is None:
-                    decision_log.log_failure(
-                        "resume_refused", cause="none_left", **fields
-                    )
-                    return self._refuse_no_upstream(plan)
-                decision_log.log_event("stream_resumed", **fields)
-                return None
-
     def _choose(
         self, plan: forward_plan.Plan, progress: forward_progress.Progress
     ) -> upstream_choice.Candidate | None:
@@ -274,18 +233,9 @@
             progress.excluded | progress.not_permitted,
             self._dependencies.read_clock_ms(),
             forward_progress.is_urgent(plan, progress),
-            self._find_bond(progress),
+            self._resumption.find_bond(progress),
         )
 
-    def _find_bond(
-        self, progress: forward_progress.Progress
-    ) -> stream_origins.VersionBond | None:
-        """Returns where a stream may go on; None before its first event."""
-        if progress.bond is None and progress.relay.event_count:
-            assert progress.origin is not None
-            return self._dependencies.origins.make_bond(progress.origin)
-        return progress.bond
-
     def _refuse_if_busy(
         self, plan: forward_plan.Plan, now_ms: int
     ) -> outcomes.NotRun | None:
@@ -452,14 +402,7 @@
     ) -> None:
         """Records the arrival of a chunk of a stream."""
         now_ms = self._dependencies.read_clock_ms()
-        if (
-            plan.route.is_resumable
-            and progress.bond is None
-            and not progress.relay.event_count
-        ):
-            progress.origin = self._dependencies.origins.record_begin(
-                plan.request.id, upstream
-            )
+        self._resumption.record_chunk(plan, progress, upstream)
         self._dependencies.directory.record_first_event(open_request, now_ms)
         if progress.last_event_ms is None:
             elapsed_ms = now_ms - plan.arrived_ms
@@ -617,7 +560,7 @@
             self._dependencies.directory,
             self._dependencies.find_allowance(plan.service.name),
             self._dependencies.read_clock_ms(),
-            self._find_bond(progress),
+            self._resumption.find_bond(progress),
         )
 
     async def _respond(
--- /dev/null
+++ b/redwingchute/request/stream_resumption.py
@@ -0,0 +1,102 @@
+"""Binds streams to the software version that began them."""
+
+from redwingchute.core import forwarding
+from redwingchute.core import outcomes
+from redwingchute.process import decision_log
+from redwingchute.process import origin_exchange
+from redwingchute.request import forward_plan
+from redwingchute.request import forward_progress
+from redwingchute.request import stream_origins
+
+# How long after the timeout of its route a caller may still resume a stream.
+_RESUME_MARGIN_MS = 5_000
+# Retry-after of a refusal whose cause has no known end.
+_RETRY_AFTER_MS = 500
+
+
+class StreamResumption:
+    """Finds where the streams of one router may go on."""
+
+    def __init__(self, origins: origin_exchange.OriginExchange) -> None:
+        """Creates an instance.
+
+        Args:
+          origins: Tells and asks where streams began.
+        """
+        self._origins = origins
+
+    async def resume(
+        self, plan: forward_plan.Plan, progress: forward_progress.Progress
+    ) -> outcomes.NotRun | None:
+        """Binds a stream that the caller resumes, if the request is for one.
+
+        Returns:
+          The refusal if it is not known where the stream may go on.
+        """
+        request = plan.request
+        if not plan.route.is_resumable or not (
+            request.resumed_id or request.last_event_id is not None
+        ):
+            return None
+        resolution = await self._origins.resolve(
+            plan.service.name,
+            request.resumed_id,
+            plan.route.timeout_ms + _RESUME_MARGIN_MS,
+        )
+        match resolution:
+            case origin_exchange.Resolved(bond, source, age_ms):
+                progress.bond = bond
+                decision_log.log_event(
+                    "stream_resumed",
+                    request_id=request.id,
+                    resumed_id=request.resumed_id,
+                    upstream_version=bond.version,
+                    start=bond.start.id if bond.start else None,
+                    source=source,
+                    age_ms=age_ms,
+                )
+                return None
+            case origin_exchange.NotKnown():
+                decision_log.log_failure(
+                    "resume_refused",
+                    request_id=request.id,
+                    resumed_id=request.resumed_id,
+                    cause="unknown",
+                )
+                return outcomes.NotRun(
+                    503,
+                    "unknown_version",
+                    "It is not known which version began the stream.",
+                    _RETRY_AFTER_MS,
+                )
+
+    def record_chunk(
+        self,
+        plan: forward_plan.Plan,
+        progress: forward_progress.Progress,
+        upstream: forwarding.Upstream,
+    ) -> None:
+        """Records where a stream begins, when a chunk of it arrives.
+
+        Until the caller has an event, another upstream may begin it again.
+        """
+        if (
+            plan.route.is_resumable
+            and progress.bond is None
+            and not progress.relay.event_count
+        ):
+            progress.origin = self._origins.record_begin(
+                plan.request.id, upstream
+            )
+
+    def find_bond(
+        self, progress: forward_progress.Progress
+    ) -> stream_origins.VersionBond | None:
+        """Returns where a stream may go on; None before its first event."""
+        if (
+            progress.bond is None
+            and progress.origin is not None
+            and progress.relay.event_count
+        ):
+            return self._origins.make_bond(progress.origin)
+        return progress.bond
