Log which request a failed attempt was a copy of, and whether its upstream closed

Copies of a request have ids of their own, so the lines of one crashing request could not be put together, and an end of an upstream not be told from silence or a bad response. attempt_failed now has the subject that all copies share, and is_closed. What is observed is unchanged.

--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -140,23 +140,33 @@
         )
 
 
-def list_crash_subjects(
+def identify_request(
     plan: Plan, request: http_server.HttpRequest
+) -> crash_evidence.RequestSubject:
+    """Returns the subject that a request and its repeats have in common.
+
+    Repeats have the same client account, target and body. They may come to any
+    router, with other ids and deadlines.
+    """
+    digest = hashlib.sha256(request.target.encode())
+    digest.update(request.body)
+    account = plan.account.name if plan.account else ""
+    return crash_evidence.RequestSubject(account, digest.hexdigest()[:32])
+
+
+def list_crash_subjects(
+    plan: Plan, request_subject: crash_evidence.RequestSubject
 ) -> tuple[crash_evidence.Subject, ...]:
     """Returns what an upstream may end for when it runs a request.
 
-    Only generations are observed. Repeats of a request are the same subject:
-    they have the same client account, target and body. The last part of a
-    prompt is no subject, since no other request has it.
+    Only generations are observed. The last part of a prompt is no subject,
+    since no other request has it.
     """
     generation = plan.request.generation
     if generation is None:
         return ()
-    digest = hashlib.sha256(request.target.encode())
-    digest.update(request.body)
-    account = plan.account.name if plan.account else ""
     return (
-        crash_evidence.RequestSubject(account, digest.hexdigest()[:32]),
+        request_subject,
         *(
             crash_evidence.PartSubject(part.id)
             for part in generation.shared_parts
--- a/redwingchute/request/forward_progress.py
+++ b/redwingchute/request/forward_progress.py
@@ -5,6 +5,7 @@
 from redwingchute.core import forwarding
 from redwingchute.core import streams
 from redwingchute.process import decision_log
+from redwingchute.request import crash_evidence
 from redwingchute.request import forward_attempt
 from redwingchute.request import forward_plan
 from redwingchute.request import stream_origins
@@ -16,6 +17,7 @@
 
     Attributes:
       relay: What the caller has received of a streamed response.
+      request_subject: What the request has in common with its repeats.
       sends: The number of upstreams that the request was sent to.
       connect_failures: The number of upstreams to which connecting failed.
       may_have_run: Whether an upstream may have processed the request.
@@ -32,6 +34,7 @@
     """
 
     relay: forward_attempt.Relay
+    request_subject: crash_evidence.RequestSubject
     sends: int = 0
     connect_failures: int = 0
     may_have_run: bool = False
@@ -105,8 +108,19 @@
     outcome: str,
     reason: str,
     elapsed_ms: int,
+    is_closed: bool,
 ) -> None:
-    """Logs an attempt that failed."""
+    """Logs an attempt that failed.
+
+    Args:
+      plan: The request.
+      progress: Its progress.
+      upstream: The upstream of the attempt.
+      outcome: How the attempt ended.
+      reason: Why.
+      elapsed_ms: The time since the request arrived.
+      is_closed: Whether the upstream closed the connection.
+    """
     generation = plan.request.generation
     parts = generation.shared_parts if generation else ()
     decision_log.log_failure(
@@ -118,6 +132,8 @@
         born_ms=upstream.born_ms,
         outcome=outcome,
         reason=reason,
+        is_closed=is_closed,
+        subject=crash_evidence.encode_subject(progress.request_subject),
         **attrs.asdict(progress.trace),
         events=progress.relay.event_count,
         parts=[part.id for part in parts],
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -164,7 +164,10 @@
         if isinstance(plan, outcomes.NotRun):
             await self._refuse(plan, parsed.id, arrived_ms, responder)
             return
-        progress = forward_progress.Progress(forward_attempt.Relay(responder))
+        progress = forward_progress.Progress(
+            forward_attempt.Relay(responder),
+            forward_plan.identify_request(plan, request),
+        )
         try:
             result = await self._charge_and_run(plan, request, progress)
         except asyncio.CancelledError:
@@ -182,7 +185,9 @@
         progress: forward_progress.Progress,
     ) -> _FinalResult:
         """Reserves tokens for a request, runs it and settles the charge."""
-        subjects = forward_plan.list_crash_subjects(plan, request)
+        subjects = forward_plan.list_crash_subjects(
+            plan, progress.request_subject
+        )
         now_ms = self._dependencies.read_clock_ms()
         avoided = self._dependencies.suspects.find_refusal(subjects)
         if avoided is not None:
@@ -474,7 +479,9 @@
             case forward_attempt.Broken(
                 message, is_timeout, is_unresponsive, is_closed
             ):
-                self._log_attempt(plan, progress, upstream, "broken", message)
+                self._log_attempt(
+                    plan, progress, upstream, "broken", message, is_closed
+                )
                 if is_timeout:
                     return outcomes.Failed(504, "timed_out", message)
                 directory.record_failure(upstream, now_ms)
@@ -659,11 +666,12 @@
         upstream: forwarding.Upstream,
         outcome: str,
         reason: str,
+        is_closed: bool = False,
     ) -> None:
         """Logs an attempt that failed."""
         elapsed_ms = self._dependencies.read_clock_ms() - plan.arrived_ms
         forward_progress.log_attempt(
-            plan, progress, upstream, outcome, reason, elapsed_ms
+            plan, progress, upstream, outcome, reason, elapsed_ms, is_closed
         )
 
 
--- a/redwingchute/request/forwarding_handler_test.py
+++ b/redwingchute/request/forwarding_handler_test.py
@@ -379,6 +379,30 @@
     assert failed["response_id"] == "another"
 
 
+# Guards against lines of a crashing request that can't be put together, since
+# each copy of it has another id.
+def test_failed_attempts_of_copies_name_the_same_subject(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[dict[str, object]] = []
+    monkeypatch.setattr(
+        decision_log,
+        "log_failure",
+        lambda event, **fields: lines.append({"event": event, **fields}),
+    )
+
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("l-", lose_answers=True)
+        for body in (b"one", b"one", b"two"):
+            await rig.send_request("/post/x", body)
+
+    _run(scenario)
+    failed = [line for line in lines if line["event"] == "attempt_failed"]
+    assert all(line["is_closed"] for line in failed)
+    first, second, other = (line["subject"] for line in failed)
+    assert first == second != other
+
+
 # Guards against taking sound upstreams off for requests that come too late.
 def test_a_request_without_time_left_is_refused_and_harms_no_other() -> None:
     async def scenario(rig: gateway_rig.GatewayRig) -> None:
