--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -58,8 +58,8 @@
       retry_after_s: The pause that refusals with 503 ask for; 0 for none.
       named_limit: The requests a second that all responses name as the most
         that the runner takes; empty for none. It is not enforced.
-      crash_marker: A request with this text in its body or prompt parts ends
-        the runner before the first output: all connections close, and it
+      crash_marker: A request with this text in its target, body or prompt parts
+        ends the runner before the first output: all connections close, and it
         listens again after `crash_ms` under the same id, with another birth.
         Empty for none.
       crash_ms: How long the runner is down then.
@@ -102,6 +102,7 @@
       resumed_after: The number of the event after which a stream is resumed;
         None for a request that isn't resumed.
       headers: All headers of the request.
+      is_crashing: Whether the request ends the runner.
     """
 
     request_id: str
@@ -109,6 +110,7 @@
     target: str
     resumed_after: int | None
     headers: dict[str, str]
+    is_crashing: bool
 
 
 class Runner(base.StandIn[RunnerFaults]):
@@ -222,6 +224,7 @@
             request.target,
             None if resumed_after is None else int(resumed_after),
             request.headers,
+            self._is_crashing(request),
         )
         self.runs.append(run)
         self._record("ran", request)
@@ -255,10 +258,9 @@
         responder: http_server.HttpResponder,
     ) -> None:
         """Runs a request and sends the response."""
-        if self._is_crashing(request):
+        if run.is_crashing:
             await asyncio.sleep(self.faults.work_ms / 1000)
-            self.schedule_crash()
-            self._spawn(self._start_again())
+            self.end_and_restart()
             raise http_server.ClientDisconnectedError
         if self.faults.lose_answers:
             raise http_server.ClientDisconnectedError
@@ -297,9 +299,15 @@
         marker = self.faults.crash_marker
         return bool(marker) and (
             marker.encode() in request.body
+            or marker in request.target
             or marker in request.headers.get("prompt-prefix", "")
         )
 
+    def end_and_restart(self) -> None:
+        """Ends the runner now, and starts it again after `crash_ms`."""
+        self.schedule_crash()
+        self._spawn(self._start_again())
+
     async def _start_again(self) -> None:
         """Listens again after a crash, as a new start of the runner."""
         await asyncio.sleep(self.faults.crash_ms / 1000)
