Observe plain requests that end upstreams, as generations are

Cause: list_crash_subjects named no subject for requests without token counts, so nothing was recorded, told or kept.

Change: every request is observed, by client account, method, host, target and body; a complete response below 500 clears. A lookup that completed here in the last minute may be shared by many sound callers, so its ends count by level, as those of prompt parts do, and three in a row are needed. The pause before a trial grows with trials that failed and no longer with upstreams that ended together. Memory: a new suspect is not the first to go, and one that still comes is the last.

--- a/redwingchute/request/crash_evidence.py
+++ b/redwingchute/request/crash_evidence.py
@@ -9,7 +9,9 @@
 Many sound requests share a part, and upstreams may end together, as when a
 zone loses power. The ends under a part therefore count by their level: one more
 than the level that was known when the request was sent. Ends of the same moment
-have the same level.
+have the same level. Many callers may also send the same lookup. Where a request
+has completed lately, its ends count by their level too; any other request is
+avoided after two ends, since its copies are likely to be a caller's retries.
 
 Routers tell each other what they observe, and keep it in the shared log. What
 is known is the union of all observations, so that they may arrive in any order
@@ -24,20 +26,25 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import itertools
 from typing import TypeAlias
+from typing import TypeVar
 
 import attrs
 import xxhash
 
 from redwingchute.core import requesting
 
-# A request is avoided after it has ended this many upstreams.
+# A request that has not proved sound is avoided after this many ends.
 _MAX_REQUEST_CRASHES = 2
-# A part is avoided after an end of this level.
-_MAX_PART_LEVEL = 3
+# A part, or a request that has proved sound, is avoided after an end of this
+# level.
+_MAX_LEVEL = 3
 # A part of which a request completed within this time is not suspected.
 _PROVEN_MS = 10_000
-# How many parts that proved sound are remembered.
+# How long a request that completed counts as one that has proved sound.
+_PROVEN_REQUEST_MS = 60_000
+# How many subjects of each kind that proved sound are remembered.
 _MAX_PROVEN = 2_048
 # Observations older than this no longer count.
 WINDOW_MS = 1_800_000
@@ -46,6 +53,9 @@
 _TRIAL_PAUSE_MS = 20_000
 _TRIAL_PAUSE_FACTOR = 4
 _MAX_TRIAL_PAUSE_MS = 900_000
+# Copies that were sent before a request was avoided have ended by this time.
+# Later ends are those of trials.
+_COPIES_END_MS = 3_000
 # How long a router has the turn to try a subject. It uses the first half only,
 # since routers learn of the last end at slightly different times.
 _TURN_MS = 2_000
@@ -56,7 +66,7 @@
 _MAX_CRASHES_PER_SUBJECT = 16
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class RequestSubject:
     """A request and its repeats by the caller.
 
@@ -65,14 +75,14 @@
 
     Attributes:
       client_account: The client account; empty on routes without keys.
-      digest: The digest of the request's target and body, in hexadecimal.
+      digest: The digest of what its repeats have in common, in hexadecimal.
     """
 
     client_account: str
     digest: str
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class PartSubject:
     """A part of prompts, whatever request it is in.
 
@@ -84,6 +94,7 @@
 
 
 Subject: TypeAlias = RequestSubject | PartSubject
+_SubjectT = TypeVar("_SubjectT", RequestSubject, PartSubject)
 
 
 @attrs.define
@@ -95,6 +106,8 @@
       cleared: Those of them that no longer count.
       changed_ms: When the newest of them became known here.
       tried_ms: When this router last tried the subject.
+      failed_trials: The ends that became known after the subject was avoided
+        and its copies had ended.
     """
 
     # Both in order of their addition, so that the oldest can be removed.
@@ -102,6 +115,7 @@
     cleared: dict[str, None] = attrs.field(factory=dict)
     changed_ms: int = 0
     tried_ms: int | None = None
+    failed_trials: int = 0
 
     @property
     def counted(self) -> list[str]:
@@ -129,8 +143,9 @@
         self._own_host = own_host
         self._list_hosts = list_hosts
         self._suspicions: dict[Subject, _Suspicion] = {}
-        # When a request of a part completed here, in order of time.
-        self._proven_ms: dict[Subject, int] = {}
+        # When a request of a subject completed, in order of time.
+        self._proven_parts_ms: dict[PartSubject, int] = {}
+        self._proven_requests_ms: dict[RequestSubject, int] = {}
 
     def record_crash(
         self, start: str, subject: Subject, level_before: int, now_ms: int
@@ -146,8 +161,9 @@
         Returns:
           What other routers should be told.
         """
-        proven_ms = self._proven_ms.get(subject)
-        if proven_ms is not None and now_ms - proven_ms < _PROVEN_MS:
+        if isinstance(subject, PartSubject) and self._is_proven(
+            subject, now_ms
+        ):
             return ()
         # Ends that were cleared while the request ran do not count.
         level = 1 + min(level_before, self.find_level(subject))
@@ -218,6 +234,8 @@
             if self._is_avoided(subject, now_ms) and not self._has_turn(
                 subject, now_ms
             ):
+                # Subjects that still come are the last to be evicted.
+                self._suspicions[subject] = self._suspicions.pop(subject)
                 return subject
         return None
 
@@ -266,15 +284,23 @@
         )
 
     def _mark_proven(self, subject: Subject, now_ms: int) -> None:
-        """Records that a request of a part completed."""
+        """Records that a request of a subject completed."""
         match subject:
             case PartSubject():
-                self._proven_ms.pop(subject, None)
-                self._proven_ms[subject] = now_ms
+                _set_newest(self._proven_parts_ms, subject, now_ms)
             case RequestSubject():
-                return
-        while len(self._proven_ms) > _MAX_PROVEN:
-            del self._proven_ms[next(iter(self._proven_ms))]
+                _set_newest(self._proven_requests_ms, subject, now_ms)
+
+    def _is_proven(self, subject: Subject, now_ms: int) -> bool:
+        """Returns whether a request of a subject completed lately."""
+        match subject:
+            case PartSubject():
+                proven_ms = self._proven_parts_ms.get(subject)
+                max_age_ms = _PROVEN_MS
+            case RequestSubject():
+                proven_ms = self._proven_requests_ms.get(subject)
+                max_age_ms = _PROVEN_REQUEST_MS
+        return proven_ms is not None and now_ms - proven_ms < max_age_ms
 
     def _apply_one(
         self, observation: requesting.CrashObservation, now_ms: int
@@ -291,9 +317,16 @@
             if start in suspicion.cleared:
                 return False
             suspicion.cleared[start] = None
+            if not suspicion.counted:
+                suspicion.failed_trials = 0
         else:
             if suspicion.crashes.get(start, 0) >= observation.level:
                 return False
+            if (
+                now_ms - suspicion.changed_ms > _COPIES_END_MS
+                and self._is_avoided(subject, now_ms)
+            ):
+                suspicion.failed_trials += 1
             suspicion.crashes[start] = observation.level
             suspicion.changed_ms = now_ms
         _drop_oldest(suspicion)
@@ -304,37 +337,56 @@
         return True
 
     def _evict(self) -> None:
-        """Forgets the suspicion that matters least, if there are too many."""
+        """Forgets the suspicion that matters least, if there are too many.
+
+        It is not the one that changed last: it may be of a request that comes
+        again.
+        """
         if len(self._suspicions) <= _MAX_SUBJECTS:
             return
-        least = min(
-            self._suspicions,
-            key=lambda subject: len(self._suspicions[subject].counted),
-        )
-        del self._suspicions[least]
+        least, least_count = None, 0
+        earlier = itertools.islice(self._suspicions, len(self._suspicions) - 1)
+        for subject in earlier:
+            count = self.count_crashes(subject)
+            if least is None or count < least_count:
+                least, least_count = subject, count
+            if least_count <= 1:
+                break
+        if least is not None:
+            del self._suspicions[least]
 
     def _is_avoided(self, subject: Subject, now_ms: int) -> bool:
         """Returns whether enough is known against a subject."""
         suspicion = self._suspicions.get(subject)
         if suspicion is None or now_ms - suspicion.changed_ms > WINDOW_MS:
             return False
-        return self._count_excess(subject, suspicion) >= 0
+        if isinstance(subject, PartSubject) or self._is_proven(subject, now_ms):
+            return suspicion.level >= _MAX_LEVEL
+        return len(suspicion.counted) >= _MAX_REQUEST_CRASHES
 
-    def _count_excess(self, subject: Subject, suspicion: _Suspicion) -> int:
-        """Returns by how much the evidence exceeds what avoids a subject."""
+    def _find_trial_pause_ms(
+        self, subject: Subject, suspicion: _Suspicion
+    ) -> int:
+        """Returns how long after its last end a subject is tried again.
+
+        Upstreams that end together under a request, as when a zone loses power,
+        do not prolong the pause.
+        """
         match subject:
-            case RequestSubject():
-                return len(suspicion.counted) - _MAX_REQUEST_CRASHES
             case PartSubject():
-                return suspicion.level - _MAX_PART_LEVEL
+                excess = suspicion.level - _MAX_LEVEL
+            case RequestSubject():
+                excess = max(
+                    suspicion.failed_trials,
+                    suspicion.level - _MAX_LEVEL,
+                )
+        pause_ms: int = _TRIAL_PAUSE_MS * _TRIAL_PAUSE_FACTOR**excess
+        return min(_MAX_TRIAL_PAUSE_MS, pause_ms)
 
     def _has_turn(self, subject: Subject, now_ms: int) -> bool:
         """Returns whether this router may try an avoided subject now."""
         suspicion = self._suspicions[subject]
-        excess = self._count_excess(subject, suspicion)
-        pause_ms = min(
-            _MAX_TRIAL_PAUSE_MS, _TRIAL_PAUSE_MS * _TRIAL_PAUSE_FACTOR**excess
-        )
+        pause_ms = self._find_trial_pause_ms(subject, suspicion)
         since_ms = now_ms - suspicion.changed_ms - pause_ms
         if since_ms < 0 or since_ms % _TURN_MS >= _TURN_MS // 2:
             return False
@@ -369,6 +421,16 @@
     return None
 
 
+def _set_newest(
+    proven_ms: dict[_SubjectT, int], subject: _SubjectT, now_ms: int
+) -> None:
+    """Adds a subject that proved sound as the newest one."""
+    proven_ms.pop(subject, None)
+    proven_ms[subject] = now_ms
+    while len(proven_ms) > _MAX_PROVEN:
+        del proven_ms[next(iter(proven_ms))]
+
+
 def _drop_oldest(suspicion: _Suspicion) -> None:
     """Bounds the number of upstreams that a suspicion names."""
     for starts in (suspicion.crashes, suspicion.cleared):
--- a/redwingchute/request/crash_evidence_test.py
+++ b/redwingchute/request/crash_evidence_test.py
@@ -189,3 +189,68 @@
         (requesting.CrashObservation("later/kind", "m-1/5", level=1),), 0
     )
     assert news == ()
+
+
+# Guards against a lookup that many callers share and that is refused because
+# upstreams lost power together while copies of it were running.
+def test_a_request_that_proved_sound_is_avoided_after_three_ends_in_a_row() -> (
+    None
+):
+    evidence = _make_evidence()
+    evidence.record_success(_SUBJECT, 0)
+    for number in range(6):
+        evidence.record_crash(f"m-{number}/5", _SUBJECT, 0, 1_000)
+    assert not _is_avoided(evidence, 1_001)
+    evidence.record_crash("m-7/5", _SUBJECT, 1, 1_100)
+    assert not _is_avoided(evidence, 1_101)
+    evidence.record_crash("m-8/5", _SUBJECT, 2, 1_200)
+    assert _is_avoided(evidence, 1_201)
+
+
+# Guards against a request that once completed and whose ends never count again.
+def test_a_request_does_not_count_as_sound_for_ever() -> None:
+    evidence = _make_evidence()
+    evidence.record_success(_SUBJECT, 0)
+    evidence.record_crash("m-1/5", _SUBJECT, 0, 70_000)
+    evidence.record_crash("m-2/5", _SUBJECT, 0, 70_100)
+    assert _is_avoided(evidence, 70_101)
+
+
+# Guards against a sound request that is refused for minutes because many
+# upstreams ended together while copies of it were running.
+def test_ends_of_the_same_moment_do_not_prolong_the_pause_of_a_trial() -> None:
+    evidence = crash_evidence.CrashEvidence("huon-1", lambda: ("huon-1",))
+    for number in range(6):
+        evidence.record_crash(f"m-{number}/5", _SUBJECT, 0, 0)
+    assert _is_avoided(evidence, 19_900)
+    assert not _is_avoided(evidence, 20_100)
+    evidence.begin_trials((_SUBJECT,), 20_100)
+    evidence.record_crash("m-7/5", _SUBJECT, 1, 20_200)
+    assert _is_avoided(evidence, 100_100)
+    assert not _is_avoided(evidence, 100_300)
+
+
+# Guards against a crashing request that is never known, because requests with
+# more ends fill the memory.
+def test_a_new_suspect_has_room_among_many_older_ones() -> None:
+    evidence = _make_evidence()
+    for number in range(2_000):
+        other = crash_evidence.RequestSubject("yield", f"{number:x}")
+        for start in ("m-1/5", "m-2/5", "m-3/5"):
+            evidence.record_crash(start, other, 0, number)
+    evidence.record_crash("m-1/900", _SUBJECT, 0, 3_000)
+    evidence.record_crash("m-2/900", _SUBJECT, 0, 3_001)
+    assert _is_avoided(evidence, 3_002)
+
+
+# Guards against an avoided request that keeps coming and is forgotten for
+# others that do not.
+def test_a_request_that_still_comes_is_not_displaced() -> None:
+    evidence = _make_evidence()
+    evidence.record_crash("m-1/5", _SUBJECT, 0, 0)
+    evidence.record_crash("m-2/5", _SUBJECT, 0, 0)
+    for number in range(3_000):
+        other = crash_evidence.RequestSubject("yield", f"{number:x}")
+        evidence.record_crash("m-1/5", other, 0, number)
+        evidence.record_crash("m-2/5", other, 0, number)
+        assert _is_avoided(evidence, number)
--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -145,10 +145,12 @@
 ) -> crash_evidence.RequestSubject:
     """Returns the subject that a request and its repeats have in common.
 
-    Repeats have the same client account, target and body. They may come to any
-    router, with other ids and deadlines.
+    Repeats have the same client account, method, host, target and body. They
+    may come to any router, with other ids and deadlines, and may resume a
+    stream.
     """
-    digest = hashlib.sha256(request.target.encode())
+    head = f"{request.method} {plan.request.host} {request.target}\n"
+    digest = hashlib.sha256(head.encode())
     digest.update(request.body)
     account = plan.account.name if plan.account else ""
     return crash_evidence.RequestSubject(account, digest.hexdigest()[:32])
@@ -159,18 +161,13 @@
 ) -> tuple[crash_evidence.Subject, ...]:
     """Returns what an upstream may end for when it runs a request.
 
-    Only generations are observed. The last part of a prompt is no subject,
-    since no other request has it.
+    The last part of a prompt is no subject, since no other request has it.
     """
     generation = plan.request.generation
-    if generation is None:
-        return ()
+    parts = generation.shared_parts if generation else ()
     return (
         request_subject,
-        *(
-            crash_evidence.PartSubject(part.id)
-            for part in generation.shared_parts
-        ),
+        *(crash_evidence.PartSubject(part.id) for part in parts),
     )
 
 
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -435,7 +435,9 @@
                 self._dependencies.suspects.record_success(send)
                 return result
             case forward_attempt.CompleteResponse():
-                return self._evaluate_response(plan, progress, upstream, result)
+                return self._evaluate_response(
+                    plan, progress, upstream, result, send
+                )
             case forward_attempt.NotConnected(message, is_unresponsive):
                 directory.mark_unreachable(upstream, now_ms)
                 if is_unresponsive:
@@ -539,11 +541,13 @@
         progress: forward_progress.Progress,
         upstream: forwarding.Upstream,
         result: forward_attempt.CompleteResponse,
+        send: suspect_tracker.Send,
     ) -> _FinalResult | None:
         """Returns how a request with a complete response ends."""
         status = result.metadata.status
         if status < 500 and status not in _NOT_RUN_STATUSES:
             self._dependencies.directory.record_success(upstream)
+            self._dependencies.suspects.record_success(send)
             return result
         self._log_attempt(plan, progress, upstream, "failed", str(status))
         self._dependencies.directory.record_failure(
