Reproduce hosts without paths to upstreams that serve nobody (known red)

Four gateways on loopback, three of them cut off from all upstreams: from 3 s after the cut the first of them serves 0 of 20 first tries where the fourth serves all 20, both if connections hang and if they are refused.

The rig cuts where a router opens its connections; the pool takes the function that opens them, and the rig has the time limits of the platform.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import itertools
 import select
@@ -138,6 +140,11 @@
     """The end of a complete body."""
 
 
+StreamOpener: TypeAlias = Callable[
+    [str, int],
+    Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]],
+]
+
 BodyEvent: TypeAlias = BodyChunk | BodyEnd | ExchangeBroken
 
 
@@ -460,6 +467,7 @@
         connect_timeout_ms: int = 1_000,
         max_idle_per_address: int = 32,
         tcp_user_timeout_ms: int | None = None,
+        open_stream: StreamOpener = asyncio.open_connection,
     ) -> None:
         """Creates an empty pool.
 
@@ -470,10 +478,12 @@
           tcp_user_timeout_ms: The TCP user timeout: a connection fails when
             sent bytes stay unacknowledged for this long. None leaves the
             system's default.
+          open_stream: Opens a TCP connection to an IP address and port.
         """
         self._connect_timeout_ms = connect_timeout_ms
         self._max_idle_per_address = max_idle_per_address
         self._tcp_user_timeout_ms = tcp_user_timeout_ms
+        self._open_stream = open_stream
         self._idle: dict[Address, list[ClientConnection]] = {}
         self.buffered_bodies = BufferedBodies()
 
@@ -516,7 +526,7 @@
             connection.close()
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1000):
-                reader, writer = await asyncio.open_connection(
+                reader, writer = await self._open_stream(
                     address.ip, address.port
                 )
         except (OSError, TimeoutError) as error:
--- a/redwingchute/platform/main.py
+++ b/redwingchute/platform/main.py
@@ -47,6 +47,21 @@
     )
 
 
+def make_pool(
+    open_stream: http_client.StreamOpener = asyncio.open_connection,
+) -> http_client.ClientPool:
+    """Returns the pool of connections to upstreams and to the store.
+
+    Args:
+      open_stream: Opens TCP connections.
+    """
+    return http_client.ClientPool(
+        connect_timeout_ms=_CONNECT_TIMEOUT_MS,
+        tcp_user_timeout_ms=_UNACKNOWLEDGED_TIMEOUT_MS,
+        open_stream=open_stream,
+    )
+
+
 async def run_gateway(settings: gateway_settings.GatewaySettings) -> None:
     """Runs a router until it receives SIGTERM or SIGINT.
 
@@ -61,11 +76,7 @@
     loop.add_signal_handler(
         signal.SIGHUP, lambda: decision_log.log_event("reloaded")
     )
-    pool = http_client.ClientPool(
-        connect_timeout_ms=_CONNECT_TIMEOUT_MS,
-        tcp_user_timeout_ms=_UNACKNOWLEDGED_TIMEOUT_MS,
-    )
-    async with pool:
+    async with make_pool() as pool:
         ports = make_ports(pool, settings.log_address)
         async with gateway.Gateway(settings, ports, pool) as running:
             await stopping.wait()
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -15,6 +15,7 @@
 from redwingchute.process import gateway_settings
 from redwingchute.standin import metadata_store
 from redwingchute.standin import runner
+from redwingchute.testing import upstream_cut
 
 KEY = "key-1"
 ACCOUNT = "yield"
@@ -98,6 +99,7 @@
       store: The stand-in of the metadata store.
       runners: The stand-ins of runners by their ids.
       gateways: The gateways.
+      cuts: What cuts each of them off from upstreams.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self.store = metadata_store.MetadataStore()
         self.runners: dict[str, runner.Runner] = {}
         self.gateways: list[gateway.Gateway] = []
+        self.cuts: list[upstream_cut.UpstreamCut] = []
         self._gateway_count = gateway_count
         self._addresses = addresses or {}
         self._document = document or make_document()
@@ -262,7 +265,15 @@
             # A gateway that has just started has no share of the slack.
             retry_ratio=10.0,
         )
-        pool = await self._stack.enter_async_context(http_client.ClientPool())
+        cut = upstream_cut.UpstreamCut(
+            lambda port: any(
+                found.port == port for found in self.runners.values()
+            )
+        )
+        self.cuts.append(cut)
+        pool = await self._stack.enter_async_context(
+            platform_main.make_pool(cut.open_stream)
+        )
         started = gateway.Gateway(
             settings,
             platform_main.make_ports(pool, settings.log_address),
