--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -1,6 +1,7 @@
 """Gateways with stand-ins of the metadata store and of runners, on loopback."""
 
 import asyncio
+from collections.abc import Sequence
 import contextlib
 import json
 import socket
@@ -140,8 +141,9 @@
         ):
             await self.start_runner(runner_id, service)
         self.publish(self._document)
-        for number in range(1, self._gateway_count + 1):
-            await self.start_gateway(f"huon-{number}")
+        await self._start_gateways(
+            [f"huon-{n}" for n in range(1, self._gateway_count + 1)]
+        )
         return self
 
     async def __aexit__(
@@ -251,7 +253,22 @@
 
     async def start_gateway(self, host_name: str) -> None:
         """Starts a gateway and waits until it is ready."""
-        ports = _find_free_ports(4)
+        await self._start_gateways((host_name,))
+
+    async def _start_gateways(self, host_names: Sequence[str]) -> None:
+        """Starts gateways together and waits until all are ready."""
+        ports = _find_free_ports(4 * len(host_names))
+        added = [
+            self._add_gateway(host_name, ports[4 * index : 4 * index + 4])
+            for index, host_name in enumerate(host_names)
+        ]
+        for subject in added:
+            await self._stack.enter_async_context(subject)
+        for subject in added:
+            await self._wait_until_ready(subject)
+
+    def _add_gateway(self, host_name: str, ports: list[int]) -> gateway.Gateway:
+        """Adds a gateway with its connections; the caller starts it."""
         addresses = [http_client.Address(_ADDRESS, port) for port in ports]
         settings = gateway_settings.GatewaySettings(
             host_name=host_name,
@@ -271,20 +288,23 @@
             )
         )
         self.cuts.append(cut)
-        pool = await self._stack.enter_async_context(
-            platform_main.make_pool(cut.open_stream)
-        )
-        started = gateway.Gateway(
+        pool = platform_main.make_pool(cut.open_stream)
+        self._stack.push_async_exit(pool)
+        added = gateway.Gateway(
             settings,
             platform_main.make_ports(pool, settings.log_address),
             pool,
         )
-        await self._stack.enter_async_context(started)
-        self.gateways.append(started)
+        self.gateways.append(added)
+        return added
+
+    async def _wait_until_ready(self, subject: gateway.Gateway) -> None:
+        """Waits until a gateway reports that it is ready."""
         for _ in range(_READY_ATTEMPTS):
-            if await self.is_ready(started):
+            if await self.is_ready(subject):
                 return
             await asyncio.sleep(_READY_POLL_INTERVAL_S)
+        host_name = subject.settings.host_name
         raise TimeoutError(f"{host_name} did not become ready")
 
     async def is_ready(self, subject: gateway.Gateway) -> bool:
