Reach upstreams by way of peers where the own path is down

Cause: only a host's own connections led to upstreams, and its failure to connect was taken as the upstream's. Class: what one host sees on its path is believed of the other end.

Change: when a direct connection fails, a peer is asked to join one of its own; when it hangs, beside it. Silent open connections pause an upstream as before, and the pause ends once a peer reaches it. The host that took the request decides everything; the peer joins bytes, to listed upstreams, for authenticated peers, by its direct path only. A path is down only if a peer reached what this host did not. A connection that a peer carries says nothing of the upstream's health.

Not done: to hand requests to a peer (charges, permits, what has run would have to cross); to report not ready (callers stay; a whole zone may be cut).

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -36,6 +36,8 @@
 _DEFAULT_KEEP_ALIVE_S = 30.0
 # The next request must arrive before the upstream closes the connection.
 _KEEP_ALIVE_MARGIN_S = 0.5
+# How long a connection that another host carries is kept without an exchange.
+CARRIED_IDLE_S = 1.0
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 _CONNECTION_NUMBERS = itertools.count(1)
 # An extra response belongs to one of the latest requests on a connection.
@@ -156,6 +158,8 @@
       number: Identifies the connection within this process.
       exchange_count: The number of exchanges that were completed on it.
       request_ids: The ids of its latest requests, the newest one last.
+      carrier: The host whose router carries the connection to the upstream;
+        empty if it is a direct one.
     """
 
     def __init__(
@@ -164,6 +168,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         buffered_bodies: BufferedBodies | None = None,
+        carrier: str = "",
     ) -> None:
         """Creates a connection on open streams.
 
@@ -172,8 +177,12 @@
           reader: Reads from it.
           writer: Writes to it.
           buffered_bodies: Counts the bodies that are read as a whole.
+          carrier: The host that carries it, or empty.
         """
         self.address = address
+        self.carrier = carrier
+        # A carrier that ends closes the connection as an upstream does.
+        self._has_uncertain_end = False
         self._buffered_bodies = buffered_bodies or BufferedBodies()
         # Of the present exchange, and the part of it that is content.
         self._received_bytes = 0
@@ -258,6 +267,11 @@
                     header_list = http_headers.decode_headers(event.headers)
                     headers = dict(header_list)
                     self._keep_alive_s = _read_keep_alive_s(headers)
+                    self._has_uncertain_end = bool(
+                        self.carrier
+                    ) and headers.keys().isdisjoint(
+                        ("content-length", "transfer-encoding")
+                    )
                     return ResponseHead(event.status_code, headers, header_list)
                 case h11.InformationalResponse():
                     continue
@@ -275,6 +289,10 @@
         match event:
             case h11.Data():
                 return BodyChunk(self._join_received(event))
+            case h11.EndOfMessage() if (
+                self._has_uncertain_end and self._reader.at_eof()
+            ):
+                return ExchangeBroken("the end of the body is uncertain")
             case h11.EndOfMessage():
                 return BodyEnd()
             case ExchangeBroken():
@@ -389,12 +407,22 @@
             return False
         self._protocol.start_next_cycle()
         self.exchange_count += 1
-        self._idle_since_s = asyncio.get_running_loop().time()
+        self.mark_idle()
         return True
 
+    def mark_idle(self) -> None:
+        """Sets since when the connection has been idle."""
+        self._idle_since_s = asyncio.get_running_loop().time()
+
     def is_kept_alive(self) -> bool:
-        """Returns whether the upstream still keeps the idle connection open."""
+        """Returns whether the upstream still keeps the idle connection open.
+
+        One by way of a carrier is kept for a short time only, so that a carrier
+        that stops need not wait for it.
+        """
         idle_s = asyncio.get_running_loop().time() - self._idle_since_s
+        if self.carrier and idle_s >= CARRIED_IDLE_S:
+            return False
         return idle_s < self._keep_alive_s - _KEEP_ALIVE_MARGIN_S
 
     def is_usable(self) -> bool:
@@ -418,6 +446,10 @@
         found: socket.socket = self._writer.get_extra_info("socket")
         return found
 
+    def detach(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Returns the streams of a connection without an exchange."""
+        return self._reader, self._writer
+
     def close(self) -> None:
         """Closes the connection and aborts an unfinished exchange."""
         self._writer.close()
@@ -514,6 +546,12 @@
             which this id was sent before is not used, since an extra response
             to it could not be told apart.
         """
+        return self.pop_idle(address, request_id) or await self.open(address)
+
+    def pop_idle(
+        self, address: Address, request_id: str | None = None
+    ) -> ClientConnection | None:
+        """Returns an idle connection, or None; arguments as of `acquire`."""
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
@@ -524,6 +562,10 @@
             ):
                 return connection
             connection.close()
+        return None
+
+    async def open(self, address: Address) -> ClientConnection | ConnectFailed:
+        """Opens a connection to an upstream."""
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1000):
                 reader, writer = await self._open_stream(
@@ -534,8 +576,25 @@
                 str(error) or "connecting timed out",
                 is_unresponsive=isinstance(error, TimeoutError),
             )
+        return self.adopt(address, reader, writer)
+
+    def adopt(
+        self,
+        address: Address,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        carrier: str = "",
+    ) -> ClientConnection:
+        """Returns a connection to an upstream on streams that are open.
+
+        Args:
+          address: The address of the upstream.
+          reader: Reads from it.
+          writer: Writes to it.
+          carrier: The host that carries the connection, or empty.
+        """
         connection = ClientConnection(
-            address, reader, writer, self.buffered_bodies
+            address, reader, writer, self.buffered_bodies, carrier
         )
         if self._tcp_user_timeout_ms is not None:
             connection.get_socket().setsockopt(
@@ -556,6 +615,39 @@
         for connection in self._idle.pop(address, ()):
             connection.close()
 
+    def close_idle_direct(self, address: Address) -> None:
+        """Closes the idle connections to an address that nobody carries."""
+        connections = self._idle.pop(address, [])
+        for connection in connections:
+            if not connection.carrier:
+                connection.close()
+        carried = [found for found in connections if found.carrier]
+        if carried:
+            self._idle[address] = carried
+
+    def close_expired(self) -> int:
+        """Closes carried connections that were idle for too long.
+
+        Returns:
+          How many carried connections are left.
+        """
+        left = 0
+        for address, connections in list(self._idle.items()):
+            kept = []
+            for connection in connections:
+                if connection.carrier and not connection.is_kept_alive():
+                    connection.close()
+                else:
+                    kept.append(connection)
+                    left += bool(connection.carrier)
+            self._idle[address] = kept
+        return left
+
+    def add_idle(self, connection: ClientConnection) -> None:
+        """Keeps a connection on which there was no exchange yet."""
+        connection.mark_idle()
+        self._idle.setdefault(connection.address, []).append(connection)
+
     def release(self, connection: ClientConnection) -> None:
         """Returns a connection to the pool, or closes it if not reusable."""
         idle = self._idle.setdefault(connection.address, [])
--- a/redwingchute/connection/peer_link.py
+++ b/redwingchute/connection/peer_link.py
@@ -5,6 +5,9 @@
 replayed. A frame is a four-byte big-endian length followed by one message as
 `wire/codec` encodes it. A request carries an even correlation number, its reply
 the next odd number, and a one-way message zero.
+
+A connection may also become a tunnel to an upstream: after the handshake each
+side sends one message, and from then on the bytes belong to the upstream.
 """
 
 import asyncio
@@ -48,6 +51,7 @@
     Attributes:
       peer: The identity that the peer gave in the handshake.
       last_used_ms: When the link was last used; its owner sets it.
+      is_tunnel: Whether the connection is to become a tunnel.
     """
 
     def __init__(
@@ -56,9 +60,11 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         wire_codec: codec.Codec,
+        is_tunnel: bool = False,
     ) -> None:
         """Creates a link on streams whose handshake is complete."""
         self.peer = peer
+        self.is_tunnel = is_tunnel
         self.last_used_ms = 0
         self._reader = reader
         self._writer = writer
@@ -91,6 +97,10 @@
             return None
         return self._codec.decode(frame)
 
+    def detach(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Returns the streams of a tunnel after its messages were exchanged."""
+        return self._reader, self._writer
+
     def close(self) -> None:
         """Closes the link and discards unsent bytes."""
         self._writer.transport.abort()
@@ -102,6 +112,7 @@
     own_host: data.Host,
     fleet_key: bytes,
     wire_codec: codec.Codec,
+    is_tunnel: bool = False,
 ) -> PeerLink | HandshakeFailed:
     """Runs the handshake on the side that opened the connection.
 
@@ -111,11 +122,14 @@
       own_host: This router's identity.
       fleet_key: The secret that all routers of the fleet share.
       wire_codec: Encodes and decodes the messages.
+      is_tunnel: Whether the connection is to become a tunnel.
 
     Returns:
       The link, or why the handshake failed.
     """
-    hello = fleet.LinkHello(own_host, secrets.token_bytes(_NONCE_BYTES))
+    hello = fleet.LinkHello(
+        own_host, secrets.token_bytes(_NONCE_BYTES), is_tunnel
+    )
     _write_frame(writer, wire_codec.encode(hello))
     welcome = await _read_handshake(reader, wire_codec)
     if not isinstance(welcome, fleet.LinkWelcome):
@@ -127,7 +141,7 @@
         return HandshakeFailed("the fleet key differs", is_wrong_key=True)
     proof = fleet.LinkProof(_make_proof(fleet_key, b"dial", hello, welcome))
     _write_frame(writer, wire_codec.encode(proof))
-    return PeerLink(welcome.host, reader, writer, wire_codec)
+    return PeerLink(welcome.host, reader, writer, wire_codec, is_tunnel)
 
 
 async def accept_link(
@@ -156,7 +170,7 @@
     expected = _make_proof(fleet_key, b"dial", hello, welcome)
     if not hmac.compare_digest(expected, proof.proof):
         return HandshakeFailed("the fleet key differs", is_wrong_key=True)
-    return PeerLink(hello.host, reader, writer, wire_codec)
+    return PeerLink(hello.host, reader, writer, wire_codec, hello.is_tunnel)
 
 
 def _make_proof(
@@ -167,12 +181,15 @@
 ) -> bytes:
     """Returns the HMAC by which a side proves that it has the fleet key.
 
-    It covers the nonces and identities of both sides. `side` identifies the
+    It covers the nonces and identities of both sides, and the purpose of the
+    connection. `side` identifies the
     side that makes the proof: neither side can send the other's proof back.
     """
     parts = [side, hello.nonce, welcome.nonce]
     for host in (hello.host, welcome.host):
         parts.append(f"{host.name}|{host.zone}|{host.incarnation}".encode())
+    if hello.is_tunnel:
+        parts.append(b"tunnel")
     message = b"".join(_LENGTH.pack(len(part)) + part for part in parts)
     return hmac.new(fleet_key, message, hashlib.sha256).digest()
 
--- a/redwingchute/core/fleet.py
+++ b/redwingchute/core/fleet.py
@@ -12,10 +12,13 @@
     Attributes:
       host: The connecting router's host.
       nonce: Random bytes that the proof of the other side must cover.
+      is_tunnel: Whether the connection becomes a tunnel to an upstream after
+        the handshake, instead of a link.
     """
 
     host: data.Host
     nonce: bytes
+    is_tunnel: bool = False
 
 
 @attrs.frozen
@@ -40,6 +43,32 @@
     proof: bytes
 
 
+@attrs.frozen
+class TunnelRequest:
+    """Asks a router to join this connection to a new one to an upstream.
+
+    Attributes:
+      upstream: The upstream.
+      born_ms: Its start time; 0 if it is not known.
+    """
+
+    upstream: str
+    born_ms: int
+
+
+@attrs.frozen
+class TunnelReply:
+    """The reply to `TunnelRequest`; bytes of the upstream follow if it is open.
+
+    Attributes:
+      is_open: Whether the connections are joined.
+      cause: Why they are not; empty if they are.
+    """
+
+    is_open: bool
+    cause: str = ""
+
+
 @attrs.frozen
 class MemberState:
     """The membership state that a router publishes about itself.
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -43,6 +43,7 @@
 from redwingchute.process import shared_log
 from redwingchute.process import telemetry
 from redwingchute.process import timed_log
+from redwingchute.process import tunnel_server
 from redwingchute.process.prepaid import charging
 from redwingchute.process.prepaid import grant_manager
 from redwingchute.request import crash_evidence
@@ -51,7 +52,9 @@
 from redwingchute.request import load_exchange
 from redwingchute.request import request_metrics
 from redwingchute.request import suspect_tracker
+from redwingchute.request import upstream_connector
 from redwingchute.request import upstream_directory
+from redwingchute.request import upstream_paths
 from redwingchute.request import upstream_statements
 from redwingchute.version import route_index
 from redwingchute.wire import registry
@@ -131,7 +134,12 @@
 
 
 class Gateway:
-    """One router process; an async context manager that owns its components."""
+    """One router process; an async context manager that owns its components.
+
+    Attributes:
+      settings: The validated settings.
+      network: The links to other routers.
+    """
 
     def __init__(
         self,
@@ -174,26 +182,36 @@
         )
         self._tasks = background_tasks.BackgroundTasks(_log_failed_task)
         self._exit_stack = contextlib.AsyncExitStack()
-        self._network = self._make_network()
+        self.network = self._make_network()
         self._registry = self._make_registry()
+        self._paths = upstream_paths.UpstreamPaths(
+            settings.host_name, settings.zone
+        )
+        self._connector = upstream_connector.UpstreamConnector(
+            pool, self._paths, self.network, read_boot_ms
+        )
+        self._tunnels = tunnel_server.TunnelServer(
+            self._open_for_peer, lambda: self._is_stopping
+        )
+        self.network.set_tunnel_handler(self._tunnels.handle)
         self._hub_view = hub_choice.choose_hubs(self._registry.own_host, ())
         self._relay = notice_relay.NoticeRelay[_RelayedNotice](
             lambda: self._hub_view,
             lambda: self._upstream_directory.reporters,
-            self._network.send_to_all,
+            self.network.send_to_all,
             _make_notice_id,
         )
         self._limiter_choice = limiter_choice.LimiterChoice(
             settings.host_name, lambda: self._registry.find_registration()
         )
         self._permits = permit_exchange.PermitExchange(
-            self._network,
+            self.network,
             self._limiter_choice,
             self._upstream_directory.limits,
             read_boot_ms,
         )
         self._origins = origin_exchange.OriginExchange(
-            self._network,
+            self.network,
             lambda: self._registry.list_hosts(),
             self._upstream_directory,
             self._has_fresh_upstreams,
@@ -224,7 +242,7 @@
         self._metrics.observe_grants(self._grant_manager.measure_grants)
         self._charger = charging.Charger(
             self._grant_manager,
-            self._network,
+            self.network,
             lambda: self._hub_view,
             self._list_prepaid_tokens,
             read_boot_ms,
@@ -308,7 +326,7 @@
         """Returns the server that callers connect to."""
         handler = forwarding_handler.ForwardingHandler(
             forwarding_handler.ForwardingDependencies(
-                pool=self._pool,
+                connector=self._connector,
                 translator=self._ports.translator,
                 directory=self._upstream_directory,
                 charger=self._charger,
@@ -335,33 +353,35 @@
     async def __aenter__(self) -> "Gateway":
         """Starts all components, the caller server last."""
         enter = self._exit_stack.enter_async_context
-        await enter(self._network)
-        self._network.register_handler(
+        await enter(self._connector)
+        await enter(self._tunnels)
+        await enter(self.network)
+        self.network.register_handler(
             prepaid.RemoteCharge, self._charger.handle_charge
         )
-        self._network.register_handler(
+        self.network.register_handler(
             prepaid.RemoteSettlement, self._charger.handle_settlement
         )
-        self._network.register_handler(
+        self.network.register_handler(
             requesting.CrashReport, self._handle_crash_report
         )
-        self._network.register_handler(
+        self.network.register_handler(
             requesting.LeavingNotice, self._handle_leaving
         )
-        self._network.register_handler(requesting.LoadNotice, self._handle_load)
-        self._network.register_handler(
+        self.network.register_handler(requesting.LoadNotice, self._handle_load)
+        self.network.register_handler(
             rate_limiting.LimitNotice, self._handle_limit
         )
-        self._network.register_handler(
+        self.network.register_handler(
             rate_limiting.PermitRequest, self._permits.handle_request
         )
-        self._network.register_handler(
+        self.network.register_handler(
             rate_limiting.PermitReturn, self._permits.handle_return
         )
-        self._network.register_handler(
+        self.network.register_handler(
             streams.OriginNotice, self._origins.handle_notice
         )
-        self._network.register_handler(
+        self.network.register_handler(
             streams.OriginRequest, self._origins.handle_request
         )
         self._tasks.spawn(self._configuration_follower.run())
@@ -424,7 +444,11 @@
             is_out_of_rotation = (
                 read_boot_ms() > started_ms + 1000 * _BALANCER_LAG_S
             )
-            if is_out_of_rotation and not self._caller_server.open_exchanges:
+            if (
+                is_out_of_rotation
+                and not self._caller_server.open_exchanges
+                and not self._tunnels.open_count
+            ):
                 break
             await asyncio.sleep(_STOP_POLL_S)
         self._caller_server.close_idle_connections()
@@ -433,11 +457,19 @@
             self._registry.leave(_LEAVE_TIMEOUT_S),
         )
         while (
-            self._caller_server.open_exchanges
-            and read_boot_ms() < self._stop_deadline_ms
-        ):
+            self._caller_server.open_exchanges or self._tunnels.open_count
+        ) and (read_boot_ms() < self._stop_deadline_ms):
             await asyncio.sleep(_STOP_POLL_S)
 
+    async def _open_for_peer(
+        self, start: forwarding.UpstreamStart
+    ) -> http_client.ClientConnection | None:
+        """Opens a connection to an upstream that a peer can't reach."""
+        upstream = self._upstream_directory.find(start.id)
+        if upstream is None or upstream.start != start:
+            return None
+        return await self._connector.open_for_peer(upstream)
+
     def _find_time_left_ms(self) -> int | None:
         """Returns the time until the process exits; None if not stopping."""
         if not self._is_stopping:
@@ -617,7 +649,8 @@
         )
         for host in self._registry.list_hosts():
             if host.name != self.settings.host_name:
-                self._network.set_address(host.name, host.peer_address)
+                self.network.set_address(host.name, host.peer_address)
+        self._paths.set_hosts(self._registry.list_hosts())
         self._upstream_directory.set_hub_role(
             load_exchange.HubRole(
                 view.is_hub, view.order_hubs(self.settings.host_name)
@@ -638,7 +671,7 @@
             await asyncio.sleep(_HUB_LOAD_CHECK_S if is_hub else _LOAD_CHECK_S)
             directory = self._upstream_directory
             for outgoing in directory.pop_due_notices(read_boot_ms()):
-                self._network.send_to_all(outgoing.hosts, outgoing.notice)
+                self.network.send_to_all(outgoing.hosts, outgoing.notice)
 
     async def _handle_load(
         self, peer: data.Host, notice: requesting.LoadNotice
--- a/redwingchute/process/peer_network.py
+++ b/redwingchute/process/peer_network.py
@@ -38,6 +38,7 @@
 
 
 MessageHandler: TypeAlias = Callable[[data.Host, Any], Awaitable[Any | None]]
+TunnelHandler: TypeAlias = Callable[[peer_link.PeerLink], Awaitable[None]]
 
 
 class PeerNetwork:
@@ -78,6 +79,7 @@
         self._open_links: set[peer_link.PeerLink] = set()
         self._dials: dict[str, asyncio.Task[peer_link.PeerLink | None]] = {}
         self._handlers: dict[type[Any], MessageHandler] = {}
+        self._tunnel_handler: TunnelHandler | None = None
         self._replies: dict[int, asyncio.Future[Any]] = {}
         self._numbers = itertools.count(1)
         self._tasks = background_tasks.BackgroundTasks()
@@ -130,6 +132,22 @@
         """
         self._handlers[record_type] = handler
 
+    def set_tunnel_handler(self, handler: TunnelHandler) -> None:
+        """Sets what serves the tunnels of other routers.
+
+        Args:
+          handler: Called with each connection that is to become a tunnel, and
+            owns it. The handshake is complete.
+        """
+        self._tunnel_handler = handler
+
+    async def dial_tunnel(self, host_name: str) -> peer_link.PeerLink | None:
+        """Opens a connection for a tunnel to a host; None on failure.
+
+        The caller owns the connection.
+        """
+        return await self._dial(host_name, is_tunnel=True)
+
     def send(self, host_name: str, record: Any) -> bool:
         """Sends a one-way message; returns whether a link was open.
 
@@ -216,8 +234,10 @@
             dial.add_done_callback(lambda _: self._dials.pop(host_name, None))
         return await asyncio.shield(dial)
 
-    async def _dial(self, host_name: str) -> peer_link.PeerLink | None:
-        """Opens a link to a host; returns None on failure."""
+    async def _dial(
+        self, host_name: str, is_tunnel: bool = False
+    ) -> peer_link.PeerLink | None:
+        """Opens a link or a tunnel to a host; returns None on failure."""
         address = self._addresses.get(host_name)
         if address is None:
             return None
@@ -228,12 +248,21 @@
                     address.ip, address.port
                 )
                 result = await peer_link.dial_link(
-                    reader, writer, self.own_host, self._fleet_key, self._codec
+                    reader,
+                    writer,
+                    self.own_host,
+                    self._fleet_key,
+                    self._codec,
+                    is_tunnel,
                 )
         except (OSError, TimeoutError):
             if writer is not None:
                 writer.transport.abort()
             return None
+        except asyncio.CancelledError:
+            if writer is not None:
+                writer.transport.abort()
+            raise
         if isinstance(result, peer_link.HandshakeFailed):
             self._count_failed_handshake(result)
             writer.transport.abort()
@@ -245,7 +274,8 @@
             )
             writer.transport.abort()
             return None
-        self._register_link(result)
+        if not is_tunnel:
+            self._register_link(result)
         return result
 
     async def _accept(
@@ -264,7 +294,12 @@
             self._count_failed_handshake(result)
             writer.transport.abort()
             return
-        self._register_link(result)
+        if not result.is_tunnel:
+            self._register_link(result)
+        elif self._tunnel_handler is None:
+            result.close()
+        else:
+            await self._tunnel_handler(result)
 
     def _count_failed_handshake(
         self, failure: peer_link.HandshakeFailed
--- a/redwingchute/request/connection_reuse_test.py
+++ b/redwingchute/request/connection_reuse_test.py
@@ -6,7 +6,6 @@
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
-from redwingchute.platform import headers
 from redwingchute.request import forward_attempt
 from redwingchute.testing import forwarding_builders
 from redwingchute.testing import scripted_upstream
@@ -35,9 +34,7 @@
             ) as upstream,
             http_client.ClientPool() as pool,
         ):
-            attempts = forward_attempt.AttemptRunner(
-                pool, headers.PlatformHeaderTranslator()
-            )
+            attempts = forwarding_builders.make_attempt_runner(pool)
             target = forwarding_builders.make_upstream(
                 "m-1", address=str(upstream.address)
             )
@@ -92,9 +89,7 @@
             scripted_upstream.ScriptedUpstream(pause_first_stream) as upstream,
             http_client.ClientPool() as pool,
         ):
-            attempts = forward_attempt.AttemptRunner(
-                pool, headers.PlatformHeaderTranslator()
-            )
+            attempts = forwarding_builders.make_attempt_runner(pool)
             target = forwarding_builders.make_upstream(
                 "m-1", address=str(upstream.address)
             )
--- a/redwingchute/request/endless_response_test.py
+++ b/redwingchute/request/endless_response_test.py
@@ -7,7 +7,6 @@
 import pytest
 
 from redwingchute.connection import http_client
-from redwingchute.platform import headers
 from redwingchute.request import forward_attempt
 from redwingchute.testing import forwarding_builders
 from redwingchute.testing import scripted_upstream
@@ -52,9 +51,7 @@
 
     async def main() -> forward_attempt.AttemptResult:
         async with upstream, http_client.ClientPool() as pool:
-            runner = forward_attempt.AttemptRunner(
-                pool, headers.PlatformHeaderTranslator()
-            )
+            runner = forwarding_builders.make_attempt_runner(pool)
             outgoing = forwarding_builders.make_outgoing(
                 "first", b"body", is_streaming
             )
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -20,6 +20,7 @@
 from redwingchute.core import forwarding
 from redwingchute.request import event_stream
 from redwingchute.request import header_translator
+from redwingchute.request import upstream_connector
 
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Extra responses that are skipped in one exchange, and their largest body.
@@ -140,6 +141,7 @@
       response_id: The id of the request that the response belongs to, or None.
       skipped_responses: The extra responses to earlier requests that were
         skipped before it.
+      carrier: The host that carried the connection; empty if it was direct.
     """
 
     connection: int = 0
@@ -148,6 +150,7 @@
     response_status: int = 0
     response_id: str | None = None
     skipped_responses: int = 0
+    carrier: str = ""
 
 
 @attrs.frozen
@@ -190,11 +193,11 @@
 
     def __init__(
         self,
-        pool: http_client.ClientPool,
+        connector: upstream_connector.UpstreamConnector,
         translator: header_translator.HeaderTranslator,
     ) -> None:
-        """Creates a runner on a connection pool and a header translator."""
-        self._pool = pool
+        """Creates a runner on a connector and a header translator."""
+        self._connector = connector
         self._translator = translator
 
     async def run(
@@ -212,11 +215,13 @@
         """
         if _find_remaining_ms(outgoing) < _MIN_REMAINING_MS:
             return OutOfTime()
-        address = http_client.Address.parse(upstream.address)
-        connection = await self._pool.acquire(address, outgoing.request_id)
+        connection = await self._connector.acquire(
+            upstream, outgoing.request_id
+        )
         if isinstance(connection, http_client.ConnectFailed):
             return NotConnected(connection.message, connection.is_unresponsive)
         outgoing.trace.connection = connection.number
+        outgoing.trace.carrier = connection.carrier
         outgoing.trace.earlier_exchanges = connection.exchange_count
         try:
             async with asyncio.timeout_at(outgoing.deadline_s):
@@ -226,7 +231,7 @@
         finally:
             # Closes the connection unless its exchange is complete. Closing
             # cancels the upstream's work after the caller disconnected.
-            self._pool.release(connection)
+            self._connector.release(connection)
 
     async def _exchange(
         self,
--- a/redwingchute/request/forward_attempt_test.py
+++ b/redwingchute/request/forward_attempt_test.py
@@ -6,7 +6,6 @@
 import pytest
 
 from redwingchute.connection import http_client
-from redwingchute.platform import headers
 from redwingchute.request import forward_attempt
 from redwingchute.testing import forwarding_builders
 from redwingchute.testing import scripted_upstream
@@ -69,9 +68,7 @@
 
     async def main() -> list[forward_attempt.AttemptResult]:
         async with upstream, http_client.ClientPool() as pool:
-            runner = forward_attempt.AttemptRunner(
-                pool, headers.PlatformHeaderTranslator()
-            )
+            runner = forwarding_builders.make_attempt_runner(pool)
             return [
                 await runner.run(
                     forwarding_builders.make_upstream(
@@ -155,9 +152,7 @@
     async def main() -> None:
         upstream = scripted_upstream.ScriptedUpstream(serve)
         async with upstream, http_client.ClientPool() as pool:
-            runner = forward_attempt.AttemptRunner(
-                pool, headers.PlatformHeaderTranslator()
-            )
+            runner = forwarding_builders.make_attempt_runner(pool)
             target = forwarding_builders.make_upstream(
                 "m-1", address=str(upstream.address)
             )
--- a/redwingchute/request/forward_progress.py
+++ b/redwingchute/request/forward_progress.py
@@ -95,6 +95,7 @@
         spent_tokens=count_spent_tokens(plan, progress),
         outcome=outcome,
         connection=progress.trace.connection,
+        carrier=progress.trace.carrier,
         earlier_exchanges=progress.trace.earlier_exchanges,
         skipped_responses=progress.trace.skipped_responses,
         elapsed_ms=elapsed_ms,
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -7,12 +7,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 import traceback
 from typing import TypeAlias
 
 import attrs
 
-from redwingchute.connection import http_client
 from redwingchute.connection import http_server
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
@@ -35,6 +35,7 @@
 from redwingchute.request import stream_resumption
 from redwingchute.request import suspect_tracker
 from redwingchute.request import upstream_choice
+from redwingchute.request import upstream_connector
 from redwingchute.request import upstream_directory
 from redwingchute.request import upstream_statements
 from redwingchute.version import route_index
@@ -56,7 +57,7 @@
     """The dependencies of the handler.
 
     Attributes:
-      pool: The connections to upstreams.
+      connector: Connects to upstreams.
       translator: Translates between headers and records.
       directory: The upstreams of all services.
       charger: Reserves and settles prepaid tokens.
@@ -74,7 +75,7 @@
       metrics: Records durations and outcomes of requests.
     """
 
-    pool: http_client.ClientPool
+    connector: upstream_connector.UpstreamConnector
     translator: header_translator.HeaderTranslator
     directory: upstream_directory.UpstreamDirectory
     charger: charging.Charger
@@ -105,7 +106,7 @@
         """Creates a handler with its dependencies."""
         self._dependencies = dependencies
         self._attempts = forward_attempt.AttemptRunner(
-            dependencies.pool, dependencies.translator
+            dependencies.connector, dependencies.translator
         )
         self._resumption = stream_resumption.StreamResumption(
             dependencies.origins
@@ -441,7 +442,8 @@
             case forward_attempt.NotConnected(message, is_unresponsive):
                 directory.mark_unreachable(upstream, now_ms)
                 if is_unresponsive:
-                    self._mark_unresponsive(upstream, now_ms)
+                    # No carrier reached it either.
+                    self._mark_unresponsive(upstream, now_ms, {upstream.id})
                 self._log_attempt(
                     plan, progress, upstream, "not_connected", message
                 )
@@ -486,9 +488,7 @@
                 )
                 if is_timeout:
                     return outcomes.Failed(504, "timed_out", message)
-                directory.record_failure(upstream, now_ms)
-                if is_unresponsive:
-                    self._mark_unresponsive(upstream, now_ms)
+                self._record_broken(upstream, progress, is_unresponsive)
                 if is_closed:
                     self._dependencies.suspects.record_crash(
                         send,
@@ -501,17 +501,56 @@
                     return None
                 return _make_failure(message)
 
+    def _record_broken(
+        self,
+        upstream: forwarding.Upstream,
+        progress: forward_progress.Progress,
+        is_unresponsive: bool,
+    ) -> None:
+        """Records what a broken attempt tells of its upstream or carrier."""
+        now_ms = self._dependencies.read_clock_ms()
+        carrier = progress.trace.carrier
+        if carrier:
+            # The carrier may have ended, or be cut off.
+            if is_unresponsive:
+                self._dependencies.connector.record_lost_carrier(carrier)
+            return
+        self._dependencies.directory.record_failure(upstream, now_ms)
+        if is_unresponsive:
+            self._mark_unresponsive(upstream, now_ms)
+
     def _mark_unresponsive(
-        self, upstream: forwarding.Upstream, now_ms: int
+        self,
+        upstream: forwarding.Upstream,
+        now_ms: int,
+        unreached: Collection[str] = (),
     ) -> None:
-        """Pauses the use of an upstream whose host does not respond."""
-        paused = self._dependencies.directory.mark_unresponsive(
-            upstream, now_ms
-        )
+        """Pauses the use of an upstream whose host does not respond.
+
+        The pause ends once a carrier reaches the upstream.
+
+        Args:
+          upstream: The upstream.
+          now_ms: The current time.
+          unreached: The ids of upstreams that no carrier reaches.
+        """
+        directory = self._dependencies.directory
+        paused = directory.mark_unresponsive(upstream, now_ms)
         if paused:
             decision_log.log_event(
                 "upstreams_silent", upstreams=paused, zone=upstream.zone
             )
+        found = (directory.find(name) for name in paused)
+        self._dependencies.connector.seek_carriers(
+            (
+                entry
+                for entry in found
+                if entry is not None and entry.id not in unreached
+            ),
+            lambda entry: directory.mark_responsive(
+                entry.id, self._dependencies.read_clock_ms()
+            ),
+        )
 
     def _refuse_no_upstream(self, plan: forward_plan.Plan) -> outcomes.NotRun:
         """Returns the refusal of a request that no upstream can serve."""
--- a/redwingchute/testing/forwarding_builders.py
+++ b/redwingchute/testing/forwarding_builders.py
@@ -5,10 +5,14 @@
 
 import h11
 
+from redwingchute.connection import http_client
 from redwingchute.connection import http_server
 from redwingchute.core import forwarding
+from redwingchute.platform import headers
 from redwingchute.request import forward_attempt
 from redwingchute.request import header_translator
+from redwingchute.request import upstream_connector
+from redwingchute.request import upstream_paths
 
 _PATIENCE_S = 2.0
 
@@ -46,6 +50,18 @@
     return forwarding.Upstream(name, "llm", address, zone, True, 64)
 
 
+def make_attempt_runner(
+    pool: http_client.ClientPool,
+) -> forward_attempt.AttemptRunner:
+    """Returns a runner of attempts on a host without peers."""
+    connector = upstream_connector.UpstreamConnector(
+        pool, upstream_paths.UpstreamPaths("huon-1", "huon"), None, lambda: 0
+    )
+    return forward_attempt.AttemptRunner(
+        connector, headers.PlatformHeaderTranslator()
+    )
+
+
 def make_outgoing(
     request_id: str, body: bytes = b"", is_streaming: bool = False
 ) -> forward_attempt.UpstreamRequest:
--- a/redwingchute/wire/fleet.capnp
+++ b/redwingchute/wire/fleet.capnp
@@ -3,9 +3,11 @@
 # core/fleet.py.
 
 struct Host { name @0 :Text; zone @1 :Text; peerAddress @2 :Text; incarnation @3 :UInt64; isLeaving @4 :Bool; }
-struct LinkHello { host @0 :Host; nonce @1 :Data; }
+struct LinkHello { host @0 :Host; nonce @1 :Data; isTunnel @2 :Bool; }
 struct LinkWelcome { host @0 :Host; nonce @1 :Data; proof @2 :Data; }
 struct LinkProof { proof @0 :Data; }
+struct TunnelRequest { upstream @0 :Text; bornMs @1 :UInt64; }
+struct TunnelReply { isOpen @0 :Bool; cause @1 :Text; }
 struct MemberState { host @0 :Host; version @1 :UInt64; brokenLinks @2 :List(Text); }
 struct Heartbeat { sender @0 :MemberState; isReply @1 :Bool; digest @2 :UInt64; updates @3 :List(MemberState); }
 struct MemberList { members @0 :List(MemberState); wantsReply @1 :Bool; }
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -49,6 +49,8 @@
     codec.Registration(202, fleet.LinkProof, _FLEET),
     codec.Registration(203, fleet.Heartbeat, _FLEET),
     codec.Registration(204, fleet.MemberList, _FLEET),
+    codec.Registration(205, fleet.TunnelRequest, _FLEET),
+    codec.Registration(206, fleet.TunnelReply, _FLEET),
     codec.Registration(300, changes.ConfigurationChange, _CONFIGURATION),
     codec.Registration(301, changes.AuditNote, _CONFIGURATION),
     codec.Registration(302, changes.ConfigurationCheckpoint, _CONFIGURATION),
