Send brittle upstreams no more requests at once than they run

Each request to such an upstream takes a permit of the upstream's limiters, which is held until the request has ended; a rejection lowers the number and, after half of what is borne, stops the sending for the rest of the second. A new start of a service that was brittle within 10 s counts as brittle until it has answered. What is known is told and merged with the limits of rate.

--- a/redwingchute/core/rate_limiting.py
+++ b/redwingchute/core/rate_limiting.py
@@ -1,7 +1,8 @@
-"""The records of the request rates to which upstreams limit the fleet.
+"""The records of the limits that upstreams name to the fleet.
 
 An upstream in need names in its responses how many requests a second it takes
-from all routers together. Routers send the records `LimitNotice`,
+from all routers together. A brittle one names how many requests a second it can
+reject for want of room before it fails. Routers send the records `LimitNotice`,
 `PermitRequest`, `PermitReply` and `PermitReturn` to each other; each has a
 schema struct of the same name in wire/request.capnp.
 """
@@ -22,8 +23,8 @@
     """The response names a limit.
 
     Attributes:
-      requests_per_s: The requests a second that the upstream takes from all
-        routers together.
+      requests_per_s: The requests a second of all routers together that the
+        upstream takes, or that it can reject.
     """
 
     requests_per_s: float
@@ -50,17 +51,30 @@
     Attributes:
       revision: Rises by one with each observed change. Of two routers, the one
         with the higher revision knows the newer limit; 0 before the first.
-      requests_per_s: The limit; infinite if there is none.
+      requests_per_s: The limit of requests; infinite if there is none.
+      rejections_per_s: How many requests the upstream can reject; infinite
+        unless it is brittle.
     """
 
     revision: int = 0
     requests_per_s: float = math.inf
+    rejections_per_s: float = math.inf
 
     @property
     def is_limited(self) -> bool:
-        """Whether there is a limit."""
+        """Whether requests need permits."""
+        return self.has_rate or self.is_brittle
+
+    @property
+    def has_rate(self) -> bool:
+        """Whether the rate of requests is limited."""
         return self.requests_per_s < math.inf
 
+    @property
+    def is_brittle(self) -> bool:
+        """Whether rejections are limited."""
+        return self.rejections_per_s < math.inf
+
 
 @attrs.frozen
 class LimitNotice:
@@ -87,6 +101,7 @@
       zone: Its availability zone.
       limit: What the asking router knows of its limit.
       is_urgent: Whether the request has the highest priority.
+      slots: How many requests the upstream runs at once.
     """
 
     upstream: str
@@ -94,6 +109,7 @@
     zone: str
     limit: KnownLimit
     is_urgent: bool
+    slots: int = 1
 
 
 @attrs.frozen
@@ -115,12 +131,16 @@
 
 @attrs.frozen
 class PermitReturn:
-    """Returns a permit to its limiter, because nothing was sent.
+    """Returns a permit to its limiter, because the attempt has ended.
 
     Attributes:
       upstream: The upstream.
       born_ms: Its start time; 0 if it is not known.
+      is_used: Whether the request was sent.
+      was_rejected: Whether the upstream rejected it.
     """
 
     upstream: str
     born_ms: int
+    is_used: bool = False
+    was_rejected: bool = False
--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -38,6 +38,7 @@
 _LEAVING = "server-leaving"
 # The requests a second that an upstream takes from all routers together.
 _LIMIT = "server-limit"
+_REJECTION_LIMIT = "server-brittle"
 _DECIMAL_NUMBER = re.compile(r"(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?", re.ASCII)
 
 _KEY_SCHEME = "bearer "
@@ -155,7 +156,8 @@
             is_signed=_SIGNATURE in head.headers,
             is_leaving=head.headers.get(_LEAVING, "").strip() == "1",
             retry_after_ms=_read_retry_after_ms(head),
-            limit=_read_limit(head),
+            limit=_read_limit(head, _LIMIT),
+            rejection_limit=_read_limit(head, _REJECTION_LIMIT),
         )
 
     def build_response_headers(
@@ -232,12 +234,16 @@
     return int(1000 * seconds)
 
 
-def _read_limit(head: http_client.ResponseHead) -> rate_limiting.NamedLimit:
-    """Returns the limit that a response names; the lowest if there are more."""
-    if _LIMIT not in head.headers:
+def _read_limit(
+    head: http_client.ResponseHead, header_name: str
+) -> rate_limiting.NamedLimit:
+    """Returns the limit that a header names; the lowest if there are more."""
+    if header_name not in head.headers:
         return rate_limiting.NoLimit()
     header_list = head.header_list or tuple(head.headers.items())
-    texts = [value.strip() for name, value in header_list if name == _LIMIT]
+    texts = [
+        value.strip() for name, value in header_list if name == header_name
+    ]
     limits = []
     for text in texts:
         limit = float(text) if _DECIMAL_NUMBER.fullmatch(text) else math.inf
--- a/redwingchute/platform/headers_test.py
+++ b/redwingchute/platform/headers_test.py
@@ -87,6 +87,19 @@
     head = http_client.ResponseHead(status, dict(header_list), header_list)
     response = headers.PlatformHeaderTranslator().parse_response(head)
     assert response.limit == expected
+    assert response.rejection_limit == rate_limiting.NoLimit()
+
+
+@pytest.mark.parametrize("status", [200, 503])
+@pytest.mark.parametrize(("texts", "expected"), _LIMIT_TEXTS)
+def test_the_brittleness_that_a_response_names_is_read(
+    status: int, texts: tuple[str, ...], expected: rate_limiting.NamedLimit
+) -> None:
+    header_list = tuple(("server-brittle", text) for text in texts)
+    head = http_client.ResponseHead(status, dict(header_list), header_list)
+    response = headers.PlatformHeaderTranslator().parse_response(head)
+    assert response.rejection_limit == expected
+    assert response.limit == rate_limiting.NoLimit()
 
 
 # Guards against a refusal as "not run" of a request that ran with success.
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -717,6 +717,11 @@
         """Applies the limit of an upstream that another router heard of."""
         start = forwarding.UpstreamStart(notice.upstream, notice.born_ms)
         limits = self._upstream_directory.limits
+        upstream = self._upstream_directory.find(notice.upstream)
+        if upstream is not None:
+            limits.record_brittle_service(
+                upstream.service, notice.limit, read_boot_ms()
+            )
         if limits.merge(start, notice.limit):
             upstream_statements.log_limit_change(
                 notice.upstream, peer.name, limits.find(start)
@@ -772,8 +777,8 @@
         case requesting.LeavingNotice():
             return f"{notice.upstream}/{notice.seen_at_ms}"
         case rate_limiting.LimitNotice(upstream, born_ms, limit):
-            rate = limit.requests_per_s
-            return f"{upstream}/{born_ms}/{limit.revision}/{rate}"
+            rates = f"{limit.requests_per_s}/{limit.rejections_per_s}"
+            return f"{upstream}/{born_ms}/{limit.revision}/{rates}"
 
 
 def _log_failed_task(error: BaseException) -> None:
--- a/redwingchute/process/permit_exchange.py
+++ b/redwingchute/process/permit_exchange.py
@@ -1,6 +1,8 @@
 """Asks limiters for permits, and answers the routers that ask this one.
 
-A permit is for one request that is sent at once. A router that reaches no
+A permit is for one request that is sent at once. For an upstream that limits
+its rate it is used up then, for a brittle one it is held until the request has
+ended. A router that reaches no
 limiter has no permits, so it sends nothing to limited upstreams.
 """
 
@@ -14,6 +16,7 @@
 from redwingchute.process import decision_log
 from redwingchute.process import limiter_choice
 from redwingchute.process import peer_network
+from redwingchute.request import occupancy_issuer
 from redwingchute.request import permit_issuer
 from redwingchute.request import upstream_limits
 
@@ -34,10 +37,12 @@
     Attributes:
       start: The start of the upstream that it is for.
       limiter: The host that issued the permit; None if none was needed.
+      is_held: Whether the permit is held until the request has ended.
     """
 
     start: forwarding.UpstreamStart
     limiter: str | None = None
+    is_held: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,6 +81,7 @@
         self._limiters = limiters
         self._limits = limits
         self._issuer = permit_issuer.PermitIssuer()
+        self._occupancy = occupancy_issuer.OccupancyIssuer()
         self._read_clock_ms = read_clock_ms
         self._avoided_until_ms: dict[str, int] = {}
 
@@ -92,7 +98,8 @@
           is_urgent: Whether the request has the highest priority.
         """
         start = upstream.start
-        if not self._limits.find(start).is_limited:
+        limit = self._limits.find_for(upstream, self._read_clock_ms())
+        if not limit.is_limited:
             return Permitted(start)
         result = await self._ask_limiters(upstream, is_urgent)
         if isinstance(result, NotPermitted):
@@ -119,8 +126,9 @@
                 upstream.id,
                 upstream.born_ms,
                 upstream.zone,
-                self._limits.find(start),
+                self._limits.find_for(upstream, now_ms),
                 is_urgent,
+                upstream.slots,
             )
             reply = await self._network.call(limiter, request, _CALL_TIMEOUT_MS)
             if not isinstance(reply, rate_limiting.PermitReply):
@@ -131,22 +139,30 @@
                 continue
             self._limits.merge(start, reply.limit)
             if reply.is_permitted:
-                return Permitted(start, limiter)
+                return Permitted(start, limiter, request.limit.is_brittle)
             if reply.is_limiter:
                 return NotPermitted(reply.wait_ms)
         return NotPermitted(_NO_LIMITER_WAIT_MS)
 
-    def give_back(self, permit: Permitted) -> None:
-        """Gives back a permit, because nothing was sent."""
-        if permit.limiter is None:
+    def give_back(
+        self, permit: Permitted, is_used: bool, was_rejected: bool = False
+    ) -> None:
+        """Gives back a permit, because the attempt has ended.
+
+        Args:
+          permit: The permit.
+          is_used: Whether the request was sent.
+          was_rejected: Whether the upstream rejected it.
+        """
+        if permit.limiter is None or (is_used and not permit.is_held):
             return
+        notice = rate_limiting.PermitReturn(
+            permit.start.id, permit.start.born_ms, is_used, was_rejected
+        )
         if permit.limiter == self._network.own_host.name:
-            self._issuer.take_back(permit.start)
+            self._take_back(notice)
             return
-        self._network.send(
-            permit.limiter,
-            rate_limiting.PermitReturn(permit.start.id, permit.start.born_ms),
-        )
+        self._network.send(permit.limiter, notice)
 
     async def handle_request(
         self, peer: data.Host, request: rate_limiting.PermitRequest
@@ -164,16 +180,31 @@
         )
         if not share:
             return rate_limiting.PermitReply(False, False, 0, limit)
-        wait_ms = self._issuer.issue(
-            start, limit.requests_per_s, share, request.is_urgent, now_ms
-        )
+        wait_ms = 0
+        if limit.is_brittle:
+            wait_ms = self._occupancy.issue(
+                start, request.slots, share, limit.rejections_per_s, now_ms
+            )
+        if not wait_ms and limit.has_rate:
+            wait_ms = self._issuer.issue(
+                start, limit.requests_per_s, share, request.is_urgent, now_ms
+            )
+            if wait_ms:
+                self._occupancy.take_back(start, False, now_ms)
         return rate_limiting.PermitReply(True, not wait_ms, wait_ms, limit)
 
     async def handle_return(
         self, peer: data.Host, permit: rate_limiting.PermitReturn
     ) -> None:
-        """Takes back a permit that another router did not use."""
+        """Takes back a permit of another router."""
         del peer
-        self._issuer.take_back(
-            forwarding.UpstreamStart(permit.upstream, permit.born_ms)
+        self._take_back(permit)
+
+    def _take_back(self, permit: rate_limiting.PermitReturn) -> None:
+        """Takes back a permit that this router issued."""
+        start = forwarding.UpstreamStart(permit.upstream, permit.born_ms)
+        if not permit.is_used:
+            self._issuer.take_back(start)
+        self._occupancy.take_back(
+            start, permit.was_rejected, self._read_clock_ms()
         )
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -321,19 +321,27 @@
             progress.excluded |= {upstream.id}
             progress.earlier_events = progress.relay.event_count
             send = suspects.begin_send(plan.request.id, subjects)
-            with directory.track_request(
-                upstream,
-                plan.request.generation,
-                self._dependencies.read_clock_ms(),
-            ) as open_request:
-                result = await self._attempt(
-                    plan, request, progress, upstream, open_request
+            result: forward_attempt.AttemptResult | None = None
+            try:
+                with directory.track_request(
+                    upstream,
+                    plan.request.generation,
+                    self._dependencies.read_clock_ms(),
+                ) as open_request:
+                    result = await self._attempt(
+                        plan, request, progress, upstream, open_request
+                    )
+            finally:
+                self._dependencies.permits.give_back(
+                    permit,
+                    is_used=not isinstance(
+                        result,
+                        forward_attempt.NotConnected
+                        | forward_attempt.OutOfTime,
+                    ),
+                    was_rejected=isinstance(result, forward_attempt.Rejected)
+                    and not result.is_wrong_instance,
                 )
-            if isinstance(
-                result,
-                forward_attempt.NotConnected | forward_attempt.OutOfTime,
-            ):
-                self._dependencies.permits.give_back(permit)
             final_result = self._evaluate_attempt(
                 plan, progress, upstream, result, send
             )
--- a/redwingchute/request/header_translator.py
+++ b/redwingchute/request/header_translator.py
@@ -47,6 +47,7 @@
       retry_after_ms: How long the upstream asks for no further request; None
         if it does not ask, or not in a readable way.
       limit: The rate to which the upstream limits the requests of the fleet.
+      rejection_limit: The rate of rejections beyond which the upstream fails.
     """
 
     status: int
@@ -57,6 +58,7 @@
     is_leaving: bool = False
     retry_after_ms: int | None = None
     limit: rate_limiting.NamedLimit = rate_limiting.NoLimit()
+    rejection_limit: rate_limiting.NamedLimit = rate_limiting.NoLimit()
 
 
 @attrs.frozen
--- a/redwingchute/request/upstream_limits.py
+++ b/redwingchute/request/upstream_limits.py
@@ -1,8 +1,12 @@
-"""Tracks the rates to which upstreams limit the requests of the fleet.
+"""Tracks the limits that upstreams name to the fleet.
 
 A limit holds for one start of an upstream, from the first response that names
 it until one that names another or none. Responses overtake each other: one
 whose request was sent before the newest change was known says nothing new.
+
+A brittle upstream that failed starts again, and so do others of its service. A
+start that has not responded yet is taken as brittle if a start of its service
+was lately.
 """
 
 import math
@@ -17,6 +21,9 @@
 # Blocks that have ended are discarded beyond this number.
 _MAX_BLOCKS = 256
 _UNKNOWN = rate_limiting.KnownLimit()
+_NO_LIMIT = rate_limiting.NoLimit()
+# How long the starts of a service count as brittle after one of them was.
+_BRITTLE_SERVICE_MS = 10_000
 
 
 @attrs.frozen
@@ -42,6 +49,29 @@
         ] = {}
         self._unreadable: set[forwarding.UpstreamStart] = set()
         self._blocks: dict[forwarding.UpstreamStart, _Block] = {}
+        # The brittleness that starts of a service named last, and when.
+        self._brittle_services: dict[str, tuple[float, int]] = {}
+
+    def find_for(
+        self, upstream: forwarding.Upstream, now_ms: int
+    ) -> rate_limiting.KnownLimit:
+        """Returns what is known or assumed of the limit of an upstream."""
+        limit = self.find(upstream.start)
+        if limit.revision or not self._brittle_services:
+            return limit
+        rejections_per_s, named_ms = self._brittle_services.get(
+            upstream.service, (math.inf, 0)
+        )
+        if now_ms - named_ms > _BRITTLE_SERVICE_MS:
+            return limit
+        return attrs.evolve(limit, rejections_per_s=rejections_per_s)
+
+    def record_brittle_service(
+        self, service: str, limit: rate_limiting.KnownLimit, now_ms: int
+    ) -> None:
+        """Records that an upstream of a service is brittle, if it is."""
+        if limit.is_brittle:
+            self._brittle_services[service] = (limit.rejections_per_s, now_ms)
 
     def find(self, start: forwarding.UpstreamStart) -> rate_limiting.KnownLimit:
         """Returns what is known of the limit of a start of an upstream."""
@@ -53,6 +83,7 @@
         named: rate_limiting.NamedLimit,
         sent_revision: int,
         is_rejection: bool,
+        named_rejections: rate_limiting.NamedLimit = _NO_LIMIT,
     ) -> bool:
         """Records what a response names.
 
@@ -62,6 +93,7 @@
           sent_revision: The revision that was known when the request was sent.
           is_rejection: Whether the request was not run. A rejection may come
             from a part of the upstream that knows no limit, so it ends none.
+          named_rejections: What it names of its brittleness.
 
         Returns:
           Whether the limit has changed.
@@ -69,19 +101,16 @@
         known = self.find(start)
         if sent_revision != known.revision:
             return False
-        match named:
-            case rate_limiting.RateLimit(requests_per_s):
-                pass
-            case rate_limiting.NoLimit() if not is_rejection:
-                requests_per_s = math.inf
-            case _:
-                return False
-        if requests_per_s == known.requests_per_s:
-            return False
-        self._set(
-            start,
-            rate_limiting.KnownLimit(known.revision + 1, requests_per_s),
+        changed = rate_limiting.KnownLimit(
+            known.revision + 1,
+            _choose_rate(named, known.requests_per_s, is_rejection),
+            _choose_rate(
+                named_rejections, known.rejections_per_s, is_rejection
+            ),
         )
+        if attrs.evolve(changed, revision=known.revision) == known:
+            return False
+        self._set(start, changed)
         return True
 
     def record_unreadable(self, start: forwarding.UpstreamStart) -> bool:
@@ -104,11 +133,16 @@
         known = self.find(start)
         if limit.revision < known.revision or limit == known:
             return False
-        if (
-            limit.revision == known.revision
-            and limit.requests_per_s > known.requests_per_s
-        ):
-            return False
+        if limit.revision == known.revision:
+            limit = attrs.evolve(
+                limit,
+                requests_per_s=min(limit.requests_per_s, known.requests_per_s),
+                rejections_per_s=min(
+                    limit.rejections_per_s, known.rejections_per_s
+                ),
+            )
+            if limit == known:
+                return False
         self._set(start, limit)
         return True
 
@@ -164,3 +198,16 @@
         self._limits[start] = limit
         while len(self._limits) > _MAX_LIMITS:
             del self._limits[next(iter(self._limits))]
+
+
+def _choose_rate(
+    named: rate_limiting.NamedLimit, known: float, is_rejection: bool
+) -> float:
+    """Returns the limit after a response; infinite if it has ended."""
+    match named:
+        case rate_limiting.RateLimit(requests_per_s):
+            return requests_per_s
+        case rate_limiting.NoLimit() if not is_rejection:
+            return math.inf
+        case _:
+            return known
--- a/redwingchute/request/upstream_limits_test.py
+++ b/redwingchute/request/upstream_limits_test.py
@@ -3,6 +3,7 @@
 from redwingchute.core import forwarding
 from redwingchute.core import rate_limiting
 from redwingchute.request import upstream_limits
+from redwingchute.testing import forwarding_builders
 
 _START = forwarding.UpstreamStart("l-1", 1)
 
@@ -55,3 +56,59 @@
     assert not limits.merge(_START, make(2, 3.0))
     assert not limits.merge(_START, make(2))
     assert limits.merge(_START, make(3))
+
+
+def _record_brittle(
+    limits: upstream_limits.UpstreamLimits,
+    upstream: forwarding.Upstream,
+    named: rate_limiting.NamedLimit,
+    now_ms: int,
+) -> None:
+    limits.record_response(
+        upstream.start,
+        rate_limiting.NoLimit(),
+        limits.find(upstream.start).revision,
+        False,
+        named,
+    )
+    limits.record_brittle_service(
+        upstream.service, limits.find(upstream.start), now_ms
+    )
+
+
+# Guards against upstreams that fail again as soon as they are back.
+def test_a_new_start_counts_as_brittle_if_its_service_is() -> None:
+    limits = upstream_limits.UpstreamLimits()
+    first = forwarding_builders.make_upstream("m-1")
+    later = forwarding_builders.make_upstream("m-2")
+    assert not limits.find_for(later, 0).is_limited
+    _record_brittle(limits, first, rate_limiting.RateLimit(3.0), 0)
+    assert limits.find_for(later, 5_000).rejections_per_s == 3.0
+    assert not limits.find_for(later, 60_000).is_limited
+
+
+def test_brittleness_ends_with_a_response_that_names_none() -> None:
+    limits = upstream_limits.UpstreamLimits()
+    upstream = forwarding_builders.make_upstream("m-1")
+    _record_brittle(limits, upstream, rate_limiting.RateLimit(3.0), 0)
+    unreadable = rate_limiting.UnreadableLimit("many")
+    _record_brittle(limits, upstream, unreadable, 10)
+    assert limits.find_for(upstream, 20).is_brittle
+    _record_brittle(limits, upstream, rate_limiting.NoLimit(), 30)
+    assert not limits.find_for(upstream, 40).is_limited
+
+
+def test_a_rate_and_brittleness_are_known_beside_each_other() -> None:
+    limits = upstream_limits.UpstreamLimits()
+    start = forwarding_builders.make_upstream("m-1").start
+    assert limits.record_response(
+        start,
+        rate_limiting.RateLimit(2.0),
+        0,
+        False,
+        rate_limiting.RateLimit(5.0),
+    )
+    assert limits.find(start) == rate_limiting.KnownLimit(1, 2.0, 5.0)
+    assert not limits.merge(start, rate_limiting.KnownLimit(1, 2.0))
+    assert limits.merge(start, rate_limiting.KnownLimit(2, 2.0))
+    assert not limits.find(start).is_brittle
--- a/redwingchute/request/upstream_statements.py
+++ b/redwingchute/request/upstream_statements.py
@@ -83,19 +83,28 @@
     ) -> None:
         """Records the limit that an upstream names, or its end."""
         limits = self.directory.limits
-        if isinstance(response.limit, rate_limiting.UnreadableLimit):
-            if limits.record_unreadable(upstream.start):
+        for named in (response.limit, response.rejection_limit):
+            if isinstance(
+                named, rate_limiting.UnreadableLimit
+            ) and limits.record_unreadable(upstream.start):
                 decision_log.log_failure(
                     "upstream_limit_unreadable",
                     upstream=upstream.id,
-                    value=response.limit.text[:_MAX_LOGGED_VALUE],
+                    value=named.text[:_MAX_LOGGED_VALUE],
                 )
-            return
-        if not limits.record_response(
-            upstream.start, response.limit, sent_revision, response.was_not_run
-        ):
-            return
+        is_changed = limits.record_response(
+            upstream.start,
+            response.limit,
+            sent_revision,
+            response.was_not_run,
+            response.rejection_limit,
+        )
         limit = limits.find(upstream.start)
+        limits.record_brittle_service(
+            upstream.service, limit, self.read_clock_ms()
+        )
+        if not is_changed:
+            return
         log_limit_change(upstream.id, "response", limit)
         self.broadcast(
             rate_limiting.LimitNotice(upstream.id, upstream.born_ms, limit)
@@ -116,6 +125,7 @@
         "upstream_limit_changed",
         upstream=upstream_id,
         source=source,
-        requests_per_s=limit.requests_per_s if limit.is_limited else None,
+        requests_per_s=limit.requests_per_s if limit.has_rate else None,
+        rejections_per_s=limit.rejections_per_s if limit.is_brittle else None,
         revision=limit.revision,
     )
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -28,6 +28,7 @@
 _EXTRA_RESPONSE_POLL_S = 0.001
 # The share of a truncated response's body that is sent.
 _TRUNCATED_SHARE = 0.5
+_DEFAULT_SLOTS = 8
 _MAX_KEPT_ARRIVALS = 10_000
 
 
@@ -58,6 +59,12 @@
       retry_after_s: The pause that refusals with 503 ask for; 0 for none.
       named_limit: The requests a second that all responses name as the most
         that the runner takes; empty for none. It is not enforced.
+      named_brittleness: The rejections a second that all responses name as the
+        most that the runner bears; empty for none.
+      capacity: How many requests it runs at once; it rejects more with 503. 0
+        for any number.
+      max_rejections: It ends if it rejects more than this for want of room
+        within a second, and starts again as after a crash; -1 for never.
       crash_marker: A request with this text in its target, body or prompt parts
         ends the runner before the first output: all connections close, and it
         listens again after `crash_ms` under the same id, with another birth.
@@ -84,6 +91,9 @@
     is_leaving: bool = False
     retry_after_s: float = 0.0
     named_limit: str = ""
+    named_brittleness: str = ""
+    capacity: int = 0
+    max_rejections: int = attrs.field(default=-1, metadata={"minimum": -1})
     crash_marker: str = ""
     crash_ms: int = 300
     event_ms: int = 5
@@ -158,6 +168,10 @@
             maxlen=_MAX_KEPT_ARRIVALS
         )
         self.cancelled = 0
+        self._running = 0
+        self._rejected_ms: collections.deque[int] = collections.deque(
+            maxlen=_MAX_KEPT_ARRIVALS
+        )
         self.entry_count = 0
         self.born_ms = base.now_ms()
 
@@ -172,7 +186,7 @@
             "service": self.service,
             "address": f"{self.address}:{self.port}",
             "zone": "",
-            "slots": 8,
+            "slots": self.faults.capacity or _DEFAULT_SLOTS,
             "state": state,
             "coldRemainingMs": 0,
             "born": self.born_ms,
@@ -207,8 +221,13 @@
             await self._respond(request, responder, 421, b"", headers)
             return
         reject_every = self.faults.reject_every
-        if self.faults.is_full or (
-            reject_every and self.arrivals % reject_every == 0
+        is_without_room = 0 < self.faults.capacity <= self._running
+        if is_without_room:
+            self._record_rejection()
+        if (
+            self.faults.is_full
+            or is_without_room
+            or (reject_every and self.arrivals % reject_every == 0)
         ):
             headers = [echo, ("not-executed", "1")]
             headers += self._list_status_headers()
@@ -228,11 +247,23 @@
         )
         self.runs.append(run)
         self._record("ran", request)
+        self._running += 1
         try:
             await self._run(request, run, responder)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        finally:
+            self._running -= 1
+
+    def _record_rejection(self) -> None:
+        """Records a rejection for want of room, and ends after too many."""
+        now_ms = base.now_ms()
+        self._rejected_ms.append(now_ms)
+        recent = sum(now_ms - other < 1_000 for other in self._rejected_ms)
+        if 0 <= self.faults.max_rejections < recent:
+            self._rejected_ms.clear()
+            self.end_and_restart()
 
     def _list_status_headers(self) -> list[tuple[str, str]]:
         """Returns what every response states about the runner itself."""
@@ -241,6 +272,8 @@
             headers.append(("server-leaving", "1"))
         if self.faults.named_limit:
             headers.append(("server-limit", self.faults.named_limit))
+        if self.faults.named_brittleness:
+            headers.append(("server-brittle", self.faults.named_brittleness))
         return headers
 
     def describe(self) -> dict[str, Any]:
--- a/redwingchute/wire/request.capnp
+++ b/redwingchute/wire/request.capnp
@@ -9,11 +9,11 @@
 struct LeavingNotice { upstream @0 :Text; seenAtMs @1 :Int64; bornMs @2 :Int64; }
 struct LoadNotice { upstreams @0 :List(Text); openRequests @1 :List(UInt32); waitingTokens @2 :List(UInt64); partUpstreams @3 :List(Text); partIds @4 :List(Text); }
 
-struct KnownLimit { revision @0 :Int64; requestsPerS @1 :Float64; }
+struct KnownLimit { revision @0 :Int64; requestsPerS @1 :Float64; rejectionsPerS @2 :Float64 = inf; }
 struct LimitNotice { upstream @0 :Text; bornMs @1 :Int64; limit @2 :KnownLimit; }
-struct PermitRequest { upstream @0 :Text; bornMs @1 :Int64; zone @2 :Text; limit @3 :KnownLimit; isUrgent @4 :Bool; }
+struct PermitRequest { upstream @0 :Text; bornMs @1 :Int64; zone @2 :Text; limit @3 :KnownLimit; isUrgent @4 :Bool; slots @5 :Int64; }
 struct PermitReply { isLimiter @0 :Bool; isPermitted @1 :Bool; waitMs @2 :Int64; limit @3 :KnownLimit; }
-struct PermitReturn { upstream @0 :Text; bornMs @1 :Int64; }
+struct PermitReturn { upstream @0 :Text; bornMs @1 :Int64; isUsed @2 :Bool; wasRejected @3 :Bool; }
 
 struct StreamOrigin { requestId @0 :Text; service @1 :Text; upstream @2 :Text; bornMs @3 :Int64; version @4 :Text; begunMs @5 :Int64; }
 struct OriginNotice { origins @0 :List(StreamOrigin); }
