--- a/redwingchute/soak/checks.py
+++ b/redwingchute/soak/checks.py
@@ -13,6 +13,7 @@
 from redwingchute.soak import findings
 from redwingchute.soak import limit_check
 from redwingchute.soak import observations as observations_lib
+from redwingchute.soak import version_check
 from redwingchute.standin import runner
 
 # Responses with these statuses promise that the request never runs.
@@ -66,6 +67,7 @@
         check_asked,
         check_retry_limit,
         limit_check.check_limits,
+        version_check.check_versions,
         check_max_attempts,
         check_content,
         check_streams,
--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -246,9 +246,18 @@
             f"--store={self.find_address(plan.STORE)}",
             f"--service={self._services[program.name]}",
             f"--work-ms={_UPSTREAM_WORK_MS}",
+            f"--version={self._choose_version(program)}",
             f"--record={record}",
         ]
 
+    def _choose_version(self, program: _Program) -> str:
+        """Returns the software version of a start of an upstream.
+
+        Upstreams of a service differ, and so do the starts of one.
+        """
+        number = list(self._services).index(program.name) + program.starts
+        return f"v{number % self._size.versions}"
+
     async def _post(self, name: str, path: str, body: Any) -> bool:
         """Sends a control request to a stand-in."""
         fetched = await self._pool.fetch(
--- a/redwingchute/soak/observations.py
+++ b/redwingchute/soak/observations.py
@@ -100,6 +100,8 @@
       status: The status of a response.
       named_limit: The limit of requests a second that the upstream names when
         a request arrives; empty for none.
+      version: The software version of the upstream that runs a request.
+      is_resumed: Whether the run goes on with a stream that has begun.
     """
 
     at_ms: int
@@ -109,6 +111,8 @@
     request_id: str
     status: int = 0
     named_limit: str = ""
+    version: str = ""
+    is_resumed: bool = False
 
 
 @attrs.frozen
--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -100,6 +100,7 @@
       rate_per_s: The mean rate of requests of all callers.
       duration_ms: How long faults are injected while requests are sent.
       calm_ms: How long requests are sent after that.
+      versions: The number of software versions that upstreams have.
     """
 
     hosts: int
@@ -107,6 +108,7 @@
     rate_per_s: float
     duration_ms: int
     calm_ms: int = 0
+    versions: int = 1
 
     def list_hosts(self) -> list[str]:
         """Returns the names of the hosts."""
--- a/redwingchute/soak/soak_command.py
+++ b/redwingchute/soak/soak_command.py
@@ -59,6 +59,7 @@
     hosts: int = 3,
     upstreams: int = 2,
     rate_per_s: float = 60.0,
+    versions: int = 1,
     faults: str = "all",
     directory: str = "build/soak",
 ) -> int:
@@ -73,6 +74,7 @@
       hosts: The number of hosts.
       upstreams: The number of upstreams of each of two services.
       rate_per_s: The mean rate of requests of all callers.
+      versions: The number of software versions that upstreams have.
       faults: The groups of faults, separated by commas; `all` or `none`.
       directory: The directory in which the run gets a directory of its own.
     """
@@ -82,6 +84,7 @@
         rate_per_s,
         int(1000 * duration_s),
         int(1000 * calm_s),
+        versions,
     )
     if size.count_processes() > _MAX_PROCESSES or duration_s > _MAX_DURATION_S:
         raise SystemExit(
--- a/redwingchute/soak/soak_command_test.py
+++ b/redwingchute/soak/soak_command_test.py
@@ -87,6 +87,22 @@
     assert not violations, (len(violations), violations[:3])
 
 
+# Guards against streams that break off and go on at another software version.
+def test_streams_keep_their_version_while_upstreams_break_them(
+    tmp_path: pathlib.Path,
+) -> None:
+    size = attrs.evolve(_LONG_SIZE, upstreams=4, versions=2)
+    breaks = (("break_after_events", 2),)
+    faults: list[plan.Fault] = [
+        plan.Patch(1_000, f"llm-{number}", size.duration_ms, breaks)
+        for number in (1, 2)
+    ]
+    observed = _run(faults, tmp_path, size)
+    assert any(event.is_resumed for event in observed.events)
+    violations = checks.check_all(observed)
+    assert not violations, (len(violations), violations[:3])
+
+
 # Guards against hosts that restart together and then retry as if they had made
 # no retries before, or as if they were the only host.
 def test_hosts_that_restart_together_keep_the_retry_limit(
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -246,7 +246,12 @@
             self._is_crashing(request),
         )
         self.runs.append(run)
-        self._record("ran", request)
+        self._record(
+            "ran",
+            request,
+            version=self.faults.version or "",
+            is_resumed=run.resumed_after is not None,
+        )
         self._running += 1
         try:
             await self._run(request, run, responder)
@@ -502,6 +507,7 @@
     event_ms: int = 20,
     work_ms: int = 5,
     record: str = "",
+    version: str = "v1",
 ) -> None:
     """Run a stand-in of one of the users' runners.
 
@@ -514,6 +520,7 @@
       work_ms: The time to run a plain request.
       record: The file to which each arrival, run and response is appended as
         a line of JSON; empty for none.
+      version: The version of its software.
     """
     address = base.parse_listen(listen)
     runner = Runner(
@@ -521,7 +528,7 @@
         service,
         address.ip,
         address.port,
-        RunnerFaults(event_ms=event_ms, work_ms=work_ms),
+        RunnerFaults(event_ms=event_ms, work_ms=work_ms, version=version),
         pathlib.Path(record) if record else None,
     )
     asyncio.run(serve_runner(runner, http_client.Address.parse(store)))
