Date trials of crashing requests by their level after a restart

A process that starts knows of failed trials only by the level of the ends, and the pause before the next one took three levels as the base where two ends avoid a request: each router that started could try it 20 s later. One test, which failed before by this reading; it was written with the change.

--- a/redwingchute/request/crash_evidence.py
+++ b/redwingchute/request/crash_evidence.py
@@ -365,7 +365,7 @@
         return len(suspicion.counted) >= _MAX_REQUEST_CRASHES
 
     def _find_trial_pause_ms(
-        self, subject: Subject, suspicion: _Suspicion
+        self, subject: Subject, suspicion: _Suspicion, now_ms: int
     ) -> int:
         """Returns how long after its last end a subject is tried again.
 
@@ -376,17 +376,17 @@
             case PartSubject():
                 excess = suspicion.level - _MAX_LEVEL
             case RequestSubject():
-                excess = max(
-                    suspicion.failed_trials,
-                    suspicion.level - _MAX_LEVEL,
-                )
+                is_proven = self._is_proven(subject, now_ms)
+                base = _MAX_LEVEL if is_proven else _MAX_REQUEST_CRASHES
+                # A process that starts knows of failed trials by the level.
+                excess = max(suspicion.failed_trials, suspicion.level - base)
         pause_ms: int = _TRIAL_PAUSE_MS * _TRIAL_PAUSE_FACTOR**excess
         return min(_MAX_TRIAL_PAUSE_MS, pause_ms)
 
     def _has_turn(self, subject: Subject, now_ms: int) -> bool:
         """Returns whether this router may try an avoided subject now."""
         suspicion = self._suspicions[subject]
-        pause_ms = self._find_trial_pause_ms(subject, suspicion)
+        pause_ms = self._find_trial_pause_ms(subject, suspicion, now_ms)
         since_ms = now_ms - suspicion.changed_ms - pause_ms
         if since_ms < 0 or since_ms % _TURN_MS >= _TURN_MS // 2:
             return False
--- a/redwingchute/request/crash_evidence_test.py
+++ b/redwingchute/request/crash_evidence_test.py
@@ -254,3 +254,19 @@
         evidence.record_crash("m-1/5", other, 0, number)
         evidence.record_crash("m-2/5", other, 0, number)
         assert _is_avoided(evidence, number)
+
+
+# Guards against routers that start one after the other, and each of which tries
+# a crashing request again soon, as if no trial had failed.
+def test_a_process_that_starts_knows_of_failed_trials_by_the_level() -> None:
+    evidence = crash_evidence.CrashEvidence("huon-1", lambda: ("huon-1",))
+    subject = crash_evidence.encode_subject(_SUBJECT)
+    evidence.apply(
+        [
+            requesting.CrashObservation(subject, f"m-{level}/5", level=level)
+            for level in (1, 2, 3)
+        ],
+        0,
+    )
+    assert _is_avoided(evidence, 20_100)
+    assert not _is_avoided(evidence, 80_100)
