Try the direct path when no carrier is left, and close tunnels of lost peers

A tunnel whose peer lost power stayed open until the upstream closed it, and 128 of those would have left no room; it ends after 20 s without a byte. Not covered by a test of its own.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -625,23 +625,16 @@
         if carried:
             self._idle[address] = carried
 
-    def close_expired(self) -> int:
-        """Closes carried connections that were idle for too long.
-
-        Returns:
-          How many carried connections are left.
-        """
-        left = 0
-        for address, connections in list(self._idle.items()):
+    def close_expired(self) -> None:
+        """Closes carried connections that were idle for too long."""
+        for address, connections in self._idle.items():
             kept = []
             for connection in connections:
                 if connection.carrier and not connection.is_kept_alive():
                     connection.close()
                 else:
                     kept.append(connection)
-                    left += bool(connection.carrier)
             self._idle[address] = kept
-        return left
 
     def add_idle(self, connection: ClientConnection) -> None:
         """Keeps a connection on which there was no exchange yet."""
--- a/redwingchute/process/tunnel_server.py
+++ b/redwingchute/process/tunnel_server.py
@@ -12,6 +12,8 @@
 import contextlib
 from types import TracebackType
 
+import attrs
+
 from redwingchute.connection import http_client
 from redwingchute.connection import peer_link
 from redwingchute.core import fleet
@@ -28,6 +30,9 @@
 # The asking router waits little longer.
 _REQUEST_TIMEOUT_S = 0.2
 _CONNECT_TIMEOUT_S = 0.12
+# A tunnel on which no byte passes for this long is closed: its peer may be gone
+# without a word.
+_IDLE_S = 20.0
 
 
 class TunnelServer:
@@ -135,14 +140,23 @@
       one: The streams of the peer.
       other: The streams of the upstream.
     """
+    to_upstream = _Pump(one[0], other[1])
+    to_peer = _Pump(other[0], one[1])
     pumps = [
-        asyncio.ensure_future(_pump(one[0], other[1])),
-        asyncio.ensure_future(_pump(other[0], one[1])),
+        asyncio.ensure_future(to_upstream.run()),
+        asyncio.ensure_future(to_peer.run()),
     ]
     try:
-        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
-        if pumps[0].done():
-            return
+        passed = -1
+        while passed != to_upstream.reads + to_peer.reads:
+            passed = to_upstream.reads + to_peer.reads
+            await asyncio.wait(
+                pumps, timeout=_IDLE_S, return_when=asyncio.FIRST_COMPLETED
+            )
+            if pumps[0].done():
+                return
+            if pumps[1].done():
+                break
         # What the upstream has sent before its end still goes to the peer.
         one[1].close()
         with contextlib.suppress(ConnectionError, TimeoutError):
@@ -155,12 +169,25 @@
         other[1].transport.abort()
 
 
-async def _pump(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    """Passes bytes on in one direction until either side ends."""
-    writer.transport.set_write_buffer_limits(high=_MAX_UNSENT_BYTES)
-    with contextlib.suppress(OSError):
-        while received := await reader.read(_READ_BYTES):
-            writer.write(received)
-            await writer.drain()
+@attrs.define
+class _Pump:
+    """Passes bytes on in one direction.
+
+    Attributes:
+      reader: Where they come from.
+      writer: Where they go.
+      reads: How often bytes came.
+    """
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    reads: int = 0
+
+    async def run(self) -> None:
+        """Passes bytes on until either side ends."""
+        self.writer.transport.set_write_buffer_limits(high=_MAX_UNSENT_BYTES)
+        with contextlib.suppress(OSError):
+            while received := await self.reader.read(_READ_BYTES):
+                self.reads += 1
+                self.writer.write(received)
+                await self.writer.drain()
--- a/redwingchute/request/upstream_connector.py
+++ b/redwingchute/request/upstream_connector.py
@@ -90,7 +90,7 @@
             upstream.start, self._read_clock_ms()
         ):
             carried = await self._open_carried(upstream)
-            return carried or http_client.ConnectFailed("no path is up")
+            return carried or await self._open_direct(upstream, address)
         return await self._race(upstream, address)
 
     def release(self, connection: http_client.ClientConnection) -> None:
