--- a/redwingchute/soak/callers.py
+++ b/redwingchute/soak/callers.py
@@ -159,9 +159,12 @@
         if kind.is_stream:
             headers.append(("event-label", self.request_id))
         is_get = kind is observations.Kind.IDEMPOTENT
+        name = self.request_id
+        if self.request.is_crashing:
+            name = fleet_lib.CRASH_MARKER
         broken = await connection.send_request(
             "GET" if is_get else "POST",
-            f"/{kind}/{self.request_id}",
+            f"/{kind}/{name}",
             headers,
             b"" if is_get else b"x" * self.request.body_bytes,
             host=fleet_lib.CALLED_HOST,
--- a/redwingchute/soak/checks.py
+++ b/redwingchute/soak/checks.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from redwingchute.soak import crash_check
 from redwingchute.soak import findings
 from redwingchute.soak import limit_check
 from redwingchute.soak import observations as observations_lib
@@ -68,6 +69,7 @@
         check_retry_limit,
         limit_check.check_limits,
         version_check.check_versions,
+        crash_check.check_crashes,
         check_max_attempts,
         check_content,
         check_streams,
@@ -259,7 +261,10 @@
         if event.event == "arrived":
             arrivals[event.request_id].add(event.upstream.rpartition("-")[0])
     faults = collections.defaultdict(list)
-    for fault in observations.faults:
+    for fault in (
+        *observations.faults,
+        *crash_check.list_crashes(observations),
+    ):
         faults[fault.target].append(fault)
     stopping: list[findings.Violation] = []
     serving: list[findings.Violation] = []
--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -32,6 +32,8 @@
 
 KEY = "soak-key"
 CALLED_HOST = "soak.example"
+# A request whose path ends so ends the upstream that runs it.
+CRASH_MARKER = "crashing"
 FRONTEND_PORT = 8227
 RETRY_LIMIT = observations.RetryLimit(ratio=0.2, slack=50.0, window_ms=10_000)
 
@@ -49,6 +51,7 @@
 # The store removes the entry of an upstream after three silent heartbeats.
 _ENTRY_EXPIRY_S = 3.6
 _UPSTREAM_WORK_MS = 30
+_CRASH_MS = 1_000
 _PR_SET_PDEATHSIG = 1
 _STAND_IN = ("redwingchute.main", "stand-in")
 
@@ -247,6 +250,8 @@
             f"--service={self._services[program.name]}",
             f"--work-ms={_UPSTREAM_WORK_MS}",
             f"--version={self._choose_version(program)}",
+            f"--crash-marker={CRASH_MARKER}",
+            f"--crash-ms={_CRASH_MS}",
             f"--record={record}",
         ]
 
--- a/redwingchute/soak/observations.py
+++ b/redwingchute/soak/observations.py
@@ -102,6 +102,7 @@
         a request arrives; empty for none.
       version: The software version of the upstream that runs a request.
       is_resumed: Whether the run goes on with a stream that has begun.
+      is_crashing: Whether the run ends the upstream.
     """
 
     at_ms: int
@@ -113,6 +114,7 @@
     named_limit: str = ""
     version: str = ""
     is_resumed: bool = False
+    is_crashing: bool = False
 
 
 @attrs.frozen
--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -45,6 +45,8 @@
       output_tokens: The number of events of a stream.
       body_bytes: The size of the body, unless the method is GET.
       is_new_connection: Whether the connection is used only once.
+      is_crashing: Whether it ends each upstream that runs it. All crashing
+        requests of a kind are the same request.
     """
 
     number: int
@@ -56,6 +58,7 @@
     output_tokens: int
     body_bytes: int
     is_new_connection: bool
+    is_crashing: bool = False
 
 
 @attrs.frozen
@@ -101,6 +104,7 @@
       duration_ms: How long faults are injected while requests are sent.
       calm_ms: How long requests are sent after that.
       versions: The number of software versions that upstreams have.
+      crashing_per_s: The mean rate of requests that end their upstreams.
     """
 
     hosts: int
@@ -109,6 +113,7 @@
     duration_ms: int
     calm_ms: int = 0
     versions: int = 1
+    crashing_per_s: float = 0.0
 
     def list_hosts(self) -> list[str]:
         """Returns the names of the hosts."""
@@ -129,6 +134,40 @@
 
 def plan_requests(seed: int, size: Size) -> list[PlannedRequest]:
     """Returns the requests of a soak, which arrive independently."""
+    requests = _plan_sound_requests(seed, size)
+    if size.crashing_per_s:
+        requests += _plan_crashing_requests(seed, size, len(requests))
+    return sorted(requests, key=lambda request: request.at_ms)
+
+
+def _plan_crashing_requests(
+    seed: int, size: Size, first_number: int
+) -> Iterator[PlannedRequest]:
+    """Yields copies of plain requests that end their upstreams."""
+    source = random.Random(f"{seed}-crashing")
+    times = _draw_times(source, 1000 / size.crashing_per_s, size.duration_ms)
+    for number, at_ms in enumerate(times, first_number):
+        yield PlannedRequest(
+            number=number,
+            at_ms=at_ms,
+            kind=source.choice(
+                (
+                    observations.Kind.IDEMPOTENT,
+                    observations.Kind.NON_IDEMPOTENT,
+                )
+            ),
+            host_index=source.randrange(size.hosts),
+            deadline_ms=source.randint(*_DEADLINES_MS),
+            give_up_ms=None,
+            output_tokens=0,
+            body_bytes=_BODY_BYTES[0],
+            is_new_connection=source.random() < _NEW_CONNECTION_SHARE,
+            is_crashing=True,
+        )
+
+
+def _plan_sound_requests(seed: int, size: Size) -> list[PlannedRequest]:
+    """Returns the requests that do not end their upstreams."""
     source = random.Random(f"{seed}-requests")
     requests: list[PlannedRequest] = []
     end_ms = size.duration_ms + size.calm_ms
--- a/redwingchute/soak/soak_command.py
+++ b/redwingchute/soak/soak_command.py
@@ -60,6 +60,7 @@
     upstreams: int = 2,
     rate_per_s: float = 60.0,
     versions: int = 1,
+    crashing_per_s: float = 0.0,
     faults: str = "all",
     directory: str = "build/soak",
 ) -> int:
@@ -75,6 +76,7 @@
       upstreams: The number of upstreams of each of two services.
       rate_per_s: The mean rate of requests of all callers.
       versions: The number of software versions that upstreams have.
+      crashing_per_s: The mean rate of requests that end their upstreams.
       faults: The groups of faults, separated by commas; `all` or `none`.
       directory: The directory in which the run gets a directory of its own.
     """
@@ -85,6 +87,7 @@
         int(1000 * duration_s),
         int(1000 * calm_s),
         versions,
+        crashing_per_s,
     )
     if size.count_processes() > _MAX_PROCESSES or duration_s > _MAX_DURATION_S:
         raise SystemExit(
--- a/redwingchute/soak/soak_command_test.py
+++ b/redwingchute/soak/soak_command_test.py
@@ -103,6 +103,22 @@
     assert not violations, (len(violations), violations[:3])
 
 
+# Guards against plain requests that end their upstreams and are sent on, also
+# by hosts that start after the ends.
+def test_crashing_requests_are_not_sent_on_while_hosts_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    size = attrs.evolve(_LONG_SIZE, crashing_per_s=4.0)
+    faults: list[plan.Fault] = [
+        plan.Restart(3_000, "host-1", signal.SIGKILL, down_ms=500),
+        plan.Restart(5_000, "host-2", signal.SIGTERM, down_ms=100),
+    ]
+    observed = _run(faults, tmp_path, size)
+    assert any(event.is_crashing for event in observed.events)
+    violations = checks.check_all(observed)
+    assert not violations, (len(violations), violations[:3])
+
+
 # Guards against hosts that restart together and then retry as if they had made
 # no retries before, or as if they were the only host.
 def test_hosts_that_restart_together_keep_the_retry_limit(
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -251,6 +251,7 @@
             request,
             version=self.faults.version or "",
             is_resumed=run.resumed_after is not None,
+            is_crashing=run.is_crashing,
         )
         self._running += 1
         try:
@@ -508,6 +509,8 @@
     work_ms: int = 5,
     record: str = "",
     version: str = "v1",
+    crash_marker: str = "",
+    crash_ms: int = 300,
 ) -> None:
     """Run a stand-in of one of the users' runners.
 
@@ -521,6 +524,8 @@
       record: The file to which each arrival, run and response is appended as
         a line of JSON; empty for none.
       version: The version of its software.
+      crash_marker: A request with this text ends the runner; empty for none.
+      crash_ms: How long the runner is down then.
     """
     address = base.parse_listen(listen)
     runner = Runner(
@@ -528,7 +533,13 @@
         service,
         address.ip,
         address.port,
-        RunnerFaults(event_ms=event_ms, work_ms=work_ms, version=version),
+        RunnerFaults(
+            event_ms=event_ms,
+            work_ms=work_ms,
+            version=version,
+            crash_marker=crash_marker,
+            crash_ms=crash_ms,
+        ),
         pathlib.Path(record) if record else None,
     )
     asyncio.run(serve_runner(runner, http_client.Address.parse(store)))
