Let a slow peer have the rest of a response whose upstream has closed

A tunnel gave its peer 0.2 s for what was still unsent when the upstream closed, and then dropped it: a caller that reads slowly got a response that breaks off. tunnel_server_test fails with that time and passes now.

--- a/redwingchute/process/tunnel_server.py
+++ b/redwingchute/process/tunnel_server.py
@@ -160,7 +160,7 @@
         # What the upstream has sent before its end still goes to the peer.
         one[1].close()
         with contextlib.suppress(ConnectionError, TimeoutError):
-            async with asyncio.timeout(_REQUEST_TIMEOUT_S):
+            async with asyncio.timeout(_IDLE_S):
                 await one[1].wait_closed()
     finally:
         for pump in pumps:
