Ask peers for other upstreams when one upstream is gone

A peer that did not reach one upstream counted as unable to carry anything for a second. Requests to a single upstream that had crashed could thus leave a host that was cut off from all without carriers.

A refusal for want of a path holds for that upstream only; peers that carried lately are asked first; an upstream that none of those asked reaches is left for half a second. Two tests of the decision code; tests of cut hosts pass.

--- a/redwingchute/core/fleet.py
+++ b/redwingchute/core/fleet.py
@@ -1,5 +1,7 @@
 """The messages of the link handshake and of membership."""
 
+import enum
+
 import attrs
 
 from redwingchute.core import data
@@ -56,17 +58,33 @@
     born_ms: int
 
 
+class TunnelRefusal(enum.StrEnum):
+    """Why a router carries no connection.
+
+    Attributes:
+      NONE: It does.
+      NO_PATH: It does not reach the upstream by itself, or does not know it.
+      STOPPING: Its process is about to stop.
+      FULL: It carries too many.
+    """
+
+    NONE = ""
+    NO_PATH = "no_path"
+    STOPPING = "stopping"
+    FULL = "full"
+
+
 @attrs.frozen
 class TunnelReply:
     """The reply to `TunnelRequest`; bytes of the upstream follow if it is open.
 
     Attributes:
       is_open: Whether the connections are joined.
-      cause: Why they are not; empty if they are.
+      cause: Why they are not.
     """
 
     is_open: bool
-    cause: str = ""
+    cause: str = TunnelRefusal.NONE
 
 
 @attrs.frozen
--- a/redwingchute/process/tunnel_server.py
+++ b/redwingchute/process/tunnel_server.py
@@ -104,7 +104,7 @@
         ):
             return None
         result = await self._connect(message.record)
-        if isinstance(result, str):
+        if isinstance(result, fleet.TunnelRefusal):
             decision_log.count_event("tunnel_refused")
             link.send(fleet.TunnelReply(False, result))
             with contextlib.suppress(ConnectionError):
@@ -116,18 +116,19 @@
 
     async def _connect(
         self, request: fleet.TunnelRequest
-    ) -> http_client.ClientConnection | str:
+    ) -> http_client.ClientConnection | fleet.TunnelRefusal:
         """Returns a new connection to an upstream, or why there is none."""
         if self._is_stopping():
-            return "stopping"
+            return fleet.TunnelRefusal.STOPPING
         if self.open_count > _MAX_TUNNELS:
-            return "too many tunnels"
+            return fleet.TunnelRefusal.FULL
         start = forwarding.UpstreamStart(request.upstream, request.born_ms)
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                return await self._open_direct(start) or "no path"
+                connection = await self._open_direct(start)
         except TimeoutError:
-            return "no path"
+            return fleet.TunnelRefusal.NO_PATH
+        return connection or fleet.TunnelRefusal.NO_PATH
 
 
 async def _join(
--- a/redwingchute/request/upstream_connector.py
+++ b/redwingchute/request/upstream_connector.py
@@ -12,6 +12,7 @@
 from typing import TypeAlias
 
 from redwingchute.connection import http_client
+from redwingchute.connection import peer_link
 from redwingchute.core import fleet
 from redwingchute.core import forwarding
 from redwingchute.process import background_tasks
@@ -221,6 +222,7 @@
         except TimeoutError:
             pass
         decision_log.count_event("carried_connection_failed")
+        self._paths.mark_unreached(upstream.start, self._read_clock_ms())
         return None
 
     async def _ask_carrier(
@@ -229,34 +231,45 @@
         """Asks a host to carry a connection to an upstream."""
         if self._network is None:
             return None
-        link = None
-        is_open = False
+        link: peer_link.PeerLink | None = None
+        reply: fleet.TunnelReply | None = None
         try:
             async with asyncio.timeout(_CARRIER_TIMEOUT_S):
                 link = await self._network.dial_tunnel(host)
                 if link is not None:
-                    start = upstream.start
-                    link.send(fleet.TunnelRequest(start.id, start.born_ms))
-                    reply = await link.receive()
-                    is_open = (
-                        isinstance(reply, codec.Decoded)
-                        and isinstance(reply.record, fleet.TunnelReply)
-                        and reply.record.is_open
-                    )
+                    reply = await _request_tunnel(link, upstream.start)
         except (TimeoutError, OSError):
             pass
         finally:
-            if link is not None and not is_open:
+            if link is not None and (reply is None or not reply.is_open):
                 link.close()
-        if link is None or not is_open:
-            self._paths.mark_unable(host, self._read_clock_ms())
-            return None
-        reader, writer = link.detach()
-        address = http_client.Address.parse(upstream.address)
-        return self._pool.adopt(address, reader, writer, host)
+        now_ms = self._read_clock_ms()
+        match reply:
+            case fleet.TunnelReply(is_open=True) if link is not None:
+                self._paths.record_carried(host, now_ms)
+                address = http_client.Address.parse(upstream.address)
+                return self._pool.adopt(address, *link.detach(), host)
+            case fleet.TunnelReply(cause=fleet.TunnelRefusal.NO_PATH):
+                self._paths.mark_unreaching(host, upstream.start, now_ms)
+            case _:
+                self._paths.mark_unable(host, now_ms)
+        return None
 
     async def _sweep(self) -> None:
         """Closes carried connections that are idle."""
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             self._pool.close_expired()
+
+
+async def _request_tunnel(
+    link: peer_link.PeerLink, start: forwarding.UpstreamStart
+) -> fleet.TunnelReply | None:
+    """Asks for a tunnel on a new link; returns None without a valid reply."""
+    link.send(fleet.TunnelRequest(start.id, start.born_ms))
+    message = await link.receive()
+    if isinstance(message, codec.Decoded) and isinstance(
+        message.record, fleet.TunnelReply
+    ):
+        return message.record
+    return None
--- a/redwingchute/request/upstream_paths.py
+++ b/redwingchute/request/upstream_paths.py
@@ -26,8 +26,17 @@
 _FORGET_MS = 60_000
 # Bounds the shift by which the time is doubled repeatedly.
 _MAX_DOUBLINGS = 10
-# A host that could not carry a connection is not asked for this long.
+# A host that did not answer is not asked for this long, and one that does not
+# reach an upstream itself not for this upstream.
 _UNABLE_MS = 1_000
+_UNREACHING_MS = 3_000
+# When none of the hosts that were asked reaches an upstream, it is probably
+# gone. Others are asked only after this time.
+_UNREACHED_MS = 500
+# A host that carried a connection within this time is asked first.
+_PROVEN_MS = 5_000
+# Bounds what is remembered of which host does not reach which upstream.
+_MAX_UNREACHING = 1_024
 # The hosts among which the connections to different upstreams are spread.
 _MAX_CARRIERS = 4
 # Hosts of the own zone that are asked before those of other zones, which a cut
@@ -63,6 +72,11 @@
         self._down: dict[forwarding.UpstreamStart, _DownPath] = {}
         self._peers: tuple[str, ...] = ()
         self._unable_until_ms: dict[str, int] = {}
+        self._carried_ms: dict[str, int] = {}
+        self._unreaching_until_ms: dict[
+            tuple[str, forwarding.UpstreamStart], int
+        ] = {}
+        self._unreached_until_ms: dict[forwarding.UpstreamStart, int] = {}
 
     def set_hosts(self, hosts: Sequence[host_registry.RegisteredHost]) -> None:
         """Sets the hosts of the fleet.
@@ -82,11 +96,9 @@
             *far,
             *near[_OWN_ZONE_FIRST:],
         )
-        self._unable_until_ms = {
-            name: until_ms
-            for name, until_ms in self._unable_until_ms.items()
-            if name in self._peers
-        }
+        for known in (self._unable_until_ms, self._carried_ms):
+            for name in known.keys() - set(self._peers):
+                del known[name]
 
     def should_try_direct(
         self, start: forwarding.UpstreamStart, now_ms: int
@@ -131,17 +143,62 @@
         self, start: forwarding.UpstreamStart, now_ms: int
     ) -> tuple[str, ...]:
         """Returns the hosts to ask for a way to an upstream, best first."""
-        able = []
+        if now_ms < self._unreached_until_ms.get(start, 0):
+            return ()
+        proven = [
+            name
+            for name, carried_ms in self._carried_ms.items()
+            if now_ms - carried_ms < _PROVEN_MS
+            and self._may_ask(name, start, now_ms)
+        ]
+        others: list[str] = []
         for name in self._peers:
-            if self._unable_until_ms.get(name, 0) <= now_ms:
-                able.append(name)
-            if len(able) == _MAX_CARRIERS:
+            if len(proven) + len(others) >= _MAX_CARRIERS:
                 break
-        if not able:
-            return ()
-        first = xxhash.xxh64_intdigest(start.id.encode()) % len(able)
-        return (*able[first:], *able[:first])
+            if name not in proven and self._may_ask(name, start, now_ms):
+                others.append(name)
+        return (
+            *_rotate(proven, start)[:_MAX_CARRIERS],
+            *_rotate(others, start),
+        )
+
+    def _may_ask(
+        self, name: str, start: forwarding.UpstreamStart, now_ms: int
+    ) -> bool:
+        """Returns whether a host may be able to reach an upstream."""
+        return (
+            self._unable_until_ms.get(name, 0) <= now_ms
+            and self._unreaching_until_ms.get((name, start), 0) <= now_ms
+        )
+
+    def record_carried(self, host: str, now_ms: int) -> None:
+        """Records that a host carries a connection."""
+        self._carried_ms[host] = now_ms
 
     def mark_unable(self, host: str, now_ms: int) -> None:
-        """Records that a host could not carry a connection."""
+        """Records that a host did not answer, or carries nothing now."""
         self._unable_until_ms[host] = now_ms + _UNABLE_MS
+
+    def mark_unreaching(
+        self, host: str, start: forwarding.UpstreamStart, now_ms: int
+    ) -> None:
+        """Records that a host does not reach an upstream by itself."""
+        self._unreaching_until_ms[host, start] = now_ms + _UNREACHING_MS
+        while len(self._unreaching_until_ms) > _MAX_UNREACHING:
+            del self._unreaching_until_ms[next(iter(self._unreaching_until_ms))]
+
+    def mark_unreached(
+        self, start: forwarding.UpstreamStart, now_ms: int
+    ) -> None:
+        """Records that no host that was asked reaches an upstream."""
+        self._unreached_until_ms[start] = now_ms + _UNREACHED_MS
+        while len(self._unreached_until_ms) > _MAX_UNREACHING:
+            del self._unreached_until_ms[next(iter(self._unreached_until_ms))]
+
+
+def _rotate(names: list[str], start: forwarding.UpstreamStart) -> list[str]:
+    """Returns names in an order that differs between upstreams."""
+    if not names:
+        return names
+    first = xxhash.xxh64_intdigest(start.id.encode()) % len(names)
+    return names[first:] + names[:first]
--- a/redwingchute/request/upstream_paths_test.py
+++ b/redwingchute/request/upstream_paths_test.py
@@ -74,6 +74,31 @@
     assert paths.list_carriers(_START, 1_000)
 
 
+# Guards against an upstream that is gone, and for which hosts count as unable
+# to carry connections to any other.
+def test_a_host_that_does_not_reach_one_upstream_is_asked_for_others() -> None:
+    paths = _make_paths()
+    for name in paths.list_carriers(_START, 0):
+        paths.mark_unreaching(name, _START, 0)
+    paths.mark_unreached(_START, 0)
+    assert not paths.list_carriers(_START, 499)
+    later = paths.list_carriers(_START, 500)
+    assert len(later) == 3
+    assert len(paths.list_carriers(_OTHER, 0)) == 4
+
+
+# Guards against a host that asks cut ones again for each upstream, although it
+# knows one that reaches them.
+def test_a_host_that_carries_is_asked_first() -> None:
+    paths = _make_paths(per_zone=20)
+    carrier = paths.list_carriers(_START, 0)[3]
+    paths.record_carried(carrier, 0)
+    assert paths.list_carriers(_OTHER, 100)[0] == carrier
+    paths.mark_unreaching(carrier, _OTHER, 200)
+    assert carrier not in paths.list_carriers(_OTHER, 300)
+    assert paths.list_carriers(_START, 300)[0] == carrier
+
+
 def test_connections_to_different_upstreams_use_different_carriers() -> None:
     paths = _make_paths()
     first = {
