--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Collection
 import traceback
 from typing import TypeAlias
 
@@ -30,6 +29,7 @@
 from redwingchute.request import forward_retry
 from redwingchute.request import header_translator
 from redwingchute.request import load_shedding
+from redwingchute.request import path_evidence
 from redwingchute.request import request_metrics
 from redwingchute.request import retry_allowance
 from redwingchute.request import stream_resumption
@@ -108,6 +108,11 @@
         self._attempts = forward_attempt.AttemptRunner(
             dependencies.connector, dependencies.translator
         )
+        self._path_evidence = path_evidence.PathEvidence(
+            dependencies.directory,
+            dependencies.connector,
+            dependencies.read_clock_ms,
+        )
         self._resumption = stream_resumption.StreamResumption(
             dependencies.origins
         )
@@ -450,8 +455,7 @@
             case forward_attempt.NotConnected(message, is_unresponsive):
                 directory.mark_unreachable(upstream, now_ms)
                 if is_unresponsive:
-                    # No carrier reached it either.
-                    self._mark_unresponsive(upstream, now_ms, {upstream.id})
+                    self._path_evidence.record_unreached(upstream)
                 self._log_attempt(
                     plan, progress, upstream, "not_connected", message
                 )
@@ -496,7 +500,9 @@
                 )
                 if is_timeout:
                     return outcomes.Failed(504, "timed_out", message)
-                self._record_broken(upstream, progress, is_unresponsive)
+                self._path_evidence.record_broken(
+                    upstream, progress.trace.carrier, is_unresponsive
+                )
                 if is_closed:
                     self._dependencies.suspects.record_crash(
                         send,
@@ -509,57 +515,6 @@
                     return None
                 return _make_failure(message)
 
-    def _record_broken(
-        self,
-        upstream: forwarding.Upstream,
-        progress: forward_progress.Progress,
-        is_unresponsive: bool,
-    ) -> None:
-        """Records what a broken attempt tells of its upstream or carrier."""
-        now_ms = self._dependencies.read_clock_ms()
-        carrier = progress.trace.carrier
-        if carrier:
-            # The carrier may have ended, or be cut off.
-            if is_unresponsive:
-                self._dependencies.connector.record_lost_carrier(carrier)
-            return
-        self._dependencies.directory.record_failure(upstream, now_ms)
-        if is_unresponsive:
-            self._mark_unresponsive(upstream, now_ms)
-
-    def _mark_unresponsive(
-        self,
-        upstream: forwarding.Upstream,
-        now_ms: int,
-        unreached: Collection[str] = (),
-    ) -> None:
-        """Pauses the use of an upstream whose host does not respond.
-
-        The pause ends once a carrier reaches the upstream.
-
-        Args:
-          upstream: The upstream.
-          now_ms: The current time.
-          unreached: The ids of upstreams that no carrier reaches.
-        """
-        directory = self._dependencies.directory
-        paused = directory.mark_unresponsive(upstream, now_ms)
-        if paused:
-            decision_log.log_event(
-                "upstreams_silent", upstreams=paused, zone=upstream.zone
-            )
-        found = (directory.find(name) for name in paused)
-        self._dependencies.connector.seek_carriers(
-            (
-                entry
-                for entry in found
-                if entry is not None and entry.id not in unreached
-            ),
-            lambda entry: directory.mark_responsive(
-                entry.id, self._dependencies.read_clock_ms()
-            ),
-        )
-
     def _refuse_no_upstream(self, plan: forward_plan.Plan) -> outcomes.NotRun:
         """Returns the refusal of a request that no upstream can serve."""
         return _make_no_upstream_refusal(self._find_retry_after_ms(plan))
