Check configurations of gateways before they are sent

Cause: an operator learned of a route that no request reaches, a target above its timeout or a document that hosts refuse only from the hosts' logs, after it was sent, and of several errors only the first.

Change: redwingchute check-configuration FILE [--against FILE] decodes the document with the decoder of the hosts and prints all errors with their places, entries that can never match, limits that contradict each other, and what differs from the version in force. Exit status 0, 1 with findings, 2 for an invalid file.

Nothing that a host runs has changed but one new function beside the decoder.

--- a/redwingchute/main.py
+++ b/redwingchute/main.py
@@ -6,6 +6,7 @@
     file that its platform writes.
   publish: Publishes the first configuration of a fleet.
   ask: Sends an operator's query or command to a router.
+  check-configuration: Checks a configuration of gateways before it is sent.
   explain: Prints the timeline of a request from the logs of routers.
   soak: Runs real processes under faults and checks what callers see.
   stand-in: Runs a stand-in for the platform or for an upstream, for trials and
@@ -20,8 +21,10 @@
 
 import defopt
 
+from redwingchute.platform import configuration_document
 from redwingchute.platform import main as platform_main
 from redwingchute.process import ask_client
+from redwingchute.process import configuration_check
 from redwingchute.process import explanation
 from redwingchute.process import publisher
 from redwingchute.process import router
@@ -109,6 +112,25 @@
     return publisher.run_publish(path, platform, author, reason)
 
 
+def check_configuration(path: str, *, against: str | None = None) -> int:
+    """Check a configuration of gateways before it is sent.
+
+    Prints errors, entries that no request can reach, limits that contradict
+    each other, and what differs from the version in force. The exit status is
+    0 without findings, 1 with findings, and 2 if a file is invalid.
+
+    Args:
+      path: The file of the configuration document.
+      against: The file of the version in force.
+    """
+    return configuration_check.run_check(
+        path,
+        against,
+        configuration_document.decode_configuration,
+        configuration_document.find_errors,
+    )
+
+
 def explain(request_id: str, *paths: str) -> int:
     """Print the timeline of a request from the logs of routers.
 
@@ -126,6 +148,7 @@
         "ask": ask,
         "publish": publish,
         "gateway": platform_main.main,
+        "check-configuration": check_configuration,
         "explain": explain,
         "soak": soak_command.run_soak,
         "stand-in": {
--- a/redwingchute/platform/configuration_document.py
+++ b/redwingchute/platform/configuration_document.py
@@ -6,9 +6,12 @@
 to a wrong service.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterator
 import json
 from typing import Any
 
+from redwingchute.core import data
 from redwingchute.core import forwarding
 
 TOPIC = "op"
@@ -38,6 +41,57 @@
         return f"{type(error).__name__}: {error}"
 
 
+def find_errors(value: bytes) -> tuple[data.Finding, ...]:
+    """Returns all errors that keep a document from being decoded.
+
+    Each part is decoded separately, so that one error does not hide others.
+    """
+    try:
+        document = json.loads(value)
+    except json.JSONDecodeError as error:
+        place = f"line {error.lineno}, column {error.colno}"
+        return (data.Finding(place, f"This is no JSON: {error.msg}."),)
+    except UnicodeDecodeError as error:
+        return (
+            data.Finding(f"byte {error.start}", "The text is not in UTF-8."),
+        )
+    if not isinstance(document, dict):
+        return (data.Finding("document", "It is no JSON object."),)
+    return (
+        *_find_error("version", int, document.get("version")),
+        *_find_list_errors(document, "routes", _decode_route),
+        *_find_list_errors(document, "services", _decode_service),
+        *_find_list_errors(document, "tenants", _decode_account),
+        *_find_error("limits", _decode_limits, document.get("limits") or {}),
+    )
+
+
+def _find_list_errors(
+    document: dict[str, Any], name: str, decode: Callable[[Any], object]
+) -> Iterator[data.Finding]:
+    """Yields the errors in the entries of one list of a document."""
+    entries = document.get(name)
+    if entries is None and name != "routes":
+        return
+    if not isinstance(entries, list):
+        yield data.Finding(name, "It is no list.")
+        return
+    for index, fields in enumerate(entries):
+        yield from _find_error(f"{name}[{index}]", decode, fields)
+
+
+def _find_error(
+    place: str, decode: Callable[[Any], object], value: Any
+) -> Iterator[data.Finding]:
+    """Yields the error in decoding one part of a document, if there is one."""
+    try:
+        decode(value)
+    except KeyError as error:
+        yield data.Finding(place, f"{error} is missing or not a known value.")
+    except (ValueError, TypeError, AttributeError) as error:
+        yield data.Finding(place, f"{type(error).__name__}: {error}.")
+
+
 def _decode_route(fields: dict[str, Any]) -> forwarding.Route:
     """Decodes one route, which has one service or a weighted split."""
     split = fields.get("trafficSplit") or [
