--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -246,14 +246,14 @@
             await manager.wait_until_started(_TAKEOVER_TIMEOUT_S)
         if manager.reserve(account, tokens):
             return self._make_local_charge(account, tokens)
-        remaining_tokens = manager.find_max_remaining(
+        remaining_tokens = manager.balances.find_max_remaining(
             account, request.prepaid_tokens
         )
         if tokens > remaining_tokens:
             # Too few tokens are left of `prepaid_tokens`. If that value is not
             # the newest, the account may have prepaid more since.
             return self._refuse(request, remaining_tokens)
-        if tokens > manager.find_max_obtainable(
+        if tokens > manager.balances.find_max_obtainable(
             account, request.prepaid_tokens
         ):
             return self._refuse(request, remaining_tokens)
@@ -269,7 +269,9 @@
             return self._make_local_charge(account, tokens)
         return self._refuse(
             request,
-            manager.find_max_remaining(account, request.prepaid_tokens),
+            manager.balances.find_max_remaining(
+                account, request.prepaid_tokens
+            ),
         )
 
     async def _delegate(
@@ -390,7 +392,7 @@
         result never falls.
         """
         prepaid_tokens = self._list_prepaid_tokens().get(account, 0)
-        remaining_tokens = self._manager.find_max_remaining(
+        remaining_tokens = self._manager.balances.find_max_remaining(
             account, prepaid_tokens
         )
         reserved_tokens = self._manager.find_grant(account).reserved_tokens
@@ -500,7 +502,7 @@
             available_tokens=grant.find_available(self._read_clock_ms()),
             remaining_tokens=remaining_tokens,
             prepaid_tokens=request.prepaid_tokens,
-            unsure_tokens=self._manager.sum_unsure(account),
+            unsure_tokens=self._manager.balances.sum_unsure(account),
             exposed_tokens=self._manager.find_exposed(account),
             is_connected=self._manager.is_connected,
         )
@@ -597,7 +599,9 @@
             self._start_backoff(host)
             self._spawn_settlement(account, requested_part, 0)
             return None, None
-        self._manager.record_peer_spent(account, host, reply.spent_tokens)
+        self._manager.balances.record_peer_spent(
+            account, host, reply.spent_tokens
+        )
         if is_delegated:
             self._fleet_spent_tokens[account] = max(
                 self._fleet_spent_tokens.get(account, 0),
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -30,6 +30,7 @@
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
+from redwingchute.process.prepaid import account_balance
 from redwingchute.process.prepaid import append_planner
 from redwingchute.process.prepaid import era_planner
 from redwingchute.process.prepaid import grant as grant_lib
@@ -103,6 +104,7 @@
       has_appended_rows: Whether an append has succeeded since accounts with
         prepaid tokens became known and hosts had tokens of them.
       is_active: Whether the manager appends and reads rows.
+      balances: What the accounts have left.
     """
 
     def __init__(
@@ -166,8 +168,9 @@
             self._policy,
             self._is_suspended,
         )
-        # What other routers reported as spent, by account and host.
-        self._peer_spent_tokens: dict[tuple[str, str], int] = {}
+        self.balances = account_balance.AccountBalances(
+            own_stamp.host, self.fold, self.find_grant
+        )
         # What waiting requests need, by account.
         self._requested_tokens: dict[str, int] = {}
         self._append_requested = asyncio.Event()
@@ -303,68 +306,6 @@
         )
         return max(grant.free_tokens, ungranted_tokens)
 
-    def find_max_remaining(self, account: str, prepaid_tokens: int) -> int:
-        """Returns an upper bound of an account's tokens for further requests.
-
-        Subtracts what is spent or reserved at this router. For each other host
-        it subtracts the spent tokens of its row, or what its router reported as
-        spent if that is more. Unsure tokens of rows and of this router's grant,
-        which a crashed process may not have spent, are not subtracted: the
-        account may have them left.
-
-        Args:
-          account: The client account.
-          prepaid_tokens: All tokens that the account has prepaid.
-        """
-        others_spent_tokens = sum(
-            max(
-                row.spent_tokens - row.unsure_tokens,
-                self._peer_spent_tokens.get((account, row.host), 0),
-            )
-            for row in self.fold.list_rows(account)
-            if row.host != self.own_host
-        )
-        grant = self.find_grant(account)
-        own_spent_tokens = grant.committed_tokens - grant.unsure_tokens
-        return prepaid_tokens - others_spent_tokens - own_spent_tokens
-
-    def find_max_obtainable(self, account: str, prepaid_tokens: int) -> int:
-        """Returns an upper bound of what requests can reserve at present.
-
-        It is at most `find_max_remaining`: unsure tokens are subtracted, since
-        no router can reserve them until they are released.
-
-        Args:
-          account: The client account.
-          prepaid_tokens: All tokens that the account has prepaid.
-        """
-        others_spent_tokens = sum(
-            max(
-                row.spent_tokens,
-                self._peer_spent_tokens.get((account, row.host), 0),
-            )
-            for row in self.fold.list_rows(account)
-            if row.host != self.own_host
-        )
-        others_spent_tokens += self.fold.find_unaccounted(account)
-        committed_tokens = self.find_grant(account).committed_tokens
-        return prepaid_tokens - others_spent_tokens - committed_tokens
-
-    def sum_unsure(self, account: str) -> int:
-        """Returns the tokens that count as spent at any host without proof.
-
-        Processes that ended may not have spent them, and no router can reserve
-        them.
-
-        Args:
-          account: The client account.
-        """
-        return self.find_grant(account).unsure_tokens + sum(
-            row.unsure_tokens
-            for row in self.fold.list_rows(account)
-            if row.host != self.own_host
-        )
-
     def find_exposed(self, account: str) -> int:
         """Returns the tokens of an account that a crash would make unsure."""
         return self.find_grant(account).find_exposed(
@@ -377,20 +318,6 @@
             self._grants.values(), self._clocks.read_boot_ms()
         )
 
-    def record_peer_spent(
-        self, account: str, host: str, spent_tokens: int
-    ) -> None:
-        """Records the spent tokens that another router reported.
-
-        Args:
-          account: The client account.
-          host: The host of the other router.
-          spent_tokens: All tokens of the account that it counts as spent.
-        """
-        key = (account, host)
-        recorded_tokens = self._peer_spent_tokens.get(key, 0)
-        self._peer_spent_tokens[key] = max(recorded_tokens, spent_tokens)
-
     async def run(self) -> None:
         """Takes over the grants of the previous process and maintains them.
 
