Renew a hub's stamp first once the log is back

Cause: after an outage each hub repeats its last append, whose stamp is as old as the outage, and then raises grants. Raises are conditional: those of all hubs make each other fail, round after round, and a failed append renews no stamp. What a hub may have spent since its stamp counts as spent after a loss of power.

Change: a stamp that has missed an interval is renewed in an append without raises, which cannot fail for those of other hosts; it also writes what was spent and gives waiting requests their ceilings within the grant. Refreshes and raises take turns, so that a slow log does not block raises. One append more for each hub and outage.

--- a/redwingchute/process/prepaid/append_planner.py
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -89,16 +89,20 @@
         """
         return not self._is_suspended() and self._fold.can_raise
 
-    def plan_rows(self, requested_tokens: dict[str, int]) -> PlannedRows:
+    def plan_rows(
+        self, requested_tokens: dict[str, int], may_change: bool = True
+    ) -> PlannedRows:
         """Returns the rows that have to be written now.
 
         Args:
           requested_tokens: The tokens that waiting requests need of each
             account.
+          may_change: Whether grants may be raised or lowered; only spent
+            tokens and ceilings change otherwise.
         """
         rows = []
         has_raise = False
-        can_change = self.can_change
+        can_change = may_change and self.can_change
         for account, prepaid_tokens in self._list_prepaid_tokens().items():
             grant, plan_input, granted_tokens = self._plan_grant(
                 account, prepaid_tokens, requested_tokens, can_change
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -45,6 +45,9 @@
 # The interval at which stamps and changed rows are appended. What a successor
 # has to count as spent grows with the age of the last stamp.
 _APPEND_INTERVAL_MS = 500
+# A stamp that is older has missed an interval. It is renewed in an append that
+# cannot fail for those of other hosts.
+_MAX_STAMP_AGE_MS = 2 * _APPEND_INTERVAL_MS
 # Requests do not wait for an append if the last one took longer than this.
 _MAX_AWAITED_APPEND_MS = 60
 # The interval at which the rows of other hosts are read. They are also read
@@ -186,6 +189,10 @@
         self._sequence = 0
         self._last_append_duration_ms = 0
         self._last_stamp_boot_ms = 0
+        # The time of the newest stamp that is known to be in the log.
+        self._log_stamp_boot_ms = 0
+        # Whether the last planned append only renewed the stamp.
+        self._has_renewed_stamp = False
         self._pending_append: append_planner.Append | None = None
         # The last takeover that was sent; its outcome may not be known.
         self._sent_takeover: append_planner.Append | None = None
@@ -760,6 +767,7 @@
             ):
                 return
             append = self._pending_append
+            is_repeated = append is not None
             if append is None:
                 requested_tokens = self._list_requested_tokens()
                 append = self._pending_append = self._plan_append(
@@ -777,6 +785,9 @@
                     self._handle_appended(append, end)
                     if not self.has_appended_rows:
                         self.has_appended_rows = self._can_charge()
+                    if is_repeated:
+                        # Its stamp may be as old as an outage of the log.
+                        continue
                     if not self._lacks_tokens():
                         return
                     await self._follower.read_once()
@@ -841,9 +852,14 @@
         if not self._is_hub():
             rows = self._planner.plan_return_rows()
             return append_planner.Append(stamp, rows, None, self._sequence)
-        planned = self._planner.plan_rows(requested_tokens)
+        self._has_renewed_stamp = not self._has_renewed_stamp and (
+            stamp.boot_ms - self._log_stamp_boot_ms > _MAX_STAMP_AGE_MS
+        )
+        planned = self._planner.plan_rows(
+            requested_tokens, may_change=not self._has_renewed_stamp
+        )
         closure = None
-        if self._is_fresh():
+        if self._is_fresh() and not self._has_renewed_stamp:
             closure = era_planner.plan_closure(
                 self.fold, self._list_prepaid_tokens(), self._era_age_ms
             )
@@ -894,6 +910,7 @@
             self.is_connected = True
             decision_log.log_event("grants_connected", epoch=self._epoch)
         self._sequence = append.sequence + 1
+        self._log_stamp_boot_ms = append.stamp.boot_ms
         self._has_withdrawn = (
             append.stamp.is_leaving and not self._holds_tokens()
         )
--- a/redwingchute/process/prepaid/stamp_refresh_test.py
+++ b/redwingchute/process/prepaid/stamp_refresh_test.py
@@ -41,7 +41,7 @@
         decoded
         for record in simulation.topic.read_newest().records
         if isinstance(
-            decoded := grant_fold.decode_record(record.value),
+            decoded := grant_fold.decode_record(record.value or b""),
             prepaid.HostStamp,
         )
     ]
