Settle lent tokens also after a long cut

Callers of accounts near their end were refused tokens that nobody had spent.

The lender counts the whole charge as spent when it expires, and as known to be spent, so that callers also get 402.

A charge that expires counts as spent but not as known to be (unsure); a settlement after that releases what was not consumed. Known tokens never fall, so replies of lenders to routers of the earlier build mean the same; an earlier lender ignores a late settlement as before.

The bookkeeping of lent charges and the sending of settlements move to modules of their own. The state machine gets a rule that cuts a borrower off until its charges expire.

--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -4,7 +4,7 @@
 consumed. If this router's grant does not cover a request, the router raises
 its grant through the shared log, while the log is reachable, and then borrows
 from other routers, each of which reserves what its own grant has available. A
-charge that is never settled counts as spent.
+charge that is not settled in time counts as spent until it is.
 
 What a grant has available is also limited by its ceiling, which rises with the
 age of the router's latest stamp in the log, see `ceiling`. A request that the
@@ -30,6 +30,8 @@
 from redwingchute.process import hub_choice
 from redwingchute.process import peer_network
 from redwingchute.process.prepaid import grant_manager
+from redwingchute.process.prepaid import lent_charges
+from redwingchute.process.prepaid import settlement_sender
 
 # How long a request waits for its router's grant to be raised. An append takes
 # about 10 ms, and several are needed when routers raise grants concurrently.
@@ -53,10 +55,6 @@
 _LENDER_BACKOFF_MS = 1_500
 # The same for the other routers of its availability zone.
 _ZONE_BACKOFF_MS = 500
-# How many times a settlement is sent before it is abandoned. If none arrived,
-# the lender counts the charge as spent when it expires.
-_MAX_SETTLE_ATTEMPTS = 4
-_SETTLE_TIMEOUT_MS = 1_000
 # A lent charge expires this long after the patience of the request's caller:
 # it then counts as spent.
 _CHARGE_EXPIRY_MARGIN_MS = 10_000
@@ -72,9 +70,6 @@
 # until the first event of the response.
 _MAX_CEILING_WAIT_MS = 400
 _MAX_CEILING_WAIT_SHARE = 0.1
-# The ids of this many ended charges are kept, so that a delayed message does
-# not reserve tokens for one of them again.
-_MAX_ENDED_CHARGES = 4_096
 
 
 class Network(Protocol):
@@ -138,19 +133,6 @@
     is_fresh: bool
 
 
-@attrs.define
-class _LentCharge:
-    """Tokens that are reserved here for another router's request.
-
-    Attributes:
-      charge: The reservations.
-      timer: Ends the charge when it expires.
-    """
-
-    charge: Charge
-    timer: asyncio.TimerHandle
-
-
 class Charger:
     """Charges and settles requests, and lends tokens to other routers."""
 
@@ -181,13 +163,15 @@
         self._read_clock_ms = read_clock_ms
         self._charge_id_prefix = f"{manager.own_host}.{incarnation:x}"
         self._charge_numbers = itertools.count(1)
-        self._lent_charges: dict[str, _LentCharge] = {}
-        # A set in order of insertion, so that the oldest ids can be removed.
-        self._ended_charge_ids: dict[str, None] = {}
+        self._lent_charges = lent_charges.LentCharges[Charge](
+            self._handle_expired_charge
+        )
         self._backoff_until_ms: dict[str, int] = {}
         # What hubs reported as spent at all routers, by account.
         self._fleet_spent_tokens: dict[str, int] = {}
-        self._tasks = background_tasks.BackgroundTasks()
+        self._settlements = settlement_sender.SettlementSender(
+            network, background_tasks.BackgroundTasks(), read_clock_ms
+        )
 
     async def admit(
         self,
@@ -345,15 +329,31 @@
           spent_tokens: The input tokens and the delivered output tokens; 0 if
             the request never ran.
         """
+        grant = self._manager.find_grant(charge.account)
+        self._settle_parts(charge, spent_tokens, grant.settle)
+
+    def _settle_parts(
+        self,
+        charge: Charge,
+        spent_tokens: int,
+        settle_own: Callable[[int, int], None],
+    ) -> None:
+        """Divides what a request consumed among the parts of its charge.
+
+        Args:
+          charge: The charge.
+          spent_tokens: What the request consumed.
+          settle_own: Settles a part at this router; called with the tokens of
+            the part and those of them that were consumed.
+        """
         unsettled_tokens = spent_tokens
         for part in charge.parts:
             part_spent_tokens = min(unsettled_tokens, part.tokens)
             unsettled_tokens -= part_spent_tokens
             if part.host == self._manager.own_host:
-                grant = self._manager.find_grant(charge.account)
-                grant.settle(part.tokens, part_spent_tokens)
+                settle_own(part.tokens, part_spent_tokens)
             else:
-                self._spawn_settlement(charge.account, part, part_spent_tokens)
+                self._send_settlement(charge.account, part, part_spent_tokens)
 
     async def handle_charge(
         self, peer: data.Host, request: prepaid.RemoteCharge
@@ -361,14 +361,18 @@
         """Lends tokens to another router for one of its requests."""
         grant = self._manager.find_grant(request.account)
         charge, retry_after_ms = await self._lend(request)
-        if charge is not None and request.charge_id in self._ended_charge_ids:
+        if charge is not None and self._lent_charges.has_ended(
+            request.charge_id
+        ):
             # The borrower settled the charge while the tokens were being
             # reserved.
             self.settle(charge, 0)
             charge = None
         reserved_tokens = _count_tokens(charge)
         if charge is not None:
-            self._add_lent_charge(request, charge)
+            self._lent_charges.add(
+                request.charge_id, charge, request.expires_in_ms
+            )
             decision_log.log_event(
                 "tokens_lent",
                 account=request.account,
@@ -403,9 +407,32 @@
     ) -> prepaid.RemoteSettlementReply:
         """Settles tokens that were lent to another router."""
         del peer
-        self._end_lent_charge(settlement.charge_id, settlement.spent_tokens)
+        charge = self._lent_charges.pop_open(settlement.charge_id)
+        expired = self._lent_charges.pop_expired(settlement.charge_id)
+        if charge is not None:
+            self.settle(charge, settlement.spent_tokens)
+        elif expired is not None:
+            grant = self._manager.find_grant(expired.account)
+            self._settle_parts(
+                expired, settlement.spent_tokens, grant.settle_expired
+            )
         return prepaid.RemoteSettlementReply(settlement.charge_id)
 
+    def _handle_expired_charge(self, charge: Charge) -> None:
+        """Counts what this router lent for a charge as spent.
+
+        Parts at other routers expire there.
+        """
+        for part in charge.parts:
+            if part.host == self._manager.own_host:
+                grant = self._manager.find_grant(charge.account)
+                grant.expire(part.tokens)
+        decision_log.log_event(
+            "lent_charge_expired",
+            account=charge.account,
+            tokens=_count_tokens(charge),
+        )
+
     def _make_local_charge(self, account: str, tokens: int) -> Charge:
         """Returns a charge whose tokens are all reserved at this router."""
         part = ChargePart(self._manager.own_host, "", tokens)
@@ -422,10 +449,9 @@
           The reservations, None without any and for a repeated request; and
           after how many ms a refused request may be tried again.
         """
-        if (
-            request.charge_id in self._lent_charges
-            or request.charge_id in self._ended_charge_ids
-        ):
+        if self._lent_charges.is_open(
+            request.charge_id
+        ) or self._lent_charges.has_ended(request.charge_id):
             return None, _DEFAULT_RETRY_AFTER_MS
         account, tokens = request.account, request.tokens
         if request.is_delegated:
@@ -592,12 +618,12 @@
         try:
             reply = await self._network.call(host, request, timeout_ms)
         except asyncio.CancelledError:
-            self._spawn_settlement(account, requested_part, 0)
+            self._send_settlement(account, requested_part, 0)
             raise
         if not isinstance(reply, prepaid.RemoteChargeReply):
             # The lender may have reserved the tokens and its reply got lost.
             self._start_backoff(host)
-            self._spawn_settlement(account, requested_part, 0)
+            self._send_settlement(account, requested_part, 0)
             return None, None
         self._manager.balances.record_peer_spent(
             account, host, reply.spent_tokens
@@ -655,55 +681,15 @@
                 )
         self._backoff_until_ms[host] = now_ms + _LENDER_BACKOFF_MS
 
-    def _spawn_settlement(
+    def _send_settlement(
         self, account: str, part: ChargePart, spent_tokens: int
     ) -> None:
         """Settles a reservation at another router in the background."""
-        self._tasks.spawn(self._settle_remotely(account, part, spent_tokens))
-
-    async def _settle_remotely(
-        self, account: str, part: ChargePart, spent_tokens: int
-    ) -> None:
-        """Sends a settlement to another router until it is confirmed."""
-        settlement = prepaid.RemoteSettlement(
-            part.charge_id, account, spent_tokens
-        )
-        for _ in range(_MAX_SETTLE_ATTEMPTS):
-            reply = await self._network.call(
-                part.host, settlement, _SETTLE_TIMEOUT_MS
-            )
-            if isinstance(reply, prepaid.RemoteSettlementReply):
-                return
-        decision_log.log_event(
-            "settlement_given_up",
-            account=account,
-            lender=part.host,
-            tokens=part.tokens,
-            spent_tokens=spent_tokens,
-        )
-
-    def _add_lent_charge(
-        self, request: prepaid.RemoteCharge, charge: Charge
-    ) -> None:
-        """Adds a lent charge, which counts as spent when it expires."""
-        timer = asyncio.get_running_loop().call_later(
-            request.expires_in_ms / 1000,
-            self._end_lent_charge,
-            request.charge_id,
-            _count_tokens(charge),
+        self._settlements.send(
+            part.host,
+            prepaid.RemoteSettlement(part.charge_id, account, spent_tokens),
+            part.tokens,
         )
-        self._lent_charges[request.charge_id] = _LentCharge(charge, timer)
-
-    def _end_lent_charge(self, charge_id: str, spent_tokens: int) -> None:
-        """Settles a lent charge; a repeated settlement has no effect."""
-        self._ended_charge_ids[charge_id] = None
-        while len(self._ended_charge_ids) > _MAX_ENDED_CHARGES:
-            del self._ended_charge_ids[next(iter(self._ended_charge_ids))]
-        lent_charge = self._lent_charges.pop(charge_id, None)
-        if lent_charge is None:
-            return
-        lent_charge.timer.cancel()
-        self.settle(lent_charge.charge, spent_tokens)
 
 
 def _count_tokens(charge: Charge | None) -> int:
--- a/redwingchute/process/prepaid/grant.py
+++ b/redwingchute/process/prepaid/grant.py
@@ -49,8 +49,9 @@
       account: The client account.
       granted_tokens: The total that the router may spend.
       spent_tokens: The tokens that count as spent.
-      unsure_tokens: The part of `spent_tokens` that the previous process on
-        the host may not have spent.
+      unsure_tokens: The part of `spent_tokens` that may not have been spent:
+        by the previous process on the host, or by borrowers that did not
+        settle their charges.
       reserved_tokens: The tokens that are reserved for open requests.
       largest_request_tokens: The size of the largest request, decaying with
         time.
@@ -179,6 +180,27 @@
         self.reserved_tokens -= reserved_tokens
         self.spent_tokens += min(spent_tokens, reserved_tokens)
 
+    def expire(self, tokens: int) -> None:
+        """Counts a reservation as spent that its borrower did not settle.
+
+        The tokens are unsure until `settle_expired` is called.
+
+        Args:
+          tokens: The reservation.
+        """
+        self.settle(tokens, tokens)
+        self.unsure_tokens += tokens
+
+    def settle_expired(self, expired_tokens: int, spent_tokens: int) -> None:
+        """Settles an expired reservation.
+
+        Args:
+          expired_tokens: The reservation.
+          spent_tokens: What the request consumed of it.
+        """
+        self.spent_tokens -= expired_tokens - spent_tokens
+        self.unsure_tokens -= expired_tokens
+
     def record_demand(self, tokens: int, now_ms: int) -> None:
         """Records a request for tokens, whether it gets them or not.
 
--- a/redwingchute/process/prepaid/prepaid_machine_test.py
+++ b/redwingchute/process/prepaid/prepaid_machine_test.py
@@ -22,6 +22,9 @@
 _LAST_ROUNDS = 30
 _LAST_TOKENS = 120
 
+# Lent charges expire after the patience of the caller, 1 s, and 10 s.
+_EXPIRY_S = 12
+
 _SETTINGS = hypothesis.settings(
     max_examples=60,
     stateful_step_count=40,
@@ -63,6 +66,23 @@
     def wait(self, seconds: float) -> None:
         self.simulation.run_for(seconds)
 
+    @stateful.rule(
+        pair=strategies.sets(_HOST, min_size=2, max_size=2),
+        tokens=strategies.integers(50, 1_500),
+        used_percent=strategies.integers(0, 100),
+    )
+    def settle_after_expiry(
+        self, pair: set[str], tokens: int, used_percent: int
+    ) -> None:
+        borrower = sorted(pair)[-1]
+        self.simulation.send_request(
+            borrower, tokens, tokens * used_percent // 100, seconds=1
+        )
+        self.simulation.run_for(0.01)
+        self.simulation.cut_links |= {frozenset(pair)}
+        self.simulation.run_for(_EXPIRY_S)
+        self.simulation.cut_links -= {frozenset(pair)}
+
     @stateful.rule(host=_HOST, seconds=strategies.sampled_from((0, 1, 6)))
     def restart(self, host: str, seconds: float) -> None:
         self.simulation.kill(host)
