Name no time to come back when no time helps an account

Callers of accounts that lack only tokens that count as spent without proof were told to come back after 0.7 s, again and again, though nothing releases these tokens any more. 402 would not be true: the account may have them left.

Change: a hub that reaches the log, when no host has started within 6 s, refuses a request that exceeds what is neither spent nor unsure, its own open reservations included, with 503 and without Retry-After. A hub tells routers that delegate to it by a new field, is_final, at the end of RemoteChargeReply; earlier routers ignore it and name the time as before. A router whose configuration is not fresh names a time, since the account may have prepaid more.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -133,12 +133,16 @@
         at any router; set for a delegated charge.
       retry_after_ms: After how long a refused delegated charge may be tried
         again; 0 if tokens are reserved, or if another hub should be asked.
+      is_final: Whether no time is known after which a refused delegated charge
+        may succeed, unless the account prepays more; `retry_after_ms` is then
+        for routers of releases without this field.
     """
 
     reserved_tokens: int
     spent_tokens: int
     fleet_spent_tokens: int = 0
     retry_after_ms: int = 0
+    is_final: bool = False
 
 
 @attrs.frozen
--- a/redwingchute/process/prepaid/account_balance.py
+++ b/redwingchute/process/prepaid/account_balance.py
@@ -89,6 +89,22 @@
         committed_tokens = self._find_grant(account).committed_tokens
         return prepaid_tokens - others_spent_tokens - committed_tokens
 
+    def find_max_later(self, account: str, prepaid_tokens: int) -> int:
+        """Returns an upper bound of what requests can reserve at any time.
+
+        It exceeds `find_max_obtainable` by the reserved tokens of this router,
+        which their requests may not consume. Unsure tokens that are released
+        later are left out.
+
+        Args:
+          account: The client account.
+          prepaid_tokens: All tokens that the account has prepaid.
+        """
+        reserved_tokens = self._find_grant(account).reserved_tokens
+        return (
+            self.find_max_obtainable(account, prepaid_tokens) + reserved_tokens
+        )
+
     def sum_unsure(self, account: str) -> int:
         """Returns the tokens that count as spent at any host without proof.
 
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -236,11 +236,11 @@
         if tokens > remaining_tokens:
             # Too few tokens are left of `prepaid_tokens`. If that value is not
             # the newest, the account may have prepaid more since.
-            return self._refuse(request, remaining_tokens)
+            return self._refuse_at_hub(request, remaining_tokens)
         if tokens > manager.balances.find_max_obtainable(
             account, request.prepaid_tokens
         ):
-            return self._refuse(request, remaining_tokens)
+            return self._refuse_at_hub(request, remaining_tokens)
         own_tokens = await manager.reserve_with_raise(
             account, tokens, _GRANT_RAISE_TIMEOUT_S
         )
@@ -251,7 +251,7 @@
             return charge
         if await self._wait_for_ceiling(request):
             return self._make_local_charge(account, tokens)
-        return self._refuse(
+        return self._refuse_at_hub(
             request,
             manager.balances.find_max_remaining(
                 account, request.prepaid_tokens
@@ -262,7 +262,7 @@
         self, request: _ChargeRequest
     ) -> Charge | outcomes.NotRun:
         """Has a hub reserve the tokens of a request; see `admit`."""
-        retry_after_ms = _DEFAULT_RETRY_AFTER_MS
+        retry_after_ms: int | None = _DEFAULT_RETRY_AFTER_MS
         for host in self._list_hubs_to_ask(request.account):
             if request.tokens > self._find_fleet_remaining(request):
                 break
@@ -276,7 +276,11 @@
             if part is not None:
                 return Charge(request.account, (part,))
             if reply is not None and reply.retry_after_ms:
-                retry_after_ms = reply.retry_after_ms
+                retry_after_ms = (
+                    None
+                    if reply.is_final and request.is_fresh
+                    else reply.retry_after_ms
+                )
                 break
         return self._refuse(
             request, self._find_fleet_remaining(request), retry_after_ms
@@ -387,6 +391,9 @@
             if request.is_delegated
             else 0,
             0 if reserved_tokens else retry_after_ms,
+            request.is_delegated
+            and not reserved_tokens
+            and self._manager.is_out_of_tokens(request.account, request.tokens),
         )
 
     def _find_fleet_spent(self, account: str) -> int:
@@ -499,11 +506,19 @@
             case outcomes.NotRun(retry_after_ms=retry_after_ms):
                 return None, retry_after_ms or _DEFAULT_RETRY_AFTER_MS
 
+    def _refuse_at_hub(
+        self, request: _ChargeRequest, remaining_tokens: int
+    ) -> outcomes.NotRun:
+        """Returns the refusal of a hub; see `_refuse`."""
+        return self._refuse(
+            request, remaining_tokens, self._find_retry_after_ms(request)
+        )
+
     def _refuse(
         self,
         request: _ChargeRequest,
         remaining_tokens: int,
-        retry_after_ms: int | None = None,
+        retry_after_ms: int | None,
     ) -> outcomes.NotRun:
         """Returns the refusal of a request that cannot be charged.
 
@@ -511,8 +526,8 @@
           request: The request.
           remaining_tokens: An upper bound of the tokens that the account has
             left.
-          retry_after_ms: After how long the caller may retry; None to compute
-            it from this router's grant.
+          retry_after_ms: After how long the caller may retry; None if no such
+            time is known.
         """
         account, tokens = request.account, request.tokens
         is_spent = tokens > remaining_tokens and request.is_fresh
@@ -542,13 +557,18 @@
             503,
             "budget_out_of_reach",
             "The tokens of the account cannot be reserved at the moment.",
-            self._find_retry_after_ms(account, tokens)
-            if retry_after_ms is None
-            else retry_after_ms,
+            retry_after_ms,
         )
 
-    def _find_retry_after_ms(self, account: str, tokens: int) -> int:
-        """Returns after how many ms a refused caller may retry."""
+    def _find_retry_after_ms(self, request: _ChargeRequest) -> int | None:
+        """Returns after how many ms a refused caller may retry.
+
+        Returns None if no time is known after which the account's tokens cover
+        the request.
+        """
+        account, tokens = request.account, request.tokens
+        if request.is_fresh and self._manager.is_out_of_tokens(account, tokens):
+            return None
         wait_ms = self._manager.find_wait_ms(account, tokens)
         if wait_ms is None:
             return _DEFAULT_RETRY_AFTER_MS
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -325,6 +325,24 @@
             self._grants.values(), self._clocks.read_boot_ms()
         )
 
+    def is_out_of_tokens(self, account: str, tokens: int) -> bool:
+        """Returns whether a request will never get its tokens, by all rows.
+
+        Tokens that the account prepays later are left out.
+
+        Args:
+          account: The client account.
+          tokens: The maximum cost of the request.
+        """
+        prepaid_tokens = self._list_prepaid_tokens().get(account, 0)
+        return (
+            self.is_connected
+            and tokens > self.balances.find_max_later(account, prepaid_tokens)
+            and not predecessor_grants.may_release_later(
+                self.fold, self._clocks.read_wall_ms()
+            )
+        )
+
     async def run(self) -> None:
         """Takes over the grants of the previous process and maintains them.
 
--- a/redwingchute/process/prepaid/predecessor_grants.py
+++ b/redwingchute/process/prepaid/predecessor_grants.py
@@ -16,6 +16,8 @@
 # How long after its start a process waits for stamps of other hosts. Later
 # stamps are too far from the start to bound its time closely.
 _MAX_STAMP_WAIT_MS = 4_000
+# By then, a process that has started has written what it could release.
+_MAX_RELEASE_MS = 6_000
 
 
 @attrs.frozen
@@ -104,6 +106,19 @@
         return None
 
 
+def may_release_later(fold: grant_fold.GrantFold, wall_ms: int) -> bool:
+    """Returns whether a host started so recently that it may release tokens.
+
+    Args:
+      fold: The stamps of all hosts; an epoch is the wall time of a start.
+      wall_ms: The time on the wall clock.
+    """
+    return any(
+        stamp.epoch > wall_ms - _MAX_RELEASE_MS
+        for stamp in fold.list_active_stamps()
+    )
+
+
 def find_max_spent(row: prepaid.GrantRow, age_bound: StampAgeBound) -> int:
     """Returns an upper bound of what the predecessor spent of its grant.
 
