Borrow tokens from the own zone first

Callers in a zone that was cut off were refused while two of its hubs together had the tokens.

Cause: lenders were asked in the order of their unspent tokens, and those of other zones that do not reply take 200 ms each of the 250 ms that a hub has for a delegated charge.

Change: lenders of the own zone come first, in the order of their unspent tokens. It also keeps calls within the zone. zone_cut_test passes, and the tests of the package.

--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -659,7 +659,10 @@
         return part, reply
 
     def _list_lenders(self, account: str) -> list[str]:
-        """Returns the hosts to borrow from, most unspent tokens first.
+        """Returns the hosts to borrow from, those of this router's zone first.
+
+        In a zone, those with the most unspent tokens come first. Other zones
+        are slower to reach, and a cut may separate them.
 
         Routers without unspent tokens are left out while the log is reachable:
         what they could add to their grants, this router can add to its own.
@@ -680,7 +683,14 @@
                 or not self._manager.is_connected
             )
         ]
-        return sorted(hosts, key=lambda host: -unspent_tokens.get(host, 0))
+        view = self._find_hubs()
+        return sorted(
+            hosts,
+            key=lambda host: (
+                view.zones.get(host) != view.own_zone,
+                -unspent_tokens.get(host, 0),
+            ),
+        )
 
     def _start_backoff(self, host: str) -> None:
         """Stops borrowing from a lender that did not reply, for some time.
