--- a/redwingchute/process/prepaid/prepaid_machine_test.py
+++ b/redwingchute/process/prepaid/prepaid_machine_test.py
@@ -97,6 +97,21 @@
         for host in _HOSTS:
             self.simulation.start(host)
 
+    @stateful.rule(
+        away_s=strategies.sampled_from((1, 4)),
+        back_s=strategies.sampled_from((0.02, 0.6)),
+        loses_power=strategies.booleans(),
+    )
+    def have_an_outage_of_the_log(
+        self, away_s: float, back_s: float, loses_power: bool
+    ) -> None:
+        self.simulation.is_log_away = True
+        self.simulation.run_for(away_s)
+        self.simulation.is_log_away = False
+        self.simulation.run_for(back_s)
+        if loses_power:
+            self.lose_all_power(1)
+
     @stateful.rule(
         host=_HOST, shift_ms=strategies.sampled_from((-2_000, 0, 2_000))
     )
