Collect the last tokens of an account from all hubs

Callers of accounts near their end were refused, after 250 ms, while hubs had the tokens in pieces.

Cause: a hub asks lenders one after the other, and each tries to raise its grant for 80 ms. The borrower has just tried that itself: while it reaches the log, no lender can add anything that it could not. So two or three lenders used up the 250 ms that a hub has for a delegated charge, and made appends that could not help.

Change: a borrower that reaches the log says so (RemoteCharge.is_connected, a new field at the end; earlier lenders ignore it, and an earlier borrower's charges are handled as before). The lender then lends from its grant as it is, at most with a new ceiling, and answers at once if nothing is free.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -112,6 +112,8 @@
       tokens: The number of tokens that the request still needs.
       expires_in_ms: The time after which an unsettled charge counts as spent.
       is_delegated: Whether the sender delegates the charge.
+      is_connected: Whether the sender reaches the log, and so has tried to
+        raise its own grant. The receiver then lends from its grant as it is.
     """
 
     charge_id: str
@@ -119,6 +121,7 @@
     tokens: int
     expires_in_ms: int
     is_delegated: bool = False
+    is_connected: bool = False
 
 
 @attrs.frozen
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -463,6 +463,11 @@
         account, tokens = request.account, request.tokens
         if request.is_delegated:
             return await self._admit_delegated(request)
+        if request.is_connected:
+            # What this router could add to its grant, the borrower could too.
+            tokens = min(tokens, self._manager.find_grant(account).free_tokens)
+        if not tokens:
+            return None, _DEFAULT_RETRY_AFTER_MS
         if self._manager.reserve(account, tokens):
             return self._make_local_charge(account, tokens), 0
         reserved_tokens = await self._manager.reserve_with_raise(
@@ -630,6 +635,7 @@
             tokens,
             patience_ms + _CHARGE_EXPIRY_MARGIN_MS,
             is_delegated,
+            is_connected=self._manager.is_connected,
         )
         requested_part = ChargePart(host, charge_id, tokens)
         timeout_ms = (
