Try a lender that does not reply with one request at a time

Callers in a zone that was cut off waited 200 ms and more for a refusal.

Cause: whenever a lender's backoff ended, all requests that came within the next 200 ms asked it again, and those that listed lenders before the first timeout asked on.

Change: a router that did not reply is tried by one request at a time until it replies; one whose reply is late (100 ms) is asked by nobody, nor are others of its zone. This is looked up when a lender is asked, not when the list is made. The code moves to a module of its own.

--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -30,6 +30,7 @@
 from redwingchute.process import hub_choice
 from redwingchute.process import peer_network
 from redwingchute.process.prepaid import grant_manager
+from redwingchute.process.prepaid import lender_reachability
 from redwingchute.process.prepaid import lent_charges
 from redwingchute.process.prepaid import settlement_sender
 
@@ -51,10 +52,6 @@
 _DELEGATION_TIMEOUT_MS = 350
 # How many hubs are asked until one replies.
 _MAX_DELEGATIONS = 3
-# How long no further request is sent to a lender that did not reply.
-_LENDER_BACKOFF_MS = 1_500
-# The same for the other routers of its availability zone.
-_ZONE_BACKOFF_MS = 500
 # A lent charge expires this long after the patience of the request's caller:
 # it then counts as spent.
 _CHARGE_EXPIRY_MARGIN_MS = 10_000
@@ -166,7 +163,9 @@
         self._lent_charges = lent_charges.LentCharges[Charge](
             self._handle_expired_charge
         )
-        self._backoff_until_ms: dict[str, int] = {}
+        self._reachability = lender_reachability.LenderReachability(
+            find_hubs, read_clock_ms
+        )
         # What hubs reported as spent at all routers, by account.
         self._fleet_spent_tokens: dict[str, int] = {}
         self._settlements = settlement_sender.SettlementSender(
@@ -298,12 +297,11 @@
         demand there is steady. The last one is of another zone, in case the
         hubs of this zone are down.
         """
-        now_ms = self._read_clock_ms()
         view = self._find_hubs()
         hubs = [
             host
             for host in view.order_hubs(account)
-            if self._backoff_until_ms.get(host, 0) <= now_ms
+            if not self._reachability.is_in_backoff(host)
         ]
         local = [host for host in hubs if view.zones[host] == view.own_zone]
         remote = [host for host in hubs if view.zones[host] != view.own_zone]
@@ -601,6 +599,9 @@
             for host in self._list_lenders(request.account):
                 if lacking_tokens <= 0:
                     break
+                # Another request may have found out meanwhile.
+                if not self._reachability.may_ask(host):
+                    continue
                 part, _ = await self._borrow(
                     host, request.account, lacking_tokens, request.patience_ms
                 )
@@ -642,15 +643,17 @@
             _DELEGATION_TIMEOUT_MS if is_delegated else _BORROW_TIMEOUT_MS
         )
         try:
-            reply = await self._network.call(host, request, timeout_ms)
+            with self._reachability.track_call(host):
+                reply = await self._network.call(host, request, timeout_ms)
         except asyncio.CancelledError:
             self._send_settlement(account, requested_part, 0)
             raise
         if not isinstance(reply, prepaid.RemoteChargeReply):
             # The lender may have reserved the tokens and its reply got lost.
-            self._start_backoff(host)
+            self._reachability.record_silence(host)
             self._send_settlement(account, requested_part, 0)
             return None, None
+        self._reachability.record_reply(host)
         self._manager.balances.record_peer_spent(
             account, host, reply.spent_tokens
         )
@@ -672,9 +675,9 @@
 
         Routers without unspent tokens are left out while the log is reachable:
         what they could add to their grants, this router can add to its own.
-        Routers that recently did not reply are left out as well.
+        Routers that did not reply are left out as well, see
+        `lender_reachability`.
         """
-        now_ms = self._read_clock_ms()
         unspent_tokens = {
             row.host: row.granted_tokens - row.spent_tokens
             for row in self._manager.fold.list_rows(account)
@@ -683,7 +686,6 @@
             stamp.host
             for stamp in self._manager.fold.list_active_stamps()
             if stamp.host != self._manager.own_host
-            and self._backoff_until_ms.get(stamp.host, 0) <= now_ms
             and (
                 unspent_tokens.get(stamp.host, 0) > 0
                 or not self._manager.is_connected
@@ -698,25 +700,6 @@
             ),
         )
 
-    def _start_backoff(self, host: str) -> None:
-        """Stops borrowing from a lender that did not reply, for some time.
-
-        The other hubs of its availability zone are left out as well, for a
-        shorter time, unless it is this router's zone: if the whole zone is cut
-        off, requests then wait for one timeout instead of one for each hub.
-        """
-        now_ms = self._read_clock_ms()
-        decision_log.log_event("lender_unreachable", lender=host)
-        view = self._find_hubs()
-        zone = view.zones.get(host)
-        for other_host, other_zone in view.zones.items():
-            if other_zone == zone and zone != view.own_zone:
-                backoff_ms = self._backoff_until_ms.get(other_host, 0)
-                self._backoff_until_ms[other_host] = max(
-                    backoff_ms, now_ms + _ZONE_BACKOFF_MS
-                )
-        self._backoff_until_ms[host] = now_ms + _LENDER_BACKOFF_MS
-
     def _send_settlement(
         self, account: str, part: ChargePart, spent_tokens: int
     ) -> None:
