--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -112,6 +112,8 @@
       tokens: The number of tokens that the request still needs.
       expires_in_ms: The time after which an unsettled charge counts as spent.
       is_delegated: Whether the sender delegates the charge.
+      is_connected: Whether the sender reaches the log, and so has tried to
+        raise its own grant. The receiver then lends from its grant as it is.
     """
 
     charge_id: str
@@ -119,6 +121,7 @@
     tokens: int
     expires_in_ms: int
     is_delegated: bool = False
+    is_connected: bool = False
 
 
 @attrs.frozen
@@ -133,12 +136,16 @@
         at any router; set for a delegated charge.
       retry_after_ms: After how long a refused delegated charge may be tried
         again; 0 if tokens are reserved, or if another hub should be asked.
+      is_final: Whether no time is known after which a refused delegated charge
+        may succeed, unless the account prepays more; `retry_after_ms` is then
+        for routers of releases without this field.
     """
 
     reserved_tokens: int
     spent_tokens: int
     fleet_spent_tokens: int = 0
     retry_after_ms: int = 0
+    is_final: bool = False
 
 
 @attrs.frozen
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -4,7 +4,7 @@
 consumed. If this router's grant does not cover a request, the router raises
 its grant through the shared log, while the log is reachable, and then borrows
 from other routers, each of which reserves what its own grant has available. A
-charge that is never settled counts as spent.
+charge that is not settled in time counts as spent until it is.
 
 What a grant has available is also limited by its ceiling, which rises with the
 age of the router's latest stamp in the log, see `ceiling`. A request that the
@@ -30,6 +30,9 @@
 from redwingchute.process import hub_choice
 from redwingchute.process import peer_network
 from redwingchute.process.prepaid import grant_manager
+from redwingchute.process.prepaid import lender_reachability
+from redwingchute.process.prepaid import lent_charges
+from redwingchute.process.prepaid import settlement_sender
 
 # How long a request waits for its router's grant to be raised. An append takes
 # about 10 ms, and several are needed when routers raise grants concurrently.
@@ -49,14 +52,6 @@
 _DELEGATION_TIMEOUT_MS = 350
 # How many hubs are asked until one replies.
 _MAX_DELEGATIONS = 3
-# How long no further request is sent to a lender that did not reply.
-_LENDER_BACKOFF_MS = 1_500
-# The same for the other routers of its availability zone.
-_ZONE_BACKOFF_MS = 500
-# How many times a settlement is sent before it is abandoned. If none arrived,
-# the lender counts the charge as spent when it expires.
-_MAX_SETTLE_ATTEMPTS = 4
-_SETTLE_TIMEOUT_MS = 1_000
 # A lent charge expires this long after the patience of the request's caller:
 # it then counts as spent.
 _CHARGE_EXPIRY_MARGIN_MS = 10_000
@@ -72,9 +67,6 @@
 # until the first event of the response.
 _MAX_CEILING_WAIT_MS = 400
 _MAX_CEILING_WAIT_SHARE = 0.1
-# The ids of this many ended charges are kept, so that a delayed message does
-# not reserve tokens for one of them again.
-_MAX_ENDED_CHARGES = 4_096
 
 
 class Network(Protocol):
@@ -138,19 +130,6 @@
     is_fresh: bool
 
 
-@attrs.define
-class _LentCharge:
-    """Tokens that are reserved here for another router's request.
-
-    Attributes:
-      charge: The reservations.
-      timer: Ends the charge when it expires.
-    """
-
-    charge: Charge
-    timer: asyncio.TimerHandle
-
-
 class Charger:
     """Charges and settles requests, and lends tokens to other routers."""
 
@@ -181,13 +160,17 @@
         self._read_clock_ms = read_clock_ms
         self._charge_id_prefix = f"{manager.own_host}.{incarnation:x}"
         self._charge_numbers = itertools.count(1)
-        self._lent_charges: dict[str, _LentCharge] = {}
-        # A set in order of insertion, so that the oldest ids can be removed.
-        self._ended_charge_ids: dict[str, None] = {}
-        self._backoff_until_ms: dict[str, int] = {}
+        self._lent_charges = lent_charges.LentCharges[Charge](
+            self._handle_expired_charge
+        )
+        self._reachability = lender_reachability.LenderReachability(
+            find_hubs, read_clock_ms
+        )
         # What hubs reported as spent at all routers, by account.
         self._fleet_spent_tokens: dict[str, int] = {}
-        self._tasks = background_tasks.BackgroundTasks()
+        self._settlements = settlement_sender.SettlementSender(
+            network, background_tasks.BackgroundTasks(), read_clock_ms
+        )
 
     async def admit(
         self,
@@ -246,17 +229,17 @@
             await manager.wait_until_started(_TAKEOVER_TIMEOUT_S)
         if manager.reserve(account, tokens):
             return self._make_local_charge(account, tokens)
-        remaining_tokens = manager.find_max_remaining(
+        remaining_tokens = manager.balances.find_max_remaining(
             account, request.prepaid_tokens
         )
         if tokens > remaining_tokens:
             # Too few tokens are left of `prepaid_tokens`. If that value is not
             # the newest, the account may have prepaid more since.
-            return self._refuse(request, remaining_tokens)
-        if tokens > manager.find_max_obtainable(
+            return self._refuse_at_hub(request, remaining_tokens)
+        if tokens > manager.balances.find_max_obtainable(
             account, request.prepaid_tokens
         ):
-            return self._refuse(request, remaining_tokens)
+            return self._refuse_at_hub(request, remaining_tokens)
         own_tokens = await manager.reserve_with_raise(
             account, tokens, _GRANT_RAISE_TIMEOUT_S
         )
@@ -267,16 +250,18 @@
             return charge
         if await self._wait_for_ceiling(request):
             return self._make_local_charge(account, tokens)
-        return self._refuse(
+        return self._refuse_at_hub(
             request,
-            manager.find_max_remaining(account, request.prepaid_tokens),
+            manager.balances.find_max_remaining(
+                account, request.prepaid_tokens
+            ),
         )
 
     async def _delegate(
         self, request: _ChargeRequest
     ) -> Charge | outcomes.NotRun:
         """Has a hub reserve the tokens of a request; see `admit`."""
-        retry_after_ms = _DEFAULT_RETRY_AFTER_MS
+        retry_after_ms: int | None = _DEFAULT_RETRY_AFTER_MS
         for host in self._list_hubs_to_ask(request.account):
             if request.tokens > self._find_fleet_remaining(request):
                 break
@@ -290,7 +275,11 @@
             if part is not None:
                 return Charge(request.account, (part,))
             if reply is not None and reply.retry_after_ms:
-                retry_after_ms = reply.retry_after_ms
+                retry_after_ms = (
+                    None
+                    if reply.is_final and request.is_fresh
+                    else reply.retry_after_ms
+                )
                 break
         return self._refuse(
             request, self._find_fleet_remaining(request), retry_after_ms
@@ -308,12 +297,11 @@
         demand there is steady. The last one is of another zone, in case the
         hubs of this zone are down.
         """
-        now_ms = self._read_clock_ms()
         view = self._find_hubs()
         hubs = [
             host
             for host in view.order_hubs(account)
-            if self._backoff_until_ms.get(host, 0) <= now_ms
+            if not self._reachability.is_in_backoff(host)
         ]
         local = [host for host in hubs if view.zones[host] == view.own_zone]
         remote = [host for host in hubs if view.zones[host] != view.own_zone]
@@ -343,15 +331,31 @@
           spent_tokens: The input tokens and the delivered output tokens; 0 if
             the request never ran.
         """
+        grant = self._manager.find_grant(charge.account)
+        self._settle_parts(charge, spent_tokens, grant.settle)
+
+    def _settle_parts(
+        self,
+        charge: Charge,
+        spent_tokens: int,
+        settle_own: Callable[[int, int], None],
+    ) -> None:
+        """Divides what a request consumed among the parts of its charge.
+
+        Args:
+          charge: The charge.
+          spent_tokens: What the request consumed.
+          settle_own: Settles a part at this router; called with the tokens of
+            the part and those of them that were consumed.
+        """
         unsettled_tokens = spent_tokens
         for part in charge.parts:
             part_spent_tokens = min(unsettled_tokens, part.tokens)
             unsettled_tokens -= part_spent_tokens
             if part.host == self._manager.own_host:
-                grant = self._manager.find_grant(charge.account)
-                grant.settle(part.tokens, part_spent_tokens)
+                settle_own(part.tokens, part_spent_tokens)
             else:
-                self._spawn_settlement(charge.account, part, part_spent_tokens)
+                self._send_settlement(charge.account, part, part_spent_tokens)
 
     async def handle_charge(
         self, peer: data.Host, request: prepaid.RemoteCharge
@@ -359,14 +363,18 @@
         """Lends tokens to another router for one of its requests."""
         grant = self._manager.find_grant(request.account)
         charge, retry_after_ms = await self._lend(request)
-        if charge is not None and request.charge_id in self._ended_charge_ids:
+        if charge is not None and self._lent_charges.has_ended(
+            request.charge_id
+        ):
             # The borrower settled the charge while the tokens were being
             # reserved.
             self.settle(charge, 0)
             charge = None
         reserved_tokens = _count_tokens(charge)
         if charge is not None:
-            self._add_lent_charge(request, charge)
+            self._lent_charges.add(
+                request.charge_id, charge, request.expires_in_ms
+            )
             decision_log.log_event(
                 "tokens_lent",
                 account=request.account,
@@ -381,6 +389,9 @@
             if request.is_delegated
             else 0,
             0 if reserved_tokens else retry_after_ms,
+            request.is_delegated
+            and not reserved_tokens
+            and self._manager.is_out_of_tokens(request.account, request.tokens),
         )
 
     def _find_fleet_spent(self, account: str) -> int:
@@ -390,7 +401,7 @@
         result never falls.
         """
         prepaid_tokens = self._list_prepaid_tokens().get(account, 0)
-        remaining_tokens = self._manager.find_max_remaining(
+        remaining_tokens = self._manager.balances.find_max_remaining(
             account, prepaid_tokens
         )
         reserved_tokens = self._manager.find_grant(account).reserved_tokens
@@ -401,9 +412,32 @@
     ) -> prepaid.RemoteSettlementReply:
         """Settles tokens that were lent to another router."""
         del peer
-        self._end_lent_charge(settlement.charge_id, settlement.spent_tokens)
+        charge = self._lent_charges.pop_open(settlement.charge_id)
+        expired = self._lent_charges.pop_expired(settlement.charge_id)
+        if charge is not None:
+            self.settle(charge, settlement.spent_tokens)
+        elif expired is not None:
+            grant = self._manager.find_grant(expired.account)
+            self._settle_parts(
+                expired, settlement.spent_tokens, grant.settle_expired
+            )
         return prepaid.RemoteSettlementReply(settlement.charge_id)
 
+    def _handle_expired_charge(self, charge: Charge) -> None:
+        """Counts what this router lent for a charge as spent.
+
+        Parts at other routers expire there.
+        """
+        for part in charge.parts:
+            if part.host == self._manager.own_host:
+                grant = self._manager.find_grant(charge.account)
+                grant.expire(part.tokens)
+        decision_log.log_event(
+            "lent_charge_expired",
+            account=charge.account,
+            tokens=_count_tokens(charge),
+        )
+
     def _make_local_charge(self, account: str, tokens: int) -> Charge:
         """Returns a charge whose tokens are all reserved at this router."""
         part = ChargePart(self._manager.own_host, "", tokens)
@@ -420,14 +454,18 @@
           The reservations, None without any and for a repeated request; and
           after how many ms a refused request may be tried again.
         """
-        if (
-            request.charge_id in self._lent_charges
-            or request.charge_id in self._ended_charge_ids
-        ):
+        if self._lent_charges.is_open(
+            request.charge_id
+        ) or self._lent_charges.has_ended(request.charge_id):
             return None, _DEFAULT_RETRY_AFTER_MS
         account, tokens = request.account, request.tokens
         if request.is_delegated:
             return await self._admit_delegated(request)
+        if request.is_connected:
+            # What this router could add to its grant, the borrower could too.
+            tokens = min(tokens, self._manager.find_grant(account).free_tokens)
+        if not tokens:
+            return None, _DEFAULT_RETRY_AFTER_MS
         if self._manager.reserve(account, tokens):
             return self._make_local_charge(account, tokens), 0
         reserved_tokens = await self._manager.reserve_with_raise(
@@ -471,11 +509,19 @@
             case outcomes.NotRun(retry_after_ms=retry_after_ms):
                 return None, retry_after_ms or _DEFAULT_RETRY_AFTER_MS
 
+    def _refuse_at_hub(
+        self, request: _ChargeRequest, remaining_tokens: int
+    ) -> outcomes.NotRun:
+        """Returns the refusal of a hub; see `_refuse`."""
+        return self._refuse(
+            request, remaining_tokens, self._find_retry_after_ms(request)
+        )
+
     def _refuse(
         self,
         request: _ChargeRequest,
         remaining_tokens: int,
-        retry_after_ms: int | None = None,
+        retry_after_ms: int | None,
     ) -> outcomes.NotRun:
         """Returns the refusal of a request that cannot be charged.
 
@@ -483,8 +529,8 @@
           request: The request.
           remaining_tokens: An upper bound of the tokens that the account has
             left.
-          retry_after_ms: After how long the caller may retry; None to compute
-            it from this router's grant.
+          retry_after_ms: After how long the caller may retry; None if no such
+            time is known.
         """
         account, tokens = request.account, request.tokens
         is_spent = tokens > remaining_tokens and request.is_fresh
@@ -500,7 +546,7 @@
             available_tokens=grant.find_available(self._read_clock_ms()),
             remaining_tokens=remaining_tokens,
             prepaid_tokens=request.prepaid_tokens,
-            unsure_tokens=self._manager.sum_unsure(account),
+            unsure_tokens=self._manager.balances.sum_unsure(account),
             exposed_tokens=self._manager.find_exposed(account),
             is_connected=self._manager.is_connected,
         )
@@ -514,13 +560,18 @@
             503,
             "budget_out_of_reach",
             "The tokens of the account cannot be reserved at the moment.",
-            self._find_retry_after_ms(account, tokens)
-            if retry_after_ms is None
-            else retry_after_ms,
+            retry_after_ms,
         )
 
-    def _find_retry_after_ms(self, account: str, tokens: int) -> int:
-        """Returns after how many ms a refused caller may retry."""
+    def _find_retry_after_ms(self, request: _ChargeRequest) -> int | None:
+        """Returns after how many ms a refused caller may retry.
+
+        Returns None if no time is known after which the account's tokens cover
+        the request.
+        """
+        account, tokens = request.account, request.tokens
+        if request.is_fresh and self._manager.is_out_of_tokens(account, tokens):
+            return None
         wait_ms = self._manager.find_wait_ms(account, tokens)
         if wait_ms is None:
             return _DEFAULT_RETRY_AFTER_MS
@@ -548,6 +599,9 @@
             for host in self._list_lenders(request.account):
                 if lacking_tokens <= 0:
                     break
+                # Another request may have found out meanwhile.
+                if not self._reachability.may_ask(host):
+                    continue
                 part, _ = await self._borrow(
                     host, request.account, lacking_tokens, request.patience_ms
                 )
@@ -582,22 +636,27 @@
             tokens,
             patience_ms + _CHARGE_EXPIRY_MARGIN_MS,
             is_delegated,
+            is_connected=self._manager.is_connected,
         )
         requested_part = ChargePart(host, charge_id, tokens)
         timeout_ms = (
             _DELEGATION_TIMEOUT_MS if is_delegated else _BORROW_TIMEOUT_MS
         )
         try:
-            reply = await self._network.call(host, request, timeout_ms)
+            with self._reachability.track_call(host):
+                reply = await self._network.call(host, request, timeout_ms)
         except asyncio.CancelledError:
-            self._spawn_settlement(account, requested_part, 0)
+            self._send_settlement(account, requested_part, 0)
             raise
         if not isinstance(reply, prepaid.RemoteChargeReply):
             # The lender may have reserved the tokens and its reply got lost.
-            self._start_backoff(host)
-            self._spawn_settlement(account, requested_part, 0)
+            self._reachability.record_silence(host)
+            self._send_settlement(account, requested_part, 0)
             return None, None
-        self._manager.record_peer_spent(account, host, reply.spent_tokens)
+        self._reachability.record_reply(host)
+        self._manager.balances.record_peer_spent(
+            account, host, reply.spent_tokens
+        )
         if is_delegated:
             self._fleet_spent_tokens[account] = max(
                 self._fleet_spent_tokens.get(account, 0),
@@ -609,13 +668,16 @@
         return part, reply
 
     def _list_lenders(self, account: str) -> list[str]:
-        """Returns the hosts to borrow from, most unspent tokens first.
+        """Returns the hosts to borrow from, those of this router's zone first.
+
+        In a zone, those with the most unspent tokens come first. Other zones
+        are slower to reach, and a cut may separate them.
 
         Routers without unspent tokens are left out while the log is reachable:
         what they could add to their grants, this router can add to its own.
-        Routers that recently did not reply are left out as well.
+        Routers that did not reply are left out as well, see
+        `lender_reachability`.
         """
-        now_ms = self._read_clock_ms()
         unspent_tokens = {
             row.host: row.granted_tokens - row.spent_tokens
             for row in self._manager.fold.list_rows(account)
@@ -624,82 +686,29 @@
             stamp.host
             for stamp in self._manager.fold.list_active_stamps()
             if stamp.host != self._manager.own_host
-            and self._backoff_until_ms.get(stamp.host, 0) <= now_ms
             and (
                 unspent_tokens.get(stamp.host, 0) > 0
                 or not self._manager.is_connected
             )
         ]
-        return sorted(hosts, key=lambda host: -unspent_tokens.get(host, 0))
-
-    def _start_backoff(self, host: str) -> None:
-        """Stops borrowing from a lender that did not reply, for some time.
-
-        The other hubs of its availability zone are left out as well, for a
-        shorter time, unless it is this router's zone: if the whole zone is cut
-        off, requests then wait for one timeout instead of one for each hub.
-        """
-        now_ms = self._read_clock_ms()
-        decision_log.log_event("lender_unreachable", lender=host)
         view = self._find_hubs()
-        zone = view.zones.get(host)
-        for other_host, other_zone in view.zones.items():
-            if other_zone == zone and zone != view.own_zone:
-                backoff_ms = self._backoff_until_ms.get(other_host, 0)
-                self._backoff_until_ms[other_host] = max(
-                    backoff_ms, now_ms + _ZONE_BACKOFF_MS
-                )
-        self._backoff_until_ms[host] = now_ms + _LENDER_BACKOFF_MS
+        return sorted(
+            hosts,
+            key=lambda host: (
+                view.zones.get(host) != view.own_zone,
+                -unspent_tokens.get(host, 0),
+            ),
+        )
 
-    def _spawn_settlement(
+    def _send_settlement(
         self, account: str, part: ChargePart, spent_tokens: int
     ) -> None:
         """Settles a reservation at another router in the background."""
-        self._tasks.spawn(self._settle_remotely(account, part, spent_tokens))
-
-    async def _settle_remotely(
-        self, account: str, part: ChargePart, spent_tokens: int
-    ) -> None:
-        """Sends a settlement to another router until it is confirmed."""
-        settlement = prepaid.RemoteSettlement(
-            part.charge_id, account, spent_tokens
-        )
-        for _ in range(_MAX_SETTLE_ATTEMPTS):
-            reply = await self._network.call(
-                part.host, settlement, _SETTLE_TIMEOUT_MS
-            )
-            if isinstance(reply, prepaid.RemoteSettlementReply):
-                return
-        decision_log.log_event(
-            "settlement_given_up",
-            account=account,
-            lender=part.host,
-            tokens=part.tokens,
-            spent_tokens=spent_tokens,
-        )
-
-    def _add_lent_charge(
-        self, request: prepaid.RemoteCharge, charge: Charge
-    ) -> None:
-        """Adds a lent charge, which counts as spent when it expires."""
-        timer = asyncio.get_running_loop().call_later(
-            request.expires_in_ms / 1000,
-            self._end_lent_charge,
-            request.charge_id,
-            _count_tokens(charge),
+        self._settlements.send(
+            part.host,
+            prepaid.RemoteSettlement(part.charge_id, account, spent_tokens),
+            part.tokens,
         )
-        self._lent_charges[request.charge_id] = _LentCharge(charge, timer)
-
-    def _end_lent_charge(self, charge_id: str, spent_tokens: int) -> None:
-        """Settles a lent charge; a repeated settlement has no effect."""
-        self._ended_charge_ids[charge_id] = None
-        while len(self._ended_charge_ids) > _MAX_ENDED_CHARGES:
-            del self._ended_charge_ids[next(iter(self._ended_charge_ids))]
-        lent_charge = self._lent_charges.pop(charge_id, None)
-        if lent_charge is None:
-            return
-        lent_charge.timer.cancel()
-        self.settle(lent_charge.charge, spent_tokens)
 
 
 def _count_tokens(charge: Charge | None) -> int:
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -30,6 +30,7 @@
 from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import shared_log
+from redwingchute.process.prepaid import account_balance
 from redwingchute.process.prepaid import append_planner
 from redwingchute.process.prepaid import era_planner
 from redwingchute.process.prepaid import grant as grant_lib
@@ -44,6 +45,9 @@
 # The interval at which stamps and changed rows are appended. What a successor
 # has to count as spent grows with the age of the last stamp.
 _APPEND_INTERVAL_MS = 500
+# A stamp that is older has missed an interval. It is renewed in an append that
+# cannot fail for those of other hosts.
+_MAX_STAMP_AGE_MS = 2 * _APPEND_INTERVAL_MS
 # Requests do not wait for an append if the last one took longer than this.
 _MAX_AWAITED_APPEND_MS = 60
 # The interval at which the rows of other hosts are read. They are also read
@@ -103,6 +107,7 @@
       has_appended_rows: Whether an append has succeeded since accounts with
         prepaid tokens became known and hosts had tokens of them.
       is_active: Whether the manager appends and reads rows.
+      balances: What the accounts have left.
     """
 
     def __init__(
@@ -166,8 +171,9 @@
             self._policy,
             self._is_suspended,
         )
-        # What other routers reported as spent, by account and host.
-        self._peer_spent_tokens: dict[tuple[str, str], int] = {}
+        self.balances = account_balance.AccountBalances(
+            own_stamp.host, self.fold, self.find_grant
+        )
         # What waiting requests need, by account.
         self._requested_tokens: dict[str, int] = {}
         self._append_requested = asyncio.Event()
@@ -183,6 +189,10 @@
         self._sequence = 0
         self._last_append_duration_ms = 0
         self._last_stamp_boot_ms = 0
+        # The time of the newest stamp that is known to be in the log.
+        self._log_stamp_boot_ms = 0
+        # Whether the last planned append only renewed the stamp.
+        self._has_renewed_stamp = False
         self._pending_append: append_planner.Append | None = None
         # The last takeover that was sent; its outcome may not be known.
         self._sent_takeover: append_planner.Append | None = None
@@ -303,68 +313,6 @@
         )
         return max(grant.free_tokens, ungranted_tokens)
 
-    def find_max_remaining(self, account: str, prepaid_tokens: int) -> int:
-        """Returns an upper bound of an account's tokens for further requests.
-
-        Subtracts what is spent or reserved at this router. For each other host
-        it subtracts the spent tokens of its row, or what its router reported as
-        spent if that is more. Unsure tokens of rows and of this router's grant,
-        which a crashed process may not have spent, are not subtracted: the
-        account may have them left.
-
-        Args:
-          account: The client account.
-          prepaid_tokens: All tokens that the account has prepaid.
-        """
-        others_spent_tokens = sum(
-            max(
-                row.spent_tokens - row.unsure_tokens,
-                self._peer_spent_tokens.get((account, row.host), 0),
-            )
-            for row in self.fold.list_rows(account)
-            if row.host != self.own_host
-        )
-        grant = self.find_grant(account)
-        own_spent_tokens = grant.committed_tokens - grant.unsure_tokens
-        return prepaid_tokens - others_spent_tokens - own_spent_tokens
-
-    def find_max_obtainable(self, account: str, prepaid_tokens: int) -> int:
-        """Returns an upper bound of what requests can reserve at present.
-
-        It is at most `find_max_remaining`: unsure tokens are subtracted, since
-        no router can reserve them until they are released.
-
-        Args:
-          account: The client account.
-          prepaid_tokens: All tokens that the account has prepaid.
-        """
-        others_spent_tokens = sum(
-            max(
-                row.spent_tokens,
-                self._peer_spent_tokens.get((account, row.host), 0),
-            )
-            for row in self.fold.list_rows(account)
-            if row.host != self.own_host
-        )
-        others_spent_tokens += self.fold.find_unaccounted(account)
-        committed_tokens = self.find_grant(account).committed_tokens
-        return prepaid_tokens - others_spent_tokens - committed_tokens
-
-    def sum_unsure(self, account: str) -> int:
-        """Returns the tokens that count as spent at any host without proof.
-
-        Processes that ended may not have spent them, and no router can reserve
-        them.
-
-        Args:
-          account: The client account.
-        """
-        return self.find_grant(account).unsure_tokens + sum(
-            row.unsure_tokens
-            for row in self.fold.list_rows(account)
-            if row.host != self.own_host
-        )
-
     def find_exposed(self, account: str) -> int:
         """Returns the tokens of an account that a crash would make unsure."""
         return self.find_grant(account).find_exposed(
@@ -377,19 +325,23 @@
             self._grants.values(), self._clocks.read_boot_ms()
         )
 
-    def record_peer_spent(
-        self, account: str, host: str, spent_tokens: int
-    ) -> None:
-        """Records the spent tokens that another router reported.
+    def is_out_of_tokens(self, account: str, tokens: int) -> bool:
+        """Returns whether a request will never get its tokens, by all rows.
+
+        Tokens that the account prepays later are left out.
 
         Args:
           account: The client account.
-          host: The host of the other router.
-          spent_tokens: All tokens of the account that it counts as spent.
+          tokens: The maximum cost of the request.
         """
-        key = (account, host)
-        recorded_tokens = self._peer_spent_tokens.get(key, 0)
-        self._peer_spent_tokens[key] = max(recorded_tokens, spent_tokens)
+        prepaid_tokens = self._list_prepaid_tokens().get(account, 0)
+        return (
+            self.is_connected
+            and tokens > self.balances.find_max_later(account, prepaid_tokens)
+            and not predecessor_grants.may_release_later(
+                self.fold, self._clocks.read_wall_ms()
+            )
+        )
 
     async def run(self) -> None:
         """Takes over the grants of the previous process and maintains them.
@@ -833,6 +785,7 @@
             ):
                 return
             append = self._pending_append
+            is_repeated = append is not None
             if append is None:
                 requested_tokens = self._list_requested_tokens()
                 append = self._pending_append = self._plan_append(
@@ -850,6 +803,9 @@
                     self._handle_appended(append, end)
                     if not self.has_appended_rows:
                         self.has_appended_rows = self._can_charge()
+                    if is_repeated:
+                        # Its stamp may be as old as an outage of the log.
+                        continue
                     if not self._lacks_tokens():
                         return
                     await self._follower.read_once()
@@ -914,9 +870,14 @@
         if not self._is_hub():
             rows = self._planner.plan_return_rows()
             return append_planner.Append(stamp, rows, None, self._sequence)
-        planned = self._planner.plan_rows(requested_tokens)
+        self._has_renewed_stamp = not self._has_renewed_stamp and (
+            stamp.boot_ms - self._log_stamp_boot_ms > _MAX_STAMP_AGE_MS
+        )
+        planned = self._planner.plan_rows(
+            requested_tokens, may_change=not self._has_renewed_stamp
+        )
         closure = None
-        if self._is_fresh():
+        if self._is_fresh() and not self._has_renewed_stamp:
             closure = era_planner.plan_closure(
                 self.fold, self._list_prepaid_tokens(), self._era_age_ms
             )
@@ -967,6 +928,7 @@
             self.is_connected = True
             decision_log.log_event("grants_connected", epoch=self._epoch)
         self._sequence = append.sequence + 1
+        self._log_stamp_boot_ms = append.stamp.boot_ms
         self._has_withdrawn = (
             append.stamp.is_leaving and not self._holds_tokens()
         )
