Add failing tests of resumed streams that can change version or service

What callers would see: a resumed stream that is answered 200 with the rest from another software version or service.

--- a/redwingchute/process/origin_exchange_test.py
+++ b/redwingchute/process/origin_exchange_test.py
@@ -1,5 +1,7 @@
 """Tests of what routers know of the streams that others began."""
 
+import attrs
+
 from redwingchute.core import forwarding
 from redwingchute.process import origin_exchange
 from redwingchute.request import stream_origins
@@ -123,3 +125,48 @@
     fleet.set_upstreams((unknown, other))
     fleet.now_ms += 20_000
     assert _read_version(fleet.resolve("host-0", "unknown")) is None
+
+
+# Guards against a take-up at the new version by a process that ran for long
+# before it read its first list, when the old version had just left.
+def test_a_router_without_a_list_has_no_history() -> None:
+    fleet = origin_rig.OriginFleet(3)
+    fleet.now_ms += 20_000
+    fleet.set_upstreams(_V2, "host-0")
+    assert _read_version(fleet.resolve("host-0", "unknown")) is None
+    assert _read_version(fleet.resolve("host-0", None)) is None
+
+
+# Guards against keepers that vouch for the only version of another router,
+# though they have read no list themselves.
+def test_keepers_without_a_list_vouch_for_nothing() -> None:
+    fleet = origin_rig.OriginFleet(3)
+    fleet.now_ms += 20_000
+    fleet.start_router("host-0")
+    fleet.set_upstreams(_V2, "host-0")
+    assert _read_version(fleet.resolve("host-0", "unknown")) is None
+
+
+# Guards against a stream that a cut-off router begins at a version that has
+# left the list, and that another router takes up at the only version it knows.
+def test_a_router_with_an_old_list_tells_where_its_streams_begin() -> None:
+    fleet = origin_rig.OriginFleet(3)
+    fleet.set_upstreams(_V1)
+    fleet.now_ms += 20_000
+    fleet.routers["host-0"].has_fresh_upstreams = False
+    fleet.set_upstreams(_V2, "host-1", "host-2")
+    fleet.now_ms += 20_000
+    fleet.routers["host-0"].exchange.record_begin("late", _V1[0])
+    fleet.routers["host-0"].is_reachable = False
+    assert _read_version(fleet.resolve("host-1", "late")) == "v1"
+
+
+# Guards against a stream that goes on at another service of a split route,
+# whose versions have the same names.
+def test_a_stream_goes_on_only_at_the_service_that_began_it() -> None:
+    fleet = origin_rig.OriginFleet(1)
+    fleet.set_upstreams(_V1)
+    elsewhere = attrs.evolve(_V1[0], id="x-1", service="other")
+    exchange = fleet.routers["host-0"].exchange
+    exchange.record_begin("request", elsewhere)
+    assert _read_version(fleet.resolve("host-0", "request")) is None
--- a/redwingchute/process/stream_versions_test.py
+++ b/redwingchute/process/stream_versions_test.py
@@ -136,3 +136,21 @@
             assert not _list_versions(rig, f"/summary/{number}")
 
     _run(scenario)
+
+
+# Guards against the rest of a stream from any version, where the route does not
+# let streams be resumed and the caller's header is passed on.
+def test_a_resumption_on_a_route_without_it_is_refused_as_not_run() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        response = await rig.send_request(
+            "/draft/1",
+            b"prompt",
+            token_usage=f"100,{_EVENTS}",
+            prompt_prefix="1:100",
+            model="m",
+            last_event_id="3",
+        )
+        assert response.status == 503
+        assert not _list_versions(rig, "/draft/1")
+
+    _run(scenario)
