Begin the history of versions with the first list of upstreams

What callers saw: a resumed stream could be answered 200 with its rest from another version, after all hosts were lost while the store was away or served only some of them. Cause: a process took its own start as the begin of its history of versions, and keepers vouched for it in the same way, though none had read a list in which the old version still stood; records that were deleted unread were not noticed either. Now the history begins with the first list, and anew with each list before which records may have been missed for over a second. A router then refuses as not run, as it does after its start. Ruled out: fresh entries alone, since they do not show what has left.

--- a/redwingchute/core/streams.py
+++ b/redwingchute/core/streams.py
@@ -62,7 +62,8 @@
       origins: The origin, if the router knows it.
       versions: The versions that the service has had since the stream may have
         begun, as far as the router knows.
-      has_history: Whether the router has run for that time.
+      has_history: Whether the router had a list of upstreams for that time, so
+        that it would have been told of other versions.
     """
 
     origins: tuple[StreamOrigin, ...]
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -266,6 +266,7 @@
             self._handle_upstream,
             self._upstream_directory.keep_only,
             _REWRITE_MS,
+            handle_gap=self._upstream_directory.begin_history,
         )
         self._caller_server = self._make_caller_server()
 
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -23,6 +23,9 @@
 # The first and the longest pause after a failed read; it doubles each time.
 _MIN_RETRY_S = 0.1
 _MAX_RETRY_S = 1.0
+# An entry that is written and removed within this time was not in use: its
+# writer has to start, to be read, and to be missed before it is removed.
+_MAX_MISSED_MS = 1_000
 
 
 @attrs.frozen
@@ -76,6 +79,7 @@
         retain_only: Callable[[frozenset[str]], None] | None = None,
         rewrite_ms: int = 0,
         begin_era: Callable[[int], None] | None = None,
+        handle_gap: Callable[[], None] | None = None,
     ) -> None:
         """Initializes the follower; `run` starts it.
 
@@ -91,6 +95,9 @@
             the log lost when it returned from a copy.
           begin_era: Called with the era before the first record of each era is
             delivered.
+          handle_gap: Called when records may have been missed: before those of
+            the first list, and of each later one unless the last read was just
+            before it.
         """
         self.confirmed_ms = 0
         self.failed_since_ms = 0
@@ -103,6 +110,7 @@
         self._retain_only = retain_only
         self._rewrite_ms = rewrite_ms
         self._begin_era = begin_era
+        self._handle_gap = handle_gap
         # When the writers have written again what the log may have lost; 0 if
         # it did not return from a copy, or if that time is over.
         self._rewritten_ms = 0
@@ -155,6 +163,12 @@
                 self._topic, self.position, wait_ms, timeout_ms
             ):
                 case shared_log.ReadRecords(records, next_position):
+                    if (
+                        self._handle_gap is not None
+                        and records
+                        and records[0].offset > self.position.offset
+                    ):
+                        self._handle_gap()
                     for record in records:
                         self._deliver_if_newer(record, next_position.era)
                     self.position = next_position
@@ -194,6 +208,11 @@
             # was delivered of the previous era.
             self._rewritten_ms = 0
             self._delivered.clear()
+        if self._handle_gap is not None and (
+            self.position is None
+            or started_ms - self.confirmed_ms > _MAX_MISSED_MS
+        ):
+            self._handle_gap()
         if self._begin_era is not None and (
             self.position is None or self.position.era != newest.era
         ):
--- a/redwingchute/process/keyed_follower_test.py
+++ b/redwingchute/process/keyed_follower_test.py
@@ -20,6 +20,7 @@
         self.log = memory_log.MemoryLog()
         self.delivered: list[tuple[str, bytes | None]] = []
         self.retained_keys: list[frozenset[str]] = []
+        self.gaps_ms: list[int] = []
         self.follower = keyed_follower.KeyedFollower(
             era_log.EraLog(self.log),
             "op",
@@ -28,6 +29,7 @@
             lambda record: self.delivered.append((record.key, record.value)),
             self.retained_keys.append,
             rewrite_ms,
+            handle_gap=lambda: self.gaps_ms.append(self.now_ms),
         )
 
     def append(self, key: str, value: bytes | None) -> None:
@@ -177,3 +179,33 @@
     reader.now_ms += 2_000
     reader.read()
     assert not reader.follower.is_settling
+
+
+# Guards against an upstream that is listed and removed again while its records
+# are deleted unread, and that is then taken for one that never was there.
+def test_records_that_may_have_been_missed_are_reported() -> None:
+    reader = _Reader()
+    reader.append("a", b"1")
+    reader.read()
+    assert reader.gaps_ms == [1_000]
+    reader.now_ms += 500
+    reader.append("a", b"2")
+    reader.log.topic.discard_history()
+    reader.append("a", b"3")
+    reader.read()
+    assert reader.gaps_ms == [1_000]
+    reader.now_ms += 1_500
+    reader.append("a", b"4")
+    reader.append("a", b"5")
+    reader.log.topic.discard_history()
+    reader.read()
+    assert reader.gaps_ms == [1_000, 3_000]
+    copied = copy.deepcopy(reader.log.topic)
+    reader.now_ms += 5_000
+    reader.return_from(copied)
+    reader.read()
+    assert len(reader.gaps_ms) == 3
+    reader.now_ms += 5_000
+    reader.append("a", b"6")
+    reader.read()
+    assert len(reader.gaps_ms) == 3
--- a/redwingchute/process/origin_exchange.py
+++ b/redwingchute/process/origin_exchange.py
@@ -246,5 +246,5 @@
         return streams.OriginReply(
             () if found is None else (found,),
             self._directory.list_versions(request.service, max_age_ms, now_ms),
-            self._directory.has_history(max_age_ms, now_ms),
+            self._directory.has_read_history(max_age_ms, now_ms),
         )
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -72,7 +72,7 @@
         self._pauses = requested_pauses.RequestedPauses(host)
         self.limits = upstream_limits.UpstreamLimits()
         self._read_clock_ms = read_clock_ms
-        self._versions = version_history.VersionHistory(read_clock_ms())
+        self._versions = version_history.VersionHistory()
 
     def set_upstream(self, upstream: forwarding.Upstream) -> None:
         """Adds an upstream or replaces its entry; its service may change.
@@ -141,10 +141,21 @@
         self._record_versions(service)
         return self._versions.list_versions(service, max_age_ms, now_ms)
 
+    def begin_history(self) -> None:
+        """Begins the history of versions, since entries may have been missed.
+
+        To be called before the entries of a complete list are set.
+        """
+        self._versions.begin(self._read_clock_ms())
+
     def has_history(self, max_age_ms: int, now_ms: int) -> bool:
-        """Returns whether versions were recorded for at least some time."""
+        """Returns whether all versions of some time are known."""
         return self._versions.covers(max_age_ms, now_ms)
 
+    def has_read_history(self, max_age_ms: int, now_ms: int) -> bool:
+        """Returns whether this process itself had a list for some time."""
+        return self._versions.has_read(max_age_ms, now_ms)
+
     def has_upstream(self, service: str, now_ms: int) -> bool:
         """Returns whether an upstream of a service accepts new work."""
         return any(True for _ in self._iterate_in_use(service, now_ms))
--- a/redwingchute/testing/origin_rig.py
+++ b/redwingchute/testing/origin_rig.py
@@ -58,6 +58,7 @@
       exchange: What it knows of streams.
       network: Its links.
       is_reachable: Whether other routers reach it.
+      has_list: Whether it has read a list of upstreams.
       has_fresh_upstreams: Whether it has read the upstreams just now.
     """
 
@@ -65,6 +66,7 @@
     network: _Network
     exchange: origin_exchange.OriginExchange = attrs.field(init=False)
     is_reachable: bool = True
+    has_list: bool = False
     has_fresh_upstreams: bool = True
 
 
@@ -114,6 +116,9 @@
         listed = tuple(upstreams)
         for host in hosts or tuple(self.routers):
             router = self.routers[host]
+            if not router.has_list:
+                router.directory.begin_history()
+                router.has_list = True
             router.directory.keep_only(
                 frozenset(upstream.id for upstream in listed)
             )
