Tell where streams begin while the list of upstreams is old

What callers saw: a stream that a router without the store had begun at a version that had left meanwhile went on at another router from the new version. Cause: a router tells where its streams begin only while it knows of several versions, and an old list does not show them. Now it tells as long as it cannot confirm its list, which costs two notices a stream while the store is away. Ruled out: to count versions longer after they have left, which refuses more and ends in the same way later.

--- a/redwingchute/process/origin_exchange.py
+++ b/redwingchute/process/origin_exchange.py
@@ -4,7 +4,8 @@
 that began it has gone. While a service has more than one software version, each
 router tells two routers of its zone where its streams began; anyone can compute
 which two from the id of the request. With one version nothing is sent: then the
-history of versions answers.
+history of versions answers. A router that can't read the list of upstreams does
+not know of other versions, so it tells too.
 """
 
 import asyncio
@@ -113,10 +114,11 @@
         now_ms = self._read_clock_ms()
         self._origins.record(origin, now_ms, is_own=True)
         checked_ms = self._mixed_ms.get(upstream.service)
-        if checked_ms is not None:
+        # A router with an old list does not know whether there are several.
+        if checked_ms is not None or not self._is_directory_fresh():
             self._tell((origin,))
-            if now_ms - checked_ms >= _CHECK_INTERVAL_MS:
-                self.handle_upstreams_changed(upstream.service)
+        if checked_ms is not None and now_ms - checked_ms >= _CHECK_INTERVAL_MS:
+            self.handle_upstreams_changed(upstream.service)
         return origin
 
     def handle_upstreams_changed(self, service: str) -> None:
