Let a stream go on only at the service that began it

What callers saw: the rest of a stream from another service, on routes that are split over services and after a route was moved, where versions of both services have the same name. Cause: the second request of a caller has another id, whose hash may choose another service, and an origin was compared by its version only. Now the id of the request that began the stream chooses the service, and an origin of another service is no origin.

--- a/redwingchute/process/origin_exchange.py
+++ b/redwingchute/process/origin_exchange.py
@@ -145,7 +145,7 @@
         """
         known = None if request_id is None else self._origins.find(request_id)
         if known is not None:
-            return self._resolve_origin(known, "local")
+            return self._resolve_origin(known, service, "local")
         now_ms = self._read_clock_ms()
         versions = set(
             self._directory.list_versions(service, max_age_ms, now_ms)
@@ -161,7 +161,7 @@
                 if reply is None:
                     continue
                 for origin in reply.origins:
-                    return self._resolve_origin(origin, host)
+                    return self._resolve_origin(origin, service, host)
                 versions |= set(reply.versions)
             is_complete = is_complete or (
                 bool(replies)
@@ -172,9 +172,14 @@
         return Resolved(stream_origins.VersionBond(versions.pop()), "versions")
 
     def _resolve_origin(
-        self, origin: streams.StreamOrigin, source: str
-    ) -> Resolved:
-        """Returns where the stream of a known origin may go on."""
+        self, origin: streams.StreamOrigin, service: str, source: str
+    ) -> Resolution:
+        """Returns where the stream of a known origin may go on.
+
+        Versions of different services have nothing in common but their names.
+        """
+        if origin.service != service:
+            return NotKnown()
         bond = self.make_bond(origin)
         age_ms = self._read_wall_ms() - origin.begun_ms
         return Resolved(bond, source, age_ms)
--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -108,7 +108,10 @@
             route=route,
             account=account,
             service=index.find_service(
-                route_index.choose_service(route, request.id)
+                # The rest of a stream comes from the service that began it.
+                route_index.choose_service(
+                    route, request.resumed_id or request.id
+                )
             ),
             arrived_ms=arrived_ms,
             patience_ms=patience_ms,
