Refuse the rest of a stream whose route lets none be resumed

What callers saw: with Last-Event-Id on a route whose streams may not be resumed, the header passed to an upstream of any version, which went on from there. Now such a request is refused as not run. Plain requests keep the header, which means nothing there.

--- a/redwingchute/request/stream_resumption.py
+++ b/redwingchute/request/stream_resumption.py
@@ -34,9 +34,9 @@
           The refusal if it is not known where the stream may go on.
         """
         request = plan.request
-        if not plan.route.is_resumable or not (
-            request.resumed_id or request.last_event_id is not None
-        ):
+        if not plan.route.is_resumable:
+            return _refuse_if_resumed(plan)
+        if not request.resumed_id and request.last_event_id is None:
             return None
         resolution = await self._origins.resolve(
             plan.service.name,
@@ -63,12 +63,7 @@
                     resumed_id=request.resumed_id,
                     cause="unknown",
                 )
-                return outcomes.NotRun(
-                    503,
-                    "unknown_version",
-                    "It is not known which version began the stream.",
-                    _RETRY_AFTER_MS,
-                )
+                return _make_refusal(_RETRY_AFTER_MS)
 
     def record_chunk(
         self,
@@ -100,3 +95,34 @@
         ):
             return self._origins.make_bond(progress.origin)
         return progress.bond
+
+
+def _refuse_if_resumed(plan: forward_plan.Plan) -> outcomes.NotRun | None:
+    """Refuses the rest of a stream of a route that lets none be resumed.
+
+    An upstream that got the header would go on with the stream of any version.
+    """
+    if (
+        plan.route.kind is not forwarding.RequestKind.STREAMING
+        or plan.request.last_event_id is None
+    ):
+        return None
+    decision_log.log_failure(
+        "resume_refused",
+        request_id=plan.request.id,
+        resumed_id=plan.request.resumed_id,
+        cause="not_resumable",
+    )
+    return outcomes.NotRun(
+        503, "not_resumable", "Streams of this route can't be resumed."
+    )
+
+
+def _make_refusal(retry_after_ms: int) -> outcomes.NotRun:
+    """Returns the refusal of a stream whose version is not known."""
+    return outcomes.NotRun(
+        503,
+        "unknown_version",
+        "It is not known which version began the stream.",
+        retry_after_ms,
+    )
