Know the versions of before after all hosts were lost

Cause: the history of versions ended with the processes, and nobody knew since when a route leads where it does. Now hubs keep marks of both in their entries of the list of hosts, and complete them from the log's records since; the others ask hubs.

--- a/redwingchute/core/streams.py
+++ b/redwingchute/core/streams.py
@@ -64,8 +64,11 @@
         begun, as far as the router knows.
       has_history: Whether the router had a list of upstreams for that time, so
         that it would have been told of other versions.
+      is_complete: Whether all versions of that time are among `versions`,
+        whatever the router was told.
     """
 
     origins: tuple[StreamOrigin, ...]
     versions: tuple[str, ...]
     has_history: bool
+    is_complete: bool = False
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -44,6 +44,7 @@
 from redwingchute.process import telemetry
 from redwingchute.process import timed_log
 from redwingchute.process import tunnel_server
+from redwingchute.process import version_marks
 from redwingchute.process.prepaid import charging
 from redwingchute.process.prepaid import grant_manager
 from redwingchute.request import crash_evidence
@@ -54,6 +55,7 @@
 from redwingchute.request import suspect_tracker
 from redwingchute.request import upstream_connector
 from redwingchute.request import upstream_directory
+from redwingchute.request import upstream_entry_log
 from redwingchute.request import upstream_paths
 from redwingchute.request import upstream_statements
 from redwingchute.version import route_index
@@ -217,6 +219,7 @@
             self._has_fresh_upstreams,
             read_boot_ms,
             read_wall_ms,
+            lambda: self._hub_view.order_hubs(settings.host_name),
         )
         self._crash_report_numbers = itertools.count(1)
         self._suspects = suspect_tracker.SuspectTracker(
@@ -268,6 +271,18 @@
             _REWRITE_MS,
             handle_gap=self._upstream_directory.begin_history,
         )
+        self._version_marks = version_marks.VersionMarks(
+            self._log,
+            settings.host_name,
+            ports.upstream_topic,
+            self._upstream_follower,
+            self._upstream_directory,
+            self._origins.routes,
+            ports.decode_upstream,
+            self._is_hub,
+            read_boot_ms,
+        )
+        self._registry.set_extension(self._version_marks)
         self._caller_server = self._make_caller_server()
 
     def _make_network(self) -> peer_network.PeerNetwork:
@@ -388,6 +403,7 @@
         self._tasks.spawn(self._configuration_follower.run())
         self._tasks.spawn(self._upstream_follower.run())
         self._tasks.spawn(self._registry.run())
+        self._tasks.spawn(self._version_marks.run())
         self._tasks.spawn(self._crash_journal.run())
         self._tasks.spawn(self._grant_manager.run())
         self._tasks.spawn(self._send_load_notices())
@@ -553,6 +569,7 @@
             )
             return
         self._route_index = route_index.RouteIndex(table)
+        self._origins.routes.record_table(table, read_boot_ms())
         limits = table.limits
         self._caller_server.set_limits(
             http_server.ServerLimits(
@@ -599,16 +616,7 @@
             for entry in (known, upstream):
                 if entry is not None:
                     self._origins.handle_upstreams_changed(entry.service)
-        if _affects_routing(known, upstream):
-            decision_log.log_event(
-                "upstream_changed",
-                upstream=record.key,
-                address=upstream.address if upstream else None,
-                is_listed=upstream is not None,
-                is_ready=upstream is not None and upstream.is_ready,
-                upstream_version=upstream.version if upstream else None,
-                born_ms=upstream.born_ms if upstream else None,
-            )
+        upstream_entry_log.log_change(record.key, known, upstream)
 
     def _has_fresh_upstreams(self) -> bool:
         """Returns whether the entries of upstreams were read just now."""
@@ -785,17 +793,3 @@
 def _log_failed_task(error: BaseException) -> None:
     """Logs the failure of a background task, none of which should end."""
     decision_log.log_failure("part_failed", reason=repr(error))
-
-
-def _affects_routing(
-    known: forwarding.Upstream | None, upstream: forwarding.Upstream | None
-) -> bool:
-    """Returns whether a changed entry affects where requests may be sent."""
-    if known is None or upstream is None:
-        return known is not upstream
-    return (known.address, known.is_ready, known.start, known.version) != (
-        upstream.address,
-        upstream.is_ready,
-        upstream.start,
-        upstream.version,
-    )
--- a/redwingchute/process/host_registry.py
+++ b/redwingchute/process/host_registry.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 import contextlib
 import json
+from typing import Any
+from typing import Protocol
 
 import attrs
 
@@ -94,6 +96,16 @@
     read_ms: int
 
 
+class EntryExtension(Protocol):
+    """Adds fields to the entry of the own host and reads those of all."""
+
+    def make_fields(self) -> dict[str, Any]:
+        """Returns the fields to add to the own entry now."""
+
+    def handle_entry(self, host: str, fields: dict[str, Any]) -> None:
+        """Handles all fields of the entry of a host."""
+
+
 class HostRegistry:
     """Registers the own host and lists the others.
 
@@ -121,6 +133,7 @@
           read_clock_ms: Returns the current time.
           handle_change: Called after `list_hosts` has changed.
         """
+        self._extension: EntryExtension | None = None
         self.has_settled = False
         self._log = log
         self.own_host = own_host
@@ -146,6 +159,10 @@
             self._handle_record,
         )
 
+    def set_extension(self, extension: EntryExtension) -> None:
+        """Sets what the entries also hold; to be called before `run`."""
+        self._extension = extension
+
     def list_hosts(self) -> tuple[RegisteredHost, ...]:
         """Returns the hosts that are neither leaving nor gone, by name."""
         return self._listed
@@ -200,11 +217,12 @@
 
     async def _append(self) -> bool:
         """Appends the own entry; returns whether the log has it."""
+        fields = attrs.asdict(self.own_host)
+        if self._extension is not None:
+            fields |= self._extension.make_fields()
         record = shared_log.KeyedRecord(
             self.own_host.name,
-            json.dumps(
-                attrs.asdict(self.own_host), separators=(",", ":")
-            ).encode(),
+            json.dumps(fields, separators=(",", ":")).encode(),
         )
         sent_ms = self._read_clock_ms()
         self._append_count += 1
@@ -254,6 +272,8 @@
             )
             return
         self._entries[host.name] = _Entry(host, self._read_clock_ms())
+        if self._extension is not None and record.value:
+            self._extension.handle_entry(host.name, json.loads(record.value))
 
     def _update_listed(self) -> None:
         """Recomputes the listed hosts and reports a change."""
--- a/redwingchute/process/origin_exchange.py
+++ b/redwingchute/process/origin_exchange.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 from typing import TypeAlias
 
@@ -20,11 +21,17 @@
 from redwingchute.core import streams
 from redwingchute.process import host_registry
 from redwingchute.process import peer_network
+from redwingchute.request import route_history
 from redwingchute.request import stream_origins
 from redwingchute.request import upstream_directory
 
 _KEEPERS = 2
+# The hubs that are asked while this router does not know all versions. One more
+# than a single failure takes.
+_ASKED_HUBS = 2
 _CALL_TIMEOUT_MS = 250
+# How long after the timeout of its route a caller may still resume a stream.
+_RESUME_MARGIN_MS = 5_000
 # The origins in one notice when a second version appears.
 _MAX_ORIGINS_PER_NOTICE = 256
 # How long ago streams began that are told then.
@@ -58,7 +65,11 @@
 
 
 class OriginExchange:
-    """The origins of streams that one router tells, keeps and asks for."""
+    """The origins of streams that one router tells, keeps and asks for.
+
+    Attributes:
+      routes: Since when the routes lead where they do.
+    """
 
     def __init__(
         self,
@@ -68,6 +79,7 @@
         is_directory_fresh: Callable[[], bool],
         read_clock_ms: Callable[[], int],
         read_wall_ms: Callable[[], int],
+        list_hubs: Callable[[], Sequence[str]] = tuple,
     ) -> None:
         """Creates the exchange of a router.
 
@@ -79,13 +91,16 @@
             just now.
           read_clock_ms: Returns the time on a steady clock.
           read_wall_ms: Returns the time of day.
+          list_hubs: Returns the other hubs in the order of preference.
         """
+        self._list_hubs = list_hubs
         self._network = network
         self._list_hosts = list_hosts
         self._directory = directory
         self._is_directory_fresh = is_directory_fresh
         self._read_clock_ms = read_clock_ms
         self._read_wall_ms = read_wall_ms
+        self.routes = route_history.RouteHistory()
         self._origins = stream_origins.StreamOrigins()
         # The services that had more than one version, and when that was last
         # checked.
@@ -150,23 +165,24 @@
         versions = set(
             self._directory.list_versions(service, max_age_ms, now_ms)
         )
-        # Either no version can be missing here, or a router that knew of
-        # another one would have told those that were asked.
-        is_complete = self._is_directory_fresh() and (
-            self._directory.has_history(max_age_ms, now_ms)
+        # Either no version can be missing here or at a hub, or a router that
+        # knew of another one would have told the keepers that were asked.
+        is_complete = self._is_complete(max_age_ms, now_ms)
+        request = streams.OriginRequest(request_id or "", service, max_age_ms)
+        keepers = [] if request_id is None else self._list_keepers(request_id)
+        hubs = [] if is_complete else list(self._list_hubs()[:_ASKED_HUBS])
+        replies = await self._ask(request, {*keepers, *hubs})
+        for host, reply in replies.items():
+            if reply is None:
+                continue
+            for origin in reply.origins:
+                return self._resolve_origin(origin, service, host)
+            versions |= set(reply.versions)
+            is_complete = is_complete or reply.is_complete
+        kept = [replies[host] for host in keepers]
+        is_complete = is_complete or (
+            bool(kept) and all(reply and reply.has_history for reply in kept)
         )
-        if request_id is not None:
-            replies = await self._ask(service, request_id, max_age_ms)
-            for host, reply in replies:
-                if reply is None:
-                    continue
-                for origin in reply.origins:
-                    return self._resolve_origin(origin, service, host)
-                versions |= set(reply.versions)
-            is_complete = is_complete or (
-                bool(replies)
-                and all(reply and reply.has_history for _, reply in replies)
-            )
         if not is_complete or len(versions) != 1 or "" in versions:
             return NotKnown()
         return Resolved(stream_origins.VersionBond(versions.pop()), "versions")
@@ -184,6 +200,16 @@
         age_ms = self._read_wall_ms() - origin.begun_ms
         return Resolved(bond, source, age_ms)
 
+    def find_max_age_ms(self, route: forwarding.Route) -> int:
+        """Returns how long ago a stream that is resumed may have begun."""
+        return self.routes.find_longest_timeout_ms(route) + _RESUME_MARGIN_MS
+
+    def has_led(self, route: forwarding.Route) -> bool:
+        """Returns whether all streams that a route may resume began there."""
+        return self.routes.has_led(
+            route, self.find_max_age_ms(route), self._read_clock_ms()
+        )
+
     def make_bond(
         self, origin: streams.StreamOrigin
     ) -> stream_origins.VersionBond:
@@ -191,22 +217,27 @@
         listed = self._directory.find(origin.upstream)
         return stream_origins.make_bond(origin, listed)
 
+    def _is_complete(self, max_age_ms: int, now_ms: int) -> bool:
+        """Returns whether this router knows all versions of some time."""
+        return self._is_directory_fresh() and self._directory.has_history(
+            max_age_ms, now_ms
+        )
+
     async def _ask(
-        self, service: str, request_id: str, max_age_ms: int
-    ) -> list[tuple[str, streams.OriginReply | None]]:
-        """Returns the routers that keep an origin, and their replies if any."""
-        keepers = self._list_keepers(request_id)
-        request = streams.OriginRequest(request_id, service, max_age_ms)
+        self, request: streams.OriginRequest, hosts: set[str]
+    ) -> dict[str, streams.OriginReply | None]:
+        """Returns the replies of other routers, or None, by their hosts."""
+        names = sorted(hosts)
         replies = await asyncio.gather(
             *(
                 self._network.call(host, request, _CALL_TIMEOUT_MS)
-                for host in keepers
+                for host in names
             )
         )
-        return [
-            (host, reply if isinstance(reply, streams.OriginReply) else None)
-            for host, reply in zip(keepers, replies, strict=True)
-        ]
+        return {
+            host: reply if isinstance(reply, streams.OriginReply) else None
+            for host, reply in zip(names, replies, strict=True)
+        }
 
     def _tell(self, origins: tuple[streams.StreamOrigin, ...]) -> None:
         """Tells the routers that keep them the origins of streams."""
@@ -254,4 +285,5 @@
             () if found is None else (found,),
             self._directory.list_versions(request.service, max_age_ms, now_ms),
             self._directory.has_read_history(max_age_ms, now_ms),
+            self._is_complete(max_age_ms, now_ms),
         )
--- a/redwingchute/process/stream_versions_test.py
+++ b/redwingchute/process/stream_versions_test.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import re
 
 from redwingchute.testing import gateway_rig
 
@@ -154,3 +155,64 @@
         assert not _list_versions(rig, "/draft/1")
 
     _run(scenario)
+
+
+# Guards against the rest of a stream from another version in the first second
+# after the loss of all hosts, when those that knew its version are gone too.
+def test_after_the_loss_of_all_hosts_no_stream_changes_its_version() -> None:
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        rig.set_faults("m-", break_after_events=4)
+        for number in range(8):
+            response = await _stream(rig, number, attempt_id=f"c{number:015x}")
+            assert not response.is_complete
+        rig.set_faults("m-", break_after_events=-1)
+        for lost in rig.gateways:
+            await lost.__aexit__(None, None, None)
+        for runner_id, version in _VERSIONS.items():
+            if version == "v1":
+                rig.store.write_record("keyed.servers", runner_id, None)
+        await rig.start_gateway("huon-1")
+        for number in range(8):
+            runs = _list_versions(rig, f"/summary/{number}")
+            for resumes in (f"c{number:015x}", ""):
+                response = await _stream(
+                    rig, number, -1, last_event_id="3", resumes=resumes
+                )
+                assert response.status == 503
+                assert "retry-after" in response.headers
+            assert _list_versions(rig, f"/summary/{number}") == runs
+
+    _run(scenario, gateway_count=2)
+
+
+# Guards against events that come twice or are missing, where a stream that the
+# caller resumed breaks off again and the router itself goes on with it.
+def test_a_resumed_stream_that_breaks_off_goes_on_after_its_last_event() -> (
+    None
+):
+    async def scenario(rig: gateway_rig.GatewayRig) -> None:
+        taken_over = 0
+        for number in range(_STREAMS):
+            rig.set_faults("m-", break_after_events=4)
+            first_id = f"d{number:015x}"
+            response = await _stream(rig, number, attempt_id=first_id)
+            events = response.body.count(b"\n\n")
+            rig.set_faults("m-", break_after_events=-1)
+            for runner_id in ("m-1", "m-2"):
+                rig.set_faults(runner_id, break_after_events=2)
+            response = await _stream(
+                rig,
+                number,
+                attempt_id=f"e{number:015x}",
+                resumes=first_id,
+                last_event_id=str(events - 1),
+            )
+            ids = re.findall(rb"^id: (\d+)$", response.body, re.MULTILINE)
+            assert response.is_complete
+            assert list(map(int, ids)) == list(range(events, _EVENTS))
+            versions = _list_versions(rig, f"/summary/{number}")
+            assert len(set(versions)) == 1
+            taken_over += len(versions) == 4
+        assert taken_over
+
+    _run(scenario)
--- a/redwingchute/request/stream_resumption.py
+++ b/redwingchute/request/stream_resumption.py
@@ -8,8 +8,6 @@
 from redwingchute.request import forward_progress
 from redwingchute.request import stream_origins
 
-# How long after the timeout of its route a caller may still resume a stream.
-_RESUME_MARGIN_MS = 5_000
 # Retry-after of a refusal whose cause has no known end.
 _RETRY_AFTER_MS = 500
 
@@ -41,9 +39,13 @@
         resolution = await self._origins.resolve(
             plan.service.name,
             request.resumed_id,
-            plan.route.timeout_ms + _RESUME_MARGIN_MS,
+            self._origins.find_max_age_ms(plan.route),
         )
         match resolution:
+            case origin_exchange.Resolved(_, "versions") if not (
+                self._origins.has_led(plan.route) and _is_service_known(plan)
+            ):
+                return _refuse_unknown(plan, "moved")
             case origin_exchange.Resolved(bond, source, age_ms):
                 progress.bond = bond
                 decision_log.log_event(
@@ -57,13 +59,7 @@
                 )
                 return None
             case origin_exchange.NotKnown():
-                decision_log.log_failure(
-                    "resume_refused",
-                    request_id=request.id,
-                    resumed_id=request.resumed_id,
-                    cause="unknown",
-                )
-                return _make_refusal(_RETRY_AFTER_MS)
+                return _refuse_unknown(plan, "unknown")
 
     def record_chunk(
         self,
@@ -118,11 +114,22 @@
     )
 
 
-def _make_refusal(retry_after_ms: int) -> outcomes.NotRun:
-    """Returns the refusal of a stream whose version is not known."""
+def _is_service_known(plan: forward_plan.Plan) -> bool:
+    """Returns whether the caller's request shows which service began it."""
+    return bool(plan.request.resumed_id) or len(plan.route.services) == 1
+
+
+def _refuse_unknown(plan: forward_plan.Plan, cause: str) -> outcomes.NotRun:
+    """Refuses the rest of a stream whose version is not known."""
+    decision_log.log_failure(
+        "resume_refused",
+        request_id=plan.request.id,
+        resumed_id=plan.request.resumed_id,
+        cause=cause,
+    )
     return outcomes.NotRun(
         503,
         "unknown_version",
         "It is not known which version began the stream.",
-        retry_after_ms,
+        _RETRY_AFTER_MS,
     )
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
 
@@ -148,6 +149,32 @@
         """
         self._versions.begin(self._read_clock_ms())
 
+    @property
+    def history_began_ms(self) -> int | None:
+        """When the history of versions began in this process; None before."""
+        return self._versions.began_ms
+
+    def measure_history_ms(self, now_ms: int) -> int:
+        """Returns how far back all versions are known."""
+        return self._versions.measure_ms(now_ms)
+
+    def list_all_versions(
+        self, now_ms: int
+    ) -> tuple[version_history.ListedVersion, ...]:
+        """Returns the versions of all services that are remembered."""
+        for service in self._pools:
+            self._record_versions(service)
+        return self._versions.list_all(now_ms)
+
+    def restore_versions(
+        self,
+        covered_ms: int,
+        listed: Iterable[version_history.ListedVersion],
+        now_ms: int,
+    ) -> None:
+        """Adds what is known of versions before the history began."""
+        self._versions.restore(covered_ms, listed, now_ms)
+
     def has_history(self, max_age_ms: int, now_ms: int) -> bool:
         """Returns whether all versions of some time are known."""
         return self._versions.covers(max_age_ms, now_ms)
--- a/redwingchute/request/version_history.py
+++ b/redwingchute/request/version_history.py
@@ -42,6 +42,11 @@
         # When each version was last listed, by service.
         self._listed_ms: dict[str, dict[str, int]] = {}
 
+    @property
+    def began_ms(self) -> int | None:
+        """Since when this process has read all lists; None before."""
+        return self._read_since_ms
+
     def begin(self, now_ms: int) -> None:
         """Begins the history anew: what was listed before may be unknown."""
         self._read_since_ms = self._known_since_ms = now_ms
--- a/redwingchute/wire/request.capnp
+++ b/redwingchute/wire/request.capnp
@@ -18,4 +18,4 @@
 struct StreamOrigin { requestId @0 :Text; service @1 :Text; upstream @2 :Text; bornMs @3 :Int64; version @4 :Text; begunMs @5 :Int64; }
 struct OriginNotice { origins @0 :List(StreamOrigin); }
 struct OriginRequest { requestId @0 :Text; service @1 :Text; maxAgeMs @2 :Int64; }
-struct OriginReply { origins @0 :List(StreamOrigin); versions @1 :List(Text); hasHistory @2 :Bool; }
+struct OriginReply { origins @0 :List(StreamOrigin); versions @1 :List(Text); hasHistory @2 :Bool; isComplete @3 :Bool; }
