Add failing tests of requests that come byte by byte

Operators of similar systems saw stalled exchanges that sent a byte now and then and never ended. Here the wait for more bytes of a request begins anew with each byte, so a head may take 16 KB times the wait, and a body 4 MB times it. Both cases fail after 2 s with waits of 0.1 s; a sound body that is slower than one wait is received (passes).

--- a/redwingchute/connection/http_server_test.py
+++ b/redwingchute/connection/http_server_test.py
@@ -10,6 +10,8 @@
 _LIMITS = http_server.ServerLimits(
     header_bytes=1024, body_bytes=64, idle_ms=200, receive_ms=100
 )
+# Longer than a request may take to arrive under these limits.
+_DRIP_TIMEOUT_S = 2.0
 _COMPLETE = b"GET /whole HTTP/1.1\r\nhost: a\r\n\r\n"
 _UNRECEIVED = {
     "half_a_head": (b"POST /cut HTTP/1.1\r\nho", 408),
@@ -62,10 +64,13 @@
         handle, "127.0.0.1", 0, _LIMITS
     ) as server:
         reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        receiving = asyncio.ensure_future(reader.read())
         for segment in segments:
+            if receiving.done():
+                break
             writer.write(segment)
             await asyncio.sleep(pause_s)
-        received = await reader.read()
+        received = await receiving
         writer.close()
         return received
 
@@ -132,6 +137,53 @@
     assert _list_statuses(received) == [200, 200]
 
 
+async def _send_slowly(
+    targets: list[str], begin: bytes, drip: bytes, pause_s: float
+) -> tuple[bytes, float]:
+    """Sends a beginning at once and the rest in single bytes.
+
+    Returns:
+      What the server sends until it closes the connection, and after how many
+      seconds that was.
+    """
+    async with asyncio.timeout(_DRIP_TIMEOUT_S):
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        segments = [begin, *(bytes((byte,)) for byte in drip)]
+        received = await _send(targets, *segments, pause_s=pause_s)
+        return received, loop.time() - began_s
+
+
+# A request whose bytes came now and then held its connection without end.
+@pytest.mark.parametrize("part", ["head", "body"])
+def test_a_request_that_comes_byte_by_byte_is_refused_in_time(
+    part: str,
+) -> None:
+    begin = b"POST /drip HTTP/1.1\r\nhost: a\r\n"
+    drip = b"x-a: " + b"a" * 200
+    if part == "body":
+        begin += b"content-length: 60\r\n\r\n"
+        drip = b"a" * 59
+    targets: list[str] = []
+    received, elapsed_s = asyncio.run(
+        _send_slowly(targets, begin, drip, pause_s=0.04)
+    )
+    assert _list_statuses(received) == [408]
+    assert not targets
+    assert elapsed_s < _DRIP_TIMEOUT_S
+
+
+# Guards against a slow body that is sound and is cut off.
+def test_a_body_slower_than_one_wait_is_received() -> None:
+    targets: list[str] = []
+    begin = b"POST /slow HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\n"
+    received, _ = asyncio.run(
+        _send_slowly(targets, begin, b"a" * 8, pause_s=0.04)
+    )
+    assert _list_statuses(received) == [200]
+    assert targets == ["/slow"]
+
+
 # A server that closes promised "not run" for a request that a handler had.
 def test_a_server_that_closes_sends_no_response_for_a_handled_request() -> None:
     async def main() -> None:
