Refuse requests that take too long to arrive, however steadily they come

Cause: the wait for more bytes of a request began anew with each byte, so a caller that sends one now and then held a connection, its memory and a descriptor without end.

Change: a head has the time that the configuration allows for it from its first byte on; a body has the same wait between bytes as before and a minute in all, longer than any caller waits for its response. Requests that do not arrive are refused with 408, as before; no handler sees them.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -37,7 +37,10 @@
       header_bytes: The request line and headers together, and any single line.
       body_bytes: The size of the body of one request.
       idle_ms: The time without a request on a kept-alive connection.
-      receive_ms: The wait for more bytes of a request that has begun.
+      receive_ms: The time that a head may take from its first byte, and the
+        wait for more bytes of a body.
+      body_ms: The time that a body may take in all, however steadily it comes.
+        No caller waits longer for its response.
       unread_ms: How long a client may leave a full send buffer unread.
     """
 
@@ -45,6 +48,7 @@
     body_bytes: int = 4 * 1024 * 1024
     idle_ms: int = 60_000
     receive_ms: int = 15_000
+    body_ms: int = 60_000
     unread_ms: int = 30_000
 
 
@@ -405,6 +409,8 @@
         head: h11.Request | None = None
         body = bytearray()
         wait_ms = self._limits.idle_ms
+        read_clock_s = asyncio.get_running_loop().time
+        begun_s: float | None = None
         while True:
             try:
                 event = connection.next_event()
@@ -414,6 +420,7 @@
                 ) from error
             if isinstance(event, h11.Request):
                 head = event
+                begun_s = read_clock_s()
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._limits.body_bytes:
@@ -431,14 +438,31 @@
                         )
                     )
                 is_idle = head is None and not connection.trailing_data[0]
+                if begun_s is not None:
+                    elapsed_ms = int(1000 * (read_clock_s() - begun_s))
+                    wait_ms = self._find_wait_ms(head is None, elapsed_ms)
                 data = await self._read(reader, writer, wait_ms, is_idle)
                 if data is None:
                     return None
-                wait_ms = self._limits.receive_ms
+                if begun_s is None:
+                    begun_s = read_clock_s()
                 connection.receive_data(data)
             else:
                 return None
 
+    def _find_wait_ms(self, is_head: bool, elapsed_ms: int) -> int:
+        """Returns how long to wait for more bytes of a request.
+
+        Args:
+          is_head: Whether its head is incomplete.
+          elapsed_ms: The time since the first byte of its head, or since its
+            head was complete.
+        """
+        limits = self._limits
+        if is_head:
+            return max(0, limits.receive_ms - elapsed_ms)
+        return min(limits.receive_ms, max(0, limits.body_ms - elapsed_ms))
+
     async def _read(
         self,
         reader: asyncio.StreamReader,
--- a/redwingchute/connection/http_server_test.py
+++ b/redwingchute/connection/http_server_test.py
@@ -8,7 +8,11 @@
 from redwingchute.connection import http_server
 
 _LIMITS = http_server.ServerLimits(
-    header_bytes=1024, body_bytes=64, idle_ms=200, receive_ms=100
+    header_bytes=1024,
+    body_bytes=64,
+    idle_ms=200,
+    receive_ms=100,
+    body_ms=1_000,
 )
 # Longer than a request may take to arrive under these limits.
 _DRIP_TIMEOUT_S = 2.0
