Show that a fleet sends a cold upstream far more than it bears

Callers' work ended with the upstream: of 12 gateways that share one cold upstream each sent its part, 39 requests in a second where 11 are allowed. No code reads how long an upstream stays cold. The stand-in runner now states it in its entry and its health responses, and has a zone.

--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -70,6 +70,7 @@
         listens again after `crash_ms` under the same id, with another birth.
         Empty for none.
       crash_ms: How long the runner is down then.
+      cold_start_ms: How long it is cold after it started again.
       event_ms: The time between two events of a stream.
       work_ms: The time to run a plain request.
       version: The software version in the entry; None leaves it out.
@@ -96,6 +97,7 @@
     max_rejections: int = attrs.field(default=-1, metadata={"minimum": -1})
     crash_marker: str = ""
     crash_ms: int = 300
+    cold_start_ms: int = 0
     event_ms: int = 5
     work_ms: int = 5
     version: str | None = "v1"
@@ -135,6 +137,8 @@
       cancelled: The number of runs whose caller disconnected.
       entry_count: The number of entries made for the store.
       born_ms: The time of its last start, in milliseconds.
+      zone: Its availability zone.
+      cold_until_ms: Until when it is cold, in milliseconds.
     """
 
     def __init__(
@@ -174,6 +178,17 @@
         )
         self.entry_count = 0
         self.born_ms = base.now_ms()
+        self.zone = ""
+        self.cold_until_ms = 0
+
+    @property
+    def cold_remaining_ms(self) -> int:
+        """How long it stays cold; 0 if it is warm."""
+        return max(0, self.cold_until_ms - base.now_ms())
+
+    def turn_cold(self, duration_ms: int) -> None:
+        """Turns cold for some time; what it bears meanwhile isn't enforced."""
+        self.cold_until_ms = base.now_ms() + duration_ms
 
     def make_entry(self, state: str = "ready") -> dict[str, Any]:
         """Returns the runner's entry in the store.
@@ -185,10 +200,10 @@
         entry = {
             "service": self.service,
             "address": f"{self.address}:{self.port}",
-            "zone": "",
+            "zone": self.zone,
             "slots": self.faults.capacity or _DEFAULT_SLOTS,
             "state": state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self.cold_remaining_ms,
             "born": self.born_ms,
             "sequence": self.entry_count,
         }
@@ -208,6 +223,7 @@
         if request.path == "/healthz":
             headers = [("instance-id", self.runner_id)]
             headers += self._list_status_headers()
+            headers.append(("cold-start-ms", str(self.cold_remaining_ms)))
             await responder.send(200, b"", headers=headers)
             return
         self.arrivals += 1
@@ -351,6 +367,7 @@
         """Listens again after a crash, as a new start of the runner."""
         await asyncio.sleep(self.faults.crash_ms / 1000)
         self.born_ms = base.now_ms()
+        self.turn_cold(self.faults.cold_start_ms)
         await self.restart()
 
     async def _respond(
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -160,9 +160,20 @@
         encoded = json.dumps(document).encode()
         self.store.write_record("keyed.op", "config", encoded)
 
-    async def start_runner(self, runner_id: str, service: str) -> runner.Runner:
-        """Starts a runner and publishes its entry."""
+    async def start_runner(
+        self, runner_id: str, service: str, zone: str = "", cold_ms: int = 0
+    ) -> runner.Runner:
+        """Starts a runner and publishes its entry.
+
+        Args:
+          runner_id: The id of the runner.
+          service: The name of its service.
+          zone: Its availability zone.
+          cold_ms: How long it is cold.
+        """
         started = runner.Runner(runner_id, service)
+        started.zone = zone
+        started.turn_cold(cold_ms)
         await self._stack.enter_async_context(started)
         self.runners[runner_id] = started
         self.publish_runner(runner_id)
@@ -176,6 +187,10 @@
         encoded = json.dumps(entry).encode()
         self.store.write_record("keyed.servers", runner_id, encoded)
 
+    def remove_runner(self, runner_id: str) -> None:
+        """Removes a runner's entry from the store."""
+        self.store.write_record("keyed.servers", runner_id, None)
+
     def set_faults(self, id_prefix: str, **faults: Any) -> None:
         """Sets faults of all runners whose ids have a prefix."""
         for runner_id, found in self.runners.items():
