Limit what cold upstreams get to the rate that the configuration names

Callers lost their work with upstreams that had just started: each host sent its part, and all of them together far more than a cold upstream bears. Nothing read how long an upstream stays cold.

A cold upstream is now a limit with a known end: each request to one needs a permit of the limiters that the limits which upstreams name have already. Each router knows from entries until when a start is cold; a start that states nothing is cold by its age; one whose connection failed is cold until its second entry after that, and other routers are told. Hosts of the earlier release ignore the new field, so that a permit counts only if its limiter says that it counts cold requests.

Configurations without a cold rate send no permit requests.

--- a/redwingchute/core/forwarding.py
+++ b/redwingchute/core/forwarding.py
@@ -84,11 +84,16 @@
         from all routers; 0 if none is stated.
       tokens_per_event: The output tokens in one event of a stream; 0 for
         services that do not generate tokens.
+      cold_start_ms: How long an upstream is cold after its start.
+      cold_requests_per_s: The requests a second that a cold upstream bears of
+        all routers together; 0 if upstreams are never cold.
     """
 
     name: str
     max_connections: int = 0
     tokens_per_event: int = 0
+    cold_start_ms: int = 0
+    cold_requests_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -183,6 +188,8 @@
       sequence: Rises with each entry that the instance writes.
       version: The version of its software; empty if it is not known. Versions
         have no order.
+      cold_ms: How long it stays cold, in milliseconds from when it wrote the
+        entry; None if the entry does not state it.
     """
 
     id: str
@@ -194,6 +201,7 @@
     born_ms: int = 0
     sequence: int = 0
     version: str = ""
+    cold_ms: int | None = None
 
     @property
     def revision(self) -> tuple[int, int]:
--- a/redwingchute/core/rate_limiting.py
+++ b/redwingchute/core/rate_limiting.py
@@ -2,7 +2,8 @@
 
 An upstream in need names in its responses how many requests a second it takes
 from all routers together. A brittle one names how many requests a second it can
-reject for want of room before it fails. Routers send the records `LimitNotice`,
+reject for want of room before it fails. A cold one bears what the configuration
+says, until a known time. Routers send the records `LimitNotice`, `ColdNotice`,
 `PermitRequest`, `PermitReply` and `PermitReturn` to each other; each has a
 schema struct of the same name in wire/request.capnp.
 """
@@ -91,6 +92,25 @@
     limit: KnownLimit
 
 
+@attrs.frozen
+class ColdNotice:
+    """Tells other routers that an upstream is cold, or may be.
+
+    Attributes:
+      upstream: The upstream.
+      born_ms: Its start time; 0 if it is not known.
+      sequence: The number of the newest entry that the observing router had
+        read.
+      cold_ms: How long it stays cold; 0 if a connection to it failed, so that
+        it may have started again.
+    """
+
+    upstream: str
+    born_ms: int
+    sequence: int
+    cold_ms: int
+
+
 @attrs.frozen
 class PermitRequest:
     """Asks a limiter of an upstream to permit one request.
@@ -102,6 +122,8 @@
       limit: What the asking router knows of its limit.
       is_urgent: Whether the request has the highest priority.
       slots: How many requests the upstream runs at once.
+      cold_requests_per_s: What the upstream bears while it is cold; 0 if the
+        asking router takes it for warm.
     """
 
     upstream: str
@@ -110,6 +132,7 @@
     limit: KnownLimit
     is_urgent: bool
     slots: int = 1
+    cold_requests_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -121,12 +144,15 @@
       is_permitted: Whether the request may be sent.
       wait_ms: When the next request will be permitted, if nobody asks before.
       limit: What the replying router knows of the limit.
+      counts_cold: Whether it counts the requests to a cold upstream; a router
+        of an earlier release does not.
     """
 
     is_limiter: bool
     is_permitted: bool
     wait_ms: int
     limit: KnownLimit
+    counts_cold: bool = False
 
 
 @attrs.frozen
--- a/redwingchute/platform/configuration_document.py
+++ b/redwingchute/platform/configuration_document.py
@@ -71,6 +71,8 @@
         max_connections=int(fields.get("maxConnections", 0)),
         # `stride` is the number of output tokens in one event of a stream.
         tokens_per_event=int(engine.get("stride", 1)) if engine else 0,
+        cold_start_ms=int(1_000 * float(fields.get("coldStartS") or 0)),
+        cold_requests_per_s=float(fields.get("coldPerS") or 0),
     )
 
 
--- a/redwingchute/platform/document_encoder.py
+++ b/redwingchute/platform/document_encoder.py
@@ -103,6 +103,9 @@
     }
     if service.tokens_per_event:
         fields["inferenceEngine"] = {"stride": service.tokens_per_event}
+    if service.cold_requests_per_s:
+        fields["coldStartS"] = service.cold_start_ms / 1000
+        fields["coldPerS"] = service.cold_requests_per_s
     return fields
 
 
--- a/redwingchute/platform/document_encoder_test.py
+++ b/redwingchute/platform/document_encoder_test.py
@@ -67,6 +67,7 @@
             forwarding.Service("llm", 64, tokens_per_event=5),
             forwarding.Service("llm-2", 64, tokens_per_event=5),
             forwarding.Service("ledger", 10),
+            forwarding.Service("llm-3", 64, 5, 3_000, 7.7),
         ),
         accounts=(
             forwarding.ClientAccount("yield", frozenset({"a", "b"}), 2, 900),
--- a/redwingchute/platform/documents_test.py
+++ b/redwingchute/platform/documents_test.py
@@ -88,6 +88,27 @@
     assert upstream_entries.decode_upstream("i-1", value) is None
 
 
+@pytest.mark.parametrize(
+    "value, expected",
+    [(0, 0), (900, 900), (899.5, 900), (-1, None), (True, None), ("9", None)],
+)
+def test_an_entry_states_how_long_the_upstream_stays_cold(
+    value: Any, expected: int | None
+) -> None:
+    encoded = json.dumps({**_ENTRY, "coldRemainingMs": value}).encode()
+    upstream = upstream_entries.decode_upstream("i-1", encoded)
+    assert upstream is not None
+    assert upstream.cold_ms == expected
+
+
+def test_a_service_has_a_rate_for_cold_upstreams() -> None:
+    document = gateway_rig.make_document()
+    document["services"][1] |= {"coldStartS": 2.5, "coldPerS": 7.7}
+    ledger, llm = _decode(document).services
+    assert (ledger.cold_start_ms, ledger.cold_requests_per_s) == (0, 0.0)
+    assert (llm.cold_start_ms, llm.cold_requests_per_s) == (2_500, 7.7)
+
+
 @pytest.mark.parametrize("value", [b"\xff\x00", b"7", b"null", b"{"])
 def test_malformed_entries_are_ignored(value: bytes) -> None:
     assert upstream_entries.decode_upstream("i-1", value) is None
--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -39,6 +39,8 @@
 # The requests a second that an upstream takes from all routers together.
 _LIMIT = "server-limit"
 _REJECTION_LIMIT = "server-brittle"
+# How many milliseconds an upstream stays cold.
+_COLD_REMAINING = "cold-start-ms"
 _DECIMAL_NUMBER = re.compile(r"(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?", re.ASCII)
 
 _KEY_SCHEME = "bearer "
@@ -158,6 +160,7 @@
             retry_after_ms=_read_retry_after_ms(head),
             limit=_read_limit(head, _LIMIT),
             rejection_limit=_read_limit(head, _REJECTION_LIMIT),
+            cold_ms=_read_cold_ms(head),
         )
 
     def build_response_headers(
@@ -234,6 +237,15 @@
     return int(1000 * seconds)
 
 
+def _read_cold_ms(head: http_client.ResponseHead) -> int | None:
+    """Returns how long an upstream stays cold, or None if it states none."""
+    text = head.headers.get(_COLD_REMAINING, "").strip()
+    if not _DECIMAL_NUMBER.fullmatch(text):
+        return None
+    cold_ms = float(text)
+    return math.ceil(cold_ms) if math.isfinite(cold_ms) else None
+
+
 def _read_limit(
     head: http_client.ResponseHead, header_name: str
 ) -> rate_limiting.NamedLimit:
--- a/redwingchute/platform/headers_test.py
+++ b/redwingchute/platform/headers_test.py
@@ -123,6 +123,17 @@
     assert response.is_leaving == is_leaving
 
 
+@pytest.mark.parametrize(
+    "text, cold_ms", [("900", 900), ("0", 0), ("", None), ("soon", None)]
+)
+def test_a_response_states_how_long_the_upstream_stays_cold(
+    text: str, cold_ms: int | None
+) -> None:
+    head = http_client.ResponseHead(200, {"cold-start-ms": text})
+    response = headers.PlatformHeaderTranslator().parse_response(head)
+    assert response.cold_ms == cold_ms
+
+
 def test_request_headers_are_decoded() -> None:
     read = _TRANSLATOR.parse_request(
         _make_request(
--- a/redwingchute/platform/upstream_entries.py
+++ b/redwingchute/platform/upstream_entries.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import math
 from typing import Any
 
 from redwingchute.connection import http_client
@@ -49,6 +50,7 @@
         born_ms=_read_count(fields.get("born")),
         sequence=_read_count(fields.get("sequence")),
         version=_read_text(fields.get("version")),
+        cold_ms=_read_duration_ms(fields.get("coldRemainingMs")),
     )
 
 
@@ -70,3 +72,12 @@
     """Returns an integer field, or 0 if the value is no integer."""
     is_count = isinstance(value, int) and not isinstance(value, bool)
     return value if is_count else 0
+
+
+def _read_duration_ms(value: Any) -> int | None:
+    """Returns a duration, or None if the value is none."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    if not math.isfinite(value) or value < 0:
+        return None
+    return math.ceil(value)
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -46,6 +46,7 @@
 from redwingchute.process import tunnel_server
 from redwingchute.process.prepaid import charging
 from redwingchute.process.prepaid import grant_manager
+from redwingchute.request import cold_upstreams
 from redwingchute.request import crash_evidence
 from redwingchute.request import forwarding_handler
 from redwingchute.request import header_translator
@@ -94,6 +95,7 @@
     requesting.CrashReport
     | requesting.LeavingNotice
     | rate_limiting.LimitNotice
+    | rate_limiting.ColdNotice
 )
 
 
@@ -170,6 +172,11 @@
             settings.host_name,
             settings.drain_ms,
             read_boot_ms,
+            cold_upstreams.ColdUpstreams(
+                read_boot_ms,
+                read_wall_ms,
+                lambda notice: self._relay.broadcast(notice),
+            ),
         )
         self._is_stopping = False
         self._stop_deadline_ms = 0
@@ -208,6 +215,7 @@
             self.network,
             self._limiter_choice,
             self._upstream_directory.limits,
+            self._upstream_directory.cold,
             read_boot_ms,
         )
         self._origins = origin_exchange.OriginExchange(
@@ -372,6 +380,9 @@
         self.network.register_handler(
             rate_limiting.LimitNotice, self._handle_limit
         )
+        self.network.register_handler(
+            rate_limiting.ColdNotice, self._handle_cold
+        )
         self.network.register_handler(
             rate_limiting.PermitRequest, self._permits.handle_request
         )
@@ -552,6 +563,7 @@
             )
             return
         self._route_index = route_index.RouteIndex(table)
+        self._upstream_directory.cold.set_services(table.services)
         limits = table.limits
         self._caller_server.set_limits(
             http_server.ServerLimits(
@@ -728,6 +740,13 @@
             )
         self._relay.handle_notice(peer.name, notice)
 
+    async def _handle_cold(
+        self, peer: data.Host, notice: rate_limiting.ColdNotice
+    ) -> None:
+        """Applies what another router observed of a cold upstream."""
+        self._upstream_directory.cold.handle_notice(peer.name, notice)
+        self._relay.handle_notice(peer.name, notice)
+
     def _make_request_metrics(self) -> request_metrics.RequestMetrics:
         """Returns the callbacks that record request measurements."""
         metrics = self._metrics
@@ -779,6 +798,8 @@
         case rate_limiting.LimitNotice(upstream, born_ms, limit):
             rates = f"{limit.requests_per_s}/{limit.rejections_per_s}"
             return f"{upstream}/{born_ms}/{limit.revision}/{rates}"
+        case rate_limiting.ColdNotice(upstream, born_ms, sequence, cold_ms):
+            return f"cold/{upstream}/{born_ms}/{sequence}/{bool(cold_ms)}"
 
 
 def _log_failed_task(error: BaseException) -> None:
--- a/redwingchute/request/header_translator.py
+++ b/redwingchute/request/header_translator.py
@@ -48,6 +48,7 @@
         if it does not ask, or not in a readable way.
       limit: The rate to which the upstream limits the requests of the fleet.
       rejection_limit: The rate of rejections beyond which the upstream fails.
+      cold_ms: How long the upstream stays cold; None if it states none.
     """
 
     status: int
@@ -59,6 +60,7 @@
     retry_after_ms: int | None = None
     limit: rate_limiting.NamedLimit = rate_limiting.NoLimit()
     rejection_limit: rate_limiting.NamedLimit = rate_limiting.NoLimit()
+    cold_ms: int | None = None
 
 
 @attrs.frozen
--- a/redwingchute/request/path_evidence.py
+++ b/redwingchute/request/path_evidence.py
@@ -45,6 +45,7 @@
           carrier: The host that carried the connection; empty if it was direct.
           is_unresponsive: Whether the other end acknowledged nothing.
         """
+        self._directory.cold.record_failure(upstream)
         if carrier:
             # The carrier may have ended, or be cut off.
             if is_unresponsive:
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -12,6 +12,7 @@
 
 from redwingchute.core import forwarding
 from redwingchute.core import requesting
+from redwingchute.request import cold_upstreams
 from redwingchute.request import departures
 from redwingchute.request import fleet_load
 from redwingchute.request import load_exchange
@@ -43,6 +44,7 @@
 
     Attributes:
       limits: The rates to which upstreams limit the requests of the fleet.
+      cold: The upstreams that bear few requests because they started lately.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         host: str = "",
         drain_ms: int = 2_000,
         read_clock_ms: Callable[[], int] = lambda: 0,
+        cold: cold_upstreams.ColdUpstreams | None = None,
     ) -> None:
         """Creates a directory without upstreams.
 
@@ -60,6 +63,7 @@
           drain_ms: How long an upstream that leaves still accepts requests.
           read_clock_ms: Returns the time on a steady clock, which dates the
             history of versions.
+          cold: Tracks cold upstreams; None if no service has any.
         """
         self._zone = zone
         self._pools: dict[str, _Pool] = {}
@@ -71,6 +75,9 @@
         self._departures = departures.Departures(drain_ms)
         self._pauses = requested_pauses.RequestedPauses(host)
         self.limits = upstream_limits.UpstreamLimits()
+        self.cold = cold or cold_upstreams.ColdUpstreams(
+            read_clock_ms, lambda: 0, lambda notice: None
+        )
         self._read_clock_ms = read_clock_ms
         self._versions = version_history.VersionHistory(read_clock_ms())
 
@@ -87,6 +94,7 @@
             self.remove(upstream.id)
         if known is not None and known.version != upstream.version:
             self._record_versions(upstream.service)
+        self.cold.record_entry(upstream)
         self._service_names[upstream.id] = upstream.service
         pool = self._get_pool(upstream.service)
         is_new = upstream.id not in pool.upstreams
@@ -102,6 +110,7 @@
         self._record_versions(service)
         self._unresponsive.remove(upstream_id)
         self._prefill.remove(upstream_id)
+        self.cold.remove(upstream_id)
         pool = self._get_pool(service)
         del pool.upstreams[upstream_id]
         pool.outliers.set_upstreams(tuple(pool.upstreams))
@@ -164,7 +173,8 @@
         available, those that are leaving only if no other can serve. Paused
         upstreams, whose hosts do not respond or that asked for the pause, are
         never chosen, nor are those that have left or whose limit permits no
-        request at the moment.
+        request at the moment. Cold ones are chosen if no other can serve in
+        time.
 
         Args:
           service: The service that runs the request.
@@ -192,14 +202,18 @@
             for upstream in healthy
             if not self._departures.is_leaving(upstream)
         ]
-        return upstream_choice.choose_upstream(
+        return self.cold.choose(
             [
                 self._make_candidate(upstream, request.generation, now_ms)
                 for upstream in staying or healthy or ready
             ],
-            upstream_choice.find_affinity_key(request.generation),
-            self._zone,
-            request.id,
+            excluded,
+            lambda candidates: upstream_choice.choose_upstream(
+                candidates,
+                upstream_choice.find_affinity_key(request.generation),
+                self._zone,
+                request.id,
+            ),
         )
 
     def _iterate_in_use(
@@ -413,6 +427,7 @@
         """Marks an upstream as unreachable, since connecting to it failed."""
         pool = self._get_pool(upstream.service)
         pool.outliers.mark_unreachable(upstream.id, now_ms)
+        self.cold.record_failure(upstream)
 
     def record_failure(
         self, upstream: forwarding.Upstream, now_ms: int
--- a/redwingchute/request/upstream_statements.py
+++ b/redwingchute/request/upstream_statements.py
@@ -52,6 +52,7 @@
         if response.is_wrong_instance:
             return
         self._record_limit(upstream, response, sent_limit_revision)
+        self.directory.cold.record_response(upstream, response.cold_ms)
         now_ms = self.read_clock_ms()
         if response.is_leaving:
             self.pool.close_idle(http_client.Address.parse(upstream.address))
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -71,6 +71,7 @@
     codec.Registration(410, streams.OriginNotice, _REQUEST),
     codec.Registration(411, streams.OriginRequest, _REQUEST),
     codec.Registration(412, streams.OriginReply, _REQUEST),
+    codec.Registration(420, rate_limiting.ColdNotice, _REQUEST),
 )
 
 
--- a/redwingchute/wire/request.capnp
+++ b/redwingchute/wire/request.capnp
@@ -11,8 +11,9 @@
 
 struct KnownLimit { revision @0 :Int64; requestsPerS @1 :Float64; rejectionsPerS @2 :Float64 = inf; }
 struct LimitNotice { upstream @0 :Text; bornMs @1 :Int64; limit @2 :KnownLimit; }
-struct PermitRequest { upstream @0 :Text; bornMs @1 :Int64; zone @2 :Text; limit @3 :KnownLimit; isUrgent @4 :Bool; slots @5 :Int64; }
-struct PermitReply { isLimiter @0 :Bool; isPermitted @1 :Bool; waitMs @2 :Int64; limit @3 :KnownLimit; }
+struct ColdNotice { upstream @0 :Text; bornMs @1 :Int64; sequence @2 :Int64; coldMs @3 :Int64; }
+struct PermitRequest { upstream @0 :Text; bornMs @1 :Int64; zone @2 :Text; limit @3 :KnownLimit; isUrgent @4 :Bool; slots @5 :Int64; coldRequestsPerS @6 :Float64; }
+struct PermitReply { isLimiter @0 :Bool; isPermitted @1 :Bool; waitMs @2 :Int64; limit @3 :KnownLimit; countsCold @4 :Bool; }
 struct PermitReturn { upstream @0 :Text; bornMs @1 :Int64; isUsed @2 :Bool; wasRejected @3 :Bool; }
 
 struct StreamOrigin { requestId @0 :Text; service @1 :Text; upstream @2 :Text; bornMs @3 :Int64; version @4 :Text; begunMs @5 :Int64; }
