Decode home regions of routes and accounts, and the regions of zones

Operators confine routes and accounts to regions; nothing read the field, so that the limit was dropped without a word. The records and settings have it now. No decision uses it yet. A document whose list cannot be read is refused as a whole, since it would come into force without its limit.

--- a/redwingchute/core/forwarding.py
+++ b/redwingchute/core/forwarding.py
@@ -51,6 +51,8 @@
       is_public: Whether requests need no key.
       is_resumable: Whether an interrupted stream may be resumed at another
         upstream.
+      home_regions: The regions that its requests are confined to; empty for
+        no limit.
     """
 
     name: str
@@ -64,6 +66,7 @@
     priority: int = 0
     is_public: bool = False
     is_resumable: bool = False
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def may_repeat(self) -> bool:
@@ -105,12 +108,15 @@
         applies.
       prepaid_tokens: The total of tokens that it may consume; None for no
         limit.
+      home_regions: The regions that its requests are confined to; empty for
+        no limit.
     """
 
     name: str
     keys: frozenset[str]
     priority: int | None = None
     prepaid_tokens: int | None = None
+    home_regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/redwingchute/platform/configuration_document.py
+++ b/redwingchute/platform/configuration_document.py
@@ -60,6 +60,7 @@
         priority=int(fields.get("priority", 0)),
         is_public=bool(fields.get("public", False)),
         is_resumable=bool(fields.get("resumable", False)),
+        home_regions=_decode_regions(fields),
     )
 
 
@@ -84,9 +85,27 @@
         keys=frozenset(map(str, fields.get("apiKeys") or ())),
         priority=None if priority is None else int(priority),
         prepaid_tokens=None if prepaid is None else int(prepaid),
+        home_regions=_decode_regions(fields),
     )
 
 
+def _decode_regions(fields: dict[str, Any]) -> frozenset[str]:
+    """Decodes the home regions of a route or account; empty for no limit.
+
+    Raises:
+      TypeError: They are no list of names. A configuration whose limits cannot
+        be read must not come into force without them.
+    """
+    names = fields.get("allowedRegions")
+    if names is None:
+        return frozenset()
+    if not isinstance(names, list) or not all(
+        isinstance(name, str) for name in names
+    ):
+        raise TypeError("allowedRegions is no list of names")
+    return frozenset(names)
+
+
 def _decode_limits(fields: dict[str, Any]) -> forwarding.ConnectionLimits:
     """Decodes the limits for the connections of callers."""
     defaults = forwarding.ConnectionLimits()
--- a/redwingchute/platform/document_encoder.py
+++ b/redwingchute/platform/document_encoder.py
@@ -31,6 +31,11 @@
         "bounds.configApplyMs": settings.configuration_fresh_ms,
         "bounds.drainMs": settings.drain_ms,
         "limits.cpuShare": settings.processor_share,
+        "region": settings.region,
+        **{
+            f"zones.{zone}": region
+            for zone, region in settings.zone_regions.items()
+        },
     }
     return "".join(f"{name}={value}\n" for name, value in fields.items())
 
@@ -92,6 +97,7 @@
         "priority": route.priority,
         "public": route.is_public,
         "resumable": route.is_resumable,
+        **_encode_regions(route.home_regions),
     }
 
 
@@ -111,9 +117,15 @@
     fields: dict[str, Any] = {
         "name": account.name,
         "apiKeys": sorted(account.keys),
+        **_encode_regions(account.home_regions),
     }
     if account.priority is not None:
         fields["priority"] = account.priority
     if account.prepaid_tokens is not None:
         fields["reserved"] = account.prepaid_tokens
     return fields
+
+
+def _encode_regions(regions: frozenset[str]) -> dict[str, Any]:
+    """Encodes the home regions of a route or account, if it has any."""
+    return {"allowedRegions": sorted(regions)} if regions else {}
--- a/redwingchute/platform/document_encoder_test.py
+++ b/redwingchute/platform/document_encoder_test.py
@@ -31,6 +31,8 @@
         configuration_fresh_ms=3_000,
         drain_ms=2_500,
         processor_share=0.5,
+        region="south",
+        zone_regions={"huon": "south", "bruny": "east"},
     )
     text = document_encoder.encode_settings(settings)
     decoded, findings = settings_file.decode_settings(text, "file")
@@ -61,6 +63,7 @@
                 max_attempts=2,
                 priority=1,
                 is_resumable=True,
+                home_regions=frozenset({"south", "east"}),
             ),
         ),
         services=(
@@ -71,6 +74,9 @@
         accounts=(
             forwarding.ClientAccount("yield", frozenset({"a", "b"}), 2, 900),
             forwarding.ClientAccount("drafts", frozenset({"c"})),
+            forwarding.ClientAccount(
+                "maps", frozenset({"d"}), home_regions=frozenset({"south"})
+            ),
         ),
         limits=forwarding.ConnectionLimits(1_000, 2_000, 300, 400),
     )
--- a/redwingchute/platform/documents_test.py
+++ b/redwingchute/platform/documents_test.py
@@ -55,6 +55,31 @@
     )
 
 
+def test_routes_and_accounts_have_home_regions() -> None:
+    document = gateway_rig.make_document()
+    document["routes"][0]["allowedRegions"] = ["south", "east"]
+    document["routes"][1]["allowedRegions"] = []
+    document["tenants"][0]["allowedRegions"] = ["south"]
+    table = _decode(document)
+    assert table.routes[0].home_regions == {"south", "east"}
+    assert not table.routes[1].home_regions
+    assert not table.routes[2].home_regions
+    assert table.accounts[0].home_regions == {"south"}
+
+
+# Guards against a configuration in force without the limits that it states.
+@pytest.mark.parametrize("regions", ["south", [1], {"south": True}])
+def test_home_regions_that_cannot_be_read_refuse_the_document(
+    regions: Any,
+) -> None:
+    document = gateway_rig.make_document()
+    document["routes"][0]["allowedRegions"] = regions
+    error = configuration_document.decode_configuration(
+        json.dumps(document).encode()
+    )
+    assert isinstance(error, str)
+
+
 @pytest.mark.parametrize(
     "value", [b"", b"{}", b"[]", b'{"version": 1, "routes": [{}]}']
 )
--- a/redwingchute/platform/settings_file.py
+++ b/redwingchute/platform/settings_file.py
@@ -83,6 +83,8 @@
         # cpuShare is a share of a core, cpuCores the speed of that core.
         processor_share=reader.read_positive("limits.cpuShare", 1.0)
         * reader.read_positive("limits.cpuCores", 1.0),
+        region=reader.read_optional_text("region"),
+        zone_regions=reader.read_table("zones"),
     )
     return (None if reader.findings else decoded), reader.findings
 
@@ -111,6 +113,19 @@
             self._add_finding(name, "is missing")
         return self._fields.get(name, "")
 
+    def read_optional_text(self, name: str) -> str:
+        """Returns a field as text; empty if it is absent."""
+        return self._fields.get(name, "")
+
+    def read_table(self, name: str) -> dict[str, str]:
+        """Returns the fields below a name, by the rest of their names."""
+        prefix = f"{name}."
+        return {
+            field.removeprefix(prefix): value
+            for field, value in self._fields.items()
+            if field.startswith(prefix) and value
+        }
+
     def read_address(self, name: str) -> http_client.Address:
         """Returns a required field of the form ip:port."""
         text = self.read_text(name)
--- a/redwingchute/platform/settings_file_test.py
+++ b/redwingchute/platform/settings_file_test.py
@@ -46,6 +46,15 @@
     assert settings.processor_share == 0.537 * 2
 
 
+def test_zones_have_the_regions_of_the_settings() -> None:
+    text = _LINES + "region=south\nzones.huon=south\nzones.a.b=east\nzones.c=\n"
+    settings, findings = settings_file.decode_settings(text, "file")
+    assert not findings
+    assert settings is not None
+    assert settings.region == "south"
+    assert settings.zone_regions == {"huon": "south", "a.b": "east"}
+
+
 def test_an_interval_that_is_not_positive_is_reported() -> None:
     text = _LINES + "bounds.drainMs=0\nlimits.cpuShare=-1\n"
     _, findings = settings_file.decode_settings(text, "file")
--- a/redwingchute/process/gateway_settings.py
+++ b/redwingchute/process/gateway_settings.py
@@ -1,5 +1,7 @@
 """The validated settings of a gateway process."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from redwingchute.connection import http_client
@@ -27,6 +29,8 @@
         after it was confirmed.
       drain_ms: How long an upstream that leaves still accepts requests.
       processor_share: The processor time that the host may use, in cores.
+      region: The host's region; empty if it is not known.
+      zone_regions: The region of each availability zone that is known.
     """
 
     host_name: str
@@ -44,3 +48,5 @@
     configuration_fresh_ms: int = 2_000
     drain_ms: int = 2_000
     processor_share: float = 1.0
+    region: str = ""
+    zone_regions: Mapping[str, str] = attrs.Factory(dict)
