Test with three regions that requests stay in their home regions

The tests fail: requests of routes and accounts with home regions run anywhere, also when they are retried, taken up again or carried by a peer.

--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -1,6 +1,7 @@
 """Gateways with stand-ins of the metadata store and of runners, on loopback."""
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import json
@@ -108,6 +109,8 @@
         gateway_count: int = 1,
         document: dict[str, Any] | None = None,
         addresses: dict[str, http_client.Address] | None = None,
+        zones: Mapping[str, str] | None = None,
+        zone_regions: Mapping[str, str] | None = None,
     ) -> None:
         """Prepares the rig; entering its context starts the parts.
 
@@ -116,6 +119,9 @@
           document: The configuration; one route of each kind by default.
           addresses: The addresses that the store lists for runners in place of
             their own, by their ids.
+          zones: The availability zones of runners and gateways by their ids and
+            host names; by default all gateways are in one, runners in none.
+          zone_regions: The regions of zones.
         """
         self.store = metadata_store.MetadataStore()
         self.runners: dict[str, runner.Runner] = {}
@@ -123,6 +129,8 @@
         self.cuts: list[upstream_cut.UpstreamCut] = []
         self._gateway_count = gateway_count
         self._addresses = addresses or {}
+        self._zones = zones or {}
+        self._zone_regions = zone_regions or {}
         self._document = document or make_document()
         self._stack = contextlib.AsyncExitStack()
         self._pool = http_client.ClientPool()
@@ -173,6 +181,7 @@
         entry = self.runners[runner_id].make_entry(state)
         if runner_id in self._addresses:
             entry["address"] = str(self._addresses[runner_id])
+        entry["zone"] = self._zones.get(runner_id, "")
         encoded = json.dumps(entry).encode()
         self.store.write_record("keyed.servers", runner_id, encoded)
 
@@ -270,9 +279,10 @@
     def _add_gateway(self, host_name: str, ports: list[int]) -> gateway.Gateway:
         """Adds a gateway with its connections; the caller starts it."""
         addresses = [http_client.Address(_ADDRESS, port) for port in ports]
+        zone = self._zones.get(host_name, "huon")
         settings = gateway_settings.GatewaySettings(
             host_name=host_name,
-            zone="huon",
+            zone=zone,
             listen=addresses[0],
             ready_listen=addresses[1],
             peer_listen=addresses[2],
@@ -281,6 +291,8 @@
             fleet_key=b"fleet-key",
             # A gateway that has just started has no share of the slack.
             retry_ratio=10.0,
+            region=self._zone_regions.get(zone, ""),
+            zone_regions=self._zone_regions,
         )
         cut = upstream_cut.UpstreamCut(
             lambda port: any(
