Confine requests to the home regions of their route and account

Callers whose route or account names home regions were served anywhere: the first try, retries, streams taken up again and bodies carried by a peer all ignored them, since no code read the regions. A plan now holds the homes of its request. The one choice of an upstream leaves out those elsewhere, also for retries and resumptions, and the connector asks only carriers in home regions and uses no idle connection through others. A zone whose region the settings do not name is no home. If no home can serve, the refusal is at once, 503 no_home_upstream, with a time only if a home upstream is paused.

Carriers in the own host's region are not used unless it is a home: balancers send callers to other zones, so the router cannot know its caller's region.

The refusals moved to upstream_refusals, the request metrics to telemetry. Configurations without homes choose as before.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -549,12 +549,24 @@
         return self.pop_idle(address, request_id) or await self.open(address)
 
     def pop_idle(
-        self, address: Address, request_id: str | None = None
+        self,
+        address: Address,
+        request_id: str | None = None,
+        may_use: Callable[["ClientConnection"], bool] = lambda _: True,
     ) -> ClientConnection | None:
-        """Returns an idle connection, or None; arguments as of `acquire`."""
+        """Returns an idle connection, or None.
+
+        Args:
+          address: The address of the upstream.
+          request_id: As of `acquire`.
+          may_use: Returns whether a connection may be used. One that may not
+            is kept for other requests.
+        """
         idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(tuple(idle)):
+            if not may_use(connection):
+                continue
+            idle.remove(connection)
             if (
                 connection.is_usable()
                 and connection.is_kept_alive()
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -49,8 +49,8 @@
 from redwingchute.request import crash_evidence
 from redwingchute.request import forwarding_handler
 from redwingchute.request import header_translator
+from redwingchute.request import home_regions
 from redwingchute.request import load_exchange
-from redwingchute.request import request_metrics
 from redwingchute.request import suspect_tracker
 from redwingchute.request import upstream_connector
 from redwingchute.request import upstream_directory
@@ -171,6 +171,9 @@
             settings.drain_ms,
             read_boot_ms,
         )
+        self._regions = home_regions.RegionMap(
+            settings.zone, settings.region, settings.zone_regions
+        )
         self._is_stopping = False
         self._stop_deadline_ms = 0
         self._started_ms = read_boot_ms()
@@ -344,7 +347,8 @@
                 permits=self._permits,
                 find_time_left_ms=self._find_time_left_ms,
                 read_clock_ms=read_boot_ms,
-                metrics=self._make_request_metrics(),
+                metrics=telemetry.make_request_metrics(self._metrics),
+                regions=self._regions,
             )
         )
         listen = self.settings.listen
@@ -568,6 +572,7 @@
             routes=len(table.routes),
             accounts=len(table.accounts),
         )
+        self._regions.log_binding(table)
 
     def _handle_upstream(self, record: shared_log.KeyedRecord) -> None:
         """Applies a changed or removed upstream entry."""
@@ -728,23 +733,6 @@
             )
         self._relay.handle_notice(peer.name, notice)
 
-    def _make_request_metrics(self) -> request_metrics.RequestMetrics:
-        """Returns the callbacks that record request measurements."""
-        metrics = self._metrics
-
-        def record_request(outcome: str, elapsed_ms: int) -> None:
-            metrics.requests.add(1, {"outcome": outcome})
-            metrics.request_ms.record(elapsed_ms, {"outcome": outcome})
-
-        return request_metrics.RequestMetrics(
-            record_outcome=record_request,
-            record_grant_wait=lambda is_reserved, ms: (
-                metrics.grant_wait_ms.record(ms, {"reserved": is_reserved})
-            ),
-            record_first_event=metrics.first_token_ms.record,
-            record_event_gap=metrics.event_gap_ms.record,
-        )
-
     def _record_log_call(self, call: str, result: str, elapsed_ms: int) -> None:
         """Records the duration of a call to the shared log."""
         self._metrics.log_call_ms.record(
--- a/redwingchute/process/telemetry.py
+++ b/redwingchute/process/telemetry.py
@@ -19,6 +19,7 @@
 from pythonjsonlogger import json as json_logger
 
 from redwingchute.process.prepaid import grant
+from redwingchute.request import request_metrics
 
 # The histograms' upper bounds. They cover and tell apart all durations measured
 # here, from a call to the log (some ms) to a complete request (some seconds).
@@ -160,3 +161,20 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+
+
+def make_request_metrics(metrics: Metrics) -> request_metrics.RequestMetrics:
+    """Returns the callbacks that record the metrics of forwarded requests."""
+
+    def record_request(outcome: str, elapsed_ms: int) -> None:
+        metrics.requests.add(1, {"outcome": outcome})
+        metrics.request_ms.record(elapsed_ms, {"outcome": outcome})
+
+    return request_metrics.RequestMetrics(
+        record_outcome=record_request,
+        record_grant_wait=lambda is_reserved, ms: metrics.grant_wait_ms.record(
+            ms, {"reserved": is_reserved}
+        ),
+        record_first_event=metrics.first_token_ms.record,
+        record_event_gap=metrics.event_gap_ms.record,
+    )
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -20,6 +20,7 @@
 from redwingchute.core import forwarding
 from redwingchute.request import event_stream
 from redwingchute.request import header_translator
+from redwingchute.request import home_regions
 from redwingchute.request import upstream_connector
 
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -172,6 +173,7 @@
       mark_responsive: Called when data arrives from the upstream.
       record_head: Called with the head of the response, before its body.
       record_event: Called when a chunk of a stream arrives.
+      homes: The homes of the request, which limit its carriers.
     """
 
     request: http_server.HttpRequest
@@ -186,6 +188,7 @@
         lambda response: None
     )
     record_event: Callable[[], None] = lambda: None
+    homes: home_regions.Homes = home_regions.ANYWHERE
 
 
 class AttemptRunner:
@@ -216,7 +219,7 @@
         if _find_remaining_ms(outgoing) < _MIN_REMAINING_MS:
             return OutOfTime()
         connection = await self._connector.acquire(
-            upstream, outgoing.request_id
+            upstream, outgoing.request_id, outgoing.homes
         )
         if isinstance(connection, http_client.ConnectFailed):
             return NotConnected(connection.message, connection.is_unresponsive)
--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -10,6 +10,7 @@
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
 from redwingchute.request import crash_evidence
+from redwingchute.request import home_regions
 from redwingchute.version import route_index
 
 # The patience of callers that state none.
@@ -36,6 +37,7 @@
         at most the timeout of the route.
       deadline_s: When its response must be complete, on the event loop's
         clock.
+      homes: Where it may run, and which hosts may carry it.
     """
 
     request: forwarding.ForwardRequest
@@ -45,6 +47,7 @@
     arrived_ms: int
     patience_ms: int
     deadline_s: float
+    homes: home_regions.Homes = home_regions.ANYWHERE
 
 
 class Planner:
@@ -55,6 +58,7 @@
         find_index: Callable[[], route_index.RouteIndex | None],
         is_fresh: Callable[[], bool],
         find_time_left_ms: Callable[[], int | None],
+        regions: home_regions.RegionMap,
     ) -> None:
         """Creates a planner.
 
@@ -64,7 +68,9 @@
             newest version.
           find_time_left_ms: Returns the time until the process stops; None
             unless a shutdown has begun.
+          regions: The regions of availability zones.
         """
+        self._regions = regions
         self._find_index = find_index
         self._is_fresh = is_fresh
         self._find_time_left_ms = find_time_left_ms
@@ -113,6 +119,7 @@
             arrived_ms=arrived_ms,
             patience_ms=patience_ms,
             deadline_s=asyncio.get_running_loop().time() + patience_ms / 1000,
+            homes=self._regions.find_homes(route, account),
         )
 
     def _would_outlive_process(self, route: forwarding.Route) -> bool:
--- a/redwingchute/request/forward_retry.py
+++ b/redwingchute/request/forward_retry.py
@@ -39,11 +39,14 @@
         now_ms,
         forward_progress.is_urgent(plan, progress),
         bond,
+        plan.homes,
     )
     if chosen is None:
         return False
     is_full = chosen.load >= chosen.upstream.slots
-    if is_full and directory.has_requested_pause(plan.service.name, now_ms):
+    if is_full and directory.has_requested_pause(
+        plan.service.name, now_ms, plan.homes
+    ):
         return False
     is_acquired = allowance.acquire_retry(now_ms)
     state = allowance.find_state(now_ms)
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -15,7 +15,6 @@
 from redwingchute.connection import http_server
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
-from redwingchute.core import spread
 from redwingchute.process import decision_log
 from redwingchute.process import invariants
 from redwingchute.process import origin_exchange
@@ -28,6 +27,7 @@
 from redwingchute.request import forward_progress
 from redwingchute.request import forward_retry
 from redwingchute.request import header_translator
+from redwingchute.request import home_regions
 from redwingchute.request import load_shedding
 from redwingchute.request import path_evidence
 from redwingchute.request import request_metrics
@@ -37,13 +37,12 @@
 from redwingchute.request import upstream_choice
 from redwingchute.request import upstream_connector
 from redwingchute.request import upstream_directory
+from redwingchute.request import upstream_refusals
 from redwingchute.request import upstream_statements
 from redwingchute.version import route_index
 
 # A request is refused once connecting to this many upstreams has failed.
 _MAX_CONNECT_ATTEMPTS = 4
-# Retry-after of a refusal whose cause has no known end.
-_RETRY_AFTER_MS = 500
 # Events of a stream beyond two for each output token, such as comments.
 _EXTRA_EVENTS = 64
 # Callers may take these statuses to mean that the request did not run. An
@@ -73,6 +72,7 @@
         a shutdown has begun.
       read_clock_ms: Returns the time on a steady clock.
       metrics: Records durations and outcomes of requests.
+      regions: The regions of availability zones.
     """
 
     connector: upstream_connector.UpstreamConnector
@@ -89,6 +89,7 @@
     find_time_left_ms: Callable[[], int | None]
     read_clock_ms: Callable[[], int]
     metrics: request_metrics.RequestMetrics
+    regions: home_regions.RegionMap
 
 
 # How a request ends. A stream has already been sent to the caller.
@@ -120,6 +121,7 @@
             dependencies.find_index,
             dependencies.is_fresh,
             dependencies.find_time_left_ms,
+            dependencies.regions,
         )
 
     async def handle(
@@ -202,8 +204,8 @@
             now_ms
         )
         directory = self._dependencies.directory
-        if not directory.has_upstream(plan.service.name, now_ms):
-            return _make_no_upstream_refusal()
+        if not directory.has_upstream(plan.service.name, now_ms, plan.homes):
+            return self._refuse_no_upstream(plan)
         refusal = await self._resumption.resume(plan, progress)
         if refusal is not None:
             return refusal
@@ -216,6 +218,7 @@
             plan.service.name,
             now_ms,
             forward_progress.is_urgent(plan, progress),
+            plan.homes,
         ):
             return self._refuse_no_upstream(plan)
         # The caller already has a part of a stream that goes on.
@@ -245,6 +248,7 @@
             self._dependencies.read_clock_ms(),
             forward_progress.is_urgent(plan, progress),
             self._resumption.find_bond(progress),
+            plan.homes,
         )
 
     def _refuse_if_busy(
@@ -259,6 +263,7 @@
             frozenset(),
             now_ms,
             forward_plan.is_urgent(plan),
+            homes=plan.homes,
         )
         if chosen is None:
             return None
@@ -398,6 +403,7 @@
             record_event=lambda: self._record_event(
                 plan, progress, upstream, open_request
             ),
+            homes=plan.homes,
         )
         result = await self._attempts.run(upstream, outgoing, progress.relay)
         match result:
@@ -490,7 +496,9 @@
                     503,
                     "upstreams_busy",
                     "The upstreams accept no more work at the moment.",
-                    self._find_retry_after_ms(plan),
+                    upstream_refusals.find_retry_after_ms(
+                        plan, directory, now_ms
+                    ),
                 )
             case forward_attempt.Broken(
                 message, is_timeout, is_unresponsive, is_closed
@@ -517,24 +525,10 @@
 
     def _refuse_no_upstream(self, plan: forward_plan.Plan) -> outcomes.NotRun:
         """Returns the refusal of a request that no upstream can serve."""
-        return _make_no_upstream_refusal(self._find_retry_after_ms(plan))
-
-    def _find_retry_after_ms(self, plan: forward_plan.Plan) -> int:
-        """Returns when a caller may return whose request can't be served now.
-
-        If all upstreams are paused, that is after the first pause has ended;
-        callers then return at different times.
-        """
-        retry_delay_ms = self._dependencies.directory.find_retry_delay_ms(
-            plan.service.name,
+        return upstream_refusals.refuse_no_upstream(
+            plan,
+            self._dependencies.directory,
             self._dependencies.read_clock_ms(),
-            forward_plan.is_urgent(plan),
-        )
-        if not retry_delay_ms:
-            return _RETRY_AFTER_MS
-        return max(
-            _RETRY_AFTER_MS,
-            spread.spread_delay_ms(retry_delay_ms, plan.request.id),
         )
 
     def _evaluate_response(
@@ -689,15 +683,6 @@
     return _EXTRA_EVENTS + 2 * generation.max_output_tokens
 
 
-def _make_no_upstream_refusal(
-    retry_after_ms: int = _RETRY_AFTER_MS,
-) -> outcomes.NotRun:
-    """Returns the refusal of a request while no upstream is ready."""
-    return outcomes.NotRun(
-        503, "no_upstream", "No upstream is ready.", retry_after_ms
-    )
-
-
 def _make_failure(message: str) -> outcomes.Failed:
     """Returns the refusal of a request that may have run and failed."""
     return outcomes.Failed(502, "upstream_failed", message)
--- a/redwingchute/request/home_region_traffic_test.py
+++ b/redwingchute/request/home_region_traffic_test.py
@@ -121,7 +121,7 @@
     async def main() -> None:
         async with _make_rig(["west"], []) as rig:
             for path in ("/lookup/x", "/draft/x"):
-                response = await rig.send_request(path, b"body", **_STREAM)
+                response = await rig.send_request(path, b"body", 0, **_STREAM)
                 assert response.status == 503
                 assert b"no_home_upstream" in response.body
                 assert "retry-after" not in response.headers
--- a/redwingchute/request/upstream_connector.py
+++ b/redwingchute/request/upstream_connector.py
@@ -18,6 +18,7 @@
 from redwingchute.process import background_tasks
 from redwingchute.process import decision_log
 from redwingchute.process import peer_network
+from redwingchute.request import home_regions
 from redwingchute.request import upstream_paths
 from redwingchute.wire import codec
 
@@ -75,24 +76,32 @@
         await self._tasks.cancel_and_wait()
 
     async def acquire(
-        self, upstream: forwarding.Upstream, request_id: str | None = None
+        self,
+        upstream: forwarding.Upstream,
+        request_id: str | None = None,
+        homes: home_regions.Homes = home_regions.ANYWHERE,
     ) -> _ConnectResult:
         """Returns a connection without an exchange on it.
 
         Args:
           upstream: The upstream.
           request_id: The id of the request to send, as of `ClientPool.acquire`.
+          homes: The homes of that request, which limit its carriers.
         """
         address = http_client.Address.parse(upstream.address)
-        idle = self._pool.pop_idle(address, request_id)
+        idle = self._pool.pop_idle(
+            address,
+            request_id,
+            lambda found: self._paths.may_carry(found.carrier, homes),
+        )
         if idle is not None:
             return idle
         if not self._paths.should_try_direct(
             upstream.start, self._read_clock_ms()
         ):
-            carried = await self._open_carried(upstream)
+            carried = await self._open_carried(upstream, homes)
             return carried or await self._open_direct(upstream, address)
-        return await self._race(upstream, address)
+        return await self._race(upstream, address, homes)
 
     def release(self, connection: http_client.ClientConnection) -> None:
         """Takes back a connection; it is closed unless it can be reused."""
@@ -140,7 +149,10 @@
         self._paths.mark_unable(host, self._read_clock_ms())
 
     async def _race(
-        self, upstream: forwarding.Upstream, address: http_client.Address
+        self,
+        upstream: forwarding.Upstream,
+        address: http_client.Address,
+        homes: home_regions.Homes,
     ) -> _ConnectResult:
         """Opens a direct connection, or one by way of a carrier.
 
@@ -156,7 +168,7 @@
                 direct.result(), http_client.ClientConnection
             ):
                 return direct.result()
-            carried = await self._open_carried(upstream)
+            carried = await self._open_carried(upstream, homes)
             if carried is None:
                 return await asyncio.shield(direct)
         except asyncio.CancelledError:
@@ -204,11 +216,13 @@
             decision_log.log_event("upstream_path_down", upstream=upstream.id)
 
     async def _open_carried(
-        self, upstream: forwarding.Upstream
+        self,
+        upstream: forwarding.Upstream,
+        homes: home_regions.Homes = home_regions.ANYWHERE,
     ) -> http_client.ClientConnection | None:
         """Opens a connection by way of the first carrier that can."""
         carriers = self._paths.list_carriers(
-            upstream.start, self._read_clock_ms()
+            upstream.start, self._read_clock_ms(), homes
         )
         if not carriers:
             return None
@@ -222,7 +236,9 @@
         except TimeoutError:
             pass
         decision_log.count_event("carried_connection_failed")
-        self._paths.mark_unreached(upstream.start, self._read_clock_ms())
+        # Other requests may ask more hosts than one with homes.
+        if not homes.is_bound:
+            self._paths.mark_unreached(upstream.start, self._read_clock_ms())
         return None
 
     async def _ask_carrier(
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -14,6 +14,7 @@
 from redwingchute.core import requesting
 from redwingchute.request import departures
 from redwingchute.request import fleet_load
+from redwingchute.request import home_regions
 from redwingchute.request import load_exchange
 from redwingchute.request import outlier_detector
 from redwingchute.request import prefill_model
@@ -145,9 +146,20 @@
         """Returns whether versions were recorded for at least some time."""
         return self._versions.covers(max_age_ms, now_ms)
 
-    def has_upstream(self, service: str, now_ms: int) -> bool:
-        """Returns whether an upstream of a service accepts new work."""
-        return any(True for _ in self._iterate_in_use(service, now_ms))
+    def has_upstream(
+        self,
+        service: str,
+        now_ms: int,
+        homes: home_regions.Homes = home_regions.ANYWHERE,
+    ) -> bool:
+        """Returns whether an upstream of a service accepts new work.
+
+        Args:
+          service: The service.
+          now_ms: The current time.
+          homes: Where the work may run.
+        """
+        return any(True for _ in self._iterate_in_use(service, now_ms, homes))
 
     def choose(
         self,
@@ -157,6 +169,7 @@
         now_ms: int,
         is_urgent: bool = False,
         bond: stream_origins.VersionBond | None = None,
+        homes: home_regions.Homes = home_regions.ANYWHERE,
     ) -> upstream_choice.Candidate | None:
         """Returns the upstream for a request, or None.
 
@@ -173,11 +186,12 @@
           now_ms: The current time.
           is_urgent: Whether the request has the highest priority.
           bond: The upstreams that a stream may go on at; None for any.
+          homes: Where the request may run.
         """
         pool = self._get_pool(service)
         ready = [
             upstream
-            for upstream in self._iterate_in_use(service, now_ms)
+            for upstream in self._iterate_in_use(service, now_ms, homes)
             if upstream.id not in excluded
             and (bond is None or bond.allows(upstream))
             and self._find_pause_end_ms(upstream, is_urgent) <= now_ms
@@ -203,12 +217,17 @@
         )
 
     def _iterate_in_use(
-        self, service: str, now_ms: int
+        self,
+        service: str,
+        now_ms: int,
+        homes: home_regions.Homes = home_regions.ANYWHERE,
     ) -> Iterator[forwarding.Upstream]:
         """Yields the upstreams that accept new work now or after a pause."""
         for upstream in self._get_pool(service).upstreams.values():
-            if upstream.is_ready and not self._departures.has_drained(
-                upstream, now_ms
+            if (
+                upstream.is_ready
+                and homes.may_run_at(upstream)
+                and not self._departures.has_drained(upstream, now_ms)
             ):
                 yield upstream
 
@@ -357,7 +376,11 @@
         )
 
     def find_retry_delay_ms(
-        self, service: str, now_ms: int, is_urgent: bool = False
+        self,
+        service: str,
+        now_ms: int,
+        is_urgent: bool = False,
+        homes: home_regions.Homes = home_regions.ANYWHERE,
     ) -> int:
         """Returns the time in ms until an upstream of a service may be used.
 
@@ -368,9 +391,10 @@
           service: The service.
           now_ms: The current time.
           is_urgent: Whether the request has the highest priority.
+          homes: Where the request may run.
         """
         earliest_ms = 0
-        for upstream in self._iterate_in_use(service, now_ms):
+        for upstream in self._iterate_in_use(service, now_ms, homes):
             end_ms = self._find_pause_end_ms(upstream, is_urgent)
             # The usual case: no further upstream has to be looked at.
             if end_ms <= now_ms:
@@ -400,11 +424,22 @@
         """
         return self._pauses.record(upstream, retry_after_ms, now_ms)
 
-    def has_requested_pause(self, service: str, now_ms: int) -> bool:
-        """Returns whether an upstream of a service asked for a pause."""
+    def has_requested_pause(
+        self,
+        service: str,
+        now_ms: int,
+        homes: home_regions.Homes = home_regions.ANYWHERE,
+    ) -> bool:
+        """Returns whether an upstream of a service asked for a pause.
+
+        Args:
+          service: The service.
+          now_ms: The current time.
+          homes: Where the upstreams are that count.
+        """
         return any(
             self._pauses.is_paused(upstream, now_ms)
-            for upstream in self._iterate_in_use(service, now_ms)
+            for upstream in self._iterate_in_use(service, now_ms, homes)
         )
 
     def mark_unreachable(
--- a/redwingchute/request/upstream_paths.py
+++ b/redwingchute/request/upstream_paths.py
@@ -14,6 +14,7 @@
 
 from redwingchute.core import forwarding
 from redwingchute.process import host_registry
+from redwingchute.request import home_regions
 
 # The direct path is tried again after this time, which doubles up to the
 # maximum while it stays down.
@@ -71,6 +72,7 @@
         self._zone = zone
         self._down: dict[forwarding.UpstreamStart, _DownPath] = {}
         self._peers: tuple[str, ...] = ()
+        self._peer_zones: dict[str, str] = {}
         self._unable_until_ms: dict[str, int] = {}
         self._carried_ms: dict[str, int] = {}
         self._unreaching_until_ms: dict[
@@ -89,6 +91,7 @@
                 f"{self._host}/{host.name}".encode()
             ),
         )
+        self._peer_zones = {host.name: host.zone for host in others}
         near = [host.name for host in others if host.zone == self._zone]
         far = [host.name for host in others if host.zone != self._zone]
         self._peers = (
@@ -139,10 +142,28 @@
         """Marks a direct path as up; returns whether that is new."""
         return self._down.pop(start, None) is not None
 
+    def may_carry(self, host: str, homes: home_regions.Homes) -> bool:
+        """Returns whether a host may carry the body of a request.
+
+        Args:
+          host: The host; empty for the direct path.
+          homes: The homes of the request.
+        """
+        return not host or homes.may_pass(self._peer_zones.get(host))
+
     def list_carriers(
-        self, start: forwarding.UpstreamStart, now_ms: int
+        self,
+        start: forwarding.UpstreamStart,
+        now_ms: int,
+        homes: home_regions.Homes = home_regions.ANYWHERE,
     ) -> tuple[str, ...]:
-        """Returns the hosts to ask for a way to an upstream, best first."""
+        """Returns the hosts to ask for a way to an upstream, best first.
+
+        Args:
+          start: The upstream.
+          now_ms: The current time.
+          homes: The homes of the request that is to be carried.
+        """
         if now_ms < self._unreached_until_ms.get(start, 0):
             return ()
         proven = [
@@ -150,12 +171,17 @@
             for name, carried_ms in self._carried_ms.items()
             if now_ms - carried_ms < _PROVEN_MS
             and self._may_ask(name, start, now_ms)
+            and self.may_carry(name, homes)
         ]
         others: list[str] = []
         for name in self._peers:
             if len(proven) + len(others) >= _MAX_CARRIERS:
                 break
-            if name not in proven and self._may_ask(name, start, now_ms):
+            if (
+                name not in proven
+                and self._may_ask(name, start, now_ms)
+                and self.may_carry(name, homes)
+            ):
                 others.append(name)
         return (
             *_rotate(proven, start)[:_MAX_CARRIERS],
