--- a/redwingchute/request/split_route_test.py
+++ b/redwingchute/request/split_route_test.py
@@ -4,6 +4,7 @@
 
 from redwingchute.core import forwarding
 from redwingchute.request import forward_plan
+from redwingchute.request import home_regions
 from redwingchute.version import route_index
 
 _ROUTE = forwarding.Route(
@@ -29,7 +30,9 @@
     index = route_index.RouteIndex(
         forwarding.RouteTable(version=1, routes=(_ROUTE,))
     )
-    planner = forward_plan.Planner(lambda: index, lambda: True, lambda: None)
+    planner = forward_plan.Planner(
+        lambda: index, lambda: True, lambda: None, home_regions.RegionMap()
+    )
 
     def find_service(request_id: str, resumed_id: str | None) -> str:
         request = forwarding.ForwardRequest(
