Withdraw ends that upstreams outlive

What callers saw: sound requests were refused as quarantined after two upstreams had lost their answers, or after a zone was cut off by reset, until a trial 20 s later. Cause: a connection that an upstream closes counts as the upstream's end. Now the observation is withdrawn, here and at all routers, once the upstream answers a request that was sent after the break on a connection from before it, or once two later entries of the same start come.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -44,6 +44,15 @@
 _REMEMBERED_REQUESTS = 4
 
 
+def take_mark() -> int:
+    """Returns a mark: a number that no connection has.
+
+    Connections that were opened before have lower numbers, and later ones, as
+    well as later marks, have higher ones.
+    """
+    return next(_CONNECTION_NUMBERS)
+
+
 @attrs.frozen
 class Address:
     """The IP address and port of an upstream."""
--- a/redwingchute/core/requesting.py
+++ b/redwingchute/core/requesting.py
@@ -41,12 +41,19 @@
       is_cleared: Whether the end does not count any more, because a request of
         the subject has completed since.
       level: The level of the end, see `crash_evidence`; 0 if it is cleared.
+      observer: Identifies who observed the end and for which time; empty if
+        that is not known.
+      is_withdrawn: Whether the upstream outlived what the observer took for its
+        end. Releases that don't know this field take it for the end itself,
+        which they know already.
     """
 
     subject: str
     upstream_start: str
     is_cleared: bool = False
     level: int = 0
+    observer: str = ""
+    is_withdrawn: bool = False
 
 
 @attrs.frozen
--- a/redwingchute/process/crash_journal.py
+++ b/redwingchute/process/crash_journal.py
@@ -179,6 +179,8 @@
                     str(row["upstream_start"]),
                     bool(row["is_cleared"]),
                     int(row.get("level", 1)),
+                    str(row.get("observer", "")),
+                    bool(row.get("is_withdrawn", False)),
                 ),
                 int(row["wall_ms"]),
             )
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -230,6 +230,7 @@
             self._share_observations,
             lambda observations: self._crash_journal.add(observations),
             read_boot_ms,
+            f"{settings.host_name}/{self._incarnation:x}",
         )
         self._crash_journal = crash_journal.CrashJournal(
             self._log,
@@ -605,6 +606,9 @@
             self._upstream_directory.remove(record.key)
         else:
             self._upstream_directory.set_upstream(upstream)
+            self._suspects.handle_entry(
+                known, upstream, self._upstream_follower.confirmed_ms
+            )
         if (
             known is None
             or upstream is None
--- a/redwingchute/request/crash_evidence.py
+++ b/redwingchute/request/crash_evidence.py
@@ -64,6 +64,11 @@
 # Bounds the memory that many suspects can take.
 _MAX_SUBJECTS = 1_024
 _MAX_CRASHES_PER_SUBJECT = 16
+# Of those who observed one end, how many are told apart; all of them must
+# withdraw it, and what cannot be told apart is never withdrawn.
+_MAX_OBSERVERS = 32
+_MAX_LISTED_OBSERVERS = 2
+_MAX_WITHDRAWN = _MAX_CRASHES_PER_SUBJECT * _MAX_OBSERVERS
 
 
 @attrs.frozen(cache_hash=True)
@@ -104,6 +109,9 @@
     Attributes:
       crashes: The level of each end under it, by the start of the upstream.
       cleared: Those of them that no longer count.
+      observers: Who observed each end.
+      withdrawn: The ends and observers of which the upstream outlived what was
+        observed.
       changed_ms: When the newest of them became known here.
       tried_ms: When this router last tried the subject.
       failed_trials: The ends that became known after the subject was avoided
@@ -113,6 +121,8 @@
     # Both in order of their addition, so that the oldest can be removed.
     crashes: dict[str, int] = attrs.field(factory=dict)
     cleared: dict[str, None] = attrs.field(factory=dict)
+    observers: dict[str, dict[str, None]] = attrs.field(factory=dict)
+    withdrawn: dict[tuple[str, str], None] = attrs.field(factory=dict)
     changed_ms: int = 0
     tried_ms: int | None = None
     failed_trials: int = 0
@@ -120,7 +130,28 @@
     @property
     def counted(self) -> list[str]:
         """The starts of the upstreams whose ends count."""
-        return [start for start in self.crashes if start not in self.cleared]
+        return [
+            start
+            for start in self.crashes
+            if start not in self.cleared and self.list_observers(start)
+        ]
+
+    def list_observers(self, start: str) -> list[str]:
+        """Returns who observed an end and has not withdrawn it."""
+        return [
+            observer
+            for observer in self.observers.get(start, ())
+            if (start, observer) not in self.withdrawn
+        ]
+
+    def add_observer(self, start: str, observer: str) -> bool:
+        """Adds who observed an end; returns whether that is new."""
+        known = self.observers.setdefault(start, {})
+        if observer not in known and len(known) >= _MAX_OBSERVERS:
+            observer = ""
+        is_new = observer not in known
+        known[observer] = None
+        return is_new
 
     @property
     def level(self) -> int:
@@ -148,7 +179,12 @@
         self._proven_requests_ms: dict[RequestSubject, int] = {}
 
     def record_crash(
-        self, start: str, subject: Subject, level_before: int, now_ms: int
+        self,
+        start: str,
+        subject: Subject,
+        level_before: int,
+        now_ms: int,
+        observer: str = "",
     ) -> tuple[requesting.CrashObservation, ...]:
         """Records that an upstream ended under a subject.
 
@@ -157,6 +193,7 @@
           subject: A subject that had shown no output there.
           level_before: The level of the subject when the request was sent.
           now_ms: The time on a steady clock.
+          observer: Identifies the observation, if it may be withdrawn.
 
         Returns:
           What other routers should be told.
@@ -168,7 +205,7 @@
         # Ends that were cleared while the request ran do not count.
         level = 1 + min(level_before, self.find_level(subject))
         observation = requesting.CrashObservation(
-            encode_subject(subject), start, level=level
+            encode_subject(subject), start, level=level, observer=observer
         )
         return self.apply((observation,), now_ms)
 
@@ -231,7 +268,7 @@
           against it, or this router has the turn to try it.
         """
         for subject in subjects:
-            if self._is_avoided(subject, now_ms) and not self._has_turn(
+            if self.is_avoided(subject, now_ms) and not self._has_turn(
                 subject, now_ms
             ):
                 # Subjects that still come are the last to be evicted.
@@ -252,7 +289,7 @@
           The subjects that the request tries.
         """
         tried = tuple(
-            subject for subject in subjects if self._is_avoided(subject, now_ms)
+            subject for subject in subjects if self.is_avoided(subject, now_ms)
         )
         for subject in tried:
             self._suspicions[subject].tried_ms = now_ms
@@ -278,11 +315,19 @@
         text = encode_subject(subject)
         return tuple(
             requesting.CrashObservation(
-                text, start, level=suspicion.crashes[start]
+                text, start, level=suspicion.crashes[start], observer=observer
             )
             for start in suspicion.counted
+            for observer in _shorten(suspicion.list_observers(start))
         )
 
+    def list_observers(self, subject: Subject, start: str) -> list[str]:
+        """Returns whose observations of an end count against a subject."""
+        suspicion = self._suspicions.get(subject)
+        if suspicion is None or start not in suspicion.counted:
+            return []
+        return suspicion.list_observers(start)
+
     def _mark_proven(self, subject: Subject, now_ms: int) -> None:
         """Records that a request of a subject completed."""
         match subject:
@@ -313,22 +358,21 @@
         if suspicion is None:
             suspicion = _Suspicion()
         start = observation.upstream_start
-        if observation.is_cleared:
+        if observation.is_withdrawn:
+            key = (start, observation.observer)
+            if key in suspicion.withdrawn:
+                return False
+            suspicion.withdrawn[key] = None
+            if not suspicion.counted:
+                suspicion.failed_trials = 0
+        elif observation.is_cleared:
             if start in suspicion.cleared:
                 return False
             suspicion.cleared[start] = None
             if not suspicion.counted:
                 suspicion.failed_trials = 0
-        else:
-            if suspicion.crashes.get(start, 0) >= observation.level:
-                return False
-            if (
-                now_ms - suspicion.changed_ms > _COPIES_END_MS
-                and self._is_avoided(subject, now_ms)
-            ):
-                suspicion.failed_trials += 1
-            suspicion.crashes[start] = observation.level
-            suspicion.changed_ms = now_ms
+        elif not self._apply_crash(suspicion, subject, observation, now_ms):
+            return False
         _drop_oldest(suspicion)
         # The most recently changed suspicion is the last to be evicted.
         self._suspicions.pop(subject, None)
@@ -336,6 +380,34 @@
         self._evict()
         return True
 
+    def _apply_crash(
+        self,
+        suspicion: _Suspicion,
+        subject: Subject,
+        observation: requesting.CrashObservation,
+        now_ms: int,
+    ) -> bool:
+        """Adds an end of an upstream; returns whether it was new."""
+        start = observation.upstream_start
+        if (start, observation.observer) in suspicion.withdrawn:
+            return False
+        was_avoided = self.is_avoided(subject, now_ms)
+        # An end that all had withdrawn counts again if there is another one.
+        was_counted = start in suspicion.crashes and (
+            start in suspicion.cleared or bool(suspicion.list_observers(start))
+        )
+        is_new = suspicion.add_observer(start, observation.observer)
+        if was_counted and suspicion.crashes.get(start, 0) >= observation.level:
+            # Many routers observe one end under a part; one of them tells it.
+            return is_new and isinstance(subject, RequestSubject)
+        if now_ms - suspicion.changed_ms > _COPIES_END_MS and was_avoided:
+            suspicion.failed_trials += 1
+        suspicion.crashes[start] = max(
+            observation.level, suspicion.crashes.get(start, 0)
+        )
+        suspicion.changed_ms = now_ms
+        return True
+
     def _evict(self) -> None:
         """Forgets the suspicion that matters least, if there are too many.
 
@@ -355,7 +427,7 @@
         if least is not None:
             del self._suspicions[least]
 
-    def _is_avoided(self, subject: Subject, now_ms: int) -> bool:
+    def is_avoided(self, subject: Subject, now_ms: int) -> bool:
         """Returns whether enough is known against a subject."""
         suspicion = self._suspicions.get(subject)
         if suspicion is None or now_ms - suspicion.changed_ms > WINDOW_MS:
@@ -436,3 +508,13 @@
     for starts in (suspicion.crashes, suspicion.cleared):
         while len(starts) > _MAX_CRASHES_PER_SUBJECT:
             del starts[next(iter(starts))]
+    for start in list(suspicion.observers):
+        if start not in suspicion.crashes:
+            del suspicion.observers[start]
+    while len(suspicion.withdrawn) > _MAX_WITHDRAWN:
+        del suspicion.withdrawn[next(iter(suspicion.withdrawn))]
+
+
+def _shorten(observers: list[str]) -> list[str]:
+    """Returns observers, or none in particular if there are many."""
+    return observers if len(observers) <= _MAX_LISTED_OBSERVERS else [""]
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -107,6 +107,17 @@
 )
 
 
+def has_responded(result: AttemptResult) -> bool:
+    """Returns whether the upstream itself sent a complete response."""
+    match result:
+        case Rejected(_, is_wrong_instance):
+            return not is_wrong_instance
+        case CompleteResponse() | Streamed():
+            return True
+        case _:
+            return False
+
+
 @attrs.define
 class Relay:
     """The part of a streamed response that was sent to the caller.
--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -17,6 +17,8 @@
 # During a shutdown no new stream is accepted when less time than this is left.
 # Most streams end within it.
 _MIN_STREAM_MS = 5_000
+# Events of a stream beyond two for each output token, such as comments.
+_EXTRA_EVENTS = 64
 # Retry-after while the configuration is missing or not confirmed as newest.
 _RETRY_AFTER_MS = 500
 
@@ -174,6 +176,14 @@
     )
 
 
+def find_max_events(plan: Plan) -> int | None:
+    """Returns the most events that the response to a request can have."""
+    generation = plan.request.generation
+    if generation is None:
+        return None
+    return _EXTRA_EVENTS + 2 * generation.max_output_tokens
+
+
 def is_urgent(plan: Plan) -> bool:
     """Returns whether a request has the highest priority."""
     priority = plan.route.priority
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -44,8 +44,6 @@
 _MAX_CONNECT_ATTEMPTS = 4
 # Retry-after of a refusal whose cause has no known end.
 _RETRY_AFTER_MS = 500
-# Events of a stream beyond two for each output token, such as comments.
-_EXTRA_EVENTS = 64
 # Callers may take these statuses to mean that the request did not run. An
 # upstream's response with one of them, without the header that confirms it, is
 # not forwarded.
@@ -386,7 +384,7 @@
             is_streaming=plan.route.kind is forwarding.RequestKind.STREAMING,
             deadline_s=plan.deadline_s,
             trace=progress.trace,
-            max_events=_find_max_events(plan),
+            max_events=forward_plan.find_max_events(plan),
             mark_responsive=lambda: (
                 self._dependencies.directory.mark_responsive(
                     upstream.id, self._dependencies.read_clock_ms()
@@ -443,6 +441,10 @@
         """Returns how a request ends, or None if it is retried."""
         now_ms = self._dependencies.read_clock_ms()
         directory = self._dependencies.directory
+        if forward_attempt.has_responded(result):
+            self._dependencies.suspects.record_response(
+                send, upstream, progress.trace.connection
+            )
         match result:
             case forward_attempt.Streamed():
                 directory.record_success(upstream)
@@ -681,14 +683,6 @@
         )
 
 
-def _find_max_events(plan: forward_plan.Plan) -> int | None:
-    """Returns the most events that the response to a request can have."""
-    generation = plan.request.generation
-    if generation is None:
-        return None
-    return _EXTRA_EVENTS + 2 * generation.max_output_tokens
-
-
 def _make_no_upstream_refusal(
     retry_after_ms: int = _RETRY_AFTER_MS,
 ) -> outcomes.NotRun:
--- a/redwingchute/request/suspect_tracker.py
+++ b/redwingchute/request/suspect_tracker.py
@@ -5,11 +5,13 @@
 
 import attrs
 
+from redwingchute.connection import http_client
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
 from redwingchute.core import requesting
 from redwingchute.process import decision_log
 from redwingchute.request import crash_evidence
+from redwingchute.request import outlived_ends
 
 # Observations of subjects with fewer ends are not kept: most are sound requests
 # that ran on an upstream as it ended.
@@ -24,11 +26,13 @@
       request_id: Identifies the request in the log.
       subjects: Its subjects.
       levels: The level of each subject, in the same order.
+      mark: A mark of before it was sent, see `http_client.take_mark`.
     """
 
     request_id: str
     subjects: tuple[crash_evidence.Subject, ...]
     levels: tuple[int, ...]
+    mark: int = 0
 
 
 class SuspectTracker:
@@ -40,6 +44,8 @@
         share: Callable[[tuple[requesting.CrashObservation, ...]], None],
         keep: Callable[[tuple[requesting.CrashObservation, ...]], None],
         read_clock_ms: Callable[[], int],
+        observer: str = "",
+        take_mark: Callable[[], int] = http_client.take_mark,
     ) -> None:
         """Creates the tracker of a router.
 
@@ -48,7 +54,14 @@
           share: Has observations told to the other routers now.
           keep: Has observations kept for processes that start later.
           read_clock_ms: Returns the time on a steady clock.
+          observer: Identifies this process among the observers of ends; empty
+            if what it observes is never withdrawn.
+          take_mark: Returns a mark, see `http_client.take_mark`.
         """
+        self._observer = observer and f"{observer}/"
+        self._take_mark = take_mark
+        self._withdrawals = 0
+        self._outlived = outlived_ends.OutlivedEnds()
         self._evidence = evidence
         self._share = share
         self._keep = keep
@@ -93,7 +106,7 @@
                 crashes=self._evidence.count_crashes(subject),
             )
         levels = tuple(map(self._evidence.find_level, subjects))
-        return Send(request_id, tuple(subjects), levels)
+        return Send(request_id, tuple(subjects), levels, self._take_mark())
 
     def record_crash(
         self, send: Send, upstream: forwarding.Upstream, event_count: int
@@ -108,23 +121,32 @@
         if event_count > crash_evidence.MAX_SUSPECT_EVENTS:
             return
         now_ms = self._read_clock_ms()
-        start = f"{upstream.id}/{upstream.born_ms}"
+        start = outlived_ends.name_start(upstream)
+        # What was withdrawn is never observed again under the same name.
+        observer = self._observer and f"{self._observer}{self._withdrawals}"
+        marks = (send.mark, self._take_mark())
         news: list[requesting.CrashObservation] = []
         kept: list[requesting.CrashObservation] = []
         for subject, level in zip(send.subjects, send.levels, strict=True):
-            found = self._evidence.record_crash(start, subject, level, now_ms)
+            found = self._evidence.record_crash(
+                start, subject, level, now_ms, observer
+            )
+            if observer in self._evidence.list_observers(subject, start):
+                self._outlived.record_own(
+                    start, subject, observer, marks, now_ms
+                )
             if not found:
                 continue
             news.extend(found)
-            crashes = self._evidence.list_crashes(subject)
-            if len(crashes) >= _KEPT_CRASHES:
-                kept.extend(crashes)
+            crashes = self._evidence.count_crashes(subject)
+            if crashes >= _KEPT_CRASHES:
+                kept.extend(self._evidence.list_crashes(subject))
             decision_log.log_event(
                 "crash_recorded",
                 request_id=send.request_id,
                 upstream=upstream.id,
                 subject=crash_evidence.encode_subject(subject),
-                crashes=len(crashes),
+                crashes=crashes,
                 level=self._evidence.find_level(subject),
             )
         self._publish(news, kept)
@@ -149,6 +171,79 @@
             )
         self._publish(news, kept)
 
+    def record_response(
+        self, send: Send, upstream: forwarding.Upstream, connection: int
+    ) -> None:
+        """Records that an upstream responded; it may have outlived an end.
+
+        Args:
+          send: The request that it responded to.
+          upstream: The upstream.
+          connection: The number of the connection.
+        """
+        self._withdraw(
+            self._outlived.pop_by_response(
+                outlived_ends.name_start(upstream),
+                connection,
+                send.mark,
+                self._observer,
+            )
+        )
+
+    def handle_entry(
+        self,
+        known: forwarding.Upstream | None,
+        upstream: forwarding.Upstream,
+        appended_after_ms: int,
+    ) -> None:
+        """Handles the entry of an upstream, which may have outlived an end.
+
+        Args:
+          known: The entry before; None if there was none.
+          upstream: The entry.
+          appended_after_ms: The entry was appended to the log after this time,
+            if it is newer than the one before.
+        """
+        if (
+            known is not None
+            and known.start == upstream.start
+            and known.sequence < upstream.sequence
+        ):
+            self._withdraw(
+                self._outlived.pop_by_entry(upstream, appended_after_ms)
+            )
+
+    def _withdraw(self, ends: list[outlived_ends.OutlivedEnd]) -> None:
+        """Withdraws ends that were none; tells the others of the own ones."""
+        if not ends:
+            return
+        self._withdrawals += 1
+        withdrawn = [
+            requesting.CrashObservation(
+                crash_evidence.encode_subject(end.subject),
+                end.start,
+                observer=observer,
+                is_withdrawn=True,
+            )
+            for end in ends
+            for observer in sorted(end.observers)
+            if observer
+        ]
+        self._evidence.apply(withdrawn, self._read_clock_ms())
+        own = [
+            found
+            for found in withdrawn
+            if self._observer and found.observer.startswith(self._observer)
+        ]
+        for start in sorted({end.start for end in ends}):
+            decision_log.log_event(
+                "crash_withdrawn",
+                start=start,
+                subjects=sum(end.start == start for end in ends),
+                is_own=any(found.upstream_start == start for found in own),
+            )
+        self._publish(own, own)
+
     def _publish(
         self,
         news: list[requesting.CrashObservation],
@@ -171,12 +266,55 @@
           source: Where the observations come from, for the log.
           observations: The observations; known ones have no effect.
         """
-        news = self._evidence.apply(observations, self._read_clock_ms())
-        for observation in news:
+        now_ms = self._read_clock_ms()
+        objections: list[requesting.CrashObservation] = []
+        for observation in observations:
+            subject = crash_evidence.decode_subject(observation.subject)
+            if subject is None:
+                continue
+            was_avoided = self._evidence.is_avoided(subject, now_ms)
+            if not self._evidence.apply((observation,), now_ms):
+                continue
+            objections += self._follow(subject, observation, now_ms)
+            is_avoided = self._evidence.is_avoided(subject, now_ms)
+            if is_avoided is was_avoided:
+                decision_log.count_event("crash_observation_received")
+                continue
             decision_log.log_event(
                 "crash_observation_received",
                 source=source,
                 subject=observation.subject,
                 upstream=observation.upstream_start,
-                is_cleared=observation.is_cleared,
+                is_avoided=is_avoided,
+            )
+        self._publish(objections, [])
+
+    def _follow(
+        self,
+        subject: crash_evidence.Subject,
+        observation: requesting.CrashObservation,
+        now_ms: int,
+    ) -> list[requesting.CrashObservation]:
+        """Waits for proof against an end that another router observed.
+
+        Returns:
+          What this router observed itself of an end that the other withdraws.
+        """
+        start = observation.upstream_start
+        observers = self._evidence.list_observers(subject, start)
+        if observation.is_withdrawn:
+            return [
+                requesting.CrashObservation(
+                    observation.subject,
+                    start,
+                    level=self._evidence.find_level(subject),
+                    observer=observer,
+                )
+                for observer in observers
+                if self._observer and observer.startswith(self._observer)
+            ]
+        if observation.observer in observers:
+            self._outlived.record_other(
+                start, subject, observation.observer, now_ms
             )
+        return []
--- a/redwingchute/wire/request.capnp
+++ b/redwingchute/wire/request.capnp
@@ -3,7 +3,7 @@
 # core/requesting.py, core/rate_limiting.py and core/streams.py.
 
 struct CrashNotice { clientAccount @0 :Text; bodyDigest @1 :Data; upstream @2 :Text; attemptId @3 :Text; crashedAtMs @4 :Int64; }
-struct CrashObservation { subject @0 :Text; upstreamStart @1 :Text; isCleared @2 :Bool; level @3 :UInt32; }
+struct CrashObservation { subject @0 :Text; upstreamStart @1 :Text; isCleared @2 :Bool; level @3 :UInt32; observer @4 :Text; isWithdrawn @5 :Bool; }
 struct CrashReport { reportId @0 :Text; observations @1 :List(CrashObservation); }
 struct QuarantineNotice { clientAccount @0 :Text; bodyDigest @1 :Data; untilMs @2 :Int64; changedAtMs @3 :Int64; isLifted @4 :Bool; author @5 :Text; }
 struct LeavingNotice { upstream @0 :Text; seenAtMs @1 :Int64; bornMs @2 :Int64; }
