Keep requests in their zone unless leaving pays, if leaving has a price

Generations went to any upstream of the fleet within 100 ms of the best, so that most left their caller's zone whether it had room or not. Operators may now set a price in ms of delay per MB. With it a request leaves if its zone has no upstream, if its prompt parts lie elsewhere and reading them again costs more than the crossing, or if it is part of the zone's excess, which all routers of the zone compute from the same load and spread by spare room. Leaving begins and ends at different gaps and lasts a second; zones that are silent, or whose load grows, take no more; late notices send nothing.

--- a/redwingchute/core/forwarding.py
+++ b/redwingchute/core/forwarding.py
@@ -262,6 +262,7 @@
         stream, or None.
       resumed_id: The id of the request that brought the first event of that
         stream, or None.
+      body_bytes: The size of its body.
     """
 
     id: str
@@ -272,3 +273,4 @@
     generation: Generation | None = None
     last_event_id: int | None = None
     resumed_id: str | None = None
+    body_bytes: int = 0
--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -110,6 +110,7 @@
                 generation=_read_generation(headers),
                 last_event_id=_read_int(headers.get(_LAST_EVENT_ID)),
                 resumed_id=headers.get(_RESUMED_REQUEST_ID) or None,
+                body_bytes=len(request.body),
             )
         except ValueError as error:
             return _refuse_header(str(error))
--- a/redwingchute/platform/settings_file.py
+++ b/redwingchute/platform/settings_file.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Mapping
 import hashlib
+import math
 import pathlib
 from typing import TypeVar
 
@@ -15,6 +16,9 @@
 
 PATH_VARIABLE = "REDWINGCHUTE_CONFIG"
 DEFAULT_PATH = "/etc/redwingchute/settings.conf"
+# The price of leaving the zone in ms per MB. It is a setting of the product,
+# which the platform's file has no field for.
+CROSSING_PRICE_VARIABLE = "REDWINGCHUTE_ZONE_CROSSING_MS_PER_MB"
 # The metrics port in deploy/system.toml.
 _METRICS_PORT = 9464
 
@@ -37,17 +41,20 @@
         text = path.read_text()
     except OSError as error:
         return None, [data.Finding(str(path), str(error))]
-    return decode_settings(text, str(path))
+    return decode_settings(
+        text, str(path), environment.get(CROSSING_PRICE_VARIABLE, "")
+    )
 
 
 def decode_settings(
-    text: str, place: str
+    text: str, place: str, crossing_price: str = ""
 ) -> tuple[gateway_settings.GatewaySettings | None, list[data.Finding]]:
     """Decodes the text of a settings file.
 
     Args:
       text: The content of the file.
       place: The path of the file, for findings.
+      crossing_price: The text of the price of leaving the zone; empty for none.
 
     Returns:
       The settings, or None if there are findings, and the findings.
@@ -85,6 +92,7 @@
         * reader.read_positive("limits.cpuCores", 1.0),
         region=reader.read_optional_text("region"),
         zone_regions=reader.read_table("zones"),
+        crossing_ms_per_mb=_read_price(crossing_price, reader.findings),
     )
     return (None if reader.findings else decoded), reader.findings
 
@@ -165,6 +173,22 @@
         self.findings.append(data.Finding(f"{self._place}: {name}", message))
 
 
+def _read_price(text: str, findings: list[data.Finding]) -> float:
+    """Returns the price of leaving the zone; adds a finding if it is none."""
+    if not text:
+        return 0.0
+    try:
+        price = float(text)
+    except ValueError:
+        price = math.nan
+    if 0 <= price < math.inf:
+        return price
+    findings.append(
+        data.Finding(CROSSING_PRICE_VARIABLE, "is not a number from 0 on")
+    )
+    return 0.0
+
+
 def _split_lines(text: str) -> dict[str, str]:
     """Returns the fields of a settings file."""
     pairs = (line.partition("=") for line in text.splitlines())
--- a/redwingchute/platform/settings_file_test.py
+++ b/redwingchute/platform/settings_file_test.py
@@ -3,6 +3,8 @@
 import pathlib
 import tomllib
 
+import pytest
+
 from redwingchute.platform import settings_file
 
 _LINES = """\
@@ -55,6 +57,32 @@
     assert settings.zone_regions == {"huon": "south", "a.b": "east"}
 
 
+def test_the_price_of_leaving_the_zone_is_a_variable(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "settings.conf"
+    path.write_text(_LINES)
+    for price, expected in (("", 0.0), ("1200.5", 1_200.5), ("0", 0.0)):
+        settings, findings = settings_file.load_settings(
+            {
+                settings_file.PATH_VARIABLE: str(path),
+                settings_file.CROSSING_PRICE_VARIABLE: price,
+            }
+        )
+        assert not findings
+        assert settings is not None
+        assert settings.crossing_ms_per_mb == expected
+
+
+@pytest.mark.parametrize("price", ["much", "-1", "nan", "inf"])
+def test_a_price_that_is_none_is_reported(price: str) -> None:
+    settings, findings = settings_file.decode_settings(_LINES, "file", price)
+    assert settings is None
+    assert [finding.place for finding in findings] == [
+        settings_file.CROSSING_PRICE_VARIABLE
+    ]
+
+
 def test_an_interval_that_is_not_positive_is_reported() -> None:
     text = _LINES + "bounds.drainMs=0\nlimits.cpuShare=-1\n"
     _, findings = settings_file.decode_settings(text, "file")
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -170,6 +170,10 @@
             settings.host_name,
             settings.drain_ms,
             read_boot_ms,
+            settings.crossing_ms_per_mb,
+        )
+        self._metrics.observe_crossings(
+            lambda: self._upstream_directory.crossings.counts
         )
         self._regions = home_regions.RegionMap(
             settings.zone, settings.region, settings.zone_regions
--- a/redwingchute/process/gateway_settings.py
+++ b/redwingchute/process/gateway_settings.py
@@ -31,6 +31,8 @@
       processor_share: The processor time that the host may use, in cores.
       region: The host's region; empty if it is not known.
       zone_regions: The region of each availability zone that is known.
+      crossing_ms_per_mb: The delay that the operator would bear to keep one MB
+        in its zone; 0 to choose upstreams without regard to that.
     """
 
     host_name: str
@@ -50,3 +52,4 @@
     processor_share: float = 1.0
     region: str = ""
     zone_regions: Mapping[str, str] = attrs.Factory(dict)
+    crossing_ms_per_mb: float = 0.0
--- a/redwingchute/process/telemetry.py
+++ b/redwingchute/process/telemetry.py
@@ -20,6 +20,7 @@
 
 from redwingchute.process.prepaid import grant
 from redwingchute.request import request_metrics
+from redwingchute.request import zone_crossings
 
 # The histograms' upper bounds. They cover and tell apart all durations measured
 # here, from a call to the log (some ms) to a complete request (some seconds).
@@ -128,6 +129,37 @@
         create_gauge("grant_tokens", [observe_totals])
         create_gauge("grant_exposed_tokens", [observe_exposed])
 
+    def observe_crossings(
+        self, read: Callable[[], zone_crossings.CrossingCounts]
+    ) -> None:
+        """Exposes the requests that left the zone, and their bytes.
+
+        Args:
+          read: Returns what left since the process started.
+        """
+
+        def observe_requests(
+            options: api_metrics.CallbackOptions,
+        ) -> Iterable[api_metrics.Observation]:
+            del options
+            return [
+                api_metrics.Observation(count, {"zone": zone, "reason": reason})
+                for (zone, reason), count in read().requests.items()
+            ]
+
+        def observe_bytes(
+            options: api_metrics.CallbackOptions,
+        ) -> Iterable[api_metrics.Observation]:
+            del options
+            return [
+                api_metrics.Observation(count, {"zone": zone})
+                for zone, count in read().body_bytes.items()
+            ]
+
+        create_counter = self._meter.create_observable_counter
+        create_counter("zone_crossings", [observe_requests])
+        create_counter("zone_crossing_body_bytes", [observe_bytes])
+
     def _create_histogram(self, name: str) -> api_metrics.Histogram:
         """Returns a histogram of durations in milliseconds."""
         return self._meter.create_histogram(
--- a/redwingchute/process/telemetry_test.py
+++ b/redwingchute/process/telemetry_test.py
@@ -2,6 +2,7 @@
 
 from redwingchute.process import telemetry
 from redwingchute.process.prepaid import grant
+from redwingchute.request import zone_crossings
 
 
 def test_metrics_render_and_close() -> None:
@@ -30,3 +31,17 @@
     assert 'grant_tokens{state="unsure"} 500.0' in text
     assert 'grant_exposed_tokens{account="yield"} 1200.0' in text
     metrics.close()
+
+
+def test_what_leaves_the_zone_is_counted_by_zone_and_reason() -> None:
+    metrics = telemetry.Metrics("huon-1", "huon")
+    metrics.observe_crossings(
+        lambda: zone_crossings.CrossingCounts(
+            {("bruny", "load"): 3, ("bruny", "part"): 1}, {"bruny": 8_000}
+        )
+    )
+    text = metrics.render().decode()
+    assert 'zone_crossings_total{reason="load",zone="bruny"} 3.0' in text
+    assert 'zone_crossings_total{reason="part",zone="bruny"} 1.0' in text
+    assert 'zone_crossing_body_bytes_total{zone="bruny"} 8000.0' in text
+    metrics.close()
--- a/redwingchute/request/forward_retry.py
+++ b/redwingchute/request/forward_retry.py
@@ -40,6 +40,7 @@
         forward_progress.is_urgent(plan, progress),
         bond,
         plan.homes,
+        plan.route.target_latency_ms,
     )
     if chosen is None:
         return False
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -249,6 +249,7 @@
             forward_progress.is_urgent(plan, progress),
             self._resumption.find_bond(progress),
             plan.homes,
+            plan.route.target_latency_ms,
         )
 
     def _refuse_if_busy(
@@ -264,6 +265,7 @@
             now_ms,
             forward_plan.is_urgent(plan),
             homes=plan.homes,
+            target_ms=plan.route.target_latency_ms,
         )
         if chosen is None:
             return None
--- a/redwingchute/request/home_regions_test.py
+++ b/redwingchute/request/home_regions_test.py
@@ -1,5 +1,7 @@
 """Tests of the decisions about home regions, without a network."""
 
+import contextlib
+
 import pytest
 
 from redwingchute.core import forwarding
@@ -85,14 +87,18 @@
     homes = _make_homes("south")
     home = directory.find("m-1")
     assert home is not None
-    for number in range(200):
-        generation = forwarding_builders.make_generation(f"prompt-{number}")
-        request = forwarding_builders.make_request(number, generation)
-        directory.track_request(home, generation, _NOW_MS).__enter__()
-        chosen = directory.choose(
-            "llm", request, frozenset(), _NOW_MS, homes=homes
-        )
-        assert chosen is not None and chosen.upstream.id == "m-1"
+    with contextlib.ExitStack() as open_requests:
+        for number in range(200):
+            generation = forwarding_builders.make_generation(f"prompt-{number}")
+            request = forwarding_builders.make_request(number, generation)
+            open_requests.enter_context(
+                directory.track_request(home, generation, _NOW_MS)
+            )
+            chosen = directory.choose(
+                "llm", request, frozenset(), _NOW_MS, homes=homes
+            )
+            assert chosen is not None and chosen.upstream.id == "m-1"
+            assert chosen.load == number + 1
 
 
 # Guards against a retry that leaves the home regions when all were tried.
--- a/redwingchute/request/upstream_choice.py
+++ b/redwingchute/request/upstream_choice.py
@@ -41,12 +41,18 @@
       delay_ms: The estimated time until it begins the request's prefill.
       cost_ms: The estimated time of the request's prefill there, plus that of
         cached prompt parts that it would evict.
+      uncached_tokens: The tokens of its prompt that need prefill there. It and
+        the next one are 0 unless leaving the zone has a price, see
+        `zone_overflow`.
+      prefill_ms: The estimated time of that prefill.
     """
 
     upstream: forwarding.Upstream
     load: float
     delay_ms: float = 0.0
     cost_ms: float = 0.0
+    uncached_tokens: int = 0
+    prefill_ms: float = 0.0
 
 
 def find_affinity_key(generation: forwarding.Generation | None) -> str | None:
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -24,6 +24,8 @@
 from redwingchute.request import upstream_choice
 from redwingchute.request import upstream_limits
 from redwingchute.request import version_history
+from redwingchute.request import zone_crossings
+from redwingchute.request import zone_overflow
 
 
 @attrs.define
@@ -44,6 +46,7 @@
 
     Attributes:
       limits: The rates to which upstreams limit the requests of the fleet.
+      crossings: The requests that leave the router's zone.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         host: str = "",
         drain_ms: int = 2_000,
         read_clock_ms: Callable[[], int] = lambda: 0,
+        crossing_ms_per_mb: float = 0.0,
     ) -> None:
         """Creates a directory without upstreams.
 
@@ -61,8 +65,11 @@
           drain_ms: How long an upstream that leaves still accepts requests.
           read_clock_ms: Returns the time on a steady clock, which dates the
             history of versions.
+          crossing_ms_per_mb: The price of leaving the zone, see
+            `zone_crossings`.
         """
         self._zone = zone
+        self.crossings = zone_crossings.ZoneCrossings(zone, crossing_ms_per_mb)
         self._pools: dict[str, _Pool] = {}
         self._service_names: dict[str, str] = {}
         self._prefill = prefill_model.PrefillModel()
@@ -102,6 +109,7 @@
             return
         self._record_versions(service)
         self._unresponsive.remove(upstream_id)
+        self.crossings.remove(upstream_id)
         self._prefill.remove(upstream_id)
         pool = self._get_pool(service)
         del pool.upstreams[upstream_id]
@@ -170,6 +178,7 @@
         is_urgent: bool = False,
         bond: stream_origins.VersionBond | None = None,
         homes: home_regions.Homes = home_regions.ANYWHERE,
+        target_ms: int = 0,
     ) -> upstream_choice.Candidate | None:
         """Returns the upstream for a request, or None.
 
@@ -187,6 +196,8 @@
           is_urgent: Whether the request has the highest priority.
           bond: The upstreams that a stream may go on at; None for any.
           homes: Where the request may run.
+          target_ms: The time within which its first event should arrive; 0 if
+            there is none.
         """
         pool = self._get_pool(service)
         ready = [
@@ -206,15 +217,58 @@
             for upstream in healthy
             if not self._departures.is_leaving(upstream)
         ]
-        return upstream_choice.choose_upstream(
-            [
-                self._make_candidate(upstream, request.generation, now_ms)
-                for upstream in staying or healthy or ready
-            ],
+        candidates = [
+            self._make_candidate(upstream, request.generation, now_ms)
+            for upstream in staying or healthy or ready
+        ]
+        decision = self._narrow(service, candidates, request, target_ms, now_ms)
+        chosen = upstream_choice.choose_upstream(
+            decision.candidates,
             upstream_choice.find_affinity_key(request.generation),
             self._zone,
             request.id,
         )
+        if chosen is not None:
+            self.crossings.record_choice(
+                chosen.upstream, decision.reason, request
+            )
+        return chosen
+
+    def _narrow(
+        self,
+        service: str,
+        candidates: list[upstream_choice.Candidate],
+        request: forwarding.ForwardRequest,
+        target_ms: int,
+        now_ms: int,
+    ) -> zone_overflow.Decision:
+        """Returns the upstreams in the zone, or where leaving it pays."""
+        if not self.crossings.is_priced:
+            return zone_overflow.Decision(candidates)
+        if self.crossings.should_observe(service, now_ms):
+            self.crossings.observe(
+                service, self._list_delays(service, now_ms), now_ms
+            )
+        return self.crossings.narrow(
+            service, candidates, request, target_ms, now_ms
+        )
+
+    def _list_delays(
+        self, service: str, now_ms: int
+    ) -> list[tuple[str, float]]:
+        """Returns the zone and delay in ms of each upstream that takes work."""
+        outliers = self._get_pool(service).outliers
+        return [
+            (
+                upstream.zone,
+                self._load.count_waiting_tokens(upstream.id, now_ms)
+                * self._prefill.estimate_ms_per_token(upstream.id),
+            )
+            for upstream in self._iterate_in_use(service, now_ms)
+            if self._find_pause_end_ms(upstream, False) <= now_ms
+            and outliers.find_available_ms(upstream.id) <= now_ms
+            and not self._departures.is_leaving(upstream)
+        ]
 
     def _iterate_in_use(
         self,
@@ -253,6 +307,11 @@
             return upstream_choice.Candidate(upstream, load)
         waiting_tokens = self._load.count_waiting_tokens(upstream.id, now_ms)
         ms_per_token = self._prefill.estimate_ms_per_token(upstream.id)
+        uncached_tokens = 0
+        if self.crossings.is_priced:
+            uncached_tokens = self._prefill.count_uncached_tokens(
+                upstream.id, generation, now_ms
+            )
         return upstream_choice.Candidate(
             upstream,
             load,
@@ -260,6 +319,8 @@
             cost_ms=self._prefill.estimate_cost_ms(
                 upstream.id, generation, now_ms
             ),
+            uncached_tokens=uncached_tokens,
+            prefill_ms=uncached_tokens * ms_per_token,
         )
 
     @contextlib.contextmanager
@@ -271,6 +332,7 @@
     ) -> Iterator[fleet_load.OpenRequest]:
         """Counts a request as open at an upstream while the context lasts."""
         self._unresponsive.begin_request(upstream.id, now_ms)
+        self.crossings.record_send(upstream, now_ms)
         request = fleet_load.OpenRequest(upstream.id, now_ms)
         if generation is not None:
             self._record_prefill(request, generation, now_ms)
@@ -323,6 +385,7 @@
     def set_hub_role(self, role: load_exchange.HubRole) -> None:
         """Sets what this router does in the exchange of load notices."""
         self._exchange.set_role(role)
+        self.crossings.set_has_peers(bool(role.hubs))
 
     def pop_due_notices(
         self, now_ms: int
@@ -342,6 +405,7 @@
           now_ms: The current time.
         """
         self._exchange.handle_notice(host, notice, now_ms)
+        self.crossings.record_notice(now_ms)
         for part in notice.list_parts():
             if part.upstream in self._service_names:
                 self._prefill.record_prefill(
@@ -355,6 +419,9 @@
     def mark_responsive(self, upstream_id: str, now_ms: int) -> None:
         """Marks an upstream as responsive, since data arrived from it."""
         self._unresponsive.mark_responsive(upstream_id, now_ms)
+        upstream = self.find(upstream_id)
+        if upstream is not None:
+            self.crossings.record_data(upstream.zone)
 
     def mark_unresponsive(
         self, upstream: forwarding.Upstream, now_ms: int
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -111,6 +111,7 @@
         addresses: dict[str, http_client.Address] | None = None,
         zones: Mapping[str, str] | None = None,
         zone_regions: Mapping[str, str] | None = None,
+        crossing_ms_per_mb: float = 0.0,
     ) -> None:
         """Prepares the rig; entering its context starts the parts.
 
@@ -122,6 +123,7 @@
           zones: The availability zones of runners and gateways by their ids and
             host names; by default all gateways are in one, runners in none.
           zone_regions: The regions of zones.
+          crossing_ms_per_mb: The price of leaving a zone.
         """
         self.store = metadata_store.MetadataStore()
         self.runners: dict[str, runner.Runner] = {}
@@ -131,6 +133,7 @@
         self._addresses = addresses or {}
         self._zones = zones or {}
         self._zone_regions = zone_regions or {}
+        self._crossing_ms_per_mb = crossing_ms_per_mb
         self._document = document or make_document()
         self._stack = contextlib.AsyncExitStack()
         self._pool = http_client.ClientPool()
@@ -293,6 +296,7 @@
             retry_ratio=10.0,
             region=self._zone_regions.get(zone, ""),
             zone_regions=self._zone_regions,
+            crossing_ms_per_mb=self._crossing_ms_per_mb,
         )
         cut = upstream_cut.UpstreamCut(
             lambda port: any(
