--- a/redwingchute/request/zone_overflow.py
+++ b/redwingchute/request/zone_overflow.py
@@ -264,13 +264,12 @@
 ) -> Decision | None:
     """Returns where to go if the request is a part of the zone's excess.
 
-    One that the zone can't begin before its target is a part of it in any case.
+    One that would miss its target in the zone is a part of it in any case.
     """
     if not figures.are_fresh:
         return None
     prefill_ms = min(candidate.prefill_ms for candidate in near)
-    delay_ms = min(candidate.delay_ms for candidate in near)
-    if not need.target_ms or delay_ms < need.target_ms:
+    if min(map(_estimate_event_ms, near)) <= find_limit_ms(need):
         share = compute_share(figures, need, prefill_ms)
         if not overflow.is_leaving or (
             _hash(f"{need.request_id}/leave") >= share
--- a/redwingchute/request/zone_overflow_traffic_test.py
+++ b/redwingchute/request/zone_overflow_traffic_test.py
@@ -68,6 +68,36 @@
         fleet.run(1_000, _CALM)
 
 
+# Guards against requests with a short target that wait at the level at which
+# those with a long one leave.
+def test_in_a_wave_requests_with_a_short_target_are_in_time() -> None:
+    fleet = zone_fleet.ZoneFleet(_PRICE_MS_PER_MB)
+    fleet.run(3_000, _CALM, target_ms=600)
+    sent = fleet.run(8_000, (27, 9, 9), target_ms=600)
+    assert zone_fleet.measure_late_share(sent, 600) < _MAX_LATE_SHARE
+    shares = _list_shares(sent)
+    assert shares[0] < 1 - _ZONE_RATE_PER_S / 27 + _TOLERANCE
+    assert shares[1:] == [0, 0]
+
+
+def test_a_wave_with_notices_600_ms_late_does_not_swing() -> None:
+    late = {}
+    for price in (_PRICE_MS_PER_MB, 0.0):
+        fleet = zone_fleet.ZoneFleet(price)
+        fleet.notice_delay_ms = 600
+        fleet.run(3_000, _CALM, target_ms=600)
+        seconds = [
+            fleet.run(1_000, (27, 9, 9), target_ms=600) for _ in range(10)
+        ]
+        wave = [sent for second in seconds for sent in second]
+        late[price] = zone_fleet.measure_late_share(wave, 600)
+        for second in seconds if price else ():
+            share = zone_fleet.measure_leaving_share(second, "huon")
+            assert share < 2 * (1 - _ZONE_RATE_PER_S / 27)
+    # The choice among all zones is the one without a price.
+    assert late[_PRICE_MS_PER_MB] <= late[0.0]
+
+
 def test_half_the_engines_at_three_fifths_of_their_speed() -> None:
     late = {}
     for price in (_PRICE_MS_PER_MB, 1e9):
--- a/redwingchute/testing/zone_fleet.py
+++ b/redwingchute/testing/zone_fleet.py
@@ -11,6 +11,7 @@
 import attrs
 
 from redwingchute.core import forwarding
+from redwingchute.core import requesting
 from redwingchute.request import fleet_load
 from redwingchute.request import load_exchange
 from redwingchute.request import upstream_directory
@@ -89,6 +90,7 @@
       engines: The upstreams.
       sent: All requests that were sent.
       has_notices: Whether load notices arrive.
+      notice_delay_ms: How long they take.
     """
 
     def __init__(
@@ -99,6 +101,8 @@
         self.engines: dict[str, Engine] = {}
         self.sent: list[Sent] = []
         self.has_notices = True
+        self.notice_delay_ms = 0
+        self._notices: list[tuple[int, str, requesting.LoadNotice]] = []
         self._count = 0
         names = [
             (f"{zone}-router-{number}", zone)
@@ -217,15 +221,20 @@
                 router.directory.mark_responsive(upstream_id, self.now_ms)
                 router.directory.record_first_event(found.tracked, self.now_ms)
                 found.context.close()
+        self._deliver_notices()
+
+    def _deliver_notices(self) -> None:
+        """Delivers the load notices whose time has come to all routers."""
         for router in self._routers:
             for outgoing in router.directory.pop_due_notices(self.now_ms):
-                if not self.has_notices:
-                    continue
-                for other in self._routers:
-                    if other is not router:
-                        other.directory.handle_notice(
-                            router.name, outgoing.notice, self.now_ms
-                        )
+                if self.has_notices:
+                    due_ms = self.now_ms + self.notice_delay_ms
+                    self._notices.append((due_ms, router.name, outgoing.notice))
+        while self._notices and self._notices[0][0] <= self.now_ms:
+            _, sender, notice = self._notices.pop(0)
+            for router in self._routers:
+                if router.name != sender:
+                    router.directory.handle_notice(sender, notice, self.now_ms)
 
 
 def measure_leaving_share(sent: Sequence[Sent], zone: str) -> float:
