--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -179,6 +179,10 @@
                 read_wall_ms,
                 lambda notice: self._relay.broadcast(notice),
             ),
+            settings.crossing_ms_per_mb,
+        )
+        self._metrics.observe_crossings(
+            lambda: self._upstream_directory.crossings.counts
         )
         self._regions = home_regions.RegionMap(
             settings.zone, settings.region, settings.zone_regions
