Look cold upstreams up only where some are known

Each choice among upstreams asked of each whether it is cold, also while none is. The ids that were cold when something was last heard of them are kept, and the rest is left out. It also shows entries that are read before the configuration: they count once it names a rate. Not measured; the tests of cold upstreams pass.

--- a/redwingchute/request/cold_upstreams.py
+++ b/redwingchute/request/cold_upstreams.py
@@ -85,6 +85,8 @@
         self._broadcast = broadcast
         self._services: dict[str, forwarding.Service] = {}
         self._states: dict[str, _State] = {}
+        # The upstreams that were cold when something was last heard of them.
+        self._cold_ids: set[str] = set()
 
     def set_services(self, services: Iterable[forwarding.Service]) -> None:
         """Sets the services of the configuration in force."""
@@ -93,6 +95,8 @@
             for service in services
             if service.cold_requests_per_s > 0
         }
+        for upstream_id, state in self._states.items():
+            self._record_change(upstream_id, state, "configuration")
 
     def record_entry(self, upstream: forwarding.Upstream) -> None:
         """Records an entry that an upstream has written."""
@@ -107,12 +111,13 @@
                 upstream.service, upstream.born_ms, 0, now_ms, age_ms
             )
             self._states[upstream.id] = state
+            self._cold_ids.discard(upstream.id)
         state.sequence = upstream.sequence
         state.unsure_entries = max(0, state.unsure_entries - 1)
         state.end_ms = (
             None if upstream.cold_ms is None else now_ms + upstream.cold_ms
         )
-        self._log_change(upstream.id, state, "entry")
+        self._record_change(upstream.id, state, "entry")
 
     def record_response(
         self, upstream: forwarding.Upstream, cold_ms: int | None
@@ -148,7 +153,7 @@
         was_cold = self._is_cold(state)
         state.end_ms = self._read_clock_ms() + cold_ms
         state.unsure_entries = 0
-        self._log_change(start.id, state, source)
+        self._record_change(start.id, state, source)
         return was_cold != self._is_cold(state)
 
     def record_failure(self, upstream: forwarding.Upstream) -> None:
@@ -189,11 +194,12 @@
     ) -> None:
         """Counts an upstream as cold until its later entries say otherwise."""
         state.unsure_entries = _ENTRIES_UNTIL_SURE
-        self._log_change(upstream_id, state, source)
+        self._record_change(upstream_id, state, source)
 
     def remove(self, upstream_id: str) -> None:
         """Removes an upstream whose entry is gone; unknown ones are ignored."""
         self._states.pop(upstream_id, None)
+        self._cold_ids.discard(upstream_id)
 
     def find_rate(self, upstream_id: str) -> float:
         """Returns the requests a second that a cold upstream bears.
@@ -201,10 +207,11 @@
         Returns:
           Infinity if it is not cold.
         """
-        if not self._services:
+        # The usual case: nothing has to be looked up.
+        if upstream_id not in self._cold_ids:
             return math.inf
-        state = self._states.get(upstream_id)
-        if state is None or not self._is_cold(state):
+        state = self._states[upstream_id]
+        if not self._is_cold(state):
             return math.inf
         return self._services[state.service].cold_requests_per_s
 
@@ -227,7 +234,7 @@
           excluded: Upstreams that were tried for it.
           choose: Chooses among some of the candidates.
         """
-        if not self._services:
+        if not self._cold_ids:
             return choose(candidates)
         if sum(map(self._needs_permit, excluded)) >= _MAX_COLD_TRIES:
             candidates = [
@@ -249,10 +256,10 @@
 
     def _is_starting(self, upstream_id: str) -> bool:
         """Returns whether an upstream is cold by its statement or its age."""
-        state = self._states.get(upstream_id)
-        return state is not None and self._find_end_ms(state) > (
-            self._read_clock_ms()
-        )
+        if upstream_id not in self._cold_ids:
+            return False
+        state = self._states[upstream_id]
+        return self._find_end_ms(state) > self._read_clock_ms()
 
     def record_permit(self, upstream_id: str) -> None:
         """Counts a request that this router may send to a cold upstream."""
@@ -265,8 +272,8 @@
         """Returns the ids of the upstreams that count as cold."""
         return tuple(
             upstream_id
-            for upstream_id, state in self._states.items()
-            if self._is_cold(state)
+            for upstream_id in sorted(self._cold_ids)
+            if self._is_cold(self._states[upstream_id])
         )
 
     def _is_cold(self, state: _State) -> bool:
@@ -287,13 +294,16 @@
             return state.end_ms
         return state.first_read_ms + service.cold_start_ms - state.age_ms
 
-    def _log_change(self, upstream_id: str, state: _State, source: str) -> None:
-        """Logs that an upstream has turned cold or warm."""
+    def _record_change(
+        self, upstream_id: str, state: _State, source: str
+    ) -> None:
+        """Records and logs that an upstream has turned cold or warm."""
         is_cold = self._is_cold(state)
         if is_cold == (state.since_ms is not None):
             return
         now_ms = self._read_clock_ms()
         if is_cold:
+            self._cold_ids.add(upstream_id)
             state.since_ms, state.permits = now_ms, 0
             decision_log.log_event(
                 "upstream_cold",
@@ -303,6 +313,7 @@
                 remaining_ms=max(0, self._find_end_ms(state) - now_ms),
             )
             return
+        self._cold_ids.discard(upstream_id)
         decision_log.log_event(
             "upstream_warm",
             upstream=upstream_id,
--- a/redwingchute/request/cold_upstreams_test.py
+++ b/redwingchute/request/cold_upstreams_test.py
@@ -130,6 +130,18 @@
     assert not other.cold.list_cold()
 
 
+# Guards against upstreams that are cold when a router starts, and whose entries
+# it reads before the configuration.
+def test_entries_may_be_read_before_the_configuration() -> None:
+    router = _Router(forwarding.Service("llm"))
+    router.read_entry("m-1", 900)
+    assert not router.cold.list_cold()
+    router.cold.set_services([_SERVICE])
+    assert router.cold.find_rate("m-1") == _RATE_PER_S
+    router.cold.set_services([])
+    assert router.cold.find_rate("m-1") == math.inf
+
+
 # Guards against limits where the configuration names no cold rate.
 def test_without_a_cold_rate_nothing_is_cold() -> None:
     router = _Router(forwarding.Service("llm", cold_start_ms=3_000))
