Send nothing new to zones that the operator evacuates

Callers' requests went on to a zone that its operator was emptying, and ended there. No code read the operator's record of it.

The operator's topic is now followed by a module of its own, operator_records: the configuration, taken over from the gateway, and the evacuated zones. One read brings both, so a router that can serve knows the zones. The directory offers no upstream of such a zone for new work, retries or resumptions, and no new connection is carried to one; what runs there goes on. Routers tell each other, with the position of the record: only a later one replaces a state, so that slow reads undo nothing. After a return of the log from a copy the states hold until the operator had the time to write again.

The test of lost responses takes the timing of the topic from its new place; it checks the same.

--- a/redwingchute/platform/configuration_document.py
+++ b/redwingchute/platform/configuration_document.py
@@ -13,6 +13,8 @@
 
 TOPIC = "op"
 KEY = "config"
+# The keys of the zones that the operator evacuates, in the same topic.
+EVACUATION_PREFIX = "evacuate/"
 
 _KINDS = {
     "idempotent": forwarding.RequestKind.IDEMPOTENT,
--- a/redwingchute/platform/lost_response_test.py
+++ b/redwingchute/platform/lost_response_test.py
@@ -10,9 +10,9 @@
 
 from redwingchute.connection import http_client
 from redwingchute.process import era_log
-from redwingchute.process import gateway
 from redwingchute.process import gateway_settings
 from redwingchute.process import keyed_follower
+from redwingchute.process import operator_records
 from redwingchute.process import shared_log
 from redwingchute.testing import manual_loop
 from redwingchute.testing import memory_log
@@ -69,7 +69,7 @@
     follower = keyed_follower.KeyedFollower(
         era_log.EraLog(_SilentLog()),
         "op",
-        gateway.make_configuration_timing(_make_settings(fresh_ms)),
+        operator_records.make_timing(fresh_ms),
         lambda: int(1000 * loop.time()),
         lambda record: delivered_s.append(loop.time()),
     )
--- a/redwingchute/platform/main.py
+++ b/redwingchute/platform/main.py
@@ -14,6 +14,7 @@
 from redwingchute.process import decision_log
 from redwingchute.process import gateway
 from redwingchute.process import gateway_settings
+from redwingchute.process import operator_records
 
 _EXIT_BAD_SETTINGS = 2
 # The path of the balancer's readiness checks.
@@ -38,9 +39,12 @@
     return gateway.GatewayPorts(
         log=store_client.StoreClient(pool, address),
         translator=headers.PlatformHeaderTranslator(),
-        configuration_topic=configuration_document.TOPIC,
-        configuration_key=configuration_document.KEY,
-        decode_configuration=configuration_document.decode_configuration,
+        operator_topic=operator_records.OperatorTopic(
+            name=configuration_document.TOPIC,
+            configuration_key=configuration_document.KEY,
+            evacuation_prefix=configuration_document.EVACUATION_PREFIX,
+            decode_configuration=configuration_document.decode_configuration,
+        ),
         upstream_topic=upstream_entries.TOPIC,
         decode_upstream=upstream_entries.decode_upstream,
         ready_path=READY_PATH,
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -20,6 +20,7 @@
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
 from redwingchute.core import data
+from redwingchute.core import evacuation
 from redwingchute.core import forwarding
 from redwingchute.core import prepaid
 from redwingchute.core import rate_limiting
@@ -32,10 +33,10 @@
 from redwingchute.process import gateway_settings
 from redwingchute.process import host_registry
 from redwingchute.process import hub_choice
-from redwingchute.process import invariants
 from redwingchute.process import keyed_follower
 from redwingchute.process import limiter_choice
 from redwingchute.process import notice_relay
+from redwingchute.process import operator_records
 from redwingchute.process import origin_exchange
 from redwingchute.process import peer_network
 from redwingchute.process import permit_exchange
@@ -57,14 +58,8 @@
 from redwingchute.request import upstream_directory
 from redwingchute.request import upstream_paths
 from redwingchute.request import upstream_statements
-from redwingchute.version import route_index
 from redwingchute.wire import registry
 
-# The minimum time between two reads of the configuration, and how long after
-# its wait a read counts as lost. The log responds within some hundred
-# milliseconds even when it is slow.
-_CONFIGURATION_INTERVAL_MS = 200
-_CONFIGURATION_RESPONSE_TIMEOUT_MS = 700
 # The entry of an upstream that leaves must be read while the upstream still
 # accepts requests, also if one read gets no response: entries are read this
 # many times as often.
@@ -84,8 +79,8 @@
 # routers, which send fewer.
 _HUB_LOAD_CHECK_S = 0.05
 _LOAD_CHECK_S = 0.2
-# How long the operator and the upstreams take to write again what the log lost
-# when it returned from an earlier copy.
+# How long the upstreams take to write again what the log lost when it returned
+# from an earlier copy.
 _REWRITE_MS = 2_000
 # How long a router that shuts down waits for its entry in the list of hosts.
 _LEAVE_TIMEOUT_S = 0.3
@@ -96,6 +91,7 @@
     | requesting.LeavingNotice
     | rate_limiting.LimitNotice
     | rate_limiting.ColdNotice
+    | evacuation.EvacuationNotice
 )
 
 
@@ -106,10 +102,7 @@
     Attributes:
       log: The shared log.
       translator: Translates between HTTP headers and records.
-      configuration_topic: The topic that holds the configuration.
-      configuration_key: The key of the configuration in that topic.
-      decode_configuration: Decodes a configuration document; returns an error
-        message if it is invalid.
+      operator_topic: The topic that the operator writes.
       upstream_topic: The topic that holds the upstream entries, by upstream id.
       decode_upstream: Decodes an upstream entry; returns None if it is invalid.
       ready_path: The path of the balancer's readiness check.
@@ -117,9 +110,7 @@
 
     log: shared_log.SharedLog
     translator: header_translator.HeaderTranslator
-    configuration_topic: str
-    configuration_key: str
-    decode_configuration: Callable[[bytes], forwarding.RouteTable | str]
+    operator_topic: operator_records.OperatorTopic
     upstream_topic: str
     decode_upstream: Callable[[str, bytes], forwarding.Upstream | None]
     ready_path: str
@@ -166,7 +157,6 @@
         self._log = era_log.EraLog(
             timed_log.TimedLog(ports.log, read_boot_ms, self._record_log_call)
         )
-        self._route_index: route_index.RouteIndex | None = None
         self._upstream_directory = upstream_directory.UpstreamDirectory(
             settings.zone,
             settings.host_name,
@@ -211,6 +201,15 @@
         self._limiter_choice = limiter_choice.LimiterChoice(
             settings.host_name, lambda: self._registry.find_registration()
         )
+        self._operator = operator_records.OperatorRecords(
+            self._log,
+            ports.operator_topic,
+            settings.configuration_fresh_ms,
+            read_boot_ms,
+            self._handle_table,
+            self._upstream_directory.close_zones,
+            self._relay.broadcast,
+        )
         self._permits = permit_exchange.PermitExchange(
             self.network,
             self._limiter_choice,
@@ -247,23 +246,25 @@
             ),
         )
         self._grant_manager = self._make_grant_manager()
+        self._metrics.observe_members(
+            "cold_upstreams",
+            "upstream",
+            self._upstream_directory.cold.list_cold,
+        )
+        self._metrics.observe_members(
+            "evacuated_zones",
+            "evacuated_zone",
+            self._operator.evacuations.list_zones,
+        )
         self._metrics.observe_grants(self._grant_manager.measure_grants)
         self._charger = charging.Charger(
             self._grant_manager,
             self.network,
             lambda: self._hub_view,
-            self._list_prepaid_tokens,
+            self._operator.list_prepaid_tokens,
             read_boot_ms,
             self._incarnation,
         )
-        self._configuration_follower = keyed_follower.KeyedFollower(
-            self._log,
-            ports.configuration_topic,
-            make_configuration_timing(settings),
-            read_boot_ms,
-            self._handle_configuration,
-            rewrite_ms=_REWRITE_MS,
-        )
         self._upstream_follower = keyed_follower.KeyedFollower(
             self._log,
             ports.upstream_topic,
@@ -321,9 +322,9 @@
             self._log,
             stamp,
             grant_manager.Clocks(read_boot_ms, read_wall_ms),
-            self._list_prepaid_tokens,
+            self._operator.list_prepaid_tokens,
             self._is_hub,
-            is_fresh=self._is_fresh,
+            is_fresh=self._operator.is_fresh,
         )
 
     def _is_hub(self) -> bool:
@@ -338,8 +339,8 @@
                 translator=self._ports.translator,
                 directory=self._upstream_directory,
                 charger=self._charger,
-                find_index=lambda: self._route_index,
-                is_fresh=self._is_fresh,
+                find_index=lambda: self._operator.index,
+                is_fresh=self._operator.is_fresh,
                 find_allowance=self._retry_budget.find_allowance,
                 suspects=self._suspects,
                 statements=upstream_statements.UpstreamStatements(
@@ -383,6 +384,9 @@
         self.network.register_handler(
             rate_limiting.ColdNotice, self._handle_cold
         )
+        self.network.register_handler(
+            evacuation.EvacuationNotice, self._handle_evacuation
+        )
         self.network.register_handler(
             rate_limiting.PermitRequest, self._permits.handle_request
         )
@@ -395,7 +399,7 @@
         self.network.register_handler(
             streams.OriginRequest, self._origins.handle_request
         )
-        self._tasks.spawn(self._configuration_follower.run())
+        self._tasks.spawn(self._operator.follower.run())
         self._tasks.spawn(self._upstream_follower.run())
         self._tasks.spawn(self._registry.run())
         self._tasks.spawn(self._crash_journal.run())
@@ -479,6 +483,8 @@
         upstream = self._upstream_directory.find(start.id)
         if upstream is None or upstream.start != start:
             return None
+        if self._upstream_directory.is_closed(upstream):
+            return None
         return await self._connector.open_for_peer(upstream)
 
     def _find_time_left_ms(self) -> int | None:
@@ -521,7 +527,7 @@
         """Returns why this router is not ready, or None if it is ready."""
         if self._is_stopping:
             return "stopping"
-        if self._route_index is None:
+        if self._operator.index is None:
             return "no configuration"
         if self._upstream_follower.position is None:
             return "no upstreams"
@@ -533,36 +539,14 @@
                 return "no hosts"
             if (
                 self._is_hub()
-                and self._list_prepaid_tokens()
+                and self._operator.list_prepaid_tokens()
                 and not self._grant_manager.has_appended_rows
             ):
                 return "no grants"
         return None
 
-    def _handle_configuration(self, record: shared_log.KeyedRecord) -> None:
-        """Puts a configuration version in force if it is newer."""
-        if record.key != self._ports.configuration_key or not record.value:
-            return
-        table = self._ports.decode_configuration(record.value)
-        if isinstance(table, str):
-            decision_log.log_failure(
-                "configuration_unreadable", offset=record.offset, reason=table
-            )
-            return
-        before = self._route_index.table.version if self._route_index else None
-        if before is not None and table.version <= before:
-            # An earlier copy of the log may hold an older version until the
-            # operator has written the newer one again.
-            invariants.check(
-                table.version == before
-                or self._configuration_follower.is_settling,
-                "configuration_regressed",
-                version=table.version,
-                version_before=before,
-                offset=record.offset,
-            )
-            return
-        self._route_index = route_index.RouteIndex(table)
+    def _handle_table(self, table: forwarding.RouteTable) -> None:
+        """Applies a configuration that comes into force."""
         self._upstream_directory.cold.set_services(table.services)
         limits = table.limits
         self._caller_server.set_limits(
@@ -573,13 +557,6 @@
                 receive_ms=limits.receive_ms,
             )
         )
-        decision_log.log_event(
-            "configuration_in_force",
-            version=table.version,
-            version_before=before,
-            routes=len(table.routes),
-            accounts=len(table.accounts),
-        )
 
     def _handle_upstream(self, record: shared_log.KeyedRecord) -> None:
         """Applies a changed or removed upstream entry."""
@@ -628,29 +605,6 @@
             return False
         return read_boot_ms() - follower.confirmed_ms < self.settings.drain_ms
 
-    def _is_fresh(self) -> bool:
-        """Returns whether the configuration is known to be the newest."""
-        follower = self._configuration_follower
-        if follower.failed_since_ms or self._route_index is None:
-            return False
-        if follower.is_settling:
-            return False
-        age_ms = read_boot_ms() - follower.confirmed_ms
-        # A read that waits at the log returns as soon as a newer version is
-        # appended, so its waiting time does not make the version stale.
-        allowed_ms = make_configuration_timing(self.settings).wait_ms
-        return age_ms <= allowed_ms + self.settings.configuration_fresh_ms
-
-    def _list_prepaid_tokens(self) -> dict[str, int]:
-        """Returns the prepaid tokens of each limited account, by its name."""
-        if self._route_index is None:
-            return {}
-        return {
-            account.name: account.prepaid_tokens
-            for account in self._route_index.table.accounts
-            if account.prepaid_tokens is not None
-        }
-
     def _handle_hosts_changed(self) -> None:
         """Applies a change of the fleet's hosts."""
         self._hub_view = view = hub_choice.choose_hubs(
@@ -747,6 +701,13 @@
         self._upstream_directory.cold.handle_notice(peer.name, notice)
         self._relay.handle_notice(peer.name, notice)
 
+    async def _handle_evacuation(
+        self, peer: data.Host, notice: evacuation.EvacuationNotice
+    ) -> None:
+        """Applies what another router knows of an evacuated zone."""
+        await self._operator.handle_notice(peer, notice)
+        self._relay.handle_notice(peer.name, notice)
+
     def _make_request_metrics(self) -> request_metrics.RequestMetrics:
         """Returns the callbacks that record request measurements."""
         metrics = self._metrics
@@ -771,21 +732,6 @@
         )
 
 
-def make_configuration_timing(
-    settings: gateway_settings.GatewaySettings,
-) -> keyed_follower.PollTiming:
-    """Returns how often the configuration is read.
-
-    A version must be in force within `configuration_fresh_ms` of its
-    acknowledgement, also if the response to the waiting read is lost.
-    """
-    return keyed_follower.PollTiming(
-        settings.configuration_fresh_ms // 2,
-        _CONFIGURATION_INTERVAL_MS,
-        _CONFIGURATION_RESPONSE_TIMEOUT_MS,
-    )
-
-
 def _make_notice_id(
     notice: _RelayedNotice,
 ) -> str:
@@ -800,6 +746,8 @@
             return f"{upstream}/{born_ms}/{limit.revision}/{rates}"
         case rate_limiting.ColdNotice(upstream, born_ms, sequence, cold_ms):
             return f"cold/{upstream}/{born_ms}/{sequence}/{bool(cold_ms)}"
+        case evacuation.EvacuationNotice(zone, _, era, offset):
+            return f"evacuation/{zone}/{era}/{offset}"
 
 
 def _log_failed_task(error: BaseException) -> None:
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -86,7 +86,8 @@
           read_clock_ms: Returns the current time.
           on_record: Called with each new record.
           retain_only: Called with all keys that exist after each start or
-            restart, so that entries with other keys can be removed.
+            restart, so that entries with other keys can be removed; `position`
+            is then the one up to which they were read.
           rewrite_ms: How long the topic's writers may take to write again what
             the log lost when it returned from a copy.
           begin_era: Called with the era before the first record of each era is
@@ -203,9 +204,9 @@
             if self.is_settling and delivered and not delivered.is_present:
                 continue
             self._deliver_if_newer(record, newest.era)
+        self.position = newest.next_position
         if not self.is_settling:
             self._retain(frozenset(record.key for record in newest.records))
-        self.position = newest.next_position
         self.confirmed_ms = started_ms
         return None
 
--- a/redwingchute/process/telemetry.py
+++ b/redwingchute/process/telemetry.py
@@ -93,6 +93,27 @@
 
         self._meter.create_observable_counter("events", [observe])
 
+    def observe_members(
+        self, name: str, label: str, read: Callable[[], Iterable[str]]
+    ) -> None:
+        """Exposes which things are in a state, each with the value 1.
+
+        Args:
+          name: The name of the metric.
+          label: The label that holds the name of each thing.
+          read: Returns the names of those that are in the state.
+        """
+
+        def observe(
+            options: api_metrics.CallbackOptions,
+        ) -> Iterable[api_metrics.Observation]:
+            del options
+            return [
+                api_metrics.Observation(1, {label: member}) for member in read()
+            ]
+
+        self._meter.create_observable_gauge(name, [observe])
+
     def observe_grants(self, read: Callable[[], grant.GrantTotals]) -> None:
         """Exposes the tokens of grants, and those that a crash would lose.
 
--- a/redwingchute/request/path_evidence.py
+++ b/redwingchute/request/path_evidence.py
@@ -75,7 +75,12 @@
         """Looks for carriers that reach paused upstreams."""
         found = map(self._directory.find, sorted(upstream_ids))
         self._connector.seek_carriers(
-            (upstream for upstream in found if upstream is not None),
+            (
+                upstream
+                for upstream in found
+                if upstream is not None
+                and not self._directory.is_closed(upstream)
+            ),
             lambda upstream: self._directory.mark_responsive(
                 upstream.id, self._read_clock_ms()
             ),
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -78,9 +78,19 @@
         self.cold = cold or cold_upstreams.ColdUpstreams(
             read_clock_ms, lambda: 0, lambda notice: None
         )
+        # The zones to whose upstreams nothing new is sent.
+        self._closed_zones: frozenset[str] = frozenset()
         self._read_clock_ms = read_clock_ms
         self._versions = version_history.VersionHistory(read_clock_ms())
 
+    def close_zones(self, zones: frozenset[str]) -> None:
+        """Sets the zones to whose upstreams nothing new is sent."""
+        self._closed_zones = zones
+
+    def is_closed(self, upstream: forwarding.Upstream) -> bool:
+        """Returns whether nothing new is sent to an upstream's zone."""
+        return upstream.zone in self._closed_zones
+
     def set_upstream(self, upstream: forwarding.Upstream) -> None:
         """Adds an upstream or replaces its entry; its service may change.
 
@@ -221,8 +231,10 @@
     ) -> Iterator[forwarding.Upstream]:
         """Yields the upstreams that accept new work now or after a pause."""
         for upstream in self._get_pool(service).upstreams.values():
-            if upstream.is_ready and not self._departures.has_drained(
-                upstream, now_ms
+            if (
+                upstream.is_ready
+                and upstream.zone not in self._closed_zones
+                and not self._departures.has_drained(upstream, now_ms)
             ):
                 yield upstream
 
--- a/redwingchute/wire/fleet.capnp
+++ b/redwingchute/wire/fleet.capnp
@@ -11,3 +11,5 @@
 struct MemberState { host @0 :Host; version @1 :UInt64; brokenLinks @2 :List(Text); }
 struct Heartbeat { sender @0 :MemberState; isReply @1 :Bool; digest @2 :UInt64; updates @3 :List(MemberState); }
 struct MemberList { members @0 :List(MemberState); wantsReply @1 :Bool; }
+
+struct EvacuationNotice { zone @0 :Text; isEvacuated @1 :Bool; era @2 :Int64; offset @3 :Int64; }
--- a/redwingchute/wire/registry.py
+++ b/redwingchute/wire/registry.py
@@ -7,6 +7,7 @@
 
 from redwingchute.core import data
 from redwingchute.core import distribution
+from redwingchute.core import evacuation
 from redwingchute.core import fleet
 from redwingchute.core import prepaid
 from redwingchute.core import rate_limiting
@@ -72,6 +73,7 @@
     codec.Registration(411, streams.OriginRequest, _REQUEST),
     codec.Registration(412, streams.OriginReply, _REQUEST),
     codec.Registration(420, rate_limiting.ColdNotice, _REQUEST),
+    codec.Registration(421, evacuation.EvacuationNotice, _FLEET),
 )
 
 
