--- a/redwingchute/soak/callers.py
+++ b/redwingchute/soak/callers.py
@@ -29,7 +29,7 @@
 # A caller honours Retry-After up to this share of its remaining time.
 _MAX_WAIT_SHARE = 1 / 3
 _MIN_REMAINING_MS = 50
-_PROMPT_TOKENS = 40
+PROMPT_TOKENS = 40
 _TRANSLATOR = platform_headers.PlatformHeaderTranslator()
 
 
@@ -188,9 +188,9 @@
         if self.request.kind.is_stream:
             part_id = f"{self.request.number:x}"
             generation = forwarding.Generation(
-                _PROMPT_TOKENS,
+                PROMPT_TOKENS,
                 self.request.output_tokens,
-                (forwarding.PromptPart(part_id, _PROMPT_TOKENS),),
+                (forwarding.PromptPart(part_id, PROMPT_TOKENS),),
             )
         return forwarding.ForwardRequest(
             id=self.request_id,
--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -39,6 +39,10 @@
 
 _READY_PORT = 8220
 _PEER_PORT = 7340
+# The metrics port of deploy/system.toml.
+_METRICS_PORT = 9464
+# Counts messages of other routers that can't be decoded.
+_MALFORMED_COUNTER = "peer_messages_malformed"
 _GRACE_S = 8
 # Beyond the grace period, before a process gets SIGKILL.
 _GRACE_MARGIN_S = 1.0
@@ -56,6 +60,19 @@
 _STAND_IN = ("redwingchute.main", "stand-in")
 
 
+@attrs.frozen
+class OtherBuild:
+    """Another build, which hosts may run.
+
+    Attributes:
+      folder: The folder that holds its package.
+      runs_first: Whether all hosts run it at the start.
+    """
+
+    folder: pathlib.Path
+    runs_first: bool = False
+
+
 @attrs.define
 class _Program:
     """A program and its current process.
@@ -81,13 +98,23 @@
 class Fleet:
     """The processes of a soak; a context manager that starts and ends them."""
 
-    def __init__(self, size: plan.Size, directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        size: plan.Size,
+        directory: pathlib.Path,
+        other_build: OtherBuild | None = None,
+    ) -> None:
         """Prepares a fleet.
 
         Args:
           size: The numbers of processes.
           directory: The directory for settings, logs and records; it exists.
+          other_build: Another build for hosts, if there is one.
         """
+        self._other_build = other_build
+        self._on_other_build: set[str] = set()
+        if other_build is not None and other_build.runs_first:
+            self._on_other_build.update(size.list_hosts())
         self._size = size
         self._directory = directory
         # Several soaks on one machine use different loopback addresses.
@@ -107,7 +134,9 @@
             await self._put_record(
                 configuration_document.TOPIC,
                 configuration_document.KEY,
-                document_encoder.encode_configuration(_make_routes()),
+                document_encoder.encode_configuration(
+                    _make_routes(self._size.prepaid_tokens)
+                ),
             )
             hosts = self._size.list_hosts()
             await asyncio.gather(*map(self.start, hosts))
@@ -154,6 +183,27 @@
             if not program.is_running
         )
 
+    def choose_build(self, host: str, is_other: bool) -> None:
+        """Chooses the build with which a host starts next."""
+        if is_other:
+            self._on_other_build.add(host)
+        else:
+            self._on_other_build.discard(host)
+
+    async def count_unread_messages(self) -> int:
+        """Returns how many messages the present processes could not read."""
+        counts = [
+            await self._read_counter(host, _MALFORMED_COUNTER)
+            for host in self._size.list_hosts()
+        ]
+        return sum(counts)
+
+    def list_log_paths(self) -> list[pathlib.Path]:
+        """Returns the files with the logs of all processes."""
+        return sorted(
+            [*self._directory.glob("*.out"), *self._directory.glob("*.err")]
+        )
+
     def count_starts(self, name: str) -> int:
         """Returns how many times a program was started."""
         return self._programs[name].starts
@@ -168,8 +218,12 @@
         program.starts += 1
         label = f"{name}-{program.starts}"
         environment = dict(os.environ)
+        folder: pathlib.Path | None = None
+        if name in self._on_other_build and self._other_build is not None:
+            folder = self._other_build.folder
+            environment["PYTHONPATH"] = str(folder)
         if not self._is_stand_in(name):
-            path = self._directory / f"{name}.conf"
+            path = self._directory.absolute() / f"{name}.conf"
             path.write_text(self._make_settings(name))
             environment[settings_file.PATH_VARIABLE] = str(path)
         output_path = self._directory / f"{label}.out"
@@ -182,6 +236,7 @@
                 stdout=output,
                 stderr=errors,
                 env=environment,
+                cwd=folder,
                 preexec_fn=_end_with_parent,
             )
         if self._is_stand_in(name):
@@ -277,6 +332,25 @@
             fetched.status == 200
         )
 
+    async def _read_counter(self, host: str, name: str) -> int:
+        """Returns a counter of the metrics of a host."""
+        fetched = await self._pool.fetch(
+            http_client.Address(self._find_ip(host), _METRICS_PORT),
+            "GET",
+            "/metrics",
+            [],
+            b"",
+            _CALL_TIMEOUT_MS,
+        )
+        if not isinstance(fetched, http_client.Fetched):
+            raise RuntimeError(f"{host} shows no metrics")
+        lines = fetched.body.decode().splitlines()
+        return sum(
+            int(float(line.rsplit(" ", 1)[1]))
+            for line in lines
+            if line.startswith(name)
+        )
+
     async def _expire_entry(self, upstream_id: str) -> None:
         """Removes the entry of an ended upstream, as the store does."""
         await asyncio.sleep(_ENTRY_EXPIRY_S)
@@ -314,7 +388,7 @@
             listen=http_client.Address(ip, FRONTEND_PORT),
             ready_listen=http_client.Address(ip, _READY_PORT),
             peer_listen=http_client.Address(ip, _PEER_PORT),
-            metrics_listen=http_client.Address(ip, 0),
+            metrics_listen=http_client.Address(ip, _METRICS_PORT),
             log_address=self.find_address(plan.STORE),
             fleet_key=b"",
             stop_ms=1000 * _GRACE_S,
@@ -325,8 +399,11 @@
         return document_encoder.encode_settings(settings)
 
 
-def _make_routes() -> forwarding.RouteTable:
+def _make_routes(prepaid_tokens: int | None) -> forwarding.RouteTable:
     """Returns a configuration with one route for each kind of request."""
+    account = forwarding.ClientAccount(
+        "soak", frozenset({KEY}), prepaid_tokens=prepaid_tokens
+    )
     return forwarding.RouteTable(
         version=1,
         routes=tuple(map(_make_route, observations.Kind)),
@@ -334,7 +411,7 @@
             forwarding.Service("ledger", _MAX_CONNECTIONS),
             forwarding.Service("llm", _MAX_CONNECTIONS, tokens_per_event=1),
         ),
-        accounts=(forwarding.ClientAccount("soak", frozenset({KEY})),),
+        accounts=(account,),
     )
 
 
--- a/redwingchute/soak/injector.py
+++ b/redwingchute/soak/injector.py
@@ -63,12 +63,14 @@
                 await asyncio.sleep(duration_ms / 1000)
                 if self._fleet.count_starts(target) == starts:
                     self._fleet.send_signal(target, signal.SIGCONT)
-            case plan.Restart(_, target, number, down_ms):
+            case plan.Restart(_, target, number, down_ms, is_other_build):
                 if not self._fleet.is_running(target):
                     return
                 await self._fleet.end(target, number)
                 await asyncio.sleep(down_ms / 1000)
                 if self._fleet.count_starts(target) == starts:
+                    if is_other_build is not None:
+                        self._fleet.choose_build(target, is_other_build)
                     await self._fleet.start(target)
         applied = observations.AppliedFault(
             from_ms,
--- a/redwingchute/soak/observations.py
+++ b/redwingchute/soak/observations.py
@@ -166,6 +166,8 @@
       retry_limit: The limit of retries that the hosts were given.
       unexpected_ends: The programs whose processes ended by themselves.
       max_lag_ms: The longest delay of the soak's own process.
+      unread_messages: The messages that the last processes of the hosts could
+        not decode.
     """
 
     attempts: tuple[CallerAttempt, ...]
@@ -174,6 +176,7 @@
     retry_limit: RetryLimit
     unexpected_ends: tuple[str, ...] = ()
     max_lag_ms: int = 0
+    unread_messages: int = 0
 
 
 def append_record(path: pathlib.Path, record: attrs.AttrsInstance) -> None:
--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -82,12 +82,22 @@
 
 @attrs.frozen
 class Restart:
-    """A process is ended by a signal and started again."""
+    """A process is ended by a signal and started again.
+
+    Attributes:
+      at_ms: When it is ended.
+      target: The process.
+      signal: The signal.
+      down_ms: How long it is down.
+      is_other_build: Whether a host starts with the other build; None for the
+        build that it ran.
+    """
 
     at_ms: int
     target: str
     signal: signal.Signals
     down_ms: int
+    is_other_build: bool | None = None
 
 
 Fault: TypeAlias = Patch | Pause | Restart
@@ -105,6 +115,9 @@
       calm_ms: How long requests are sent after that.
       versions: The number of software versions that upstreams have.
       crashing_per_s: The mean rate of requests that end their upstreams.
+      prepaid_tokens: The tokens that the client account may consume; None for
+        no limit.
+      has_other_build: Whether hosts are replaced by another build.
     """
 
     hosts: int
@@ -114,6 +127,8 @@
     calm_ms: int = 0
     versions: int = 1
     crashing_per_s: float = 0.0
+    prepaid_tokens: int | None = None
+    has_other_build: bool = False
 
     def list_hosts(self) -> list[str]:
         """Returns the names of the hosts."""
@@ -207,6 +222,29 @@
     return sorted(faults, key=lambda fault: fault.at_ms)
 
 
+def plan_build_changes(seed: int, size: Size) -> list[Fault]:
+    """Returns hosts that are replaced by another build one by one, and back."""
+    if not size.has_other_build:
+        return []
+    source = random.Random(f"{seed}-builds")
+    changes = [
+        (host, is_other)
+        for is_other in (True, False)
+        for host in size.list_hosts()
+    ]
+    gap_ms = size.duration_ms // (len(changes) + 1)
+    return [
+        Restart(
+            number * gap_ms + source.randint(0, gap_ms // 4),
+            host,
+            signal.SIGTERM,
+            50,
+            is_other,
+        )
+        for number, (host, is_other) in enumerate(changes, 1)
+    ]
+
+
 def _plan_extra_responses(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields upstreams that reject some requests and repeat some responses."""
     for at_ms in _draw_times(source, 1_500, size.duration_ms):
--- a/redwingchute/soak/soak_command.py
+++ b/redwingchute/soak/soak_command.py
@@ -19,6 +19,8 @@
 # What one machine bears besides its other work.
 _MAX_PROCESSES = 300
 _MAX_DURATION_S = 7_200
+# One seed in this many replaces hosts, if another build is given.
+_SEEDS_PER_REPLACEMENT = 4
 
 
 async def run_plan(
@@ -26,6 +28,7 @@
     faults: list[plan.Fault],
     size: plan.Size,
     directory: pathlib.Path,
+    other_build: fleet_lib.OtherBuild | None = None,
 ) -> observations_lib.Observations:
     """Runs a plan and returns what was observed.
 
@@ -34,13 +37,17 @@
       faults: The faults to inject.
       size: The size of the soak.
       directory: The directory for logs and records; it exists and is empty.
+      other_build: Another build for hosts, if there is one.
     """
-    fleet = fleet_lib.Fleet(size, directory)
+    fleet = fleet_lib.Fleet(size, directory, other_build)
     callers = callers_lib.Callers(fleet, size, directory / "callers.jsonl")
     injector = injector_lib.Injector(fleet, directory / "faults.jsonl")
     async with fleet, callers, lag_monitor.LagMonitor() as monitor:
         await asyncio.gather(callers.run(requests), injector.run(faults))
         unexpected_ends = fleet.list_unexpected_ends()
+        unread_messages = 0
+        if other_build is not None:
+            unread_messages = await fleet.count_unread_messages()
     return observations_lib.Observations(
         tuple(callers.attempts),
         observations_lib.read_upstream_events(fleet.list_record_paths()),
@@ -48,6 +55,7 @@
         fleet_lib.RETRY_LIMIT,
         unexpected_ends,
         monitor.max_lag_ms,
+        unread_messages,
     )
 
 
@@ -62,6 +70,7 @@
     versions: int = 1,
     crashing_per_s: float = 0.0,
     faults: str = "all",
+    other_build: str = "",
     directory: str = "build/soak",
 ) -> int:
     """Run gateways, upstreams and a store under faults, and check them.
@@ -78,6 +87,8 @@
       versions: The number of software versions that upstreams have.
       crashing_per_s: The mean rate of requests that end their upstreams.
       faults: The groups of faults, separated by commas; `all` or `none`.
+      other_build: A folder with the package of another build; one seed in four
+        replaces the hosts by it one by one, and back.
       directory: The directory in which the run gets a directory of its own.
     """
     size = plan.Size(
@@ -88,6 +99,8 @@
         int(1000 * calm_s),
         versions,
         crashing_per_s,
+        has_other_build=bool(other_build)
+        and seed % _SEEDS_PER_REPLACEMENT == 0,
     )
     if size.count_processes() > _MAX_PROCESSES or duration_s > _MAX_DURATION_S:
         raise SystemExit(
@@ -98,11 +111,21 @@
         time.strftime("%Y%m%dT%H%M%S") + f"-{seed}"
     )
     run_directory.mkdir(parents=True)
-    planned_faults = plan.plan_faults(seed, size, groups)
+    planned_faults = sorted(
+        plan.plan_faults(seed, size, groups)
+        + plan.plan_build_changes(seed, size),
+        key=lambda fault: fault.at_ms,
+    )
     print(f"seed {seed}, faults {','.join(groups)}, records in {run_directory}")
     observed = asyncio.run(
         run_plan(
-            plan.plan_requests(seed, size), planned_faults, size, run_directory
+            plan.plan_requests(seed, size),
+            planned_faults,
+            size,
+            run_directory,
+            fleet_lib.OtherBuild(pathlib.Path(other_build).absolute())
+            if size.has_other_build
+            else None,
         )
     )
     violations = checks.check_all(observed)
