Let only the excess leave by price, and late requests only where they are in time

A request that would miss its target in the zone also left for a zone in which it would miss it too, if that was nearer to it by more than the price, outside of the share that is the zone's excess. In an overload of all zones their routers would have swapped work.

--- a/redwingchute/request/zone_overflow.py
+++ b/redwingchute/request/zone_overflow.py
@@ -269,38 +269,30 @@
     if not figures.are_fresh:
         return None
     prefill_ms = min(candidate.prefill_ms for candidate in near)
-    if min(map(_estimate_event_ms, near)) <= find_limit_ms(need):
-        share = compute_share(figures, need, prefill_ms)
-        if not overflow.is_leaving or (
-            _hash(f"{need.request_id}/leave") >= share
-        ):
-            return None
+    is_late = min(map(_estimate_event_ms, near)) > find_limit_ms(need)
+    is_excess = overflow.is_leaving and (
+        _hash(f"{need.request_id}/leave")
+        < compute_share(figures, need, prefill_ms)
+    )
+    if not is_late and not is_excess:
+        return None
+    stay_ms = min(map(_estimate_ms, near))
     rooms = find_rooms(figures, _find_price_ms(figures, need, prefill_ms))
     for zone in _order_zones(rooms, need.affinity_key or need.request_id):
         there = [found for found in far if found.upstream.zone == zone]
-        reason = _find_load_reason(near, there, need) if there else None
-        if reason is not None:
-            return Decision(there, reason)
+        if not there:
+            continue
+        if is_excess and (
+            min(map(_estimate_ms, there)) + need.crossing_ms < stay_ms
+        ):
+            return Decision(there, Reason.LOAD)
+        if is_late and (
+            min(map(_estimate_event_ms, there)) <= find_limit_ms(need)
+        ):
+            return Decision(there, Reason.TARGET)
     return None
 
 
-def _find_load_reason(
-    near: list[upstream_choice.Candidate],
-    there: list[upstream_choice.Candidate],
-    need: Need,
-) -> Reason | None:
-    """Returns why a request should go to another zone's upstreams, or None."""
-    stay_ms = min(map(_estimate_ms, near))
-    if min(map(_estimate_ms, there)) + need.crossing_ms < stay_ms:
-        return Reason.LOAD
-    limit_ms = find_limit_ms(need)
-    if min(map(_estimate_event_ms, near)) <= limit_ms:
-        return None
-    if min(map(_estimate_event_ms, there)) > limit_ms:
-        return None
-    return Reason.TARGET
-
-
 def find_limit_ms(need: Need) -> float:
     """Returns the longest time to its first event that a request can bear."""
     if not need.target_ms:
