Split the choice among candidates from their selection

So that whoever chooses among some of them, as for cold upstreams, narrows them to the zone as well.

--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 
 import attrs
@@ -217,11 +218,39 @@
             for upstream in healthy
             if not self._departures.is_leaving(upstream)
         ]
-        candidates = [
-            self._make_candidate(upstream, request.generation, now_ms)
-            for upstream in staying or healthy or ready
-        ]
-        decision = self._narrow(service, candidates, request, target_ms, now_ms)
+        return self._choose_among(
+            [
+                self._make_candidate(upstream, request.generation, now_ms)
+                for upstream in staying or healthy or ready
+            ],
+            service,
+            request,
+            target_ms,
+            now_ms,
+        )
+
+    def _choose_among(
+        self,
+        candidates: Sequence[upstream_choice.Candidate],
+        service: str,
+        request: forwarding.ForwardRequest,
+        target_ms: int,
+        now_ms: int,
+    ) -> upstream_choice.Candidate | None:
+        """Returns the upstream for a request among those that may run it.
+
+        If leaving the zone has a price, it is one in the zone unless leaving
+        pays.
+        """
+        decision = zone_overflow.Decision(candidates)
+        if self.crossings.is_priced:
+            if self.crossings.should_observe(service, now_ms):
+                self.crossings.observe(
+                    service, self._list_delays(service, now_ms), now_ms
+                )
+            decision = self.crossings.narrow(
+                service, candidates, request, target_ms, now_ms
+            )
         chosen = upstream_choice.choose_upstream(
             decision.candidates,
             upstream_choice.find_affinity_key(request.generation),
@@ -234,25 +263,6 @@
             )
         return chosen
 
-    def _narrow(
-        self,
-        service: str,
-        candidates: list[upstream_choice.Candidate],
-        request: forwarding.ForwardRequest,
-        target_ms: int,
-        now_ms: int,
-    ) -> zone_overflow.Decision:
-        """Returns the upstreams in the zone, or where leaving it pays."""
-        if not self.crossings.is_priced:
-            return zone_overflow.Decision(candidates)
-        if self.crossings.should_observe(service, now_ms):
-            self.crossings.observe(
-                service, self._list_delays(service, now_ms), now_ms
-            )
-        return self.crossings.narrow(
-            service, candidates, request, target_ms, now_ms
-        )
-
     def _list_delays(
         self, service: str, now_ms: int
     ) -> list[tuple[str, float]]:
