Let generations leave a zone whose upstreams have no free place

Callers would have waited for a place, or been refused by the upstream, while other zones had some: only the wait for prefill counted.

--- a/redwingchute/request/zone_overflow.py
+++ b/redwingchute/request/zone_overflow.py
@@ -208,8 +208,15 @@
         return Decision(far or candidates, Reason.NO_UPSTREAM)
     if not far:
         return Decision(near)
-    if need.affinity_key is None:
-        return _narrow_plain(near, far)
+    is_plain = need.affinity_key is None
+    share = _MAX_PLAIN_LOAD_SHARE if is_plain else 1.0
+    free = _list_free(near, share)
+    if not free:
+        far = _list_free(far, share)
+        return Decision(far, Reason.LOAD) if far else Decision(near)
+    if is_plain:
+        return Decision(near)
+    near = free
     return (
         _leave_for_parts(near, far, need)
         or _leave_for_load(near, far, figures, overflow, need)
@@ -217,19 +224,15 @@
     )
 
 
-def _narrow_plain(
-    near: list[upstream_choice.Candidate], far: list[upstream_choice.Candidate]
-) -> Decision:
-    """Keeps a request without a prompt in the zone while it has room."""
-
-    def has_room(candidate: upstream_choice.Candidate) -> bool:
-        limit = _MAX_PLAIN_LOAD_SHARE * candidate.upstream.slots
-        return candidate.load < limit
-
-    if any(map(has_room, near)):
-        return Decision(near)
-    free = [candidate for candidate in far if has_room(candidate)]
-    return Decision(free, Reason.LOAD) if free else Decision(near)
+def _list_free(
+    candidates: list[upstream_choice.Candidate], share: float
+) -> list[upstream_choice.Candidate]:
+    """Returns the upstreams that run less than a share of what they can."""
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.load < share * candidate.upstream.slots
+    ]
 
 
 def _leave_for_parts(
--- a/redwingchute/request/zone_overflow_test.py
+++ b/redwingchute/request/zone_overflow_test.py
@@ -245,6 +245,25 @@
         assert [found.upstream.zone for found in decision.candidates] == [zone]
 
 
+# Guards against requests that wait for a place while other zones have some.
+def test_generations_leave_a_zone_without_a_free_place() -> None:
+    figures = _make_figures(0, {"bruny": 0})
+    for loads, names in (
+        ((63, 64), ["huon-1"]),
+        ((64, 64), ["bruny-1"]),
+        ((64, 64, 64), ["huon-1", "huon-2"]),
+    ):
+        candidates = [
+            _make_candidate("huon-1", load=loads[0]),
+            _make_candidate("huon-2", load=loads[1]),
+            _make_candidate("bruny-1", load=loads[2] if len(loads) > 2 else 0),
+        ]
+        decision = zone_overflow.narrow_candidates(
+            candidates, "huon", figures, _STAYING, _make_need()
+        )
+        assert [found.upstream.id for found in decision.candidates] == names
+
+
 def test_leaving_begins_and_ends_at_different_gaps() -> None:
     overflow = zone_overflow.Overflow()
     for now_ms, gap_ms, is_leaving in (
