--- a/redwingchute/request/zone_overflow.py
+++ b/redwingchute/request/zone_overflow.py
@@ -208,8 +208,15 @@
         return Decision(far or candidates, Reason.NO_UPSTREAM)
     if not far:
         return Decision(near)
-    if need.affinity_key is None:
-        return _narrow_plain(near, far)
+    is_plain = need.affinity_key is None
+    share = _MAX_PLAIN_LOAD_SHARE if is_plain else 1.0
+    free = _list_free(near, share)
+    if not free:
+        far = _list_free(far, share)
+        return Decision(far, Reason.LOAD) if far else Decision(near)
+    if is_plain:
+        return Decision(near)
+    near = free
     return (
         _leave_for_parts(near, far, need)
         or _leave_for_load(near, far, figures, overflow, need)
@@ -217,19 +224,15 @@
     )
 
 
-def _narrow_plain(
-    near: list[upstream_choice.Candidate], far: list[upstream_choice.Candidate]
-) -> Decision:
-    """Keeps a request without a prompt in the zone while it has room."""
-
-    def has_room(candidate: upstream_choice.Candidate) -> bool:
-        limit = _MAX_PLAIN_LOAD_SHARE * candidate.upstream.slots
-        return candidate.load < limit
-
-    if any(map(has_room, near)):
-        return Decision(near)
-    free = [candidate for candidate in far if has_room(candidate)]
-    return Decision(free, Reason.LOAD) if free else Decision(near)
+def _list_free(
+    candidates: list[upstream_choice.Candidate], share: float
+) -> list[upstream_choice.Candidate]:
+    """Returns the upstreams that run less than a share of what they can."""
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.load < share * candidate.upstream.slots
+    ]
 
 
 def _leave_for_parts(
@@ -269,38 +272,30 @@
     if not figures.are_fresh:
         return None
     prefill_ms = min(candidate.prefill_ms for candidate in near)
-    if min(map(_estimate_event_ms, near)) <= find_limit_ms(need):
-        share = compute_share(figures, need, prefill_ms)
-        if not overflow.is_leaving or (
-            _hash(f"{need.request_id}/leave") >= share
-        ):
-            return None
+    is_late = min(map(_estimate_event_ms, near)) > find_limit_ms(need)
+    is_excess = overflow.is_leaving and (
+        _hash(f"{need.request_id}/leave")
+        < compute_share(figures, need, prefill_ms)
+    )
+    if not is_late and not is_excess:
+        return None
+    stay_ms = min(map(_estimate_ms, near))
     rooms = find_rooms(figures, _find_price_ms(figures, need, prefill_ms))
     for zone in _order_zones(rooms, need.affinity_key or need.request_id):
         there = [found for found in far if found.upstream.zone == zone]
-        reason = _find_load_reason(near, there, need) if there else None
-        if reason is not None:
-            return Decision(there, reason)
+        if not there:
+            continue
+        if is_excess and (
+            min(map(_estimate_ms, there)) + need.crossing_ms < stay_ms
+        ):
+            return Decision(there, Reason.LOAD)
+        if is_late and (
+            min(map(_estimate_event_ms, there)) <= find_limit_ms(need)
+        ):
+            return Decision(there, Reason.TARGET)
     return None
 
 
-def _find_load_reason(
-    near: list[upstream_choice.Candidate],
-    there: list[upstream_choice.Candidate],
-    need: Need,
-) -> Reason | None:
-    """Returns why a request should go to another zone's upstreams, or None."""
-    stay_ms = min(map(_estimate_ms, near))
-    if min(map(_estimate_ms, there)) + need.crossing_ms < stay_ms:
-        return Reason.LOAD
-    limit_ms = find_limit_ms(need)
-    if min(map(_estimate_event_ms, near)) <= limit_ms:
-        return None
-    if min(map(_estimate_event_ms, there)) > limit_ms:
-        return None
-    return Reason.TARGET
-
-
 def find_limit_ms(need: Need) -> float:
     """Returns the longest time to its first event that a request can bear."""
     if not need.target_ms:
