Count the entries of one read once after a failed connection

A router whose reads of the log had failed for some seconds reads several entries at once. All of them may have been written before the upstream started again, and two of them made it count as warm. Found in review, not seen on a fleet. The test of a broken connection reads three entries at once: it fails on the code before, and passes now. The tests of fleets that share a cold upstream pass.

--- a/redwingchute/request/cold_upstreams.py
+++ b/redwingchute/request/cold_upstreams.py
@@ -22,8 +22,10 @@
 from redwingchute.process import decision_log
 from redwingchute.request import upstream_choice
 
-# The first entry read after a failure may have been written before it.
+# The first entry read after a failure may have been written before it, and so
+# may all that one read brings.
 _ENTRIES_UNTIL_SURE = 2
+_MIN_READ_INTERVAL_MS = 100
 # A cold upstream is worth a permit, which may be refused, if it begins a
 # response sooner than a warm one by a good part of the time that callers allow.
 _MIN_GAIN_MS = 300.0
@@ -45,6 +47,7 @@
       end_ms: When it is warm; None if it states nothing.
       unsure_entries: How many entries must be read before it counts as warm,
         because a connection failed.
+      read_ms: When the newest entry was read.
       since_ms: Since when it counts as cold; None if it does not.
       permits: The requests that this router was permitted to send it since.
     """
@@ -56,6 +59,7 @@
     age_ms: int
     end_ms: int | None = None
     unsure_entries: int = 0
+    read_ms: int = 0
     since_ms: int | None = None
     permits: int = 0
 
@@ -113,7 +117,9 @@
             self._states[upstream.id] = state
             self._cold_ids.discard(upstream.id)
         state.sequence = upstream.sequence
-        state.unsure_entries = max(0, state.unsure_entries - 1)
+        if now_ms - state.read_ms >= _MIN_READ_INTERVAL_MS:
+            state.unsure_entries = max(0, state.unsure_entries - 1)
+        state.read_ms = now_ms
         state.end_ms = (
             None if upstream.cold_ms is None else now_ms + upstream.cold_ms
         )
--- a/redwingchute/request/cold_upstreams_test.py
+++ b/redwingchute/request/cold_upstreams_test.py
@@ -121,10 +121,13 @@
     (notice,) = router.notices
     other.cold.handle_notice("huon-1", notice)
     for subject in (router, other):
-        subject.read_entry("m-1", 0, sequence=8)
+        subject.now_ms += 700
+        # One read brings several entries after an outage of the log.
+        for sequence in (8, 9, 10):
+            subject.read_entry("m-1", 0, sequence)
         subject.now_ms += 60_000
         assert subject.cold.list_cold() == ("m-1",)
-        subject.read_entry("m-1", 0, sequence=9)
+        subject.read_entry("m-1", 0, sequence=11)
         assert not subject.cold.list_cold()
     other.cold.handle_notice("huon-1", notice)
     assert not other.cold.list_cold()
