Say in a refusal that all upstreams are in evacuated zones

Callers of a service whose zones are all evacuated read that no upstream is ready. Tests of the handler, of signals, cut hosts and evacuated zones pass.

--- a/redwingchute/process/evacuated_zone_test.py
+++ b/redwingchute/process/evacuated_zone_test.py
@@ -104,6 +104,7 @@
         await _evacuate(rig)
         response = await rig.send_request("/post/x", b"x")
         assert response.status == 503
+        assert b"evacuated" in response.body
         assert float(response.headers["retry-after"]) > 0
         assert not rig.runners["l-3"].arrivals
 
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -203,7 +203,7 @@
         )
         directory = self._dependencies.directory
         if not directory.has_upstream(plan.service.name, now_ms):
-            return _make_no_upstream_refusal()
+            return self._refuse_no_upstream(plan)
         refusal = await self._resumption.resume(plan, progress)
         if refusal is not None:
             return refusal
@@ -517,7 +517,13 @@
 
     def _refuse_no_upstream(self, plan: forward_plan.Plan) -> outcomes.NotRun:
         """Returns the refusal of a request that no upstream can serve."""
-        return _make_no_upstream_refusal(self._find_retry_after_ms(plan))
+        service = plan.service.name
+        return outcomes.NotRun(
+            503,
+            "no_upstream",
+            self._dependencies.directory.explain_no_upstream(service),
+            self._find_retry_after_ms(plan),
+        )
 
     def _find_retry_after_ms(self, plan: forward_plan.Plan) -> int:
         """Returns when a caller may return whose request can't be served now.
@@ -689,15 +695,6 @@
     return _EXTRA_EVENTS + 2 * generation.max_output_tokens
 
 
-def _make_no_upstream_refusal(
-    retry_after_ms: int = _RETRY_AFTER_MS,
-) -> outcomes.NotRun:
-    """Returns the refusal of a request while no upstream is ready."""
-    return outcomes.NotRun(
-        503, "no_upstream", "No upstream is ready.", retry_after_ms
-    )
-
-
 def _make_failure(message: str) -> outcomes.Failed:
     """Returns the refusal of a request that may have run and failed."""
     return outcomes.Failed(502, "upstream_failed", message)
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -168,6 +168,17 @@
         """Returns whether an upstream of a service accepts new work."""
         return any(True for _ in self._iterate_in_use(service, now_ms))
 
+    def explain_no_upstream(self, service: str) -> str:
+        """Returns why no upstream of a service can serve a request."""
+        ready = [
+            upstream
+            for upstream in self._get_pool(service).upstreams.values()
+            if upstream.is_ready
+        ]
+        if ready and all(map(self.is_closed, ready)):
+            return "All upstreams are in evacuated zones."
+        return "No upstream is ready."
+
     def choose(
         self,
         service: str,
