--- a/redwingchute/request/upstream_refusals.py
+++ b/redwingchute/request/upstream_refusals.py
@@ -28,7 +28,10 @@
     retry_after_ms: int | None = find_retry_after_ms(plan, directory, now_ms)
     if plan.homes.regions is None:
         return outcomes.NotRun(
-            503, "no_upstream", "No upstream is ready.", retry_after_ms
+            503,
+            "no_upstream",
+            directory.explain_no_upstream(plan.service.name),
+            retry_after_ms,
         )
     if not directory.has_upstream(plan.service.name, now_ms, plan.homes):
         retry_after_ms = None
