Count an end that follows a withdrawn one of the same start everywhere

Found in the review of the withdrawal: a router whose entries came first could withdraw an end before its observer did; a real end that the observer saw in between had the same name and counted only there. Names of observations now change with the second, and an observer tells a later end also under a part.

--- a/redwingchute/request/crash_evidence.py
+++ b/redwingchute/request/crash_evidence.py
@@ -144,6 +144,14 @@
             if (start, observer) not in self.withdrawn
         ]
 
+    def has_observed_before(self, start: str, observer: str) -> bool:
+        """Returns whether the same router observed an end of a start before."""
+        router = observer.rpartition("/")[0]
+        return bool(router) and any(
+            other != observer and other.rpartition("/")[0] == router
+            for other in self.observers[start]
+        )
+
     def add_observer(self, start: str, observer: str) -> bool:
         """Adds who observed an end; returns whether that is new."""
         known = self.observers.setdefault(start, {})
@@ -398,8 +406,12 @@
         )
         is_new = suspicion.add_observer(start, observation.observer)
         if was_counted and suspicion.crashes.get(start, 0) >= observation.level:
-            # Many routers observe one end under a part; one of them tells it.
-            return is_new and isinstance(subject, RequestSubject)
+            # Many routers observe one end under a part; one of them tells it,
+            # and whoever observes another one of the same start.
+            return is_new and (
+                isinstance(subject, RequestSubject)
+                or suspicion.has_observed_before(start, observation.observer)
+            )
         if now_ms - suspicion.changed_ms > _COPIES_END_MS and was_avoided:
             suspicion.failed_trials += 1
         suspicion.crashes[start] = max(
--- a/redwingchute/request/outlived_end_test.py
+++ b/redwingchute/request/outlived_end_test.py
@@ -191,6 +191,24 @@
     assert not fleet.list_refusing()
 
 
+# Guards against a real end that others do not count, since they have withdrawn
+# an earlier one of the same start before the router that observed both.
+def test_a_later_end_counts_where_the_earlier_one_was_withdrawn() -> None:
+    fleet = _Fleet()
+    first, second = fleet.routers.values()
+    first.break_sends(_UPSTREAM, _OTHER)
+    for sequence in (2, 3):
+        second.tracker.handle_entry(
+            attrs.evolve(_UPSTREAM, sequence=sequence - 1),
+            attrs.evolve(_UPSTREAM, sequence=sequence),
+            fleet.now_ms + 3_000,
+        )
+    assert fleet.list_refusing() == ["host-0"]
+    fleet.now_ms += 4_000
+    first.tracker.record_crash(first.send(), _UPSTREAM, 0)
+    assert fleet.list_refusing() == list(_HOSTS)
+
+
 # Guards against a log that consists of what other routers observed.
 def test_only_observations_that_change_what_is_refused_are_logged(
     monkeypatch: pytest.MonkeyPatch,
--- a/redwingchute/request/suspect_tracker.py
+++ b/redwingchute/request/suspect_tracker.py
@@ -16,6 +16,9 @@
 # Observations of subjects with fewer ends are not kept: most are sound requests
 # that ran on an upstream as it ended.
 _KEPT_CRASHES = 2
+# Ends that this router observes within this time are one observation; a proof
+# that one was none takes longer to come by entries.
+_OBSERVATION_MS = 1_000
 
 
 @attrs.frozen
@@ -122,8 +125,10 @@
             return
         now_ms = self._read_clock_ms()
         start = outlived_ends.name_start(upstream)
-        # What was withdrawn is never observed again under the same name.
-        observer = self._observer and f"{self._observer}{self._withdrawals}"
+        # What was withdrawn is never observed again under the same name, also
+        # if another router has withdrawn it before this one does.
+        number = f"{self._withdrawals}.{now_ms // _OBSERVATION_MS}"
+        observer = self._observer and f"{self._observer}{number}"
         marks = (send.mark, self._take_mark())
         news: list[requesting.CrashObservation] = []
         kept: list[requesting.CrashObservation] = []
