Go on with a stream after the last event that has an id

What callers could see: events twice, where a stream broke off after a comment that arrived together with events: only the last of the events that arrive together was searched for its id. Now the last id counts, and a stream that has shown events without any id is not taken up by the router.

--- a/redwingchute/request/event_stream.py
+++ b/redwingchute/request/event_stream.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events into complete events."""
 
+from collections.abc import Sequence
 import re
 
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
@@ -42,6 +43,18 @@
         return events
 
 
+def find_last_event_id(events: Sequence[bytes]) -> int | None:
+    """Returns the last id of some events, or None if none of them has one.
+
+    Comments have none, also as the last ones.
+    """
+    for event in reversed(events):
+        found = find_event_id(event)
+        if found is not None:
+            return found
+    return None
+
+
 def find_event_id(event: bytes) -> int | None:
     """Returns the id of an event, or None if it has no numeric id."""
     for line in event.split(b"\n"):
--- a/redwingchute/request/event_stream_test.py
+++ b/redwingchute/request/event_stream_test.py
@@ -34,3 +34,11 @@
     assert event_stream.find_event_id(b"data: a\nid: 17\n\n") == 17
     assert event_stream.find_event_id(b"data: a\n\n") is None
     assert event_stream.find_event_id(b"id: x\n\n") is None
+
+
+# Guards against events that come twice, where a stream breaks off after a
+# comment that arrived together with events.
+def test_the_last_id_is_that_of_the_last_event_that_has_one() -> None:
+    events = [b"id: 4\n\n", b"id: 5\ndata: x\n\n", b": waiting\n\n"]
+    assert event_stream.find_last_event_id(events) == 5
+    assert event_stream.find_last_event_id(events[2:]) is None
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -129,9 +129,8 @@
       responder: Sends the response to the caller.
       has_started: Whether the response head was sent.
       event_count: The number of events sent.
-      last_event_id: The id after which another upstream resumes the stream,
-        or None. Of the events that are sent together only the last one is
-        searched for an id.
+      last_event_id: The last id of an event that was sent, after which another
+        upstream resumes the stream; None before the first.
     """
 
     responder: http_server.HttpResponder
@@ -368,7 +367,7 @@
         # Events are counted before they are sent because the caller may have
         # received them even if sending fails.
         relay.event_count += len(events)
-        last_id = event_stream.find_event_id(events[-1])
+        last_id = event_stream.find_last_event_id(events)
         if last_id is not None:
             relay.last_event_id = last_id
         await relay.responder.send_chunk(b"".join(events))
--- a/redwingchute/request/forward_retry.py
+++ b/redwingchute/request/forward_retry.py
@@ -32,6 +32,9 @@
     """
     if progress.sends >= plan.route.max_attempts:
         return False
+    # It is not known from where on the rest of such a stream is missing.
+    if progress.relay.event_count and progress.relay.last_event_id is None:
+        return False
     chosen = directory.choose(
         plan.service.name,
         plan.request,
