--- a/redwingchute/core/outcomes.py
+++ b/redwingchute/core/outcomes.py
@@ -9,6 +9,9 @@
 import dataclasses
 from typing import TypeAlias
 
+# What a decision was based on, for logs: names and values.
+Context: TypeAlias = tuple[tuple[str, int | float | str | None], ...]
+
 
 @dataclasses.dataclass(frozen=True)
 class NotRun:
@@ -23,12 +26,14 @@
       message: A full sentence for the caller.
       retry_after_ms: After how long a retry may succeed; None if a retry is
         not expected to succeed.
+      context: What the refusal was based on, for logs.
     """
 
     status: int
     code: str
     message: str
     retry_after_ms: int | None = None
+    context: Context = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +47,7 @@
     code: str
     message: str
     retry_after_ms: int | None = None
+    context: Context = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,6 +62,7 @@
     code: str
     message: str
     retry_after_ms: int | None = None
+    context: Context = ()
 
 
 Refusal: TypeAlias = NotRun | OutcomeUnknown | Failed
--- a/redwingchute/core/requesting.py
+++ b/redwingchute/core/requesting.py
@@ -91,6 +91,25 @@
     part: str
 
 
+@attrs.frozen
+class AccountWork:
+    """What a client account asked of a service within a sliding window.
+
+    Units are prompt tokens, or requests at services without generations.
+
+    Attributes:
+      service: The service.
+      account: The name of the client account.
+      admitted_units: The work that was admitted.
+      refused_units: The work that was refused for want of room.
+    """
+
+    service: str
+    account: str
+    admitted_units: int
+    refused_units: int
+
+
 @attrs.frozen
 class LoadNotice:
     """Notifies other routers of the load that routers have put on upstreams.
@@ -106,6 +125,11 @@
       part_upstreams: The upstreams that began to process prompt parts for them
         since the last notice. A part that was sent recently may be left out.
       part_ids: The ids of these prompt parts.
+      work_services: The services of the work of client accounts that is
+        reported, see `AccountWork`; empty while there is room enough.
+      work_accounts: The client account of each.
+      admitted_units: The work of each that was admitted.
+      refused_units: The work of each that was refused.
     """
 
     upstreams: tuple[str, ...] = ()
@@ -113,6 +137,10 @@
     waiting_tokens: tuple[int, ...] = ()
     part_upstreams: tuple[str, ...] = ()
     part_ids: tuple[str, ...] = ()
+    work_services: tuple[str, ...] = ()
+    work_accounts: tuple[str, ...] = ()
+    admitted_units: tuple[int, ...] = ()
+    refused_units: tuple[int, ...] = ()
 
     def list_loads(self) -> tuple[OpenLoad, ...]:
         """Returns the load of each upstream."""
@@ -123,17 +151,29 @@
         """Returns the prompt parts."""
         return tuple(map(ReadPart, self.part_upstreams, self.part_ids))
 
+    def list_works(self) -> tuple[AccountWork, ...]:
+        """Returns the work of client accounts."""
+        columns = (self.work_services, self.work_accounts)
+        units = (self.admitted_units, self.refused_units)
+        return tuple(map(AccountWork, *columns, *units))
+
 
 def make_load_notice(
-    loads: Sequence[OpenLoad], parts: Sequence[ReadPart]
+    loads: Sequence[OpenLoad],
+    parts: Sequence[ReadPart],
+    works: Sequence[AccountWork] = (),
 ) -> LoadNotice:
-    """Returns a notice of loads and prompt parts."""
+    """Returns a notice of loads, prompt parts and the work of accounts."""
     return LoadNotice(
         tuple(load.upstream for load in loads),
         tuple(load.open_requests for load in loads),
         tuple(load.waiting_tokens for load in loads),
         tuple(part.upstream for part in parts),
         tuple(part.part for part in parts),
+        tuple(work.service for work in works),
+        tuple(work.account for work in works),
+        tuple(work.admitted_units for work in works),
+        tuple(work.refused_units for work in works),
     )
 
 
--- a/redwingchute/request/fleet_load.py
+++ b/redwingchute/request/fleet_load.py
@@ -29,12 +29,16 @@
         its first event.
       backlog_tokens: The tokens that needed prefill at the upstream when it was
         sent, its own included.
+      was_rejected: Whether the upstream rejected it.
+      was_completed: Whether the upstream's response was complete.
     """
 
     upstream_id: str
     sent_ms: int
     waiting_tokens: int = 0
     backlog_tokens: int = 0
+    was_rejected: bool = False
+    was_completed: bool = False
 
 
 @attrs.frozen
@@ -112,6 +116,14 @@
         self._notices[sender] = _Notice(now_ms, tuple(loads))
         self._reported_loads = None
 
+    def find_age_ms(self, now_ms: int) -> int | None:
+        """Returns the age in ms of the newest notice; None without any."""
+        if not self._notices:
+            return None
+        return now_ms - max(
+            notice.received_ms for notice in self._notices.values()
+        )
+
     def list_own_loads(self) -> tuple[requesting.OpenLoad, ...]:
         """Returns this router's own load of each upstream."""
         return tuple(
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -28,10 +28,10 @@
 from redwingchute.request import forward_progress
 from redwingchute.request import forward_retry
 from redwingchute.request import header_translator
-from redwingchute.request import load_shedding
 from redwingchute.request import path_evidence
 from redwingchute.request import request_metrics
 from redwingchute.request import retry_allowance
+from redwingchute.request import room_admission
 from redwingchute.request import stream_resumption
 from redwingchute.request import suspect_tracker
 from redwingchute.request import upstream_choice
@@ -116,6 +116,9 @@
         self._resumption = stream_resumption.StreamResumption(
             dependencies.origins
         )
+        self._admission = room_admission.RoomAdmission(
+            dependencies.directory, dependencies.find_index
+        )
         self._planner = forward_plan.Planner(
             dependencies.find_index,
             dependencies.is_fresh,
@@ -220,12 +223,13 @@
             return self._refuse_no_upstream(plan)
         # The caller already has a part of a stream that goes on.
         if progress.bond is None:
-            busy = self._refuse_if_busy(plan, now_ms)
+            busy = self._admission.refuse_if_busy(plan, now_ms)
             if busy is not None:
                 return busy
         charge = await self._charge(plan)
         if isinstance(charge, outcomes.NotRun):
             return charge
+        self._admission.record_admitted(plan, now_ms)
         try:
             return await self._run(plan, request, progress, subjects)
         finally:
@@ -247,27 +251,6 @@
             self._resumption.find_bond(progress),
         )
 
-    def _refuse_if_busy(
-        self, plan: forward_plan.Plan, now_ms: int
-    ) -> outcomes.NotRun | None:
-        """Refuses a generation whose prefill would begin too late."""
-        if plan.request.generation is None:
-            return None
-        chosen = self._dependencies.directory.choose(
-            plan.service.name,
-            plan.request,
-            frozenset(),
-            now_ms,
-            forward_plan.is_urgent(plan),
-        )
-        if chosen is None:
-            return None
-        return load_shedding.refuse_if_late(
-            chosen.delay_ms,
-            plan.route.target_latency_ms,
-            forward_plan.find_priority(plan) or 0,
-        )
-
     async def _charge(
         self, plan: forward_plan.Plan
     ) -> charging.Charge | outcomes.NotRun | None:
@@ -408,8 +391,11 @@
             case forward_attempt.OutOfTime():
                 progress.may_have_run = may_have_run
                 progress.sends -= 1
-            case forward_attempt.Rejected():
+            case forward_attempt.Rejected(_, is_wrong_instance):
                 progress.may_have_run = may_have_run
+                open_request.was_rejected = not is_wrong_instance
+            case forward_attempt.CompleteResponse():
+                open_request.was_completed = True
         return result
 
     def _record_event(
@@ -644,6 +630,7 @@
             reason=refusal.message,
             elapsed_ms=elapsed_ms,
             version=index.table.version if index else None,
+            **dict(refusal.context),
             **context,
         )
         self._dependencies.metrics.record_outcome(refusal.code, elapsed_ms)
--- a/redwingchute/request/load_exchange.py
+++ b/redwingchute/request/load_exchange.py
@@ -12,6 +12,7 @@
 import attrs
 
 from redwingchute.core import requesting
+from redwingchute.request import account_work
 from redwingchute.request import fleet_load
 from redwingchute.request import load_notice_builder
 
@@ -54,13 +55,19 @@
 class LoadExchange:
     """The load notices of one router."""
 
-    def __init__(self, load: fleet_load.FleetLoad) -> None:
+    def __init__(
+        self,
+        load: fleet_load.FleetLoad,
+        works: account_work.AccountWorks | None = None,
+    ) -> None:
         """Creates the exchange of a hub that knows no other router.
 
         Args:
           load: The load that is sent, and that received notices update.
+          works: The work of client accounts, likewise.
         """
         self._load = load
+        self._works = works or account_work.AccountWorks()
         self._role = HubRole()
         self._to_hubs = load_notice_builder.LoadNoticeBuilder()
         self._to_reporters = load_notice_builder.LoadNoticeBuilder()
@@ -78,6 +85,7 @@
     def set_role(self, role: HubRole) -> None:
         """Sets what the router does; called when the hubs change."""
         self._role = role
+        self._works.has_peers = bool(role.hubs)
         if role.is_hub or self._own_hub not in role.hubs:
             self._own_hub = None
         if not role.is_hub:
@@ -108,8 +116,16 @@
                 _subtract_loads(notice.list_loads(), self._to_hubs.sent_loads),
                 now_ms,
             )
+            self._works.handle_notice(
+                _FLEET,
+                account_work.subtract(
+                    notice.list_works(), self._to_hubs.sent_works
+                ),
+                now_ms,
+            )
             return
         self._load.handle_notice(host, notice.list_loads(), now_ms)
+        self._works.handle_notice(host, notice.list_works(), now_ms)
         parts = notice.list_parts()
         if host not in self._role.hubs:
             self._reported_ms[host] = now_ms
@@ -141,6 +157,7 @@
             lambda: self._load.list_loads(now_ms, excluded_senders=hubs),
             receiver_count,
             now_ms,
+            list_works=lambda: self._works.list_reported(now_ms, hubs),
         )
         if notice is not None and hubs:
             due.append(OutgoingNotice(hubs, notice))
@@ -151,6 +168,7 @@
             receiver_count,
             now_ms,
             _KEEP_ALIVE_MS,
+            lambda: self._works.list_reported(now_ms),
         )
         if notice is not None:
             due.append(OutgoingNotice(reporters, notice))
@@ -162,7 +180,11 @@
         if hub is None:
             return []
         notice = self._to_hubs.pop_due(
-            self._load.list_own_loads, 1, now_ms, _KEEP_ALIVE_MS
+            self._load.list_own_loads,
+            1,
+            now_ms,
+            _KEEP_ALIVE_MS,
+            lambda: self._works.list_own(now_ms),
         )
         return [] if notice is None else [OutgoingNotice((hub,), notice)]
 
--- a/redwingchute/request/load_notice_builder.py
+++ b/redwingchute/request/load_notice_builder.py
@@ -30,6 +30,7 @@
         """Creates a builder with no changes to send."""
         self._parts: list[requesting.ReadPart] = []
         self._sent_loads: tuple[requesting.OpenLoad, ...] = ()
+        self._sent_works: tuple[requesting.AccountWork, ...] = ()
         self._sent_ms = 0
         # When each prompt part was last added, the oldest first.
         self._added_ms: dict[requesting.ReadPart, int] = {}
@@ -39,6 +40,11 @@
         """The loads of the last notice."""
         return self._sent_loads
 
+    @property
+    def sent_works(self) -> tuple[requesting.AccountWork, ...]:
+        """The work of client accounts of the last notice."""
+        return self._sent_works
+
     def add_parts(
         self, parts: Iterable[requesting.ReadPart], now_ms: int
     ) -> None:
@@ -64,6 +70,7 @@
         host_count: int,
         now_ms: int,
         keep_alive_ms: int | None = None,
+        list_works: Callable[[], tuple[requesting.AccountWork, ...]] = tuple,
     ) -> requesting.LoadNotice | None:
         """Returns the notice that is due now, or None.
 
@@ -76,22 +83,25 @@
           now_ms: The current time.
           keep_alive_ms: The interval of notices without any change; None for no
             such notices.
+          list_works: Returns the work of client accounts to report.
         """
         elapsed_ms = now_ms - self._sent_ms
         interval_ms = max(_MIN_INTERVAL_MS, host_count * _INTERVAL_PER_HOST_MS)
         if elapsed_ms < interval_ms:
             return None
-        loads = list_loads()
+        loads, works = list_loads(), list_works()
         has_changes = bool(self._parts) or loads != self._sent_loads
-        is_repeat_due = bool(loads) and elapsed_ms >= _REPEAT_INTERVAL_MS
+        is_repeat_due = (
+            bool(loads or works) and elapsed_ms >= _REPEAT_INTERVAL_MS
+        )
         is_keep_alive_due = (
             keep_alive_ms is not None and elapsed_ms >= keep_alive_ms
         )
         if not (has_changes or is_repeat_due or is_keep_alive_due):
             return None
-        notice = requesting.make_load_notice(loads, self._parts)
+        notice = requesting.make_load_notice(loads, self._parts, works)
         self._parts.clear()
-        self._sent_loads = loads
+        self._sent_loads, self._sent_works = loads, works
         self._sent_ms = now_ms
         return notice
 
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -12,12 +12,15 @@
 
 from redwingchute.core import forwarding
 from redwingchute.core import requesting
+from redwingchute.request import account_work
 from redwingchute.request import departures
 from redwingchute.request import fleet_load
 from redwingchute.request import load_exchange
 from redwingchute.request import outlier_detector
+from redwingchute.request import plain_queues
 from redwingchute.request import prefill_model
 from redwingchute.request import requested_pauses
+from redwingchute.request import service_pressure
 from redwingchute.request import stream_origins
 from redwingchute.request import unresponsive_upstreams
 from redwingchute.request import upstream_choice
@@ -43,6 +46,7 @@
 
     Attributes:
       limits: The rates to which upstreams limit the requests of the fleet.
+      works: The work that client accounts ask of services.
     """
 
     def __init__(
@@ -66,7 +70,9 @@
         self._service_names: dict[str, str] = {}
         self._prefill = prefill_model.PrefillModel()
         self._load = fleet_load.FleetLoad(self._prefill.estimate_ms_per_token)
-        self._exchange = load_exchange.LoadExchange(self._load)
+        self.works = account_work.AccountWorks()
+        self._exchange = load_exchange.LoadExchange(self._load, self.works)
+        self._plain_queues = plain_queues.PlainQueues()
         self._unresponsive = unresponsive_upstreams.UnresponsiveUpstreams()
         self._departures = departures.Departures(drain_ms)
         self._pauses = requested_pauses.RequestedPauses(host)
@@ -202,6 +208,38 @@
             request.id,
         )
 
+    def measure_pressure(
+        self,
+        service: str,
+        request: forwarding.ForwardRequest,
+        now_ms: int,
+        is_urgent: bool,
+    ) -> service_pressure.ServicePressure | None:
+        """Returns the pressure at the upstream for a request, or None.
+
+        Args:
+          service: The service that runs the request.
+          request: The request.
+          now_ms: The current time.
+          is_urgent: Whether the request has the highest priority.
+        """
+        chosen = self.choose(service, request, frozenset(), now_ms, is_urgent)
+        if chosen is None:
+            return None
+        age_ms = self._load.find_age_ms(now_ms)
+        if request.generation is not None:
+            return service_pressure.ServicePressure(
+                chosen.delay_ms, age_ms=age_ms
+            )
+        slots = chosen.upstream.slots
+        return service_pressure.measure_plain(
+            self._plain_queues.estimate_wait_ms(service, chosen.load, slots),
+            chosen.load,
+            slots,
+            self._plain_queues.find_max_open(service, slots, now_ms),
+            age_ms,
+        )
+
     def _iterate_in_use(
         self, service: str, now_ms: int
     ) -> Iterator[forwarding.Upstream]:
@@ -260,6 +298,26 @@
             yield request
         finally:
             self._load.remove(request)
+            if generation is None:
+                self._record_plain_end(upstream, request)
+
+    def _record_plain_end(
+        self, upstream: forwarding.Upstream, request: fleet_load.OpenRequest
+    ) -> None:
+        """Records how a request without a generation ended."""
+        now_ms = self._read_clock_ms()
+        open_requests = self._load.count_open(upstream.id, now_ms)
+        if request.was_rejected:
+            self._plain_queues.record_rejected(
+                upstream.service, open_requests, upstream.slots, now_ms
+            )
+        elif request.was_completed:
+            self._plain_queues.record_completed(
+                upstream.service,
+                now_ms - request.sent_ms,
+                open_requests,
+                upstream.slots,
+            )
 
     def _record_prefill(
         self,
--- a/redwingchute/wire/request.capnp
+++ b/redwingchute/wire/request.capnp
@@ -7,7 +7,7 @@
 struct CrashReport { reportId @0 :Text; observations @1 :List(CrashObservation); }
 struct QuarantineNotice { clientAccount @0 :Text; bodyDigest @1 :Data; untilMs @2 :Int64; changedAtMs @3 :Int64; isLifted @4 :Bool; author @5 :Text; }
 struct LeavingNotice { upstream @0 :Text; seenAtMs @1 :Int64; bornMs @2 :Int64; }
-struct LoadNotice { upstreams @0 :List(Text); openRequests @1 :List(UInt32); waitingTokens @2 :List(UInt64); partUpstreams @3 :List(Text); partIds @4 :List(Text); }
+struct LoadNotice { upstreams @0 :List(Text); openRequests @1 :List(UInt32); waitingTokens @2 :List(UInt64); partUpstreams @3 :List(Text); partIds @4 :List(Text); workServices @5 :List(Text); workAccounts @6 :List(Text); admittedUnits @7 :List(UInt64); refusedUnits @8 :List(UInt64); }
 
 struct KnownLimit { revision @0 :Int64; requestsPerS @1 :Float64; rejectionsPerS @2 :Float64 = inf; }
 struct LimitNotice { upstream @0 :Text; bornMs @1 :Int64; limit @2 :KnownLimit; }
