Divide a service's room by demand, and keep queues short under lasting pressure

Change: accounts that ask for more than others of their weight are refused first; refusals of the others alone shorten the queue; plain upstreams' queues are learned. Rejections count as refused work.

--- a/redwingchute/request/account_shares.py
+++ b/redwingchute/request/account_shares.py
@@ -15,9 +15,12 @@
 
 from redwingchute.core import requesting
 
-# How many requests an account may be ahead of its share; requests are not
-# divisible, and those of a small account come in twos and threes by chance.
-_SLACK_REQUESTS = 3
+# By how much the demand of an account must exceed its share, and what accounts
+# of its weight ask for on average, before that counts: by this factor and
+# number of requests, since demand varies by chance, and requests of a small
+# account come in twos and threes.
+_DEMAND_FACTOR = 1.2
+_DEMAND_REQUESTS = 3
 
 
 @attrs.frozen
@@ -25,19 +28,13 @@
     """How much of the room of a service an account has used.
 
     Attributes:
-      used_units: The work that was admitted for it in the window.
-      fair_units: Its fair share; infinite if its demand is met.
-      use_ratio: Its use relative to its share and the allowance for chance.
+      use_ratio: The work that was admitted for it relative to its fair share.
+      is_exceeded: Whether its demand is clearly more than its fair share, and
+        more than that of others.
     """
 
-    used_units: int
-    fair_units: float
-    use_ratio: float
-
-    @property
-    def is_over(self) -> bool:
-        """Whether the account has used more than its share."""
-        return self.use_ratio > 1
+    use_ratio: float = 0.0
+    is_exceeded: bool = False
 
 
 @attrs.frozen
@@ -45,28 +42,18 @@
     """How the room of a service is divided.
 
     Attributes:
-      weights: The weight of each account.
-      used_units: The admitted work of each account.
-      level_units: The fair share of an account of weight 1; may be infinite.
+      shares: The share of each account with work.
       refused_ratio: The work that was refused relative to what was admitted.
+      pressed_ratio: The same for the work of accounts within their share.
     """
 
-    weights: Mapping[str, float]
-    used_units: Mapping[str, int]
-    level_units: float
+    shares: Mapping[str, Share]
     refused_ratio: float
+    pressed_ratio: float
 
-    def find_share(self, account: str, mean_units: float) -> Share:
-        """Returns the share of an account.
-
-        Args:
-          account: The account.
-          mean_units: The mean work of a request to the service.
-        """
-        used_units = self.used_units.get(account, 0)
-        fair_units = self.level_units * self.weights.get(account, 1.0)
-        allowed_units = fair_units + _SLACK_REQUESTS * mean_units
-        return Share(used_units, fair_units, used_units / allowed_units)
+    def find_share(self, account: str) -> Share:
+        """Returns the share of an account."""
+        return self.shares.get(account, Share())
 
 
 def find_level(
@@ -100,21 +87,43 @@
 
 
 def divide(
-    works: Sequence[requesting.AccountWork], weights: Mapping[str, float]
+    works: Sequence[requesting.AccountWork],
+    weights: Mapping[str, float],
+    mean_units: float,
 ) -> Division:
     """Divides the room of a service.
 
     Args:
       works: The work of each account there.
       weights: The weight of each account; others are ignored.
+      mean_units: The mean work of a request there.
     """
+    works = [work for work in works if work.account in weights]
     admitted_units = sum(work.admitted_units for work in works)
     refused_units = sum(work.refused_units for work in works)
+    weight = sum(weights[work.account] for work in works)
+    level = find_level(works, weights)
+    mean_demand = (admitted_units + refused_units) / weight if works else 0.0
+    shares = {}
+    pressed_units = 0
+    for work in works:
+        own_weight = weights[work.account]
+        fair_units = own_weight * level
+        usual_units = own_weight * max(level, mean_demand)
+        demand_units = work.admitted_units + work.refused_units
+        is_exceeded = (
+            demand_units
+            > _DEMAND_FACTOR * usual_units + _DEMAND_REQUESTS * mean_units
+        )
+        shares[work.account] = Share(
+            work.admitted_units / max(fair_units, mean_units), is_exceeded
+        )
+        if not is_exceeded:
+            pressed_units += work.refused_units
     return Division(
-        weights,
-        {work.account: work.admitted_units for work in works},
-        find_level(works, weights),
+        shares,
         refused_units / max(1, admitted_units),
+        pressed_units / max(1, admitted_units),
     )
 
 
--- a/redwingchute/request/account_work.py
+++ b/redwingchute/request/account_work.py
@@ -81,6 +81,13 @@
         else:
             buckets[-1].refused_units += units
 
+    def record_rejected(
+        self, service: str, account: str, units: int, now_ms: int
+    ) -> None:
+        """Records that upstreams rejected a request that was admitted."""
+        self.record(service, account, -units, True, now_ms)
+        self.record(service, account, units, False, now_ms)
+
     def handle_notice(
         self,
         sender: str,
@@ -165,7 +172,8 @@
                 del self._own[key]
                 continue
             sums[key] = (
-                sum(bucket.admitted_units for bucket in buckets),
+                # What was rejected may have been admitted before the window.
+                max(0, sum(bucket.admitted_units for bucket in buckets)),
                 sum(bucket.refused_units for bucket in buckets),
             )
         for sender, notice in self._notices.items():
--- a/redwingchute/request/fleet_load.py
+++ b/redwingchute/request/fleet_load.py
@@ -172,6 +172,10 @@
         )
         return len(self._open_requests.get(upstream_id, ())) + others
 
+    def count_own_open(self, upstream_id: str) -> int:
+        """Returns how many requests of this router are open there."""
+        return len(self._open_requests.get(upstream_id, ()))
+
     def count_waiting_tokens(
         self,
         upstream_id: str,
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -468,6 +468,7 @@
                 )
                 if self._try_acquire_retry(plan, progress):
                     return None
+                self._admission.record_rejected(plan, now_ms)
                 if progress.may_have_run:
                     return _make_failure(
                         "all tried upstreams rejected the request"
--- a/redwingchute/request/plain_queues.py
+++ b/redwingchute/request/plain_queues.py
@@ -17,6 +17,9 @@
 # only after several rejections, at the mean load at which they occurred.
 _MIN_REJECTIONS = 3
 _MAX_REJECTIONS = 8
+# A shorter queue is empty before the figures of the fleet, which are up to half
+# a second old, show that it was full; no limit is assumed then.
+_MIN_QUEUE_MS = 250
 # What is learned from a rejection is used this long.
 _REJECTION_TTL_MS = 60_000
 
@@ -79,6 +82,32 @@
                 _Rejection(now_ms, open_requests / slots)
             )
 
+    def estimate_open(
+        self,
+        service: str,
+        own_requests: int,
+        open_requests: float,
+        slots: int,
+        age_ms: int,
+    ) -> float:
+        """Returns how many requests are still open at an upstream.
+
+        Other routers may have sent further ones meanwhile, so that this is
+        rather too low than too high.
+
+        Args:
+          service: Its service.
+          own_requests: The open requests of this router.
+          open_requests: Those of all routers, the others' by their notices.
+          slots: The slots of the upstream.
+          age_ms: The age of the notices.
+        """
+        duration_ms = self._get_state(service).duration_ms
+        if not duration_ms:
+            return open_requests
+        completed = age_ms / duration_ms * slots
+        return own_requests + max(0.0, open_requests - own_requests - completed)
+
     def estimate_wait_ms(
         self, service: str, open_requests: float, slots: int
     ) -> float:
@@ -90,14 +119,18 @@
         self, service: str, slots: int, now_ms: int
     ) -> float | None:
         """Returns how many open requests an upstream bears, or None."""
+        state = self._get_state(service)
         loads = [
             rejection.slot_load
-            for rejection in self._get_state(service).rejections
+            for rejection in state.rejections
             if now_ms - rejection.at_ms < _REJECTION_TTL_MS
         ]
         if len(loads) < _MIN_REJECTIONS:
             return None
-        return slots * sum(loads) / len(loads)
+        slot_load = sum(loads) / len(loads)
+        if (slot_load - 1) * state.duration_ms < _MIN_QUEUE_MS:
+            return None
+        return slots * slot_load
 
     def _get_state(self, service: str) -> _ServiceState:
         """Returns the state of a service, which is created if missing."""
--- a/redwingchute/request/room_admission.py
+++ b/redwingchute/request/room_admission.py
@@ -43,6 +43,7 @@
         self._find_index = find_index
         self._returning = returning_callers.ReturningCallers()
         self._weights: dict[str, float] = {}
+        self._targets_ms: dict[str, set[tuple[int, int]]] = {}
         self._weighed_table: forwarding.RouteTable | None = None
         self._mean_units: dict[str, float] = {}
         self._divisions: dict[str, tuple[int, account_shares.Division]] = {}
@@ -51,7 +52,7 @@
         self, plan: forward_plan.Plan, now_ms: int
     ) -> outcomes.NotRun | None:
         """Returns the refusal of a request without room, or None."""
-        is_shared = plan.account is not None and len(self._find_weights()) > 1
+        is_shared = self._has_shares(plan)
         generation = plan.request.generation
         if generation is None and not is_shared:
             return None
@@ -75,6 +76,21 @@
         """Records that a request is sent to an upstream."""
         self._record_work(plan, True, now_ms)
 
+    def record_rejected(self, plan: forward_plan.Plan, now_ms: int) -> None:
+        """Records that all tried upstreams rejected a request for room."""
+        if self._has_shares(plan):
+            assert plan.account is not None
+            self._directory.works.record_rejected(
+                plan.service.name,
+                plan.account.name,
+                _count_units(plan),
+                now_ms,
+            )
+
+    def _has_shares(self, plan: forward_plan.Plan) -> bool:
+        """Returns whether the account of a request competes with others."""
+        return plan.account is not None and len(self._find_weights()) > 1
+
     def _refuse_by_share(
         self,
         plan: forward_plan.Plan,
@@ -87,13 +103,14 @@
             plan.request.id,
             priority,
             plan.route.target_latency_ms,
+            self._find_binding_target_ms(plan, priority),
             plan.request.patience_ms or plan.patience_ms,
             self._returning.record(
                 plan.route.name, plan.request.patience_ms, now_ms
             ),
         )
         if pressure.delay_ms <= load_shedding.find_min_limit_ms(
-            caller.target_latency_ms
+            caller.binding_target_ms
         ) and (pressure.taken_share <= pressure.idle_share):
             return None
         assert plan.account is not None
@@ -101,15 +118,13 @@
         work_age_ms = self._directory.works.find_age_ms(now_ms)
         share = None
         if work_age_ms is not None:
-            share = division.find_share(
-                plan.account.name, self._mean_units.get(plan.service.name, 1.0)
-            )
+            share = division.find_share(plan.account.name)
         refusal = load_shedding.refuse_for_room(
-            pressure, caller, share, division.refused_ratio, work_age_ms
+            pressure, caller, division, share, work_age_ms
         )
         if refusal is not None:
             self._record_work(plan, False, now_ms)
-            is_over = share is not None and share.is_over
+            is_over = share is not None and share.is_exceeded
             decision_log.count_event(
                 "refused_over_share" if is_over else "refused_within_share"
             )
@@ -123,6 +138,7 @@
         division = account_shares.divide(
             self._directory.works.list_works(service, now_ms),
             self._find_weights(),
+            self._mean_units.get(service, 1.0),
         )
         self._divisions[service] = now_ms, division
         return division
@@ -131,10 +147,10 @@
         self, plan: forward_plan.Plan, is_admitted: bool, now_ms: int
     ) -> None:
         """Records the work of a request, if several accounts compete."""
-        if plan.account is None or len(self._find_weights()) < 2:
+        if not self._has_shares(plan):
             return
-        generation = plan.request.generation
-        units = generation.prompt_tokens if generation is not None else 1
+        assert plan.account is not None
+        units = _count_units(plan)
         service = plan.service.name
         mean = self._mean_units.get(service, float(units))
         self._mean_units[service] = mean + _SAMPLE_WEIGHT * (units - mean)
@@ -142,6 +158,21 @@
             service, plan.account.name, units, is_admitted, now_ms
         )
 
+    def _find_binding_target_ms(
+        self, plan: forward_plan.Plan, priority: int
+    ) -> int:
+        """Returns the least target of a service down to a priority."""
+        return min(
+            [
+                target_ms
+                for other, target_ms in self._targets_ms.get(
+                    plan.service.name, ()
+                )
+                if other <= priority
+            ],
+            default=plan.route.target_latency_ms,
+        )
+
     def _find_weights(self) -> dict[str, float]:
         """Returns the weight of each client account in force."""
         index = self._find_index()
@@ -149,7 +180,28 @@
         if table is not self._weighed_table:
             self._weighed_table = table
             accounts = table.accounts if table is not None else ()
+            self._targets_ms = _list_targets(table)
             self._weights = account_shares.find_weights(
                 {account.name: account.prepaid_tokens for account in accounts}
             )
         return self._weights
+
+
+def _count_units(plan: forward_plan.Plan) -> int:
+    """Returns the work of a request: its prompt tokens, or 1."""
+    generation = plan.request.generation
+    return generation.prompt_tokens if generation is not None else 1
+
+
+def _list_targets(
+    table: forwarding.RouteTable | None,
+) -> dict[str, set[tuple[int, int]]]:
+    """Returns the priorities and target latencies of each service's routes."""
+    targets_ms: dict[str, set[tuple[int, int]]] = {}
+    for route in table.routes if table is not None else ():
+        for target in route.services:
+            if route.target_latency_ms:
+                targets_ms.setdefault(target.service, set()).add(
+                    (route.priority, route.target_latency_ms)
+                )
+    return targets_ms
--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -232,10 +232,17 @@
                 chosen.delay_ms, age_ms=age_ms
             )
         slots = chosen.upstream.slots
-        return service_pressure.measure_plain(
-            self._plain_queues.estimate_wait_ms(service, chosen.load, slots),
+        open_requests = self._plain_queues.estimate_open(
+            service,
+            self._load.count_own_open(chosen.upstream.id),
             chosen.load,
             slots,
+            age_ms or 0,
+        )
+        return service_pressure.measure_plain(
+            self._plain_queues.estimate_wait_ms(service, open_requests, slots),
+            open_requests,
+            slots,
             self._plain_queues.find_max_open(service, slots, now_ms),
             age_ms,
         )
