--- a/redwingchute/request/account_work.py
+++ b/redwingchute/request/account_work.py
@@ -45,12 +45,12 @@
     """The work of client accounts that is known to one router.
 
     Attributes:
-      has_peers: Whether there are other routers to get counts from.
+      has_peers: Whether there may be other routers to get counts from.
     """
 
     def __init__(self) -> None:
         """Creates counts without any work."""
-        self.has_peers = False
+        self.has_peers = True
         self._own: dict[tuple[str, str], collections.deque[_Bucket]] = {}
         self._notices: dict[str, _Notice] = {}
 
--- a/redwingchute/request/load_shedding_test.py
+++ b/redwingchute/request/load_shedding_test.py
@@ -54,3 +54,36 @@
 
 def test_no_request_is_refused_without_a_target_latency() -> None:
     assert load_shedding.refuse_if_late(60_000, 0, 2) is None
+
+
+def _make_caller(
+    priority: int, patience_ms: int, name: str = "r"
+) -> load_shedding.Caller:
+    return load_shedding.Caller(name, priority, 500, 500, patience_ms)
+
+
+def test_times_to_come_back_are_within_the_time_that_callers_obey() -> None:
+    for number in range(50):
+        caller = _make_caller(number % 4, 6_000, str(number))
+        assert 700 <= load_shedding.deal_return_ms(700, 9_000, caller) < 1_950
+
+
+def test_the_most_urgent_come_back_first() -> None:
+    latest_ms = 0
+    for priority in range(3):
+        times_ms = [
+            load_shedding.deal_return_ms(
+                400, 900, _make_caller(priority, 9_000, str(number))
+            )
+            for number in range(50)
+        ]
+        assert min(times_ms) >= latest_ms
+        assert len(set(times_ms)) > 25
+        latest_ms = max(times_ms)
+
+
+# Guards against a time that is promised only because the caller obeys it.
+def test_a_caller_without_enough_time_is_told_the_true_time() -> None:
+    assert load_shedding.deal_return_ms(2_500, 0, _make_caller(0, 3_000)) == (
+        2_500
+    )
