Let runners of the test rig keep the zone that they were started with

Two parts gave runners a zone, one by the rig, one by the start; merged, the rig's empty default replaced the other, and four tests of evacuation failed. No code of a host is concerned. They pass again.

--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -195,7 +195,7 @@
         entry = self.runners[runner_id].make_entry(state)
         if runner_id in self._addresses:
             entry["address"] = str(self._addresses[runner_id])
-        entry["zone"] = self._zones.get(runner_id, "")
+        entry["zone"] = self._zones.get(runner_id, entry["zone"])
         encoded = json.dumps(entry).encode()
         self.store.write_record("keyed.servers", runner_id, encoded)
 
