--- a/redwingchute/request/load_shedding.py
+++ b/redwingchute/request/load_shedding.py
@@ -121,7 +121,9 @@
     """
     if not caller.target_latency_ms:
         return None
-    limit_ms = _find_max_wait_ms(caller, share, division.pressed_ratio)
+    # Old counts say nothing of the pressure either.
+    pressed_ratio = division.pressed_ratio if share is not None else 0.0
+    limit_ms = _find_max_wait_ms(caller, share, pressed_ratio)
     if pressure.delay_ms <= limit_ms and (
         pressure.taken_share < _find_max_taken_share(pressure, caller, share)
     ):
