--- a/redwingchute/request/upstream_directory.py
+++ b/redwingchute/request/upstream_directory.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
+import math
 
 import attrs
 
@@ -287,16 +288,15 @@
             for upstream in healthy
             if not self._departures.is_leaving(upstream)
         ]
-        return self._choose_among(
+        return self.cold.choose(
             [
                 self._make_candidate(upstream, request.generation, now_ms)
                 for upstream in staying or healthy or ready
             ],
-            service,
-            request,
             excluded,
-            target_ms,
-            now_ms,
+            lambda candidates: self._choose_among(
+                candidates, service, request, target_ms, now_ms
+            ),
         )
 
     def _choose_among(
@@ -304,7 +304,6 @@
         candidates: Sequence[upstream_choice.Candidate],
         service: str,
         request: forwarding.ForwardRequest,
-        excluded: frozenset[str],
         target_ms: int,
         now_ms: int,
     ) -> upstream_choice.Candidate | None:
@@ -322,15 +321,11 @@
             decision = self.crossings.narrow(
                 service, candidates, request, target_ms, now_ms
             )
-        chosen = self.cold.choose(
+        chosen = upstream_choice.choose_upstream(
             decision.candidates,
-            excluded,
-            lambda found: upstream_choice.choose_upstream(
-                found,
-                upstream_choice.find_affinity_key(request.generation),
-                self._zone,
-                request.id,
-            ),
+            upstream_choice.find_affinity_key(request.generation),
+            self._zone,
+            request.id,
         )
         if chosen is not None:
             self.crossings.record_choice(
@@ -353,6 +348,7 @@
             if self._find_pause_end_ms(upstream, False) <= now_ms
             and outliers.find_available_ms(upstream.id) <= now_ms
             and not self._departures.is_leaving(upstream)
+            and self.cold.find_rate(upstream.id) == math.inf
         ]
 
     def _iterate_in_use(
