--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -34,9 +34,6 @@
       era: The era of the log in which the row was written.
       bounded_rise_tokens_per_s: A lower rate, by what the account has left,
         that also bounds the ceiling; None for none.
-      pause_from_ms: The age of the stamp at which the ceiling stops rising;
-        None if it does not.
-      pause_until_ms: The age at which it rises on.
     """
 
     account: str
@@ -50,8 +47,6 @@
     restart_ms: int = 3_000
     era: int = 0
     bounded_rise_tokens_per_s: float | None = None
-    pause_from_ms: int | None = None
-    pause_until_ms: int = 0
 
 
 @attrs.frozen
--- a/redwingchute/process/prepaid/ceiling.py
+++ b/redwingchute/process/prepaid/ceiling.py
@@ -2,9 +2,7 @@
 
 The ceiling bounds what a host may have spent or reserved. It rises with the
 age of the stamp: at about the rate of the host's demand at first, and faster
-once the host appears to be cut off from the log. The row of an account that
-runs out soon has the ceiling pause in between, while the host has not renewed
-its stamp and may be without power. After a crash, the successor
+once the host appears to be cut off from the log. After a crash, the successor
 process on the host computes an upper bound of the stamp's age when its
 predecessor ended, and counts the ceiling at that age as spent.
 """
@@ -28,9 +26,8 @@
       row: The host's grant row.
       age_ms: The age of the host's latest stamp.
     """
-    rising_ms = _remove_pause(row, age_ms)
     rise_tokens = min(
-        rate * _weight_age(rising_ms, restart_ms) / 1000
+        rate * _weight_age(age_ms, restart_ms) / 1000
         for rate, restart_ms in _list_rises(row)
     )
     return min(row.granted_tokens, row.ceiling_tokens + int(rise_tokens))
@@ -55,11 +52,10 @@
     if any(rate <= 0 for rate, _ in _list_rises(row)):
         return None
     # One token more, since `find_ceiling` rounds the rise down.
-    rising_ms = max(
+    return max(
         _unweight_age(math.ceil((lacking_tokens + 1) * 1000 / rate), restart_ms)
         for rate, restart_ms in _list_rises(row)
     )
-    return _add_pause(row, rising_ms)
 
 
 def _list_rises(row: prepaid.GrantRow) -> list[tuple[float, int]]:
@@ -73,20 +69,6 @@
     return rises
 
 
-def _remove_pause(row: prepaid.GrantRow, age_ms: int) -> int:
-    """Returns for how much of an age the ceiling has been rising."""
-    if row.pause_from_ms is None or age_ms <= row.pause_from_ms:
-        return age_ms
-    return row.pause_from_ms + max(0, age_ms - row.pause_until_ms)
-
-
-def _add_pause(row: prepaid.GrantRow, rising_ms: int) -> int:
-    """Returns the age at which the ceiling has been rising for a time."""
-    if row.pause_from_ms is None or rising_ms <= row.pause_from_ms:
-        return rising_ms
-    return rising_ms - row.pause_from_ms + row.pause_until_ms
-
-
 def _weight_age(age_ms: int, restart_ms: int) -> int:
     """Returns the age that gives the same rise at the slow rate."""
     isolated_ms = max(0, age_ms - restart_ms)
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -51,13 +51,6 @@
       restart_ms: Most crashes and restarts take less time than this. A host
         whose stamp is older is probably cut off from the log instead, and its
         ceiling rises faster, so that it can spend its grant.
-      pause_from_ms: The age of a stamp at which the ceiling of an account that
-        runs out soon pauses. A host that reaches the log has renewed its stamp
-        by then. An account runs out soon if the bound of `rise_share` is below
-        the host's demand.
-      pause_until_ms: The age at which the ceiling rises on. A host that loses
-        power with all others is seldom back later; one that is cut off from
-        the log refuses requests in between.
       rewrite_share: A row is rewritten when its ceiling or its spent tokens
         changed by more than this share of the written row's headroom, which is
         its ceiling less its spent tokens.
@@ -73,8 +66,6 @@
     rise_factor: float = 1.2
     rise_share: float = 0.04
     restart_ms: int = 6_000
-    pause_from_ms: int = 700
-    pause_until_ms: int = 2_000
     rewrite_share: float = 0.25
 
 
@@ -201,10 +192,6 @@
         free_tokens * policy.rise_share,
     )
     bounded_rise_tokens_per_s = due_tokens * policy.rise_share
-    # What such an account does not spend in a pause it spends later, while what
-    # counts as spent without proof is lost to it. Others gain nothing by a
-    # pause.
-    runs_out_soon = bounded_rise_tokens_per_s < demand_tokens_per_s
     return prepaid.GrantRow(
         account=grant.account,
         host=plan_input.host,
@@ -222,8 +209,6 @@
             if bounded_rise_tokens_per_s < rise_tokens_per_s
             else None
         ),
-        pause_from_ms=policy.pause_from_ms if runs_out_soon else None,
-        pause_until_ms=policy.pause_until_ms if runs_out_soon else 0,
     )
 
 
