Divide room among accounts only where a setting asks for it

The division changes the limits of requests under lasting pressure on every deployment that has several accounts. So it is off unless REDWINGCHUTE_DIVIDE_ROOM is 1, which is checked like other settings; without it requests are refused by their delay alone, as before.

--- a/redwingchute/platform/settings_file.py
+++ b/redwingchute/platform/settings_file.py
@@ -19,6 +19,8 @@
 # The price of leaving the zone in ms per MB. It is a setting of the product,
 # which the platform's file has no field for.
 CROSSING_PRICE_VARIABLE = "REDWINGCHUTE_ZONE_CROSSING_MS_PER_MB"
+# Whether too little room is divided among client accounts: 1, or 0 for no.
+DIVIDED_ROOM_VARIABLE = "REDWINGCHUTE_DIVIDE_ROOM"
 # The metrics port in deploy/system.toml.
 _METRICS_PORT = 9464
 
@@ -42,12 +44,15 @@
     except OSError as error:
         return None, [data.Finding(str(path), str(error))]
     return decode_settings(
-        text, str(path), environment.get(CROSSING_PRICE_VARIABLE, "")
+        text,
+        str(path),
+        environment.get(CROSSING_PRICE_VARIABLE, ""),
+        environment.get(DIVIDED_ROOM_VARIABLE, ""),
     )
 
 
 def decode_settings(
-    text: str, place: str, crossing_price: str = ""
+    text: str, place: str, crossing_price: str = "", divided_room: str = ""
 ) -> tuple[gateway_settings.GatewaySettings | None, list[data.Finding]]:
     """Decodes the text of a settings file.
 
@@ -55,6 +60,8 @@
       text: The content of the file.
       place: The path of the file, for findings.
       crossing_price: The text of the price of leaving the zone; empty for none.
+      divided_room: 1 if too little room is divided among client accounts; 0 or
+        empty if not.
 
     Returns:
       The settings, or None if there are findings, and the findings.
@@ -93,6 +100,7 @@
         region=reader.read_optional_text("region"),
         zone_regions=reader.read_table("zones"),
         crossing_ms_per_mb=_read_price(crossing_price, reader.findings),
+        divides_room=_read_switch(divided_room, reader.findings),
     )
     return (None if reader.findings else decoded), reader.findings
 
@@ -189,6 +197,14 @@
     return 0.0
 
 
+def _read_switch(text: str, findings: list[data.Finding]) -> bool:
+    """Returns whether room is divided; adds a finding if that is not said."""
+    if text in ("", "0", "1"):
+        return text == "1"
+    findings.append(data.Finding(DIVIDED_ROOM_VARIABLE, "is neither 0 nor 1"))
+    return False
+
+
 def _split_lines(text: str) -> dict[str, str]:
     """Returns the fields of a settings file."""
     pairs = (line.partition("=") for line in text.splitlines())
--- a/redwingchute/platform/settings_file_test.py
+++ b/redwingchute/platform/settings_file_test.py
@@ -120,3 +120,19 @@
     assert deploy["roles"]["router"]["run"].endswith(
         "redwingchute.platform.main"
     )
+
+
+def test_dividing_the_room_is_a_variable() -> None:
+    for text, expected in (("", False), ("0", False), ("1", True)):
+        settings, findings = settings_file.decode_settings(
+            _LINES, "file", divided_room=text
+        )
+        assert not findings
+        assert settings is not None
+        assert settings.divides_room is expected
+    _, findings = settings_file.decode_settings(
+        _LINES, "file", divided_room="yes"
+    )
+    assert [finding.place for finding in findings] == [
+        settings_file.DIVIDED_ROOM_VARIABLE
+    ]
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -379,6 +379,7 @@
                 read_clock_ms=read_boot_ms,
                 metrics=telemetry.make_request_metrics(self._metrics),
                 regions=self._regions,
+                divides_room=self.settings.divides_room,
             )
         )
         listen = self.settings.listen
--- a/redwingchute/process/gateway_settings.py
+++ b/redwingchute/process/gateway_settings.py
@@ -33,6 +33,8 @@
       zone_regions: The region of each availability zone that is known.
       crossing_ms_per_mb: The delay that the operator would bear to keep one MB
         in its zone; 0 to choose upstreams without regard to that.
+      divides_room: Whether too little room is divided among client accounts;
+        otherwise requests are refused by their delay alone.
     """
 
     host_name: str
@@ -53,3 +55,4 @@
     region: str = ""
     zone_regions: Mapping[str, str] = attrs.Factory(dict)
     crossing_ms_per_mb: float = 0.0
+    divides_room: bool = False
--- a/redwingchute/request/crashing_request_test.py
+++ b/redwingchute/request/crashing_request_test.py
@@ -21,7 +21,6 @@
     gateway_count: int = 1,
 ) -> None:
     """Runs a scenario with six model runners that the marker crashes."""
-
     document = gateway_rig.make_document()
     for route in document["routes"]:
         route["timeoutMs"] = _PATIENCE_MS
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -71,6 +71,7 @@
       read_clock_ms: Returns the time on a steady clock.
       metrics: Records durations and outcomes of requests.
       regions: The regions of availability zones.
+      divides_room: Whether too little room is divided among client accounts.
     """
 
     connector: upstream_connector.UpstreamConnector
@@ -88,6 +89,7 @@
     read_clock_ms: Callable[[], int]
     metrics: request_metrics.RequestMetrics
     regions: home_regions.RegionMap
+    divides_room: bool = False
 
 
 # How a request ends. A stream has already been sent to the caller.
@@ -116,7 +118,9 @@
             dependencies.origins
         )
         self._admission = room_admission.RoomAdmission(
-            dependencies.directory, dependencies.find_index
+            dependencies.directory,
+            dependencies.find_index,
+            dependencies.divides_room,
         )
         self._planner = forward_plan.Planner(
             dependencies.find_index,
--- a/redwingchute/request/room_admission.py
+++ b/redwingchute/request/room_admission.py
@@ -1,9 +1,9 @@
 """Decides whether there is room for a request, before anything is charged.
 
-Where a configuration has several client accounts, an account that uses more
-than its share of a service under pressure is refused earlier, and plain
-services have admission too. Other deployments refuse generations by their delay
-alone.
+Where room is divided and a configuration has several client accounts, an
+account that uses more than its share of a service under pressure is refused
+earlier, and plain services have admission too. Other deployments refuse
+generations by their delay alone.
 """
 
 from collections.abc import Callable
@@ -32,14 +32,17 @@
         self,
         directory: upstream_directory.UpstreamDirectory,
         find_index: Callable[[], route_index.RouteIndex | None],
+        divides_room: bool,
     ) -> None:
         """Creates the admission.
 
         Args:
           directory: The upstreams, with the load and work of the fleet.
           find_index: Returns the configuration in force, or None.
+          divides_room: Whether too little room is divided among accounts.
         """
         self._directory = directory
+        self._divides_room = divides_room
         self._find_index = find_index
         self._returning = returning_callers.ReturningCallers()
         self._weights: dict[str, float] = {}
@@ -91,7 +94,11 @@
 
     def _has_shares(self, plan: forward_plan.Plan) -> bool:
         """Returns whether the account of a request competes with others."""
-        return plan.account is not None and len(self._find_weights()) > 1
+        return (
+            self._divides_room
+            and plan.account is not None
+            and len(self._find_weights()) > 1
+        )
 
     def _refuse_by_share(
         self,
--- a/redwingchute/testing/room_simulation.py
+++ b/redwingchute/testing/room_simulation.py
@@ -120,7 +120,7 @@
             "z", name, read_clock_ms=lambda: simulation.now_ms
         )
         self.admission = room_admission.RoomAdmission(
-            self.directory, lambda: simulation.index
+            self.directory, lambda: simulation.index, divides_room=True
         )
 
 
