--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,6 +15,12 @@
 _MAX_RETRIES = 3
 # The runner ends when it would make this event of the request; 1 is the first.
 _CRASH_EVENT = int(os.environ.get("CRASH_EVENT", "5"))
+# Variants for the report: `dark`, the runner falls silent before the first event
+# and its channels end only when it is back, after the route's timeout; `left`,
+# the client leaves just before the runner ends.
+_VARIANT = os.environ.get("VARIANT", "")
+_LEAVE_AFTER_S = 0.25
+_CRASH_AFTER_LEAVING_S = 0.3
 
 
 class FragileRunner(standins.Runner):
@@ -33,6 +39,14 @@
             return True
         self.runs.append((time.monotonic(), attempt, headers, target))
         self.record.add(f"runner {self.id}: runs {attempt}, which crashes it")
+        if _VARIANT:
+            is_dark = _VARIANT == "dark"
+            await asyncio.sleep(
+                self.event_s if is_dark else _CRASH_AFTER_LEAVING_S
+            )
+            asyncio.ensure_future(self._crash(_DOWN_S if is_dark else 0.0))
+            await asyncio.sleep(_DOWN_S + 1)
+            return False
         if _CRASH_EVENT > 1:
             writer.write(
                 "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n"
@@ -48,12 +62,15 @@
         asyncio.ensure_future(self._crash())
         return False
 
-    async def _crash(self):
+    async def _crash(self, silent_s=0.0):
         """Ends as a process does; starts again under the same id."""
         ip, port = self.address.rsplit(":", 1)
         self._beat.cancel()
+        if silent_s:
+            self._server.close()
+            await asyncio.sleep(silent_s)
         standins.HttpServer.close(self)
-        await asyncio.sleep(_DOWN_S)
+        await asyncio.sleep(0 if silent_s else _DOWN_S)
         self.born = int(time.time() * 1000)
         self.sequence = 0
         await self.listen(ip, int(port))
@@ -68,7 +85,12 @@
         setting.add_gateways([("edge-huon-1", "huon"), ("edge-bruny-1", "bruny")])
         setting.publish(
             11,
-            [standins.make_route("draft", "streaming", "llm", timeoutMs=8000)],
+            [
+                standins.make_route(
+                    "draft", "streaming", "llm",
+                    timeoutMs=1500 if _VARIANT == "dark" else 8000,
+                )
+            ],
             [{"name": "llm", "inferenceEngine": {"stride": 1}}],
             [{"name": "tenant-a", "apiKeys": ["key-a"], "reserved": 10_000_000}],
         )
@@ -90,6 +112,7 @@
         async def send(gateway, path, body):
             nonlocal number
             number += 1
+            leaves = _VARIANT == "left" and path == FragileRunner.marker
             return await standins.send(
                 record, gateway.address, f"{number:016x}", path,
                 [
@@ -100,6 +123,7 @@
                     ("Prompt-Prefix", f"a1:100,{number:x}:100"),
                 ],
                 body,
+                patience_s=_LEAVE_AFTER_S if leaves else 8.0,
             )
 
         for index in range(40):
