review: four cases; the header fault becomes a trial, checks read once more

Case 2 counts output by what clients got. The scripts end their processes also when they are stopped.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,7 @@
 import sys
 import time
 
+sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins
@@ -90,6 +91,8 @@
         self._setting = setting
         self._number = 0
         self.statuses = {}
+        # The output tokens that clients got; an event holds one.
+        self.delivered = 0
 
     async def send(self, gateway, prompt, output=1):
         self._number += 1
@@ -105,6 +108,7 @@
             ],
             b"x",
         )
+        self.delivered += answer.body.count(b"data:")
         counts = self.statuses.setdefault(gateway.name, {})
         counts[answer.status] = counts.get(answer.status, 0) + 1
         return answer.status
@@ -119,16 +123,13 @@
                 return
 
 
-def count_consumed(runner):
-    """Returns input tokens, and output tokens, of all runs of the tenant.
-
-    Each request of the case is answered completely or not at all.
-    """
-    total = 0
-    for _, _, headers, _ in runner.runs:
-        prompt, output = headers["token-usage"].split(",")
-        total += int(prompt) + int(output)
-    return total
+def count_consumed(runner, tenant):
+    """Returns the input tokens of each request that ran, and what was delivered."""
+    prompts = {
+        attempt: int(headers["token-usage"].split(",")[0])
+        for _, attempt, headers, _ in runner.runs
+    }
+    return sum(prompts.values()) + tenant.delivered
 
 
 async def main():
@@ -194,7 +195,7 @@
         for prompt, copies in ((9_999, 10), (999, 10), (99, 10), (9, 10)):
             await tenant.drain(stopped, prompt, copies)
             await tenant.drain(other, prompt, copies)
-        consumed = count_consumed(runner)
+        consumed = count_consumed(runner, tenant)
         if standins.TROUBLE:
             if losses.ended_s is None:
                 return 2
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,6 +6,7 @@
 import sys
 import time
 
+sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,7 +2,7 @@
 # Builds the stand-ins of the review: Python sources that need no library.
 set -eu
 cd "$(dirname "$0")"
-PYTHONDONTWRITEBYTECODE=1 python3 - standins.py */case.py <<'CHECK'
+PYTHONDONTWRITEBYTECODE=1 python3 - standins.py trial-header.py */case.py <<'CHECK'
 import pathlib
 import sys
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -634,12 +634,18 @@
     """Runs a case; exits with 1 if the rule broke, 0 if it held, else 2."""
 
     async def bounded():
+        # A case that is stopped ends its processes too.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return await main()
 
     try:
         code = asyncio.run(bounded())
-    except Exception as error:  # The case could not run.
+    # The case could not run, or was stopped.
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         code = 2
     sys.exit(code)
--- a/review/5/case.py
+++ b/review/trial-header.py
@@ -1,10 +1,14 @@
-"""An answer with a header value beyond ASCII closes the channel instead."""
+"""A trial, no case: an answer with a header value beyond ASCII closes the channel.
+
+The pages name no such header. `TROUBLE=0` sends a plain ASCII one.
+"""
 
 import asyncio
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+sys.dont_write_bytecode = True
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 import standins
 
