Name in grant rows what open requests have reserved

The logs gave the distance of a row's ceiling from its recorded tokens, not what of it was reserved when the row was written, nor which unsure tokens are older than the takeover. Rows have reserved_tokens now, 0 from earlier builds; grant_inherited shows it and earlier_unsure_tokens. No decision reads them.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -34,6 +34,8 @@
       era: The era of the log in which the row was written.
       bounded_rise_tokens_per_s: A lower rate, by what the account has left,
         that also bounds the ceiling; None for none.
+      reserved_tokens: The part between `spent_tokens` and the ceiling that open
+        requests had reserved when the row was written.
     """
 
     account: str
@@ -47,6 +49,7 @@
     restart_ms: int = 3_000
     era: int = 0
     bounded_rise_tokens_per_s: float | None = None
+    reserved_tokens: int = 0
 
 
 @attrs.frozen
--- a/redwingchute/process/prepaid/append_planner.py
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -137,6 +137,7 @@
                 spent_tokens=grant.spent_tokens,
                 unsure_tokens=grant.unsure_tokens,
                 demand_tokens_per_s=0.0,
+                reserved_tokens=grant.reserved_tokens,
             )
             if row != grant.row:
                 rows.append(row)
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -685,6 +685,8 @@
                 granted_tokens=row.granted_tokens,
                 recorded_tokens=row.spent_tokens,
                 ceiling_tokens=row.ceiling_tokens,
+                reserved_tokens=row.reserved_tokens,
+                earlier_unsure_tokens=row.unsure_tokens,
                 rise_tokens_per_s=row.rise_tokens_per_s,
                 released_tokens=released_tokens,
                 unrecorded_tokens=row.granted_tokens
@@ -707,6 +709,7 @@
                     spent_tokens=grant.spent_tokens,
                     unsure_tokens=grant.unsure_tokens,
                     ceiling_tokens=grant.spent_tokens,
+                    reserved_tokens=0,
                 )
                 for row in era_planner.merge_rows(
                     self._loaded_rows, self.fold.list_host_rows(self.own_host)
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -204,6 +204,7 @@
         demand_tokens_per_s=round(demand_tokens_per_s, 1),
         unsure_tokens=grant.unsure_tokens,
         restart_ms=policy.restart_ms,
+        reserved_tokens=grant.reserved_tokens,
         bounded_rise_tokens_per_s=(
             round(bounded_rise_tokens_per_s, 1)
             if bounded_rise_tokens_per_s < rise_tokens_per_s
