--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -12,9 +12,11 @@
 import attrs
 
 from redwingchute.connection import http_client
+from redwingchute.core import prepaid
 from redwingchute.platform import main as platform_main
 from redwingchute.process import gateway
 from redwingchute.process import gateway_settings
+from redwingchute.process.prepaid import grant_fold
 from redwingchute.standin import metadata_store
 from redwingchute.standin import runner
 from redwingchute.testing import upstream_cut
@@ -203,6 +205,18 @@
         """Removes a runner's entry from the store."""
         self.store.write_record("keyed.servers", runner_id, None)
 
+    def read_grant_row(self, host_name: str) -> prepaid.GrantRow | None:
+        """Returns the newest row of the account's grant at a gateway."""
+        topic = self.store.log.get_or_create_topic("keyed.grants")
+        for record in topic.read_newest().records:
+            decoded = grant_fold.decode_record(record.value)
+            if (
+                isinstance(decoded, prepaid.GrantRow)
+                and decoded.host == host_name
+            ):
+                return decoded
+        return None
+
     def set_faults(self, id_prefix: str, **faults: Any) -> None:
         """Sets faults of all runners whose ids have a prefix."""
         for runner_id, found in self.runners.items():
