Lend nothing during a shutdown, and record what was lent before

Cause: a stopping router lent like any other, did not wait for settlements, and exited up to half a second after its last append. Class: work that is accepted without the time to end it.

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -87,6 +87,8 @@
 _REWRITE_MS = 2_000
 # How long a router that shuts down waits for its entry in the list of hosts.
 _LEAVE_TIMEOUT_S = 0.3
+# How long it waits for its last append, within `_STOP_MARGIN_MS`.
+_RECORD_END_S = 0.15
 
 
 _RelayedNotice: TypeAlias = (
@@ -468,8 +470,9 @@
     async def stop(self) -> None:
         """Shuts down gracefully: drains requests and returns the grants.
 
-        Ends when the balancer should have removed this host and no request is
-        open, or else shortly before `stop_ms` has passed.
+        Ends when the balancer should have removed this host and neither a
+        request nor a charge for another router is open, or else shortly before
+        `stop_ms` has passed.
         """
         decision_log.log_event(
             "stop_begins", open_requests=self._caller_server.open_exchanges
@@ -482,6 +485,7 @@
         # Open connections close between requests. New ones may arrive until
         # the balancer has removed this host.
         self._caller_server.begin_drain()
+        self._grant_manager.begin_drain()
         while read_boot_ms() < self._stop_deadline_ms - int(
             1000 * _RETURN_GRANTS_S
         ):
@@ -489,11 +493,7 @@
             is_out_of_rotation = (
                 read_boot_ms() > started_ms + 1000 * _BALANCER_LAG_S
             )
-            if (
-                is_out_of_rotation
-                and not self._caller_server.open_exchanges
-                and not self._tunnels.open_count
-            ):
+            if is_out_of_rotation and not self._has_open_work():
                 break
             await asyncio.sleep(_STOP_POLL_S)
         self._caller_server.close_idle_connections()
@@ -501,10 +501,21 @@
             self._grant_manager.stop(_RETURN_GRANTS_S),
             self._registry.leave(_LEAVE_TIMEOUT_S),
         )
-        while (
-            self._caller_server.open_exchanges or self._tunnels.open_count
-        ) and (read_boot_ms() < self._stop_deadline_ms):
+        while self._has_open_work() and (
+            read_boot_ms() < self._stop_deadline_ms
+        ):
             await asyncio.sleep(_STOP_POLL_S)
+        # A request that still arrives is refused: it could not end any more.
+        self._stop_deadline_ms = read_boot_ms()
+        await self._grant_manager.record_end(_RECORD_END_S)
+
+    def _has_open_work(self) -> bool:
+        """Returns whether this process still has something to finish."""
+        return bool(
+            self._caller_server.open_exchanges
+            or self._tunnels.open_count
+            or self._charger.lent_count
+        )
 
     async def _open_for_peer(
         self, start: forwarding.UpstreamStart
--- a/redwingchute/process/prepaid/append_planner.py
+++ b/redwingchute/process/prepaid/append_planner.py
@@ -89,6 +89,10 @@
         """
         return not self._is_suspended() and self._fold.can_raise
 
+    def keep_only_requested(self) -> None:
+        """Plans grants of what is committed and requested from now on."""
+        self._policy = attrs.evolve(self._policy, allocated_share=0.0)
+
     def plan_rows(
         self, requested_tokens: dict[str, int], may_change: bool = True
     ) -> PlannedRows:
--- a/redwingchute/process/prepaid/charging.py
+++ b/redwingchute/process/prepaid/charging.py
@@ -172,6 +172,11 @@
             network, background_tasks.BackgroundTasks(), read_clock_ms
         )
 
+    @property
+    def lent_count(self) -> int:
+        """The number of charges for other routers that are not settled."""
+        return self._lent_charges.open_count
+
     async def admit(
         self,
         request_id: str,
@@ -461,6 +466,8 @@
         account, tokens = request.account, request.tokens
         if request.is_delegated:
             return await self._admit_delegated(request)
+        if not self._manager.may_lend:
+            return None, _DEFAULT_RETRY_AFTER_MS
         if request.is_connected:
             # What this router could add to its grant, the borrower could too.
             tokens = min(tokens, self._manager.find_grant(account).free_tokens)
--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -208,6 +208,7 @@
         # The last takeover that was sent; its outcome may not be known.
         self._sent_takeover: append_planner.Append | None = None
         self._is_stopping = False
+        self._is_draining = False
         self._is_fenced = False
         # Whether the last append of a router that is no hub any more returned
         # all tokens.
@@ -218,12 +219,19 @@
         """The name of this router's host."""
         return self._own_stamp.host
 
+    @property
+    def may_lend(self) -> bool:
+        """Whether this router may lend tokens of its grants.
+
+        One that is shutting down may not: it could exit before the borrower
+        settles the charge, and the tokens would count as spent.
+        """
+        return not self._is_draining and not self._is_stopping
+
     @property
     def is_lending(self) -> bool:
         """Whether this router is a hub that can charge for other routers."""
-        return (
-            self._is_hub() and self.has_appended_rows and not self._is_stopping
-        )
+        return self._is_hub() and self.has_appended_rows and self.may_lend
 
     def find_grant(self, account: str) -> grant_lib.Grant:
         """Returns the grant of an account, an empty one for a new account."""
@@ -403,6 +411,31 @@
             for grant in self._grants.values()
         )
 
+    def begin_drain(self) -> None:
+        """Returns what this router's own requests do not need, from now on.
+
+        Nothing is lent any more.
+        """
+        self._is_draining = True
+        self._planner.keep_only_requested()
+        self._append_requested.set()
+
+    async def record_end(self, timeout_s: float) -> None:
+        """Records what has ended since `stop`, before the process exits.
+
+        Args:
+          timeout_s: How long to wait for the append.
+        """
+        if not self.is_active:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                # The round in progress may have been planned before.
+                for _ in range(2):
+                    round_finished = self._round_finished
+                    self._append_requested.set()
+                    await round_finished.wait()
+
     async def stop(self, timeout_s: float) -> None:
         """Returns unspent tokens to the accounts before a graceful shutdown.
 
@@ -828,7 +861,11 @@
             if not self.is_connected:
                 await asyncio.sleep(_LOG_RETRY_S)
             elif self._is_stopping and self._own_stamp.is_leaving:
-                await asyncio.sleep(_APPEND_INTERVAL_MS / 1000)
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(
+                        self._append_requested.wait(),
+                        _APPEND_INTERVAL_MS / 1000,
+                    )
 
     @property
     def _append_interval_ms(self) -> int:
--- a/redwingchute/process/prepaid/lent_charges.py
+++ b/redwingchute/process/prepaid/lent_charges.py
@@ -48,6 +48,11 @@
         # A set in order of insertion, so that the oldest ids can be removed.
         self._ended_ids: dict[str, None] = {}
 
+    @property
+    def open_count(self) -> int:
+        """The number of charges that tokens are reserved for."""
+        return len(self._open)
+
     def is_open(self, charge_id: str) -> bool:
         """Returns whether tokens are reserved for a charge."""
         return charge_id in self._open
