Go on with a stream only by events that follow those sent

Possible here, in seven kinds: a 200 response that is no event stream, or without events, or with a comment only, with an event that has no id, or one that repeats what was sent. An answer below 500 was taken for the response, and the caller's connection closed only since its head could not be sent twice.

Cause: what follows a break was taken for the rest by its status alone. Class: an answer that is believed by its form, not by what it continues.

Now the media type must be that of the stream, the first event that is no comment must have an id beyond the last one sent, a rest without events ends a stream only if all events that the request allows were sent, and any other answer is a failure: the next upstream is tried, or the caller's connection ends without the end of the stream. Cost: a stream of less than its greatest length that broke after its last event and before its end stays broken.

--- a/redwingchute/request/event_stream.py
+++ b/redwingchute/request/event_stream.py
@@ -62,3 +62,22 @@
             value = line[len(_ID_FIELD) :].strip()
             return int(value) if value.isdigit() else None
     return None
+
+
+def find_first(events: Sequence[bytes]) -> bytes | None:
+    """Returns the first event that is no comment, or None."""
+    for event in events:
+        if any(line and not line.startswith(b":") for line in _split(event)):
+            return event
+    return None
+
+
+def follows(event: bytes, last_id: int | None) -> bool:
+    """Returns whether an event may come after the one with an id."""
+    found = find_event_id(event)
+    return found is not None and last_id is not None and found > last_id
+
+
+def _split(event: bytes) -> list[bytes]:
+    """Returns the lines of an event without their ends."""
+    return [line.rstrip(b"\r") for line in event.split(b"\n")]
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -134,12 +134,14 @@
       event_count: The number of events sent.
       last_event_id: The last id of an event that was sent, after which another
         upstream resumes the stream; None before the first.
+      content_type: The media type of the stream.
     """
 
     responder: http_server.HttpResponder
     has_started: bool = False
     event_count: int = 0
     last_event_id: int | None = None
+    content_type: str | None = None
 
 
 @attrs.define
@@ -182,6 +184,8 @@
       trace: Records the exchange.
       max_events: The most events that a response to it can have; None if that
         is not known.
+      full_events: The events of a response of the greatest length; None if that
+        is not known.
       mark_responsive: Called when data arrives from the upstream.
       record_head: Called with the head of the response, before its body.
       record_event: Called when a chunk of a stream arrives.
@@ -195,6 +199,7 @@
     deadline_s: float
     trace: ExchangeTrace
     max_events: int | None = None
+    full_events: int | None = None
     mark_responsive: Callable[[], None] = lambda: None
     record_head: Callable[[header_translator.ResponseMetadata], None] = (
         lambda response: None
@@ -331,8 +336,17 @@
         outgoing: UpstreamRequest,
         relay: Relay,
     ) -> AttemptResult:
-        """Relays a stream to the caller in complete events."""
+        """Relays a stream to the caller in complete events.
+
+        A stream that an earlier attempt began goes on only with events that
+        follow the last one of that attempt.
+        """
         splitter = event_stream.EventSplitter()
+        resumed_id = relay.last_event_id
+        has_continued = not relay.has_started
+        if not has_continued and _find_media_type(head) != relay.content_type:
+            connection.close()
+            return Broken("the response is not the rest of the stream")
         while True:
             match await connection.read_chunk():
                 case http_client.BodyChunk(chunk):
@@ -341,6 +355,14 @@
                     events = splitter.split(chunk)
                     if splitter.is_oversized:
                         return Broken("an event of the stream is too large")
+                    if not has_continued:
+                        first = event_stream.find_first(events)
+                        if first is not None:
+                            if not event_stream.follows(first, resumed_id):
+                                return Broken(
+                                    "the events do not continue the stream"
+                                )
+                            has_continued = True
                     await self._send_events(events, head, relay)
                     if (
                         outgoing.max_events is not None
@@ -357,6 +379,12 @@
                             "the stream ended before its first event",
                             is_closed=True,
                         )
+                    # Of a stream of full length only the end was missing.
+                    if not has_continued and (
+                        outgoing.full_events is None
+                        or relay.event_count < outgoing.full_events
+                    ):
+                        return Broken("the stream ended before its next event")
                     await self._send_head(head, relay)
                     await relay.responder.finish()
                     return Streamed()
@@ -388,6 +416,7 @@
         if relay.has_started:
             return
         relay.has_started = True
+        relay.content_type = _find_media_type(head)
         headers = self._translator.build_response_headers(head)
         await relay.responder.start(head.status, headers)
 
@@ -401,6 +430,12 @@
     )
 
 
+def _find_media_type(head: http_client.ResponseHead) -> str:
+    """Returns the media type of a response without its parameters."""
+    content_type = head.headers.get("content-type", "")
+    return content_type.partition(";")[0].strip().lower()
+
+
 def _find_remaining_ms(outgoing: UpstreamRequest) -> int:
     """Returns the time until the deadline of a request."""
     remaining_s = outgoing.deadline_s - asyncio.get_running_loop().time()
--- a/redwingchute/request/forward_plan.py
+++ b/redwingchute/request/forward_plan.py
@@ -194,6 +194,15 @@
     return _EXTRA_EVENTS + 2 * generation.max_output_tokens
 
 
+def find_full_events(plan: Plan) -> int | None:
+    """Returns the events of a response of the greatest length, if known."""
+    generation = plan.request.generation
+    per_event = plan.service.tokens_per_event
+    if generation is None or per_event <= 0:
+        return None
+    return -(-generation.max_output_tokens // per_event)
+
+
 def is_urgent(plan: Plan) -> bool:
     """Returns whether a request has the highest priority."""
     priority = plan.route.priority
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -379,6 +379,7 @@
             deadline_s=plan.deadline_s,
             trace=progress.trace,
             max_events=forward_plan.find_max_events(plan),
+            full_events=forward_plan.find_full_events(plan),
             mark_responsive=lambda: (
                 self._dependencies.directory.mark_responsive(
                     upstream.id, self._dependencies.read_clock_ms()
@@ -552,7 +553,12 @@
     ) -> _FinalResult | None:
         """Returns how a request with a complete response ends."""
         status = result.metadata.status
-        if status < 500 and status not in _NOT_RUN_STATUSES:
+        if (
+            status < 500
+            and status not in _NOT_RUN_STATUSES
+            # The caller has the head and a part of another response.
+            and not progress.relay.has_started
+        ):
             self._dependencies.directory.record_success(upstream)
             self._dependencies.suspects.record_success(send)
             return result
