Answer what is still open when a planned stop ends

Possible here: a request that outlasts the stop (its route allows more time than the grace, or it is a stream) was cut with its connection, also before its first event; requests that are not streams and could outlast it were refused before.

Cause: the stop waited and then closed. Class: work without an owner once its process gives up. A response without a length to a client of HTTP/1.0 is reset, since its close would look like its end.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -12,6 +12,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import re
+import socket
+import struct
 from types import TracebackType
 from typing import TypeAlias
 import urllib.parse
@@ -27,6 +29,8 @@
 # A client that sends more bytes while its request is handled is disconnected.
 _MAX_PIPELINED_BYTES = 256 * 1024
 
+# The turns of the event loop that accepting a connection takes.
+_ACCEPT_TURNS = 3
 # A handler waits for a slow client only above this many buffered bytes.
 _DRAIN_THRESHOLD_BYTES = 16 * 1024
 
@@ -254,6 +258,7 @@
         # Idle connections, each with the loop time at which it became idle.
         self._idle: dict[asyncio.StreamWriter, float] = {}
         self._is_draining = False
+        self._has_exited = False
         self.port = port
         self.open_exchanges = 0
         self.bad_requests = 0
@@ -273,7 +278,15 @@
         traceback: TracebackType | None,
     ) -> None:
         """Stops listening and closes all connections."""
+        self._has_exited = True
         if self._server is not None:
+            loop = asyncio.get_running_loop()
+            for listening in self._server.sockets:
+                loop.remove_reader(listening.fileno())
+            # A connection that was accepted just before would stay open, since
+            # a closed server cannot give it a transport.
+            for _ in range(_ACCEPT_TURNS):
+                await asyncio.sleep(0)
             self._server.close()
         for task in list(self._connections):
             task.cancel()
@@ -311,11 +324,18 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection until it is closed."""
+        # It was accepted just before, so that nothing can answer on it.
+        if self._has_exited:
+            writer.close()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
         try:
-            await self._serve_requests(reader, writer)
+            await self._serve_requests(connection, reader, writer)
         except (OSError, ClientDisconnectedError):
             pass
         except asyncio.CancelledError:
@@ -324,15 +344,17 @@
         finally:
             self._connections.discard(task)
             self._idle.pop(writer, None)
+            if _has_open_end(connection):
+                _reset(writer)
             writer.close()
 
     async def _serve_requests(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         """Runs the request loop of one connection."""
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
-        )
         while True:
             try:
                 request = await self._receive(connection, reader, writer)
@@ -520,6 +542,26 @@
         await responder.send(bad.status, body.encode())
 
 
+def _has_open_end(connection: h11.Connection) -> bool:
+    """Returns whether closing would end an unfinished response as complete.
+
+    That is so for a response without a length to a client of HTTP/1.0.
+    """
+    return (
+        connection.our_state in (h11.SEND_BODY, h11.ERROR)
+        and connection.their_http_version is not None
+        and connection.their_http_version < b"1.1"
+    )
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Has the connection reset when it is closed."""
+    found: socket.socket = writer.get_extra_info("socket")
+    found.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+
+
 def _remove_special_characters(text: str) -> str:
     """Returns a text without the characters that JSON strings must escape."""
     return "".join(c for c in text if c.isprintable() and c not in '"\\')
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -305,7 +305,10 @@
             read_boot_ms,
         )
         self._registry.set_extension(self._version_marks)
-        self._caller_server = self._make_caller_server()
+        self._forwarding = self._make_forwarding_handler()
+        self._caller_server = http_server.HttpServer(
+            self._forwarding.handle, settings.listen.ip, settings.listen.port
+        )
 
     def _make_network(self) -> peer_network.PeerNetwork:
         """Returns the network of links to other routers."""
@@ -360,9 +363,11 @@
         """Returns whether this router is known to be a hub."""
         return self._registry.has_settled and self._hub_view.is_hub
 
-    def _make_caller_server(self) -> http_server.HttpServer:
-        """Returns the server that callers connect to."""
-        handler = forwarding_handler.ForwardingHandler(
+    def _make_forwarding_handler(
+        self,
+    ) -> forwarding_handler.ForwardingHandler:
+        """Returns the handler of callers' requests."""
+        return forwarding_handler.ForwardingHandler(
             forwarding_handler.ForwardingDependencies(
                 connector=self._connector,
                 translator=self._ports.translator,
@@ -387,8 +392,6 @@
                 divides_room=self.settings.divides_room,
             )
         )
-        listen = self.settings.listen
-        return http_server.HttpServer(handler.handle, listen.ip, listen.port)
 
     async def __aenter__(self) -> "Gateway":
         """Starts all components, the caller server last."""
@@ -507,6 +510,7 @@
             await asyncio.sleep(_STOP_POLL_S)
         # A request that still arrives is refused: it could not end any more.
         self._stop_deadline_ms = read_boot_ms()
+        self._forwarding.end_requests()
         await self._grant_manager.record_end(_RECORD_END_S)
 
     def _has_open_work(self) -> bool:
--- a/redwingchute/process/planned_stop_test.py
+++ b/redwingchute/process/planned_stop_test.py
@@ -4,6 +4,7 @@
 import itertools
 
 import attrs
+import pytest
 
 from redwingchute.connection import http_client
 from redwingchute.testing import gateway_rig
@@ -108,3 +109,53 @@
 
     tally = asyncio.run(main())
     assert tally.answered > _CALLERS
+
+
+async def _send_slowly(rig: gateway_rig.GatewayRig) -> gateway_rig.Response:
+    """Sends a request to an upstream that works longer than the stop lasts."""
+    return await rig.send_request("/post/slow", b"body", deadline_ms="20000")
+
+
+# Guards against requests that reached an upstream and are cut off without an
+# answer, since they last longer than the time of a planned stop.
+def test_a_request_that_outlasts_the_stop_is_answered() -> None:
+    async def main() -> gateway_rig.Response:
+        document = gateway_rig.make_document()
+        for route in document["routes"]:
+            route["timeoutMs"] = 20_000
+        async with gateway_rig.GatewayRig(
+            document=document, stop_ms=3_000
+        ) as rig:
+            rig.set_faults("l-", work_ms=8_000)
+            response = asyncio.ensure_future(_send_slowly(rig))
+            await asyncio.sleep(0.3)
+            await rig.gateways[0].stop()
+            await rig.gateways[0].__aexit__(None, None, None)
+            return await response
+
+    response = asyncio.run(main())
+    assert response.status == 502
+    assert response.is_complete
+
+
+# Guards against streams of callers of HTTP/1.0 that end as if complete, since
+# the end of their connection is the only end that they have.
+def test_a_stream_without_framing_that_is_cut_off_is_reset() -> None:
+    async def main() -> bytes:
+        async with gateway_rig.GatewayRig() as rig:
+            rig.set_faults("m-", break_after_events=2)
+            listen = rig.gateways[0].settings.listen
+            reader, writer = await asyncio.open_connection(
+                listen.ip, listen.port
+            )
+            writer.write(
+                b"POST /draft/x HTTP/1.0\r\nHost: a.example\r\n"
+                b"Attempt-Id: 00000000000000f1\r\nDeadline-Ms: 20000\r\n"
+                b"Authorization: Bearer " + gateway_rig.KEY.encode() + b"\r\n"
+                b"Model: m\r\nToken-Usage: 100,50\r\nPrompt-Prefix: aa:100\r\n"
+                b"Content-Length: 6\r\n\r\nprompt"
+            )
+            return await reader.read()
+
+    with pytest.raises(ConnectionResetError):
+        asyncio.run(main())
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -128,6 +128,17 @@
             dependencies.find_time_left_ms,
             dependencies.regions,
         )
+        # Each ends the run of an open request.
+        self._run_timeouts: set[asyncio.Timeout] = set()
+
+    def end_requests(self) -> None:
+        """Ends the runs of all open requests, whose callers are answered.
+
+        A process that is about to exit calls it.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for run_timeout in tuple(self._run_timeouts):
+            run_timeout.reschedule(now_s)
 
     async def handle(
         self,
@@ -182,7 +193,7 @@
             forward_plan.identify_request(plan, request),
         )
         try:
-            result = await self._charge_and_run(plan, request, progress)
+            result = await self._run_until_exit(plan, request, progress)
         except asyncio.CancelledError:
             self._log_end(plan, progress, "caller_left")
             raise
@@ -191,6 +202,28 @@
             raise
         await self._respond(result, plan, progress, responder)
 
+    async def _run_until_exit(
+        self,
+        plan: forward_plan.Plan,
+        request: http_server.HttpRequest,
+        progress: forward_progress.Progress,
+    ) -> _FinalResult:
+        """Runs a request until it ends or `end_requests` is called."""
+        run_timeout = asyncio.timeout(None)
+        self._run_timeouts.add(run_timeout)
+        try:
+            async with run_timeout:
+                return await self._charge_and_run(plan, request, progress)
+        except TimeoutError:
+            if not run_timeout.expired():
+                raise
+        finally:
+            self._run_timeouts.discard(run_timeout)
+        message = "This router stops."
+        if progress.may_have_run:
+            return outcomes.Failed(502, "stopping", message)
+        return outcomes.NotRun(503, "stopping", message, 0)
+
     async def _charge_and_run(
         self,
         plan: forward_plan.Plan,
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -114,6 +114,7 @@
         zones: Mapping[str, str] | None = None,
         zone_regions: Mapping[str, str] | None = None,
         crossing_ms_per_mb: float = 0.0,
+        stop_ms: int = 8_000,
     ) -> None:
         """Prepares the rig; entering its context starts the parts.
 
@@ -126,7 +127,9 @@
             host names; by default all gateways are in one, runners in none.
           zone_regions: The regions of zones.
           crossing_ms_per_mb: The price of leaving a zone.
+          stop_ms: The time limit of a graceful shutdown.
         """
+        self._stop_ms = stop_ms
         self.store = metadata_store.MetadataStore()
         self.runners: dict[str, runner.Runner] = {}
         self.gateways: list[gateway.Gateway] = []
@@ -209,7 +212,7 @@
         """Returns the newest row of the account's grant at a gateway."""
         topic = self.store.log.get_or_create_topic("keyed.grants")
         for record in topic.read_newest().records:
-            decoded = grant_fold.decode_record(record.value)
+            decoded = grant_fold.decode_record(record.value or b"")
             if (
                 isinstance(decoded, prepaid.GrantRow)
                 and decoded.host == host_name
@@ -326,6 +329,7 @@
             region=self._zone_regions.get(zone, ""),
             zone_regions=self._zone_regions,
             crossing_ms_per_mb=self._crossing_ms_per_mb,
+            stop_ms=self._stop_ms,
         )
         cut = upstream_cut.UpstreamCut(
             lambda port: any(
