Let ceilings rise less while a host may be without power

Cause: the bounded rise turned eight times as fast at 2 s, as of a host that is cut off, but after a loss of all power stamps are up to 2.6 s old. Class: a bound from the time that one kind of failure takes, applied to all. Ceilings also rose while their headroom covered the demand.

Now the fast rise begins at 3 s, and no rise in the first 0.3 s.

--- a/redwingchute/core/prepaid.py
+++ b/redwingchute/core/prepaid.py
@@ -34,6 +34,8 @@
       era: The era of the log in which the row was written.
       bounded_rise_tokens_per_s: A lower rate, by what the account has left,
         that also bounds the ceiling; None for none.
+      quiet_ms: The age of the stamp up to which the ceiling does not rise.
+      bounded_restart_ms: As `restart_ms`, for the bounded rise.
       reserved_tokens: The part between `spent_tokens` and the ceiling that open
         requests had reserved when the row was written.
     """
@@ -50,6 +52,8 @@
     era: int = 0
     bounded_rise_tokens_per_s: float | None = None
     reserved_tokens: int = 0
+    quiet_ms: int = 0
+    bounded_restart_ms: int = 2_000
 
 
 @attrs.frozen
--- a/redwingchute/process/prepaid/ceiling.py
+++ b/redwingchute/process/prepaid/ceiling.py
@@ -14,9 +14,6 @@
 # The factor by which the ceiling rises faster once the stamp is as old as its
 # row states.
 _ISOLATED_RISE_FACTOR = 8
-# The same age for the bounded rise. Quick restarts take less time than this; a
-# host that is cut off cannot go on for longer with the bounded rise.
-_BOUNDED_RESTART_MS = 2_000
 
 
 def find_ceiling(row: prepaid.GrantRow, age_ms: int) -> int:
@@ -27,7 +24,7 @@
       age_ms: The age of the host's latest stamp.
     """
     rise_tokens = min(
-        rate * _weight_age(age_ms, restart_ms) / 1000
+        rate * _weight_age(age_ms, row.quiet_ms, restart_ms) / 1000
         for rate, restart_ms in _list_rises(row)
     )
     return min(row.granted_tokens, row.ceiling_tokens + int(rise_tokens))
@@ -53,7 +50,11 @@
         return None
     # One token more, since `find_ceiling` rounds the rise down.
     return max(
-        _unweight_age(math.ceil((lacking_tokens + 1) * 1000 / rate), restart_ms)
+        _unweight_age(
+            math.ceil((lacking_tokens + 1) * 1000 / rate),
+            row.quiet_ms,
+            restart_ms,
+        )
         for rate, restart_ms in _list_rises(row)
     )
 
@@ -65,20 +66,27 @@
     """
     rises = [(row.rise_tokens_per_s, row.restart_ms)]
     if row.bounded_rise_tokens_per_s is not None:
-        rises.append((row.bounded_rise_tokens_per_s, _BOUNDED_RESTART_MS))
+        rises.append((row.bounded_rise_tokens_per_s, row.bounded_restart_ms))
     return rises
 
 
-def _weight_age(age_ms: int, restart_ms: int) -> int:
-    """Returns the age that gives the same rise at the slow rate."""
+def _weight_age(age_ms: int, quiet_ms: int, restart_ms: int) -> int:
+    """Returns how long the slow rise takes to rise as far as at an age.
+
+    Args:
+      age_ms: The age.
+      quiet_ms: The age at which the rise begins; less than `restart_ms`.
+      restart_ms: The age from which on it is faster.
+    """
     isolated_ms = max(0, age_ms - restart_ms)
-    return age_ms + (_ISOLATED_RISE_FACTOR - 1) * isolated_ms
+    return max(0, age_ms - quiet_ms) + (_ISOLATED_RISE_FACTOR - 1) * isolated_ms
 
 
-def _unweight_age(weighted_age_ms: int, restart_ms: int) -> int:
+def _unweight_age(weighted_age_ms: int, quiet_ms: int, restart_ms: int) -> int:
     """Returns the age of a weighted one, rounded up."""
-    if weighted_age_ms <= restart_ms:
-        return weighted_age_ms
+    slow_ms = restart_ms - quiet_ms
+    if weighted_age_ms <= slow_ms:
+        return quiet_ms + weighted_age_ms
     return restart_ms + math.ceil(
-        (weighted_age_ms - restart_ms) / _ISOLATED_RISE_FACTOR
+        (weighted_age_ms - slow_ms) / _ISOLATED_RISE_FACTOR
     )
--- a/redwingchute/process/prepaid/ceiling_test.py
+++ b/redwingchute/process/prepaid/ceiling_test.py
@@ -79,3 +79,33 @@
     row = attrs.evolve(_ROW, bounded_rise_tokens_per_s=0.0)
     assert ceiling.find_age_ms(row, 2_000) is None
     assert ceiling.find_ceiling(row, 60_000) == 1_000
+
+
+# Guards against a successor that counts less than its predecessor of an earlier
+# release could spend, whose rows state no age before the rise.
+def test_a_row_of_an_earlier_release_keeps_its_rise() -> None:
+    row = attrs.evolve(_ROW, bounded_rise_tokens_per_s=100.0)
+    assert ceiling.find_ceiling(row, 2_000) == 1_200
+    assert ceiling.find_ceiling(row, 3_000) == 2_000
+    later = attrs.evolve(row, quiet_ms=300, bounded_restart_ms=3_000)
+    assert ceiling.find_ceiling(later, 300) == 1_000
+    assert ceiling.find_ceiling(later, 3_000) == 1_270
+    # An earlier release ignores the new fields and counts more, not less.
+    for age_ms in range(0, 10_000, 50):
+        assert ceiling.find_ceiling(row, age_ms) >= ceiling.find_ceiling(
+            later, age_ms
+        )
+
+
+@pytest.mark.parametrize("tokens", [1_001, 1_270, 1_400, 9_999])
+def test_find_age_ms_is_the_inverse_with_a_quiet_time(tokens: int) -> None:
+    row = attrs.evolve(
+        _ROW,
+        bounded_rise_tokens_per_s=100.0,
+        quiet_ms=300,
+        bounded_restart_ms=3_000,
+    )
+    age_ms = ceiling.find_age_ms(row, tokens)
+    assert age_ms is not None
+    assert ceiling.find_ceiling(row, age_ms) >= tokens
+    assert ceiling.find_ceiling(row, age_ms - 20) < tokens
--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -51,6 +51,11 @@
       restart_ms: Most crashes and restarts take less time than this. A host
         whose stamp is older is probably cut off from the log instead, and its
         ceiling rises faster, so that it can spend its grant.
+      quiet_ms: The age of the stamp up to which a ceiling does not rise; less
+        than `burst_ms`, so that its headroom covers the requests of that time.
+      bounded_restart_ms: As `restart_ms`, for the bounded rise. It is more than
+        the age of stamps after all hosts have lost power, up to 2.6 s on the
+        days of issue 51, since it costs an account what it has left.
       rewrite_share: A row is rewritten when its ceiling or its spent tokens
         changed by more than this share of the written row's headroom, which is
         its ceiling less its spent tokens.
@@ -66,6 +71,8 @@
     rise_factor: float = 1.2
     rise_share: float = 0.04
     restart_ms: int = 6_000
+    quiet_ms: int = 300
+    bounded_restart_ms: int = 3_000
     rewrite_share: float = 0.25
 
 
@@ -205,6 +212,8 @@
         unsure_tokens=grant.unsure_tokens,
         restart_ms=policy.restart_ms,
         reserved_tokens=grant.reserved_tokens,
+        quiet_ms=policy.quiet_ms,
+        bounded_restart_ms=policy.bounded_restart_ms,
         bounded_rise_tokens_per_s=(
             round(bounded_rise_tokens_per_s, 1)
             if bounded_rise_tokens_per_s < rise_tokens_per_s
