--- a/redwingchute/soak/two_builds_test.py
+++ b/redwingchute/soak/two_builds_test.py
@@ -20,7 +20,7 @@
 from redwingchute.soak import spend_check
 
 # The commit that the previous landing ended with.
-_PREVIOUS_BUILD = "6abe9051aa05dceb5a20f42d478d89cc9fa1e9b2"
+_PREVIOUS_BUILD = "cd6d58858a377b88b103b1101c8f3faf8fc0ef7e"
 _ROOT = pathlib.Path(__file__).parents[2]
 # Callers ask for more than that in this time.
 _PREPAID_TOKENS = 4_000
