--- a/redwingchute/process/prepaid/grant_manager.py
+++ b/redwingchute/process/prepaid/grant_manager.py
@@ -423,10 +423,13 @@
     async def record_end(self, timeout_s: float) -> None:
         """Records what has ended since `stop`, before the process exits.
 
+        Does nothing while the log has not replied to an earlier append, which
+        would have to be repeated first.
+
         Args:
           timeout_s: How long to wait for the append.
         """
-        if not self.is_active:
+        if not self.is_active or self._pending_append is not None:
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
