Wait for answers to requests that the end of a stop ends

Seen on reading: with the log away nothing made the stop wait between ending the open runs and closing their connections; only the turns of the closing server let their callers be answered. The stop waits for them up to 0.05 s now, also so that the last append has what they consumed. The test has a case with the log away; it passed before, too, by those turns.

Two tests shared a loss of all power; it is a method of the simulation now.

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -87,7 +87,10 @@
 _REWRITE_MS = 2_000
 # How long a router that shuts down waits for its entry in the list of hosts.
 _LEAVE_TIMEOUT_S = 0.3
-# How long it waits for its last append, within `_STOP_MARGIN_MS`.
+# How long it waits until callers are answered whose requests it ends, and then
+# for its last append; both within `_STOP_MARGIN_MS`.
+_ANSWER_S = 0.05
+_ANSWER_POLL_S = 0.005
 _RECORD_END_S = 0.15
 
 
@@ -511,6 +514,10 @@
         # A request that still arrives is refused: it could not end any more.
         self._stop_deadline_ms = read_boot_ms()
         self._forwarding.end_requests()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_ANSWER_S):
+                while self._caller_server.open_exchanges:
+                    await asyncio.sleep(_ANSWER_POLL_S)
         await self._grant_manager.record_end(_RECORD_END_S)
 
     def _has_open_work(self) -> bool:
--- a/redwingchute/process/planned_stop_test.py
+++ b/redwingchute/process/planned_stop_test.py
@@ -118,7 +118,10 @@
 
 # Guards against requests that reached an upstream and are cut off without an
 # answer, since they last longer than the time of a planned stop.
-def test_a_request_that_outlasts_the_stop_is_answered() -> None:
+@pytest.mark.parametrize("is_log_down", (False, True))
+def test_a_request_that_outlasts_the_stop_is_answered(
+    is_log_down: bool,
+) -> None:
     async def main() -> gateway_rig.Response:
         document = gateway_rig.make_document()
         for route in document["routes"]:
@@ -129,6 +132,9 @@
             rig.set_faults("l-", work_ms=8_000)
             response = asyncio.ensure_future(_send_slowly(rig))
             await asyncio.sleep(0.3)
+            rig.store.faults = attrs.evolve(
+                rig.store.faults, is_down=is_log_down
+            )
             await rig.gateways[0].stop()
             await rig.gateways[0].__aexit__(None, None, None)
             return await response
--- a/redwingchute/process/prepaid/power_loss_test.py
+++ b/redwingchute/process/prepaid/power_loss_test.py
@@ -38,17 +38,6 @@
         simulation.run_for(1 / _REQUESTS_PER_S)
 
 
-def _lose_all_power(
-    simulation: prepaid_simulation.PrepaidSimulation, seconds: float
-) -> None:
-    """Stops all routers, and starts them after a time without power."""
-    for host in _HOSTS:
-        simulation.lose_power(host)
-    simulation.run_for(seconds)
-    for host in _HOSTS:
-        simulation.start(host)
-
-
 # Guards against callers who are refused to the end of the day, since more than
 # callers can spare counts as spent after all hosts have lost power.
 @pytest.mark.parametrize("after_stamp_s", (0.0, 0.25, 0.45))
@@ -59,7 +48,7 @@
     simulation = prepaid_simulation.PrepaidSimulation(_HOSTS, _PREPAID_TOKENS)
     simulation.run_for(3)
     _send(simulation, _BUSY_S + after_stamp_s)
-    _lose_all_power(simulation, power_off_s)
+    simulation.lose_all_power(power_off_s)
     simulation.run_for(_START_S)
     counted_tokens = sum(
         router.grants.find_grant(prepaid_simulation.ACCOUNT).spent_tokens
--- a/redwingchute/process/prepaid/refused_demand_test.py
+++ b/redwingchute/process/prepaid/refused_demand_test.py
@@ -30,17 +30,6 @@
     return sum(map(simulation.is_charged, numbers)) / len(numbers)
 
 
-def _lose_all_power(
-    simulation: prepaid_simulation.PrepaidSimulation, seconds: float
-) -> None:
-    """Stops all routers, and starts them after a time without power."""
-    for host in _HOSTS:
-        simulation.lose_power(host)
-    simulation.run_for(seconds)
-    for host in _HOSTS:
-        simulation.start(host)
-
-
 # Guards against accounts that stay refused after a loss of all power because
 # the demand that was refused before it counts as spent.
 def test_refused_demand_is_not_lost_with_all_power() -> None:
@@ -50,7 +39,7 @@
     assert _send_steadily(simulation, 30, 8) < 0.5
     simulation.prepaid_tokens += _TOP_UP_TOKENS
     simulation.run_for(0.6)
-    _lose_all_power(simulation, 1.1)
+    simulation.lose_all_power(1.1)
     _send_steadily(simulation, 1, _RECOVERY_S)
     served_share = _send_steadily(simulation, 1, _RECOVERY_S)
     assert simulation.max_used_tokens <= simulation.prepaid_tokens
--- a/redwingchute/testing/prepaid_simulation.py
+++ b/redwingchute/testing/prepaid_simulation.py
@@ -206,6 +206,15 @@
         self.kill(host)
         self._boot_clock_offsets_ms[host] = -self.now_ms
 
+    def lose_all_power(self, seconds: float) -> None:
+        """Has all hosts lose power, and starts their routers after a time."""
+        hosts = tuple(self.routers)
+        for host in hosts:
+            self.lose_power(host)
+        self.run_for(seconds)
+        for host in hosts:
+            self.start(host)
+
     def start(self, host: str) -> None:
         """Starts a router, or starts it again."""
         self.incarnations += 1
