--- a/redwingchute/process/prepaid/grant_planner.py
+++ b/redwingchute/process/prepaid/grant_planner.py
@@ -54,8 +54,7 @@
       quiet_ms: The age of the stamp up to which a ceiling does not rise; less
         than `burst_ms`, so that its headroom covers the requests of that time.
       bounded_restart_ms: As `restart_ms`, for the bounded rise. It is more than
-        the age of stamps after all hosts have lost power, up to 2.6 s on the
-        days of issue 51, since it costs an account what it has left.
+        the age that stamps reach when all hosts restart after a loss of power.
       rewrite_share: A row is rewritten when its ceiling or its spent tokens
         changed by more than this share of the written row's headroom, which is
         its ceiling less its spent tokens.
--- a/redwingchute/process/prepaid/power_loss_test.py
+++ b/redwingchute/process/prepaid/power_loss_test.py
@@ -19,8 +19,8 @@
 _PREPAID_TOKENS = _LASTS_S * _REQUESTS_PER_S * _REQUEST_TOKENS
 _BUSY_S = 42
 _START_S = 6
-# Callers are owed what fits into 97 in 100 of what is prepaid, so at most the
-# rest, with room for one request, may become unsure.
+# 97 in 100 of what is prepaid must stay usable, so at most the rest, with room
+# for one request, may become unsure.
 _MAX_LOST_TOKENS = 0.03 * _PREPAID_TOKENS - _REQUEST_TOKENS
 
 
