--- a/redwingchute/request/resumed_response_test.py
+++ b/redwingchute/request/resumed_response_test.py
@@ -237,3 +237,11 @@
 def test_an_empty_rest_completes_a_stream_of_full_length(framing: str) -> None:
     resumed = _resume_at(_make_stream(b"", framing), full_events=3)
     assert isinstance(resumed.result, forward_attempt.Streamed)
+
+
+# Guards against streams in which events are missing, since the upstream that
+# resumes a stream skips some of an unbroken sequence of ids.
+def test_a_rest_that_skips_events_ends_as_broken() -> None:
+    response = _see_resumed(_make_stream(runner.make_event(5)))
+    assert response.body == _BEGUN
+    assert not response.is_complete
