Show what clients that misbehave make a process hold

Each checks that the process lives, that its most memory and descriptors are within the settings, and that one ordinary request is answered while the crowd is connected.

They run after all other tests, in a stage of their own. The soak's fleet takes settings and limits, and the upstream's stand-in sends larger responses.

--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 import ctypes
 import json
 import os
@@ -103,6 +104,8 @@
         size: plan.Size,
         directory: pathlib.Path,
         other_build: OtherBuild | None = None,
+        host_fields: Mapping[str, object] | None = None,
+        limits: forwarding.ConnectionLimits | None = None,
     ) -> None:
         """Prepares a fleet.
 
@@ -110,7 +113,11 @@
           size: The numbers of processes.
           directory: The directory for settings, logs and records; it exists.
           other_build: Another build for hosts, if there is one.
+          host_fields: Fields that are added to the settings files of hosts.
+          limits: The limits of callers' connections; the defaults if None.
         """
+        self._host_fields = host_fields or {}
+        self._limits = limits or forwarding.ConnectionLimits()
         self._other_build = other_build
         self._on_other_build: set[str] = set()
         if other_build is not None and other_build.runs_first:
@@ -135,7 +142,7 @@
                 configuration_document.TOPIC,
                 configuration_document.KEY,
                 document_encoder.encode_configuration(
-                    _make_routes(self._size.prepaid_tokens)
+                    _make_routes(self._size.prepaid_tokens, self._limits)
                 ),
             )
             hosts = self._size.list_hosts()
@@ -171,6 +178,25 @@
             return address
         return http_client.Address(self._find_ip(name), FRONTEND_PORT)
 
+    def find_listeners(self, host: str) -> dict[str, http_client.Address]:
+        """Returns all addresses that a host listens on, by what they serve."""
+        ip = self._find_ip(host)
+        ports = {
+            "callers": FRONTEND_PORT,
+            "readiness": _READY_PORT,
+            "metrics": _METRICS_PORT,
+            "peers": _PEER_PORT,
+        }
+        return {
+            name: http_client.Address(ip, port) for name, port in ports.items()
+        }
+
+    def find_process_id(self, name: str) -> int:
+        """Returns the id of the process of a program's last start."""
+        process = self._programs[name].process
+        assert process is not None
+        return process.pid
+
     def is_running(self, name: str) -> bool:
         """Returns whether a program's process has not ended."""
         return self._programs[name].is_running
@@ -396,10 +422,15 @@
             retry_window_ms=RETRY_LIMIT.window_ms,
             retry_slack=RETRY_LIMIT.slack,
         )
-        return document_encoder.encode_settings(settings)
+        added = [
+            f"{name}={value}\n" for name, value in self._host_fields.items()
+        ]
+        return document_encoder.encode_settings(settings) + "".join(added)
 
 
-def _make_routes(prepaid_tokens: int | None) -> forwarding.RouteTable:
+def _make_routes(
+    prepaid_tokens: int | None, limits: forwarding.ConnectionLimits
+) -> forwarding.RouteTable:
     """Returns a configuration with one route for each kind of request."""
     account = forwarding.ClientAccount(
         "soak", frozenset({KEY}), prepaid_tokens=prepaid_tokens
@@ -412,6 +443,7 @@
             forwarding.Service("llm", _MAX_CONNECTIONS, tokens_per_event=1),
         ),
         accounts=(account,),
+        limits=limits,
     )
 
 
--- a/redwingchute/standin/runner.py
+++ b/redwingchute/standin/runner.py
@@ -75,6 +75,7 @@
       cold_start_ms: How long it is cold after it started again.
       event_ms: The time between two events of a stream.
       work_ms: The time to run a plain request.
+      padding_bytes: What is added to the body of a plain response.
       version: The software version in the entry; None leaves it out.
     """
 
@@ -103,6 +104,7 @@
     cold_start_ms: int = 0
     event_ms: int = 5
     work_ms: int = 5
+    padding_bytes: int = 0
     version: str | None = "v1"
 
 
@@ -332,6 +334,7 @@
         if token_usage is None:
             await asyncio.sleep(self.faults.work_ms / 1000)
             body = b"ran " + request.target.encode()
+            body += bytes(self.faults.padding_bytes)
             headers.append(("content-type", "text/plain"))
             if self.faults.truncate_answers:
                 await _send_truncated(responder, body, headers)
--- /dev/null
+++ b/redwingchute/testing/crowd_rig.py
@@ -0,0 +1,231 @@
+"""Runs a gateway as a process of its own, before clients that misbehave."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import pathlib
+import re
+from types import TracebackType
+
+import attrs
+
+from redwingchute.connection import http_client
+from redwingchute.core import forwarding
+from redwingchute.soak import fleet as fleet_lib
+from redwingchute.soak import plan
+from redwingchute.testing import crowds
+
+HOST = "host-1"
+_UPSTREAM = "ledger-1"
+# How long a crowd sends at the most, and how long an ordinary caller tries.
+_SEND_S = 15.0
+_TRY_S = 30.0
+_RETRY_S = 0.1
+_SAMPLE_S = 0.02
+# The entry of an upstream shows its slots after the next heartbeat.
+_HEARTBEAT_S = 2.0
+
+
+@attrs.frozen
+class Observation:
+    """What was seen of a process while a crowd was connected.
+
+    Attributes:
+      is_alive: Whether the process has not ended.
+      peak_memory_mb: The most memory that it ever had, as resident set.
+      peak_descriptors: The most descriptors that it had open.
+      status: The status of an ordinary request that was sent after the crowd
+        had sent what it could and stayed connected; 0 without an answer.
+    """
+
+    is_alive: bool
+    peak_memory_mb: float
+    peak_descriptors: int
+    status: int
+
+
+class CrowdRig:
+    """A gateway, its store and its upstreams; a context manager."""
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        memory_mb: int,
+        max_descriptors: int,
+        limits: forwarding.ConnectionLimits,
+    ) -> None:
+        """Prepares the processes.
+
+        Args:
+          directory: The directory for logs; it exists and is empty.
+          memory_mb: The memory that the gateway's settings state.
+          max_descriptors: The descriptors that they state.
+          limits: The limits of callers' connections.
+        """
+        self.fleet = fleet_lib.Fleet(
+            plan.Size(hosts=1, upstreams=1, rate_per_s=1.0, duration_ms=0),
+            directory,
+            host_fields={
+                "limits.memoryMb": memory_mb,
+                "limits.maxFds": max_descriptors,
+            },
+            limits=limits,
+        )
+        self._stack = contextlib.AsyncExitStack()
+        self._peak_descriptors = 0
+
+    async def __aenter__(self) -> "CrowdRig":
+        """Starts the processes."""
+        await self._stack.enter_async_context(self.fleet)
+        sampling = asyncio.ensure_future(self._sample())
+        self._stack.callback(sampling.cancel)
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Ends the processes."""
+        await self._stack.aclose()
+
+    async def meet(self, crowd: crowds.Crowd) -> Observation:
+        """Connects a crowd, and returns what was seen of the gateway."""
+        if crowd.faults:
+            assert await self.fleet.patch(_UPSTREAM, dict(crowd.faults))
+            await asyncio.sleep(_HEARTBEAT_S)
+        address = self.fleet.find_listeners(HOST)[crowd.listener]
+        async with contextlib.AsyncExitStack() as stack:
+            members = [
+                await stack.enter_async_context(_Member(address, crowd.reads))
+                for _ in range(crowd.count)
+            ]
+            sending = [
+                asyncio.ensure_future(member.send(crowd.make_segments(number)))
+                for number, member in enumerate(members)
+            ]
+            await asyncio.wait(sending, timeout=_SEND_S)
+            status = await self._try_ordinary_request()
+            for task in sending:
+                task.cancel()
+            await asyncio.wait(sending)
+            return self.observe(status)
+
+    async def send_request(self, segments: Iterator[bytes]) -> int:
+        """Sends one request; returns the status of its response, or 0."""
+        address = self.fleet.find_address(HOST)
+        async with _Member(address, reads=False) as member:
+            await member.send(segments)
+            return await member.read_status()
+
+    def observe(self, status: int) -> Observation:
+        """Returns what has been seen of the gateway.
+
+        Args:
+          status: The status of an ordinary request.
+        """
+        is_alive = self.fleet.is_running(HOST)
+        return Observation(
+            is_alive,
+            self._read_peak_memory_mb() if is_alive else 0.0,
+            self._peak_descriptors,
+            status,
+        )
+
+    async def _try_ordinary_request(self) -> int:
+        """Returns the status of an ordinary request, tried until it succeeds.
+
+        An ordinary caller tries again after a refusal or a closed connection.
+        """
+        status = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_TRY_S):
+                while True:
+                    status = await self.send_request(
+                        crowds.send_ordinary_request()
+                    )
+                    if status == 200:
+                        break
+                    await asyncio.sleep(_RETRY_S)
+        return status
+
+    async def _sample(self) -> None:
+        """Counts the gateway's descriptors until it is cancelled."""
+        process_id = self.fleet.find_process_id(HOST)
+        folder = pathlib.Path(f"/proc/{process_id}/fd")
+        while self.fleet.is_running(HOST):
+            with contextlib.suppress(OSError):
+                self._peak_descriptors = max(
+                    self._peak_descriptors, len(list(folder.iterdir()))
+                )
+            await asyncio.sleep(_SAMPLE_S)
+
+    def _read_peak_memory_mb(self) -> float:
+        """Returns the most memory that the gateway ever had."""
+        process_id = self.fleet.find_process_id(HOST)
+        status = pathlib.Path(f"/proc/{process_id}/status").read_text()
+        found = re.search(r"VmHWM:\s+(\d+) kB", status)
+        assert found
+        return int(found[1]) / 1024
+
+
+class _Member:
+    """One client of a crowd; a context manager for its connection."""
+
+    def __init__(self, address: http_client.Address, reads: bool) -> None:
+        """Prepares a client.
+
+        Args:
+          address: The address that it connects to.
+          reads: Whether it reads what it receives.
+        """
+        self._address = address
+        self._reads = reads
+        self._streams: (
+            tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
+        ) = None
+        self._reading: asyncio.Task[bytes] | None = None
+
+    async def __aenter__(self) -> "_Member":
+        """Connects; a refused connection is left closed."""
+        with contextlib.suppress(OSError):
+            self._streams = await asyncio.open_connection(
+                self._address.ip, self._address.port, limit=1_024
+            )
+            if self._reads:
+                self._reading = asyncio.ensure_future(self._streams[0].read())
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Closes the connection."""
+        if self._reading is not None:
+            self._reading.cancel()
+            await asyncio.gather(self._reading, return_exceptions=True)
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+
+    async def send(self, segments: Iterator[bytes]) -> None:
+        """Sends segments until their end, or until the connection is closed."""
+        if self._streams is None:
+            return
+        with contextlib.suppress(OSError):
+            for segment in segments:
+                self._streams[1].write(segment)
+                await self._streams[1].drain()
+                await asyncio.sleep(0)
+
+    async def read_status(self) -> int:
+        """Returns the status of the response; 0 if there is none."""
+        assert self._streams is not None
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(_TRY_S):
+                line = await self._streams[0].readline()
+                if line.startswith(b"HTTP/1.1 "):
+                    return int(line.split()[1])
+        return 0
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,4 +1,7 @@
-"""Runs the unit tests without those that KNOWN-RED.txt lists.
+"""Runs the tests in two stages, without those that KNOWN-RED.txt lists.
+
+The tests of a process before a crowd of clients run after all others, so that
+nothing else is running beside them.
 
 An entry of KNOWN-RED.txt is a line with a pytest node id, the command and seed,
 the failure that was seen, and the issue, separated by `|`. Every run prints the
@@ -9,6 +12,8 @@
 import subprocess
 import sys
 
+_STAGES = ("not crowd", "crowd")
+_NO_TESTS_COLLECTED = 5
 _KNOWN_RED_PATH = pathlib.Path("KNOWN-RED.txt")
 
 
@@ -21,13 +26,19 @@
 
 
 def main() -> int:
-    """Runs pytest without the listed tests and returns its exit status."""
+    """Runs pytest for each stage; returns the first status of a failure."""
     known_red = read_known_red()
     for node_id in known_red:
-        print(f"KNOWN RED, passed over: {node_id}")
+        print(f"KNOWN RED, passed over: {node_id}", flush=True)
     deselected = [f"--deselect={node_id}" for node_id in known_red]
-    command = [sys.executable, "-m", "pytest", *deselected, *sys.argv[1:]]
-    return subprocess.run(command, check=False).returncode
+    status = 0
+    for stage in _STAGES:
+        command = [sys.executable, "-m", "pytest", "-m", stage]
+        command += [*deselected, *sys.argv[1:]]
+        result = subprocess.run(command, check=False).returncode
+        if result != _NO_TESTS_COLLECTED:
+            status = status or result
+    return status
 
 
 if __name__ == "__main__":
