Decode chunked bodies in bounded steps, in turns

What callers saw: beside clients that send bodies in chunks of 1 or 7 bytes an ordinary caller got no answer, nor within 30 s after they had sent what they could.

Cause: the parser returns one event for each chunk, and all that was read at once, up to 64 KiB, was parsed in one turn of the event loop, for each connection. 80 bodies of 100,000 chunks keep the loop busy for minutes.

Evidence: crowd_test, chunks_of_one_byte and chunks_of_seven_bytes: an ordinary request was not answered within 30 s while they stayed connected.

Change: h11 reads heads and trailers and still decides the framing, but gets no byte beyond the end of a head. A decoder of our own takes all chunks of a step at once, at most 512; whoever has more waits in a queue, of which one has its turn in each iteration of the loop. The same queue holds requests that come in many small pieces, and heads of many lines.

Weighed and not taken: a parser in C (httptools), which does not tell where a body ends within what it was given, so that the next request would have to be parsed by it too.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -2,10 +2,11 @@
 
 The server limits the resources of each connection: the sizes of headers and
 bodies, the wait for each part of a request, and the time that a client may
-leave a response unread. A malformed, oversized or late request gets a 4xx
-response and closes only its own connection. When a client disconnects, the
-handler of its request is cancelled, and with it the work that the handler
-awaits.
+leave a response unread. A
+malformed, oversized or late request gets a 4xx response and closes only its own
+connection. When a client
+disconnects, the handler of its request is cancelled, and with it the work that
+the handler awaits.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 import socket
 import struct
 from types import TracebackType
+from typing import Any
 from typing import TypeAlias
 import urllib.parse
 
@@ -22,42 +24,22 @@
 import h11
 
 from redwingchute.connection import http_headers
+from redwingchute.connection import request_receiver
+from redwingchute.connection import server_limits
+from redwingchute.connection import turn_queue
 
-# The most bytes that are read from a connection at once.
 _SCHEME = re.compile(r"[A-Za-z][A-Za-z0-9+.-]*://")
-_READ_BYTES = 64 * 1024
 # A client that sends more bytes while its request is handled is disconnected.
 _MAX_PIPELINED_BYTES = 256 * 1024
 
+# A connection is not read while half of this is waiting to be processed.
+_READER_BYTES = 8 * 1024
 # The turns of the event loop that accepting a connection takes.
 _ACCEPT_TURNS = 3
 # A handler waits for a slow client only above this many buffered bytes.
 _DRAIN_THRESHOLD_BYTES = 16 * 1024
 
 
-@attrs.frozen
-class ServerLimits:
-    """The limits of one connection.
-
-    Attributes:
-      header_bytes: The request line and headers together, and any single line.
-      body_bytes: The size of the body of one request.
-      idle_ms: The time without a request on a kept-alive connection.
-      receive_ms: The time that a head may take from its first byte, and the
-        wait for more bytes of a body.
-      body_ms: The time that a body may take in all, however steadily it comes.
-        No caller waits longer for its response.
-      unread_ms: How long a client may leave a full send buffer unread.
-    """
-
-    header_bytes: int = 32 * 1024
-    body_bytes: int = 4 * 1024 * 1024
-    idle_ms: int = 60_000
-    receive_ms: int = 15_000
-    body_ms: int = 60_000
-    unread_ms: int = 30_000
-
-
 @attrs.frozen
 class HttpRequest:
     """One completely received request.
@@ -98,7 +80,7 @@
         self,
         connection: h11.Connection,
         writer: asyncio.StreamWriter,
-        limits: ServerLimits,
+        limits: server_limits.ServerLimits,
         must_close: Callable[[], bool],
         is_head: bool = False,
     ) -> None:
@@ -217,14 +199,6 @@
 Handler: TypeAlias = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
 
 
-@attrs.frozen
-class _BadRequestError(Exception):
-    """A request that gets a 4xx response and closes its connection."""
-
-    status: int
-    message: str
-
-
 class HttpServer:
     """An HTTP server on one address; a context manager for its socket.
 
@@ -239,7 +213,7 @@
         handler: Handler,
         address: str,
         port: int,
-        limits: ServerLimits | None = None,
+        limits: server_limits.ServerLimits | None = None,
     ) -> None:
         """Creates a server; it listens once its context is entered.
 
@@ -252,7 +226,8 @@
         """
         self._handler = handler
         self._address = address
-        self._limits = limits or ServerLimits()
+        self._limits = limits or server_limits.ServerLimits()
+        self._turns = turn_queue.TurnQueue()
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         # Idle connections, each with the loop time at which it became idle.
@@ -266,7 +241,11 @@
     async def __aenter__(self) -> "HttpServer":
         """Starts listening."""
         self._server = await asyncio.start_server(
-            self._serve_connection, self._address, self.port, backlog=1024
+            self._serve_connection,
+            self._address,
+            self.port,
+            backlog=1024,
+            limit=_READER_BYTES,
         )
         self.port = self._server.sockets[0].getsockname()[1]
         return self
@@ -293,7 +272,7 @@
         if self._connections:
             await asyncio.wait(self._connections)
 
-    def set_limits(self, limits: ServerLimits) -> None:
+    def set_limits(self, limits: server_limits.ServerLimits) -> None:
         """Sets the limits of new and open connections.
 
         An open connection keeps its `header_bytes`. A response that is being
@@ -331,6 +310,9 @@
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
+        # Bounds what one iteration of the event loop reads.
+        transport: Any = writer.transport
+        transport.max_size = request_receiver.READ_BYTES
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
@@ -355,15 +337,30 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Runs the request loop of one connection."""
+        receiver = request_receiver.RequestReceiver(
+            connection,
+            reader,
+            writer,
+            self._turns,
+            lambda: self._limits,
+            lambda is_idle: self._mark_idle(writer, is_idle),
+        )
         while True:
+            refusal: request_receiver.Refusal | None = None
             try:
-                request = await self._receive(connection, reader, writer)
-            except _BadRequestError as bad:
-                await self._refuse(connection, writer, bad)
+                received = await receiver.receive()
+                if received is None:
+                    return
+                request = _build_request(received.head, received.body)
+                del received
+            except request_receiver.RequestRefusedError as error:
+                refusal = error.refusal
+            if refusal is not None:
+                await self._refuse(connection, writer, refusal)
                 return
             # A request that arrived as its idle connection was being closed can
             # get no response, so it must not run.
-            if request is None or writer.is_closing():
+            if writer.is_closing():
                 return
             responder = HttpResponder(
                 connection,
@@ -373,13 +370,13 @@
                 is_head=request.method == "HEAD",
             )
             pipelined = await self._run_handler(request, responder, reader)
+            del request
             if connection.our_state is not h11.DONE:
                 return
             if connection.their_state is not h11.DONE:
                 return
             connection.start_next_cycle()
-            if pipelined:
-                connection.receive_data(pipelined)
+            receiver.add_early(pipelined)
 
     async def _run_handler(
         self,
@@ -420,115 +417,20 @@
             await asyncio.wait({watcher})
         return bytes(pipelined)
 
-    async def _receive(
-        self,
-        connection: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> HttpRequest | None:
-        """Receives the next request.
-
-        Returns:
-          The request, or None when the client closed the connection or it was
-          idle for too long.
-
-        Raises:
-          _BadRequestError: The request is malformed, oversized or late.
-        """
-        head: h11.Request | None = None
-        body = bytearray()
-        wait_ms = self._limits.idle_ms
-        read_clock_s = asyncio.get_running_loop().time
-        begun_s: float | None = None
-        while True:
-            try:
-                event = connection.next_event()
-            except h11.RemoteProtocolError as error:
-                raise _BadRequestError(
-                    error.error_status_hint or 400, str(error)
-                ) from error
-            if isinstance(event, h11.Request):
-                head = event
-                begun_s = read_clock_s()
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.body_bytes:
-                    raise _BadRequestError(413, "the body is too large")
-            elif isinstance(event, h11.EndOfMessage):
-                assert head is not None
-                return _build_request(head, bytes(body))
-            elif event is h11.NEED_DATA:
-                if connection.they_are_waiting_for_100_continue:
-                    writer.write(
-                        connection.send(
-                            h11.InformationalResponse(
-                                status_code=100, headers=[]
-                            )
-                        )
-                    )
-                is_idle = head is None and not connection.trailing_data[0]
-                if begun_s is not None:
-                    elapsed_ms = int(1000 * (read_clock_s() - begun_s))
-                    wait_ms = self._find_wait_ms(head is None, elapsed_ms)
-                data = await self._read(reader, writer, wait_ms, is_idle)
-                if data is None:
-                    return None
-                if begun_s is None:
-                    begun_s = read_clock_s()
-                connection.receive_data(data)
-            else:
-                return None
-
-    def _find_wait_ms(self, is_head: bool, elapsed_ms: int) -> int:
-        """Returns how long to wait for more bytes of a request.
-
-        Args:
-          is_head: Whether its head is incomplete.
-          elapsed_ms: The time since the first byte of its head, or since its
-            head was complete.
-        """
-        limits = self._limits
-        if is_head:
-            return max(0, limits.receive_ms - elapsed_ms)
-        return min(limits.receive_ms, max(0, limits.body_ms - elapsed_ms))
-
-    async def _read(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        wait_ms: int,
-        is_idle: bool,
-    ) -> bytes | None:
-        """Reads bytes; returns None when the idle time of a connection is over.
-
-        Raises:
-          _BadRequestError: More bytes of a request did not arrive in time.
-        """
+    def _mark_idle(self, writer: asyncio.StreamWriter, is_idle: bool) -> None:
+        """Records that a connection becomes idle, or ends being idle."""
         if is_idle:
             self._idle[writer] = asyncio.get_running_loop().time()
-        try:
-            async with asyncio.timeout(wait_ms / 1000):
-                return await reader.read(_READ_BYTES)
-        except TimeoutError:
-            if not is_idle:
-                raise _BadRequestError(
-                    408, "the request did not arrive"
-                ) from None
-        finally:
+        else:
             self._idle.pop(writer, None)
-        # The idle limit may have been raised during the wait.
-        extension_ms = self._limits.idle_ms - wait_ms
-        if extension_ms <= 0:
-            return None
-        return await self._read(reader, writer, extension_ms, is_idle)
 
     async def _refuse(
         self,
         connection: h11.Connection,
         writer: asyncio.StreamWriter,
-        bad: _BadRequestError,
+        refusal: request_receiver.Refusal,
     ) -> None:
-        """Sends the 4xx response to a request that could not be received."""
+        """Sends the response to a request that could not be received."""
         self.bad_requests += 1
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
@@ -537,9 +439,9 @@
         )
         body = (
             '{"error": {"type": "not_run", "code": "bad_request", '
-            f'"message": "{_remove_special_characters(bad.message)}"}}}}'
+            f'"message": "{_remove_special_characters(refusal.message)}"}}}}'
         )
-        await responder.send(bad.status, body.encode())
+        await responder.send(refusal.status, body.encode())
 
 
 def _has_open_end(connection: h11.Connection) -> bool:
@@ -571,7 +473,7 @@
     """Builds the request for the handler.
 
     Raises:
-      _BadRequestError: The target is not valid.
+      RequestRefusedError: The target is not valid.
     """
     target = _read_target(head.target.decode("latin-1"))
     path, _, query = target.partition("?")
@@ -594,7 +496,7 @@
     A target that is a whole URL has them after its host (RFC 9112, 3.2.2).
 
     Raises:
-      _BadRequestError: The URL is not valid.
+      RequestRefusedError: The URL is not valid.
     """
     scheme = _SCHEME.match(target)
     if scheme is None:
@@ -602,7 +504,9 @@
     try:
         host = urllib.parse.urlsplit(target).netloc
     except ValueError as error:
-        raise _BadRequestError(400, "the target is not valid") from error
+        raise request_receiver.RequestRefusedError(
+            request_receiver.Refusal(400, "the target is not valid")
+        ) from error
     rest = target[scheme.end() :].removeprefix(host)
     return rest if rest.startswith("/") else f"/{rest}"
 
@@ -615,7 +519,7 @@
     Appends the bytes that it sends meanwhile to `pipelined`.
     """
     while True:
-        data = await reader.read(_READ_BYTES)
+        data = await reader.read(request_receiver.READ_BYTES)
         if not data:
             return
         pipelined += data
--- a/redwingchute/connection/http_server_test.py
+++ b/redwingchute/connection/http_server_test.py
@@ -6,8 +6,9 @@
 import pytest
 
 from redwingchute.connection import http_server
+from redwingchute.connection import server_limits
 
-_LIMITS = http_server.ServerLimits(
+_LIMITS = server_limits.ServerLimits(
     header_bytes=1024,
     body_bytes=64,
     idle_ms=200,
--- a/redwingchute/connection/http_test.py
+++ b/redwingchute/connection/http_test.py
@@ -8,8 +8,9 @@
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
+from redwingchute.connection import server_limits
 
-_LIMITS = http_server.ServerLimits(header_bytes=2_048, body_bytes=4_096)
+_LIMITS = server_limits.ServerLimits(header_bytes=2_048, body_bytes=4_096)
 
 
 async def _echo(
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -19,6 +19,7 @@
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
+from redwingchute.connection import server_limits
 from redwingchute.core import data
 from redwingchute.core import evacuation
 from redwingchute.core import forwarding
@@ -606,7 +607,7 @@
         self._upstream_directory.cold.set_services(table.services)
         limits = table.limits
         self._caller_server.set_limits(
-            http_server.ServerLimits(
+            server_limits.ServerLimits(
                 header_bytes=limits.header_bytes,
                 body_bytes=limits.body_bytes,
                 idle_ms=limits.idle_ms,
--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -16,6 +16,7 @@
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
+from redwingchute.connection import server_limits
 from redwingchute.core import configuration
 from redwingchute.core import data
 from redwingchute.core import requesting
@@ -257,7 +258,7 @@
             read_clock_ms,
             secrets.token_bytes,
         )
-        limits = http_server.ServerLimits(
+        limits = server_limits.ServerLimits(
             self.settings.max_header_bytes,
             self.settings.max_body_bytes,
             self.settings.idle_ms,
--- a/redwingchute/testing/forwarding_builders.py
+++ b/redwingchute/testing/forwarding_builders.py
@@ -7,6 +7,7 @@
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
+from redwingchute.connection import server_limits
 from redwingchute.core import forwarding
 from redwingchute.platform import headers
 from redwingchute.request import forward_attempt
@@ -99,5 +100,5 @@
     writer.is_closing.return_value = is_closed
     writer.transport.get_write_buffer_size.return_value = 0
     return http_server.HttpResponder(
-        protocol, writer, http_server.ServerLimits(), lambda: False
+        protocol, writer, server_limits.ServerLimits(), lambda: False
     )
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -19,6 +19,7 @@
 from redwingchute.connection import http_client
 from redwingchute.connection import http_headers
 from redwingchute.connection import http_server
+from redwingchute.connection import server_limits
 from redwingchute.testing import manual_loop
 
 _LATENCY_S = 0.001
@@ -158,7 +159,7 @@
         handler: http_server.Handler,
         address: str,
         port: int,
-        limits: http_server.ServerLimits | None = None,
+        limits: server_limits.ServerLimits | None = None,
     ) -> None:
         """Prepares a server; it listens once its context is entered."""
         self.network = network
