Bound what a process holds of requests over all connections

What callers saw: clients that sent many large bodies at once, and stopped short of their end, ended a process for want of memory.

Cause: only each connection had a limit. 4 MiB a body times the connections that a host accepts is many times its memory; the settings file states that memory, and nothing read it.

Change: a quota owns what is held for all connections of an address: room for heads and bodies, sized from limits.memoryMb. It is reserved before bytes are read, or as a chunked body grows, and released when the request ends by any way. A length over the limit is refused at the head. When there is no room, a request that has stopped arriving gives way; a client account with most of the room gives way to others; else the newcomer gets 503 with a Retry-After of the time for which large requests held theirs lately. A head counts by its fields too, which take far more memory than their bytes.

The log shows the limits at the start, and reaching one; client_held and client_refused count both.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -2,9 +2,9 @@
 
 The server limits the resources of each connection: the sizes of headers and
 bodies, the wait for each part of a request, and the time that a client may
-leave a response unread. A
+leave a response unread. A quota limits those of all connections together. A
 malformed, oversized or late request gets a 4xx response and closes only its own
-connection. When a client
+connection, and one for which there is no room gets a 503. When a client
 disconnects, the handler of its request is cancelled, and with it the work that
 the handler awaits.
 """
@@ -25,8 +25,8 @@
 
 from redwingchute.connection import http_headers
 from redwingchute.connection import request_receiver
+from redwingchute.connection import resource_quota
 from redwingchute.connection import server_limits
-from redwingchute.connection import turn_queue
 
 _SCHEME = re.compile(r"[A-Za-z][A-Za-z0-9+.-]*://")
 # A client that sends more bytes while its request is handled is disconnected.
@@ -197,6 +197,16 @@
 
 
 Handler: TypeAlias = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
+HeadCheck: TypeAlias = Callable[
+    [HttpRequest],
+    request_receiver.AcceptedHead | request_receiver.PreparedResponse,
+]
+
+
+def _accept_head(request: HttpRequest) -> request_receiver.AcceptedHead:
+    """Accepts any request by its head."""
+    del request
+    return request_receiver.AcceptedHead()
 
 
 class HttpServer:
@@ -214,6 +224,8 @@
         address: str,
         port: int,
         limits: server_limits.ServerLimits | None = None,
+        quota: resource_quota.ResourceQuota | None = None,
+        check_head: HeadCheck = _accept_head,
     ) -> None:
         """Creates a server; it listens once its context is entered.
 
@@ -223,11 +235,15 @@
           address: The IP address to listen on.
           port: The port, or 0 to let the system choose one.
           limits: The limits of each connection; the defaults if None.
+          quota: What is held for all connections; a large one if None.
+          check_head: Called with a request without its body, before the server
+            waits for the rest of that.
         """
         self._handler = handler
         self._address = address
         self._limits = limits or server_limits.ServerLimits()
-        self._turns = turn_queue.TurnQueue()
+        self._quota = quota or resource_quota.ResourceQuota()
+        self._check = check_head
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         # Idle connections, each with the loop time at which it became idle.
@@ -307,6 +323,10 @@
         if self._has_exited:
             writer.close()
             return
+        hold = self._quota.connect()
+        if hold is None:
+            writer.close()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
@@ -317,7 +337,8 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         try:
-            await self._serve_requests(connection, reader, writer)
+            with hold:
+                await self._serve_requests(connection, reader, writer, hold)
         except (OSError, ClientDisconnectedError):
             pass
         except asyncio.CancelledError:
@@ -335,14 +356,17 @@
         connection: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        hold: resource_quota.ConnectionHold,
     ) -> None:
         """Runs the request loop of one connection."""
         receiver = request_receiver.RequestReceiver(
             connection,
             reader,
             writer,
-            self._turns,
+            hold,
+            self._quota,
             lambda: self._limits,
+            self._check_head,
             lambda is_idle: self._mark_idle(writer, is_idle),
         )
         while True:
@@ -355,7 +379,9 @@
                 del received
             except request_receiver.RequestRefusedError as error:
                 refusal = error.refusal
+            # What was received is no longer held by the error.
             if refusal is not None:
+                hold.release()
                 await self._refuse(connection, writer, refusal)
                 return
             # A request that arrived as its idle connection was being closed can
@@ -371,6 +397,7 @@
             )
             pipelined = await self._run_handler(request, responder, reader)
             del request
+            hold.release()
             if connection.our_state is not h11.DONE:
                 return
             if connection.their_state is not h11.DONE:
@@ -417,6 +444,12 @@
             await asyncio.wait({watcher})
         return bytes(pipelined)
 
+    def _check_head(
+        self, head: h11.Request
+    ) -> request_receiver.AcceptedHead | request_receiver.PreparedResponse:
+        """Checks the head of a request of which a part has not arrived."""
+        return self._check(_build_request(head, b""))
+
     def _mark_idle(self, writer: asyncio.StreamWriter, is_idle: bool) -> None:
         """Records that a connection becomes idle, or ends being idle."""
         if is_idle:
@@ -437,11 +470,33 @@
         responder = HttpResponder(
             connection, writer, self._limits, lambda: True
         )
-        body = (
-            '{"error": {"type": "not_run", "code": "bad_request", '
-            f'"message": "{_remove_special_characters(refusal.message)}"}}}}'
-        )
-        await responder.send(refusal.status, body.encode())
+        match refusal.prepared:
+            case request_receiver.PreparedResponse(status, headers, body):
+                await responder.send_response(status, headers, body)
+            case None:
+                await responder.send(
+                    refusal.status,
+                    _encode_refusal(refusal),
+                    headers=_list_refusal_headers(refusal),
+                )
+
+
+def _encode_refusal(refusal: request_receiver.Refusal) -> bytes:
+    """Returns the body of the response for a refusal."""
+    message = _remove_special_characters(refusal.message)
+    return (
+        f'{{"error": {{"type": "not_run", "code": "{refusal.code}", '
+        f'"message": "{message}"}}}}'
+    ).encode()
+
+
+def _list_refusal_headers(
+    refusal: request_receiver.Refusal,
+) -> list[tuple[str, str]]:
+    """Returns the headers of the response for a refusal."""
+    if refusal.retry_after_ms is None:
+        return []
+    return [("retry-after", f"{refusal.retry_after_ms / 1000:.3f}")]
 
 
 def _has_open_end(connection: h11.Connection) -> bool:
--- a/redwingchute/connection/request_receiver.py
+++ b/redwingchute/connection/request_receiver.py
@@ -9,13 +9,14 @@
 from collections.abc import Callable
 import io
 import re
+from typing import TypeAlias
 
 import attrs
 import h11
 
 from redwingchute.connection import chunked_body
+from redwingchute.connection import resource_quota
 from redwingchute.connection import server_limits
-from redwingchute.connection import turn_queue
 
 # The most bytes that are read from a connection at once.
 READ_BYTES = 16 * 1024
@@ -27,8 +28,13 @@
 # further one.
 _SMALL_READ_BYTES = 512
 _SMALL_READS = 16
+# The memory that a byte of a head takes, and a field or a part of a list in it.
+_HEAD_BYTE_BYTES = 4
+_FIELD_BYTES = 512
 # A head with more lines than this waits for its turn to be parsed.
 _LINES_PER_TURN = 256
+# The room that is reserved at once for a body of unknown length.
+_BODY_STEP_BYTES = 256 * 1024
 
 
 @attrs.frozen
@@ -44,7 +50,28 @@
     body: bytes
 
 
+@attrs.frozen
+class PreparedResponse:
+    """The response to a request whose body is not read."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@attrs.frozen
+class AcceptedHead:
+    """A head that does not show that its request is refused.
+
+    Attributes:
+      account: The client account of the request; empty if there is none.
+    """
+
+    account: str = ""
+
+
 _TIMEOUT_STATUS = 408
+HeadCheck: TypeAlias = Callable[[h11.Request], AcceptedHead | PreparedResponse]
 
 
 @attrs.frozen
@@ -54,10 +81,21 @@
     Attributes:
       status: The status of the response.
       message: A text for the client.
+      code: A short name of the cause.
+      retry_after_ms: When a retry may succeed; None if that is not known.
+      prepared: The response, if there is one already.
     """
 
     status: int
     message: str
+    code: str = "bad_request"
+    retry_after_ms: int | None = None
+    prepared: PreparedResponse | None = None
+
+    @property
+    def may_send_more(self) -> bool:
+        """Whether the client may still be sending the request."""
+        return self.status != _TIMEOUT_STATUS
 
 
 class RequestRefusedError(Exception):
@@ -81,8 +119,10 @@
         connection: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        turns: turn_queue.TurnQueue,
+        hold: resource_quota.ConnectionHold,
+        quota: resource_quota.ResourceQuota,
         find_limits: Callable[[], server_limits.ServerLimits],
+        check_head: HeadCheck,
         set_idle: Callable[[bool], None],
     ) -> None:
         """Creates a receiver on a new connection.
@@ -91,16 +131,20 @@
           connection: The protocol state.
           reader: Reads from the client.
           writer: Writes interim responses to it.
-          turns: The queue for work that many small pieces of input cause.
+          hold: What is held for the connection.
+          quota: The quota that the hold belongs to.
           find_limits: Returns the limits in force.
+          check_head: Checks the head of a request before its body is read.
           set_idle: Called when the connection becomes idle, and when it ends
             being idle.
         """
         self._connection = connection
         self._reader = reader
         self._writer = writer
-        self._turns = turns
+        self._hold = hold
+        self._quota = quota
         self._find_limits = find_limits
+        self._check_head = check_head
         self._set_idle = set_idle
         # Received bytes that the parser does not have yet.
         self._received = bytearray()
@@ -108,6 +152,7 @@
         # is that of a line.
         self._line_tail = b"\n"
         self._head_bytes = 0
+        self._head_cost_bytes = 0
         self._small_reads = 0
         self._begun_s: float | None = None
 
@@ -119,11 +164,12 @@
         """Receives the next request.
 
         Returns:
-          The request, or None when the client closed the connection or it was
-          idle for too long.
+          The request, or None when the client closed the connection, it was
+          idle for too long or had to give way.
 
         Raises:
-          RequestRefusedError: The request is malformed, oversized or late.
+          RequestRefusedError: The request is malformed, oversized, late or
+            refused by its head, or there is no room for it.
         """
         self._begun_s = _read_clock_s() if self._received else None
         self._small_reads = 0
@@ -134,17 +180,21 @@
             return None
         self._begun_s = _read_clock_s()
         self._small_reads = 0
+        self._head_cost_bytes = _find_head_cost(head, self._head_bytes)
         if _is_chunked(head):
-            body = await self._receive_chunked()
+            body = await self._receive_chunked(head)
         else:
-            body = await self._receive_sized(_find_length(head))
+            body = await self._receive_sized(head, _find_length(head))
+        if self._hold.is_evicted:
+            raise self._make_refusal()
+        self._hold.set_activity(resource_quota.Activity.RUNNING)
         return ReceivedRequest(head, body)
 
     async def _receive_head(self) -> h11.Request | None:
         """Receives a head; returns None at the end of the connection."""
         while True:
             if self._received.count(b"\n") > _LINES_PER_TURN:
-                await self._turns.wait_for_turn()
+                await self._quota.turns.wait_for_turn()
             self._feed_lines()
             event = self._find_event()
             if isinstance(event, h11.Request):
@@ -154,10 +204,13 @@
             if not self._received and not await self._read(True):
                 return None
 
-    async def _receive_sized(self, length: int) -> bytes:
+    async def _receive_sized(self, head: h11.Request, length: int) -> bytes:
         """Receives a body with a length."""
         if length > self._find_limits().body_bytes:
             raise _refuse(413, "the body is too large")
+        if length > len(self._received):
+            self._admit(head)
+        self._reserve(length)
         body = io.BytesIO()
         left_bytes = length
         while True:
@@ -174,11 +227,13 @@
             else:
                 await self._read_body()
 
-    async def _receive_chunked(self) -> bytes:
+    async def _receive_chunked(self, head: h11.Request) -> bytes:
         """Receives a chunked body and its trailers."""
         limits = self._find_limits()
         decoder = chunked_body.ChunkedDecoder(limits.header_bytes)
         body = io.BytesIO()
+        is_admitted = False
+        self._reserve(0)
         while True:
             try:
                 content = decoder.decode(self._received, _CHUNKS_PER_TURN)
@@ -187,12 +242,16 @@
                 raise _refuse(status, str(error)) from error
             if body.tell() + len(content) > limits.body_bytes:
                 raise _refuse(413, "the body is too large")
+            self._reserve_for_growth(body.tell() + len(content))
             body.write(content)
             if decoder.is_last:
                 break
             if not decoder.needs_data:
-                await self._turns.wait_for_turn()
+                await self._quota.turns.wait_for_turn()
                 continue
+            if not is_admitted:
+                self._admit(head)
+                is_admitted = True
             await self._read_body()
         await self._receive_trailers()
         return body.getvalue()
@@ -235,6 +294,47 @@
         except h11.RemoteProtocolError as error:
             raise _refuse(error.error_status_hint or 400, str(error)) from error
 
+    def _admit(self, head: h11.Request) -> None:
+        """Checks a request of which a part has not arrived.
+
+        Raises:
+          RequestRefusedError: Its head shows that it is refused.
+        """
+        match self._check_head(head):
+            case PreparedResponse(status) as prepared:
+                raise RequestRefusedError(
+                    Refusal(status, "refused by its head", prepared=prepared)
+                )
+            case AcceptedHead(account):
+                self._quota.set_account(self._hold, account)
+
+    def _reserve_for_growth(self, body_bytes: int) -> None:
+        """Reserves room for a body whose length is not known."""
+        if body_bytes > resource_quota.SMALL_REQUEST_BYTES:
+            steps = -(-body_bytes // _BODY_STEP_BYTES)
+            body_bytes = steps * _BODY_STEP_BYTES
+        self._reserve(body_bytes)
+
+    def _reserve(self, body_bytes: int) -> None:
+        """Reserves room for a request with a body of this size.
+
+        Raises:
+          RequestRefusedError: There is no room for it.
+        """
+        if not self._hold.try_reserve(self._head_cost_bytes + body_bytes):
+            raise self._make_refusal()
+
+    def _make_refusal(self) -> RequestRefusedError:
+        """Returns the refusal of a request for which there is no room."""
+        return RequestRefusedError(
+            Refusal(
+                503,
+                "This router holds too much for its clients at the moment.",
+                "no_room",
+                self._quota.retry_after_ms,
+            )
+        )
+
     async def _read_body(self) -> None:
         """Reads more bytes of a body, after an interim response if one is due.
 
@@ -253,11 +353,16 @@
         """Reads more bytes; returns False at the end of the connection.
 
         Raises:
-          RequestRefusedError: They did not arrive in time.
+          RequestRefusedError: They did not arrive in time, or the connection
+            must give way.
         """
         is_idle = is_head and not self._head_bytes
         if self._small_reads > _SMALL_READS:
-            await self._turns.wait_for_turn()
+            await self._quota.turns.wait_for_turn()
+        if self._hold.is_evicted:
+            if is_idle:
+                return False
+            raise self._make_refusal()
         received = await self._read_in_time(is_head, is_idle)
         if received is None:
             return False
@@ -268,6 +373,7 @@
             self._begun_s = _read_clock_s()
         if len(received) < _SMALL_READ_BYTES:
             self._small_reads += 1
+        self._hold.record_progress(len(received))
         self._received += received
         return True
 
@@ -275,24 +381,35 @@
         """Reads bytes; returns None when the idle time of a connection is over.
 
         Raises:
-          RequestRefusedError: They did not arrive in time.
+          RequestRefusedError: They did not arrive in time, or the connection
+            must give way.
         """
         wait_ms = self._find_wait_ms(is_head)
+        self._hold.set_activity(
+            resource_quota.Activity.IDLE
+            if is_idle
+            else resource_quota.Activity.RECEIVING
+        )
         if is_idle:
             self._set_idle(True)
         try:
-            async with asyncio.timeout(wait_ms / 1000):
+            async with asyncio.timeout(wait_ms / 1000) as timeout:
+                self._hold.handle_eviction = lambda: timeout.reschedule(0)
                 return await self._reader.read(READ_BYTES)
         except TimeoutError:
+            if self._hold.is_evicted and not is_idle:
+                raise self._make_refusal() from None
             if not is_idle:
                 raise _refuse(
                     _TIMEOUT_STATUS, "the request did not arrive"
                 ) from None
         finally:
+            self._hold.handle_eviction = lambda: None
             if is_idle:
                 self._set_idle(False)
         # The idle limit may have been raised during the wait.
-        if self._find_limits().idle_ms <= wait_ms:
+        is_extended = self._find_limits().idle_ms > wait_ms
+        if self._hold.is_evicted or not is_extended:
             return None
         return await self._read_in_time(is_head, is_idle)
 
@@ -333,3 +450,9 @@
         if name == b"content-length":
             return int(value.split(b",")[0])
     return 0
+
+
+def _find_head_cost(head: h11.Request, head_bytes: int) -> int:
+    """Returns the memory that a head takes while its request runs."""
+    fields = sum(1 + value.count(b",") for _, value in head.headers)
+    return _HEAD_BYTE_BYTES * head_bytes + _FIELD_BYTES * fields
--- a/redwingchute/platform/document_encoder.py
+++ b/redwingchute/platform/document_encoder.py
@@ -31,6 +31,8 @@
         "bounds.configApplyMs": settings.configuration_fresh_ms,
         "bounds.drainMs": settings.drain_ms,
         "limits.cpuShare": settings.processor_share,
+        "limits.memoryMb": settings.memory_mb,
+        "limits.maxFds": settings.max_descriptors,
         "region": settings.region,
         **{
             f"zones.{zone}": region
--- a/redwingchute/platform/settings_file.py
+++ b/redwingchute/platform/settings_file.py
@@ -13,6 +13,7 @@
 from redwingchute.connection import http_client
 from redwingchute.core import data
 from redwingchute.process import gateway_settings
+from redwingchute.process import process_limits
 
 PATH_VARIABLE = "REDWINGCHUTE_CONFIG"
 DEFAULT_PATH = "/etc/redwingchute/settings.conf"
@@ -101,6 +102,12 @@
         zone_regions=reader.read_table("zones"),
         crossing_ms_per_mb=_read_price(crossing_price, reader.findings),
         divides_room=_read_switch(divided_room, reader.findings),
+        memory_mb=reader.read_positive(
+            "limits.memoryMb", process_limits.DEFAULT_MEMORY_MB
+        ),
+        max_descriptors=reader.read_positive(
+            "limits.maxFds", process_limits.DEFAULT_MAX_DESCRIPTORS
+        ),
     )
     return (None if reader.findings else decoded), reader.findings
 
--- a/redwingchute/platform/settings_file_test.py
+++ b/redwingchute/platform/settings_file_test.py
@@ -48,6 +48,22 @@
     assert settings.processor_share == 0.537 * 2
 
 
+# The limits of the host were ignored, so that nothing was bounded by them.
+def test_the_limits_of_the_host_are_read() -> None:
+    text = _LINES + "limits.memoryMb=150\nlimits.maxFds=4100\n"
+    settings, findings = settings_file.decode_settings(text, "file")
+    assert not findings
+    assert settings is not None
+    assert (settings.memory_mb, settings.max_descriptors) == (150, 4_100)
+    text = _LINES + "limits.memoryMb=0\nlimits.maxFds=many\n"
+    settings, findings = settings_file.decode_settings(text, "file")
+    assert settings is None
+    assert [finding.place for finding in findings] == [
+        "file: limits.memoryMb",
+        "file: limits.maxFds",
+    ]
+
+
 def test_zones_have_the_regions_of_the_settings() -> None:
     text = _LINES + "region=south\nzones.huon=south\nzones.a.b=east\nzones.c=\n"
     settings, findings = settings_file.decode_settings(text, "file")
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -19,6 +19,7 @@
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
+from redwingchute.connection import resource_quota
 from redwingchute.connection import server_limits
 from redwingchute.core import data
 from redwingchute.core import evacuation
@@ -42,6 +43,7 @@
 from redwingchute.process import part_supervisor
 from redwingchute.process import peer_network
 from redwingchute.process import permit_exchange
+from redwingchute.process import process_limits
 from redwingchute.process import retry_budget
 from redwingchute.process import shared_log
 from redwingchute.process import telemetry
@@ -310,8 +312,21 @@
         )
         self._registry.set_extension(self._version_marks)
         self._forwarding = self._make_forwarding_handler()
+        self._limits = process_limits.size_limits(
+            settings.memory_mb, settings.max_descriptors
+        )
+        self._caller_quota = resource_quota.ResourceQuota(
+            resource_quota.QuotaLimits(
+                self._limits.caller_connections, self._limits.request_bytes
+            ),
+            _log_client_limit,
+        )
+        self._metrics.observe_quotas({"callers": self._caller_quota})
         self._caller_server = http_server.HttpServer(
-            self._forwarding.handle, settings.listen.ip, settings.listen.port
+            self._forwarding.handle,
+            settings.listen.ip,
+            settings.listen.port,
+            quota=self._caller_quota,
         )
 
     def _make_network(self) -> peer_network.PeerNetwork:
@@ -459,6 +474,7 @@
             "started",
             incarnation=self._incarnation,
             boot_ms=read_boot_ms(),
+            **attrs.asdict(self._limits),
         )
         return self
 
@@ -772,6 +788,13 @@
         )
 
 
+def _log_client_limit(resource: str, limit: int) -> None:
+    """Logs that what is held for clients reaches a limit."""
+    decision_log.log_event(
+        "client_limit_reached", resource=resource, limit=limit
+    )
+
+
 def _make_notice_id(
     notice: _RelayedNotice,
 ) -> str:
--- a/redwingchute/process/gateway_settings.py
+++ b/redwingchute/process/gateway_settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from redwingchute.connection import http_client
+from redwingchute.process import process_limits
 
 
 @attrs.frozen
@@ -35,6 +36,8 @@
         in its zone; 0 to choose upstreams without regard to that.
       divides_room: Whether too little room is divided among client accounts;
         otherwise requests are refused by their delay alone.
+      memory_mb: The memory at which the host kills the process.
+      max_descriptors: The descriptors that the process may have.
     """
 
     host_name: str
@@ -56,3 +59,5 @@
     zone_regions: Mapping[str, str] = attrs.Factory(dict)
     crossing_ms_per_mb: float = 0.0
     divides_room: bool = False
+    memory_mb: float = process_limits.DEFAULT_MEMORY_MB
+    max_descriptors: float = process_limits.DEFAULT_MAX_DESCRIPTORS
--- a/redwingchute/process/telemetry.py
+++ b/redwingchute/process/telemetry.py
@@ -18,6 +18,7 @@
 import prometheus_client
 from pythonjsonlogger import json as json_logger
 
+from redwingchute.connection import resource_quota
 from redwingchute.process.prepaid import grant
 from redwingchute.request import request_metrics
 from redwingchute.request import zone_crossings
@@ -116,6 +117,47 @@
 
         self._meter.create_observable_gauge(name, [observe])
 
+    def observe_quotas(
+        self, quotas: Mapping[str, resource_quota.ResourceQuota]
+    ) -> None:
+        """Exposes what is held for clients, and who was refused for it.
+
+        Args:
+          quotas: The quota of each address, by what it serves.
+        """
+
+        def observe_held(
+            options: api_metrics.CallbackOptions,
+        ) -> Iterable[api_metrics.Observation]:
+            del options
+            return [
+                api_metrics.Observation(
+                    held, {"address": address, "resource": resource}
+                )
+                for address, quota in quotas.items()
+                for resource, held in (
+                    ("connections", quota.connection_count),
+                    ("request_bytes", quota.request_bytes),
+                )
+            ]
+
+        def observe_refused(
+            options: api_metrics.CallbackOptions,
+        ) -> Iterable[api_metrics.Observation]:
+            del options
+            return [
+                api_metrics.Observation(
+                    count, {"address": address, "cause": cause}
+                )
+                for address, quota in quotas.items()
+                for cause, count in quota.counts.items()
+            ]
+
+        self._meter.create_observable_gauge("client_held", [observe_held])
+        self._meter.create_observable_counter(
+            "client_refused", [observe_refused]
+        )
+
     def observe_grants(self, read: Callable[[], grant.GrantTotals]) -> None:
         """Exposes the tokens of grants, and those that a crash would lose.
 
