Refuse requests by their heads before their bodies are read

What callers saw: the whole body of a request without a valid key was read, up to 4 MiB, before it got its 401; 64 of them took 125 MB.

Cause: the key, the route and the length were looked at once the request was complete.

Change: the server asks the handler when it has a head and not the whole body, and sends its refusal. Key and route count only in a confirmed version, as for whole requests; else the answer is 503. A request that arrives in one piece takes the same way as before. After a refusal what the client still sends is discarded for up to 1 s, and up to the size of one body, since closing a connection with unread bytes resets it.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import re
 import socket
 import struct
@@ -32,6 +33,8 @@
 # A client that sends more bytes while its request is handled is disconnected.
 _MAX_PIPELINED_BYTES = 256 * 1024
 
+# How long what a refused client still sends is discarded.
+_LINGER_S = 1.0
 # A connection is not read while half of this is waiting to be processed.
 _READER_BYTES = 8 * 1024
 # The turns of the event loop that accepting a connection takes.
@@ -383,6 +386,8 @@
             if refusal is not None:
                 hold.release()
                 await self._refuse(connection, writer, refusal)
+                if refusal.may_send_more and not hold.is_evicted:
+                    await self._discard_rest(reader, writer, hold)
                 return
             # A request that arrived as its idle connection was being closed can
             # get no response, so it must not run.
@@ -480,6 +485,29 @@
                     headers=_list_refusal_headers(refusal),
                 )
 
+    async def _discard_rest(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        hold: resource_quota.ConnectionHold,
+    ) -> None:
+        """Discards what a refused client still sends, for a short time.
+
+        Closing a connection with unread bytes resets it, and the client might
+        lose the response.
+        """
+        hold.set_activity(resource_quota.Activity.LINGERING)
+        if not writer.is_closing():
+            writer.write_eof()
+        left_bytes = self._limits.body_bytes
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_LINGER_S) as timeout:
+                hold.handle_eviction = lambda: timeout.reschedule(0)
+                while left_bytes > 0 and (
+                    received := await reader.read(request_receiver.READ_BYTES)
+                ):
+                    left_bytes -= len(received)
+
 
 def _encode_refusal(refusal: request_receiver.Refusal) -> bytes:
     """Returns the body of the response for a refusal."""
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -327,6 +327,7 @@
             settings.listen.ip,
             settings.listen.port,
             quota=self._caller_quota,
+            check_head=self._forwarding.check_head,
         )
 
     def _make_network(self) -> peer_network.PeerNetwork:
--- a/redwingchute/request/forwarding_handler.py
+++ b/redwingchute/request/forwarding_handler.py
@@ -13,6 +13,7 @@
 import attrs
 
 from redwingchute.connection import http_server
+from redwingchute.connection import request_receiver
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
 from redwingchute.process import decision_log
@@ -173,6 +174,28 @@
                 responder,
             )
 
+    def check_head(
+        self, request: http_server.HttpRequest
+    ) -> request_receiver.AcceptedHead | request_receiver.PreparedResponse:
+        """Refuses a request by its head, before its body is read.
+
+        Args:
+          request: The request without its body.
+
+        Returns:
+          The client account of the request, or the response that refuses it.
+        """
+        arrived_ms = self._dependencies.read_clock_ms()
+        parsed = self._dependencies.translator.parse_request(request)
+        if isinstance(parsed, outcomes.NotRun):
+            return self._prepare_refusal(parsed, None, arrived_ms)
+        plan = self._planner.plan(parsed, arrived_ms)
+        if isinstance(plan, outcomes.NotRun):
+            return self._prepare_refusal(plan, parsed.id, arrived_ms)
+        return request_receiver.AcceptedHead(
+            plan.account.name if plan.account else ""
+        )
+
     async def _handle(
         self,
         request: http_server.HttpRequest,
@@ -678,6 +701,21 @@
         **context: object,
     ) -> None:
         """Sends a refusal that this router made."""
+        response = self._prepare_refusal(
+            refusal, request_id, arrived_ms, **context
+        )
+        await responder.send_response(
+            response.status, response.headers, response.body
+        )
+
+    def _prepare_refusal(
+        self,
+        refusal: outcomes.Refusal,
+        request_id: str | None,
+        arrived_ms: int,
+        **context: object,
+    ) -> request_receiver.PreparedResponse:
+        """Logs and counts a refusal; returns the response."""
         elapsed_ms = self._dependencies.read_clock_ms() - arrived_ms
         index = self._dependencies.find_index()
         decision_log.log_failure(
@@ -695,7 +733,7 @@
         response = self._dependencies.translator.build_refusal(
             refusal, request_id
         )
-        await responder.send_response(
+        return request_receiver.PreparedResponse(
             refusal.status, list(response.headers), response.body
         )
 
