Close the idle for new connections when a host has no more descriptors

What callers saw: clients that open connections and send nothing, or half a head, took all descriptors; none was left for upstreams, the log and peers.

Cause: nothing counted connections, and one iteration of the loop accepted up to 1,024 of them.

A connection whose client leaves its response unread is closed after unread_ms also when the response is complete; before it stayed open for ever.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -25,6 +25,7 @@
 import h11
 
 from redwingchute.connection import http_headers
+from redwingchute.connection import listening
 from redwingchute.connection import request_receiver
 from redwingchute.connection import resource_quota
 from redwingchute.connection import server_limits
@@ -259,12 +260,8 @@
 
     async def __aenter__(self) -> "HttpServer":
         """Starts listening."""
-        self._server = await asyncio.start_server(
-            self._serve_connection,
-            self._address,
-            self.port,
-            backlog=1024,
-            limit=_READER_BYTES,
+        self._server = await listening.start_server(
+            self._serve_connection, self._address, self.port, _READER_BYTES
         )
         self.port = self._server.sockets[0].getsockname()[1]
         return self
@@ -279,8 +276,8 @@
         self._has_exited = True
         if self._server is not None:
             loop = asyncio.get_running_loop()
-            for listening in self._server.sockets:
-                loop.remove_reader(listening.fileno())
+            for listener in self._server.sockets:
+                loop.remove_reader(listener.fileno())
             # A connection that was accepted just before would stay open, since
             # a closed server cannot give it a transport.
             for _ in range(_ACCEPT_TURNS):
@@ -341,19 +338,42 @@
         )
         try:
             with hold:
-                await self._serve_requests(connection, reader, writer, hold)
-        except (OSError, ClientDisconnectedError):
+                with contextlib.suppress(ClientDisconnectedError):
+                    await self._serve_requests(connection, reader, writer, hold)
+                if _has_open_end(connection):
+                    _reset(writer)
+                await self._close(writer, hold)
+        except OSError:
             pass
         except asyncio.CancelledError:
             # The server cancels its connections when it closes.
-            pass
+            if _has_open_end(connection):
+                _reset(writer)
         finally:
             self._connections.discard(task)
             self._idle.pop(writer, None)
-            if _has_open_end(connection):
-                _reset(writer)
             writer.close()
 
+    async def _close(
+        self,
+        writer: asyncio.StreamWriter,
+        hold: resource_quota.ConnectionHold,
+    ) -> None:
+        """Closes a connection once the client has read what it was sent.
+
+        One whose client does not read it is closed after a time.
+        """
+        writer.close()
+        if not writer.transport.get_write_buffer_size():
+            return
+        hold.set_activity(resource_quota.Activity.UNREAD)
+        try:
+            async with asyncio.timeout(self._limits.unread_ms / 1000) as wait:
+                hold.handle_eviction = lambda: wait.reschedule(0)
+                await writer.wait_closed()
+        except TimeoutError:
+            writer.transport.abort()
+
     async def _serve_requests(
         self,
         connection: h11.Connection,
