Bound the connections of peers that have not proved who they are

What callers saw: clients that connect to the address for peers and send nothing took all descriptors for 2 s and more.

Cause: each handshake has a time limit, but their number had none, and a connection was read by 256 KiB before anything of it was looked at.

Evidence: crowd_test, idle_connections_of_peers: 471 descriptors where the settings state 400.

Change: at the limit the oldest handshake gives way. Routers that dial each other complete theirs in milliseconds, so one that gives way is not theirs; a router that loses one all the same dials again. Until the handshake is complete, 4 KiB are read at once. peer_handshakes_failed counts those that gave way as crowded.

--- a/redwingchute/process/peer_network.py
+++ b/redwingchute/process/peer_network.py
@@ -19,6 +19,7 @@
 import attrs
 
 from redwingchute.connection import http_client
+from redwingchute.connection import listening
 from redwingchute.connection import peer_link
 from redwingchute.core import data
 from redwingchute.process import background_tasks
@@ -26,6 +27,11 @@
 from redwingchute.wire import codec
 
 _HANDSHAKE_TIMEOUT_S = 2.0
+# The handshakes of a fleet that starts at once, and what each is read by.
+_MAX_HANDSHAKES = 256
+_HANDSHAKE_READ_BYTES = 4 * 1024
+# A link is not read while twice this waits to be handled.
+_READER_BYTES = 64 * 1024
 _IDLE_LINK_MS = 60_000
 _IDLE_CHECK_S = 10.0
 
@@ -57,6 +63,7 @@
         metrics: telemetry.Metrics,
         read_clock_ms: Callable[[], int],
         advertised: http_client.Address | None = None,
+        max_handshakes: int = _MAX_HANDSHAKES,
     ) -> None:
         """Initializes the network; it listens once its context is entered.
 
@@ -67,7 +74,12 @@
           metrics: Counts bytes, messages and failures.
           read_clock_ms: Returns the current time.
           advertised: The address that other routers dial, if it differs.
+          max_handshakes: The accepted connections whose handshake is not
+            complete.
         """
+        self._max_handshakes = max_handshakes
+        # In the order in which they were accepted.
+        self._handshakes: dict[asyncio.StreamWriter, None] = {}
         self.own_host = own_host
         self._advertised = advertised
         self._fleet_key = fleet_key
@@ -88,8 +100,8 @@
     async def __aenter__(self) -> "PeerNetwork":
         """Starts listening for links."""
         address = http_client.Address.parse(self.own_host.peer_address)
-        self._server = await asyncio.start_server(
-            self._accept, address.ip, address.port, backlog=256
+        self._server = await listening.start_server(
+            self._accept, address.ip, address.port, _READER_BYTES
         )
         port = self._server.sockets[0].getsockname()[1]
         bound = http_client.Address(address.ip, port)
@@ -282,7 +294,19 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Accepts a link that another router dialled."""
+        """Accepts a link that another router dialled.
+
+        The oldest handshake gives way when too many are not complete.
+        """
+        if len(self._handshakes) >= self._max_handshakes:
+            self._metrics.peer_handshakes_failed.add(1, {"cause": "crowded"})
+            oldest = next(iter(self._handshakes))
+            oldest.transport.abort()
+            del self._handshakes[oldest]
+        self._handshakes[writer] = None
+        transport: Any = writer.transport
+        read_bytes = transport.max_size
+        transport.max_size = _HANDSHAKE_READ_BYTES
         try:
             async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
                 result = await peer_link.accept_link(
@@ -291,10 +315,13 @@
         except (OSError, TimeoutError):
             writer.transport.abort()
             return
+        finally:
+            self._handshakes.pop(writer, None)
         if isinstance(result, peer_link.HandshakeFailed):
             self._count_failed_handshake(result)
             writer.transport.abort()
             return
+        transport.max_size = read_bytes
         if not result.is_tunnel:
             self._register_link(result)
         elif self._tunnel_handler is None:
