Bound what the addresses for readiness and metrics hold

What callers saw: bodies that are sent to these addresses took 120 MB, and idle connections all descriptors, as on the address for callers.

Cause: they are served by the same server with limits of its defaults, 4 MiB a body, although no request to them has a body.

Change: each of them has a quota of its own, so that no crowd of callers keeps the balancer's check out and none of theirs keeps out callers: a twentieth of the descriptors for sockets, 1 MiB of heads, no bodies. Peers whose handshake is not complete get the same number.

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -95,6 +95,8 @@
 _ANSWER_S = 0.05
 _ANSWER_POLL_S = 0.005
 _RECORD_END_S = 0.15
+# The heads that each internal address holds.
+_INTERNAL_REQUEST_BYTES = 1024 * 1024
 
 
 _RelayedNotice: TypeAlias = (
@@ -159,6 +161,9 @@
           pool: The connections to upstreams and to the platform.
         """
         self.settings = settings
+        self._limits = process_limits.size_limits(
+            settings.memory_mb, settings.max_descriptors
+        )
         self._ports = ports
         self._pool = pool
         # 0 stands for an unknown incarnation.
@@ -312,16 +317,24 @@
         )
         self._registry.set_extension(self._version_marks)
         self._forwarding = self._make_forwarding_handler()
-        self._limits = process_limits.size_limits(
-            settings.memory_mb, settings.max_descriptors
-        )
         self._caller_quota = resource_quota.ResourceQuota(
             resource_quota.QuotaLimits(
                 self._limits.caller_connections, self._limits.request_bytes
             ),
             _log_client_limit,
         )
-        self._metrics.observe_quotas({"callers": self._caller_quota})
+        internal = resource_quota.QuotaLimits(
+            self._limits.internal_connections, _INTERNAL_REQUEST_BYTES
+        )
+        self._ready_quota = resource_quota.ResourceQuota(internal)
+        self._metrics_quota = resource_quota.ResourceQuota(internal)
+        self._metrics.observe_quotas(
+            {
+                "callers": self._caller_quota,
+                "readiness": self._ready_quota,
+                "metrics": self._metrics_quota,
+            }
+        )
         self._caller_server = http_server.HttpServer(
             self._forwarding.handle,
             settings.listen.ip,
@@ -343,6 +356,7 @@
             registry.make_codec(),
             self._metrics,
             read_boot_ms,
+            max_handshakes=self._limits.internal_connections,
         )
 
     def _make_registry(self) -> host_registry.HostRegistry:
@@ -462,12 +476,16 @@
         self._parts.start("load_notices", self._send_load_notices)
         await enter(
             self._make_internal_server(
-                self.settings.ready_listen, self._answer_ready
+                self.settings.ready_listen,
+                self._answer_ready,
+                self._ready_quota,
             )
         )
         await enter(
             self._make_internal_server(
-                self.settings.metrics_listen, self._answer_metrics
+                self.settings.metrics_listen,
+                self._answer_metrics,
+                self._metrics_quota,
             )
         )
         await enter(self._caller_server)
@@ -564,10 +582,19 @@
         return max(0, self._stop_deadline_ms - read_boot_ms())
 
     def _make_internal_server(
-        self, address: http_client.Address, handler: http_server.Handler
+        self,
+        address: http_client.Address,
+        handler: http_server.Handler,
+        quota: resource_quota.ResourceQuota,
     ) -> http_server.HttpServer:
-        """Returns a server for an internal endpoint."""
-        return http_server.HttpServer(handler, address.ip, address.port)
+        """Returns a server for an internal endpoint, without bodies."""
+        return http_server.HttpServer(
+            handler,
+            address.ip,
+            address.port,
+            server_limits.ServerLimits(body_bytes=0),
+            quota,
+        )
 
     async def _answer_ready(
         self,
