Let a client wait that sends its next request early

What callers saw: a client that sent over 256 KiB of its next request while one was handled was disconnected, and lost the response that it was waiting for; 200 such clients took 114 MB.

Cause: the server reads on to notice the end of a connection, keeps what it reads, and knew no other bound than to close the connection.

Change: 16 KiB are read early, the rest waits in the connection, so that the client waits. While nothing is read, the end of the connection is noticed by asking the operating system five times a second.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 import contextlib
 import re
+import select
 import socket
 import struct
 from types import TracebackType
@@ -31,8 +32,12 @@
 from redwingchute.connection import server_limits
 
 _SCHEME = re.compile(r"[A-Za-z][A-Za-z0-9+.-]*://")
-# A client that sends more bytes while its request is handled is disconnected.
-_MAX_PIPELINED_BYTES = 256 * 1024
+# The bytes of a next request that are read while a request is handled. More
+# stay unread, so that the client waits.
+_MAX_EARLY_BYTES = 16 * 1024
+# How often a connection that is not read is checked for its end.
+_HANGUP_CHECK_S = 0.2
+_HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 # How long what a refused client still sends is discarded.
 _LINGER_S = 1.0
@@ -420,7 +425,7 @@
                 lambda: self._is_draining,
                 is_head=request.method == "HEAD",
             )
-            pipelined = await self._run_handler(request, responder, reader)
+            early = await self._run_handler(request, responder, reader, writer)
             del request
             hold.release()
             if connection.our_state is not h11.DONE:
@@ -428,13 +433,14 @@
             if connection.their_state is not h11.DONE:
                 return
             connection.start_next_cycle()
-            receiver.add_early(pipelined)
+            receiver.add_early(early)
 
     async def _run_handler(
         self,
         request: HttpRequest,
         responder: HttpResponder,
         reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bytes:
         """Runs the handler, and cancels it when the client disconnects.
 
@@ -442,14 +448,13 @@
           Bytes of the next request that were received meanwhile.
 
         Raises:
-          ClientDisconnectedError: The client disconnected or pipelined too
-            many bytes.
+          ClientDisconnectedError: The client disconnected.
         """
         self.open_exchanges += 1
-        pipelined = bytearray()
+        early = bytearray()
         handler = asyncio.ensure_future(self._handler(request, responder))
         watcher = asyncio.ensure_future(
-            _watch_for_disconnect(reader, pipelined)
+            _watch_for_disconnect(reader, writer, early)
         )
         try:
             await asyncio.wait(
@@ -467,7 +472,7 @@
             # Awaiting the watcher itself would raise CancelledError, which
             # looks the same as a cancellation of this task.
             await asyncio.wait({watcher})
-        return bytes(pipelined)
+        return bytes(early)
 
     def _check_head(
         self, head: h11.Request
@@ -615,16 +620,21 @@
 
 
 async def _watch_for_disconnect(
-    reader: asyncio.StreamReader, pipelined: bytearray
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    early: bytearray,
 ) -> None:
-    """Returns when the client disconnects or pipelines too many bytes.
+    """Returns when the client disconnects.
 
-    Appends the bytes that it sends meanwhile to `pipelined`.
+    Appends the first bytes that it sends meanwhile to `early`.
     """
-    while True:
-        data = await reader.read(request_receiver.READ_BYTES)
-        if not data:
-            return
-        pipelined += data
-        if len(pipelined) > _MAX_PIPELINED_BYTES:
+    while len(early) < _MAX_EARLY_BYTES:
+        received = await reader.read(_MAX_EARLY_BYTES - len(early))
+        if not received:
             return
+        early += received
+    # The end of a connection that is not read does not arrive by reading.
+    hangup = select.poll()
+    hangup.register(writer.get_extra_info("socket").fileno(), _HANGUP_EVENTS)
+    while not writer.is_closing() and not hangup.poll(0):
+        await asyncio.sleep(_HANGUP_CHECK_S)
--- a/redwingchute/connection/http_server_test.py
+++ b/redwingchute/connection/http_server_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 
+import attrs
 import pytest
 
 from redwingchute.connection import http_server
@@ -48,7 +49,11 @@
 
 
 async def _send(
-    targets: list[str], *segments: bytes, pause_s: float = 0.0
+    targets: list[str],
+    *segments: bytes,
+    pause_s: float = 0.0,
+    limits: server_limits.ServerLimits = _LIMITS,
+    run_s: float = 0.02,
 ) -> bytes:
     """Returns what a server sends on one connection until it closes it.
 
@@ -56,18 +61,18 @@
       targets: Collects the targets of the requests that a handler saw.
       *segments: What the client sends.
       pause_s: How long the client waits after each segment.
+      limits: The limits of the connection.
+      run_s: How long each request runs.
     """
 
     async def handle(
         request: http_server.HttpRequest, responder: http_server.HttpResponder
     ) -> None:
         targets.append(request.path)
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(run_s)
         await responder.send(200, b"ran " + request.path.encode())
 
-    async with http_server.HttpServer(
-        handle, "127.0.0.1", 0, _LIMITS
-    ) as server:
+    async with http_server.HttpServer(handle, "127.0.0.1", 0, limits) as server:
         reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
         receiving = asyncio.ensure_future(reader.read())
         for segment in segments:
@@ -142,6 +147,49 @@
     assert _list_statuses(received) == [200, 200]
 
 
+# A client that sent a long next request early lost the response to the first.
+def test_a_long_request_that_is_sent_early_waits() -> None:
+    body = bytes(1024 * 1024)
+    head = _COMPLETE.replace(b"GET /whole", b"POST /long").replace(
+        b"host: a", b"host: a\r\ncontent-length: %d" % len(body)
+    )
+    limits = attrs.evolve(_LIMITS, body_bytes=len(body), receive_ms=1_000)
+    targets: list[str] = []
+    received = asyncio.run(
+        _send(targets, _COMPLETE + head, body, limits=limits, run_s=0.3)
+    )
+    assert targets == ["/whole", "/long"]
+    assert _list_statuses(received) == [200, 200]
+
+
+# Guards against a request that goes on although its client has left, once the
+# server reads no more of what that sent early.
+def test_the_end_of_a_connection_that_is_not_read_is_noticed() -> None:
+    async def run() -> bool:
+        ended = asyncio.Event()
+
+        async def handle(
+            request: http_server.HttpRequest,
+            responder: http_server.HttpResponder,
+        ) -> None:
+            try:
+                await asyncio.sleep(_DRIP_TIMEOUT_S)
+            except asyncio.CancelledError:
+                ended.set()
+                raise
+
+        async with http_server.HttpServer(handle, "127.0.0.1", 0) as server:
+            _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(_COMPLETE + bytes(128 * 1024))
+            await asyncio.sleep(0.1)
+            writer.close()
+            async with asyncio.timeout(_DRIP_TIMEOUT_S / 2):
+                await ended.wait()
+        return True
+
+    assert asyncio.run(run())
+
+
 async def _send_slowly(
     targets: list[str], begin: bytes, drip: bytes, pause_s: float
 ) -> tuple[bytes, float]:
