Send long request bodies in parts as upstreams take them

What callers saw: requests with large bodies that run at a slow upstream took two to three times the memory of their bodies.

Cause: the whole body was joined with its head and handed to the connection, which copies what the upstream does not take at once. A connection that is closed with bytes unsent stayed open, with them, until the upstream read them.

Change: a body of more than 64 KiB is sent part by part, while the response is read already, since an upstream may respond early. A connection with a part unsent is not reused, as before, and is closed without sending the rest.

Measured: at most 256 KiB are in the buffer.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -11,7 +11,9 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
+import io
 import itertools
 import re
 import select
@@ -22,6 +24,7 @@
 import attrs
 import h11
 
+from redwingchute.connection import buffered_bodies
 from redwingchute.connection import http_headers
 
 _READ_BYTES = 64 * 1024
@@ -31,8 +34,8 @@
 # trailers. Many small chunks have several bytes of framing for each of content.
 _MAX_FRAMING_BYTES = 256 * 1024
 _MAX_FRAMING_RATIO = 16
-# All bodies that are read as a whole at the same time.
-_MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+# A longer request body is sent in parts, so that it is not copied as a whole.
+_PART_BYTES = 64 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
 
 # Applies when the upstream sends no Keep-Alive timeout.
@@ -112,25 +115,6 @@
     is_closed: bool = False
 
 
-@attrs.define
-class BufferedBodies:
-    """The bodies that are being read as a whole, over all connections.
-
-    Attributes:
-      size_bytes: Their size now.
-      max_bytes: The greatest size so far.
-    """
-
-    size_bytes: int = 0
-    max_bytes: int = 0
-
-    def add(self, count: int) -> bool:
-        """Adds bytes; returns whether there is room for more."""
-        self.size_bytes += count
-        self.max_bytes = max(self.max_bytes, self.size_bytes)
-        return self.size_bytes <= _MAX_BUFFERED_BYTES
-
-
 @attrs.frozen
 class ResponseHead:
     """The status and headers of a response; header names in lower case.
@@ -183,7 +167,7 @@
         address: Address,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        buffered_bodies: BufferedBodies | None = None,
+        bodies: buffered_bodies.BufferedBodies | None = None,
         carrier: str = "",
     ) -> None:
         """Creates a connection on open streams.
@@ -192,14 +176,14 @@
           address: The address of the upstream.
           reader: Reads from it.
           writer: Writes to it.
-          buffered_bodies: Counts the bodies that are read as a whole.
+          bodies: Counts the bodies that are read as a whole.
           carrier: The host that carries it, or empty.
         """
         self.address = address
         self.carrier = carrier
         # A carrier that ends closes the connection as an upstream does.
         self._has_uncertain_end = False
-        self._buffered_bodies = buffered_bodies or BufferedBodies()
+        self._bodies = bodies or buffered_bodies.BufferedBodies()
         # Of the present exchange, and the part of it that is content.
         self._received_bytes = 0
         self._content_bytes = 0
@@ -216,6 +200,8 @@
         self._reader = reader
         self._writer = writer
         self._protocol = _make_protocol()
+        # Sends the rest of a long body.
+        self._sending: asyncio.Future[None] | None = None
         # An event that was read ahead for the next call of `read_chunk`.
         self._pending_event: (
             h11.Event
@@ -266,16 +252,35 @@
                 [("host", host or str(self.address)), *framing, *headers]
             ),
         )
-        payload = self._protocol.send(request) or b""
-        if body:
-            payload += self._protocol.send(h11.Data(data=body)) or b""
-        payload += self._protocol.send(h11.EndOfMessage()) or b""
+        protocol = self._protocol
+        payload = protocol.send(request) or b""
+        is_long = len(body) > _PART_BYTES
+        if body and not is_long:
+            payload += protocol.send(h11.Data(data=body)) or b""
+        if not is_long:
+            payload += protocol.send(h11.EndOfMessage()) or b""
         try:
             self._writer.write(payload)
         except OSError as error:
             return ExchangeBroken(f"sending failed: {error}", is_closed=True)
+        if is_long:
+            self._sending = asyncio.ensure_future(
+                self._send_parts(protocol, body)
+            )
         return None
 
+    async def _send_parts(self, protocol: h11.Connection, body: bytes) -> None:
+        """Sends a long body as the upstream takes it.
+
+        If that fails, reading the response does too.
+        """
+        with contextlib.suppress(OSError):
+            for begin in range(0, len(body), _PART_BYTES):
+                part = h11.Data(data=body[begin : begin + _PART_BYTES])
+                self._writer.write(protocol.send(part) or b"")
+                await self._writer.drain()
+            protocol.send(h11.EndOfMessage())
+
     async def read_head(self) -> ResponseHead | ExchangeBroken:
         """Reads the status and headers; skips 1xx responses."""
         while True:
@@ -347,22 +352,22 @@
 
         It also fails when all bodies that are read at the same time are.
         """
-        body = bytearray()
+        body = io.BytesIO()
         try:
             while True:
                 match await self.read_chunk():
                     case BodyChunk(data):
-                        body += data
-                        has_room = self._buffered_bodies.add(len(data))
-                        if len(body) > max_bytes or not has_room:
+                        body.write(data)
+                        has_room = self._bodies.add(len(data), body.tell())
+                        if body.tell() > max_bytes or not has_room:
                             self.close()
                             return ExchangeBroken("the body is too large")
                     case BodyEnd():
-                        return bytes(body)
+                        return body.getvalue()
                     case ExchangeBroken() as broken:
                         return broken
         finally:
-            self._buffered_bodies.size_bytes -= len(body)
+            self._bodies.remove(body.tell())
 
     async def skip_response(self, max_bytes: int) -> bool:
         """Skips an extra response whose head was read.
@@ -412,6 +417,9 @@
         """
         if self._is_retired:
             return False
+        if self._sending is not None and not self._sending.done():
+            return False
+        self._sending = None
         is_done = (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
@@ -469,7 +477,15 @@
         return self._reader, self._writer
 
     def close(self) -> None:
-        """Closes the connection and aborts an unfinished exchange."""
+        """Closes the connection and aborts an unfinished exchange.
+
+        What the upstream has not taken is not sent any more.
+        """
+        if self._sending is not None:
+            self._sending.cancel()
+            self._sending = None
+        if self._writer.transport.get_write_buffer_size():
+            self._writer.transport.abort()
         self._writer.close()
 
     async def _next_event(
@@ -535,7 +551,7 @@
         self._tcp_user_timeout_ms = tcp_user_timeout_ms
         self._open_stream = open_stream
         self._idle: dict[Address, list[ClientConnection]] = {}
-        self.buffered_bodies = BufferedBodies()
+        self.buffered_bodies = buffered_bodies.BufferedBodies()
 
     async def __aenter__(self) -> "ClientPool":
         """Returns the pool."""
--- a/redwingchute/connection/http_client_test.py
+++ b/redwingchute/connection/http_client_test.py
@@ -194,3 +194,33 @@
             assert isinstance(second, http_client.Fetched)
 
     asyncio.run(main())
+
+
+# A long request body was copied into the buffer of its connection, and stayed
+# there while the upstream did not read it.
+def test_a_long_body_is_not_copied_while_the_upstream_reads_slowly() -> None:
+    async def run() -> int:
+        closed = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await closed.wait()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server, http_client.ClientPool() as pool:
+            connection = await pool.open(http_client.Address("127.0.0.1", port))
+            assert isinstance(connection, http_client.ClientConnection)
+            body = bytes(32 * 1024 * 1024)
+            await connection.send_request("POST", "/", [], body)
+            await asyncio.sleep(0.05)
+            transport = connection.detach()[1].transport
+            unsent_bytes = transport.get_write_buffer_size()
+            connection.close()
+            assert not transport.get_write_buffer_size()
+            closed.set()
+        return unsent_bytes
+
+    assert asyncio.run(run()) <= 256 * 1024
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -16,6 +16,7 @@
 
 import h11
 
+from redwingchute.connection import buffered_bodies
 from redwingchute.connection import http_client
 from redwingchute.connection import http_headers
 from redwingchute.connection import http_server
@@ -345,7 +346,7 @@
         self.address = address
         self._exchange = exchange
         self._is_closed = False
-        self._buffered_bodies = http_client.BufferedBodies()
+        self._bodies = buffered_bodies.BufferedBodies()
 
     async def send_request(
         self,
