Bound the responses that clients do not read

What callers saw: 64 clients that ask for responses of 1 MiB and read nothing took 94 MB; they stayed as long as the clients did.

Cause: a response that was read as a whole counted while it was read, and no longer once it was being sent; it was copied into the parser's output and into the connection's buffer. A client that stopped reading kept its connection, and what was left of the response in it, after unread_ms: closing waits for the buffer to be sent.

Change: a response counts until its client has it, against the same bound as those that are read, which is sized from the host's memory. It is sent in parts of 64 KiB, each once the client has taken the one before. When the bound is reached the client that has not read for longest gives way, after 0.5 s at the least; bodies of up to 64 KiB are not refused. A connection whose client has stalled is closed at once, without what it has not read.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -25,6 +25,7 @@
 import attrs
 import h11
 
+from redwingchute.connection import buffered_bodies
 from redwingchute.connection import http_headers
 from redwingchute.connection import listening
 from redwingchute.connection import request_receiver
@@ -47,6 +48,8 @@
 _ACCEPT_TURNS = 3
 # A handler waits for a slow client only above this many buffered bytes.
 _DRAIN_THRESHOLD_BYTES = 16 * 1024
+# A longer body is sent in parts, so that it is not copied as a whole.
+_PART_BYTES = 64 * 1024
 
 
 @attrs.frozen
@@ -78,6 +81,10 @@
     """The client closed the connection or stopped reading the response."""
 
 
+class _ClientStalledError(ClientDisconnectedError):
+    """The client has stopped reading the response."""
+
+
 class HttpResponder:
     """Sends the response to one request.
 
@@ -92,6 +99,8 @@
         limits: server_limits.ServerLimits,
         must_close: Callable[[], bool],
         is_head: bool = False,
+        hold: resource_quota.ConnectionHold | None = None,
+        bodies: buffered_bodies.BufferedBodies | None = None,
     ) -> None:
         """Creates the responder of one request.
 
@@ -102,12 +111,16 @@
           must_close: Returns whether to send `Connection: close`.
           is_head: Whether the request's method is HEAD, so that the response
             has no body.
+          hold: What is held for the connection, or None if that is not counted.
+          bodies: Counts the bodies that are held as a whole.
         """
         self._connection = connection
         self._writer = writer
         self._limits = limits
         self._must_close = must_close
         self._is_head = is_head
+        self._hold = hold
+        self._bodies = bodies or buffered_bodies.BufferedBodies()
         self.has_started = False
 
     async def start(
@@ -156,9 +169,16 @@
           body: The complete body.
         """
         framing = ("content-length", str(len(body)))
-        await self.start(status, [*headers, framing])
-        await self.send_chunk(body)
-        await self.finish()
+        if len(body) <= _PART_BYTES:
+            await self.start(status, [*headers, framing])
+            await self.send_chunk(body)
+            await self.finish()
+            return
+        with self._bodies.hold(len(body)):
+            await self.start(status, [*headers, framing])
+            for begin in range(0, len(body), _PART_BYTES):
+                await self.send_chunk(body[begin : begin + _PART_BYTES])
+            await self.finish()
 
     def has_next_request(self) -> bool:
         """Returns whether the next request awaits its response."""
@@ -199,10 +219,18 @@
         ):
             return
         try:
-            async with asyncio.timeout(self._limits.unread_ms / 1000):
+            async with asyncio.timeout(self._limits.unread_ms / 1000) as wait:
+                if self._hold is not None:
+                    self._hold.set_activity(resource_quota.Activity.UNREAD)
+                    self._hold.handle_eviction = lambda: wait.reschedule(0)
                 await self._writer.drain()
-        except (TimeoutError, ConnectionError) as error:
+        except TimeoutError as error:
+            raise _ClientStalledError from error
+        except ConnectionError as error:
             raise ClientDisconnectedError from error
+        finally:
+            if self._hold is not None:
+                self._hold.set_activity(resource_quota.Activity.RUNNING)
 
 
 Handler: TypeAlias = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
@@ -235,6 +263,7 @@
         limits: server_limits.ServerLimits | None = None,
         quota: resource_quota.ResourceQuota | None = None,
         check_head: HeadCheck = _accept_head,
+        bodies: buffered_bodies.BufferedBodies | None = None,
     ) -> None:
         """Creates a server; it listens once its context is entered.
 
@@ -247,12 +276,14 @@
           quota: What is held for all connections; a large one if None.
           check_head: Called with a request without its body, before the server
             waits for the rest of that.
+          bodies: Counts the bodies of responses that are held as a whole.
         """
         self._handler = handler
         self._address = address
         self._limits = limits or server_limits.ServerLimits()
         self._quota = quota or resource_quota.ResourceQuota()
         self._check = check_head
+        self._bodies = bodies or buffered_bodies.BufferedBodies()
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         # Idle connections, each with the loop time at which it became idle.
@@ -338,13 +369,18 @@
         # Bounds what one iteration of the event loop reads.
         transport: Any = writer.transport
         transport.max_size = request_receiver.READ_BYTES
+        transport.set_write_buffer_limits(high=_DRAIN_THRESHOLD_BYTES)
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         try:
             with hold:
-                with contextlib.suppress(ClientDisconnectedError):
+                try:
                     await self._serve_requests(connection, reader, writer, hold)
+                except _ClientStalledError:
+                    writer.transport.abort()
+                except ClientDisconnectedError:
+                    pass
                 if _has_open_end(connection):
                     _reset(writer)
                 await self._close(writer, hold)
@@ -424,6 +460,8 @@
                 self._limits,
                 lambda: self._is_draining,
                 is_head=request.method == "HEAD",
+                hold=hold,
+                bodies=self._bodies,
             )
             early = await self._run_handler(request, responder, reader, writer)
             del request
--- a/redwingchute/connection/http_server_test.py
+++ b/redwingchute/connection/http_server_test.py
@@ -1,6 +1,7 @@
 """Tests of requests that the server refuses before a handler sees them."""
 
 import asyncio
+import contextlib
 import re
 
 import attrs
@@ -352,3 +353,33 @@
         _send([], b"GET http://[a/b HTTP/1.1\r\nhost: a\r\n\r\n")
     )
     assert _list_statuses(received) == [400]
+
+
+# A connection whose client did not read stayed open with the whole response
+# after its time was over.
+def test_a_response_that_nobody_reads_is_given_up() -> None:
+    body = bytes(32 * 1024 * 1024)
+
+    async def handle(
+        request: http_server.HttpRequest, responder: http_server.HttpResponder
+    ) -> None:
+        await responder.send(200, body)
+
+    async def run() -> int:
+        limits = attrs.evolve(_LIMITS, unread_ms=100)
+        async with http_server.HttpServer(
+            handle, "127.0.0.1", 0, limits
+        ) as server:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", server.port, limit=1_024
+            )
+            writer.write(_COMPLETE)
+            await asyncio.sleep(0.5)
+            received = 0
+            with contextlib.suppress(ConnectionError):
+                while part := await reader.read(1024 * 1024):
+                    received += len(part)
+            writer.close()
+        return received
+
+    assert asyncio.run(run()) < len(body)
--- a/redwingchute/connection/resource_quota.py
+++ b/redwingchute/connection/resource_quota.py
@@ -28,6 +28,8 @@
 # A large request takes the room of one that made no progress for this long, a
 # small one that of the request with the longest pause.
 _STALLED_S = 0.25
+# A response gives way to others if its client did not read for this long.
+_UNREAD_S = 0.5
 # A request makes progress with each such part of its body.
 _PROGRESS_BYTES = 16 * 1024
 # The time for which large requests hold their room, for Retry-After: the first
@@ -277,6 +279,20 @@
         if not self._account_bytes[account]:
             del self._account_bytes[account]
 
+    def evict_unread(self) -> bool:
+        """Closes the connection whose client does not read for longest.
+
+        Returns:
+          Whether there is one.
+        """
+        latest_s = self._read_clock_s() - _UNREAD_S
+        for hold in self._holds[Activity.UNREAD]:
+            if hold.progress_s <= latest_s:
+                self._evict(hold, "response_unread")
+                return True
+            break
+        return False
+
     def _find_connection_to_close(self) -> ConnectionHold | None:
         """Returns the connection that gives way to a new one, or None."""
         for activity in _CLOSED_FIRST:
--- a/redwingchute/connection/resource_quota_test.py
+++ b/redwingchute/connection/resource_quota_test.py
@@ -124,3 +124,15 @@
     for _ in range(_LIMITS.connections):
         fixture.connect(_RUNNING)
     assert ended == [hold]
+
+
+def test_the_response_that_is_unread_for_longest_gives_way() -> None:
+    fixture = _Fixture()
+    first = fixture.connect(resource_quota.Activity.UNREAD)
+    fixture.clock.now_s = 0.4
+    assert not fixture.quota.evict_unread()
+    second = fixture.connect(resource_quota.Activity.UNREAD)
+    fixture.clock.now_s = 0.6
+    assert fixture.quota.evict_unread()
+    assert first.is_evicted and not second.is_evicted
+    assert not fixture.quota.evict_unread()
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -341,7 +341,10 @@
             settings.listen.port,
             quota=self._caller_quota,
             check_head=self._forwarding.check_head,
+            bodies=pool.buffered_bodies,
         )
+        pool.buffered_bodies.limit_bytes = self._limits.response_bytes
+        pool.buffered_bodies.make_room = self._caller_quota.evict_unread
 
     def _make_network(self) -> peer_network.PeerNetwork:
         """Returns the network of links to other routers."""
