Bound the prompt parts that are remembered for all upstreams

What callers saw: nothing yet; found when the class was looked for elsewhere.

Cause: 4,096 parts were remembered for each upstream, however many upstreams there are. A caller with a key chooses the parts; some 100 requests fill the share of one upstream. With 78 upstreams that is 319,488 parts, some 50 MB.

Evidence: prefill_model_test, the parts of all upstreams together: 100,000 where 70,000 are due.

Change: 65,536 for all upstreams, divided among them, 840 each with 78.

Measured: the test passes.

--- a/redwingchute/request/prefill_model.py
+++ b/redwingchute/request/prefill_model.py
@@ -16,6 +16,8 @@
 _CACHE_TTL_MS = 12_000
 # The number of prompt parts kept for one upstream; bounds the memory.
 _MAX_PARTS = 4_096
+# The parts remembered for all upstreams; some 12 MB.
+_MAX_ALL_PARTS = 65_536
 # Prefill speed before the first sample; slower than engines of the size in use.
 _INITIAL_MS_PER_TOKEN = 0.025
 # Samples outside this range are set to its nearest bound.
@@ -64,7 +66,8 @@
         for part_id in part_ids:
             processed_ms.pop(part_id, None)
             processed_ms[part_id] = now_ms
-        while len(processed_ms) > _MAX_PARTS:
+        max_parts = min(_MAX_PARTS, _MAX_ALL_PARTS // len(self._upstreams))
+        while len(processed_ms) > max_parts:
             del processed_ms[next(iter(processed_ms))]
 
     def count_uncached_tokens(
--- a/redwingchute/request/prefill_model_test.py
+++ b/redwingchute/request/prefill_model_test.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from redwingchute.core import forwarding
 from redwingchute.request import prefill_model
 from redwingchute.testing import forwarding_builders
 
@@ -53,3 +54,23 @@
     understated = attrs.evolve(generation, prompt_tokens=7_999)
     model.record_prefill("r", ("a",), _NOW_MS)
     assert model.count_uncached_tokens("r", understated, _NOW_MS) == 0
+
+
+# Callers whose prompts have parts that no other has made a router remember
+# 4,096 of them for each of its upstreams, however many these were.
+def test_the_parts_of_all_upstreams_together_are_bounded() -> None:
+    model = prefill_model.PrefillModel()
+    parts = [
+        forwarding.PromptPart(f"{number}", 1_000) for number in range(1_000)
+    ]
+    upstreams = [f"m-{number}" for number in range(100)]
+    for upstream in upstreams * 2:
+        model.record_prefill(
+            upstream, [part.id for part in parts[::-1]], _NOW_MS
+        )
+    generation = forwarding.Generation(1_000_000, 1, (*parts, parts[0]))
+    cached_parts = [
+        1_000 - model.count_uncached_tokens(name, generation, _NOW_MS) // 1_000
+        for name in upstreams
+    ]
+    assert 0 < sum(cached_parts) <= 70_000
