Remember ids that callers choose in a bounded length

What callers saw: in a trial of ours eight clients made a process hold 118 MB by 4,108 streams, and it would have held more with each further one.

Cause: a request's id may be as long as its head. Each router that knows of a stream that may be resumed remembers its request's id for two minutes, up to 16,384 of them, and each connection to an upstream the last four. So did the caches of prompt parts with the parts' ids.

Evidence: origin_exchange_test, the origin of a request with a long id is small; crowd_test, long_request_ids.

Change: an id of more than 128 characters is remembered as its digest. It is compared by that, also among routers, and goes on unchanged to upstreams and callers.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -26,6 +26,7 @@
 
 from redwingchute.connection import buffered_bodies
 from redwingchute.connection import http_headers
+from redwingchute.core import short_ids
 
 _READ_BYTES = 64 * 1024
 _PORT = re.compile(r"[0-9]{1,5}")
@@ -157,7 +158,6 @@
       address: The address of the upstream.
       number: Identifies the connection within this process.
       exchange_count: The number of exchanges that were completed on it.
-      request_ids: The ids of its latest requests, the newest one last.
       carrier: The host whose router carries the connection to the upstream;
         empty if it is a direct one.
     """
@@ -189,7 +189,8 @@
         self._content_bytes = 0
         self.number = next(_CONNECTION_NUMBERS)
         self.exchange_count = 0
-        self.request_ids: collections.deque[str] = collections.deque(
+        # Of its latest requests, the newest one last.
+        self._request_ids: collections.deque[str] = collections.deque(
             maxlen=_REMEMBERED_REQUESTS
         )
         self._method = ""
@@ -241,7 +242,7 @@
         self._content_bytes = 0
         self._has_sent_head |= method == "HEAD"
         if request_id is not None:
-            self.request_ids.append(request_id)
+            self._request_ids.append(short_ids.shorten_id(request_id))
         framing = []
         if body or method not in _METHODS_WITHOUT_BODY:
             framing.append(("content-length", str(len(body))))
@@ -405,6 +406,12 @@
         self.retire()
         return True
 
+    def has_sent(self, request_id: str | None) -> bool:
+        """Returns whether one of the latest requests had an id."""
+        if request_id is None:
+            return False
+        return short_ids.shorten_id(request_id) in self._request_ids
+
     def retire(self) -> None:
         """Prevents that the connection is used for another exchange."""
         self._is_retired = True
@@ -604,7 +611,7 @@
             if (
                 connection.is_usable()
                 and connection.is_kept_alive()
-                and request_id not in connection.request_ids
+                and not connection.has_sent(request_id)
             ):
                 return connection
             connection.close()
--- a/redwingchute/platform/headers.py
+++ b/redwingchute/platform/headers.py
@@ -13,6 +13,7 @@
 from redwingchute.core import forwarding
 from redwingchute.core import outcomes
 from redwingchute.core import rate_limiting
+from redwingchute.core import short_ids
 from redwingchute.request import header_translator
 
 # Identifies the caller's request, not an attempt of the router at an upstream.
@@ -302,7 +303,9 @@
 def _read_part(entry: str) -> forwarding.PromptPart:
     """Decodes one part of a prompt of the form ID:TOKENS."""
     part_id, _, tokens = entry.strip().partition(":")
-    return forwarding.PromptPart(part_id, _read_tokens(tokens or "0"))
+    return forwarding.PromptPart(
+        short_ids.shorten_id(part_id), _read_tokens(tokens or "0")
+    )
 
 
 def _read_tokens(text: str) -> int:
--- a/redwingchute/process/origin_exchange.py
+++ b/redwingchute/process/origin_exchange.py
@@ -23,6 +23,7 @@
 
 from redwingchute.core import data
 from redwingchute.core import forwarding
+from redwingchute.core import short_ids
 from redwingchute.core import streams
 from redwingchute.process import host_registry
 from redwingchute.process import peer_network
@@ -130,7 +131,7 @@
           The origin of the stream.
         """
         origin = streams.StreamOrigin(
-            request_id,
+            short_ids.shorten_id(request_id),
             upstream.service,
             upstream.id,
             upstream.born_ms,
@@ -169,6 +170,8 @@
             caller does not say.
           max_age_ms: How long ago it may have begun.
         """
+        if request_id is not None:
+            request_id = short_ids.shorten_id(request_id)
         known = None if request_id is None else self._origins.find(request_id)
         if known is not None:
             return self._resolve_origin(known, service, "local")
--- a/redwingchute/process/origin_exchange_test.py
+++ b/redwingchute/process/origin_exchange_test.py
@@ -223,3 +223,15 @@
         if _read_version(fleet.resolve("host-0", request_id)) is not None
     ]
     assert not asked
+
+
+# Callers whose requests have ids of the size of a head made each router that
+# knows of a stream remember them all, for two minutes.
+def test_the_origin_of_a_request_with_a_long_id_is_small() -> None:
+    fleet = origin_rig.OriginFleet(3)
+    fleet.set_upstreams(_V1 + _V2)
+    long_id = "i" * 15_000
+    origin = fleet.routers["host-0"].exchange.record_begin(long_id, _V2[0])
+    assert len(origin.request_id) <= 128
+    for host in fleet.routers:
+        assert _read_version(fleet.resolve(host, long_id)) == "v2"
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -319,7 +319,7 @@
             if response.request_id == outgoing.request_id:
                 return head
             if (
-                response.request_id not in connection.request_ids
+                not connection.has_sent(response.request_id)
                 or outgoing.trace.skipped_responses >= _MAX_SKIPPED_RESPONSES
                 or not await _skip_response(connection)
             ):
--- a/redwingchute/testing/crowd_rig.py
+++ b/redwingchute/testing/crowd_rig.py
@@ -16,7 +16,7 @@
 from redwingchute.testing import crowds
 
 HOST = "host-1"
-_UPSTREAM = "ledger-1"
+_UPSTREAMS = ("ledger-1", "llm-1")
 # How long a crowd sends at the most, and how long an ordinary caller tries.
 _SEND_S = 15.0
 _TRY_S = 30.0
@@ -93,7 +93,8 @@
     async def meet(self, crowd: crowds.Crowd) -> Observation:
         """Connects a crowd, and returns what was seen of the gateway."""
         if crowd.faults:
-            assert await self.fleet.patch(_UPSTREAM, dict(crowd.faults))
+            for upstream in _UPSTREAMS:
+                assert await self.fleet.patch(upstream, dict(crowd.faults))
             await asyncio.sleep(_HEARTBEAT_S)
         address = self.fleet.find_listeners(HOST)[crowd.listener]
         async with contextlib.AsyncExitStack() as stack:
--- a/redwingchute/testing/crowds.py
+++ b/redwingchute/testing/crowds.py
@@ -128,6 +128,85 @@
     yield from cut_into_segments(bytes(240 * 1024), _SEGMENT_BYTES)
 
 
+def send_many_requests(
+    count: int, path: str = "crowd", key: str = fleet_lib.KEY
+) -> Callable[[int], Iterator[bytes]]:
+    """Returns what makes requests that do not wait for their responses.
+
+    Args:
+      count: The number of requests.
+      path: The rest of their path; an unknown route is refused.
+      key: The client's key.
+    """
+
+    def make(number: int) -> Iterator[bytes]:
+        head = make_head(number, key=key, method="GET")
+        head = head.replace(b"/lookup/crowd", f"/lookup/{path}".encode())
+        yield from cut_into_segments(head * count, _SEGMENT_BYTES)
+
+    return make
+
+
+def send_many_parts(number: int) -> Iterator[bytes]:
+    """Yields a generation with as many prompt parts as fit, without its end."""
+    fields = ("model: m", "token-usage: 10,10", "content-length: 10")
+    room = HEADER_BYTES - len(make_head(number, *fields)) - 64
+    parts = ",".join(f"{index:03x}:1" for index in range(room // len("fff:1,")))
+    yield make_head(number, *fields, f"prompt-prefix: {parts}")
+    yield b"1234567890"
+
+
+def send_single_bytes(number: int) -> Iterator[bytes]:
+    """Yields a request in segments of one byte."""
+    head = make_head(number, "content-length: 20000")
+    yield from cut_into_segments(head + bytes(20_000 - 1), 1)
+
+
+def await_permission(number: int) -> Iterator[bytes]:
+    """Yields a head that asks whether its body may be sent."""
+    yield make_head(
+        number, f"content-length: {BODY_BYTES}", "expect: 100-continue"
+    )
+
+
+def send_garbage(number: int) -> Iterator[bytes]:
+    """Yields bytes that are no request."""
+    del number
+    for _ in range(64):
+        yield bytes(range(256)) * 256
+
+
+def send_extensions(number: int) -> Iterator[bytes]:
+    """Yields a chunked body that is mostly framing."""
+    yield make_head(number, "transfer-encoding: chunked")
+    chunk = b"1;" + b"a" * 8_000 + b"\r\na\r\n"
+    for _ in range(1_000):
+        yield chunk
+
+
+def send_long_ids(number: int) -> Iterator[bytes]:
+    """Yields streams whose requests have ids that fill their heads."""
+    fields = ("model: m", "token-usage: 1,1", "prompt-prefix: aa:1")
+    for index in range(600):
+        head = make_head(number, *fields, method="GET")
+        head = head.replace(b"/lookup/", b"/summary/")
+        long_id = f"{number}-{index}-" + "i" * (HEADER_BYTES - 1_024)
+        yield head.replace(f"crowd-{number}".encode(), long_id.encode())
+
+
+def send_unique_parts(number: int) -> Iterator[bytes]:
+    """Yields streams with prompt parts that no other one has."""
+    room = HEADER_BYTES - 1_024
+    for index in range(6):
+        parts = ",".join(
+            f"{part:03x}{number:03x}{index:x}:1"
+            for part in range(room // len("fffffff:1,"))
+        )
+        fields = ("model: m", "token-usage: 1,1", f"prompt-prefix: {parts}")
+        head = make_head(number, *fields, method="GET")
+        yield head.replace(b"/lookup/", b"/draft/")
+
+
 def send_half_a_head(number: int) -> Iterator[bytes]:
     """Yields the first bytes of a head."""
     yield make_head(number)[:40]
@@ -151,6 +230,7 @@
 
 
 _SLOW_UPSTREAM = (("capacity", 1_000), ("work_ms", 3_000))
+_QUICK_UPSTREAM = (("capacity", 1_000), ("event_ms", 0))
 _LARGE_RESPONSES = (("capacity", 1_000), ("padding_bytes", BODY_BYTES))
 
 # The crowds, by the name of what they make the process hold.
@@ -178,6 +258,21 @@
     "responses_that_nobody_reads": Crowd(
         64, ask_for_a_response, faults=_LARGE_RESPONSES, reads=False
     ),
+    "many_requests_at_once": Crowd(40, send_many_requests(1_000)),
+    "many_refused_requests_at_once": Crowd(
+        40, send_many_requests(2_000, key=_UNKNOWN_KEY)
+    ),
+    "prompts_of_many_parts": Crowd(150, send_many_parts),
+    "single_bytes": Crowd(40, send_single_bytes),
+    "bodies_that_await_permission": Crowd(64, await_permission),
+    "garbage": Crowd(64, send_garbage),
+    "chunks_of_mostly_framing": Crowd(64, send_extensions),
+    "long_request_ids": Crowd(8, send_long_ids, faults=_QUICK_UPSTREAM),
+    "unique_prompt_parts": Crowd(75, send_unique_parts, faults=_QUICK_UPSTREAM),
+    "small_bodies": Crowd(
+        300,
+        send_body(missing_bytes=1, announced_bytes=60_000, sent_bytes=60_000),
+    ),
     "idle_connections": Crowd(450, send_nothing),
     "half_heads": Crowd(450, send_half_a_head),
     "idle_connections_for_readiness": Crowd(
