Bound what a router of model pools holds for clients

What callers saw: the same as at a gateway; both share the server.

Cause: the settings of this program state no memory or descriptors, so that its server had no bound over all connections, nor had its pool of responses one that follows from the memory.

Change: memory_mb and max_descriptors size the same limits as at a gateway: connections, requests, responses and handshakes of peers, one quota for callers and one of 8 MiB for the administration address.

--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -16,6 +16,7 @@
 
 from redwingchute.connection import http_client
 from redwingchute.connection import http_server
+from redwingchute.connection import resource_quota
 from redwingchute.connection import server_limits
 from redwingchute.core import configuration
 from redwingchute.core import data
@@ -33,6 +34,7 @@
 from redwingchute.process import operator_adapters
 from redwingchute.process import owner_directory
 from redwingchute.process import peer_network
+from redwingchute.process import process_limits
 from redwingchute.process import reserve_assignment
 from redwingchute.process import settings as settings_lib
 from redwingchute.process import steady_clock
@@ -66,6 +68,18 @@
     return _CLOCK.read_ms()
 
 
+# The commands and configurations that the administration address holds.
+_ADMIN_REQUEST_BYTES = 8 * 1024 * 1024
+
+
+def _log_client_limit(resource: str, limit: int) -> None:
+    """Logs that what is held for clients reaches a limit."""
+    _LOG.warning(
+        "A limit of what is held for clients is reached",
+        extra={"resource": resource, "limit": limit},
+    )
+
+
 class Router:
     """One router process; an async context manager that owns its components.
 
@@ -91,7 +105,27 @@
         self.settings = settings
         self._codec = registry.make_codec()
         self._metrics = telemetry.Metrics(settings.host_name, settings.zone)
+        limits = process_limits.size_limits(
+            settings.memory_mb, settings.max_descriptors
+        )
+        self._max_handshakes = limits.internal_connections
+        self._caller_quota = resource_quota.ResourceQuota(
+            resource_quota.QuotaLimits(
+                limits.caller_connections, limits.request_bytes
+            ),
+            _log_client_limit,
+        )
+        self._admin_quota = resource_quota.ResourceQuota(
+            resource_quota.QuotaLimits(
+                limits.internal_connections, _ADMIN_REQUEST_BYTES
+            )
+        )
+        self._metrics.observe_quotas(
+            {"callers": self._caller_quota, "admin": self._admin_quota}
+        )
         self._pool = http_client.ClientPool()
+        self._pool.buffered_bodies.limit_bytes = limits.response_bytes
+        self._pool.buffered_bodies.make_room = self._caller_quota.evict_unread
         self._log = log_client.LogClient(self._pool, settings.platform)
         self._incarnation = incarnations.make_process_incarnation(
             secrets.randbits
@@ -118,6 +152,7 @@
             self._metrics,
             read_clock_ms,
             self.settings.peer_advertise,
+            self._max_handshakes,
         )
 
     def _make_owner_service(self) -> owner_service.OwnerService:
@@ -269,7 +304,12 @@
         )
         listen = self.settings.listen
         return http_server.HttpServer(
-            endpoint.handle, listen.ip, listen.port, limits
+            endpoint.handle,
+            listen.ip,
+            listen.port,
+            limits,
+            self._caller_quota,
+            bodies=self._pool.buffered_bodies,
         )
 
     def _make_admin_server(self) -> http_server.HttpServer:
@@ -296,7 +336,12 @@
             self._metrics, self.explain_not_ready, api.handle
         )
         listen = self.settings.admin_listen
-        return http_server.HttpServer(endpoints.handle, listen.ip, listen.port)
+        return http_server.HttpServer(
+            endpoints.handle,
+            listen.ip,
+            listen.port,
+            quota=self._admin_quota,
+        )
 
     def _register_handlers(self) -> None:
         """Registers the handlers of messages from other routers."""
--- a/redwingchute/process/settings.py
+++ b/redwingchute/process/settings.py
@@ -207,6 +207,19 @@
         "The largest request line and headers together.",
         " of bytes",
     )
+    memory_mb: int = _int_setting(
+        64,
+        16_384,
+        512,
+        "The memory at which the host ends this process.",
+        " of MiB",
+    )
+    max_descriptors: int = _int_setting(
+        256,
+        65_536,
+        4_096,
+        "The descriptors that this process may have.",
+    )
     idle_ms: int = _int_setting(
         100,
         3_600_000,
--- a/redwingchute/testing/crowd_rig.py
+++ b/redwingchute/testing/crowd_rig.py
@@ -99,7 +99,7 @@
         address = self.fleet.find_listeners(HOST)[crowd.listener]
         async with contextlib.AsyncExitStack() as stack:
             members = [
-                await stack.enter_async_context(_Member(address, crowd.reads))
+                await stack.enter_async_context(Member(address, crowd.reads))
                 for _ in range(crowd.count)
             ]
             sending = [
@@ -116,7 +116,7 @@
     async def send_request(self, segments: Iterator[bytes]) -> int:
         """Sends one request; returns the status of its response, or 0."""
         address = self.fleet.find_address(HOST)
-        async with _Member(address, reads=False) as member:
+        async with Member(address, reads=False) as member:
             await member.send(segments)
             return await member.read_status()
 
@@ -129,7 +129,9 @@
         is_alive = self.fleet.is_running(HOST)
         return Observation(
             is_alive,
-            self._read_peak_memory_mb() if is_alive else 0.0,
+            read_peak_memory_mb(self.fleet.find_process_id(HOST))
+            if is_alive
+            else 0.0,
             self._peak_descriptors,
             status,
         )
@@ -162,16 +164,16 @@
                 )
             await asyncio.sleep(_SAMPLE_S)
 
-    def _read_peak_memory_mb(self) -> float:
-        """Returns the most memory that the gateway ever had."""
-        process_id = self.fleet.find_process_id(HOST)
-        status = pathlib.Path(f"/proc/{process_id}/status").read_text()
-        found = re.search(r"VmHWM:\s+(\d+) kB", status)
-        assert found
-        return int(found[1]) / 1024
+
+def read_peak_memory_mb(process_id: int) -> float:
+    """Returns the most memory that a process ever had, as resident set."""
+    status = pathlib.Path(f"/proc/{process_id}/status").read_text()
+    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    assert found
+    return int(found[1]) / 1024
 
 
-class _Member:
+class Member:
     """One client of a crowd; a context manager for its connection."""
 
     def __init__(self, address: http_client.Address, reads: bool) -> None:
@@ -188,7 +190,7 @@
         ) = None
         self._reading: asyncio.Task[bytes] | None = None
 
-    async def __aenter__(self) -> "_Member":
+    async def __aenter__(self) -> "Member":
         """Connects; a refused connection is left closed."""
         with contextlib.suppress(OSError):
             self._streams = await asyncio.open_connection(
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -301,7 +301,7 @@
 
     async def _start_gateways(self, host_names: Sequence[str]) -> None:
         """Starts gateways together and waits until all are ready."""
-        ports = _find_free_ports(4 * len(host_names))
+        ports = find_free_ports(4 * len(host_names))
         added = [
             self._add_gateway(host_name, ports[4 * index : 4 * index + 4])
             for index, host_name in enumerate(host_names)
@@ -382,7 +382,7 @@
                 return Response(head.status, head.headers, body, False)
 
 
-def _find_free_ports(count: int) -> list[int]:
+def find_free_ports(count: int) -> list[int]:
     """Returns ports that are free on loopback."""
     with contextlib.ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -20,6 +20,7 @@
 from redwingchute.connection import http_client
 from redwingchute.connection import http_headers
 from redwingchute.connection import http_server
+from redwingchute.connection import resource_quota
 from redwingchute.connection import server_limits
 from redwingchute.testing import manual_loop
 
@@ -161,8 +162,11 @@
         address: str,
         port: int,
         limits: server_limits.ServerLimits | None = None,
+        quota: resource_quota.ResourceQuota | None = None,
+        bodies: buffered_bodies.BufferedBodies | None = None,
     ) -> None:
         """Prepares a server; it listens once its context is entered."""
+        del limits, quota, bodies
         self.network = network
         self.handler = handler
         self.port = port
