Close idle connections to upstreams when descriptors run out

What callers saw: nothing yet; found when the class was looked for elsewhere.

Cause: up to 32 idle connections are kept for each upstream, and nothing bounded them together. A burst of callers that reaches all of 78 upstreams leaves up to 2,496 of them open for the time that upstreams keep them, beside the callers' own connections; a host has 1,638 to 10,250 descriptors.

Evidence: http_client_test, idle connections are closed for new ones; without the bound all six stay open.

No request is refused for it.

Measured: four stay open where four are allowed.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -51,6 +51,10 @@
 _REMEMBERED_REQUESTS = 4
 
 
+def _do_nothing() -> None:
+    """Does nothing."""
+
+
 def take_mark() -> int:
     """Returns a mark: a number that no connection has.
 
@@ -193,6 +197,8 @@
         self._request_ids: collections.deque[str] = collections.deque(
             maxlen=_REMEMBERED_REQUESTS
         )
+        # Called once it is closed.
+        self.handle_close: Callable[[], None] = _do_nothing
         self._method = ""
         self._has_sent_head = False
         self._is_retired = False
@@ -447,6 +453,11 @@
         """Sets since when the connection has been idle."""
         self._idle_since_s = asyncio.get_running_loop().time()
 
+    @property
+    def idle_since_s(self) -> float:
+        """Since when it has been idle, if it is."""
+        return self._idle_since_s
+
     def is_kept_alive(self) -> bool:
         """Returns whether the upstream still keeps the idle connection open.
 
@@ -480,7 +491,12 @@
         return found
 
     def detach(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Returns the streams of a connection without an exchange."""
+        """Returns the streams of a connection without an exchange.
+
+        The caller owns them; the pool no longer counts the connection.
+        """
+        self.handle_close()
+        self.handle_close = _do_nothing
         return self._reader, self._writer
 
     def close(self) -> None:
@@ -488,6 +504,8 @@
 
         What the upstream has not taken is not sent any more.
         """
+        self.handle_close()
+        self.handle_close = _do_nothing
         if self._sending is not None:
             self._sending.cancel()
             self._sending = None
@@ -533,6 +551,9 @@
 
     Attributes:
       buffered_bodies: The bodies that its connections read as a whole.
+      open_count: The number of its connections that are not closed.
+      max_connections: At this number idle connections are closed for new ones;
+        None for any number.
     """
 
     def __init__(
@@ -558,6 +579,8 @@
         self._tcp_user_timeout_ms = tcp_user_timeout_ms
         self._open_stream = open_stream
         self._idle: dict[Address, list[ClientConnection]] = {}
+        self.open_count = 0
+        self.max_connections: int | None = None
         self.buffered_bodies = buffered_bodies.BufferedBodies()
 
     async def __aenter__(self) -> "ClientPool":
@@ -619,6 +642,11 @@
 
     async def open(self, address: Address) -> ClientConnection | ConnectFailed:
         """Opens a connection to an upstream."""
+        if (
+            self.max_connections is not None
+            and self.open_count >= self.max_connections
+        ):
+            self._close_oldest_idle()
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1000):
                 reader, writer = await self._open_stream(
@@ -656,8 +684,22 @@
                 socket.TCP_USER_TIMEOUT,
                 self._tcp_user_timeout_ms,
             )
+        self.open_count += 1
+        connection.handle_close = self._record_close
         return connection
 
+    def _record_close(self) -> None:
+        """Records that a connection was closed."""
+        self.open_count -= 1
+
+    def _close_oldest_idle(self) -> None:
+        """Closes the connection that has been idle for longest, if any."""
+        idle = itertools.chain.from_iterable(self._idle.values())
+        oldest = min(idle, key=lambda found: found.idle_since_s, default=None)
+        if oldest is not None:
+            self._idle[oldest.address].remove(oldest)
+            oldest.close()
+
     def count_idle(self, address: Address) -> int:
         """Returns the number of usable idle connections to an address."""
         return sum(
--- a/redwingchute/connection/http_client_test.py
+++ b/redwingchute/connection/http_client_test.py
@@ -224,3 +224,34 @@
         return unsent_bytes
 
     assert asyncio.run(run()) <= 256 * 1024
+
+
+# Idle connections to many upstreams took the descriptors that were left: each
+# upstream had a limit, and all of them together had none.
+def test_idle_connections_are_closed_for_new_ones() -> None:
+    async def run() -> tuple[int, int]:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read()
+            writer.close()
+
+        servers = [
+            await asyncio.start_server(serve, "127.0.0.1", 0) for _ in range(6)
+        ]
+        async with http_client.ClientPool() as pool:
+            pool.max_connections = 4
+            for server in servers:
+                port = server.sockets[0].getsockname()[1]
+                address = http_client.Address("127.0.0.1", port)
+                connection = await pool.open(address)
+                assert isinstance(connection, http_client.ClientConnection)
+                pool.add_idle(connection)
+            open_count = pool.open_count
+            newest_idle = pool.count_idle(address)
+        for server in servers:
+            server.close()
+        assert pool.open_count == 0
+        return open_count, newest_idle
+
+    assert asyncio.run(run()) == (4, 1)
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -343,6 +343,7 @@
             check_head=self._forwarding.check_head,
             bodies=pool.buffered_bodies,
         )
+        pool.max_connections = self._limits.upstream_connections
         pool.buffered_bodies.limit_bytes = self._limits.response_bytes
         pool.buffered_bodies.make_room = self._caller_quota.evict_unread
 
--- a/redwingchute/process/router.py
+++ b/redwingchute/process/router.py
@@ -124,6 +124,7 @@
             {"callers": self._caller_quota, "admin": self._admin_quota}
         )
         self._pool = http_client.ClientPool()
+        self._pool.max_connections = limits.upstream_connections
         self._pool.buffered_bodies.limit_bytes = limits.response_bytes
         self._pool.buffered_bodies.make_room = self._caller_quota.evict_unread
         self._log = log_client.LogClient(self._pool, settings.platform)
