Add clients that misbehave to the soak

A group of faults, crowds: 10 to 60 clients connect to a host, send one of eleven shapes of requests that never end, stay up to 6 s and leave. A monitor samples memory and descriptors of each host's process; a process that uses more than its settings state breaks the rule USAGE, and all other rules hold for the ordinary callers beside them.

Clients and shapes move from the tests' builders to the soak, which uses them too; what callers of a soak are called stands in a module of its own, so that the plan can name the shapes.

--- a/redwingchute/soak/callers.py
+++ b/redwingchute/soak/callers.py
@@ -14,6 +14,7 @@
 from redwingchute.core import forwarding
 from redwingchute.platform import document_encoder
 from redwingchute.platform import headers as platform_headers
+from redwingchute.soak import caller_identity
 from redwingchute.soak import fleet as fleet_lib
 from redwingchute.soak import observations
 from redwingchute.soak import plan
@@ -167,7 +168,7 @@
             f"/{kind}/{name}",
             headers,
             b"" if is_get else b"x" * self.request.body_bytes,
-            host=fleet_lib.CALLED_HOST,
+            host=caller_identity.CALLED_HOST,
         )
         head = broken or await connection.read_head()
         if isinstance(head, http_client.ExchangeBroken):
@@ -194,10 +195,10 @@
             )
         return forwarding.ForwardRequest(
             id=self.request_id,
-            host=fleet_lib.CALLED_HOST,
+            host=caller_identity.CALLED_HOST,
             path="",
             patience_ms=self.deadline_ms,
-            key=fleet_lib.KEY,
+            key=caller_identity.KEY,
             generation=generation,
         )
 
--- a/redwingchute/soak/checks.py
+++ b/redwingchute/soak/checks.py
@@ -77,6 +77,7 @@
         check_lost,
         check_recovered,
         check_processes,
+        check_usage,
     )
     return [found for check in checks for found in check(observations)]
 
@@ -330,6 +331,20 @@
         yield findings.Violation("ENDED", name, "the process ended by itself")
 
 
+def check_usage(
+    observations: observations_lib.Observations,
+) -> Iterable[findings.Violation]:
+    """Finds processes that used more than their hosts have."""
+    limit = observations.usage_limit
+    for usage in observations.usages:
+        if (
+            usage.memory_mb > limit.memory_mb
+            or usage.descriptors > limit.descriptors
+        ):
+            message = f"{usage}, allowed are {limit}"
+            yield findings.Violation("USAGE", usage.host, message)
+
+
 def _group_runs(
     observations: observations_lib.Observations,
 ) -> dict[str, list[observations_lib.UpstreamEvent]]:
--- a/redwingchute/soak/checks_test.py
+++ b/redwingchute/soak/checks_test.py
@@ -299,3 +299,19 @@
 def test_a_process_that_ended_by_itself_is_found() -> None:
     found = soak_builders.make_observations(unexpected_ends=("host-1",))
     assert _find_rules(found) == ["ENDED"]
+
+
+def test_a_process_that_uses_more_than_its_host_has_is_found() -> None:
+    limit = observations.Usage("", 128, 1_638)
+    sound = observations.Usage("host-1", 127.0, 1_638)
+    found = checks.check_usage(
+        soak_builders.make_observations(
+            usages=(
+                sound,
+                observations.Usage("host-2", 129.0, 100),
+                observations.Usage("host-3", 60.0, 1_639),
+            ),
+            usage_limit=limit,
+        )
+    )
+    assert [violation.subject for violation in found] == ["host-2", "host-3"]
--- a/redwingchute/soak/crowd_test.py
+++ b/redwingchute/soak/crowd_test.py
@@ -10,8 +10,8 @@
 import pytest
 
 from redwingchute.core import forwarding
+from redwingchute.soak import crowds
 from redwingchute.testing import crowd_rig
-from redwingchute.testing import crowds
 
 pytestmark = pytest.mark.crowd
 
--- a/redwingchute/testing/crowds.py
+++ b/redwingchute/soak/crowds.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from redwingchute.soak import fleet as fleet_lib
+from redwingchute.soak import caller_identity
 
 # The limits that the configuration of a crowd's fleet states.
 HEADER_BYTES = 16 * 1024
@@ -37,7 +37,7 @@
 def make_head(
     number: int,
     *framing: str,
-    key: str = fleet_lib.KEY,
+    key: str = caller_identity.KEY,
     method: str = "POST",
 ) -> bytes:
     """Returns the head of one request to the route of repeatable requests.
@@ -50,7 +50,7 @@
     """
     lines = (
         f"{method} /lookup/crowd HTTP/1.1",
-        f"host: {fleet_lib.CALLED_HOST}",
+        f"host: {caller_identity.CALLED_HOST}",
         f"attempt-id: crowd-{number}",
         "deadline-ms: 60000",
         f"authorization: Bearer {key}",
@@ -70,7 +70,7 @@
     segment_bytes: int = _SEGMENT_BYTES,
     announced_bytes: int = BODY_BYTES,
     sent_bytes: int = BODY_BYTES,
-    key: str = fleet_lib.KEY,
+    key: str = caller_identity.KEY,
 ) -> Callable[[int], Iterator[bytes]]:
     """Returns what makes a body with a length.
 
@@ -129,7 +129,7 @@
 
 
 def send_many_requests(
-    count: int, path: str = "crowd", key: str = fleet_lib.KEY
+    count: int, path: str = "crowd", key: str = caller_identity.KEY
 ) -> Callable[[int], Iterator[bytes]]:
     """Returns what makes requests that do not wait for their responses.
 
@@ -291,6 +291,24 @@
 }
 
 
+# What clients of a soak send: requests that never end, so that none may run.
+UNFINISHED: dict[str, Callable[[int], Iterator[bytes]]] = {
+    "idle": send_nothing,
+    "half_heads": send_half_a_head,
+    "bodies": send_body(
+        1, announced_bytes=4 * BODY_BYTES, sent_bytes=4 * BODY_BYTES
+    ),
+    "bodies_without_a_key": send_body(1, key=_UNKNOWN_KEY),
+    "bodies_over_the_limit": send_body(announced_bytes=900_000_000),
+    "small_bodies": send_body(1, announced_bytes=60_000, sent_bytes=60_000),
+    "large_chunks": send_chunks(_SEGMENT_BYTES, 3 * BODY_BYTES),
+    "small_chunks": send_chunks(7, 300_000),
+    "many_fields": send_many_fields,
+    "single_bytes": send_single_bytes,
+    "garbage": send_garbage,
+}
+
+
 def make_calm_requests() -> dict[str, Iterator[bytes]]:
     """Returns single requests inside the limits, by name."""
     large, number = 4 * BODY_BYTES, 0
--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -28,16 +28,23 @@
 from redwingchute.platform import store_client
 from redwingchute.platform import upstream_entries
 from redwingchute.process import gateway_settings
+from redwingchute.process import process_limits
+from redwingchute.soak import caller_identity
 from redwingchute.soak import observations
 from redwingchute.soak import plan
 
-KEY = "soak-key"
-CALLED_HOST = "soak.example"
 # A request whose path ends so ends the upstream that runs it.
 CRASH_MARKER = "crashing"
 FRONTEND_PORT = 8227
 RETRY_LIMIT = observations.RetryLimit(ratio=0.2, slack=50.0, window_ms=10_000)
 
+# What the settings of hosts state.
+USAGE_LIMIT = observations.Usage(
+    "",
+    process_limits.DEFAULT_MEMORY_MB,
+    process_limits.DEFAULT_MAX_DESCRIPTORS,
+)
+
 _READY_PORT = 8220
 _PEER_PORT = 7340
 # The metrics port of deploy/system.toml.
@@ -433,7 +440,7 @@
 ) -> forwarding.RouteTable:
     """Returns a configuration with one route for each kind of request."""
     account = forwarding.ClientAccount(
-        "soak", frozenset({KEY}), prepaid_tokens=prepaid_tokens
+        "soak", frozenset({caller_identity.KEY}), prepaid_tokens=prepaid_tokens
     )
     return forwarding.RouteTable(
         version=1,
@@ -457,7 +464,7 @@
         request_kind = forwarding.RequestKind.NON_IDEMPOTENT
     return forwarding.Route(
         name=str(kind),
-        host=CALLED_HOST,
+        host=caller_identity.CALLED_HOST,
         path_prefix=f"/{kind}/",
         kind=request_kind,
         services=(forwarding.WeightedService(kind.service, 1.0),),
--- a/redwingchute/soak/injector.py
+++ b/redwingchute/soak/injector.py
@@ -4,9 +4,12 @@
 """
 
 import asyncio
+import contextlib
 import pathlib
 import signal
 
+from redwingchute.soak import crowd_client
+from redwingchute.soak import crowds
 from redwingchute.soak import fleet as fleet_lib
 from redwingchute.soak import observations
 from redwingchute.soak import plan
@@ -72,6 +75,8 @@
                     if is_other_build is not None:
                         self._fleet.choose_build(target, is_other_build)
                     await self._fleet.start(target)
+            case plan.Crowd():
+                await self._send_crowd(fault)
         applied = observations.AppliedFault(
             from_ms,
             base.now_ms(),
@@ -82,6 +87,22 @@
         self.applied.append(applied)
         observations.append_record(self._path, applied)
 
+    async def _send_crowd(self, crowd: plan.Crowd) -> None:
+        """Connects a crowd to a host until its time is over."""
+        address = self._fleet.find_address(crowd.target)
+        make_segments = crowds.UNFINISHED[crowd.shape]
+        async with contextlib.AsyncExitStack() as stack:
+            sending = []
+            for number in range(crowd.count):
+                client = crowd_client.CrowdClient(address, reads=True)
+                await stack.enter_async_context(client)
+                segments = make_segments(number)
+                sending.append(asyncio.ensure_future(client.send(segments)))
+            await asyncio.sleep(crowd.duration_ms / 1000)
+            for task in sending:
+                task.cancel()
+            await asyncio.wait(sending)
+
     async def _end_patch(self, fault: plan.Patch, starts: int) -> None:
         """Sets the fields of a patch back, unless the process has ended."""
         defaults: metadata_store.StoreFaults | runner.RunnerFaults
@@ -107,3 +128,5 @@
             return signal.SIGSTOP.name
         case plan.Restart(_, _, number):
             return number.name
+        case plan.Crowd():
+            return observations.CROWD
--- a/redwingchute/soak/observations.py
+++ b/redwingchute/soak/observations.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 import enum
 import json
+import math
 import pathlib
 from typing import Any
 
@@ -13,6 +14,8 @@
 
 # The name of a fault that a stand-in simulates.
 PATCH = "patch"
+# The name of a crowd of clients that misbehave.
+CROWD = "crowd"
 
 
 class Kind(enum.StrEnum):
@@ -140,6 +143,21 @@
         return self.from_ms <= until_ms and self.until_ms >= from_ms
 
 
+@attrs.frozen
+class Usage:
+    """What a process of a host used, or may use.
+
+    Attributes:
+      host: The host; empty for what any may use.
+      memory_mb: The most memory, as resident set.
+      descriptors: The most descriptors.
+    """
+
+    host: str
+    memory_mb: float
+    descriptors: int
+
+
 @attrs.frozen
 class RetryLimit:
     """The limit of the retries at a service, over all routers.
@@ -168,6 +186,8 @@
       max_lag_ms: The longest delay of the soak's own process.
       unread_messages: The messages that the last processes of the hosts could
         not decode.
+      usages: The most that a process of each host used.
+      usage_limit: What a process may use by its settings.
     """
 
     attempts: tuple[CallerAttempt, ...]
@@ -177,6 +197,8 @@
     unexpected_ends: tuple[str, ...] = ()
     max_lag_ms: int = 0
     unread_messages: int = 0
+    usages: tuple[Usage, ...] = ()
+    usage_limit: Usage = Usage("", math.inf, 2**31)
 
 
 def append_record(path: pathlib.Path, record: attrs.AttrsInstance) -> None:
--- a/redwingchute/soak/plan.py
+++ b/redwingchute/soak/plan.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from redwingchute.soak import crowds
 from redwingchute.soak import observations
 
 STORE = "store"
@@ -23,6 +24,7 @@
 _GIVE_UP_MS = (20, 600)
 _NEW_CONNECTION_SHARE = 0.15
 _STORE_AWAY_SHARE = 0.4
+_MAX_CROWD = 60
 _KIND_WEIGHTS = {
     observations.Kind.IDEMPOTENT: 3,
     observations.Kind.NON_IDEMPOTENT: 4,
@@ -100,7 +102,26 @@
     is_other_build: bool | None = None
 
 
-Fault: TypeAlias = Patch | Pause | Restart
+@attrs.frozen
+class Crowd:
+    """Clients connect to a host, misbehave and stay for some time.
+
+    Attributes:
+      at_ms: When they connect.
+      target: The host.
+      duration_ms: How long they stay.
+      shape: What they do, as of `crowds.UNFINISHED`.
+      count: Their number.
+    """
+
+    at_ms: int
+    target: str
+    duration_ms: int
+    shape: str
+    count: int
+
+
+Fault: TypeAlias = Patch | Pause | Restart | Crowd
 
 
 @attrs.frozen
@@ -359,6 +380,18 @@
         yield Pause(at_ms, host, source.randint(100, 3_000))
 
 
+def _plan_crowds(source: random.Random, size: Size) -> Iterator[Fault]:
+    """Yields crowds of clients that do not end their requests."""
+    for at_ms in _draw_times(source, 4_000, size.duration_ms):
+        yield Crowd(
+            at_ms,
+            source.choice(size.list_hosts()),
+            source.randint(500, 6_000),
+            source.choice(sorted(crowds.UNFINISHED)),
+            source.randint(10, _MAX_CROWD),
+        )
+
+
 def _plan_store_faults(source: random.Random, size: Size) -> Iterator[Fault]:
     """Yields times at which the store is stopped or refuses requests."""
     for at_ms in _draw_times(source, 8_000, size.duration_ms):
@@ -381,6 +414,7 @@
     "fleet-ends": _plan_fleet_ends,
     "host-pauses": _plan_host_pauses,
     "store": _plan_store_faults,
+    "crowds": _plan_crowds,
 }
 
 
--- a/redwingchute/soak/router_crowd_test.py
+++ b/redwingchute/soak/router_crowd_test.py
@@ -10,8 +10,9 @@
 import pytest
 
 from redwingchute.connection import http_client
-from redwingchute.testing import crowd_rig
-from redwingchute.testing import crowds
+from redwingchute.soak import crowd_client
+from redwingchute.soak import crowds
+from redwingchute.soak import process_usage
 from redwingchute.testing import gateway_rig
 
 pytestmark = pytest.mark.crowd
@@ -60,7 +61,7 @@
 async def _wait_until_steady(process_id: int) -> None:
     """Waits until a process has read what was sent to it."""
     peak_mb = 0.0
-    while (now_mb := crowd_rig.read_peak_memory_mb(process_id)) > peak_mb:
+    while (now_mb := process_usage.read_peak_memory_mb(process_id)) > peak_mb:
         peak_mb = now_mb
         await asyncio.sleep(_STEADY_S)
 
@@ -91,7 +92,7 @@
         async with contextlib.AsyncExitStack() as stack:
             sending = []
             for number in range(_COUNT):
-                member = crowd_rig.Member(crowded, reads=True)
+                member = crowd_client.CrowdClient(crowded, reads=True)
                 await stack.enter_async_context(member)
                 segments = crowds.send_body(missing_bytes=1)(number)
                 sending.append(asyncio.ensure_future(member.send(segments)))
@@ -99,10 +100,12 @@
             for task in sending:
                 task.cancel()
             await _wait_until_steady(process_id)
-            async with crowd_rig.Member(callers, reads=False) as ordinary:
+            async with crowd_client.CrowdClient(
+                callers, reads=False
+            ) as ordinary:
                 await ordinary.send(crowds.send_ordinary_request())
                 status = await ordinary.read_status()
-        return crowd_rig.read_peak_memory_mb(process_id), status
+        return process_usage.read_peak_memory_mb(process_id), status
 
     with (
         _run(tmp_path, "stand-in", "platform", f"--listen={platform}"),
--- a/redwingchute/soak/soak_command.py
+++ b/redwingchute/soak/soak_command.py
@@ -14,6 +14,7 @@
 from redwingchute.soak import lag_monitor
 from redwingchute.soak import observations as observations_lib
 from redwingchute.soak import plan
+from redwingchute.soak import process_usage
 
 _SHOWN_VIOLATIONS = 5
 # What one machine bears besides its other work.
@@ -42,7 +43,8 @@
     fleet = fleet_lib.Fleet(size, directory, other_build)
     callers = callers_lib.Callers(fleet, size, directory / "callers.jsonl")
     injector = injector_lib.Injector(fleet, directory / "faults.jsonl")
-    async with fleet, callers, lag_monitor.LagMonitor() as monitor:
+    usage = process_usage.UsageMonitor(fleet, size.list_hosts())
+    async with fleet, callers, usage, lag_monitor.LagMonitor() as monitor:
         await asyncio.gather(callers.run(requests), injector.run(faults))
         unexpected_ends = fleet.list_unexpected_ends()
         unread_messages = 0
@@ -56,6 +58,8 @@
         unexpected_ends,
         monitor.max_lag_ms,
         unread_messages,
+        tuple(usage.peaks.values()),
+        fleet_lib.USAGE_LIMIT,
     )
 
 
@@ -167,6 +171,10 @@
     yield "faults: " + _format_counts(
         collections.Counter(fault.name for fault in observed.faults)
     )
+    for usage in observed.usages:
+        yield f"most of {usage.host}: {usage.memory_mb:.0f} MB, " + (
+            f"{usage.descriptors} descriptors"
+        )
     yield f"longest delay of the soak itself: {observed.max_lag_ms} ms"
     for peak in checks.find_retry_peaks(observed):
         yield f"{peak.service}: at most {peak.describe()}"
--- a/redwingchute/soak/soak_command_test.py
+++ b/redwingchute/soak/soak_command_test.py
@@ -7,6 +7,7 @@
 import attrs
 
 from redwingchute.soak import checks
+from redwingchute.soak import crowds
 from redwingchute.soak import observations
 from redwingchute.soak import plan
 from redwingchute.soak import soak_command
@@ -138,3 +139,20 @@
     assert {peak.service for peak in peaks} == {"ledger", "llm"}
     violations = checks.check_all(observed)
     assert not violations, (len(violations), violations[:3])
+
+
+# Guards against hosts that leave callers unanswered, or use more than they
+# have, while clients beside these misbehave.
+def test_callers_are_answered_beside_crowds_that_misbehave(
+    tmp_path: pathlib.Path,
+) -> None:
+    faults: list[plan.Fault] = [
+        plan.Crowd(500 + 100 * number, host, 2_000, shape, 20)
+        for host in _SIZE.list_hosts()
+        for number, shape in enumerate(sorted(crowds.UNFINISHED))
+    ]
+    observed = _run(faults, tmp_path)
+    violations = checks.check_all(observed)
+    assert not violations, (len(violations), violations[:3])
+    assert len(observed.usages) == _SIZE.hosts
+    assert all(usage.memory_mb > 0 for usage in observed.usages)
--- a/redwingchute/testing/crowd_rig.py
+++ b/redwingchute/testing/crowd_rig.py
@@ -4,16 +4,16 @@
 from collections.abc import Iterator
 import contextlib
 import pathlib
-import re
 from types import TracebackType
 
 import attrs
 
-from redwingchute.connection import http_client
 from redwingchute.core import forwarding
+from redwingchute.soak import crowd_client
+from redwingchute.soak import crowds
 from redwingchute.soak import fleet as fleet_lib
 from redwingchute.soak import plan
-from redwingchute.testing import crowds
+from redwingchute.soak import process_usage
 
 HOST = "host-1"
 _UPSTREAMS = ("ledger-1", "llm-1")
@@ -99,7 +99,9 @@
         address = self.fleet.find_listeners(HOST)[crowd.listener]
         async with contextlib.AsyncExitStack() as stack:
             members = [
-                await stack.enter_async_context(Member(address, crowd.reads))
+                await stack.enter_async_context(
+                    crowd_client.CrowdClient(address, crowd.reads)
+                )
                 for _ in range(crowd.count)
             ]
             sending = [
@@ -116,7 +118,7 @@
     async def send_request(self, segments: Iterator[bytes]) -> int:
         """Sends one request; returns the status of its response, or 0."""
         address = self.fleet.find_address(HOST)
-        async with Member(address, reads=False) as member:
+        async with crowd_client.CrowdClient(address, reads=False) as member:
             await member.send(segments)
             return await member.read_status()
 
@@ -129,7 +131,7 @@
         is_alive = self.fleet.is_running(HOST)
         return Observation(
             is_alive,
-            read_peak_memory_mb(self.fleet.find_process_id(HOST))
+            process_usage.read_peak_memory_mb(self.fleet.find_process_id(HOST))
             if is_alive
             else 0.0,
             self._peak_descriptors,
@@ -156,79 +158,9 @@
     async def _sample(self) -> None:
         """Counts the gateway's descriptors until it is cancelled."""
         process_id = self.fleet.find_process_id(HOST)
-        folder = pathlib.Path(f"/proc/{process_id}/fd")
         while self.fleet.is_running(HOST):
-            with contextlib.suppress(OSError):
-                self._peak_descriptors = max(
-                    self._peak_descriptors, len(list(folder.iterdir()))
-                )
-            await asyncio.sleep(_SAMPLE_S)
-
-
-def read_peak_memory_mb(process_id: int) -> float:
-    """Returns the most memory that a process ever had, as resident set."""
-    status = pathlib.Path(f"/proc/{process_id}/status").read_text()
-    found = re.search(r"VmHWM:\s+(\d+) kB", status)
-    assert found
-    return int(found[1]) / 1024
-
-
-class Member:
-    """One client of a crowd; a context manager for its connection."""
-
-    def __init__(self, address: http_client.Address, reads: bool) -> None:
-        """Prepares a client.
-
-        Args:
-          address: The address that it connects to.
-          reads: Whether it reads what it receives.
-        """
-        self._address = address
-        self._reads = reads
-        self._streams: (
-            tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
-        ) = None
-        self._reading: asyncio.Task[bytes] | None = None
-
-    async def __aenter__(self) -> "Member":
-        """Connects; a refused connection is left closed."""
-        with contextlib.suppress(OSError):
-            self._streams = await asyncio.open_connection(
-                self._address.ip, self._address.port, limit=1_024
+            self._peak_descriptors = max(
+                self._peak_descriptors,
+                process_usage.count_descriptors(process_id),
             )
-            if self._reads:
-                self._reading = asyncio.ensure_future(self._streams[0].read())
-        return self
-
-    async def __aexit__(
-        self,
-        error_type: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Closes the connection."""
-        if self._reading is not None:
-            self._reading.cancel()
-            await asyncio.gather(self._reading, return_exceptions=True)
-        if self._streams is not None:
-            self._streams[1].transport.abort()
-
-    async def send(self, segments: Iterator[bytes]) -> None:
-        """Sends segments until their end, or until the connection is closed."""
-        if self._streams is None:
-            return
-        with contextlib.suppress(OSError):
-            for segment in segments:
-                self._streams[1].write(segment)
-                await self._streams[1].drain()
-                await asyncio.sleep(0)
-
-    async def read_status(self) -> int:
-        """Returns the status of the response; 0 if there is none."""
-        assert self._streams is not None
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(_TRY_S):
-                line = await self._streams[0].readline()
-                if line.startswith(b"HTTP/1.1 "):
-                    return int(line.split()[1])
-        return 0
+            await asyncio.sleep(_SAMPLE_S)
--- a/redwingchute/testing/soak_builders.py
+++ b/redwingchute/testing/soak_builders.py
@@ -68,8 +68,15 @@
     | observations.UpstreamEvent
     | observations.AppliedFault,
     unexpected_ends: tuple[str, ...] = (),
+    **fields: Any,
 ) -> observations.Observations:
-    """Returns observations with the given records."""
+    """Returns observations with the given records.
+
+    Args:
+      *records: The records.
+      unexpected_ends: The programs whose processes ended by themselves.
+      **fields: Further fields.
+    """
     return observations.Observations(
         attempts=tuple(
             record
@@ -88,4 +95,5 @@
         ),
         retry_limit=RETRY_LIMIT,
         unexpected_ends=unexpected_ends,
+        **fields,
     )
