Bound what waits unread on connections to upstreams, and metrics per turn

Found by reading for the class, without a failing test: a connection to an upstream held up to 384 KiB that nobody had read, for each stream whose caller reads slowly; it is 96 KiB now. Each request for metrics renders all of them, some 10 ms; requests on several connections now wait for turns of their own, so that one iteration of the loop renders at most one. A response that has just begun to wait for its client no longer gives way to a new connection.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -19,6 +19,7 @@
 import select
 import socket
 from types import TracebackType
+from typing import Any
 from typing import TypeAlias
 
 import attrs
@@ -29,6 +30,8 @@
 from redwingchute.core import short_ids
 
 _READ_BYTES = 64 * 1024
+# A connection is not read while twice this waits to be read from it.
+_READER_BYTES = 16 * 1024
 _PORT = re.compile(r"[0-9]{1,5}")
 _MAX_PORT = 65_535
 # What may be received of a response beyond its content: heads, chunk headers,
@@ -546,6 +549,18 @@
         )
 
 
+async def open_stream(
+    ip: str, port: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Opens a TCP connection that holds little which nobody has read yet."""
+    reader, writer = await asyncio.open_connection(
+        ip, port, limit=_READER_BYTES
+    )
+    transport: Any = writer.transport
+    transport.max_size = _READ_BYTES
+    return reader, writer
+
+
 class ClientPool:
     """A pool of idle connections to upstreams; closes them on exit.
 
@@ -561,7 +576,7 @@
         connect_timeout_ms: int = 1_000,
         max_idle_per_address: int = 32,
         tcp_user_timeout_ms: int | None = None,
-        open_stream: StreamOpener = asyncio.open_connection,
+        open_stream: StreamOpener = open_stream,
     ) -> None:
         """Creates an empty pool.
 
--- a/redwingchute/connection/resource_quota.py
+++ b/redwingchute/connection/resource_quota.py
@@ -79,14 +79,9 @@
     RUNNING = "running"
 
 
-# The order in which connections are closed for new ones. A request that runs
-# is not given up.
-_CLOSED_FIRST = (
-    Activity.LINGERING,
-    Activity.IDLE,
-    Activity.RECEIVING,
-    Activity.UNREAD,
-)
+# The order in which connections are closed for new ones, before those whose
+# client does not read. A request that runs is not given up.
+_CLOSED_FIRST = (Activity.LINGERING, Activity.IDLE, Activity.RECEIVING)
 
 
 class ConnectionHold:
@@ -285,19 +280,24 @@
         Returns:
           Whether there is one.
         """
-        latest_s = self._read_clock_s() - _UNREAD_S
-        for hold in self._holds[Activity.UNREAD]:
-            if hold.progress_s <= latest_s:
-                self._evict(hold, "response_unread")
-                return True
-            break
-        return False
+        victim = self._find_unread()
+        if victim is None:
+            return False
+        self._evict(victim, "response_unread")
+        return True
 
     def _find_connection_to_close(self) -> ConnectionHold | None:
         """Returns the connection that gives way to a new one, or None."""
         for activity in _CLOSED_FIRST:
             for hold in self._holds[activity]:
                 return hold
+        return self._find_unread()
+
+    def _find_unread(self) -> ConnectionHold | None:
+        """Returns the connection whose client does not read for longest."""
+        latest_s = self._read_clock_s() - _UNREAD_S
+        for hold in self._holds[Activity.UNREAD]:
+            return hold if hold.progress_s <= latest_s else None
         return None
 
     def _make_room(
--- a/redwingchute/platform/main.py
+++ b/redwingchute/platform/main.py
@@ -52,7 +52,7 @@
 
 
 def make_pool(
-    open_stream: http_client.StreamOpener = asyncio.open_connection,
+    open_stream: http_client.StreamOpener = http_client.open_stream,
 ) -> http_client.ClientPool:
     """Returns the pool of connections to upstreams and to the store.
 
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -622,6 +622,7 @@
     ) -> None:
         """Answers with all metrics as Prometheus text."""
         del request
+        await self._metrics_quota.turns.wait_for_turn()
         await responder.send(200, self._metrics.render(), "text/plain")
 
     def _explain_not_ready(self) -> str | None:
--- a/redwingchute/soak/crowds.py
+++ b/redwingchute/soak/crowds.py
@@ -169,6 +169,12 @@
     )
 
 
+def ask_for_metrics(number: int) -> Iterator[bytes]:
+    """Yields requests for metrics that do not wait for their responses."""
+    del number
+    yield b"GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n" * 2_000
+
+
 def send_garbage(number: int) -> Iterator[bytes]:
     """Yields bytes that are no request."""
     del number
@@ -194,6 +200,15 @@
         yield head.replace(f"crowd-{number}".encode(), long_id.encode())
 
 
+def ask_for_a_stream(number: int) -> Iterator[bytes]:
+    """Yields a request for a long stream."""
+    fields = ("model: m", "token-usage: 1,400000", "prompt-prefix: aa:1")
+    head = make_head(number, *fields, method="GET")
+    yield head.replace(b"/lookup/", b"/draft/").replace(
+        b"deadline-ms: 60000", b"deadline-ms: 20000"
+    )
+
+
 def send_unique_parts(number: int) -> Iterator[bytes]:
     """Yields streams with prompt parts that no other one has."""
     room = HEADER_BYTES - 1_024
@@ -258,6 +273,9 @@
     "responses_that_nobody_reads": Crowd(
         64, ask_for_a_response, faults=_LARGE_RESPONSES, reads=False
     ),
+    "streams_that_nobody_reads": Crowd(
+        64, ask_for_a_stream, faults=_QUICK_UPSTREAM, reads=False
+    ),
     "many_requests_at_once": Crowd(40, send_many_requests(1_000)),
     "many_refused_requests_at_once": Crowd(
         40, send_many_requests(2_000, key=_UNKNOWN_KEY)
@@ -282,6 +300,7 @@
         450, send_nothing, listener="metrics"
     ),
     "idle_connections_of_peers": Crowd(450, send_nothing, listener="peers"),
+    "many_requests_for_metrics": Crowd(40, ask_for_metrics, listener="metrics"),
     "bodies_for_readiness": Crowd(
         64, send_body(missing_bytes=1), listener="readiness"
     ),
