Return the memory of large bodies to the system

What callers saw: nothing yet; after a crowd a process kept 116 MB of the 124 that it had had at the most, on a host of 128.

Cause: the C library raises the size from which blocks get pages of their own to the largest block that was ever freed; from the first large body on all grow beside each other in one heap, and what outlives them keeps their holes. And the process itself was counted with 56 MB, which leaves nothing for that.

Change: that size is fixed at 64 KiB when the process starts; what is received at once from upstreams and peers, 32 KiB, stays below it. The process itself counts with 64 MB.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -30,6 +30,8 @@
 from redwingchute.core import short_ids
 
 _READ_BYTES = 64 * 1024
+# What is received at once.
+_RECEIVED_BYTES = 32 * 1024
 # A connection is not read while twice this waits to be read from it.
 _READER_BYTES = 16 * 1024
 _PORT = re.compile(r"[0-9]{1,5}")
@@ -557,7 +559,7 @@
         ip, port, limit=_READER_BYTES
     )
     transport: Any = writer.transport
-    transport.max_size = _READ_BYTES
+    transport.max_size = _RECEIVED_BYTES
     return reader, writer
 
 
--- a/redwingchute/platform/main.py
+++ b/redwingchute/platform/main.py
@@ -6,6 +6,7 @@
 import sys
 
 from redwingchute.connection import http_client
+from redwingchute.platform import allocator
 from redwingchute.platform import configuration_document
 from redwingchute.platform import headers
 from redwingchute.platform import settings_file
@@ -94,6 +95,7 @@
         for finding in findings:
             print(f"{finding.place}: {finding.message}", file=sys.stderr)
         sys.exit(_EXIT_BAD_SETTINGS)
+    allocator.return_large_blocks()
     decision_log.LOG.open(host=settings.host_name, zone=settings.zone)
     asyncio.run(run_gateway(settings))
 
--- a/redwingchute/process/peer_network.py
+++ b/redwingchute/process/peer_network.py
@@ -30,6 +30,8 @@
 # The handshakes of a fleet that starts at once, and what each is read by.
 _MAX_HANDSHAKES = 256
 _HANDSHAKE_READ_BYTES = 4 * 1024
+# What is read from a link at once.
+_READ_BYTES = 32 * 1024
 # A link is not read while twice this waits to be handled.
 _READER_BYTES = 64 * 1024
 _IDLE_LINK_MS = 60_000
@@ -256,7 +258,7 @@
         writer = None
         try:
             async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(
+                reader, writer = await http_client.open_stream(
                     address.ip, address.port
                 )
                 result = await peer_link.dial_link(
@@ -305,7 +307,6 @@
             del self._handshakes[oldest]
         self._handshakes[writer] = None
         transport: Any = writer.transport
-        read_bytes = transport.max_size
         transport.max_size = _HANDSHAKE_READ_BYTES
         try:
             async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
@@ -321,7 +322,7 @@
             self._count_failed_handshake(result)
             writer.transport.abort()
             return
-        transport.max_size = read_bytes
+        transport.max_size = _READ_BYTES
         if not result.is_tunnel:
             self._register_link(result)
         elif self._tunnel_handler is None:
--- a/redwingchute/process/process_limits.py
+++ b/redwingchute/process/process_limits.py
@@ -19,7 +19,7 @@
 _MIB = 1024 * 1024
 # The process without clients: the interpreter, the code, the state of a large
 # fleet, and what the allocator does not give back.
-_OWN_MEMORY_MB = 56
+_OWN_MEMORY_MB = 64
 # How the rest of the memory is divided.
 _CONNECTION_SHARE = 0.3
 _REQUEST_SHARE = 0.4
--- a/redwingchute/process/process_limits_test.py
+++ b/redwingchute/process/process_limits_test.py
@@ -14,7 +14,7 @@
     limits = process_limits.size_limits(memory_mb, descriptors)
     held_bytes = limits.request_bytes + limits.response_bytes
     held_bytes += 56 * 1024 * limits.caller_connections
-    assert held_bytes <= (memory_mb - 56) * 1024 * 1024
+    assert held_bytes <= (memory_mb - 64) * 1024 * 1024
     sockets = limits.caller_connections + limits.upstream_connections
     assert sockets + 3 * limits.internal_connections <= descriptors - 200
 
