--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -366,17 +366,20 @@
         )
 
     async def _read_counter(self, host: str, name: str) -> int:
-        """Returns a counter of the metrics of a host."""
-        fetched = await self._pool.fetch(
-            http_client.Address(self._find_ip(host), _METRICS_PORT),
-            "GET",
-            "/metrics",
-            [],
-            b"",
-            _CALL_TIMEOUT_MS,
-        )
-        if not isinstance(fetched, http_client.Fetched):
-            raise RuntimeError(f"{host} shows no metrics")
+        """Returns a counter of the metrics of a host, once it shows them."""
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while not isinstance(
+                fetched := await self._pool.fetch(
+                    http_client.Address(self._find_ip(host), _METRICS_PORT),
+                    "GET",
+                    "/metrics",
+                    [],
+                    b"",
+                    _CALL_TIMEOUT_MS,
+                ),
+                http_client.Fetched,
+            ):
+                await asyncio.sleep(_POLL_S)
         lines = fetched.body.decode().splitlines()
         return sum(
             int(float(line.rsplit(" ", 1)[1]))
--- a/redwingchute/soak/two_builds_test.py
+++ b/redwingchute/soak/two_builds_test.py
@@ -20,7 +20,7 @@
 from redwingchute.soak import spend_check
 
 # The commit that the previous landing ended with.
-_PREVIOUS_BUILD = "cd6d58858a377b88b103b1101c8f3faf8fc0ef7e"
+_PREVIOUS_BUILD = "b83117fb88f66d544f33b5a0e8447278a2284e34"
 _ROOT = pathlib.Path(__file__).parents[2]
 # Callers ask for more than that in this time.
 _PREPAID_TOKENS = 4_000
