Let a client read its last response while it goes on sending

What callers saw: a client that had sent over 16 KiB of a further request when it got its last response, as by a router that shuts down, saw a reset in place of it.

Cause: since early bytes are left unread, a connection that is closed after a response may have some, and closing then resets it.

Evidence: http_server_test, a client that sends after its last request: reset.

Change: what such a client still sends is discarded for up to 1 s, as after a refusal. A wait for a slow client leaves nothing to be called after its end.

Measured: the test passes.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -230,6 +230,7 @@
             raise ClientDisconnectedError from error
         finally:
             if self._hold is not None:
+                self._hold.handle_eviction = lambda: None
                 self._hold.set_activity(resource_quota.Activity.RUNNING)
 
 
@@ -466,9 +467,12 @@
             early = await self._run_handler(request, responder, reader, writer)
             del request
             hold.release()
-            if connection.our_state is not h11.DONE:
-                return
-            if connection.their_state is not h11.DONE:
+            if (
+                connection.our_state is not h11.DONE
+                or connection.their_state is not h11.DONE
+            ):
+                if early and connection.our_state is h11.MUST_CLOSE:
+                    await self._discard_rest(reader, writer, hold)
                 return
             connection.start_next_cycle()
             receiver.add_early(early)
--- a/redwingchute/connection/http_server_test.py
+++ b/redwingchute/connection/http_server_test.py
@@ -383,3 +383,34 @@
         return received
 
     assert asyncio.run(run()) < len(body)
+
+
+# A client that goes on sending lost the response to its last request: closing a
+# connection with unread bytes resets it.
+def test_a_client_that_sends_after_its_last_request_gets_the_response() -> None:
+    async def handle(
+        request: http_server.HttpRequest, responder: http_server.HttpResponder
+    ) -> None:
+        await asyncio.sleep(0.1)
+        await responder.send(200, b"ran")
+
+    async def run() -> bytes:
+        limits = attrs.evolve(_LIMITS, body_bytes=1024 * 1024)
+        async with http_server.HttpServer(
+            handle, "127.0.0.1", 0, limits
+        ) as server:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", server.port
+            )
+            last = _COMPLETE.replace(
+                b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"
+            )
+            writer.write(last + bytes(512 * 1024))
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await asyncio.sleep(0.5)
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            received = await reader.read()
+            writer.close()
+        return received
+
+    assert _list_statuses(asyncio.run(run())) == [200]
