--- a/redwingchute/testing/memory_peer_network.py
+++ b/redwingchute/testing/memory_peer_network.py
@@ -52,9 +52,10 @@
         metrics: telemetry.Metrics,
         read_clock_ms: Callable[[], int],
         advertised: http_client.Address | None = None,
+        max_handshakes: int = 0,
     ) -> None:
         """Prepares the network; see `PeerNetwork`."""
-        del advertised
+        del advertised, max_handshakes
         super().__init__(
             own_host, fleet_key, wire_codec, metrics, read_clock_ms
         )
