Count the bytes of reads of the shared log, and log how far behind one is

Cause: not changed by this commit. The log said "the exchange timed out" and no more, so that the hypotheses (a time limit over the whole exchange; more bytes than the link carries; other topics on the same link) looked the same.

Change: a response that does not come to its end says how much had come. log_lost has it, with the offset of the read; log_behind tells that a response does not reach the end of its topic, and by how many records; the metric log_bytes_received_total counts per topic what was used and what was lost.

Measured: the tests of followers, of the store client and of the timed log.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -118,11 +118,13 @@
       message: The error.
       is_unresponsive: Whether the upstream's host stopped acknowledging bytes.
       is_closed: Whether the upstream closed or reset the connection.
+      received_bytes: What `ClientPool.fetch` had received of the response.
     """
 
     message: str
     is_unresponsive: bool = False
     is_closed: bool = False
+    received_bytes: int = 0
 
 
 @attrs.frozen
@@ -458,6 +460,11 @@
         """Sets since when the connection has been idle."""
         self._idle_since_s = asyncio.get_running_loop().time()
 
+    @property
+    def received_bytes(self) -> int:
+        """What was received of the response to the present request."""
+        return self._received_bytes
+
     @property
     def idle_since_s(self) -> float:
         """Since when it has been idle, if it is."""
@@ -794,14 +801,18 @@
             return connection
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                return await _exchange(
+                result = await _exchange(
                     connection, method, target, headers, body, max_body_bytes
                 )
         except TimeoutError:
             connection.close()
-            return ExchangeBroken("the exchange timed out")
+            result = ExchangeBroken("the exchange timed out")
         finally:
+            received_bytes = connection.received_bytes
             self.release(connection)
+        if isinstance(result, ExchangeBroken):
+            return dataclasses.replace(result, received_bytes=received_bytes)
+        return result
 
 
 @attrs.frozen
--- a/redwingchute/platform/store_client.py
+++ b/redwingchute/platform/store_client.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import dataclasses
 import json
 import struct
 from typing import Any
@@ -116,11 +117,16 @@
             "part": _PARTITION,
         }
         records: list[shared_log.KeyedRecord] = []
+        received_bytes = 0
         next_position: shared_log.LogPosition | None = None
         while True:
             fetched = await self._call("GET", "/v1/log-newest", query, b"", 0)
             if isinstance(fetched, shared_log.LogUnavailable):
-                return fetched
+                received_bytes += fetched.received_bytes
+                return dataclasses.replace(
+                    fetched, received_bytes=received_bytes
+                )
+            received_bytes += len(fetched.body)
             era = _read_era(fetched)
             if next_position is not None and next_position.era != era:
                 return shared_log.LogUnavailable(
@@ -148,7 +154,9 @@
                     f"malformed page: {error}", era=era
                 )
             if not has_more:
-                return shared_log.Newest(tuple(records), next_position)
+                return shared_log.Newest(
+                    tuple(records), next_position, received_bytes
+                )
 
     async def _call(
         self,
@@ -179,8 +187,12 @@
                 return fetched
             case http_client.ConnectFailed(message):
                 return shared_log.LogUnavailable(message)
-            case http_client.ExchangeBroken(message):
-                return shared_log.LogUnavailable(message, may_have_run=True)
+            case http_client.ExchangeBroken() as broken:
+                return shared_log.LogUnavailable(
+                    broken.message,
+                    may_have_run=True,
+                    received_bytes=broken.received_bytes,
+                )
 
 
 def _encode_record(record: shared_log.KeyedRecord) -> bytes:
@@ -268,7 +280,8 @@
     return shared_log.ReadRecords(
         tuple(records),
         shared_log.LogPosition(era, next_offset),
-        has_more=next_offset < end_offset,
+        records_left=max(0, end_offset - next_offset),
+        received_bytes=len(body),
     )
 
 
--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -171,7 +171,12 @@
         self._metrics = telemetry.Metrics(settings.host_name, settings.zone)
         self._metrics.observe_events(decision_log.read_counts)
         self._log = era_log.EraLog(
-            timed_log.TimedLog(ports.log, read_boot_ms, self._record_log_call)
+            timed_log.TimedLog(
+                ports.log,
+                read_boot_ms,
+                self._record_log_call,
+                self._record_log_bytes,
+            )
         )
         self._upstream_directory = upstream_directory.UpstreamDirectory(
             settings.zone,
@@ -820,6 +825,12 @@
             elapsed_ms, {"call": call, "result": result}
         )
 
+    def _record_log_bytes(self, topic: str, is_used: bool, count: int) -> None:
+        """Records what a read of the shared log has received."""
+        self._metrics.log_bytes_received.add(
+            count, {"topic": topic, "outcome": "used" if is_used else "lost"}
+        )
+
 
 def _log_client_limit(resource: str, limit: int) -> None:
     """Logs that what is held for clients reaches a limit."""
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -70,6 +70,8 @@
       position: The position of the next read; None before the first one.
       failed_since_ms: When reads began to fail, on the same clock; 0 while
         they succeed.
+      records_left: How many records the topic had beyond the last read; 0 if
+        none, or if that is not known.
     """
 
     def __init__(
@@ -119,8 +121,7 @@
         # it did not return from a copy, or if that time is over.
         self._rewritten_ms = 0
         self._delivered: dict[str, _Delivered] = {}
-        # Whether the topic had more records than the last read returned.
-        self._has_more = False
+        self.records_left = 0
         self._lock = asyncio.Lock()
 
     @property
@@ -178,7 +179,7 @@
         for _ in range(_MAX_READS):
             if not await self._read_some(wait_ms):
                 return False
-            if not self._has_more:
+            if not self.records_left:
                 return True
             wait_ms = 0
         return False
@@ -196,7 +197,7 @@
         match await self._log.read(
             self._topic, self.position, wait_ms, timeout_ms
         ):
-            case shared_log.ReadRecords(records, next_position, has_more):
+            case shared_log.ReadRecords(records, next_position, records_left):
                 if (
                     self._handle_gap is not None
                     and records
@@ -206,8 +207,8 @@
                 for record in records:
                     self._deliver_if_newer(record, next_position.era)
                 self.position = next_position
-                self._has_more = has_more
-                if has_more:
+                self._record_left(records_left)
+                if records_left:
                     return True
                 # A read without a wait returns the records that the log
                 # has at some time after `started_ms`; a waiting read
@@ -231,7 +232,6 @@
     async def _start(self) -> shared_log.LogUnavailable | None:
         """Reads the newest record of each key."""
         started_ms = self._read_clock_ms()
-        self._has_more = False
         newest = await self._log.read_newest(self._topic)
         if isinstance(newest, shared_log.LogUnavailable):
             return newest
@@ -261,6 +261,7 @@
                 continue
             self._deliver_if_newer(record, newest.era)
         self.position = newest.next_position
+        self._record_left(0)
         if not self.is_settling:
             self._retain(frozenset(record.key for record in newest.records))
         self.confirmed_ms = started_ms
@@ -304,6 +305,18 @@
                 reason=decision_log.describe_error(error),
             )
 
+    def _record_left(self, records_left: int) -> None:
+        """Records how far the follower is behind; logs when that begins."""
+        if records_left and not self.records_left:
+            assert self.position is not None
+            decision_log.log_event(
+                "log_behind",
+                topic=self._topic,
+                offset=self.position.offset,
+                records_left=records_left,
+            )
+        self.records_left = records_left
+
     def _record_result(self, failure: shared_log.LogUnavailable | None) -> bool:
         """Logs when an outage of the topic starts or ends.
 
@@ -326,6 +339,10 @@
         if not self.failed_since_ms:
             self.failed_since_ms = now_ms
             decision_log.log_event(
-                "log_lost", topic=self._topic, reason=failure.message
+                "log_lost",
+                topic=self._topic,
+                reason=failure.message,
+                offset=None if self.position is None else self.position.offset,
+                received_bytes=failure.received_bytes,
             )
         return False
--- a/redwingchute/process/keyed_follower_test.py
+++ b/redwingchute/process/keyed_follower_test.py
@@ -256,9 +256,9 @@
         next_position = shared_log.LogPosition(
             position.era, position.offset + len(result.records[:1])
         )
-        has_more = next_position < result.next_position
+        records_left = result.next_position.offset - next_position.offset
         return shared_log.ReadRecords(
-            result.records[:1], next_position, has_more
+            result.records[:1], next_position, records_left
         )
 
 
--- a/redwingchute/process/shared_log.py
+++ b/redwingchute/process/shared_log.py
@@ -108,11 +108,13 @@
       message: The cause.
       may_have_run: Whether the call may have taken effect or may still do so.
       era: The era of the log; None if there was no response.
+      received_bytes: What was received of a response and discarded.
     """
 
     message: str
     may_have_run: bool = False
     era: int | None = None
+    received_bytes: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,12 +124,14 @@
     Attributes:
       records: The records in order.
       next_position: The position of the next read.
-      has_more: Whether the topic had further records at that time.
+      records_left: How many further records the topic had at that time.
+      received_bytes: The size of the response.
     """
 
     records: tuple[KeyedRecord, ...]
     next_position: LogPosition
-    has_more: bool = False
+    records_left: int = 0
+    received_bytes: int = dataclasses.field(default=0, compare=False)
 
     @property
     def era(self) -> int:
@@ -152,10 +156,12 @@
     Attributes:
       records: One record per key.
       next_position: The position from which reading continues without a gap.
+      received_bytes: The size of all pages.
     """
 
     records: tuple[KeyedRecord, ...]
     next_position: LogPosition
+    received_bytes: int = dataclasses.field(default=0, compare=False)
 
     @property
     def era(self) -> int:
--- a/redwingchute/process/telemetry.py
+++ b/redwingchute/process/telemetry.py
@@ -75,6 +75,7 @@
         self.event_gap_ms = self._create_histogram("event_gap_ms")
         self.request_ms = self._create_histogram("request_ms")
         self.log_call_ms = self._create_histogram("log_call_ms")
+        self.log_bytes_received = meter.create_counter("log_bytes_received")
         self.grant_wait_ms = self._create_histogram("grant_wait_ms")
         self.open_requests = meter.create_up_down_counter("open_requests")
 
--- a/redwingchute/process/timed_log_test.py
+++ b/redwingchute/process/timed_log_test.py
@@ -32,25 +32,29 @@
         wait_ms: int,
         response_timeout_ms: int | None = None,
     ) -> shared_log.ReadResult:
-        del topic, wait_ms
+        del topic
         self.now_ms += 7
-        return shared_log.ReadRecords((), position)
+        if not wait_ms:
+            return shared_log.LogUnavailable("stopped", received_bytes=9)
+        return shared_log.ReadRecords((), position, received_bytes=5)
 
     async def read_newest(
         self, topic: str
     ) -> shared_log.Newest | shared_log.LogUnavailable:
         del topic
         self.now_ms += 7
-        return shared_log.Newest((), _START)
+        return shared_log.Newest((), _START, received_bytes=3)
 
 
 def test_all_calls_except_waiting_reads_are_measured() -> None:
     slow = _SlowLog()
     calls = []
+    received: list[tuple[str, bool, int]] = []
     log = timed_log.TimedLog(
         slow,
         lambda: slow.now_ms,
         lambda call, result, ms: calls.append((call, result, ms)),
+        lambda topic, is_used, count: received.append((topic, is_used, count)),
     )
 
     async def call_all() -> None:
@@ -62,6 +66,7 @@
     asyncio.run(call_all())
     assert calls == [
         ("append", "LogUnavailable", 7),
-        ("read", "ReadRecords", 7),
+        ("read", "LogUnavailable", 7),
         ("read_newest", "Newest", 7),
     ]
+    assert received == [("t", False, 9), ("t", True, 5), ("t", True, 3)]
