Read the log over narrow links to its end, and the newest records when behind

Behind a link of 5 Mbit/s a router stayed at an old version for good after 19 versions of 251 KB in 4.6 s; 44 of 44 requests with a removed key were run from 3 to 15 s after its acknowledgement.

Cause: the time limit of a call bound the whole exchange. A read of four versions takes 1.6 s there and was given up after 0.7 to 1.5 s, and begun again at the same place. Besides, all versions were read, though only the newest one counts: without any limit they come 3.3 s after the last acknowledgement.

Change: a response is lost if it does not begin, pauses or trickles, not because it takes long. A read asks for what the link carries in 0.4 s, by the settings or as measured. A follower that is behind reads the newest record of each key where that is shorter than what is left. The stand-in of the store honours maxReadKb and ends its pages at 1 MB, as the pages say.

The test of reads that end only at the end of the topic gets a large record first: otherwise the follower now turns to the newest records after the first of 64 reads, and truly ends at the end. What it asserts is unchanged.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -25,6 +25,7 @@
 import attrs
 import h11
 
+from redwingchute.connection import body_pace
 from redwingchute.connection import buffered_bodies
 from redwingchute.connection import http_headers
 from redwingchute.core import short_ids
@@ -119,12 +120,14 @@
       is_unresponsive: Whether the upstream's host stopped acknowledging bytes.
       is_closed: Whether the upstream closed or reset the connection.
       received_bytes: What `ClientPool.fetch` had received of the response.
+      body_ms: The time since its head had arrived; 0 if it had not.
     """
 
     message: str
     is_unresponsive: bool = False
     is_closed: bool = False
     received_bytes: int = 0
+    body_ms: float = 0.0
 
 
 @attrs.frozen
@@ -361,10 +364,18 @@
                 self._pending_event = event
             return b"".join(parts)
 
-    async def read_body(self, max_bytes: int) -> bytes | ExchangeBroken:
+    async def read_body(
+        self,
+        max_bytes: int,
+        handle_part: Callable[[int], None] = lambda _: None,
+    ) -> bytes | ExchangeBroken:
         """Reads the whole body, or fails when it is too large.
 
         It also fails when all bodies that are read at the same time are.
+
+        Args:
+          max_bytes: The largest accepted body.
+          handle_part: Called with the size so far after each part.
         """
         body = io.BytesIO()
         try:
@@ -376,6 +387,7 @@
                         if body.tell() > max_bytes or not has_room:
                             self.close()
                             return ExchangeBroken("the body is too large")
+                        handle_part(body.tell())
                     case BodyEnd():
                         return body.getvalue()
                     case ExchangeBroken() as broken:
@@ -781,6 +793,7 @@
         body: bytes,
         timeout_ms: int,
         max_body_bytes: int = 16 * 1024 * 1024,
+        pace: body_pace.BodyPace | None = None,
     ) -> "Fetched | ConnectFailed | ExchangeBroken":
         """Sends a request and receives the complete response.
 
@@ -792,6 +805,9 @@
           body: The whole body.
           timeout_ms: The timeout of the exchange, without connecting.
           max_body_bytes: The largest accepted body of a response.
+          pace: How slowly the bodies may be transferred; the timeout is then
+            that of the response's head, beside the transfer of the request.
+            None to have the timeout bound the whole exchange.
 
         Returns:
           The response, or why the exchange failed.
@@ -799,20 +815,26 @@
         connection = await self.acquire(address)
         if isinstance(connection, ConnectFailed):
             return connection
+        exchange = _Exchange(connection, pace)
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                result = await _exchange(
-                    connection, method, target, headers, body, max_body_bytes
-                )
+            result = await exchange.run(
+                method, target, headers, body, timeout_ms, max_body_bytes
+            )
         except TimeoutError:
             connection.close()
             result = ExchangeBroken("the exchange timed out")
         finally:
             received_bytes = connection.received_bytes
             self.release(connection)
-        if isinstance(result, ExchangeBroken):
-            return dataclasses.replace(result, received_bytes=received_bytes)
-        return result
+        match result:
+            case ExchangeBroken():
+                return dataclasses.replace(
+                    result,
+                    received_bytes=received_bytes,
+                    body_ms=exchange.measure_body_ms(),
+                )
+            case Fetched():
+                return result
 
 
 @attrs.frozen
@@ -823,32 +845,85 @@
       status: The HTTP status.
       headers: Header values by lower-case name; the last one of each name.
       body: The whole body.
+      body_ms: The time from the end of the head to that of the body.
     """
 
     status: int
     headers: dict[str, str]
     body: bytes
+    body_ms: float = 0.0
+
+
+class _Exchange:
+    """One request on a connection and its complete response."""
+
+    def __init__(
+        self, connection: ClientConnection, pace: body_pace.BodyPace | None
+    ) -> None:
+        """Prepares an exchange.
+
+        Args:
+          connection: The connection.
+          pace: As of `ClientPool.fetch`.
+        """
+        self._connection = connection
+        self._pace = pace
+        self._loop = asyncio.get_running_loop()
+        # When the head had arrived, on the loop's clock; 0 before.
+        self._begin_ms = 0.0
 
+    async def run(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        timeout_ms: float,
+        max_body_bytes: int,
+    ) -> Fetched | ExchangeBroken:
+        """Sends a request and reads the response; see `ClientPool.fetch`.
+
+        Raises:
+          TimeoutError: The response did not arrive in time.
+        """
+        if self._pace is not None:
+            timeout_ms += self._pace.find_transfer_ms(len(body))
+        async with asyncio.timeout(timeout_ms / 1000) as limit:
+            broken = await self._connection.send_request(
+                method, target, headers, body
+            )
+            if broken is not None:
+                return broken
+            head = await self._connection.read_head()
+            if isinstance(head, ExchangeBroken):
+                return head
+            self._begin_ms = self._read_clock_ms()
+            self._extend(limit, 0)
+            content = await self._connection.read_body(
+                max_body_bytes, lambda size: self._extend(limit, size)
+            )
+        if isinstance(content, ExchangeBroken):
+            return content
+        return Fetched(
+            head.status, head.headers, content, self.measure_body_ms()
+        )
+
+    def measure_body_ms(self) -> float:
+        """Returns the time since the head had arrived; 0 if it has not."""
+        return self._read_clock_ms() - self._begin_ms if self._begin_ms else 0.0
+
+    def _extend(self, limit: asyncio.Timeout, received_bytes: int) -> None:
+        """Sets by when the next part of the body has to arrive."""
+        if self._pace is None or limit.expired():
+            return
+        deadline_ms = self._pace.find_deadline_ms(
+            self._begin_ms, self._read_clock_ms(), received_bytes
+        )
+        limit.reschedule(deadline_ms / 1000)
 
-async def _exchange(
-    connection: ClientConnection,
-    method: str,
-    target: str,
-    headers: list[tuple[str, str]],
-    body: bytes,
-    max_body_bytes: int,
-) -> Fetched | ExchangeBroken:
-    """Sends a request on a connection and reads the complete response."""
-    broken = await connection.send_request(method, target, headers, body)
-    if broken is not None:
-        return broken
-    head = await connection.read_head()
-    if isinstance(head, ExchangeBroken):
-        return head
-    content = await connection.read_body(max_body_bytes)
-    if isinstance(content, ExchangeBroken):
-        return content
-    return Fetched(head.status, head.headers, content)
+    def _read_clock_ms(self) -> float:
+        """Returns the time on the clock of the event loop."""
+        return 1000 * self._loop.time()
 
 
 def _make_protocol() -> h11.Connection:
--- a/redwingchute/connection/http_client_test.py
+++ b/redwingchute/connection/http_client_test.py
@@ -4,6 +4,7 @@
 import socket
 from unittest import mock
 
+from redwingchute.connection import body_pace
 from redwingchute.connection import http_client
 from redwingchute.testing import scripted_upstream
 
@@ -255,3 +256,58 @@
         return open_count, newest_idle
 
     assert asyncio.run(run()) == (4, 1)
+
+
+def _fetch_slow_body(
+    part_bytes: int, parts: int, pause_s: float
+) -> (
+    http_client.Fetched | http_client.ConnectFailed | http_client.ExchangeBroken
+):
+    """Fetches a response whose body is sent in parts, with pauses."""
+
+    async def serve(connection: scripted_upstream.UpstreamConnection) -> None:
+        await connection.read_request()
+        length = part_bytes * parts
+        await connection.send(
+            b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % length
+        )
+        await connection.send(*[bytes(part_bytes)] * parts, pause_s=pause_s)
+
+    async def run() -> (
+        http_client.Fetched
+        | http_client.ConnectFailed
+        | http_client.ExchangeBroken
+    ):
+        async with (
+            scripted_upstream.ScriptedUpstream(serve) as upstream,
+            http_client.ClientPool() as pool,
+        ):
+            return await pool.fetch(
+                upstream.address,
+                "GET",
+                "/",
+                [],
+                b"",
+                200,
+                pace=body_pace.BodyPace(200, 10_000),
+            )
+
+    return asyncio.run(run())
+
+
+# A response that a narrow link carries was given up at the time limit of a
+# small one, and begun again from its first byte.
+def test_a_response_that_goes_on_arriving_is_not_given_up() -> None:
+    fetched = _fetch_slow_body(10_000, 12, 0.05)
+    assert isinstance(fetched, http_client.Fetched)
+    assert len(fetched.body) == 120_000
+    assert fetched.body_ms > 0
+
+
+def test_a_response_that_stops_or_trickles_is_given_up() -> None:
+    stopped = _fetch_slow_body(10_000, 2, 5.0)
+    assert isinstance(stopped, http_client.ExchangeBroken)
+    assert 10_000 <= stopped.received_bytes < 20_000
+    trickling = _fetch_slow_body(1, 1_000, 0.02)
+    assert isinstance(trickling, http_client.ExchangeBroken)
+    assert trickling.received_bytes < 200
--- a/redwingchute/platform/main.py
+++ b/redwingchute/platform/main.py
@@ -16,6 +16,7 @@
 from redwingchute.process import gateway
 from redwingchute.process import gateway_settings
 from redwingchute.process import operator_records
+from redwingchute.process import read_size
 
 _EXIT_BAD_SETTINGS = 2
 # The path of the balancer's readiness checks.
@@ -29,16 +30,17 @@
 
 
 def make_ports(
-    pool: http_client.ClientPool, address: http_client.Address
+    pool: http_client.ClientPool, settings: gateway_settings.GatewaySettings
 ) -> gateway.GatewayPorts:
     """Returns the gateway's ports, implemented for this platform.
 
     Args:
       pool: The connections to the platform's store.
-      address: The address of the store.
+      settings: The settings of the process.
     """
+    size = read_size.ReadSize(settings.read_limits)
     return gateway.GatewayPorts(
-        log=store_client.StoreClient(pool, address),
+        log=store_client.StoreClient(pool, settings.log_address, size),
         translator=headers.PlatformHeaderTranslator(),
         operator_topic=operator_records.OperatorTopic(
             name=configuration_document.TOPIC,
@@ -82,7 +84,7 @@
         signal.SIGHUP, lambda: decision_log.log_event("reloaded")
     )
     async with make_pool() as pool:
-        ports = make_ports(pool, settings.log_address)
+        ports = make_ports(pool, settings)
         async with gateway.Gateway(settings, ports, pool) as running:
             await stopping.wait()
             await running.stop()
--- a/redwingchute/platform/settings_file.py
+++ b/redwingchute/platform/settings_file.py
@@ -10,10 +10,13 @@
 import pathlib
 from typing import TypeVar
 
+import attrs
+
 from redwingchute.connection import http_client
 from redwingchute.core import data
 from redwingchute.process import gateway_settings
 from redwingchute.process import process_limits
+from redwingchute.process import read_size
 
 PATH_VARIABLE = "REDWINGCHUTE_CONFIG"
 DEFAULT_PATH = "/etc/redwingchute/settings.conf"
@@ -22,6 +25,7 @@
 CROSSING_PRICE_VARIABLE = "REDWINGCHUTE_ZONE_CROSSING_MS_PER_MB"
 # Whether too little room is divided among client accounts: 1, or 0 for no.
 DIVIDED_ROOM_VARIABLE = "REDWINGCHUTE_DIVIDE_ROOM"
+_LINK_BYTES_PER_MBPS = 125_000
 # The metrics port in deploy/system.toml.
 _METRICS_PORT = 9464
 
@@ -108,6 +112,7 @@
         max_descriptors=reader.read_positive(
             "limits.maxFds", process_limits.DEFAULT_MAX_DESCRIPTORS
         ),
+        read_limits=_read_limits(reader),
     )
     return (None if reader.findings else decoded), reader.findings
 
@@ -188,6 +193,20 @@
         self.findings.append(data.Finding(f"{self._place}: {name}", message))
 
 
+def _read_limits(reader: _FieldReader) -> read_size.ReadLimits:
+    """Returns what bounds a read of the store; 0 counts as not stated."""
+    found = read_size.ReadLimits()
+    link_mbps = reader.read_number("limits.linkMbps", 0.0)
+    if link_mbps > 0:
+        found = attrs.evolve(
+            found, link_bytes_per_s=link_mbps * _LINK_BYTES_PER_MBPS
+        )
+    record_bytes = reader.read_number("platform.recordBytes", 0.0)
+    if 0 < record_bytes < math.inf:
+        found = attrs.evolve(found, record_bytes=int(record_bytes))
+    return found
+
+
 def _read_price(text: str, findings: list[data.Finding]) -> float:
     """Returns the price of leaving the zone; adds a finding if it is none."""
     if not text:
--- a/redwingchute/platform/store_client.py
+++ b/redwingchute/platform/store_client.py
@@ -11,14 +11,19 @@
 from typing import Any
 import urllib.parse
 
+from redwingchute.connection import body_pace
 from redwingchute.connection import http_client
 from redwingchute.core import untrusted
+from redwingchute.process import read_size
 from redwingchute.process import shared_log
 
-# How long a call may take, in addition to the wait that it requests. The store
-# responds within milliseconds, or within tens to hundreds of milliseconds when
-# it is slow.
+# How long a call may take until its response begins, in addition to the wait
+# that it requests. The store responds within milliseconds, or within tens to
+# hundreds of milliseconds when it is slow.
 CALL_TIMEOUT_MS = 1_500
+# A slower transfer is given up: a link of 5 Mbit/s, the narrowest one in use,
+# carries nearly twenty times as much.
+_MIN_BYTES_PER_S = 32 * 1024
 _MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # The store keeps the newest record of each key only in topics whose names begin
 # with this.
@@ -37,16 +42,21 @@
     """Calls the platform's store; implements `shared_log.SharedLog`."""
 
     def __init__(
-        self, pool: http_client.ClientPool, address: http_client.Address
+        self,
+        pool: http_client.ClientPool,
+        address: http_client.Address,
+        size: read_size.ReadSize | None = None,
     ) -> None:
         """Creates a client.
 
         Args:
           pool: The connections to the store.
           address: The address of the store.
+          size: How much a read asks for; None for that of a wide link.
         """
         self._pool = pool
         self._address = address
+        self._size = size or read_size.ReadSize(read_size.ReadLimits())
 
     async def append(
         self,
@@ -83,6 +93,7 @@
             "topic": TOPIC_PREFIX + topic,
             "part": _PARTITION,
             "source": position.offset,
+            "maxReadKb": self._size.choose_bytes() // 1024,
         }
         if wait_ms:
             query["waitMs"] = wait_ms
@@ -181,13 +192,16 @@
             body,
             wait_ms + response_timeout_ms,
             _MAX_RESPONSE_BYTES,
+            body_pace.BodyPace(response_timeout_ms, _MIN_BYTES_PER_S),
         )
         match fetched:
             case http_client.Fetched():
+                self._size.record(len(fetched.body), fetched.body_ms)
                 return fetched
             case http_client.ConnectFailed(message):
                 return shared_log.LogUnavailable(message)
             case http_client.ExchangeBroken() as broken:
+                self._size.record(broken.received_bytes, broken.body_ms)
                 return shared_log.LogUnavailable(
                     broken.message,
                     may_have_run=True,
--- a/redwingchute/process/gateway_settings.py
+++ b/redwingchute/process/gateway_settings.py
@@ -6,6 +6,7 @@
 
 from redwingchute.connection import http_client
 from redwingchute.process import process_limits
+from redwingchute.process import read_size
 
 
 @attrs.frozen
@@ -38,6 +39,7 @@
         otherwise requests are refused by their delay alone.
       memory_mb: The memory at which the host kills the process.
       max_descriptors: The descriptors that the process may have.
+      read_limits: What bounds a read of the shared log.
     """
 
     host_name: str
@@ -61,3 +63,4 @@
     divides_room: bool = False
     memory_mb: float = process_limits.DEFAULT_MEMORY_MB
     max_descriptors: float = process_limits.DEFAULT_MAX_DESCRIPTORS
+    read_limits: read_size.ReadLimits = read_size.ReadLimits()
--- a/redwingchute/process/keyed_follower.py
+++ b/redwingchute/process/keyed_follower.py
@@ -2,7 +2,8 @@
 
 The follower starts with the newest record of each key and then reads all
 later records. It restarts from the newest records when the log has deleted
-the records at its offset, or has returned from an earlier copy. A record is
+the records at its offset, has returned from an earlier copy, or has so many
+further records that their newest ones are shorter. A record is
 skipped unless it is newer than the last one that was delivered for its key. A
 key's value thus goes back only with the log itself.
 
@@ -29,6 +30,10 @@
 # A topic that has more records than these reads return grows faster than it can
 # be read.
 _MAX_READS = 64
+# The list of the newest records holds values in base64, and each with the names
+# of its fields.
+_LISTED_SHARE = 4 / 3
+_LISTED_ENTRY_BYTES = 48
 
 
 @attrs.frozen
@@ -37,11 +42,16 @@
 
     Attributes:
       position: Its position.
-      is_present: Whether the key has a value.
+      size_bytes: The size of its key and value; 0 if it has no value.
     """
 
     position: shared_log.LogPosition
-    is_present: bool
+    size_bytes: int
+
+    @property
+    def is_present(self) -> bool:
+        """Whether the key has a value."""
+        return self.size_bytes > 0
 
 
 @attrs.frozen
@@ -122,6 +132,8 @@
         self._rewritten_ms = 0
         self._delivered: dict[str, _Delivered] = {}
         self.records_left = 0
+        # The mean size of the records that the last read returned.
+        self._last_record_bytes = 0.0
         self._lock = asyncio.Lock()
 
     @property
@@ -190,6 +202,7 @@
             self.position is None
             or self.position.era != self._log.era
             or 0 < self._rewritten_ms <= self._read_clock_ms()
+            or self._is_list_shorter()
         ):
             return self._record_result(await self._start())
         started_ms = self._read_clock_ms()
@@ -207,7 +220,7 @@
                 for record in records:
                     self._deliver_if_newer(record, next_position.era)
                 self.position = next_position
-                self._record_left(records_left)
+                self._record_left(records_left, records)
                 if records_left:
                     return True
                 # A read without a wait returns the records that the log
@@ -261,7 +274,7 @@
                 continue
             self._deliver_if_newer(record, newest.era)
         self.position = newest.next_position
-        self._record_left(0)
+        self._record_left(0, ())
         if not self.is_settling:
             self._retain(frozenset(record.key for record in newest.records))
         self.confirmed_ms = started_ms
@@ -271,7 +284,7 @@
         """Removes all keys except the given ones."""
         for key, delivered in self._delivered.items():
             if key not in keys:
-                self._delivered[key] = attrs.evolve(delivered, is_present=False)
+                self._delivered[key] = attrs.evolve(delivered, size_bytes=0)
         if self._retain_only is not None:
             self._retain_only(keys)
 
@@ -291,7 +304,7 @@
         if delivered is not None and position <= delivered.position:
             return
         self._delivered[record.key] = _Delivered(
-            position, record.value is not None
+            position, 0 if record.value is None else _measure(record)
         )
         try:
             self._on_record(record)
@@ -305,8 +318,33 @@
                 reason=decision_log.describe_error(error),
             )
 
-    def _record_left(self, records_left: int) -> None:
-        """Records how far the follower is behind; logs when that begins."""
+    def _is_list_shorter(self) -> bool:
+        """Returns whether the newest records take less than those left.
+
+        The records that are left are taken to be as large as those of the last
+        read. It may have returned none, if the next one does not fit into it.
+        """
+        if not self.records_left:
+            return False
+        list_bytes = sum(
+            _LISTED_SHARE * delivered.size_bytes + _LISTED_ENTRY_BYTES
+            for delivered in self._delivered.values()
+            if delivered.is_present
+        )
+        return (
+            not self._last_record_bytes
+            or self.records_left * self._last_record_bytes > list_bytes
+        )
+
+    def _record_left(
+        self, records_left: int, records: tuple[shared_log.KeyedRecord, ...]
+    ) -> None:
+        """Records how far the follower is behind; logs when that begins.
+
+        Args:
+          records_left: How many records the topic has beyond the last read.
+          records: The records of that read.
+        """
         if records_left and not self.records_left:
             assert self.position is not None
             decision_log.log_event(
@@ -316,6 +354,9 @@
                 records_left=records_left,
             )
         self.records_left = records_left
+        self._last_record_bytes = sum(map(_measure, records)) / max(
+            1, len(records)
+        )
 
     def _record_result(self, failure: shared_log.LogUnavailable | None) -> bool:
         """Logs when an outage of the topic starts or ends.
@@ -346,3 +387,8 @@
                 received_bytes=failure.received_bytes,
             )
         return False
+
+
+def _measure(record: shared_log.KeyedRecord) -> int:
+    """Returns the size of a record's key and value."""
+    return 1 + len(record.key) + len(record.value or b"")
--- a/redwingchute/process/keyed_follower_test.py
+++ b/redwingchute/process/keyed_follower_test.py
@@ -282,6 +282,9 @@
     assert asyncio.run(follower.read_once())
     assert delivered == ["a", "b", "c"]
     assert follower.confirmed_ms == reader.now_ms
+    # The list of the newest records would take longer than the rest.
+    reader.append("a", bytes(10_000))
+    assert asyncio.run(follower.read_once())
     for _ in range(100):
         reader.append("d", b"1")
     reader.now_ms += 500
@@ -298,3 +301,79 @@
     assert reader.delivered == [("a", b"1")]
     reader.log.is_unavailable = True
     assert not asyncio.run(reader.follower.confirm())
+
+
+class _CountingLog(_PagedLog):
+    """Counts the reads; some return no record, as if it were too large."""
+
+    def __init__(self, is_too_large: bool) -> None:
+        super().__init__()
+        self.calls: list[str] = []
+        self._is_too_large = is_too_large
+
+    async def read(
+        self,
+        topic: str,
+        position: shared_log.LogPosition,
+        wait_ms: int,
+        response_timeout_ms: int | None = None,
+    ) -> shared_log.ReadResult:
+        self.calls.append("read")
+        result = await super().read(
+            topic, position, wait_ms, response_timeout_ms
+        )
+        if self._is_too_large and isinstance(result, shared_log.ReadRecords):
+            left = self.topic.end_offset - position.offset
+            return shared_log.ReadRecords((), position, left)
+        return result
+
+    async def read_newest(
+        self, topic: str
+    ) -> shared_log.Newest | shared_log.LogUnavailable:
+        self.calls.append("read_newest")
+        return await super().read_newest(topic)
+
+
+# Guards against a router that reads each of many versions behind a narrow link,
+# though only the newest one counts.
+def test_a_follower_that_is_behind_turns_to_the_newest_records() -> None:
+    reader = _Reader()
+    log = _CountingLog(False)
+    reader.log = log
+    delivered: list[tuple[str, bytes | None]] = []
+    follower = keyed_follower.KeyedFollower(
+        era_log.EraLog(log),
+        "op",
+        _POLL_TIMING,
+        lambda: reader.now_ms,
+        lambda record: delivered.append((record.key, record.value)),
+    )
+    reader.append("config", bytes(100_000))
+    reader.append("zone", b"1")
+    assert asyncio.run(follower.read_once())
+    for number in range(18):
+        reader.append("config", bytes([number]) * 100_000)
+    reader.append("zone", None)
+    assert asyncio.run(follower.read_once())
+    assert log.calls == ["read_newest", "read", "read_newest"]
+    assert ("config", bytes([17]) * 100_000) in delivered
+    assert follower.position == shared_log.LogPosition(0, 21)
+
+
+# Guards against a router that asks for a record again and again that does not
+# fit into what a read asks for.
+def test_a_record_that_no_read_returns_is_read_with_the_newest() -> None:
+    reader = _Reader()
+    log = _CountingLog(True)
+    reader.log = log
+    follower = keyed_follower.KeyedFollower(
+        era_log.EraLog(log),
+        "op",
+        _POLL_TIMING,
+        lambda: reader.now_ms,
+        lambda record: reader.delivered.append((record.key, record.value)),
+    )
+    assert asyncio.run(follower.read_once())
+    reader.append("config", bytes(1_000))
+    assert asyncio.run(follower.read_once())
+    assert reader.delivered == [("config", bytes(1_000))]
--- a/redwingchute/process/shared_log.py
+++ b/redwingchute/process/shared_log.py
@@ -209,7 +209,8 @@
           position: The position of the first record.
           wait_ms: How long to wait if there is no record yet.
           response_timeout_ms: How long after the wait the read counts as
-            lost; None for the limit of all calls.
+            lost if no response has begun, and how long one may then pause;
+            None for the limit of all calls.
         """
 
     async def read_newest(self, topic: str) -> Newest | LogUnavailable:
--- a/redwingchute/standin/metadata_store.py
+++ b/redwingchute/standin/metadata_store.py
@@ -31,6 +31,8 @@
 _END_AND_FIRST_OFFSET = struct.Struct(">QQ")
 _MAX_WAIT_MS = 30_000
 _MAX_PAGE_ENTRIES = 500
+_MAX_PAGE_BYTES = 1_000_000
+_DEFAULT_READ_KB = 1_024
 # Topics that only the operator and the upstreams may write.
 _FOREIGN_TOPICS = frozenset({"keyed.op", "keyed.servers"})
 _ERA_HEADER = "store-era"
@@ -308,7 +310,12 @@
         payload = _END_AND_FIRST_OFFSET.pack(
             topic.end_offset, topic.first_offset
         )
-        payload += b"".join(map(_encode_record, result.records))
+        max_bytes = 1024 * int(query.get("maxReadKb", _DEFAULT_READ_KB))
+        for record in result.records:
+            encoded = _encode_record(record)
+            if len(payload) + len(encoded) > max_bytes:
+                break
+            payload += encoded
         await self._send(responder, 200, payload, "application/octet-stream")
 
     async def _read_newest(
@@ -321,17 +328,19 @@
             (record for record in newest.records if record.key > after),
             key=lambda record: record.key,
         )
-        page = records[:_MAX_PAGE_ENTRIES]
+        entries: list[dict[str, Any]] = []
+        page_bytes = 0
+        for record in records[:_MAX_PAGE_ENTRIES]:
+            value = base64.b64encode(record.value or b"").decode()
+            page_bytes += len(value)
+            if entries and page_bytes > _MAX_PAGE_BYTES:
+                break
+            entries.append(
+                {"key": record.key, "value": value, "offset": record.offset}
+            )
         fields = {
-            "entries": [
-                {
-                    "key": record.key,
-                    "value": base64.b64encode(record.value or b"").decode(),
-                    "offset": record.offset,
-                }
-                for record in page
-            ],
-            "hasMore": len(records) > len(page),
+            "entries": entries,
+            "hasMore": len(records) > len(entries),
             "endOffset": newest.next_position.offset,
         }
         await self._send(responder, 200, json.dumps(fields).encode())
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -16,9 +16,11 @@
 from redwingchute.platform import main as platform_main
 from redwingchute.process import gateway
 from redwingchute.process import gateway_settings
+from redwingchute.process import read_size
 from redwingchute.process.prepaid import grant_fold
 from redwingchute.standin import metadata_store
 from redwingchute.standin import runner
+from redwingchute.testing import narrow_link
 from redwingchute.testing import upstream_cut
 
 KEY = "key-1"
@@ -104,6 +106,7 @@
       runners: The stand-ins of runners by their ids.
       gateways: The gateways.
       cuts: What cuts each of them off from upstreams.
+      links: The link of each of them to the store, if its width is limited.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         zone_regions: Mapping[str, str] | None = None,
         crossing_ms_per_mb: float = 0.0,
         stop_ms: int = 8_000,
+        link_bytes_per_s: float | None = None,
     ) -> None:
         """Prepares the rig; entering its context starts the parts.
 
@@ -128,12 +132,16 @@
           zone_regions: The regions of zones.
           crossing_ms_per_mb: The price of leaving a zone.
           stop_ms: The time limit of a graceful shutdown.
+          link_bytes_per_s: The width of the link of each gateway to the store;
+            None for no limit.
         """
         self._stop_ms = stop_ms
+        self._link_bytes_per_s = link_bytes_per_s
         self.store = metadata_store.MetadataStore()
         self.runners: dict[str, runner.Runner] = {}
         self.gateways: list[gateway.Gateway] = []
         self.cuts: list[upstream_cut.UpstreamCut] = []
+        self.links: list[narrow_link.NarrowLink] = []
         self._gateway_count = gateway_count
         self._addresses = addresses or {}
         self._zones = zones or {}
@@ -303,7 +311,7 @@
         """Starts gateways together and waits until all are ready."""
         ports = find_free_ports(4 * len(host_names))
         added = [
-            self._add_gateway(host_name, ports[4 * index : 4 * index + 4])
+            await self._add_gateway(host_name, ports[4 * index : 4 * index + 4])
             for index, host_name in enumerate(host_names)
         ]
         for subject in added:
@@ -311,8 +319,19 @@
         for subject in added:
             await self._wait_until_ready(subject)
 
-    def _add_gateway(self, host_name: str, ports: list[int]) -> gateway.Gateway:
+    async def _add_gateway(
+        self, host_name: str, ports: list[int]
+    ) -> gateway.Gateway:
         """Adds a gateway with its connections; the caller starts it."""
+        log_address = http_client.Address(_ADDRESS, self.store.port)
+        limits = read_size.ReadLimits()
+        if self._link_bytes_per_s is not None:
+            link = await self._stack.enter_async_context(
+                narrow_link.NarrowLink(log_address, self._link_bytes_per_s)
+            )
+            self.links.append(link)
+            log_address = link.address
+            limits = read_size.ReadLimits(self._link_bytes_per_s)
         addresses = [http_client.Address(_ADDRESS, port) for port in ports]
         zone = self._zones.get(host_name, "huon")
         settings = gateway_settings.GatewaySettings(
@@ -322,7 +341,8 @@
             ready_listen=addresses[1],
             peer_listen=addresses[2],
             metrics_listen=addresses[3],
-            log_address=http_client.Address(_ADDRESS, self.store.port),
+            log_address=log_address,
+            read_limits=limits,
             fleet_key=b"fleet-key",
             # A gateway that has just started has no share of the slack.
             retry_ratio=10.0,
@@ -341,7 +361,7 @@
         self._stack.push_async_exit(pool)
         added = gateway.Gateway(
             settings,
-            platform_main.make_ports(pool, settings.log_address),
+            platform_main.make_ports(pool, settings),
             pool,
         )
         self.gateways.append(added)
