Let long exchanges with the ledger's log and the host list take their time

An append to the ledger's log, a read of it and the list of hosts were bounded as a whole by 5, 5 and 2 s, however large; the same bytes were begun again.

Evidence: log_client_test, an append of 400 KB over 500 KB/s with a limit of 0.2 s, and upstream_monitoring_test, a list of 12,000 hosts over 200 KB/s. Both fail without the change.

Change: the limits are those of the beginning of the response, of pauses and of the average rate.

--- a/redwingchute/process/host_list_reader.py
+++ b/redwingchute/process/host_list_reader.py
@@ -10,11 +10,14 @@
 import json
 from typing import Any
 
+from redwingchute.connection import body_pace
 from redwingchute.connection import http_client
 
 _MIN_PERIOD_MS = 1_000
 _BYTES_PER_S = 2_048
 _TIMEOUT_MS = 2_000
+# How slowly the list may arrive.
+_MIN_BYTES_PER_S = 32 * 1024
 
 
 class HostListReader:
@@ -47,7 +50,13 @@
     async def read_once(self) -> int:
         """Reads the list once; returns its size in bytes, 0 on failure."""
         fetched = await self._connections.fetch(
-            self._platform, "GET", "/hosts", [], b"", _TIMEOUT_MS
+            self._platform,
+            "GET",
+            "/hosts",
+            [],
+            b"",
+            _TIMEOUT_MS,
+            pace=body_pace.BodyPace(_TIMEOUT_MS, _MIN_BYTES_PER_S),
         )
         match fetched:
             case http_client.Fetched(status=200, body=body):
--- a/redwingchute/process/ledger/log_client.py
+++ b/redwingchute/process/ledger/log_client.py
@@ -9,14 +9,18 @@
 import json
 from typing import Any
 
+from redwingchute.connection import body_pace
 from redwingchute.connection import http_client
 from redwingchute.process.ledger import log_outcomes
 
 _HTTP_OK = 200
 _HTTP_GONE = 410
 _HTTP_SERVER_ERROR = 500
-# The timeout of a read, beyond the time for which the service may delay it.
+# How long the response to a read may take to begin, beyond the time for which
+# the service may delay it.
 _READ_MARGIN_MS = 5_000
+# How slowly a page of records may arrive, or a record be sent.
+_MIN_BYTES_PER_S = 32 * 1024
 
 
 class LogClient:
@@ -57,6 +61,7 @@
             [("content-type", "application/octet-stream")],
             body,
             self._append_timeout_ms,
+            pace=body_pace.BodyPace(self._append_timeout_ms, _MIN_BYTES_PER_S),
         )
         match fetched:
             case http_client.ConnectFailed(message):
@@ -85,6 +90,7 @@
             [],
             b"",
             wait_ms + _READ_MARGIN_MS,
+            pace=body_pace.BodyPace(_READ_MARGIN_MS, _MIN_BYTES_PER_S),
         )
         match fetched:
             case http_client.ConnectFailed(message):
--- a/redwingchute/process/ledger/log_client_test.py
+++ b/redwingchute/process/ledger/log_client_test.py
@@ -10,6 +10,7 @@
 from redwingchute.connection import http_server
 from redwingchute.process.ledger import log_client
 from redwingchute.process.ledger import log_outcomes
+from redwingchute.testing import narrow_link
 
 
 def _encode(fields: object) -> bytes:
@@ -134,3 +135,21 @@
         assert isinstance(outcome, log_outcomes.LogUnreachable)
 
     asyncio.run(run())
+
+
+# A long record over a narrow link was given up before the log had all of it,
+# each time that it was sent.
+def test_an_append_may_take_as_long_as_its_link_needs() -> None:
+    async def run() -> log_outcomes.AppendOutcome:
+        handler = _FixedResponseHandler(200, _encode({"offset": 4}))
+        async with (
+            http_server.HttpServer(handler, "127.0.0.1", 0) as server,
+            narrow_link.NarrowLink(
+                http_client.Address("127.0.0.1", server.port), 500_000
+            ) as link,
+            http_client.ClientPool() as pool,
+        ):
+            client = log_client.LogClient(pool, link.address, 200)
+            return await client.append("s", bytes(400_000))
+
+    assert asyncio.run(run()) == log_outcomes.Appended(4)
--- a/redwingchute/request/upstream_monitoring_test.py
+++ b/redwingchute/request/upstream_monitoring_test.py
@@ -1,12 +1,18 @@
 """Tests of load reports, cache events, host lists and subsets."""
 
+import asyncio
+import json
+
 import pytest
 
+from redwingchute.connection import http_client
+from redwingchute.connection import http_server
 from redwingchute.core import requesting
 from redwingchute.process import host_list_reader
 from redwingchute.request import load_poller
 from redwingchute.request import prefix_affinity
 from redwingchute.request import upstream_subset
+from redwingchute.testing import narrow_link
 from redwingchute.testing import request_builders as builders
 
 
@@ -79,3 +85,32 @@
     assert len(set(again.upstreams) & set(chosen.upstreams)) >= 23
     small = upstream_subset.choose_subset(upstreams[:6], "r-1", "zone-1", 8)
     assert small == upstream_subset.Subset(tuple(upstreams[:6]), 8)
+
+
+# A list of many hosts over a narrow link was given up, and never read.
+def test_a_long_list_of_hosts_is_read_over_a_narrow_link() -> None:
+    names = [f"host-{number}" for number in range(12_000)]
+    body = json.dumps(
+        {"hosts": [{"name": name, "state": "leaving"} for name in names]}
+    ).encode()
+
+    async def send_list(
+        request: http_server.HttpRequest, responder: http_server.HttpResponder
+    ) -> None:
+        del request
+        await responder.send(200, body)
+
+    async def read() -> int:
+        async with (
+            http_server.HttpServer(send_list, "127.0.0.1", 0) as server,
+            narrow_link.NarrowLink(
+                http_client.Address("127.0.0.1", server.port), 200_000
+            ) as link,
+            http_client.ClientPool() as pool,
+        ):
+            reader = host_list_reader.HostListReader(
+                pool, link.address, lambda name, is_leaving: None
+            )
+            return await reader.read_once()
+
+    assert asyncio.run(read()) == len(body)
--- a/redwingchute/testing/memory_transport.py
+++ b/redwingchute/testing/memory_transport.py
@@ -351,6 +351,8 @@
         self._exchange = exchange
         self._is_closed = False
         self._bodies = buffered_bodies.BufferedBodies()
+        # A simulated response has no bytes on the wire.
+        self._received_bytes = 0
 
     async def send_request(
         self,
