Take a response without a length as whole only once its request is taken

What callers saw: an upstream that answers a long upload at once with 200 and no length, ends its direction after a part of the body and then resets the connection: the caller got that part as a complete response. Resets and closes without that end gave 502 or a stream that did not end, in all orders that were tried.

Cause: the end of the upstream's direction was taken for the end of the body, whatever became of the request that was still being written.

Change: the response is whole once the upstream's host has acknowledged the whole request. The client waits for that for up to a second; if the connection is reset or the rest is not taken, the exchange is broken. An upstream that ends its response first and then reads on, as HTTP allows, is served as before, which a test shows too.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -28,6 +28,7 @@
 from redwingchute.connection import body_pace
 from redwingchute.connection import buffered_bodies
 from redwingchute.connection import http_headers
+from redwingchute.connection import socket_state
 from redwingchute.core import short_ids
 
 _READ_BYTES = 64 * 1024
@@ -51,6 +52,10 @@
 _KEEP_ALIVE_MARGIN_S = 0.5
 # How long a connection that another host carries is kept without an exchange.
 CARRIED_IDLE_S = 1.0
+# How often it is checked whether an upstream takes the rest of a request whose
+# response has ended. Its host acknowledges what it takes within milliseconds.
+_TAKEN_CHECKS = 50
+_TAKEN_CHECK_S = 0.02
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 _CONNECTION_NUMBERS = itertools.count(1)
 # An extra response belongs to one of the latest requests on a connection.
@@ -195,8 +200,8 @@
         """
         self.address = address
         self.carrier = carrier
-        # A carrier that ends closes the connection as an upstream does.
-        self._has_uncertain_end = False
+        # Whether the body of the response ends with the connection.
+        self._ends_with_connection = False
         self._bodies = bodies or buffered_bodies.BufferedBodies()
         # Of the present exchange, and the part of it that is content.
         self._received_bytes = 0
@@ -307,9 +312,7 @@
                     header_list = http_headers.decode_headers(event.headers)
                     headers = dict(header_list)
                     self._keep_alive_s = _read_keep_alive_s(headers)
-                    self._has_uncertain_end = bool(
-                        self.carrier
-                    ) and headers.keys().isdisjoint(
+                    self._ends_with_connection = headers.keys().isdisjoint(
                         ("content-length", "transfer-encoding")
                     )
                     return ResponseHead(event.status_code, headers, header_list)
@@ -330,9 +333,9 @@
             case h11.Data():
                 return BodyChunk(self._join_received(event))
             case h11.EndOfMessage() if (
-                self._has_uncertain_end and self._reader.at_eof()
+                self._ends_with_connection and self._reader.at_eof()
             ):
-                return ExchangeBroken("the end of the body is uncertain")
+                return await self._judge_end()
             case h11.EndOfMessage():
                 return BodyEnd()
             case ExchangeBroken():
@@ -342,6 +345,37 @@
                     "the upstream closed early", is_closed=True
                 )
 
+    async def _judge_end(self) -> BodyEnd | ExchangeBroken:
+        """Returns whether the end of the connection is that of a whole body.
+
+        A carrier that ends closes the connection as an upstream does. An
+        upstream may end its response before it has read the request; it has
+        broken off if it does not take the rest.
+        """
+        if self.carrier:
+            return ExchangeBroken("the end of the body is uncertain")
+        for _ in range(_TAKEN_CHECKS):
+            if self._writer.is_closing() or socket_state.is_reset(
+                self.get_socket()
+            ):
+                break
+            if not self._is_sending():
+                return BodyEnd()
+            await asyncio.sleep(_TAKEN_CHECK_S)
+        return ExchangeBroken(
+            "the upstream ended its response before the request",
+            is_closed=True,
+        )
+
+    def _is_sending(self) -> bool:
+        """Returns whether the upstream's host has not got the whole request."""
+        if self._sending is not None and not self._sending.done():
+            return True
+        return (
+            self._writer.transport.get_write_buffer_size() > 0
+            or socket_state.count_unacknowledged(self.get_socket()) > 0
+        )
+
     def _join_received(self, first: h11.Data) -> bytes:
         """Joins a part of the body with all parts received after it.
 
--- a/redwingchute/soak/fleet.py
+++ b/redwingchute/soak/fleet.py
@@ -308,6 +308,12 @@
         """Sets faults of a stand-in; returns whether it confirmed them."""
         return await self._post(name, "/control", faults)
 
+    async def put_entry(
+        self, upstream_id: str, entry: Mapping[str, object] | None
+    ) -> None:
+        """Writes or removes the entry of an upstream, as it would itself."""
+        await self._put_record(upstream_entries.TOPIC, upstream_id, entry)
+
     async def _put_record(self, topic: str, key: str, value: Any) -> bool:
         """Writes a record to the store as the operator or an upstream does."""
         body = {
--- a/redwingchute/testing/scripted_upstream.py
+++ b/redwingchute/testing/scripted_upstream.py
@@ -95,6 +95,10 @@
         found: socket.socket = self._writer.get_extra_info("socket")
         found.shutdown(socket.SHUT_RDWR)
 
+    def end_output(self) -> None:
+        """Ends what the upstream sends; it may still read."""
+        self._writer.write_eof()
+
     def reset(self) -> None:
         """Closes the connection and discards what was not sent yet."""
         self._writer.transport.abort()
