Take a response whose status is above 599 as broken

Cause: the parser accepts any three digits from 200 on, and nothing else asked.

Change: such a response is none. The caller gets 502, or the response of another upstream where the request may be repeated.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -38,6 +38,8 @@
 _READER_BYTES = 16 * 1024
 _PORT = re.compile(r"[0-9]{1,5}")
 _MAX_PORT = 65_535
+# The last status of HTTP; the parser accepts any three digits from 200 on.
+_MAX_STATUS = 599
 # What may be received of a response beyond its content: heads, chunk headers,
 # trailers. Many small chunks have several bytes of framing for each of content.
 _MAX_FRAMING_BYTES = 256 * 1024
@@ -308,6 +310,8 @@
         while True:
             event = await self._next_event()
             match event:
+                case h11.Response(status_code=status) if status > _MAX_STATUS:
+                    return ExchangeBroken(f"{status} is no status")
                 case h11.Response():
                     header_list = http_headers.decode_headers(event.headers)
                     headers = dict(header_list)
