Let connections to upstreams wait for turns when they parse many small parts

What callers saw: while an upstream of another service sent a body in chunks of one byte without end, ordinary requests took longer than their deadline or were refused, with 12 such responses as with 120. So with comments, with 120 streams of short events (2.9 s) and with interim heads (1.2 s).

Cause: all that a connection had received, up to 64 KB, was parsed at once; that is 10,000 chunks at 25 us. Clients' chunks wait for turns, upstreams' did not.

Evidence: endless_upstream_test runs a router's process with the memory of the smallest host before 27 kinds of endless responses.

Change: a connection parses 64 heads, chunks or ends, then waits for its turn in a queue of the pool. It counts anew whenever it waits for the network.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -29,6 +29,7 @@
 from redwingchute.connection import buffered_bodies
 from redwingchute.connection import http_headers
 from redwingchute.connection import socket_state
+from redwingchute.connection import turn_queue
 from redwingchute.core import short_ids
 
 _READ_BYTES = 64 * 1024
@@ -44,6 +45,8 @@
 # trailers. Many small chunks have several bytes of framing for each of content.
 _MAX_FRAMING_BYTES = 256 * 1024
 _MAX_FRAMING_RATIO = 16
+# The heads, chunks and ends that are parsed before others have their turn.
+_EVENTS_PER_TURN = 64
 # A longer request body is sent in parts, so that it is not copied as a whole.
 _PART_BYTES = 64 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
@@ -190,6 +193,7 @@
         writer: asyncio.StreamWriter,
         bodies: buffered_bodies.BufferedBodies | None = None,
         carrier: str = "",
+        turns: turn_queue.TurnQueue | None = None,
     ) -> None:
         """Creates a connection on open streams.
 
@@ -199,8 +203,12 @@
           writer: Writes to it.
           bodies: Counts the bodies that are read as a whole.
           carrier: The host that carries it, or empty.
+          turns: The queue for work that many small parts of responses cause.
         """
         self.address = address
+        self._turns = turns or turn_queue.TurnQueue()
+        # What was parsed since the connection last waited.
+        self._turn_events = 0
         self.carrier = carrier
         # Whether the body of the response ends with the connection.
         self._ends_with_connection = False
@@ -387,8 +395,10 @@
         """
         parts = [bytes(first.data)]
         while True:
+            if self._turn_events >= _EVENTS_PER_TURN:
+                return b"".join(parts)
             try:
-                event = self._protocol.next_event()
+                event = self._parse_event()
             except h11.RemoteProtocolError as error:
                 self._pending_event = ExchangeBroken(
                     str(error), is_closed=self._reader.at_eof()
@@ -580,12 +590,17 @@
     ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED] | ExchangeBroken:
         """Returns the next protocol event; reads as needed."""
         while True:
+            if self._turn_events >= _EVENTS_PER_TURN:
+                await self._turns.wait_for_turn()
+                self._turn_events = 0
             try:
-                event = self._protocol.next_event()
+                event = self._parse_event()
                 if self._has_endless_framing(event):
                     return ExchangeBroken("the response has too much framing")
                 if event is not h11.NEED_DATA:
                     return event
+                if not getattr(self._reader, "_buffer", b""):
+                    self._turn_events = 0
                 received = await self._reader.read(_READ_BYTES)
                 self._received_bytes += len(received)
                 self._protocol.receive_data(received)
@@ -598,6 +613,17 @@
                     and (isinstance(error, OSError) or self._reader.at_eof()),
                 )
 
+    def _parse_event(
+        self,
+    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Returns the next event of what was received.
+
+        Raises:
+          h11.RemoteProtocolError: It is no response.
+        """
+        self._turn_events += 1
+        return self._protocol.next_event()
+
     def _has_endless_framing(self, event: object) -> bool:
         """Counts an event; returns whether the response is mostly framing."""
         if isinstance(event, h11.Data):
@@ -625,6 +651,7 @@
 
     Attributes:
       buffered_bodies: The bodies that its connections read as a whole.
+      turns: The queue for work that many small parts of responses cause.
       open_count: The number of its connections that are not closed.
       max_connections: At this number idle connections are closed for new ones;
         None for any number.
@@ -656,6 +683,7 @@
         self.open_count = 0
         self.max_connections: int | None = None
         self.buffered_bodies = buffered_bodies.BufferedBodies()
+        self.turns = turn_queue.TurnQueue()
 
     async def __aenter__(self) -> "ClientPool":
         """Returns the pool."""
@@ -750,7 +778,7 @@
           carrier: The host that carries the connection, or empty.
         """
         connection = ClientConnection(
-            address, reader, writer, self.buffered_bodies, carrier
+            address, reader, writer, self.buffered_bodies, carrier, self.turns
         )
         if self._tcp_user_timeout_ms is not None:
             connection.get_socket().setsockopt(
--- a/redwingchute/testing/odd_upstream_rig.py
+++ b/redwingchute/testing/odd_upstream_rig.py
@@ -108,9 +108,20 @@
         await self._stack.aclose()
 
     def make_request(
-        self, body: bytes, is_chunked: bool = False, attempt: str = "odd"
+        self,
+        body: bytes,
+        is_chunked: bool = False,
+        attempt: str = "odd",
+        deadline_ms: int = 4_000,
     ) -> bytes:
-        """Returns a request to the service of the odd upstream."""
+        """Returns a request to the service of the odd upstream.
+
+        Args:
+          body: The body.
+          is_chunked: Whether it is sent as a chunk, or else with a length.
+          attempt: The id of the request.
+          deadline_ms: How long its caller waits.
+        """
         path = "/post/odd" if self.service == "ledger" else "/draft/odd"
         if is_chunked:
             framing = "transfer-encoding: chunked"
@@ -122,7 +133,7 @@
             f"host: {caller_identity.CALLED_HOST}",
             f"authorization: Bearer {caller_identity.KEY}",
             f"attempt-id: {attempt}",
-            "deadline-ms: 4000",
+            f"deadline-ms: {deadline_ms}",
             "model: m",
             "token-usage: 10,20",
             "prompt-prefix: aa:10",
