Give up a response after 64 interim heads

What callers saw: nothing by itself. An upstream that sends interim heads without end was given up after 256 KB of them, 9,400 heads, each parsed.

Cause: only their bytes were bounded.

Change: 64 interim heads are read; sound upstreams send few, if any.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -39,6 +39,8 @@
 _READER_BYTES = 16 * 1024
 _PORT = re.compile(r"[0-9]{1,5}")
 _MAX_PORT = 65_535
+# An upstream sends few before its response.
+_MAX_INTERIM_RESPONSES = 64
 # The last status of HTTP; the parser accepts any three digits from 200 on.
 _MAX_STATUS = 599
 # What may be received of a response beyond its content: heads, chunk headers,
@@ -315,7 +317,7 @@
 
     async def read_head(self) -> ResponseHead | ExchangeBroken:
         """Reads the status and headers; skips 1xx responses."""
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             match event:
                 case h11.Response(status_code=status) if status > _MAX_STATUS:
@@ -336,6 +338,7 @@
                     return ExchangeBroken(
                         "the upstream closed early", is_closed=True
                     )
+        return ExchangeBroken("the response has too many interim heads")
 
     async def read_chunk(self) -> BodyEvent:
         """Reads the next part of the body."""
