Search each byte of an event once, and count parts of responses in a window

What callers saw: before 120 streams that each send one endless event an ordinary request took 1.4 s.

Cause: the search for the end of an event began anew with each part, over up to 256 KB.

Evidence: endless_upstream_test, many of one event, fails before each half. event_stream_test compares any cuts with none, with ends of mixed lines too.

Change: the search goes on where the last one ended. The count begins anew when half a second is over; a stream of 50 events a second stays below it.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -47,8 +47,10 @@
 # trailers. Many small chunks have several bytes of framing for each of content.
 _MAX_FRAMING_BYTES = 256 * 1024
 _MAX_FRAMING_RATIO = 16
-# The heads, chunks and ends that are parsed before others have their turn.
+# The heads, chunks and ends that are parsed in this time before the connection
+# waits for a turn. A stream of 50 events a second stays below.
 _EVENTS_PER_TURN = 64
+_TURN_WINDOW_S = 0.5
 # A longer request body is sent in parts, so that it is not copied as a whole.
 _PART_BYTES = 64 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
@@ -209,8 +211,9 @@
         """
         self.address = address
         self._turns = turns or turn_queue.TurnQueue()
-        # What was parsed since the connection last waited.
+        # What was parsed since the last turn, or since a window began.
         self._turn_events = 0
+        self._turn_begin_s = 0.0
         self.carrier = carrier
         # Whether the body of the response ends with the connection.
         self._ends_with_connection = False
@@ -595,15 +598,15 @@
         while True:
             if self._turn_events >= _EVENTS_PER_TURN:
                 await self._turns.wait_for_turn()
-                self._turn_events = 0
+                self._begin_turn()
             try:
                 event = self._parse_event()
                 if self._has_endless_framing(event):
                     return ExchangeBroken("the response has too much framing")
                 if event is not h11.NEED_DATA:
                     return event
-                if not getattr(self._reader, "_buffer", b""):
-                    self._turn_events = 0
+                if self._is_turn_over():
+                    self._begin_turn()
                 received = await self._reader.read(_READ_BYTES)
                 self._received_bytes += len(received)
                 self._protocol.receive_data(received)
@@ -616,6 +619,16 @@
                     and (isinstance(error, OSError) or self._reader.at_eof()),
                 )
 
+    def _begin_turn(self) -> None:
+        """Counts what is parsed from now on."""
+        self._turn_events = 0
+        self._turn_begin_s = asyncio.get_running_loop().time()
+
+    def _is_turn_over(self) -> bool:
+        """Returns whether the window in which parts are counted is over."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._turn_begin_s >= _TURN_WINDOW_S
+
     def _parse_event(
         self,
     ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
--- a/redwingchute/request/event_stream.py
+++ b/redwingchute/request/event_stream.py
@@ -4,6 +4,7 @@
 import re
 
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
+_MAX_BLANK_LINE_BYTES = len(b"\r\n\r\n")
 _MAX_EVENT_BYTES = 256 * 1024
 _ID_FIELD = b"id:"
 
@@ -17,6 +18,8 @@
     def __init__(self) -> None:
         """Creates a splitter with an empty buffer."""
         self._buffer = bytearray()
+        # What has no blank line that ends in it.
+        self._searched_bytes = 0
 
     @property
     def is_oversized(self) -> bool:
@@ -36,10 +39,12 @@
         self._buffer += chunk
         events = []
         start = 0
-        for end in _BLANK_LINE.finditer(self._buffer):
+        begin = max(0, self._searched_bytes - _MAX_BLANK_LINE_BYTES + 1)
+        for end in _BLANK_LINE.finditer(self._buffer, begin):
             events.append(bytes(self._buffer[start : end.end()]))
             start = end.end()
         del self._buffer[:start]
+        self._searched_bytes = len(self._buffer)
         return events
 
 
--- a/redwingchute/request/event_stream_test.py
+++ b/redwingchute/request/event_stream_test.py
@@ -6,7 +6,10 @@
 from redwingchute.request import event_stream
 
 _EVENT = strategies.sampled_from(
-    (b"id: 1\ndata: a\n\n", b"data: b\r\n\r\n", b"id:22\n\n", b": c\n\n")
+    (
+        *(b"id: 1\ndata: a\n\n", b"data: b\r\n\r\n", b"id:22\n\n", b": c\n\n"),
+        *(b"id: 3\n\r\n", b"data: d\r\n\n"),
+    )
 )
 
 
@@ -20,6 +23,7 @@
     for start in range(0, len(payload), step):
         found += splitter.split(payload[start : start + step])
     assert b"".join(found) == payload
+    assert found == event_stream.EventSplitter().split(payload)
     assert not splitter.has_partial_event
 
 
--- a/redwingchute/soak/endless_upstream_test.py
+++ b/redwingchute/soak/endless_upstream_test.py
@@ -76,6 +76,9 @@
     ),
     "comments": _Endless(_chunk(b": a\n"), "200", _EVENTS),
     "one event": _Endless(_chunk(1_000 * b"a"), "200", _EVENTS),
+    "many of one event": _Endless(
+        _chunk(1_000 * b"a"), "200", _EVENTS, count=_MANY
+    ),
     "many plain bodies": _Endless(b"a", "500", count=_MANY),
     "chunk extension": _Endless(b"a", "500", _CHUNKED, b"1;"),
     "chunk size": _Endless(b"0", "500", _CHUNKED),
