Ignore entries of upstreams that arrive after newer ones of the same start

Cause: the last entry of a topic counted. Start and number were compared only while the log settles after a return from a copy.

Change: an entry of a start with a lower sequence than a known one is ignored and counted, also after its upstream was removed. Entries of another start, or without one, are taken as before.

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -31,6 +31,7 @@
 from redwingchute.process import background_tasks
 from redwingchute.process import crash_journal
 from redwingchute.process import decision_log
+from redwingchute.process import entry_order
 from redwingchute.process import era_log
 from redwingchute.process import gateway_settings
 from redwingchute.process import host_registry
@@ -297,6 +298,7 @@
             read_boot_ms,
             self._incarnation,
         )
+        self._entry_order = entry_order.EntryOrder()
         self._upstream_follower = keyed_follower.KeyedFollower(
             self._log,
             ports.upstream_topic,
@@ -684,9 +686,13 @@
         ):
             # The upstream writes its newer entry again.
             return
+        if upstream is not None and self._entry_order.is_late(upstream):
+            decision_log.count_event("upstream_entry_late")
+            return
         if upstream is None:
             self._upstream_directory.remove(record.key)
         else:
+            self._entry_order.record(upstream)
             self._upstream_directory.set_upstream(upstream)
             self._suspects.handle_entry(
                 known, upstream, self._upstream_follower.confirmed_ms
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -205,7 +205,10 @@
 
     def publish_runner(self, runner_id: str, state: str = "ready") -> None:
         """Writes a runner's entry with a state to the store."""
-        entry = self.runners[runner_id].make_entry(state)
+        self.publish_entry(runner_id, self.runners[runner_id].make_entry(state))
+
+    def publish_entry(self, runner_id: str, entry: dict[str, Any]) -> None:
+        """Writes an entry of a runner to the store."""
         if runner_id in self._addresses:
             entry["address"] = str(self._addresses[runner_id])
         entry["zone"] = self._zones.get(runner_id, entry["zone"])
