Forward methods as they were sent

Cause: the server put each method into capitals.

Evidence: http_server_test, a method is passed on as it was sent; fails before.

Change: it stays as it was sent.

--- a/redwingchute/connection/http_server.py
+++ b/redwingchute/connection/http_server.py
@@ -629,7 +629,7 @@
     path, _, query = target.partition("?")
     header_list = http_headers.decode_headers(head.headers)
     return HttpRequest(
-        method=head.method.decode("latin-1").upper(),
+        method=head.method.decode("latin-1"),
         target=target,
         path=urllib.parse.unquote(path),
         query=dict(urllib.parse.parse_qsl(query)),
--- a/redwingchute/connection/http_server_test.py
+++ b/redwingchute/connection/http_server_test.py
@@ -414,3 +414,27 @@
         return received
 
     assert _list_statuses(asyncio.run(run())) == [200]
+
+
+# Methods are case-sensitive; an upstream got another one than the client sent.
+def test_a_method_is_passed_on_as_it_was_sent() -> None:
+    methods: list[str] = []
+
+    async def handle(
+        request: http_server.HttpRequest, responder: http_server.HttpResponder
+    ) -> None:
+        methods.append(request.method)
+        await responder.send(200, b"")
+
+    async def main() -> None:
+        async with http_server.HttpServer(handle, "127.0.0.1", 0) as server:
+            for method in (b"patch", b"PATCH", b"Post"):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", server.port
+                )
+                writer.write(method + b" / HTTP/1.1\r\nhost: a\r\n\r\n")
+                await reader.readuntil(b"\r\n\r\n")
+                writer.close()
+
+    asyncio.run(main())
+    assert methods == ["patch", "PATCH", "Post"]
