Pass on the empty lines that follow the last event of a stream

Cause: only complete events were sent. The rest was checked for an unfinished event with white space left out, and then dropped.

Evidence: forward_attempt_test, empty lines at the end of a stream; three of four cases fail before.

Change: the rest of a stream that ends well is sent before its end.

--- a/redwingchute/request/event_stream.py
+++ b/redwingchute/request/event_stream.py
@@ -31,6 +31,13 @@
         """Whether the buffer holds an incomplete event."""
         return bool(self._buffer.strip())
 
+    def take_rest(self) -> bytes:
+        """Returns and removes what follows the last event: empty lines."""
+        rest = bytes(self._buffer)
+        self._buffer.clear()
+        self._searched_bytes = 0
+        return rest
+
     def split(self, chunk: bytes) -> list[bytes]:
         """Adds a chunk and returns the events that are complete now.
 
--- a/redwingchute/request/event_stream_test.py
+++ b/redwingchute/request/event_stream_test.py
@@ -46,3 +46,12 @@
     events = [b"id: 4\n\n", b"id: 5\ndata: x\n\n", b": waiting\n\n"]
     assert event_stream.find_last_event_id(events) == 5
     assert event_stream.find_last_event_id(events[2:]) is None
+
+
+# Guards against a stream whose last bytes are missing, though it looks whole.
+def test_empty_lines_after_the_last_event_are_kept() -> None:
+    splitter = event_stream.EventSplitter()
+    assert splitter.split(b"id: 1\n\n\r\n") == [b"id: 1\n\n"]
+    assert not splitter.has_partial_event
+    assert splitter.take_rest() == b"\r\n"
+    assert splitter.take_rest() == b""
--- a/redwingchute/request/forward_attempt.py
+++ b/redwingchute/request/forward_attempt.py
@@ -386,6 +386,9 @@
                     ):
                         return Broken("the stream ended before its next event")
                     await self._send_head(head, relay)
+                    # The signature covers the empty lines after the last event.
+                    if rest := splitter.take_rest():
+                        await relay.responder.send_chunk(rest)
                     await relay.responder.finish()
                     return Streamed()
                 case http_client.ExchangeBroken() as broken:
--- a/redwingchute/request/forward_attempt_test.py
+++ b/redwingchute/request/forward_attempt_test.py
@@ -1,11 +1,13 @@
 """Tests of attempts whose upstream sends what belongs to another request."""
 
 import asyncio
+from unittest import mock
 
 import attrs
 import pytest
 
 from redwingchute.connection import http_client
+from redwingchute.connection import http_server
 from redwingchute.request import forward_attempt
 from redwingchute.testing import forwarding_builders
 from redwingchute.testing import scripted_upstream
@@ -199,3 +201,37 @@
     late = _cut_body(_make_success("first", bytes(skipped_bytes)))
     (_, second), _ = _run_attempts(late, methods=("HEAD", "POST"), body=body)
     assert isinstance(second, forward_attempt.Broken)
+
+
+# Guards against a stream that looks whole without its last bytes, which its
+# signature covers.
+@pytest.mark.parametrize("rest", [b"\n", b"\r\n", b"\n\n\n", b""])
+def test_empty_lines_at_the_end_of_a_stream_are_passed_on(rest: bytes) -> None:
+    event = b"id: 1\ndata: a\n\n"
+    parts = [part for part in (event, rest) if part]
+
+    async def serve(connection: scripted_upstream.UpstreamConnection) -> None:
+        request = await connection.read_request()
+        await connection.send(
+            *scripted_upstream.make_stream(request.request_id, *parts)
+        )
+
+    async def main() -> bytes:
+        responder = mock.create_autospec(http_server.HttpResponder)
+        async with (
+            scripted_upstream.ScriptedUpstream(serve) as upstream,
+            http_client.ClientPool() as pool,
+        ):
+            result = await forwarding_builders.make_attempt_runner(pool).run(
+                forwarding_builders.make_upstream(
+                    "m-1", address=str(upstream.address)
+                ),
+                forwarding_builders.make_outgoing("first", b"x", True),
+                forward_attempt.Relay(responder),
+            )
+        assert isinstance(result, forward_attempt.Streamed)
+        return b"".join(
+            call.args[0] for call in responder.send_chunk.call_args_list
+        )
+
+    assert asyncio.run(main()) == event + rest
