--- a/redwingchute/platform/store_client_test.py
+++ b/redwingchute/platform/store_client_test.py
@@ -4,12 +4,18 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import pytest
+
 from redwingchute.connection import http_client
 from redwingchute.platform import store_client
 from redwingchute.process import shared_log
 from redwingchute.standin import metadata_store
+from redwingchute.testing import scripted_upstream
 
 _TOPIC = "grants"
+_PATIENCE_S = 20.0
+# Twice what one response may hold.
+_MAX_HELD_BYTES = 16 * 1024 * 1024
 
 
 def _run(
@@ -201,3 +207,36 @@
         assert (await client.read_newest(_TOPIC)).era == 0
 
     _run(scenario)
+
+
+# Guards against a store, or what answers in its place, that sends without end
+# and takes a router's memory, or keeps it waiting.
+@pytest.mark.parametrize("pause_s", [0.0, 0.1])
+@pytest.mark.parametrize("framing", ["", "transfer-encoding: chunked\r\n"])
+def test_an_endless_response_is_given_up(
+    framing: str, pause_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store_client, "_MAX_TRANSFER_MS", 2_000)
+    piece = b"1\r\na\r\n" if framing else b"a"
+    segment = piece if pause_s else 2_000 * piece
+
+    async def serve(connection: scripted_upstream.UpstreamConnection) -> None:
+        await connection.read_request()
+        await connection.send(f"HTTP/1.1 200 OK\r\n{framing}\r\n".encode())
+        while True:
+            await connection.send(segment, pause_s=pause_s)
+
+    async def main() -> None:
+        async with (
+            scripted_upstream.ScriptedUpstream(serve) as odd,
+            http_client.ClientPool() as pool,
+        ):
+            client = store_client.StoreClient(pool, odd.address)
+            async with asyncio.timeout(_PATIENCE_S):
+                read = await client.read(_TOPIC, _make_position(0), 0)
+                newest = await client.read_newest(_TOPIC)
+            assert isinstance(read, shared_log.LogUnavailable)
+            assert isinstance(newest, shared_log.LogUnavailable)
+            assert pool.buffered_bodies.max_bytes <= _MAX_HELD_BYTES
+
+    asyncio.run(main())
--- a/redwingchute/testing/gateway_rig.py
+++ b/redwingchute/testing/gateway_rig.py
@@ -355,8 +355,9 @@
             stop_ms=self._stop_ms,
         )
         cut = upstream_cut.UpstreamCut(
-            lambda port: any(
-                found.port == port for found in self.runners.values()
+            lambda port: (
+                port in {found.port for found in self.runners.values()}
+                or port in {found.port for found in self._addresses.values()}
             )
         )
         self.cuts.append(cut)
