--- a/redwingchute/soak/two_builds_test.py
+++ b/redwingchute/soak/two_builds_test.py
@@ -20,7 +20,7 @@
 from redwingchute.soak import spend_check
 
 # The commit that the previous landing ended with.
-_PREVIOUS_BUILD = "b83117fb88f66d544f33b5a0e8447278a2284e34"
+_PREVIOUS_BUILD = "08b9d3e4ff64762cd35348df1e581e8dbd64998b"
 _ROOT = pathlib.Path(__file__).parents[2]
 # Callers ask for more than that in this time.
 _PREPAID_TOKENS = 4_000
