Take a response that has no body as whole with its head

What callers saw: nothing; found on reading the diff.

Cause: a response without a length counted as one whose body ends with the connection, also 204, 304 and those to HEAD, which have no body. A busy process may see the end of the connection together with the head, and would then wait for the upstream to take the request, or, by way of a carrier, take it as cut off.

Evidence: reading. The test of a 204 whose upstream closes during an upload passes without the change too, since the process is not busy there.

Change: such responses end with their head.

Measured: odd_upstream_test and the tests of connections pass.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -65,6 +65,7 @@
 # response has ended. Its host acknowledges what it takes within milliseconds.
 _TAKEN_CHECKS = 50
 _TAKEN_CHECK_S = 0.02
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 _CONNECTION_NUMBERS = itertools.count(1)
 # An extra response belongs to one of the latest requests on a connection.
@@ -329,8 +330,12 @@
                     header_list = http_headers.decode_headers(event.headers)
                     headers = dict(header_list)
                     self._keep_alive_s = _read_keep_alive_s(headers)
-                    self._ends_with_connection = headers.keys().isdisjoint(
-                        ("content-length", "transfer-encoding")
+                    self._ends_with_connection = (
+                        self._method != "HEAD"
+                        and event.status_code not in _STATUSES_WITHOUT_BODY
+                        and headers.keys().isdisjoint(
+                            ("content-length", "transfer-encoding")
+                        )
                     )
                     return ResponseHead(event.status_code, headers, header_list)
                 case h11.InformationalResponse():
--- a/redwingchute/soak/odd_upstream_test.py
+++ b/redwingchute/soak/odd_upstream_test.py
@@ -139,6 +139,26 @@
     assert seen == odd_upstream_rig.SeenResponse(200, _PART, True)
 
 
+# Guards against a response without a body that is given up, since its upstream
+# closes without having read the upload.
+def test_a_response_without_a_body_is_whole_with_its_head(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def serve(connection: scripted_upstream.UpstreamConnection) -> None:
+        request = await connection.read_head()
+        await connection.send(odd_upstream_rig.make_head(request, "204"))
+        connection.end_output()
+        await asyncio.sleep(_PAUSE_S)
+
+    async def main() -> odd_upstream_rig.SeenResponse:
+        async with odd_upstream_rig.OddUpstreamRig(tmp_path, "ledger") as rig:
+            rig.script = serve
+            return await rig.send(rig.make_request(_UPLOAD))
+
+    seen = asyncio.run(main())
+    assert seen == odd_upstream_rig.SeenResponse(204, b"", True)
+
+
 # Guards against a status that is none, which no caller can make sense of.
 @pytest.mark.parametrize("service", ["ledger", "llm"])
 def test_a_status_that_is_none_is_no_response(
