Name the window in which parts of a response are counted

Read as a newcomer: a turn is what a connection waits for, the count belongs to a window. Names only; the tests of connections, of endless and half responses and of 120 upstreams at once pass.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -213,8 +213,8 @@
         self.address = address
         self._turns = turns or turn_queue.TurnQueue()
         # What was parsed since the last turn, or since a window began.
-        self._turn_events = 0
-        self._turn_begin_s = 0.0
+        self._parsed_events = 0
+        self._window_begin_s = 0.0
         self.carrier = carrier
         # Whether the body of the response ends with the connection.
         self._ends_with_connection = False
@@ -406,7 +406,7 @@
         """
         parts = [bytes(first.data)]
         while True:
-            if self._turn_events >= _EVENTS_PER_TURN:
+            if self._parsed_events >= _EVENTS_PER_TURN:
                 return b"".join(parts)
             try:
                 event = self._parse_event()
@@ -601,17 +601,17 @@
     ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED] | ExchangeBroken:
         """Returns the next protocol event; reads as needed."""
         while True:
-            if self._turn_events >= _EVENTS_PER_TURN:
+            if self._parsed_events >= _EVENTS_PER_TURN:
                 await self._turns.wait_for_turn()
-                self._begin_turn()
+                self._begin_window()
             try:
                 event = self._parse_event()
                 if self._has_endless_framing(event):
                     return ExchangeBroken("the response has too much framing")
                 if event is not h11.NEED_DATA:
                     return event
-                if self._is_turn_over():
-                    self._begin_turn()
+                if self._is_window_over():
+                    self._begin_window()
                 received = await self._reader.read(_READ_BYTES)
                 self._received_bytes += len(received)
                 self._protocol.receive_data(received)
@@ -624,15 +624,15 @@
                     and (isinstance(error, OSError) or self._reader.at_eof()),
                 )
 
-    def _begin_turn(self) -> None:
+    def _begin_window(self) -> None:
         """Counts what is parsed from now on."""
-        self._turn_events = 0
-        self._turn_begin_s = asyncio.get_running_loop().time()
+        self._parsed_events = 0
+        self._window_begin_s = asyncio.get_running_loop().time()
 
-    def _is_turn_over(self) -> bool:
+    def _is_window_over(self) -> bool:
         """Returns whether the window in which parts are counted is over."""
         now_s = asyncio.get_running_loop().time()
-        return now_s - self._turn_begin_s >= _TURN_WINDOW_S
+        return now_s - self._window_begin_s >= _TURN_WINDOW_S
 
     def _parse_event(
         self,
@@ -642,7 +642,7 @@
         Raises:
           h11.RemoteProtocolError: It is no response.
         """
-        self._turn_events += 1
+        self._parsed_events += 1
         return self._protocol.next_event()
 
     def _has_endless_framing(self, event: object) -> bool:
