Hear an upstream again after an entry with a number that it does not reach

What callers saw: nothing; found on reading the change again. One well-formed entry of another writer under an upstream's key, with its start and a huge number, would have hidden all that the upstream writes from then on: it would have been used as that entry says, and neither its draining nor its new state been seen.

Cause: ignores entries with lower numbers without an end.

Evidence: entry_order_test, an upstream is heard again; fails where late entries are ignored without an end.

One call judges an entry and records it, which were two.

--- a/redwingchute/process/gateway.py
+++ b/redwingchute/process/gateway.py
@@ -298,7 +298,7 @@
             read_boot_ms,
             self._incarnation,
         )
-        self._entry_order = entry_order.EntryOrder()
+        self._entry_order = entry_order.EntryOrder(read_boot_ms)
         self._upstream_follower = keyed_follower.KeyedFollower(
             self._log,
             ports.upstream_topic,
@@ -686,13 +686,12 @@
         ):
             # The upstream writes its newer entry again.
             return
-        if upstream is not None and self._entry_order.is_late(upstream):
+        if upstream is not None and not self._entry_order.accept(upstream):
             decision_log.count_event("upstream_entry_late")
             return
         if upstream is None:
             self._upstream_directory.remove(record.key)
         else:
-            self._entry_order.record(upstream)
             self._upstream_directory.set_upstream(upstream)
             self._suspects.handle_entry(
                 known, upstream, self._upstream_follower.confirmed_ms
