Bound a response of the store by what the deployment's store keeps

Cause: a figure of one kind of deployment as a constant.

Evidence: settings_file_test, the limits of reads are those of the deployment; two of five cases fail before, one of them by a link width that is infinite and would have made the measured rate no number. The fields had no test.

Change: the bound is platform.keep_s, 20 s where that is not stated. A width, a record size or a time that is not a number greater than 0 counts as not stated.

Measured: the tests of the platform and narrow_link_test pass.

--- a/redwingchute/platform/settings_file.py
+++ b/redwingchute/platform/settings_file.py
@@ -194,17 +194,24 @@
 
 
 def _read_limits(reader: _FieldReader) -> read_size.ReadLimits:
-    """Returns what bounds a read of the store; 0 counts as not stated."""
-    found = read_size.ReadLimits()
-    link_mbps = reader.read_number("limits.linkMbps", 0.0)
-    if link_mbps > 0:
-        found = attrs.evolve(
-            found, link_bytes_per_s=link_mbps * _LINK_BYTES_PER_MBPS
-        )
-    record_bytes = reader.read_number("platform.recordBytes", 0.0)
-    if 0 < record_bytes < math.inf:
-        found = attrs.evolve(found, record_bytes=int(record_bytes))
-    return found
+    """Returns what bounds a read of the store.
+
+    What is not a number greater than 0, or has no bound, counts as not stated.
+    """
+    stated = {
+        "link_bytes_per_s": reader.read_number("limits.linkMbps", 0.0)
+        * _LINK_BYTES_PER_MBPS,
+        "record_bytes": reader.read_number("platform.recordBytes", 0.0),
+        "keep_ms": 1000 * reader.read_number("platform.keep_s", 0.0),
+    }
+    return attrs.evolve(
+        read_size.ReadLimits(),
+        **{
+            name: number
+            for name, number in stated.items()
+            if 0 < number < math.inf
+        },
+    )
 
 
 def _read_price(text: str, findings: list[data.Finding]) -> float:
--- a/redwingchute/platform/settings_file_test.py
+++ b/redwingchute/platform/settings_file_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from redwingchute.platform import settings_file
+from redwingchute.process import read_size
 
 _LINES = """\
 nodeName=edge-huon-1
@@ -64,6 +65,31 @@
     ]
 
 
+# Guards against reads that are sized by the figures of one deployment.
+def test_the_limits_of_reads_are_those_of_the_deployment() -> None:
+    text = _LINES + (
+        "limits.linkMbps=5\nplatform.recordBytes=65536\nplatform.keep_s=300\n"
+    )
+    settings, findings = settings_file.decode_settings(text, "file")
+    assert not findings
+    assert settings is not None
+    assert settings.read_limits == read_size.ReadLimits(
+        625_000, 65_536, 300_000
+    )
+
+
+@pytest.mark.parametrize("number", ["0", "-1", "inf", "nan"])
+def test_a_limit_of_reads_that_bounds_nothing_is_not_stated(
+    number: str,
+) -> None:
+    names = ("limits.linkMbps", "platform.recordBytes", "platform.keep_s")
+    text = _LINES + "".join(f"{name}={number}\n" for name in names)
+    settings, findings = settings_file.decode_settings(text, "file")
+    assert not findings
+    assert settings is not None
+    assert settings.read_limits == read_size.ReadLimits()
+
+
 def test_zones_have_the_regions_of_the_settings() -> None:
     text = _LINES + "region=south\nzones.huon=south\nzones.a.b=east\nzones.c=\n"
     settings, findings = settings_file.decode_settings(text, "file")
--- a/redwingchute/platform/store_client.py
+++ b/redwingchute/platform/store_client.py
@@ -24,9 +24,6 @@
 # A slower transfer is given up: a link of 5 Mbit/s, the narrowest one in use,
 # carries nearly twenty times as much.
 _MIN_BYTES_PER_S = 32 * 1024
-# The store removes records after 20 s, so that a reader that takes longer would
-# have to begin anew.
-_MAX_TRANSFER_MS = 20_000
 _MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # The store keeps the newest record of each key only in topics whose names begin
 # with this.
@@ -196,7 +193,7 @@
             wait_ms + response_timeout_ms,
             _MAX_RESPONSE_BYTES,
             body_pace.BodyPace(
-                response_timeout_ms, _MIN_BYTES_PER_S, _MAX_TRANSFER_MS
+                response_timeout_ms, _MIN_BYTES_PER_S, self._size.limits.keep_ms
             ),
         )
         match fetched:
--- a/redwingchute/platform/store_client_test.py
+++ b/redwingchute/platform/store_client_test.py
@@ -8,6 +8,7 @@
 
 from redwingchute.connection import http_client
 from redwingchute.platform import store_client
+from redwingchute.process import read_size
 from redwingchute.process import shared_log
 from redwingchute.standin import metadata_store
 from redwingchute.testing import scripted_upstream
@@ -213,10 +214,8 @@
 # and takes a router's memory, or keeps it waiting.
 @pytest.mark.parametrize("pause_s", [0.0, 0.1])
 @pytest.mark.parametrize("framing", ["", "transfer-encoding: chunked\r\n"])
-def test_an_endless_response_is_given_up(
-    framing: str, pause_s: float, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    monkeypatch.setattr(store_client, "_MAX_TRANSFER_MS", 2_000)
+def test_an_endless_response_is_given_up(framing: str, pause_s: float) -> None:
+    size = read_size.ReadSize(read_size.ReadLimits(keep_ms=2_000))
     piece = b"1\r\na\r\n" if framing else b"a"
     segment = piece if pause_s else 2_000 * piece
 
@@ -231,7 +230,7 @@
             scripted_upstream.ScriptedUpstream(serve) as odd,
             http_client.ClientPool() as pool,
         ):
-            client = store_client.StoreClient(pool, odd.address)
+            client = store_client.StoreClient(pool, odd.address, size)
             async with asyncio.timeout(_PATIENCE_S):
                 read = await client.read(_TOPIC, _make_position(0), 0)
                 newest = await client.read_newest(_TOPIC)
--- a/redwingchute/process/read_size.py
+++ b/redwingchute/process/read_size.py
@@ -29,10 +29,13 @@
       link_bytes_per_s: The width of the host's link.
       record_bytes: The size of the largest record, which any read must be able
         to return.
+      keep_ms: How long the log keeps records. A response that takes longer is
+        of no use: what follows it is gone.
     """
 
     link_bytes_per_s: float = 125_000_000.0
-    record_bytes: int = 256 * 1024
+    record_bytes: float = 256 * 1024
+    keep_ms: float = 20_000.0
 
 
 class ReadSize:
@@ -40,19 +43,22 @@
 
     Attributes:
       bytes_per_s: The rate that is expected of the next read.
+      limits: What bounds a read.
     """
 
     def __init__(self, limits: ReadLimits) -> None:
         """Expects the stated width of the link."""
         self.bytes_per_s = limits.link_bytes_per_s
-        self._limits = limits
+        self.limits = limits
 
     def choose_bytes(self) -> int:
         """Returns how many bytes the next read should ask for."""
         carried_bytes = self.bytes_per_s * _TRANSFER_MS / 1000
-        return max(
-            self._limits.record_bytes + _FRAMING_BYTES,
-            int(min(carried_bytes, _MAX_READ_BYTES)),
+        return int(
+            max(
+                self.limits.record_bytes + _FRAMING_BYTES,
+                min(carried_bytes, _MAX_READ_BYTES),
+            )
         )
 
     def record(self, size_bytes: int, elapsed_ms: float) -> None:
@@ -65,7 +71,7 @@
         if size_bytes < _MIN_MEASURED_BYTES or elapsed_ms <= 0:
             return
         measured = min(
-            self._limits.link_bytes_per_s, 1000 * size_bytes / elapsed_ms
+            self.limits.link_bytes_per_s, 1000 * size_bytes / elapsed_ms
         )
         rise = measured - self.bytes_per_s
         self.bytes_per_s += rise * (_RISE_SHARE if rise > 0 else 1.0)
