Notice a lost response to a short append in the time that it had before

Cause: all of the body counted.

Evidence: http_client_test, a lost response to a short request: not noticed in 3 s before, where 0.2 s are due.

Change: only what is sent after the first 64 KiB extends the limit.

Measured: the tests of connections, of the platform and of the ledger's log pass, with the append of 400 KB over a narrow link among them.

--- a/redwingchute/connection/http_client.py
+++ b/redwingchute/connection/http_client.py
@@ -893,7 +893,8 @@
           timeout_ms: The timeout of the exchange, without connecting.
           max_body_bytes: The largest accepted body of a response.
           pace: How slowly the bodies may be transferred; the timeout is then
-            that of the response's head, beside the transfer of the request.
+            that of the response's head, beside the transfer of what a long
+            request sends in later parts.
             None to have the timeout bound the whole exchange.
 
         Returns:
@@ -974,7 +975,8 @@
           TimeoutError: The response did not arrive in time.
         """
         if self._pace is not None:
-            timeout_ms += self._pace.find_transfer_ms(len(body))
+            later_bytes = max(0, len(body) - _PART_BYTES)
+            timeout_ms += self._pace.find_transfer_ms(later_bytes)
         async with asyncio.timeout(timeout_ms / 1000) as limit:
             broken = await self._connection.send_request(
                 method, target, headers, body
--- a/redwingchute/connection/http_client_test.py
+++ b/redwingchute/connection/http_client_test.py
@@ -311,3 +311,29 @@
     trickling = _fetch_slow_body(1, 1_000, 0.02)
     assert isinstance(trickling, http_client.ExchangeBroken)
     assert trickling.received_bytes < 200
+
+
+# A lost response was noticed later by what even a short request would have taken
+# over a very narrow link.
+def test_a_lost_response_to_a_short_request_is_noticed_in_its_time() -> None:
+    async def serve(connection: scripted_upstream.UpstreamConnection) -> None:
+        await connection.read_request()
+        await asyncio.sleep(10)
+
+    async def run() -> object:
+        async with (
+            scripted_upstream.ScriptedUpstream(serve) as upstream,
+            http_client.ClientPool() as pool,
+            asyncio.timeout(3),
+        ):
+            return await pool.fetch(
+                upstream.address,
+                "POST",
+                "/",
+                [],
+                bytes(60_000),
+                200,
+                pace=body_pace.BodyPace(200, 10_000),
+            )
+
+    assert isinstance(asyncio.run(run()), http_client.ExchangeBroken)
