Test reads that are cut in the middle, and routers on links of their own

Besides, endless_upstream_test measured an ordinary request after the endless ones and did not look at it, and its bound named the shortest deadline but was 5 ms longer.

--- a/redwingchute/connection/http_client_test.py
+++ b/redwingchute/connection/http_client_test.py
@@ -313,8 +313,8 @@
     assert trickling.received_bytes < 200
 
 
-# A lost response was noticed later by what even a short request would have taken
-# over a very narrow link.
+# A lost response was noticed later by what even a short request would have
+# taken over a very narrow link.
 def test_a_lost_response_to_a_short_request_is_noticed_in_its_time() -> None:
     async def serve(connection: scripted_upstream.UpstreamConnection) -> None:
         await connection.read_request()
--- a/redwingchute/process/narrow_link_test.py
+++ b/redwingchute/process/narrow_link_test.py
@@ -138,3 +138,47 @@
             assert await _collect_late_statuses(rig) == {401}
 
     asyncio.run(main())
+
+
+# Guards against a reader that waits for the rest of a response on a link that
+# was cut in the middle of it, or begins again with all that it had missed.
+def test_a_cut_in_the_middle_of_a_read_delays_no_version_for_good() -> None:
+    async def main() -> None:
+        async with gateway_rig.GatewayRig(
+            document=_make_version(1, 0, True),
+            link_bytes_per_s=_NARROW_BYTES_PER_S,
+        ) as rig:
+            (link,) = rig.links
+            storm = asyncio.create_task(_publish_storm(rig, 18, 0.24, 1_000))
+            await asyncio.sleep(1.0)
+            link.is_stalled = True
+            await storm
+            link.is_stalled = False
+            assert await _collect_late_statuses(rig) == {401}
+
+    asyncio.run(main())
+
+
+# Guards against versions that reach routers only one after the other.
+def test_a_storm_reaches_routers_behind_links_of_their_own() -> None:
+    async def main() -> None:
+        async with gateway_rig.GatewayRig(
+            3,
+            document=_make_version(1, 0, True),
+            link_bytes_per_s=_NARROW_BYTES_PER_S,
+        ) as rig:
+            await _publish_storm(rig, 18, 0.24, 1_000)
+            await asyncio.sleep(_APPLY_S)
+            statuses = [
+                (
+                    await rig.send_request(
+                        "/lookup/1",
+                        gateway_number=number,
+                        authorization=f"Bearer {_REMOVED_KEY}",
+                    )
+                ).status
+                for number in range(3)
+            ]
+            assert statuses == [401] * 3
+
+    asyncio.run(main())
--- a/redwingchute/soak/endless_upstream_test.py
+++ b/redwingchute/soak/endless_upstream_test.py
@@ -18,8 +18,8 @@
 
 # The smallest host that a gateway runs on.
 _MEMORY_MB = 128
-# The shortest deadline that callers state.
-_PATIENCE_S = 0.7
+# The shortest deadline that callers state (695 ms, grown/LATER.md).
+_PATIENCE_S = 0.695
 _FEW, _MANY = 12, 120
 _ORDINARY_REQUESTS = 8
 _PAUSE_S = 0.1
@@ -153,7 +153,8 @@
                 seen.is_complete and seen.status == 200
                 for seen in [task.result() for task in requests]
             )
-            await rig.measure_ordinary_s()
+            # Whatever is left of them must not keep others waiting.
+            longest_s = max(longest_s, await rig.measure_ordinary_s())
             return longest_s, rig.read_peak_memory_mb()
 
     longest_s, peak_memory_mb = asyncio.run(main())
