--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,6 +1,7 @@
-"""A version raises a limit; channels that were open before don't get it."""
+"""A part of prompts ends each runner after some events of the answer."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -8,125 +9,120 @@
 sys.path.insert(0, str(FOLDER.parent))
 import harness3 as h  # noqa: E402
 
-_CHANNELS = 20
-_LOW_BYTES = 4_096
-_HIGH_BYTES = 16_384
-_HEAD_BYTES = 9_000
-_FIRST_PART_BYTES = 6_000
-_APPLY_S = 2.0
-_ALLOWED = 5
-_ALLOWED_SHARE = 1 / 500
+_RUNNERS = 6
+_REQUESTS = 40
+_GAP_S = 1.0
+_PREFILL_S = 0.05
+_EVENT_S = 0.02
+# The events that a request with the part shows before its runner ends.
+_EVENTS = int(os.environ.get("CRASH_EVENTS", "4"))
+_DOWN_S = 2.0
+_COUNTED_CRASHES = 5
+_MAX_LATE = 3
+_BAD_PART = "5c1e07a2"
 
 
-async def ask_in_parts(channel, number):
-    """Sends a lookup with a long head in two parts; returns the status."""
-    head = (
-        f"GET /lots/{number} HTTP/1.1\r\n"
-        "Host: yield.example\r\n"
-        f"Attempt-Id: long-{number}\r\n"
-        "Authorization: Bearer key-floor\r\n"
-        "Deadline-Ms: 1500\r\n"
-        "X-Trace: "
-    ).encode()
-    head += b"t" * (_HEAD_BYTES - len(head) - 4) + b"\r\n\r\n"
-    answer = h.Answer()
-    try:
-        async with asyncio.timeout(1.5):
-            channel.writer.write(head[:_FIRST_PART_BYTES])
-            await asyncio.sleep(0.02)
-            channel.writer.write(head[_FIRST_PART_BYTES:])
-            await channel._read(answer)
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
-        pass
-    return answer.status
+async def play(case):
+    arrivals = []
+    crashes = []
 
+    async def restart(runner):
+        if not runner.is_up:
+            return
+        runner.crash()
+        crashes.append(h.now())
+        case.record.add("crashed", runner=runner.id)
+        await asyncio.sleep(_DOWN_S)
+        await runner.start()
 
-async def play(case):
     async def handle(runner, request, writer):
+        parts = request.headers["prompt-prefix"].split(",")
+        is_bad = any(part.startswith(_BAD_PART) for part in parts[:-1])
+        if is_bad:
+            arrivals.append(h.now())
         case.record.add("ran", runner=runner.id, id=request.id)
-        await asyncio.sleep(0.06)
-        h.send_answer(runner, request, writer, b"x" * 800)
+        await asyncio.sleep(_PREFILL_S)
+        h.begin_stream(runner, request, writer)
+        for number in range(10):
+            if number == _EVENTS and is_bad and case.has_trouble:
+                asyncio.ensure_future(restart(runner))
+                await asyncio.sleep(60)
+            h.send_event(writer, number)
+            await asyncio.sleep(_EVENT_S)
+        h.end_stream(writer)
 
-    def publish(version, header_bytes):
-        route = {
-            "name": "lots",
-            "host": "yield.example",
-            "pathPrefix": "/lots/",
-            "type": "idempotent",
-            "timeoutMs": 800,
-            "targetLatencyMs": 300,
-            "priority": 2,
-            "service": "yield-ledger",
-            "maxAttempts": 2,
-            "public": False,
-            "sticky": False,
-            "resumable": False,
-        }
-        service = {
-            "name": "yield-ledger",
-            "healthPath": "/healthz",
-            "maxConnections": 110,
-        }
-        limits = {
-            "maxHeaderBytes": header_bytes,
-            "maxBodyBytes": 4194304,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        }
-        tenant = {"name": "floor", "apiKeys": ["key-floor"]}
-        case.configure(version, [route], [service], [tenant], limits)
-        case.record.add("acknowledged", version=version, limits=limits)
-
-    publish(1, _LOW_BYTES if case.has_trouble else _HIGH_BYTES)
-    for zone in ("huon", "bruny"):
-        await case.add_runner("yield-ledger", zone, handle, slots=12)
-    await case.add_routers(("huon", "bruny"))
-    await asyncio.sleep(4)
-    channels = []
-    requests = 0
+    route = {
+        "name": "summary",
+        "host": "yield.example",
+        "pathPrefix": "/summary/",
+        "type": "streaming",
+        "timeoutMs": 8000,
+        "targetLatencyMs": 800,
+        "targetGapMs": 600,
+        "priority": 1,
+        "service": "yield-llm",
+        "maxAttempts": 1,
+        "public": False,
+        "sticky": True,
+        "resumable": False,
+    }
+    service = {
+        "name": "yield-llm",
+        "healthPath": "/healthz",
+        "maxConnections": 370,
+        "inferenceEngine": {"slots": 64, "kvCapacity": 464458, "stride": 5},
+    }
+    tenant = {"name": "floor", "apiKeys": ["key-floor"], "reserved": 90000000}
+    case.configure(1, [route], [service], [tenant])
+    zones = ("huon", "bruny")
+    for number in range(_RUNNERS):
+        await case.add_runner(
+            "yield-llm", zones[number % 2], handle, slots=64
+        )
+    await case.add_routers(zones)
+    await asyncio.sleep(5)
 
-    async def ask_briefly(number, channel):
-        nonlocal requests
-        requests += 1
-        answer = await channel.ask(
-            "GET",
-            f"/lots/{number}",
+    async def send(number):
+        router = case.routers[number % len(case.routers)]
+        name = f"{number:04x}"
+        answer = await h.call(
+            router.ip,
+            8227,
+            "POST",
+            f"/summary/{name}",
             {
                 "Host": "yield.example",
-                "Attempt-Id": f"short-{requests}",
+                "Attempt-Id": f"summary-{name}",
                 "Authorization": "Bearer key-floor",
-                "Deadline-Ms": "1500",
+                "Deadline-Ms": "8000",
+                "Model": "m",
+                "Token-Usage": "4000,50",
+                "Prompt-Prefix": f"{_BAD_PART}:800,91bd{name}:3200",
             },
+            f"lot {name}".encode(),
         )
         case.record.add(
-            "answered", id=f"short-{requests}", status=answer.status
+            "answered",
+            id=f"summary-{name}",
+            router=router.name,
+            status=answer.status,
+            complete=answer.is_complete,
+            events=answer.body.count(b"\n\n"),
         )
 
-    for number in range(_CHANNELS):
-        channel = h.Channel(case.routers[number % 2].ip, 8227)
-        await channel.open()
-        channels.append(channel)
-        await ask_briefly(number, channel)
-    if case.has_trouble:
-        publish(2, _HIGH_BYTES)
-    for _ in range(3):
-        await asyncio.sleep((_APPLY_S + 2) / 3)
-        for number, channel in enumerate(channels):
-            await ask_briefly(number, channel)
-    denied = 0
-    for number, channel in enumerate(channels):
-        requests += 1
-        status = await ask_in_parts(channel, number)
-        case.record.add("answered", id=f"long-{number}", status=status)
-        denied += 300 <= status < 500 and status not in (408, 421, 429)
-    for channel in channels:
-        channel.close()
-    allowed = _ALLOWED + requests * _ALLOWED_SHARE
+    for number in range(_REQUESTS):
+        await send(number)
+        await asyncio.sleep(_GAP_S)
+    crashes.sort()
+    late = 0
+    if len(crashes) >= _COUNTED_CRASHES:
+        end = crashes[_COUNTED_CRASHES - 1] + h.CONTACT_S
+        late = sum(at > end for at in arrivals)
     case.record.add(
-        "judged", denied=denied, requests=requests, allowed=allowed
+        "judged", crashes=len(crashes), late=late, allowed=_MAX_LATE
     )
-    print(f"denied {denied} of {requests}, allowed {allowed:.2f}")
-    return denied > allowed
+    print(f"crashes {len(crashes)}, late sends {late}")
+    return late > _MAX_LATE
 
 
 h.run_case(FOLDER, play)
