review 11 to 15: the switch of the disruption is in each case

Each case reads TROUBLE itself, gives 2 where nothing was served, ends all that it started also when it is stopped, and is given up after 112 s.

--- a/review/15/case.py
+++ b/review/15/case.py
@@ -9,6 +9,9 @@
 sys.path.insert(0, str(FOLDER.parent))
 import harness3 as h  # noqa: E402
 
+# TROUBLE=0 leaves the disruption out.
+_HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 _RUNNERS = 6
 _REQUESTS = 40
 _GAP_S = 1.0
@@ -113,6 +116,8 @@
     for number in range(_REQUESTS):
         await send(number)
         await asyncio.sleep(_GAP_S)
+    if not arrivals:
+        raise h.CannotRun("no request reached a runner")
     crashes.sort()
     late = 0
     if len(crashes) >= _COUNTED_CRASHES:
@@ -125,4 +130,4 @@
     return late > _MAX_LATE
 
 
-h.run_case(FOLDER, play)
+h.run_case(FOLDER, play, _HAS_TROUBLE)
--- a/review/harness3.py
+++ b/review/harness3.py
@@ -25,6 +25,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 CONTACT_S = 3.0
 _BALANCER_PERIOD_S = 0.1
+# A script is given up, so that it ends within 120 s.
+_MAX_S = 112.0
 _LIMITS = {
     "maxHeaderBytes": 16384,
     "maxBodyBytes": 4194304,
@@ -122,10 +124,12 @@
       fault: Called with the method, path and query of each call; returns None,
         or what happens instead: `busy` (503), `reset`, `lost` (it is done, and
         not answered).
+      is_down: Whether all calls are reset, also those of runners.
     """
 
     def __init__(self):
         self.topics = {}
+        self.is_down = False
         self.fault = lambda method, path, query: None
         self.address = ""
         self._server = None
@@ -155,13 +159,13 @@
                 path, _, text = target.partition("?")
                 query = dict(urllib.parse.parse_qsl(text))
                 fault = self.fault(method, path, query)
-                if fault == "reset":
+                if self.is_down or fault == "reset":
                     break
                 if fault == "busy":
                     self._send(writer, 503, b"")
                     continue
                 status, answer = await self._handle(path, query, body)
-                if fault == "lost":
+                if self.is_down or fault == "lost":
                     break
                 self._send(writer, status, answer)
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -315,6 +319,8 @@
 
     def write_entry(self, state="ready"):
         self.sequence += 1
+        if self.store.is_down:
+            return
         self.store.put(
             "keyed.servers",
             self.id,
@@ -504,11 +510,13 @@
             await asyncio.sleep(_BALANCER_PERIOD_S)
         raise CannotRun(f"{self.name} did not get ready")
 
-    async def end(self):
-        if self.process is None or self.process.returncode is not None:
-            return
-        self.process.kill()
-        await self.process.wait()
+    def kill(self):
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+
+    async def wait_ended(self):
+        if self.process is not None:
+            await self.process.wait()
 
 
 class Answer:
@@ -606,8 +614,8 @@
       has_trouble: Whether the disruption is to happen.
     """
 
-    def __init__(self, folder):
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(self, folder, has_trouble):
+        self.has_trouble = has_trouble
         self.record = Record(folder)
         self.work = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
@@ -621,7 +629,9 @@
 
     async def __aexit__(self, *_):
         for router in self.routers:
-            await router.end()
+            router.kill()
+        for router in self.routers:
+            await router.wait_ended()
         for runner in self.runners:
             runner.crash()
         keep = os.environ.get("KEEP_LOGS")
@@ -662,29 +672,37 @@
                 f"{self._net}.{number}",
                 **fields,
             )
-            await router.start()
             self.routers.append(router)
+            await router.start()
         for router in self.routers:
             await router.wait_ready()
 
 
-def run_case(folder, play):
+def run_case(folder, play, has_trouble):
     """Plays a case; exits with 1 if the rule was broken, else 0, or 2.
 
+    Also when it is stopped or takes too long, it ends what it has started.
+
     Args:
       folder: The folder of the case.
       play: Called with the case; returns whether the rule was broken.
+      has_trouble: Whether the disruption is to happen.
     """
 
     async def main():
+        loop = asyncio.get_running_loop()
         # Tasks of connections that are cancelled at the end are no news.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        async with Case(folder) as case:
-            return await play(case)
+        loop.set_exception_handler(lambda *_: None)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
+        async with asyncio.timeout(_MAX_S):
+            async with Case(folder, has_trouble) as case:
+                return await play(case)
 
     try:
         is_broken = asyncio.run(main())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"cannot run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(2)
     sys.exit(1 if is_broken else 0)
